--- /dev/null
+++ b/core/model/resources.go
@@ -0,0 +1,53 @@
+package model
+
+// Resources is an amount of what a VM has. The zero value is nothing.
+type Resources struct {
+	milliCPU     int64
+	memoryMB     int64
+	accelerators int64
+}
+
+// NewResources returns an amount of milliCPU thousandths of a processor,
+// memoryMB megabytes and accelerators whole accelerators.
+func NewResources(milliCPU, memoryMB, accelerators int64) Resources {
+	return Resources{milliCPU: milliCPU, memoryMB: memoryMB, accelerators: accelerators}
+}
+
+// MilliCPU returns the thousandths of a processor.
+func (re Resources) MilliCPU() int64 { return re.milliCPU }
+
+// MemoryMB returns the memory in megabytes.
+func (re Resources) MemoryMB() int64 { return re.memoryMB }
+
+// Accelerators returns the number of accelerators.
+func (re Resources) Accelerators() int64 { return re.accelerators }
+
+// Add returns the sum of re and other.
+func (re Resources) Add(other Resources) Resources {
+	return Resources{re.milliCPU + other.milliCPU, re.memoryMB + other.memoryMB, re.accelerators + other.accelerators}
+}
+
+// Sub returns re less other. Parts of the result may be negative.
+func (re Resources) Sub(other Resources) Resources {
+	return Resources{re.milliCPU - other.milliCPU, re.memoryMB - other.memoryMB, re.accelerators - other.accelerators}
+}
+
+// Max returns the larger of re and other in each dimension.
+func (re Resources) Max(other Resources) Resources {
+	return Resources{
+		max(re.milliCPU, other.milliCPU),
+		max(re.memoryMB, other.memoryMB),
+		max(re.accelerators, other.accelerators),
+	}
+}
+
+// FitsIn reports whether re is at most free in every dimension.
+func (re Resources) FitsIn(free Resources) bool {
+	return re.milliCPU <= free.milliCPU && re.memoryMB <= free.memoryMB && re.accelerators <= free.accelerators
+}
+
+// IsZero reports whether re is nothing.
+func (re Resources) IsZero() bool { return re == Resources{} }
+
+// Valid reports whether no dimension is negative.
+func (re Resources) Valid() bool { return Resources{}.FitsIn(re) }
