Add the settings of a VM

Cause: a process reads its addresses, data centre and limits from a file, and an operator should see every fault of that file in one run.

--- /dev/null
+++ b/io/config/key.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"net/netip"
+	"path/filepath"
+	"strconv"
+
+	"guavarail/core/model"
+)
+
+// key describes one key of the file.
+type key[T any] struct {
+	name     string
+	allowed  string
+	required bool
+	// def is the value of a key that is not given.
+	def   T
+	parse func(text string) (T, bool)
+	show  func(val T) string
+}
+
+func textKey[T ~string](name, allowed string, valid func(text string) bool) key[T] {
+	return key[T]{
+		name: name, allowed: allowed, required: true,
+		parse: func(text string) (T, bool) { return T(text), valid(text) },
+		show:  func(val T) string { return string(val) },
+	}
+}
+
+const nameAllowed = "1 to 63 lower-case letters, digits and dashes"
+
+func nameKey[T ~string](name string) key[T] { return textKey[T](name, nameAllowed, model.ValidName) }
+
+func addressKey(name string) key[netip.AddrPort] {
+	return key[netip.AddrPort]{
+		name: name, allowed: "an IP address and a port from 1 to 65535, such as 10.0.0.1:7000", required: true,
+		parse: func(text string) (netip.AddrPort, bool) {
+			adr, err := netip.ParseAddrPort(text)
+			return adr, err == nil && adr.Port() > 0
+		},
+		show: netip.AddrPort.String,
+	}
+}
+
+func boolKey(name string) key[bool] {
+	return key[bool]{
+		name: name, allowed: "yes or no",
+		parse: func(text string) (bool, bool) { return text == "yes", text == "yes" || text == "no" },
+		show: func(val bool) string {
+			if val {
+				return "yes"
+			}
+			return "no"
+		},
+	}
+}
+
+func intKey(name string, def, low, high int) key[int] {
+	return key[int]{
+		name: name, allowed: strconv.Itoa(low) + " to " + strconv.Itoa(high), def: def,
+		parse: func(text string) (int, bool) {
+			val, err := strconv.Atoi(text)
+			return val, err == nil && val >= low && val <= high
+		},
+		show: strconv.Itoa,
+	}
+}
+
+func dirKey(name string) key[string] {
+	ke := textKey[string](name, "an absolute path, or leave it out on a VM without a disk", filepath.IsAbs)
+	ke.required = false
+	return ke
+}
+
+func levelKey(name string) key[string] {
+	levels := map[string]bool{"trace": true, "debug": true, "info": true, "warn": true, "error": true}
+	ke := textKey[string](name, "trace, debug, info, warn or error", func(text string) bool { return levels[text] })
+	ke.required, ke.def = false, "info"
+	return ke
+}
--- /dev/null
+++ b/io/config/settings.go
@@ -0,0 +1,146 @@
+// Package config reads the settings of a VM from an INI file and validates
+// them as a whole: every fault is reported at once.
+package config
+
+import (
+	"net/netip"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Settings are the validated settings of one VM.
+type Settings struct {
+	name     model.VMID
+	centre   model.CentreID
+	region   string
+	dataDir  string
+	logLevel string
+	listen   Listen
+	limits   Limits
+	// vms has an entry for this VM.
+	vms     []VM
+	entries []Entry
+}
+
+// Name returns the name of this VM.
+func (se Settings) Name() model.VMID { return se.name }
+
+// Centre returns the data centre of this VM.
+func (se Settings) Centre() model.CentreID { return se.centre }
+
+// Region returns the region of the data centre.
+func (se Settings) Region() string { return se.region }
+
+// DataDir returns the data directory, and false when this VM has no disk.
+func (se Settings) DataDir() (string, bool) { return se.dataDir, se.dataDir != "" }
+
+// LogLevel returns the lowest level that is logged.
+func (se Settings) LogLevel() string { return se.logLevel }
+
+// Listen returns the addresses that this VM listens on.
+func (se Settings) Listen() Listen { return se.listen }
+
+// Limits returns the limits of this VM.
+func (se Settings) Limits() Limits { return se.limits }
+
+// VMs returns a copy of all VMs by name.
+func (se Settings) VMs() []VM { return append([]VM(nil), se.vms...) }
+
+// Entries returns the effective value of every key, in the order of the
+// documentation.
+func (se Settings) Entries() []Entry { return append([]Entry(nil), se.entries...) }
+
+// Listen holds the addresses that a VM listens on.
+type Listen struct {
+	callers netip.AddrPort
+	api     netip.AddrPort
+	peers   netip.AddrPort
+}
+
+// Callers returns the address of the request path.
+func (li Listen) Callers() netip.AddrPort { return li.callers }
+
+// API returns the address of the HTTP API.
+func (li Listen) API() netip.AddrPort { return li.api }
+
+// Peers returns the address for the other VMs.
+func (li Listen) Peers() netip.AddrPort { return li.peers }
+
+// Limits bounds what a VM holds and accepts.
+type Limits struct {
+	slotsPerWorker       int
+	connectionsPerWorker int
+	callerConnections    int
+	apiBodyBytes         int
+	tasksPerJob          int
+	timelineEvents       int
+	drainSeconds         int
+}
+
+// SlotsPerWorker returns the requests that a backend server runs at once.
+func (li Limits) SlotsPerWorker() int { return li.slotsPerWorker }
+
+// ConnectionsPerWorker returns the connections that a backend server accepts
+// from all entry VMs together.
+func (li Limits) ConnectionsPerWorker() int { return li.connectionsPerWorker }
+
+// CallerConnections returns the open connections of callers on this VM.
+func (li Limits) CallerConnections() int { return li.callerConnections }
+
+// APIBodyBytes returns the size of the largest body that the API accepts.
+func (li Limits) APIBodyBytes() int { return li.apiBodyBytes }
+
+// TasksPerJob returns the number of tasks that one job may have.
+func (li Limits) TasksPerJob() int { return li.tasksPerJob }
+
+// TimelineEvents returns the number of events that this VM keeps.
+func (li Limits) TimelineEvents() int { return li.timelineEvents }
+
+// Drain returns the longest time that the shutdown of this VM may take.
+func (li Limits) Drain() time.Duration { return time.Duration(li.drainSeconds) * time.Second }
+
+// VM is one VM of the system as the settings list it.
+type VM struct {
+	name   model.VMID
+	centre model.CentreID
+	peer   netip.AddrPort
+	api    netip.AddrPort
+	disk   bool
+}
+
+// Name returns the name of the VM.
+func (vm VM) Name() model.VMID { return vm.name }
+
+// Centre returns the data centre of the VM.
+func (vm VM) Centre() model.CentreID { return vm.centre }
+
+// Peer returns the address that other VMs connect to.
+func (vm VM) Peer() netip.AddrPort { return vm.peer }
+
+// API returns the address of the HTTP API of the VM.
+func (vm VM) API() netip.AddrPort { return vm.api }
+
+// Disk reports whether the VM has a disk.
+func (vm VM) Disk() bool { return vm.disk }
+
+// Entry is the effective value of one key.
+type Entry struct {
+	section string
+	key     string
+	value   string
+	given   bool
+}
+
+// Section returns the section of the key.
+func (en Entry) Section() string { return en.section }
+
+// Key returns the name of the key.
+func (en Entry) Key() string { return en.key }
+
+// Value returns the value in effect.
+func (en Entry) Value() string { return en.value }
+
+// Given reports whether the file has the key; otherwise the value is the
+// default.
+func (en Entry) Given() bool { return en.given }
