--- /dev/null
+++ b/io/rest/fleet.go
@@ -0,0 +1,159 @@
+package rest
+
+import (
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+)
+
+// Header is part of the body of every operator command.
+type Header struct {
+	// Command is the identity of the command: unique, and the same in every
+	// resend.
+	Command string `json:"command"`
+	// Number is the configuration number that the operator saw, plus one.
+	Number   uint64 `json:"number"`
+	Operator string `json:"operator"`
+}
+
+// Of returns the operator command with the given content.
+func (he Header) Of(act fleet.Action) fleet.Command {
+	return fleet.NewCommand(model.CommandID(he.Command), he.Number, he.Operator, act)
+}
+
+// Change is an accepted operator command without its content.
+type Change struct {
+	Command  string `json:"command"`
+	Number   uint64 `json:"number"`
+	Operator string `json:"operator"`
+	Kind     string `json:"kind"`
+	Target   string `json:"target"`
+	// Preset is the preset in effect directly after the change.
+	Preset string `json:"preset"`
+}
+
+// NewChange returns the shape of ch, or nil when there is none.
+func NewChange(ch fleet.Change) *Change {
+	if ch.Number() == 0 {
+		return nil
+	}
+	return &Change{
+		Command: string(ch.Command()), Number: ch.Number(), Operator: ch.Operator(),
+		Kind: ch.Kind().String(), Target: ch.Target(), Preset: ch.Active(),
+	}
+}
+
+// Done answers an accepted operator command.
+type Done struct {
+	Change Change `json:"change"`
+}
+
+// NewDone returns the answer to an accepted command.
+func NewDone(ch fleet.Change) Done {
+	if out := NewChange(ch); out != nil {
+		return Done{Change: *out}
+	}
+	return Done{}
+}
+
+// NewRejected returns the body for a rejected operator command.
+func NewRejected(rej *fleet.RejectedError) Failure {
+	holder, _ := rej.Holder()
+	kind := rej.Reason().String()
+	return Failure{Error: Error{
+		Type: kind, Message: rej.Error(), Command: string(rej.Command()), Holder: NewChange(holder),
+		InEffect: &InEffect{Number: rej.Number(), Preset: rej.Active()},
+	}}
+}
+
+// Centre is the body of one data centre.
+type Centre struct {
+	Name string `json:"name"`
+	// Service is in, returning or out.
+	Service string `json:"service"`
+	// AdmitPercent is the share of starts and requests that is admitted.
+	AdmitPercent int `json:"admitPercent"`
+	// Reachable reports whether the answering VM hears a VM of the data
+	// centre.
+	Reachable bool `json:"reachable"`
+	// Leader is the VM that leads the group of the data centre, if known.
+	Leader string `json:"leader,omitempty"`
+	VMs    int    `json:"vms"`
+	// RunningTasks counts the tasks that hold resources.
+	RunningTasks int     `json:"runningTasks"`
+	WaitingTasks int     `json:"waitingTasks"`
+	By           *Change `json:"by,omitempty"`
+}
+
+// Services of a data centre.
+const (
+	ServiceIn        = "in"
+	ServiceReturning = "returning"
+	ServiceOut       = "out"
+)
+
+// CentreList answers GET /v1/centres.
+type CentreList struct {
+	InEffect InEffect `json:"inEffect"`
+	Centres  []Centre `json:"centres"`
+}
+
+// CentreCommand is the body of POST /v1/centres/NAME/out and in.
+type CentreCommand struct {
+	Header
+	// Force allows the last data centre in service to be taken out.
+	Force bool `json:"force,omitempty"`
+}
+
+// VM is the body of one VM.
+type VM struct {
+	Name        string `json:"name"`
+	Centre      string `json:"centre"`
+	PeerAddress string `json:"peerAddress"`
+	APIAddress  string `json:"apiAddress"`
+	Disk        bool   `json:"disk"`
+	DiskID      string `json:"diskId,omitempty"`
+	// Role is learner or voter.
+	Role string `json:"role"`
+	// State is alive, suspect or unreachable, as the answering VM sees it.
+	State string `json:"state,omitempty"`
+	// Leads lists the groups that the VM leads.
+	Leads []string `json:"leads,omitempty"`
+	By    *Change  `json:"by,omitempty"`
+}
+
+// NewVM returns the recorded part of vm.
+func NewVM(vm fleet.VM) VM {
+	sp := vm.Spec()
+	return VM{
+		Name: string(sp.Name), Centre: string(sp.Centre), PeerAddress: sp.PeerAddress, APIAddress: sp.APIAddress,
+		Disk: sp.Disk, DiskID: sp.DiskID, Role: sp.Role.String(), By: NewChange(vm.By()),
+	}
+}
+
+// Fleet returns the VM as an operator command names it.
+func (vm VM) Fleet() fleet.VM {
+	return fleet.NewVM(fleet.VMSpec{
+		Name: model.VMID(vm.Name), Centre: model.CentreID(vm.Centre),
+		PeerAddress: vm.PeerAddress, APIAddress: vm.APIAddress, Disk: vm.Disk, DiskID: vm.DiskID,
+	})
+}
+
+// VMList answers GET /v1/vms.
+type VMList struct {
+	InEffect InEffect `json:"inEffect"`
+	VMs      []VM     `json:"vms"`
+}
+
+// VMCommand is the body of POST /v1/vms, which adds a learner, and of POST
+// /v1/vms/NAME/replace.
+type VMCommand struct {
+	Header
+	VM VM `json:"vm"`
+}
+
+// VMChange is the body of POST /v1/vms/NAME/promote and remove.
+type VMChange struct {
+	Header
+	// DiskID is the disk identity to promote.
+	DiskID string `json:"diskId,omitempty"`
+}
--- /dev/null
+++ b/io/rest/job.go
@@ -0,0 +1,119 @@
+package rest
+
+// JobSubmit is the body of POST /v1/jobs. The name of the job makes a resend
+// safe: the same content again is answered as accepted, other content is a
+// conflict.
+type JobSubmit struct {
+	ID   string `json:"id"`
+	Team string `json:"team"`
+	// Priority is batch (default), service or urgent.
+	Priority string `json:"priority,omitempty"`
+	// Kind names what the tasks do; the default is the name of the job.
+	Kind  string `json:"kind,omitempty"`
+	Tasks int    `json:"tasks"`
+	// Size is the declared size of each task.
+	Size Resources `json:"size"`
+	// RunTimeMs is the declared run time of a task; 0 means unknown.
+	RunTimeMs int64 `json:"runTimeMs,omitempty"`
+	// Centre is the data centre to run in; the default is the one of the VM
+	// that accepts the job.
+	Centre string `json:"centre,omitempty"`
+}
+
+// JobAccepted answers POST /v1/jobs.
+type JobAccepted struct {
+	ID     string `json:"id"`
+	Centre string `json:"centre"`
+	// Repeated reports that the job had been submitted before.
+	Repeated bool `json:"repeated,omitempty"`
+}
+
+// JobCancelled answers POST /v1/jobs/ID/cancel.
+type JobCancelled struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+	// Repeated reports that the job had ended before.
+	Repeated bool `json:"repeated,omitempty"`
+}
+
+// Counts has the number of tasks in each state.
+type Counts struct {
+	Waiting   int `json:"waiting"`
+	Starting  int `json:"starting"`
+	Running   int `json:"running"`
+	Stopping  int `json:"stopping"`
+	Finished  int `json:"finished"`
+	Failed    int `json:"failed"`
+	Cancelled int `json:"cancelled"`
+}
+
+// Total returns the number of tasks.
+func (co Counts) Total() int {
+	return co.Waiting + co.Starting + co.Running + co.Stopping + co.Finished + co.Failed + co.Cancelled
+}
+
+// Job is the body of one job.
+type Job struct {
+	ID        string    `json:"id"`
+	Centre    string    `json:"centre"`
+	Team      string    `json:"team"`
+	Priority  string    `json:"priority"`
+	Kind      string    `json:"kind"`
+	State     string    `json:"state"`
+	Size      Resources `json:"size"`
+	RunTimeMs int64     `json:"runTimeMs,omitempty"`
+	Counts    Counts    `json:"counts"`
+	// Reason says why the job was cancelled or failed.
+	Reason string `json:"reason,omitempty"`
+	// Tasks is set by GET /v1/jobs/ID only.
+	Tasks []Task `json:"tasks,omitempty"`
+	// MoreTasks counts tasks that are left out of Tasks.
+	MoreTasks int `json:"moreTasks,omitempty"`
+}
+
+// Task is one task of a job.
+type Task struct {
+	Index int    `json:"index"`
+	State string `json:"state"`
+	// Reason says why the task waits, stops or ended.
+	Reason string `json:"reason,omitempty"`
+	// Detail says what is missing or would help, in one sentence.
+	Detail string `json:"detail,omitempty"`
+	// WaitingMs is how long the task has waited, as the leader measured it.
+	WaitingMs int64 `json:"waitingMs,omitempty"`
+	// Attempt is the number of the last attempt, 0 before the first.
+	Attempt uint32 `json:"attempt"`
+	Worker  string `json:"worker,omitempty"`
+	Rack    string `json:"rack,omitempty"`
+	// Size is the commitment of the task.
+	Size Resources `json:"size"`
+	// Borrowed reports that the commitment exceeds the quota of the team.
+	Borrowed bool `json:"borrowed,omitempty"`
+	// Checkpoint is what the next attempt resumes from.
+	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
+	// History has the last steps, oldest first.
+	History []Step `json:"history,omitempty"`
+}
+
+// Checkpoint names a checkpoint of one task.
+type Checkpoint struct {
+	Attempt  uint32 `json:"attempt"`
+	Sequence uint32 `json:"sequence"`
+}
+
+// Step is one step in the life of a task.
+type Step struct {
+	// Kind is queued, started, running, checkpointUnreadable, stopAsked,
+	// succeeded, failed, stopped, lost, notStarted or closed.
+	Kind    string `json:"kind"`
+	Reason  string `json:"reason,omitempty"`
+	Attempt uint32 `json:"attempt,omitempty"`
+	Worker  string `json:"worker,omitempty"`
+}
+
+// JobList answers GET /v1/jobs.
+type JobList struct {
+	Jobs []Job `json:"jobs"`
+	// Unreachable lists data centres whose jobs are missing.
+	Unreachable []string `json:"unreachable,omitempty"`
+}
--- /dev/null
+++ b/io/rest/preset.go
@@ -0,0 +1,126 @@
+package rest
+
+import (
+	"time"
+
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+)
+
+// Preset is the body of one preset. Fields that are left out in a command
+// mean the defaults; answers have the values in effect.
+type Preset struct {
+	Name              string          `json:"name"`
+	DeadlineMs        int64           `json:"deadlineMs,omitempty"`
+	MaxRequestMs      int64           `json:"maxRequestMs,omitempty"`
+	QueuePerSlot      int             `json:"queuePerSlot,omitempty"`
+	BatchSharePercent int             `json:"batchSharePercent,omitempty"`
+	Drain             string          `json:"drain,omitempty"`
+	Forward           bool            `json:"forward"`
+	Guards            *bool           `json:"guards,omitempty"`
+	Services          []ServicePolicy `json:"services,omitempty"`
+	Quotas            []Quota         `json:"quotas,omitempty"`
+	// Active and By are set in answers only.
+	Active bool    `json:"active,omitempty"`
+	By     *Change `json:"by,omitempty"`
+}
+
+// ServicePolicy is the part of a preset that concerns one service.
+type ServicePolicy struct {
+	Service      string `json:"service"`
+	TailTargetMs int64  `json:"tailTargetMs,omitempty"`
+	Weight       int    `json:"weight,omitempty"`
+}
+
+// Quota bounds what the tasks of one team may hold.
+type Quota struct {
+	Team   string    `json:"team"`
+	Limit  Resources `json:"limit"`
+	Weight int       `json:"weight,omitempty"`
+}
+
+// Resources is an amount of what a VM has.
+type Resources struct {
+	MilliCPU     int64 `json:"milliCpu"`
+	MemoryMB     int64 `json:"memoryMb"`
+	Accelerators int64 `json:"accelerators"`
+}
+
+// NewResources returns the shape of re.
+func NewResources(re model.Resources) Resources {
+	return Resources{MilliCPU: re.MilliCPU(), MemoryMB: re.MemoryMB(), Accelerators: re.Accelerators()}
+}
+
+// Model returns the amount.
+func (re Resources) Model() model.Resources {
+	return model.NewResources(re.MilliCPU, re.MemoryMB, re.Accelerators)
+}
+
+// NewPreset returns the shape of a preset with its values in effect.
+func NewPreset(en fleet.PresetEntry, active string) Preset {
+	pre := en.Preset()
+	guards := pre.Guards()
+	out := Preset{
+		Name: pre.Name(), DeadlineMs: pre.Deadline().Milliseconds(), MaxRequestMs: pre.MaxRequest().Milliseconds(),
+		QueuePerSlot: pre.QueuePerSlot(), BatchSharePercent: pre.BatchShare(), Drain: pre.Drain().String(),
+		Forward: pre.Forward(), Guards: &guards, Active: pre.Name() == active, By: NewChange(en.By()),
+	}
+	for _, sp := range pre.Spec().Services {
+		out.Services = append(out.Services, ServicePolicy{
+			Service: string(sp.Service()), TailTargetMs: sp.TailTarget().Milliseconds(), Weight: sp.Weight(),
+		})
+	}
+	for _, qu := range pre.Quotas() {
+		out.Quotas = append(out.Quotas, Quota{Team: string(qu.Team()), Limit: NewResources(qu.Limit()), Weight: qu.Weight()})
+	}
+	return out
+}
+
+// Model validates the preset as a whole.
+func (pr Preset) Model() (model.Preset, error) {
+	// Unknown modes lie outside the range that the model accepts, so that
+	// they are reported together with the other faults.
+	drain, ok := model.ParseDrainMode(pr.Drain)
+	if !ok {
+		drain = model.DrainMove + 1
+	}
+	spec := model.PresetSpec{
+		Name: pr.Name, Deadline: millis(pr.DeadlineMs), MaxRequest: millis(pr.MaxRequestMs),
+		QueuePerSlot: pr.QueuePerSlot, BatchSharePercent: pr.BatchSharePercent, Drain: drain,
+		Forward: pr.Forward, GuardsOff: pr.Guards != nil && !*pr.Guards,
+	}
+	for _, sp := range pr.Services {
+		spec.Services = append(spec.Services, model.NewServicePolicy(model.ServiceID(sp.Service), millis(sp.TailTargetMs), sp.Weight))
+	}
+	for _, qu := range pr.Quotas {
+		spec.Quotas = append(spec.Quotas, model.NewQuota(model.TeamID(qu.Team), qu.Limit.Model(), qu.Weight))
+	}
+	return model.NewPreset(spec)
+}
+
+// maxMillis is the largest number of milliseconds that a duration holds; a
+// product beyond it would wrap around into the allowed range.
+const maxMillis = int64(1<<63-1) / int64(time.Millisecond)
+
+func millis(num int64) time.Duration {
+	return time.Duration(max(-maxMillis, min(num, maxMillis))) * time.Millisecond
+}
+
+// PresetList answers GET /v1/presets.
+type PresetList struct {
+	InEffect InEffect `json:"inEffect"`
+	Presets  []Preset `json:"presets"`
+}
+
+// PresetCreate is the body of POST /v1/presets.
+type PresetCreate struct {
+	Header
+	Preset Preset `json:"preset"`
+	// Replace allows an inactive preset of the same name to be overwritten.
+	Replace bool `json:"replace,omitempty"`
+}
+
+// PresetSwitch is the body of POST /v1/presets/NAME/switch.
+type PresetSwitch struct {
+	Header
+}
