Link VMs by yamux sessions with typed messages

Cause: every other adapter needs a way to reach other VMs that keeps order, bounds its memory and does not let one stalled VM hold up the rest.

Change: peer.New starts a hub actor with one link actor per VM.

--- /dev/null
+++ b/io/peer/frame.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"guavarail/io/wire"
+)
+
+// MaxFrame is the largest frame in bytes, without its length.
+const MaxFrame = 8 << 20
+
+// lengthSize is the size of the big-endian length in front of each frame.
+const lengthSize = 4
+
+// frame is one encoded envelope with its length in front.
+type frame struct {
+	kind string
+	buf  []byte
+}
+
+// newFrame encodes env.
+func newFrame(env *wire.Envelope) (frame, error) {
+	size := proto.Size(env)
+	if size > MaxFrame {
+		return frame{}, &FrameSizeError{size: size}
+	}
+	buf := binary.BigEndian.AppendUint32(make([]byte, 0, lengthSize+size), uint32(size))
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, env)
+	if err != nil {
+		return frame{}, errors.Annotatef(err, "encode %s", env.GetKind())
+	}
+	return frame{kind: env.GetKind(), buf: buf}, nil
+}
+
+// readFrame reads one envelope of at most limit bytes and returns its size with the length.
+func readFrame(rd io.Reader, limit int) (*wire.Envelope, int, error) {
+	var head [lengthSize]byte
+	if _, err := io.ReadFull(rd, head[:]); err != nil {
+		return nil, 0, errors.Trace(err)
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if int(size) > limit {
+		return nil, 0, &FrameSizeError{size: int(size)}
+	}
+	buf := make([]byte, size)
+	if _, err := io.ReadFull(rd, buf); err != nil {
+		return nil, 0, errors.Trace(err)
+	}
+	env := &wire.Envelope{}
+	if err := proto.Unmarshal(buf, env); err != nil {
+		return nil, 0, errors.Annotate(err, "decode envelope")
+	}
+	return env, lengthSize + len(buf), nil
+}
--- /dev/null
+++ b/io/peer/link_test.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"guavarail/core/model"
+)
+
+// patience bounds waits for something that must happen; no test passes or
+// fails by how long it takes.
+const patience = 20 * time.Second
+
+type boomError struct{}
+
+func (boomError) Error() string { return "boom" }
+
+// startHub starts a hub on a free port whose peers are set later.
+func startHub(t *testing.T, self model.VMID, mux *Mux) (*Hub, func()) {
+	t.Helper()
+	hub, stop, err := New(Config{Self: self, Listen: "127.0.0.1:0", Mux: mux, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return hub, stop
+}
+
+// eventually waits until ok holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// pair starts two linked hubs.
+func pair(t *testing.T, muxA, muxB *Mux) (hubA, hubB *Hub) {
+	t.Helper()
+	hubA, stopA := startHub(t, "a", muxA)
+	hubB, stopB := startHub(t, "b", muxB)
+	t.Cleanup(stopA)
+	t.Cleanup(stopB)
+	hubA.SetPeers(map[model.VMID]string{"b": hubB.Addr()})
+	hubB.SetPeers(map[model.VMID]string{"a": hubA.Addr()})
+	eventually(t, "link up", func() bool { return hubA.Vars().OpenLinks() == 1 && hubB.Vars().OpenLinks() == 1 })
+	return hubA, hubB
+}
+
+// Guards against messages that overtake each other or get lost while a link is
+// up.
+func TestOrderedMessages(t *testing.T) {
+	const num = 2000
+	got := make(chan int64, num)
+	mux := &Mux{}
+	Handle(mux, func(_ model.VMID, msg *wrapperspb.Int64Value) { got <- msg.GetValue() })
+	hubA, _ := pair(t, nil, mux)
+	for i := range int64(num) {
+		hubA.Send("b", wrapperspb.Int64(i))
+	}
+	for want := range int64(num) {
+		select {
+		case val := <-got:
+			if val != want {
+				t.Fatalf("message %d arrived in place of %d", val, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("message %d did not arrive", want)
+		}
+	}
+}
+
+// Guards against a caller that cannot tell one kind of failure from another.
+func TestRequestOutcomes(t *testing.T) {
+	mux := &Mux{}
+	Answer(mux, func(_ context.Context, from model.VMID, que *wrapperspb.StringValue) (*wrapperspb.StringValue, error) {
+		return wrapperspb.String(string(from) + que.GetValue()), nil
+	})
+	Answer(mux, func(context.Context, model.VMID, *wrapperspb.BoolValue) (*wrapperspb.BoolValue, error) {
+		return nil, boomError{}
+	})
+	Answer(mux, func(ctx context.Context, _ model.VMID, _ *wrapperspb.FloatValue) (*wrapperspb.FloatValue, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	hubA, _ := pair(t, nil, mux)
+	ctx := context.Background()
+	if ans, err := Ask[*wrapperspb.StringValue](ctx, hubA, "b", wrapperspb.String("x")); err != nil || ans.GetValue() != "ax" {
+		t.Errorf("answer %v, error %v", ans, err)
+	}
+	var rem *RemoteError
+	if _, err := hubA.Request(ctx, "b", wrapperspb.Bool(true)); !errors.As(err, &rem) || rem.Type() != "boomError" || rem.Text() != "boom" {
+		t.Errorf("error %v, want a RemoteError of type boomError", err)
+	}
+	var unk *UnknownMessageError
+	if _, err := hubA.Request(ctx, "b", wrapperspb.Int32(1)); !errors.As(err, &unk) || unk.Kind() != "google.protobuf.Int32Value" {
+		t.Errorf("error %v, want an UnknownMessageError", err)
+	}
+	var unr *UnreachableError
+	if _, err := hubA.Request(ctx, "c", wrapperspb.Int32(1)); !errors.As(err, &unr) {
+		t.Errorf("error %v, want an UnreachableError", err)
+	}
+	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancel()
+	var tim *TimeoutError
+	if _, err := hubA.Request(short, "b", wrapperspb.Float(1)); !errors.As(err, &tim) {
+		t.Errorf("error %v, want a TimeoutError", err)
+	}
+}
+
+// Guards the frame bound on both sides: the sender refuses, and a VM that does
+// not keep to the bound cannot make the reader allocate the frame.
+func TestFrameBound(t *testing.T) {
+	hubA, _ := pair(t, nil, nil)
+	var siz *FrameSizeError
+	if _, err := hubA.Request(context.Background(), "b", wrapperspb.Bytes(make([]byte, MaxFrame))); !errors.As(err, &siz) {
+		t.Errorf("error %v, want a FrameSizeError", err)
+	}
+	left, right := net.Pipe()
+	defer left.Close()
+	go func() { _, _ = right.Write([]byte{0, 0x80, 0, 1}) }()
+	if _, _, err := readFrame(left, MaxFrame); !errors.As(err, &siz) || siz.Size() != MaxFrame+1 {
+		t.Errorf("error %v, want a FrameSizeError", err)
+	}
+}
+
+// Guards against two sessions for one pair, or none, when both VMs dial at
+// once, and against a link that does not come back after a restart.
+func TestOneSessionAfterRestart(t *testing.T) {
+	hubA, hubB := pair(t, nil, nil)
+	mux := &Mux{}
+	Answer(mux, func(_ context.Context, _ model.VMID, que *wrapperspb.StringValue) (*wrapperspb.StringValue, error) {
+		return que, nil
+	})
+	hubC, stop := startHub(t, "c", mux)
+	all := map[model.VMID]string{"a": hubA.Addr(), "b": hubB.Addr(), "c": hubC.Addr()}
+	for _, hub := range []*Hub{hubA, hubB, hubC} {
+		hub.SetPeers(all)
+	}
+	up := func() bool {
+		return hubA.Vars().OpenLinks() == 2 && hubB.Vars().OpenLinks() == 2 && hubC.Vars().OpenLinks() == 2
+	}
+	eventually(t, "three VMs linked", up)
+	stop()
+	eventually(t, "links to c closed", func() bool { return hubA.Vars().OpenLinks() == 1 && hubB.Vars().OpenLinks() == 1 })
+	hubC, stop, err := New(Config{Self: "c", Listen: hubC.Addr(), Mux: mux, Peers: all})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	eventually(t, "three VMs linked again", up)
+	eventually(t, "c answers", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := hubA.Request(ctx, "c", wrapperspb.String("x"))
+		return err == nil
+	})
+}
+
+// Guards against unbounded memory while a VM is down: only the newest messages
+// wait, and they arrive once the VM is back.
+func TestPendingBound(t *testing.T) {
+	const num = 3 * maxPending
+	hubA, stopA := startHub(t, "a", nil)
+	defer stopA()
+	got := make(chan int64, num)
+	mux := &Mux{}
+	Handle(mux, func(_ model.VMID, msg *wrapperspb.Int64Value) { got <- msg.GetValue() })
+	hubB, stopB := startHub(t, "b", mux)
+	defer stopB()
+	hubA.SetPeers(map[model.VMID]string{"b": "127.0.0.1:1"})
+	for i := range int64(num) {
+		hubA.Send("b", wrapperspb.Int64(i))
+	}
+	eventually(t, "old messages dropped", func() bool { return hubA.Vars().Dropped() == num-maxPending })
+	hubA.SetPeers(map[model.VMID]string{"b": hubB.Addr()})
+	hubB.SetPeers(map[model.VMID]string{"a": hubA.Addr()})
+	for want := int64(num - maxPending); want < num; want++ {
+		select {
+		case val := <-got:
+			if val != want {
+				t.Fatalf("message %d arrived in place of %d", val, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("message %d did not arrive", want)
+		}
+	}
+}
+
+var _ Sender = (*Hub)(nil)
--- /dev/null
+++ b/io/peer/vars.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"expvar"
+	"net"
+
+	"github.com/juju/errors"
+
+	"guavarail/core/model"
+)
+
+// published holds the counters of each hub of the process by the name of its
+// VM, at /debug/vars.
+var published = expvar.NewMap("peer")
+
+// Vars are the counters of one hub.
+type Vars struct {
+	all *expvar.Map
+
+	// Bytes of frames by message kind.
+	sentBytes, receivedBytes *expvar.Map
+	// Bytes on the sockets, with the overhead of yamux and without that of TCP.
+	socketSentBytes, socketReceivedBytes *expvar.Int
+
+	sentFrames, receivedFrames *expvar.Int
+	// Ordered messages that were dropped because the link was down or its queue full.
+	droppedFrames *expvar.Int
+	// Frames that were refused: too large, malformed or of an unknown kind.
+	refusedFrames *expvar.Int
+	// Requests that failed because the link was down or busy, or timed out.
+	failedRequests *expvar.Int
+	// Sessions that were opened after the first one of their link.
+	reconnects *expvar.Int
+	// Sessions that were closed because a ping got no answer.
+	deadLinks *expvar.Int
+	openLinks *expvar.Int
+}
+
+func newVars(self model.VMID) *Vars {
+	va := &Vars{all: new(expvar.Map).Init()}
+	mapVar := func(name string) *expvar.Map {
+		val := new(expvar.Map).Init()
+		va.all.Set(name, val)
+		return val
+	}
+	intVar := func(name string) *expvar.Int {
+		val := new(expvar.Int)
+		va.all.Set(name, val)
+		return val
+	}
+	va.sentBytes, va.receivedBytes = mapVar("sentBytes"), mapVar("receivedBytes")
+	va.socketSentBytes, va.socketReceivedBytes = intVar("socketSentBytes"), intVar("socketReceivedBytes")
+	va.sentFrames, va.receivedFrames = intVar("sentFrames"), intVar("receivedFrames")
+	va.droppedFrames, va.refusedFrames = intVar("droppedFrames"), intVar("refusedFrames")
+	va.failedRequests = intVar("failedRequests")
+	va.reconnects, va.deadLinks, va.openLinks = intVar("reconnects"), intVar("deadLinks"), intVar("openLinks")
+	published.Set(string(self), va.all)
+	return va
+}
+
+// Dropped returns the number of ordered messages that were dropped.
+func (va *Vars) Dropped() int64 { return va.droppedFrames.Value() }
+
+// Reconnects returns the number of sessions after the first one of their link.
+func (va *Vars) Reconnects() int64 { return va.reconnects.Value() }
+
+// DeadLinks returns the number of sessions closed for an unanswered ping.
+func (va *Vars) DeadLinks() int64 { return va.deadLinks.Value() }
+
+// OpenLinks returns the number of VMs with a session.
+func (va *Vars) OpenLinks() int64 { return va.openLinks.Value() }
+
+// SocketBytes returns the bytes sent and received on all sockets.
+func (va *Vars) SocketBytes() (sent, received int64) {
+	return va.socketSentBytes.Value(), va.socketReceivedBytes.Value()
+}
+
+func (va *Vars) sent(fr frame) {
+	va.sentFrames.Add(1)
+	va.sentBytes.Add(fr.kind, int64(len(fr.buf)))
+}
+
+func (va *Vars) received(kind string, size int) {
+	va.receivedFrames.Add(1)
+	va.receivedBytes.Add(kind, int64(size))
+}
+
+// countedConn adds the bytes on a socket to the counters.
+type countedConn struct {
+	net.Conn
+	vars *Vars
+}
+
+// Read counts the bytes that were read.
+func (con countedConn) Read(buf []byte) (int, error) {
+	num, err := con.Conn.Read(buf)
+	con.vars.socketReceivedBytes.Add(int64(num))
+	return num, err
+}
+
+// Write counts the bytes that were written.
+func (con countedConn) Write(buf []byte) (int, error) {
+	num, err := con.Conn.Write(buf)
+	con.vars.socketSentBytes.Add(int64(num))
+	return num, errors.Trace(err)
+}
