Keep the time line of a VM and merge those of several

Cause: an operator needs to see what happened in an order that puts causes before effects, though the wall clocks of the VMs differ.

--- /dev/null
+++ b/core/event/event_test.go
@@ -0,0 +1,162 @@
+package event
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"guavarail/core/model"
+)
+
+// Guards causal order: whatever the wall clocks of the VMs show, a message is
+// received at a higher stamp than it was sent, and stamps of a VM only grow.
+func TestStampsFollowCauses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		skew := rapid.SliceOfN(rapid.Int64Range(-5000, 5000), 3, 3).Draw(t, "skew")
+		clocks := make([]Stamp, len(skew))
+		wall := int64(1_700_000_000_000)
+		for range 50 {
+			from, to := rapid.IntRange(0, 2).Draw(t, "from"), rapid.IntRange(0, 2).Draw(t, "to")
+			wall += rapid.Int64Range(0, 3).Draw(t, "step")
+			sent := clocks[from].Next(wall + skew[from])
+			if sent <= clocks[from] {
+				t.Fatalf("stamp %v after %v", sent, clocks[from])
+			}
+			clocks[from] = sent
+			clocks[to] = clocks[to].Merge(sent, wall+skew[to])
+			got := clocks[to].Next(wall + skew[to])
+			if got <= sent {
+				t.Fatalf("received at %v what was sent at %v", got, sent)
+			}
+			clocks[to] = got
+		}
+	})
+}
+
+// Guards the clocks of all VMs against one VM whose clock is broken.
+func TestStampFarAheadIsIgnored(t *testing.T) {
+	own := NewStamp(1000)
+	if got := own.Merge(^Stamp(0), 1000); got != own {
+		t.Errorf("clock moved to %v", got)
+	}
+	if got := (NewStamp(7) | 0xFFFF).Next(7); got != NewStamp(8) {
+		t.Errorf("overflow of the counter gives %v, want %v", got, NewStamp(8))
+	}
+}
+
+// Guards against records that are skipped, repeated or lost without notice
+// when a reader continues from its position, also over a restart.
+func TestPagesContinue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lo := NewLog("a", 5, rapid.IntRange(1, 20).Draw(t, "capacity"))
+		var pos Position
+		var added, read, lost uint64
+		for range 30 {
+			for range rapid.IntRange(0, 15).Draw(t, "burst") {
+				added++
+				lo.Step(0, Note{Stamp: Stamp(added), Event: New("x", Subject{})})
+			}
+			pa := lo.Page(pos, Filter{}, rapid.IntRange(1, 10).Draw(t, "limit"), Stamp(added))
+			if pos == (Position{}) {
+				lost = 0
+				read = pa.Next().Seq() - uint64(len(pa.Records()))
+			}
+			lost += pa.Lost()
+			for _, rec := range pa.Records() {
+				if want := read + pa.Lost() + 1; rec.Seq() != want {
+					t.Fatalf("record %d in place of %d", rec.Seq(), want)
+				}
+				read++
+			}
+			read += pa.Lost()
+			pos = pa.Next()
+			if pos.Seq() != read {
+				t.Fatalf("position %d after record %d", pos.Seq(), read)
+			}
+		}
+		other := NewLog("a", 6, 4)
+		other.Step(0, Note{Stamp: 1, Event: New("y", Subject{})})
+		if pa := other.Page(pos, Filter{}, 0, 1); len(pa.Records()) != 1 || pa.Lost() != 0 {
+			t.Fatalf("after a restart %d records, %d lost", len(pa.Records()), pa.Lost())
+		}
+	})
+}
+
+// Guards the order that a reader of several rings sees: it is that of the
+// stamps over all pages, nothing is missing and nothing comes twice.
+func TestFollowerOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := []model.VMID{"a", "b", "c"}
+		logs := map[model.VMID]*Log{}
+		for _, vm := range vms {
+			logs[vm] = NewLog(vm, 1, 1000)
+		}
+		fol := NewFollower(vms...)
+		wall := int64(1_000_000)
+		var clock Stamp
+		var want, got []Record
+		for range 60 {
+			wall += rapid.Int64Range(0, 80).Draw(t, "step")
+			vm := rapid.SampledFrom(vms).Draw(t, "vm")
+			if rapid.Bool().Draw(t, "note") {
+				clock = clock.Next(wall)
+				want = append(want, logs[vm].Step(0, Note{Stamp: clock, Event: New("x", Subject{})})...)
+				continue
+			}
+			pa := logs[vm].Page(fol.Position(vm), Filter{}, rapid.IntRange(1, 5).Draw(t, "limit"), clock.Next(wall))
+			got = append(got, fol.Add(pa)...)
+			got = append(got, fol.Add(pa)...)
+		}
+		for _, vm := range vms {
+			got = append(got, fol.Add(logs[vm].Page(fol.Position(vm), Filter{}, MaxPage, clock.Next(wall)))...)
+		}
+		got = append(got, fol.Rest()...)
+		same := func(one, two Record) bool { return one.Compare(two) == 0 }
+		if !slices.EqualFunc(got, want, same) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		if all := Merge(got, want); !slices.EqualFunc(all, want, same) {
+			t.Fatalf("merged %v, want %v", all, want)
+		}
+	})
+}
+
+// Guards against a filter that leaves out events about what it names.
+func TestFilter(t *testing.T) {
+	rec := NewRecord(9, "v1", 1, New("taskStarted", Subject{Task: "j/1", Worker: "w", Centre: "c", Request: "r", Backend: "b", VM: "v2"}))
+	for _, tc := range []struct {
+		fil  Filter
+		want bool
+	}{
+		{Filter{}, true},
+		{Filter{Job: "j", Task: "j/1", Worker: "w", Centre: "c", Request: "r", Backend: "b", VM: "v1", Kind: "taskStarted", Since: 9}, true},
+		{Filter{VM: "v2"}, true},
+		{Filter{VM: "v3"}, false},
+		{Filter{Job: "i"}, false},
+		{Filter{Task: "j/2"}, false},
+		{Filter{Worker: "x"}, false},
+		{Filter{Centre: "x"}, false},
+		{Filter{Request: "x"}, false},
+		{Filter{Backend: "x"}, false},
+		{Filter{Since: 10}, false},
+	} {
+		if got := tc.fil.Matches(rec); got != tc.want {
+			t.Errorf("%+v matches: %v", tc.fil, got)
+		}
+	}
+}
+
+// Guards the frames between VMs against one event with unbounded texts.
+func TestRecordIsBounded(t *testing.T) {
+	var fis []Field
+	for i := range 100 {
+		fis = append(fis, NewField("k"+strconv.Itoa(i), strings.Repeat("é", 5000)))
+	}
+	rec := (&Log{}).Step(0, Note{Event: New("x", Subject{Request: strings.Repeat("r", 1<<20)}, fis...)})[0]
+	if size := rec.size(); size > maxFields*(maxText+16)+2*maxText {
+		t.Errorf("record of %d bytes", size)
+	}
+}
--- /dev/null
+++ b/core/event/filter.go
@@ -0,0 +1,41 @@
+package event
+
+import (
+	"strings"
+
+	"guavarail/core/model"
+)
+
+// Filter selects records. Empty fields select everything; the others must all
+// match.
+type Filter struct {
+	Kind Kind
+	// Job also selects the events of its tasks.
+	Job     model.JobID
+	Task    string
+	Request string
+	// VM selects the events about a VM and those that it recorded.
+	VM      model.VMID
+	Centre  model.CentreID
+	Worker  model.WorkerID
+	Backend model.BackendID
+	// Since leaves out records with a lower stamp.
+	Since Stamp
+}
+
+// Matches reports whether the filter selects rec.
+func (fil Filter) Matches(rec Record) bool {
+	sub := rec.ev.subject
+	return rec.stamp >= fil.Since &&
+		matches(fil.Kind, rec.ev.kind) &&
+		(matches(fil.Job, sub.Job) || strings.HasPrefix(sub.Task, string(fil.Job)+"/")) &&
+		matches(fil.Task, sub.Task) &&
+		matches(fil.Request, sub.Request) &&
+		(matches(fil.VM, sub.VM) || fil.VM == rec.vm) &&
+		matches(fil.Centre, sub.Centre) &&
+		matches(fil.Worker, sub.Worker) &&
+		matches(fil.Backend, sub.Backend)
+}
+
+// matches reports whether want is empty or equal to got.
+func matches[T ~string](want, got T) bool { return want == "" || want == got }
--- /dev/null
+++ b/io/wire/event.go
@@ -0,0 +1,86 @@
+package wire
+
+import (
+	"guavarail/core/event"
+	"guavarail/core/model"
+)
+
+// FromEventQuery encodes a query.
+func FromEventQuery(pos event.Position, fil event.Filter, limit int) *EventQuery {
+	return &EventQuery{
+		Epoch: uint64(pos.Epoch()), After: pos.Seq(), Kind: string(fil.Kind), SinceClock: uint64(fil.Since),
+		Limit: uint32(max(0, min(limit, event.MaxPage))),
+		Subject: fromSubject(event.Subject{
+			Centre: fil.Centre, VM: fil.VM, Job: fil.Job, Task: fil.Task,
+			Request: fil.Request, Worker: fil.Worker, Backend: fil.Backend,
+		}),
+	}
+}
+
+// ToEventQuery decodes a query.
+func ToEventQuery(que *EventQuery) (event.Position, event.Filter, int) {
+	sub := toSubject(que.GetSubject())
+	fil := event.Filter{
+		Kind: event.Kind(que.GetKind()), Job: sub.Job, Task: sub.Task, Request: sub.Request, VM: sub.VM,
+		Centre: sub.Centre, Worker: sub.Worker, Backend: sub.Backend, Since: event.Stamp(que.GetSinceClock()),
+	}
+	return event.NewPosition(event.Stamp(que.GetEpoch()), que.GetAfter()), fil, int(min(que.GetLimit(), event.MaxPage))
+}
+
+// FromEventPage encodes a page.
+func FromEventPage(pa event.Page) *EventPage {
+	msg := &EventPage{
+		Vm: string(pa.VM()), Epoch: uint64(pa.Next().Epoch()), Next: pa.Next().Seq(),
+		Lost: pa.Lost(), SettledClock: uint64(pa.Settled()), More: pa.More(),
+	}
+	for _, rec := range pa.Records() {
+		msg.Records = append(msg.Records, fromRecord(rec))
+	}
+	return msg
+}
+
+// ToEventPage decodes a page.
+func ToEventPage(msg *EventPage) event.Page {
+	recs := make([]event.Record, 0, len(msg.GetRecords()))
+	for _, rec := range msg.GetRecords() {
+		recs = append(recs, toRecord(rec))
+	}
+	next := event.NewPosition(event.Stamp(msg.GetEpoch()), msg.GetNext())
+	return event.NewPage(model.VMID(msg.GetVm()), recs, next, msg.GetLost(), event.Stamp(msg.GetSettledClock()), msg.GetMore())
+}
+
+func fromRecord(rec event.Record) *EventRecord {
+	evt := rec.Event()
+	msg := &EventRecord{
+		Clock: uint64(rec.Stamp()), Vm: string(rec.VM()), Seq: rec.Seq(),
+		Kind: string(evt.Kind()), Subject: fromSubject(evt.Subject()),
+	}
+	for _, fi := range evt.Fields() {
+		msg.Fields = append(msg.Fields, &EventField{Key: fi.Key(), Value: fi.Value()})
+	}
+	return msg
+}
+
+func toRecord(msg *EventRecord) event.Record {
+	fis := make([]event.Field, 0, len(msg.GetFields()))
+	for _, fi := range msg.GetFields() {
+		fis = append(fis, event.NewField(fi.GetKey(), fi.GetValue()))
+	}
+	evt := event.New(event.Kind(msg.GetKind()), toSubject(msg.GetSubject()), fis...)
+	return event.NewRecord(event.Stamp(msg.GetClock()), model.VMID(msg.GetVm()), msg.GetSeq(), evt)
+}
+
+func fromSubject(sub event.Subject) *EventSubject {
+	return &EventSubject{
+		Centre: string(sub.Centre), Vm: string(sub.VM), Job: string(sub.Job), Task: sub.Task,
+		Request: sub.Request, Worker: string(sub.Worker), Backend: string(sub.Backend),
+	}
+}
+
+func toSubject(msg *EventSubject) event.Subject {
+	return event.Subject{
+		Centre: model.CentreID(msg.GetCentre()), VM: model.VMID(msg.GetVm()), Job: model.JobID(msg.GetJob()),
+		Task: msg.GetTask(), Request: msg.GetRequest(), Worker: model.WorkerID(msg.GetWorker()),
+		Backend: model.BackendID(msg.GetBackend()),
+	}
+}
