Add the HTTP API of a VM

Cause: operators, workers and backend servers need one API on every VM, also when another VM has to decide.

Change: io/admin decodes calls with generic handlers, reports typed errors in the shapes of io/rest, and forwards a call to the VM that leads the group.

--- /dev/null
+++ b/io/admin/admin.go
@@ -0,0 +1,145 @@
+// Package admin serves the HTTP API for operators, workers and backend servers.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"guavarail/core/model"
+)
+
+const (
+	// maxBody bounds a request body. A report of a full worker and a job with
+	// all its constraints stay far below it.
+	maxBody = 1 << 20
+	// maxHops bounds how often a call is forwarded. Two cover a leader that
+	// changes while the call is on its way.
+	maxHops = 2
+)
+
+// Forwarder sends a call to another VM.
+type Forwarder interface {
+	Forward(ctx context.Context, to model.VMID, cal Call) (Reply, error)
+}
+
+// Call is one API call, as it arrived or as another VM forwarded it.
+type Call struct {
+	// Method and Target are those of the HTTP request; Target holds the query.
+	Method string
+	Target string
+	Body   []byte
+	// Hops counts how often the call was forwarded already.
+	Hops int
+}
+
+// Reply is the answer to a Call.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+// Mux routes API calls to handlers. Use NewMux.
+type Mux struct {
+	mux *http.ServeMux
+	fwd Forwarder
+}
+
+// NewMux returns a router without handlers. Calls for another VM go to fwd.
+func NewMux(fwd Forwarder) *Mux {
+	return &Mux{mux: http.NewServeMux(), fwd: fwd}
+}
+
+// Handler handles one kind of call: que is the decoded body and req gives the
+// path values and the query.
+type Handler[Q, A any] func(ctx context.Context, req *http.Request, que Q) (A, error)
+
+// Empty is the body of a call or an answer that has none.
+type Empty struct{}
+
+// Handle routes calls that match pattern to han.
+func Handle[Q, A any](mux *Mux, pattern string, han Handler[Q, A]) {
+	mux.mux.HandleFunc(pattern, func(wri http.ResponseWriter, req *http.Request) {
+		var que Q
+		if err := decode(req, &que); err != nil {
+			writeError(wri, err)
+			return
+		}
+		ans, err := han(req.Context(), req, que)
+		if err != nil {
+			writeError(wri, err)
+			return
+		}
+		writeJSON(wri, http.StatusOK, ans)
+	})
+}
+
+// ServeHTTP answers one HTTP request.
+func (mux *Mux) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(wri, req.Body, maxBody))
+	if err != nil {
+		writeError(wri, &BodyError{cause: err})
+		return
+	}
+	rep := mux.Serve(req.Context(), Call{Method: req.Method, Target: req.URL.RequestURI(), Body: body})
+	wri.Header().Set("Content-Type", "application/json")
+	wri.WriteHeader(rep.Status)
+	_, _ = wri.Write(rep.Body)
+}
+
+// Serve answers one call and forwards it when another VM has to answer it.
+func (mux *Mux) Serve(ctx context.Context, cal Call) Reply {
+	req, err := http.NewRequestWithContext(ctx, cal.Method, cal.Target, bytes.NewReader(cal.Body))
+	if err != nil {
+		return errorReply(&BodyError{cause: err})
+	}
+	buf := &bufferWriter{header: http.Header{}, status: http.StatusOK}
+	mux.mux.ServeHTTP(buf, req)
+	if buf.elsewhere == "" {
+		return Reply{Status: buf.status, Body: buf.body.Bytes()}
+	}
+	if cal.Hops >= maxHops || mux.fwd == nil {
+		return errorReply(&NoLeaderError{})
+	}
+	cal.Hops++
+	rep, err := mux.fwd.Forward(ctx, buf.elsewhere, cal)
+	if err != nil {
+		return errorReply(err)
+	}
+	return rep
+}
+
+// decode reads the body into que. An empty body leaves que at its zero value;
+// unknown fields are faults, so that a misspelt field is not ignored.
+func decode(req *http.Request, que any) error {
+	dec := json.NewDecoder(req.Body)
+	dec.DisallowUnknownFields()
+	err := dec.Decode(que)
+	if err == nil || errors.Is(err, io.EOF) {
+		return nil
+	}
+	return &BodyError{cause: err}
+}
+
+// bufferWriter keeps a response in memory until it is known whether the call
+// has to be forwarded.
+type bufferWriter struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+	// elsewhere names the VM that has to answer; empty when this VM has.
+	elsewhere model.VMID
+}
+
+// Header returns the header map.
+func (buf *bufferWriter) Header() http.Header { return buf.header }
+
+// WriteHeader sets the status.
+func (buf *bufferWriter) WriteHeader(status int) { buf.status = status }
+
+// Write appends to the body.
+func (buf *bufferWriter) Write(dat []byte) (int, error) { return buf.body.Write(dat) }
--- /dev/null
+++ b/io/admin/fleet.go
@@ -0,0 +1,119 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+	"guavarail/io/rest"
+)
+
+// fleetAPI answers calls on presets, data centres and VMs.
+type fleetAPI struct {
+	por Ports
+}
+
+func (fa *fleetAPI) routes(mux *Mux) {
+	Handle(mux, "GET "+rest.PathPresets, fa.listPresets)
+	Handle(mux, "POST "+rest.PathPresets, fa.createPreset)
+	Handle(mux, "GET "+rest.PathPresets+"/{name}", fa.showPreset)
+	Handle(mux, "POST "+rest.PathPresets+"/{name}/switch", fa.switchPreset)
+	Handle(mux, "GET "+rest.PathCentres, fa.listCentres)
+	Handle(mux, "POST "+rest.PathCentres+"/{name}/out", fa.centreOut)
+	Handle(mux, "POST "+rest.PathCentres+"/{name}/in", fa.centreIn)
+	Handle(mux, "GET "+rest.PathVMs, fa.listVMs)
+	Handle(mux, "POST "+rest.PathVMs, fa.addVM)
+	Handle(mux, "POST "+rest.PathVMs+"/{name}/replace", fa.replaceVM)
+	Handle(mux, "POST "+rest.PathVMs+"/{name}/promote", fa.promoteVM)
+	Handle(mux, "POST "+rest.PathVMs+"/{name}/remove", fa.removeVM)
+}
+
+// propose has an operator command decided.
+func (fa *fleetAPI) propose(ctx context.Context, cmd fleet.Command) (rest.Done, error) {
+	res, err := fa.por.Fleet.Propose(ctx, cmd)
+	if err != nil {
+		return rest.Done{}, err
+	}
+	if err := res.Err(); err != nil {
+		return rest.Done{}, err
+	}
+	cha, _ := res.Change()
+	return rest.NewDone(cha), nil
+}
+
+func (fa *fleetAPI) listPresets(ctx context.Context, _ *http.Request, _ Empty) (rest.PresetList, error) {
+	var out rest.PresetList
+	err := fa.por.Fleet.View(ctx, func(sta *fleet.State) {
+		out.InEffect = inEffect(sta)
+		for _, en := range sta.Presets() {
+			out.Presets = append(out.Presets, rest.NewPreset(en, sta.ActiveName()))
+		}
+	})
+	return out, err
+}
+
+func (fa *fleetAPI) showPreset(ctx context.Context, req *http.Request, _ Empty) (rest.Preset, error) {
+	var out rest.Preset
+	var found bool
+	err := fa.por.Fleet.View(ctx, func(sta *fleet.State) {
+		var en fleet.PresetEntry
+		if en, found = sta.Preset(req.PathValue("name")); found {
+			out = rest.NewPreset(en, sta.ActiveName())
+		}
+	})
+	if err == nil && !found {
+		err = &NotFoundError{what: "preset", name: req.PathValue("name")}
+	}
+	return out, err
+}
+
+func (fa *fleetAPI) createPreset(ctx context.Context, _ *http.Request, que rest.PresetCreate) (rest.Done, error) {
+	pre, err := que.Preset.Model()
+	if err != nil {
+		return rest.Done{}, err
+	}
+	return fa.propose(ctx, que.Of(fleet.NewCreatePreset(pre, que.Replace)))
+}
+
+func (fa *fleetAPI) switchPreset(ctx context.Context, req *http.Request, que rest.PresetSwitch) (rest.Done, error) {
+	return fa.propose(ctx, que.Of(fleet.NewSwitchPreset(req.PathValue("name"))))
+}
+
+func (fa *fleetAPI) centreOut(ctx context.Context, req *http.Request, que rest.CentreCommand) (rest.Done, error) {
+	return fa.propose(ctx, que.Of(fleet.NewCentreOut(model.CentreID(req.PathValue("name")), que.Force)))
+}
+
+func (fa *fleetAPI) centreIn(ctx context.Context, req *http.Request, que rest.CentreCommand) (rest.Done, error) {
+	return fa.propose(ctx, que.Of(fleet.NewCentreIn(model.CentreID(req.PathValue("name")))))
+}
+
+func (fa *fleetAPI) listCentres(ctx context.Context, _ *http.Request, _ Empty) (rest.CentreList, error) {
+	sta, err := fa.por.Local.Status(ctx)
+	return rest.CentreList{InEffect: sta.InEffect, Centres: sta.Centres}, err
+}
+
+func (fa *fleetAPI) listVMs(ctx context.Context, _ *http.Request, _ Empty) (rest.VMList, error) {
+	sta, err := fa.por.Local.Status(ctx)
+	return rest.VMList{InEffect: sta.InEffect, VMs: sta.VMs}, err
+}
+
+func (fa *fleetAPI) addVM(ctx context.Context, _ *http.Request, que rest.VMCommand) (rest.Done, error) {
+	return fa.propose(ctx, que.Of(fleet.NewAddLearner(que.VM.Fleet())))
+}
+
+func (fa *fleetAPI) replaceVM(ctx context.Context, req *http.Request, que rest.VMCommand) (rest.Done, error) {
+	return fa.propose(ctx, que.Of(fleet.NewReplaceVM(model.VMID(req.PathValue("name")), que.VM.Fleet())))
+}
+
+func (fa *fleetAPI) promoteVM(ctx context.Context, req *http.Request, que rest.VMChange) (rest.Done, error) {
+	return fa.propose(ctx, que.Of(fleet.NewPromote(model.VMID(req.PathValue("name")), que.DiskID)))
+}
+
+func (fa *fleetAPI) removeVM(ctx context.Context, req *http.Request, que rest.VMChange) (rest.Done, error) {
+	return fa.propose(ctx, que.Of(fleet.NewRemoveVM(model.VMID(req.PathValue("name")))))
+}
+
+func inEffect(sta *fleet.State) rest.InEffect {
+	return rest.InEffect{Number: sta.Number(), Preset: sta.ActiveName()}
+}
--- /dev/null
+++ b/io/admin/ports.go
@@ -0,0 +1,67 @@
+package admin
+
+import (
+	"context"
+
+	"guavarail/core/event"
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+	"guavarail/core/sched"
+	"guavarail/io/rest"
+)
+
+// Fleet is the port to the fleet group.
+type Fleet interface {
+	// Propose has a command decided. The error is an Elsewhere when this VM
+	// does not lead the group.
+	Propose(ctx context.Context, cmd fleet.Command) (fleet.Result, error)
+	// View runs fn with the state that this VM holds. fn must not keep it.
+	View(ctx context.Context, fn func(sta *fleet.State)) error
+}
+
+// Tasks is the port to the group of this VM's data centre. Every method
+// returns an Elsewhere when another VM has to answer.
+type Tasks interface {
+	// Propose has one operation decided.
+	Propose(ctx context.Context, op sched.Op) (sched.Verdict, error)
+	// View runs fn with the state of the leader. fn must not keep it.
+	View(ctx context.Context, fn func(vie TaskState)) error
+	// Report passes on the report of a worker and waits for its answer.
+	Report(ctx context.Context, rep sched.ReportSpec) (sched.Answer, error)
+}
+
+// TaskState is what the leader of a data centre knows of its jobs and workers.
+type TaskState interface {
+	Job(id model.JobID) (rest.Job, bool)
+	Jobs() []rest.Job
+	Workers() []rest.Worker
+}
+
+// Backends is the port to the request path.
+type Backends interface {
+	Announce(ann rest.BackendAnnounce) error
+	Leave(lea rest.BackendLeave) error
+}
+
+// Local is the port to what this VM knows about itself and its neighbours.
+type Local interface {
+	Status(ctx context.Context) (rest.Status, error)
+	Events(ctx context.Context, pos event.Position, fil event.Filter, limit int) (event.Page, error)
+	// Ready returns why this VM is not ready for callers, or "".
+	Ready() string
+	// Neighbour returns a VM of another data centre that can be reached.
+	Neighbour(centre model.CentreID) (model.VMID, bool)
+	// Centres returns the data centres of the fleet.
+	Centres() []model.CentreID
+}
+
+// Ports are what the API needs.
+type Ports struct {
+	Self     model.VMID
+	Centre   model.CentreID
+	Fleet    Fleet
+	Tasks    Tasks
+	Backends Backends
+	Local    Local
+	Forward  Forwarder
+}
--- /dev/null
+++ b/io/admin/tasks.go
@@ -0,0 +1,179 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"guavarail/core/model"
+	"guavarail/core/sched"
+	"guavarail/io/rest"
+)
+
+const (
+	// announceEvery is how often backend servers announce themselves.
+	announceEvery = time.Second
+	// leaveBound is when a backend server that left gets no new request.
+	leaveBound = 3 * time.Second
+	// fanoutTimeout bounds the wait for the lists of other data centres.
+	fanoutTimeout = 2 * time.Second
+	// centreParam limits a list to the data centre of the answering VM.
+	centreParam = "centre"
+)
+
+// tasksAPI answers calls on jobs and workers.
+type tasksAPI struct {
+	por Ports
+}
+
+func (ta *tasksAPI) routes(mux *Mux) {
+	Handle(mux, "GET "+rest.PathJobs, ta.listJobs)
+	Handle(mux, "POST "+rest.PathJobs, ta.submit)
+	Handle(mux, "GET "+rest.PathJobs+"/{id}", ta.showJob)
+	Handle(mux, "POST "+rest.PathJobs+"/{id}/cancel", ta.cancel)
+	Handle(mux, "GET "+rest.PathWorkers, ta.listWorkers)
+	Handle(mux, "POST "+rest.PathWorkerReport, ta.report)
+}
+
+func (ta *tasksAPI) submit(ctx context.Context, _ *http.Request, que rest.JobSubmit) (rest.JobAccepted, error) {
+	centre := model.CentreID(que.Centre)
+	if centre != "" && centre != ta.por.Centre {
+		vmi, ok := ta.por.Local.Neighbour(centre)
+		if !ok {
+			return rest.JobAccepted{}, &NotFoundError{what: "reachable data centre", name: que.Centre}
+		}
+		return rest.JobAccepted{}, &ForwardError{vm: vmi}
+	}
+	pri, ok := model.ParsePriority(que.Priority)
+	if !ok {
+		pri = model.Urgent + 1
+	}
+	job, err := sched.NewJob(sched.JobSpec{
+		ID: model.JobID(que.ID), Team: model.TeamID(que.Team), Priority: pri, Kind: que.Kind, Tasks: que.Tasks,
+		Size: que.Size.Model(), RunTime: time.Duration(que.RunTimeMs) * time.Millisecond,
+	})
+	if err != nil {
+		return rest.JobAccepted{}, err
+	}
+	ver, err := ta.por.Tasks.Propose(ctx, sched.Submit(job))
+	if err != nil {
+		return rest.JobAccepted{}, err
+	}
+	if ver == sched.Conflict {
+		return rest.JobAccepted{}, &ConflictError{what: "job", name: que.ID}
+	}
+	return rest.JobAccepted{ID: que.ID, Centre: string(ta.por.Centre), Repeated: ver == sched.Repeated}, nil
+}
+
+func (ta *tasksAPI) cancel(ctx context.Context, req *http.Request, _ Empty) (rest.JobCancelled, error) {
+	id := req.PathValue("id")
+	if err := ta.forwardUnlessLocal(ctx, req, model.JobID(id)); err != nil {
+		return rest.JobCancelled{}, err
+	}
+	ver, err := ta.por.Tasks.Propose(ctx, sched.Cancel(model.JobID(id)))
+	if err != nil {
+		return rest.JobCancelled{}, err
+	}
+	if ver == sched.UnknownJob {
+		return rest.JobCancelled{}, &NotFoundError{what: "job", name: id}
+	}
+	return rest.JobCancelled{ID: id, State: sched.Cancelled.String(), Repeated: ver != sched.Accepted}, nil
+}
+
+func (ta *tasksAPI) showJob(ctx context.Context, req *http.Request, _ Empty) (rest.Job, error) {
+	id := model.JobID(req.PathValue("id"))
+	if err := ta.forwardUnlessLocal(ctx, req, id); err != nil {
+		return rest.Job{}, err
+	}
+	var out rest.Job
+	var found bool
+	err := ta.por.Tasks.View(ctx, func(vie TaskState) { out, found = vie.Job(id) })
+	if err == nil && !found {
+		err = &NotFoundError{what: "job", name: string(id)}
+	}
+	return out, err
+}
+
+// forwardUnlessLocal returns a ForwardError when the job is not known here but
+// in another data centre. The forwarded call names its data centre, so that it
+// is not forwarded again.
+func (ta *tasksAPI) forwardUnlessLocal(ctx context.Context, req *http.Request, id model.JobID) error {
+	if req.URL.Query().Get(centreParam) != "" {
+		return nil
+	}
+	known := false
+	if err := ta.por.Tasks.View(ctx, func(vie TaskState) { _, known = vie.Job(id) }); err != nil || known {
+		return err
+	}
+	for _, cen := range ta.por.Local.Centres() {
+		vmi, ok := ta.por.Local.Neighbour(cen)
+		if !ok {
+			continue
+		}
+		var job rest.Job
+		if ta.ask(ctx, vmi, rest.PathJobs+"/"+url.PathEscape(string(id)), cen, &job) == nil {
+			return &ForwardError{vm: vmi}
+		}
+	}
+	return nil
+}
+
+func (ta *tasksAPI) listJobs(ctx context.Context, req *http.Request, _ Empty) (rest.JobList, error) {
+	var out rest.JobList
+	if err := ta.por.Tasks.View(ctx, func(vie TaskState) { out.Jobs = vie.Jobs() }); err != nil {
+		return out, err
+	}
+	if req.URL.Query().Get(centreParam) == "" {
+		out.Unreachable = fanOut(ctx, ta, rest.PathJobs, func(lis rest.JobList) { out.Jobs = append(out.Jobs, lis.Jobs...) })
+	}
+	return out, nil
+}
+
+func (ta *tasksAPI) listWorkers(ctx context.Context, req *http.Request, _ Empty) (rest.WorkerList, error) {
+	var out rest.WorkerList
+	if err := ta.por.Tasks.View(ctx, func(vie TaskState) { out.Workers = vie.Workers() }); err != nil {
+		return out, err
+	}
+	if req.URL.Query().Get(centreParam) == "" {
+		out.Unreachable = fanOut(ctx, ta, rest.PathWorkers, func(lis rest.WorkerList) {
+			out.Workers = append(out.Workers, lis.Workers...)
+		})
+	}
+	return out, nil
+}
+
+// fanOut asks one VM of every other data centre for its list, passes each list
+// to add, and returns the data centres that did not answer.
+func fanOut[L any](ctx context.Context, ta *tasksAPI, path string, add func(lis L)) []string {
+	ctx, cancel := context.WithTimeout(ctx, fanoutTimeout)
+	defer cancel()
+	var missing []string
+	for _, cen := range ta.por.Local.Centres() {
+		if cen == ta.por.Centre {
+			continue
+		}
+		var lis L
+		vmi, ok := ta.por.Local.Neighbour(cen)
+		if !ok || ta.ask(ctx, vmi, path, cen, &lis) != nil {
+			missing = append(missing, string(cen))
+			continue
+		}
+		add(lis)
+	}
+	return missing
+}
+
+// ask sends a GET call to another VM and decodes its answer into out.
+func (ta *tasksAPI) ask(ctx context.Context, vmi model.VMID, path string, cen model.CentreID, out any) error {
+	target := path + "?" + centreParam + "=" + url.QueryEscape(string(cen))
+	rep, err := ta.por.Forward.Forward(ctx, vmi, Call{Method: http.MethodGet, Target: target, Hops: 1})
+	if err != nil {
+		return err
+	}
+	if rep.Status != http.StatusOK {
+		return &NotFoundError{what: "answer of", name: string(vmi)}
+	}
+	return json.Unmarshal(rep.Body, out)
+}
