Add the API client and the output of commands

Cause: operators reach the system over any of several VMs, and answers get lost.

Change: io/client tries the addresses in turn, several rounds of them, and sends the same identity again; it tells a rejection, an unreachable system and an unknown outcome apart. io/term prints tables, tab-separated rows and JSON.

--- /dev/null
+++ b/io/client/call.go
@@ -0,0 +1,122 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"guavarail/io/rest"
+)
+
+// maxAnswer bounds the answers that are read: a list of 17,000 workers has
+// about 6 MB.
+const maxAnswer = 64 << 20
+
+func get[T any](ctx context.Context, cl *Client, target string) (T, error) {
+	return call[T](ctx, cl, http.MethodGet, target, nil)
+}
+
+func post[T any](ctx context.Context, cl *Client, target string, body any) (T, error) {
+	buf, err := json.Marshal(body)
+	if err != nil {
+		var zero T
+		return zero, errors.Annotate(err, "encode request")
+	}
+	return call[T](ctx, cl, http.MethodPost, target, buf)
+}
+
+// call sends the same bytes to one address after the other until one gives a
+// final answer.
+func call[T any](ctx context.Context, cl *Client, method, target string, body []byte) (T, error) {
+	var zero T
+	fail := &UnreachableError{tried: cl.Addresses()}
+	for round := range cl.cfg.Rounds {
+		if round > 0 {
+			if err := cl.cfg.Wait(ctx, cl.cfg.Pause); err != nil {
+				break
+			}
+		}
+		for range cl.cfg.Addresses {
+			val, err := try[T](ctx, cl, method, target, body)
+			if err == nil {
+				return val, nil
+			}
+			var ape *APIError
+			if errors.As(err, &ape) && final(ape) {
+				return zero, err
+			}
+			fail.last = err
+			fail.sent = fail.sent || body != nil && maybeDone(err)
+			cl.next = (cl.next + 1) % len(cl.cfg.Addresses)
+			if ctx.Err() != nil {
+				return zero, fail
+			}
+		}
+	}
+	// Without a lost answer the last failure of the API says more than the
+	// list of addresses.
+	var ape *APIError
+	if !fail.sent && errors.As(fail.last, &ape) {
+		return zero, ape
+	}
+	return zero, fail
+}
+
+// final reports whether other addresses would give the same answer.
+func final(ape *APIError) bool { return ape.status < http.StatusInternalServerError }
+
+// maybeDone reports whether a request that ended with err may have been
+// carried out.
+func maybeDone(err error) bool {
+	var ape *APIError
+	if errors.As(err, &ape) {
+		return ape.body.Type != rest.TypeNotReady && ape.body.Type != rest.TypeNoMajority
+	}
+	var ope *net.OpError
+	return !(errors.As(err, &ope) && ope.Op == "dial")
+}
+
+func try[T any](ctx context.Context, cl *Client, method, target string, body []byte) (T, error) {
+	var val T
+	ctx, cancel := context.WithTimeout(ctx, cl.cfg.Timeout)
+	defer cancel()
+	address := cl.cfg.Addresses[cl.next]
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+target, bytes.NewReader(body))
+	if err != nil {
+		return val, errors.Trace(err)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	rsp, err := cl.cfg.HTTP.Do(req)
+	if err != nil {
+		return val, errors.Trace(err)
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	buf, err := io.ReadAll(io.LimitReader(rsp.Body, maxAnswer))
+	if err != nil {
+		return val, &AnswerError{address: address, cause: err}
+	}
+	if rsp.StatusCode >= http.StatusMultipleChoices {
+		return val, failure(rsp.StatusCode, buf)
+	}
+	if err := json.Unmarshal(buf, &val); err != nil {
+		return val, &AnswerError{address: address, cause: err}
+	}
+	return val, nil
+}
+
+// failure reads the body of a failed call; a body that is not of the API is
+// left out.
+func failure(status int, buf []byte) *APIError {
+	var body rest.Failure
+	if err := json.Unmarshal(buf, &body); err != nil {
+		body = rest.Failure{}
+	}
+	return &APIError{status: status, body: body.Error}
+}
--- /dev/null
+++ b/io/client/calls.go
@@ -0,0 +1,88 @@
+package client
+
+import (
+	"context"
+	"net/url"
+
+	"guavarail/io/rest"
+)
+
+// Presets returns all presets.
+func (cl *Client) Presets(ctx context.Context) (rest.PresetList, error) {
+	return get[rest.PresetList](ctx, cl, rest.PathPresets)
+}
+
+// Preset returns one preset.
+func (cl *Client) Preset(ctx context.Context, name string) (rest.Preset, error) {
+	return get[rest.Preset](ctx, cl, rest.PathPresets+"/"+url.PathEscape(name))
+}
+
+// CreatePreset adds a preset.
+func (cl *Client) CreatePreset(ctx context.Context, body rest.PresetCreate) (rest.Done, error) {
+	return post[rest.Done](ctx, cl, rest.PathPresets, body)
+}
+
+// SwitchPreset makes a preset the active one.
+func (cl *Client) SwitchPreset(ctx context.Context, name string, body rest.PresetSwitch) (rest.Done, error) {
+	return post[rest.Done](ctx, cl, rest.PathPresets+"/"+url.PathEscape(name)+"/switch", body)
+}
+
+// Centres returns all data centres.
+func (cl *Client) Centres(ctx context.Context) (rest.CentreList, error) {
+	return get[rest.CentreList](ctx, cl, rest.PathCentres)
+}
+
+// CentreOut takes a data centre out of service.
+func (cl *Client) CentreOut(ctx context.Context, name string, body rest.CentreCommand) (rest.Done, error) {
+	return post[rest.Done](ctx, cl, rest.PathCentres+"/"+url.PathEscape(name)+"/out", body)
+}
+
+// CentreIn brings a data centre back into service.
+func (cl *Client) CentreIn(ctx context.Context, name string, body rest.CentreCommand) (rest.Done, error) {
+	return post[rest.Done](ctx, cl, rest.PathCentres+"/"+url.PathEscape(name)+"/in", body)
+}
+
+// SubmitJob submits a job. Its name makes a resend safe.
+func (cl *Client) SubmitJob(ctx context.Context, body rest.JobSubmit) (rest.JobAccepted, error) {
+	return post[rest.JobAccepted](ctx, cl, rest.PathJobs, body)
+}
+
+// Jobs returns all jobs without their tasks.
+func (cl *Client) Jobs(ctx context.Context) (rest.JobList, error) {
+	return get[rest.JobList](ctx, cl, rest.PathJobs)
+}
+
+// Job returns one job with its tasks.
+func (cl *Client) Job(ctx context.Context, id string) (rest.Job, error) {
+	return get[rest.Job](ctx, cl, rest.PathJobs+"/"+url.PathEscape(id))
+}
+
+// CancelJob cancels a job. A job that has ended stays as it is.
+func (cl *Client) CancelJob(ctx context.Context, id string) (rest.JobCancelled, error) {
+	return post[rest.JobCancelled](ctx, cl, rest.PathJobs+"/"+url.PathEscape(id)+"/cancel", struct{}{})
+}
+
+// Workers returns all workers.
+func (cl *Client) Workers(ctx context.Context) (rest.WorkerList, error) {
+	return get[rest.WorkerList](ctx, cl, rest.PathWorkers)
+}
+
+// VMs returns all VMs.
+func (cl *Client) VMs(ctx context.Context) (rest.VMList, error) {
+	return get[rest.VMList](ctx, cl, rest.PathVMs)
+}
+
+// ReplaceVM removes a VM and adds another one as a learner.
+func (cl *Client) ReplaceVM(ctx context.Context, old string, body rest.VMCommand) (rest.Done, error) {
+	return post[rest.Done](ctx, cl, rest.PathVMs+"/"+url.PathEscape(old)+"/replace", body)
+}
+
+// Status returns the state of the system.
+func (cl *Client) Status(ctx context.Context) (rest.Status, error) {
+	return get[rest.Status](ctx, cl, rest.PathStatus)
+}
+
+// Events returns events that the answering VM recorded.
+func (cl *Client) Events(ctx context.Context, que rest.EventQuery) (rest.EventList, error) {
+	return get[rest.EventList](ctx, cl, rest.PathEvents+"?"+que.Values().Encode())
+}
--- /dev/null
+++ b/io/client/client_test.go
@@ -0,0 +1,193 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"guavarail/core/fleet"
+	"guavarail/io/rest"
+)
+
+// fakeVMs serve preset switches of one fleet state on several addresses.
+type fakeVMs struct {
+	st *fleet.State
+	// lose says whether a request is lost before it is carried out and
+	// whether its answer is lost afterwards. It is called under turn.
+	lose func() (request, answer bool)
+	// turn holds one token; its holder uses the other fields.
+	turn    chan struct{}
+	applied int
+}
+
+func newFakeVMs(t *testing.T, count int, lose func() (bool, bool)) (*fakeVMs, []string) {
+	t.Helper()
+	vms := &fakeVMs{st: fleet.New(), lose: lose, turn: make(chan struct{}, 1)}
+	vms.turn <- struct{}{}
+	var addresses []string
+	for range count {
+		srv := httptest.NewServer(vms)
+		t.Cleanup(srv.Close)
+		addresses = append(addresses, strings.TrimPrefix(srv.URL, "http://"))
+	}
+	return vms, addresses
+}
+
+func (vms *fakeVMs) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	var body rest.PresetSwitch
+	if err := json.NewDecoder(req.Body).Decode(&body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	<-vms.turn
+	defer func() { vms.turn <- struct{}{} }()
+	loseRequest, loseAnswer := vms.lose()
+	if loseRequest {
+		panic(http.ErrAbortHandler)
+	}
+	before := vms.st.Number()
+	name := strings.Split(req.URL.Path, "/")[3]
+	res := vms.st.Apply(body.Of(fleet.NewSwitchPreset(name)))
+	if vms.st.Number() > before {
+		vms.applied++
+	}
+	if loseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	if rej := res.Rejection(); rej != nil {
+		answer(wri, http.StatusConflict, rest.NewRejected(rej))
+		return
+	}
+	ch, _ := res.Change()
+	answer(wri, http.StatusOK, rest.NewDone(ch))
+}
+
+func answer(wri http.ResponseWriter, status int, body any) {
+	wri.WriteHeader(status)
+	_ = json.NewEncoder(wri).Encode(body)
+}
+
+func noWait(ctx context.Context, _ time.Duration) error { return ctx.Err() }
+
+func newClient(t *testing.T, cfg Config) *Client {
+	t.Helper()
+	if cfg.Wait == nil {
+		cfg.Wait = noWait
+	}
+	cl, stop, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return cl
+}
+
+func switchBody(id string, number uint64) rest.PresetSwitch {
+	return rest.PresetSwitch{Header: rest.Header{Command: id, Number: number, Operator: "ilze"}}
+}
+
+// Guards P10 and F10: requests and answers are lost at random, and each
+// command is carried out once and answered with its own change.
+func TestLostAnswersDoNotRepeatCommands(t *testing.T) {
+	rnd := rand.New(rand.NewSource(7))
+	vms, addresses := newFakeVMs(t, 3, func() (bool, bool) { return rnd.Intn(4) == 0, rnd.Intn(2) == 0 })
+	cl := newClient(t, Config{Addresses: addresses, Rounds: 20})
+	const commands = 50
+	for i := uint64(1); i <= commands; i++ {
+		id := "c" + strconv.FormatUint(i, 10)
+		done, err := cl.SwitchPreset(context.Background(), "default", switchBody(id, i))
+		if err != nil || done.Change.Command != id || done.Change.Number != i {
+			t.Fatalf("command %s answered %+v, %v", id, done, err)
+		}
+	}
+	if vms.applied != commands {
+		t.Errorf("%d commands were carried out, want %d", vms.applied, commands)
+	}
+}
+
+// Guards against a rejection that is hidden by a retry: the loser of two equal
+// numbers is told once, with the winner.
+func TestRejectionIsFinal(t *testing.T) {
+	_, addresses := newFakeVMs(t, 2, func() (bool, bool) { return false, false })
+	cl := newClient(t, Config{Addresses: addresses})
+	if _, err := cl.SwitchPreset(context.Background(), "default", switchBody("first", 1)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := cl.SwitchPreset(context.Background(), "default", switchBody("second", 1))
+	var ape *APIError
+	if !errors.As(err, &ape) || !ape.Rejected() || ape.Type() != "numberTaken" {
+		t.Fatalf("error %v, want numberTaken", err)
+	}
+	if body := ape.Body(); body.Holder == nil || body.Holder.Command != "first" || body.InEffect.Number != 1 {
+		t.Errorf("rejection %+v does not name the winner", body)
+	}
+}
+
+// Guards against giving up at an address that cannot be reached, and against
+// trying it first in every call.
+func TestNextAddressIsTried(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := lis.Addr().String()
+	_ = lis.Close()
+	_, addresses := newFakeVMs(t, 1, func() (bool, bool) { return false, false })
+	cl := newClient(t, Config{Addresses: []string{closed, addresses[0]}, Rounds: 1})
+	for i := uint64(1); i <= 2; i++ {
+		if _, err := cl.SwitchPreset(context.Background(), "default", switchBody(strconv.FormatUint(i, 10), i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if cl.next != 1 {
+		t.Errorf("the client starts at address %d, want the one that answered", cl.next)
+	}
+}
+
+// Guards against telling an operator that a command failed when it may have
+// been carried out, and the reverse.
+func TestUnknownOutcomeIsReported(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := lis.Addr().String()
+	_ = lis.Close()
+	_, lossy := newFakeVMs(t, 1, func() (bool, bool) { return false, true })
+	for name, tc := range map[string]struct {
+		addresses []string
+		maybe     bool
+	}{
+		"never sent":  {[]string{closed}, false},
+		"answer lost": {[]string{lossy[0], closed}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newClient(t, Config{Addresses: tc.addresses, Rounds: 2})
+			_, err := cl.SwitchPreset(context.Background(), "default", switchBody("c", 1))
+			var une *UnreachableError
+			if !errors.As(err, &une) || une.MaybeDone() != tc.maybe {
+				t.Errorf("error %v, want UnreachableError with MaybeDone %v", err, tc.maybe)
+			}
+		})
+	}
+}
+
+// Guards against reading on after the caller has given up.
+func TestCancelledCallEnds(t *testing.T) {
+	_, addresses := newFakeVMs(t, 1, func() (bool, bool) { return true, true })
+	ctx, cancel := context.WithCancel(context.Background())
+	cl := newClient(t, Config{Addresses: addresses, Rounds: 1 << 30, Wait: func(ctx context.Context, _ time.Duration) error {
+		cancel()
+		return ctx.Err()
+	}})
+	if _, err := cl.SwitchPreset(ctx, "default", switchBody("c", 1)); err == nil {
+		t.Error("a cancelled call succeeded")
+	}
+}
--- /dev/null
+++ b/io/client/errors.go
@@ -0,0 +1,100 @@
+package client
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"guavarail/io/rest"
+)
+
+// AddressError reports that an address of the API is missing or is not an IP
+// address and port.
+type AddressError struct {
+	address string
+}
+
+// Error describes the failure.
+func (err *AddressError) Error() string {
+	if err.address == "" {
+		return "no API address is given; use --api IP:port"
+	}
+	return "API address " + strconv.Quote(err.address) + " is not an IP address and port; use one such as 10.0.0.1:7001"
+}
+
+// APIError is an answer that reports a failure.
+type APIError struct {
+	status int
+	body   rest.Error
+}
+
+// Status returns the HTTP status.
+func (err *APIError) Status() int { return err.status }
+
+// Type returns the type of the failure.
+func (err *APIError) Type() string { return err.body.Type }
+
+// Body returns the failure as the API reported it.
+func (err *APIError) Body() rest.Error { return err.body }
+
+// Rejected reports whether the system refused the call, so that sending it
+// again unchanged does not help.
+func (err *APIError) Rejected() bool {
+	return err.status < http.StatusInternalServerError || err.body.Type == rest.TypeNoMajority
+}
+
+// Error describes the failure.
+func (err *APIError) Error() string {
+	out := err.body.Message
+	if out == "" {
+		out = "the API answered " + strconv.Itoa(err.status) + " " + http.StatusText(err.status)
+	}
+	for _, fa := range err.body.Faults {
+		out += "\n  " + fa.Field + ": use " + fa.Allowed
+	}
+	return out
+}
+
+// UnreachableError reports that no address gave a usable answer.
+type UnreachableError struct {
+	tried []string
+	// sent reports that a command may have reached the system.
+	sent bool
+	last error
+}
+
+// Tried returns the addresses.
+func (err *UnreachableError) Tried() []string { return append([]string(nil), err.tried...) }
+
+// MaybeDone reports that a command may have been carried out. Sending it again
+// with the same identity returns its answer.
+func (err *UnreachableError) MaybeDone() bool { return err.sent }
+
+// Unwrap returns the last failure.
+func (err *UnreachableError) Unwrap() error { return err.last }
+
+// Error describes the failure.
+func (err *UnreachableError) Error() string {
+	out := "no usable answer from " + strings.Join(err.tried, ", ")
+	if err.sent {
+		out += "; the command may have been carried out"
+	}
+	if err.last != nil {
+		out += "; last failure: " + err.last.Error()
+	}
+	return out
+}
+
+// AnswerError reports an answer that cannot be read.
+type AnswerError struct {
+	address string
+	cause   error
+}
+
+// Error describes the failure.
+func (err *AnswerError) Error() string {
+	return "read the answer of " + err.address + ": " + err.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (err *AnswerError) Unwrap() error { return err.cause }
--- /dev/null
+++ b/io/rest/query.go
@@ -0,0 +1,98 @@
+package rest
+
+import (
+	"net/url"
+	"strconv"
+)
+
+// EventQuery selects events. Empty fields select everything; the others must
+// all match.
+type EventQuery struct {
+	// After is the sequence of the last event that the caller has.
+	After uint64
+	// Limit bounds the number of events; 0 means DefaultEvents.
+	Limit   int
+	Job     string
+	Task    string
+	Request string
+	// VM matches the VM that an event is about, or that recorded it.
+	VM     string
+	Centre string
+}
+
+// Bounds of the number of events in one answer.
+const (
+	DefaultEvents = 1000
+	MaxEvents     = 10_000
+)
+
+// Values returns the query parameters.
+func (que EventQuery) Values() url.Values {
+	out := url.Values{}
+	set := func(key, val string) {
+		if val != "" {
+			out.Set(key, val)
+		}
+	}
+	if que.After > 0 {
+		set("after", strconv.FormatUint(que.After, 10))
+	}
+	if que.Limit > 0 {
+		set("limit", strconv.Itoa(que.Limit))
+	}
+	set("job", que.Job)
+	set("task", que.Task)
+	set("request", que.Request)
+	set("vm", que.VM)
+	set("centre", que.Centre)
+	return out
+}
+
+// QueryError reports query parameters that are not accepted.
+type QueryError struct{ faults []Fault }
+
+// Faults returns the parameters that are not accepted.
+func (err *QueryError) Faults() []Fault { return append([]Fault(nil), err.faults...) }
+
+// Error lists the parameters.
+func (err *QueryError) Error() string {
+	out := "query not accepted"
+	for _, fa := range err.faults {
+		out += "; " + fa.Field + ": use " + fa.Allowed
+	}
+	return out
+}
+
+// ParseEventQuery reads query parameters. Unknown ones are faults, so that a
+// misspelt filter does not show everything.
+func ParseEventQuery(vals url.Values) (EventQuery, error) {
+	que := EventQuery{Limit: DefaultEvents}
+	texts := map[string]*string{
+		"job": &que.Job, "task": &que.Task, "request": &que.Request, "vm": &que.VM, "centre": &que.Centre,
+	}
+	var faults []Fault
+	for key := range vals {
+		val := vals.Get(key)
+		var err error
+		switch dst := texts[key]; {
+		case dst != nil:
+			*dst = val
+		case key == "after":
+			que.After, err = strconv.ParseUint(val, 10, 64)
+		case key == "limit":
+			que.Limit, err = strconv.Atoi(val)
+			if que.Limit < 1 || que.Limit > MaxEvents {
+				err = strconv.ErrRange
+			}
+		default:
+			faults = append(faults, Fault{Field: key, Allowed: "after, limit, job, task, request, vm or centre"})
+		}
+		if err != nil {
+			faults = append(faults, Fault{Field: key, Allowed: "a number; limit is 1 to " + strconv.Itoa(MaxEvents)})
+		}
+	}
+	if len(faults) > 0 {
+		return EventQuery{}, &QueryError{faults: faults}
+	}
+	return que, nil
+}
--- /dev/null
+++ b/io/term/term.go
@@ -0,0 +1,104 @@
+// Package term prints what commands show: aligned tables on a terminal,
+// tab-separated rows in a pipe, or JSON.
+package term
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/juju/errors"
+	"github.com/mattn/go-isatty"
+)
+
+// Streams are the streams of a command. The zero value discards the output.
+type Streams struct {
+	in       io.Reader
+	out      io.Writer
+	err      io.Writer
+	terminal bool
+}
+
+// New returns streams; terminal says whether out is read by a person.
+func New(in io.Reader, out, err io.Writer, terminal bool) Streams {
+	return Streams{in: in, out: out, err: err, terminal: terminal}
+}
+
+// System returns the streams of the process.
+func System() Streams {
+	return New(os.Stdin, os.Stdout, os.Stderr, isatty.IsTerminal(os.Stdout.Fd()))
+}
+
+// In returns the input.
+func (st Streams) In() io.Reader {
+	if st.in == nil {
+		return strings.NewReader("")
+	}
+	return st.in
+}
+
+// Out returns the output.
+func (st Streams) Out() io.Writer { return orDiscard(st.out) }
+
+// Err returns the stream for messages about a failure.
+func (st Streams) Err() io.Writer { return orDiscard(st.err) }
+
+// Terminal reports whether the output is read by a person.
+func (st Streams) Terminal() bool { return st.terminal }
+
+func orDiscard(out io.Writer) io.Writer {
+	if out == nil {
+		return io.Discard
+	}
+	return out
+}
+
+// JSON prints a value as JSON.
+func (st Streams) JSON(val any) error {
+	enc := json.NewEncoder(st.Out())
+	if st.terminal {
+		enc.SetIndent("", "  ")
+	}
+	return errors.Trace(enc.Encode(val))
+}
+
+// Lines prints lines of text.
+func (st Streams) Lines(lines ...string) error { return write(st.Out(), clean(lines)) }
+
+// Note prints lines for the person next to the output, which a pipe does not
+// receive.
+func (st Streams) Note(lines ...string) error { return write(st.Err(), clean(lines)) }
+
+// raw prints lines whose parts were cleaned before.
+func (st Streams) raw(lines []string) error { return write(st.Out(), lines) }
+
+func clean(lines []string) []string {
+	out := make([]string, len(lines))
+	for i, line := range lines {
+		out[i] = printable(line)
+	}
+	return out
+}
+
+func write(out io.Writer, lines []string) error {
+	buf := bufio.NewWriter(out)
+	for _, line := range lines {
+		_, _ = buf.WriteString(line + "\n")
+	}
+	return errors.Trace(buf.Flush())
+}
+
+// printable replaces control characters, so that text from elsewhere cannot
+// change the terminal or split a row.
+func printable(text string) string {
+	return strings.Map(func(ch rune) rune {
+		if ch == utf8.RuneError || unicode.IsControl(ch) {
+			return ' '
+		}
+		return ch
+	}, text)
+}
