Add the replicated log, its memory store and the group actor

Cause: the fleet and data centre states need a log that survives the loss of a VM.

The first election of a group needs all its voters: before the disks of the first voters are known to all of them, an emptied disk cannot be told from a new one.

Result: a group of one and a group of three commit, and a command stays after a transfer, with -race.

--- /dev/null
+++ b/core/quorum/node.go
@@ -0,0 +1,376 @@
+package quorum
+
+import (
+	"time"
+
+	"guavarail/core/event"
+	"guavarail/core/model"
+)
+
+// standing is the part that a replica plays in the current term.
+type standing uint8
+
+const (
+	follower standing = iota
+	// preCandidate asks whether an election could be won, without a new term.
+	preCandidate
+	candidate
+	leader
+)
+
+// foundingEntries is the number of configurations at the start of a log that
+// name the first voters.
+const foundingEntries = 2
+
+// placed is a configuration with the entry that set it.
+type placed struct {
+	index   uint64
+	members Members
+}
+
+// flight is a write that was handed to the store.
+type flight struct {
+	seq uint64
+	// last is the last entry that is on disk after the write.
+	last uint64
+}
+
+// heldMessage waits for a write.
+type heldMessage struct {
+	// seq is 0 until the end of the step that made the message.
+	seq uint64
+	msg Message
+}
+
+// Node is one replica of a group. The zero value is a group of one without a
+// name. A Node is driven by Step only and must not be copied after that.
+type Node struct {
+	cfg     Config
+	started bool
+	rnd     source
+	now     model.Instant
+
+	term uint64
+	vote model.VMID
+	log  window[Entry]
+	// logTerm is the term of the entry at log.base.
+	logTerm uint64
+	snap    Snapshot
+	// configs is never empty after the start; only the last may be
+	// uncommitted.
+	configs []placed
+	// commit and applied are equal after each step.
+	commit uint64
+
+	standing standing
+	leader   model.VMID
+	// heard is when a leader was heard of last. Votes are refused for
+	// ElectionShortest after it.
+	heard    model.Instant
+	heardAny bool
+	deadline model.Instant
+	// verified is the last entry known to be in the current leader's log.
+	verified uint64
+	// lastSent is the send time of the leader's last round, on its clock.
+	lastSent model.Instant
+	campaign campaign
+	lead     lead
+	// known holds the highest committed index that each voter's disk has
+	// acknowledged, as far as this replica was told.
+	known map[DiskID]uint64
+	// foreign is the last disk that posed as a member with another disk.
+	foreign  DiskID
+	incoming incoming
+	saving   bool
+	// logBytes is the size of the entries applied since the snapshot.
+	logBytes int
+	failed   error
+
+	// seq numbers writes; those up to synced are on disk.
+	seq       uint64
+	synced    uint64
+	flights   []flight
+	durable   uint64
+	dirtyHard bool
+	// dirtyFrom is the first entry to be written, or 0.
+	dirtyFrom uint64
+	held      []heldMessage
+	role      Role
+	effs      []Effect
+}
+
+// NewNode returns a replica that continues from what its store held.
+func NewNode(cfg Config) *Node { return &Node{cfg: cfg} }
+
+// Step handles one input at the given time.
+func (n *Node) Step(now model.Instant, in Input) []Effect {
+	n.now = max(now, n.now)
+	if !n.started {
+		n.start()
+	}
+	if n.failed == nil {
+		n.handle(in)
+	} else {
+		n.refuse(in)
+	}
+	if n.failed == nil {
+		n.flush()
+	}
+	if role := n.Role(n.now); role.changed(n.role) {
+		n.role = role
+		n.emit(RoleChanged{role: role})
+	}
+	effs := n.effs
+	n.effs = nil
+	return effs
+}
+
+// refuse answers a request to a replica that no longer takes part.
+func (n *Node) refuse(in Input) {
+	switch val := in.(type) {
+	case Propose:
+		for _, pro := range val.list {
+			n.emit(Refused{id: pro.id, err: n.failed})
+		}
+	case Alter:
+		n.emit(Refused{id: val.id, err: n.failed})
+	case Transfer:
+		n.emit(Refused{id: val.id, err: n.failed})
+	}
+}
+
+func (n *Node) handle(in Input) {
+	switch val := in.(type) {
+	case Tick:
+		n.onTick()
+	case Propose:
+		n.onPropose(val.list)
+	case Alter:
+		n.onAlter(val)
+	case Transfer:
+		n.onTransfer(val)
+	case Receive:
+		n.onMessage(val.msg.spec)
+	case Persisted:
+		n.onPersisted(val.seq)
+	case SnapshotSaved:
+		n.onSnapshotSaved(val.snap)
+	case PieceStored:
+		n.onPieceStored(val)
+	case Halt:
+		n.fail(val.cause)
+	}
+}
+
+// start takes over the state of the store.
+func (n *Node) start() {
+	n.started = true
+	n.cfg = n.cfg.withDefaults()
+	n.rnd = source{state: n.cfg.Seed}
+	n.known = map[DiskID]uint64{}
+	sv := n.cfg.Saved
+	n.cfg.Saved = Saved{}
+	n.term, n.vote, n.snap = sv.hard.term, sv.hard.vote, sv.snap
+	n.log.reset(n.snap.index)
+	n.logTerm, n.commit = n.snap.term, n.snap.index
+	n.configs = []placed{{members: initialMembers(n.cfg.Voters, n.cfg.Learners)}}
+	if n.snap.index > 0 {
+		n.configs = []placed{{index: n.snap.membersIndex, members: n.snap.members}}
+	}
+	for _, ent := range sv.entries {
+		n.addEntry(ent)
+	}
+	n.durable = n.log.last()
+	// A disk that took part before may have supported a leader just before the
+	// restart, so it counts as having heard from one now.
+	n.heard, n.heardAny = n.now, n.term > 0 || n.log.last() > 0
+	n.resetDeadline()
+	if n.members().only(n.cfg.Self) && n.configs[len(n.configs)-1].index <= foundingEntries {
+		// No other VM ever was a voter, so none can hold a lease.
+		n.deadline, n.heardAny = n.now, false
+	}
+}
+
+// addEntry adds an entry to the log in memory.
+func (n *Node) addEntry(ent Entry) {
+	n.log.push(ent)
+	if ent.kind == EntryMembers {
+		n.configs = append(n.configs, placed{index: ent.index, members: ent.members})
+	}
+}
+
+// write adds an entry to the log and to the next Persist.
+func (n *Node) write(ent Entry) {
+	n.addEntry(ent)
+	if n.dirtyFrom == 0 {
+		n.dirtyFrom = ent.index
+	}
+}
+
+// cutLog removes the entries from idx on, which are not committed.
+func (n *Node) cutLog(idx uint64) {
+	n.log.cut(idx)
+	for len(n.configs) > 1 && n.configs[len(n.configs)-1].index >= idx {
+		n.configs = n.configs[:len(n.configs)-1]
+	}
+	n.durable = min(n.durable, idx-1)
+	n.verified = min(n.verified, idx-1)
+	for pos := range n.flights {
+		n.flights[pos].last = min(n.flights[pos].last, idx-1)
+	}
+	if n.dirtyFrom >= idx {
+		n.dirtyFrom = 0
+	}
+}
+
+// termAt returns the term of the entry at idx, if it is known.
+func (n *Node) termAt(idx uint64) (uint64, bool) {
+	if ent, ok := n.log.at(idx); ok {
+		return ent.term, true
+	}
+	switch idx {
+	case n.log.base:
+		return n.logTerm, true
+	case n.snap.index:
+		return n.snap.term, true
+	}
+	return 0, idx == 0
+}
+
+func (n *Node) lastTerm() uint64 {
+	term, _ := n.termAt(n.log.last())
+	return term
+}
+
+// members returns the newest configuration, committed or not.
+func (n *Node) members() Members { return n.configs[len(n.configs)-1].members }
+
+// quorum returns how many voters must agree. All must until the disks of the
+// first voters are known to all of them: before that, an emptied disk cannot
+// be told from a new one.
+func (n *Node) quorum() int {
+	mems := n.members()
+	count := len(mems.voters())
+	if !mems.bound() || mems.founding {
+		return count
+	}
+	return majority(count)
+}
+
+func (n *Node) isVoter() bool { return n.members().isVoter(n.cfg.Self, n.cfg.Disk) }
+
+func (n *Node) resetDeadline() { n.deadline = n.now.Add(n.rnd.electionTimeout()) }
+
+func (n *Node) emit(eff Effect) { n.effs = append(n.effs, eff) }
+
+func (n *Node) report(kind event.Kind, vm model.VMID, fis ...event.Field) {
+	n.emit(Report{event: event.New(kind, event.Subject{VM: vm}, fis...)})
+}
+
+// send completes a message and sends it at once.
+func (n *Node) send(spec MessageSpec) { n.emit(Send{msg: n.complete(spec)}) }
+
+// sendSynced sends a message after everything up to the end of this step is on
+// disk.
+func (n *Node) sendSynced(spec MessageSpec) {
+	n.held = append(n.held, heldMessage{msg: n.complete(spec)})
+}
+
+func (n *Node) complete(spec MessageSpec) Message {
+	spec.From, spec.Disk = n.cfg.Self, n.cfg.Disk
+	if mem, ok := n.members().Find(spec.To); ok && mem.disk != "" {
+		spec.ToDisk, spec.Acked = mem.disk, n.known[mem.disk]
+	}
+	return Message{spec: spec}
+}
+
+// flush hands changes to the store and releases messages that need no write.
+func (n *Node) flush() {
+	if n.dirtyHard || n.dirtyFrom > 0 {
+		n.seq++
+		var ents []Entry
+		if n.dirtyFrom > 0 {
+			ents = n.log.from(n.dirtyFrom)
+		}
+		n.flights = append(n.flights, flight{seq: n.seq, last: n.log.last()})
+		n.emit(Persist{seq: n.seq, hard: Hard{term: n.term, vote: n.vote}, entries: ents})
+		n.dirtyHard, n.dirtyFrom = false, 0
+	}
+	for pos := range n.held {
+		if n.held[pos].seq == 0 {
+			n.held[pos].seq = n.seq
+		}
+	}
+	n.release()
+}
+
+// release sends the messages whose writes are on disk.
+func (n *Node) release() {
+	for len(n.held) > 0 && n.held[0].seq <= n.synced {
+		n.emit(Send{msg: n.held[0].msg})
+		n.held = n.held[1:]
+	}
+}
+
+func (n *Node) onPersisted(seq uint64) {
+	if seq <= n.synced || seq > n.seq {
+		return
+	}
+	n.synced = seq
+	for len(n.flights) > 0 && n.flights[0].seq <= seq {
+		n.durable = max(n.durable, n.flights[0].last)
+		n.flights = n.flights[1:]
+	}
+	n.release()
+	switch n.standing {
+	case leader:
+		n.advance()
+	case candidate:
+		n.countVotes()
+	default:
+		n.acknowledge()
+	}
+}
+
+// fail takes the replica out of votes and acknowledgements until it is
+// restarted.
+func (n *Node) fail(cause error) {
+	n.failed = cause
+	n.stepDown()
+	n.standing, n.leader, n.held = follower, "", nil
+	n.report("replicaFailed", n.cfg.Self, event.NewField("reason", cause.Error()))
+}
+
+// Err returns why the replica stopped taking part, or nil.
+func (n *Node) Err() error { return n.failed }
+
+// Members returns the newest configuration.
+func (n *Node) Members() Members {
+	if !n.started {
+		cfg := n.cfg.withDefaults()
+		return initialMembers(cfg.Voters, cfg.Learners)
+	}
+	return n.members()
+}
+
+// Commit returns the last entry known to be committed.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// Role returns the role of the replica at the given time.
+func (n *Node) Role(now model.Instant) Role {
+	ro := Role{term: n.term, leader: n.leader, applied: n.commit, failed: n.failed != nil}
+	if n.standing == leader {
+		ro.leading = true
+		ro.leased = n.leased(now)
+	}
+	return ro
+}
+
+// changed reports whether more than the applied index differs.
+func (ro Role) changed(old Role) bool {
+	ro.applied, old.applied = 0, 0
+	return ro != old
+}
+
+// since returns the time from at to now.
+func (n *Node) since(at model.Instant) time.Duration { return n.now.Sub(at) }
--- /dev/null
+++ b/core/quorum/role.go
@@ -0,0 +1,33 @@
+package quorum
+
+import "guavarail/core/model"
+
+// Role is what a replica is to its group at one moment.
+type Role struct {
+	// leased is set only while leading is.
+	leased  bool
+	leading bool
+	failed  bool
+	term    uint64
+	leader  model.VMID
+	applied uint64
+}
+
+// Leading reports whether the replica leads its group.
+func (ro Role) Leading() bool { return ro.leading }
+
+// Leased reports whether the leader lease holds and every command that was
+// accepted before is applied, so that the replica's state is the newest.
+func (ro Role) Leased() bool { return ro.leased }
+
+// Failed reports whether the replica stopped taking part because of its disk.
+func (ro Role) Failed() bool { return ro.failed }
+
+// Term returns the term of the replica.
+func (ro Role) Term() uint64 { return ro.term }
+
+// Leader returns the leader, or "" when it is not known.
+func (ro Role) Leader() model.VMID { return ro.leader }
+
+// Applied returns the last entry that the replica has applied.
+func (ro Role) Applied() uint64 { return ro.applied }
--- /dev/null
+++ b/io/disk/actor.go
@@ -0,0 +1,211 @@
+package disk
+
+import (
+	"github.com/asynkron/protoactor-go/actor"
+
+	"guavarail/core/quorum"
+)
+
+// SaveSnapshot asks for a snapshot to be stored. Encode runs on the actor that
+// owns the snapshots.
+type SaveSnapshot struct {
+	snap   quorum.Snapshot
+	encode func() ([]byte, error)
+}
+
+// NewSaveSnapshot returns the request.
+func NewSaveSnapshot(snap quorum.Snapshot, encode func() ([]byte, error)) SaveSnapshot {
+	return SaveSnapshot{snap: snap, encode: encode}
+}
+
+// Received tells that a piece of a snapshot is stored. The data is the whole
+// snapshot when it is complete.
+type Received struct {
+	stored quorum.PieceStored
+	data   []byte
+}
+
+// Stored returns the input for the node.
+func (rcv Received) Stored() quorum.PieceStored { return rcv.stored }
+
+// Data returns the whole snapshot after its last piece.
+func (rcv Received) Data() []byte { return rcv.data }
+
+// Filled is a message with the data of its piece, ready to be sent.
+type Filled struct{ msg quorum.Message }
+
+// Message returns the message.
+func (fil Filled) Message() quorum.Message { return fil.msg }
+
+// Owner receives the answers of the actors. It must not block.
+type Owner struct {
+	// Tell takes inputs of the node.
+	Tell func(quorum.Input)
+	// Received takes stored pieces.
+	Received func(Received)
+	// Send takes messages with the data of their piece.
+	Send func(Filled)
+}
+
+// Ref addresses the actors of a store.
+type Ref struct {
+	sys   *actor.ActorSystem
+	log   *actor.PID
+	snaps *actor.PID
+}
+
+// Spawn starts the actors that own the store. The clean-up function returns
+// once they have handled what was queued before.
+func Spawn(sys *actor.ActorSystem, name string, sto Store, own Owner) (Ref, func(), error) {
+	log := func() actor.Actor { return &logActor{log: sto.Log(), own: own} }
+	snaps := func() actor.Actor { return &snapshotActor{snaps: sto.Snapshots(), own: own} }
+	ref := Ref{sys: sys}
+	var err error
+	if ref.log, err = sys.Root.SpawnNamed(actor.PropsFromProducer(log), name+"/log"); err != nil {
+		return Ref{}, func() {}, &SpawnError{name: name, cause: err}
+	}
+	if ref.snaps, err = sys.Root.SpawnNamed(actor.PropsFromProducer(snaps), name+"/snapshots"); err != nil {
+		_ = sys.Root.PoisonFuture(ref.log).Wait()
+		return Ref{}, func() {}, &SpawnError{name: name, cause: err}
+	}
+	return ref, func() {
+		_ = sys.Root.PoisonFuture(ref.log).Wait()
+		_ = sys.Root.PoisonFuture(ref.snaps).Wait()
+	}, nil
+}
+
+// Write queues a change of the log.
+func (ref Ref) Write(eff quorum.Persist) { ref.sys.Root.Send(ref.log, eff) }
+
+// Compact queues the replacement of the log.
+func (ref Ref) Compact(eff quorum.Compact) { ref.sys.Root.Send(ref.log, eff) }
+
+// Save queues a snapshot.
+func (ref Ref) Save(req SaveSnapshot) { ref.sys.Root.Send(ref.snaps, req) }
+
+// Receive queues a piece of a received snapshot.
+func (ref Ref) Receive(eff quorum.StorePiece) { ref.sys.Root.Send(ref.snaps, eff) }
+
+// Fill queues a message that needs a piece of a stored snapshot.
+func (ref Ref) Fill(eff quorum.SendPiece) { ref.sys.Root.Send(ref.snaps, eff) }
+
+// flush asks the log actor to sync. It is queued behind the changes that
+// arrived before it.
+type flush struct{}
+
+// logActor owns the log.
+type logActor struct {
+	log Log
+	own Owner
+	// pending is the newest change that is written and not synced, or 0.
+	pending uint64
+	failed  bool
+}
+
+// Receive handles one actor message.
+func (act *logActor) Receive(ctx actor.Context) {
+	if act.failed {
+		return
+	}
+	switch msg := ctx.Message().(type) {
+	case quorum.Persist:
+		act.check(act.log.Append(msg.Hard(), msg.Entries()))
+		if act.pending == 0 {
+			ctx.Send(ctx.Self(), flush{})
+		}
+		act.pending = msg.Seq()
+	case flush:
+		act.sync()
+	case quorum.Compact:
+		act.check(act.log.Replace(msg.Saved().Hard(), msg.Saved().Entries()))
+		act.answer(msg.Seq())
+	case *actor.Stopping:
+		act.sync()
+	}
+}
+
+func (act *logActor) sync() {
+	if act.pending == 0 || act.failed {
+		return
+	}
+	seq := act.pending
+	act.pending = 0
+	act.check(act.log.Sync())
+	act.answer(seq)
+}
+
+func (act *logActor) answer(seq uint64) {
+	if !act.failed {
+		act.own.Tell(quorum.NewPersisted(seq))
+	}
+}
+
+// check stops the actor's work for good on the first error: after a failed sync
+// it is not known what is on disk.
+func (act *logActor) check(err error) {
+	if err != nil && !act.failed {
+		act.failed = true
+		act.own.Tell(quorum.NewHalt(err))
+	}
+}
+
+// snapshotActor owns the snapshots.
+type snapshotActor struct {
+	snaps  Snapshots
+	own    Owner
+	failed bool
+}
+
+// Receive handles one actor message.
+func (act *snapshotActor) Receive(ctx actor.Context) {
+	if act.failed {
+		return
+	}
+	var err error
+	switch msg := ctx.Message().(type) {
+	case SaveSnapshot:
+		err = act.save(msg)
+	case quorum.StorePiece:
+		err = act.store(msg)
+	case quorum.SendPiece:
+		err = act.fill(msg)
+	}
+	if err != nil {
+		act.failed = true
+		act.own.Tell(quorum.NewHalt(err))
+	}
+}
+
+func (act *snapshotActor) save(msg SaveSnapshot) error {
+	data, err := msg.encode()
+	if err != nil {
+		return err
+	}
+	snap := msg.snap.WithSize(uint64(len(data)))
+	if err := act.snaps.Save(snap, data); err != nil {
+		return err
+	}
+	act.own.Tell(quorum.NewSnapshotSaved(snap))
+	return nil
+}
+
+func (act *snapshotActor) store(msg quorum.StorePiece) error {
+	data, err := act.snaps.Receive(msg.Snapshot(), msg.Offset(), msg.Data(), msg.Last())
+	if err != nil {
+		return err
+	}
+	end := msg.Offset() + uint64(len(msg.Data()))
+	act.own.Received(Received{stored: quorum.NewPieceStored(msg.From(), msg.Snapshot(), end), data: data})
+	return nil
+}
+
+func (act *snapshotActor) fill(msg quorum.SendPiece) error {
+	spec := msg.Message().Spec()
+	data, err := act.snaps.Read(spec.Snapshot, spec.Offset, msg.Length())
+	if err != nil || data == nil && msg.Length() > 0 {
+		return err
+	}
+	spec.Data = data
+	act.own.Send(Filled{msg: quorum.NewMessage(spec)})
+	return nil
+}
--- /dev/null
+++ b/io/disk/memory.go
@@ -0,0 +1,85 @@
+package disk
+
+import (
+	"slices"
+
+	"guavarail/core/quorum"
+)
+
+// Memory is a store for a VM without a disk. Each has its own identity, so a
+// VM that restarts with an empty memory is not taken for the old one.
+type Memory struct {
+	disk quorum.DiskID
+	log  memoryLog
+	snap memorySnapshots
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory { return &Memory{disk: newDiskID()} }
+
+// Disk returns the identity of the store.
+func (mem *Memory) Disk() quorum.DiskID { return mem.disk }
+
+// Load returns what was stored. It must not be called while actors own the
+// store.
+func (mem *Memory) Load() (quorum.Saved, []byte, error) {
+	rec := recovery{hard: mem.log.hard, entries: slices.Clone(mem.log.entries)}
+	sv, err := rec.finish(mem.snap.snap)
+	return sv, mem.snap.data, err
+}
+
+// Log returns the stored log.
+func (mem *Memory) Log() Log { return &mem.log }
+
+// Snapshots returns the stored snapshots.
+func (mem *Memory) Snapshots() Snapshots { return &mem.snap }
+
+type memoryLog struct {
+	hard    quorum.Hard
+	entries []quorum.Entry
+}
+
+func (ml *memoryLog) Append(hard quorum.Hard, ents []quorum.Entry) error {
+	ml.hard = hard
+	rec := recovery{entries: ml.entries}
+	err := rec.add(hard, ents)
+	ml.entries = rec.entries
+	return err
+}
+
+func (ml *memoryLog) Sync() error { return nil }
+
+func (ml *memoryLog) Replace(hard quorum.Hard, ents []quorum.Entry) error {
+	ml.hard, ml.entries = hard, slices.Clone(ents)
+	return nil
+}
+
+type memorySnapshots struct {
+	snap     quorum.Snapshot
+	data     []byte
+	received []byte
+}
+
+func (ms *memorySnapshots) Save(snap quorum.Snapshot, data []byte) error {
+	if snap.Index() > ms.snap.Index() {
+		ms.snap, ms.data = snap, data
+	}
+	return nil
+}
+
+func (ms *memorySnapshots) Receive(snap quorum.Snapshot, offset uint64, data []byte, last bool) ([]byte, error) {
+	ms.received = append(ms.received[:min(offset, uint64(len(ms.received)))], data...)
+	if !last {
+		return nil, nil
+	}
+	whole := ms.received
+	ms.received = nil
+	return whole, ms.Save(snap, whole)
+}
+
+func (ms *memorySnapshots) Read(snap quorum.Snapshot, offset, length uint64) ([]byte, error) {
+	if snap.Index() != ms.snap.Index() || offset+length > uint64(len(ms.data)) {
+		return nil, nil
+	}
+	return ms.data[offset : offset+length], nil
+}
--- /dev/null
+++ b/io/disk/recover.go
@@ -0,0 +1,65 @@
+package disk
+
+import (
+	"strconv"
+
+	"guavarail/core/quorum"
+)
+
+// recovery puts the records of a log together.
+type recovery struct {
+	hard    quorum.Hard
+	entries []quorum.Entry
+}
+
+// add carries out one record.
+func (rec *recovery) add(hard quorum.Hard, ents []quorum.Entry) error {
+	rec.hard = hard
+	for _, ent := range ents {
+		if len(rec.entries) > 0 {
+			first := rec.entries[0].Index()
+			last := first + uint64(len(rec.entries)) - 1
+			if ent.Index() > last+1 {
+				return &GapError{before: last, after: ent.Index()}
+			}
+			if keep := max(ent.Index(), first) - first; ent.Index() <= last {
+				rec.entries = rec.entries[:keep:keep]
+			}
+		}
+		rec.entries = append(rec.entries, ent)
+	}
+	return nil
+}
+
+// finish joins the log with the newest snapshot. A log that contradicts the
+// snapshot is older than it: the process ended after it had received the
+// snapshot and before it had replaced the log.
+func (rec *recovery) finish(snap quorum.Snapshot) (quorum.Saved, error) {
+	hard, ents := rec.hard, rec.entries
+	if snap.Term() > hard.Term() {
+		hard = quorum.NewHard(snap.Term(), "")
+	}
+	for len(ents) > 0 && ents[0].Index() <= snap.Index() {
+		if ents[0].Index() == snap.Index() && ents[0].Term() != snap.Term() {
+			ents = nil
+			break
+		}
+		ents = ents[1:]
+	}
+	if len(ents) > 0 && ents[0].Index() != snap.Index()+1 {
+		return quorum.Saved{}, &GapError{before: snap.Index(), after: ents[0].Index()}
+	}
+	return quorum.NewSaved(hard, snap, ents), nil
+}
+
+// GapError reports that entries are missing from a stored log.
+type GapError struct {
+	before uint64
+	after  uint64
+}
+
+// Error describes the failure.
+func (err *GapError) Error() string {
+	return "log has no entries between " + strconv.FormatUint(err.before, 10) + " and " +
+		strconv.FormatUint(err.after, 10) + ", replace the voter"
+}
--- /dev/null
+++ b/io/group/errors.go
@@ -0,0 +1,78 @@
+package group
+
+import (
+	"fmt"
+
+	"guavarail/core/quorum"
+)
+
+// NotLeaderError reports that a command was not added to the log, because this
+// replica does not lead its group. It names the leader, if known.
+type NotLeaderError = quorum.NotLeaderError
+
+// UnknownError reports that it is not known whether a command is carried out.
+// A retry must carry the same command identity.
+type UnknownError struct {
+	group string
+	cause error
+}
+
+// Error describes the failure.
+func (err *UnknownError) Error() string {
+	return "outcome in group " + err.group + " is unknown, retry with the same identity: " + err.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (err *UnknownError) Unwrap() error { return err.cause }
+
+// StoppedError reports that the replica was stopped or never started.
+type StoppedError struct{}
+
+// Error describes the failure.
+func (err *StoppedError) Error() string { return "the replica is stopped" }
+
+// SpawnError reports that an actor could not be started.
+type SpawnError struct {
+	name  string
+	cause error
+}
+
+// Error describes the failure.
+func (err *SpawnError) Error() string { return "start actor " + err.name + ": " + err.cause.Error() }
+
+// Unwrap returns the cause.
+func (err *SpawnError) Unwrap() error { return err.cause }
+
+// PanicError reports that the replica failed in a way that leaves its state
+// unknown. It takes part again after a restart of the process.
+type PanicError struct{ group string }
+
+// Error describes the failure.
+func (err *PanicError) Error() string {
+	return "replica of group " + err.group + " failed, restart the process"
+}
+
+// CodecError reports a command or snapshot that could not be decoded.
+type CodecError struct {
+	group string
+	index uint64
+	cause error
+}
+
+// Index returns the entry of the command or the last one of the snapshot.
+func (err *CodecError) Index() uint64 { return err.index }
+
+// Error describes the failure.
+func (err *CodecError) Error() string {
+	return fmt.Sprintf("decode entry %d of group %s: %v", err.index, err.group, err.cause)
+}
+
+// Unwrap returns the cause.
+func (err *CodecError) Unwrap() error { return err.cause }
+
+// SkippedError is the cause of an UnknownError when the replica received a
+// snapshot that may contain the command.
+type SkippedError struct{}
+
+// Error describes the failure.
+func (err *SkippedError) Error() string { return "the result is part of a received snapshot" }
