--- /dev/null
+++ b/core/place/index.go
@@ -0,0 +1,207 @@
+// Package place chooses workers for tasks. Index keeps the free resources of
+// the workers in bands, so that the cost of a choice does not grow with the
+// number of workers. A Policy decides which of the fitting workers is taken.
+package place
+
+import (
+	"math/bits"
+
+	"guavarail/core/model"
+)
+
+const (
+	bands  = 64
+	planes = 8
+	// Bands are exact multiples of the unit up to 16 units, then four to each
+	// doubling, which keeps the best fit within 19% of the exact one.
+	cpuUnit    = 250
+	memoryUnit = 512
+)
+
+// entry is one worker in the index.
+type entry struct {
+	free model.Resources
+	rack int32
+	// plane, row, column and position say where the worker is listed; they
+	// hold only while open is set.
+	plane, row, column uint8
+	position           int32
+	open               bool
+}
+
+// plane lists workers with the same number of free accelerators.
+type plane struct {
+	// rows has a bit for each row with a worker, columns one for each list of
+	// the row that is not empty.
+	rows    uint64
+	columns [bands]uint64
+	lists   [bands][bands][]int32
+}
+
+// Index lists the workers that may take tasks by what they have free. The zero
+// value is empty and ready to use.
+type Index struct {
+	entries []entry
+	planes  [planes]*plane
+	racks   []rack
+	names   map[string]int32
+	// cursor varies the rack and the list position at which a search starts.
+	cursor uint32
+}
+
+// rack lists the slots of its workers.
+type rack struct {
+	slots []int32
+}
+
+// band returns the band of an amount. It never decreases with the amount.
+func band(amount, unit int64) int {
+	if amount <= 0 {
+		return 0
+	}
+	steps := uint64(amount / unit)
+	if steps < 16 {
+		return int(steps)
+	}
+	exp := bits.Len64(steps) - 1
+	return min(16+4*(exp-4)+int(steps>>(exp-2)&3), bands-1)
+}
+
+func planeOf(accelerators int64) int { return int(max(0, min(accelerators, planes-1))) }
+
+// Set lists the worker in slot with what it has free. Workers that may not
+// take tasks are taken out with Close.
+func (ix *Index) Set(slot int32, rackName string, free model.Resources) {
+	for int(slot) >= len(ix.entries) {
+		ix.entries = append(ix.entries, entry{rack: -1})
+	}
+	en := &ix.entries[slot]
+	ix.unlist(slot)
+	ix.move(slot, ix.RackOf(rackName))
+	en.free, en.open = free, true
+	ix.list(slot)
+}
+
+// Close takes the worker out.
+func (ix *Index) Close(slot int32) {
+	if int(slot) < len(ix.entries) {
+		ix.unlist(slot)
+		ix.entries[slot].open = false
+	}
+}
+
+// Open reports whether the worker is listed.
+func (ix *Index) Open(slot int32) bool { return int(slot) < len(ix.entries) && ix.entries[slot].open }
+
+// Free returns what the worker has free.
+func (ix *Index) Free(slot int32) model.Resources {
+	if !ix.Open(slot) {
+		return model.Resources{}
+	}
+	return ix.entries[slot].free
+}
+
+// Rack returns the number of the worker's rack.
+func (ix *Index) Rack(slot int32) int32 { return ix.entries[slot].rack }
+
+// Reserve takes need from the worker's free resources. It reports false and
+// changes nothing when need does not fit.
+func (ix *Index) Reserve(slot int32, need model.Resources) bool {
+	if !ix.Fits(slot, need) {
+		return false
+	}
+	ix.update(slot, ix.entries[slot].free.Sub(need))
+	return true
+}
+
+// Release gives back what Reserve took.
+func (ix *Index) Release(slot int32, need model.Resources) {
+	if ix.Open(slot) {
+		ix.update(slot, ix.entries[slot].free.Add(need))
+	}
+}
+
+// Fits reports whether need fits in what the worker has free.
+func (ix *Index) Fits(slot int32, need model.Resources) bool {
+	return ix.Open(slot) && need.FitsIn(ix.entries[slot].free)
+}
+
+func (ix *Index) update(slot int32, free model.Resources) {
+	en := &ix.entries[slot]
+	row, col, pln := band(free.MilliCPU(), cpuUnit), band(free.MemoryMB(), memoryUnit), planeOf(free.Accelerators())
+	if row == int(en.row) && col == int(en.column) && pln == int(en.plane) {
+		en.free = free
+		return
+	}
+	ix.unlist(slot)
+	en.free = free
+	ix.list(slot)
+}
+
+func (ix *Index) list(slot int32) {
+	en := &ix.entries[slot]
+	row, col, pln := band(en.free.MilliCPU(), cpuUnit), band(en.free.MemoryMB(), memoryUnit), planeOf(en.free.Accelerators())
+	pl := ix.planes[pln]
+	if pl == nil {
+		pl = &plane{}
+		ix.planes[pln] = pl
+	}
+	en.plane, en.row, en.column = uint8(pln), uint8(row), uint8(col)
+	en.position = int32(len(pl.lists[row][col]))
+	pl.lists[row][col] = append(pl.lists[row][col], slot)
+	pl.rows |= 1 << row
+	pl.columns[row] |= 1 << col
+}
+
+func (ix *Index) unlist(slot int32) {
+	en := &ix.entries[slot]
+	if !en.open {
+		return
+	}
+	pl := ix.planes[en.plane]
+	lst := pl.lists[en.row][en.column]
+	last := lst[len(lst)-1]
+	lst[en.position] = last
+	ix.entries[last].position = en.position
+	pl.lists[en.row][en.column] = lst[:len(lst)-1]
+	if len(lst) == 1 {
+		pl.columns[en.row] &^= 1 << en.column
+		if pl.columns[en.row] == 0 {
+			pl.rows &^= 1 << en.row
+		}
+	}
+}
+
+// RackOf returns the number of the rack with the given name.
+func (ix *Index) RackOf(name string) int32 {
+	num, ok := ix.names[name]
+	if !ok {
+		if ix.names == nil {
+			ix.names = map[string]int32{}
+		}
+		num = int32(len(ix.racks))
+		ix.names[name] = num
+		ix.racks = append(ix.racks, rack{})
+	}
+	return num
+}
+
+// move puts the worker in a rack.
+func (ix *Index) move(slot, to int32) {
+	from := ix.entries[slot].rack
+	if from == to {
+		return
+	}
+	if from >= 0 {
+		lst := ix.racks[from].slots
+		for i := range lst {
+			if lst[i] == slot {
+				lst[i] = lst[len(lst)-1]
+				ix.racks[from].slots = lst[:len(lst)-1]
+				break
+			}
+		}
+	}
+	ix.entries[slot].rack = to
+	ix.racks[to].slots = append(ix.racks[to].slots, slot)
+}
--- /dev/null
+++ b/core/place/policy.go
@@ -0,0 +1,216 @@
+package place
+
+import (
+	"math/bits"
+
+	"guavarail/core/model"
+)
+
+// Request describes the task to place.
+type Request struct {
+	need     model.Resources
+	priority model.Priority
+	racks    *Racks
+	avoid    func(slot int32) bool
+}
+
+// NewRequest returns a request for a worker with need free.
+func NewRequest(need model.Resources, pri model.Priority) Request {
+	return Request{need: need, priority: pri}
+}
+
+// Spread returns the request with the racks that the job already uses; the
+// choice prefers racks with the fewest tasks of the job.
+func (rq Request) Spread(racks *Racks) Request {
+	rq.racks = racks
+	return rq
+}
+
+// Avoid returns the request with workers to use only when no other fits.
+func (rq Request) Avoid(avoid func(slot int32) bool) Request {
+	rq.avoid = avoid
+	return rq
+}
+
+// Need returns what must be free.
+func (rq Request) Need() model.Resources { return rq.need }
+
+// Racks counts the tasks of one job in each rack. The zero value is empty.
+type Racks struct {
+	counts map[int32]int32
+}
+
+// Add changes the count of a rack.
+func (ra *Racks) Add(rackNum, delta int32) {
+	if ra.counts == nil {
+		ra.counts = map[int32]int32{}
+	}
+	ra.counts[rackNum] += delta
+	if ra.counts[rackNum] <= 0 {
+		delete(ra.counts, rackNum)
+	}
+}
+
+// Count returns the count of a rack.
+func (ra *Racks) Count(rackNum int32) int32 { return ra.counts[rackNum] }
+
+// Policy chooses the worker for a request, without reserving it. The planner
+// takes the policy as a type parameter.
+type Policy interface {
+	Choose(ix *Index, rq Request) (slot int32, ok bool)
+}
+
+const (
+	// probes bounds how many workers of one list are checked one by one in the
+	// first pass.
+	probes = 16
+	// rackProbes bounds how many racks are looked at for a spread.
+	rackProbes = 64
+)
+
+// BestFit takes a worker from the lowest band that fits, so that large gaps
+// stay whole and accelerators stay free for tasks that need them.
+type BestFit struct{}
+
+// Choose implements Policy.
+func (BestFit) Choose(ix *Index, rq Request) (int32, bool) {
+	ix.cursor++
+	if rq.racks != nil {
+		if slot, ok := ix.spread(rq); ok {
+			return slot, true
+		}
+	}
+	if slot, ok := ix.search(rq, probes); ok {
+		return slot, true
+	}
+	if slot, ok := ix.search(rq, len(ix.entries)); ok {
+		return slot, true
+	}
+	if rq.avoid == nil {
+		return 0, false
+	}
+	return ix.search(rq.Avoid(nil), len(ix.entries))
+}
+
+// search goes through the bands from the need upwards. Workers of a higher
+// band in every dimension fit without a check.
+func (ix *Index) search(rq Request, limit int) (int32, bool) {
+	row, col := band(rq.need.MilliCPU(), cpuUnit), band(rq.need.MemoryMB(), memoryUnit)
+	for pln := planeOf(rq.need.Accelerators()); pln < planes; pln++ {
+		pl := ix.planes[pln]
+		if pl == nil {
+			continue
+		}
+		for rows := pl.rows >> row << row; rows != 0; rows &= rows - 1 {
+			cur := bits.TrailingZeros64(rows)
+			for cols := pl.columns[cur] >> col << col; cols != 0; cols &= cols - 1 {
+				if slot, ok := ix.probe(pl.lists[cur][bits.TrailingZeros64(cols)], rq, limit); ok {
+					return slot, true
+				}
+			}
+		}
+	}
+	return 0, false
+}
+
+// probe checks at most limit workers of a list, from a position that varies.
+func (ix *Index) probe(lst []int32, rq Request, limit int) (int32, bool) {
+	start := int(ix.cursor) % len(lst)
+	for i := range min(limit, len(lst)) {
+		pos := start + i
+		if pos >= len(lst) {
+			pos -= len(lst)
+		}
+		slot := lst[pos]
+		if rq.need.FitsIn(ix.entries[slot].free) && (rq.avoid == nil || !rq.avoid(slot)) {
+			return slot, true
+		}
+	}
+	return 0, false
+}
+
+// spread looks for the rack with the fewest tasks of the job.
+func (ix *Index) spread(rq Request) (int32, bool) {
+	best, found, fewest := int32(0), false, int32(0)
+	for i := range min(rackProbes, len(ix.racks)) {
+		num := int32((int(ix.cursor) + i) % len(ix.racks))
+		count := rq.racks.Count(num)
+		if found && count >= fewest {
+			continue
+		}
+		if slot, ok := ix.inRack(num, rq); ok {
+			best, found, fewest = slot, true, count
+			if count == 0 {
+				break
+			}
+		}
+	}
+	return best, found
+}
+
+// inRack returns the fitting worker of the rack with the fewest free
+// processors.
+func (ix *Index) inRack(num int32, rq Request) (int32, bool) {
+	best, found := int32(0), false
+	for _, slot := range ix.racks[num].slots {
+		if !ix.Fits(slot, rq.need) || rq.avoid != nil && rq.avoid(slot) {
+			continue
+		}
+		if !found || ix.entries[slot].free.MilliCPU() < ix.entries[best].free.MilliCPU() {
+			best, found = slot, true
+		}
+	}
+	return best, found
+}
+
+// FirstFit takes the worker with the lowest slot, by a scan.
+type FirstFit struct{}
+
+// Choose implements Policy.
+func (FirstFit) Choose(ix *Index, rq Request) (int32, bool) {
+	for slot := range ix.entries {
+		if ix.Fits(int32(slot), rq.need) {
+			return int32(slot), true
+		}
+	}
+	return 0, false
+}
+
+// LinearScan takes the fitting worker with the fewest free processors, by a
+// scan over all workers. It is the baseline of the benchmarks.
+type LinearScan struct{}
+
+// Choose implements Policy.
+func (LinearScan) Choose(ix *Index, rq Request) (int32, bool) {
+	return ix.scan(rq, func(int32) bool { return true })
+}
+
+// Static keeps services and batch on separate workers: of every ten workers
+// Services take service and urgent tasks, the others batch tasks. The zero
+// value gives services four.
+type Static struct {
+	Services int32
+}
+
+// Choose implements Policy.
+func (sta Static) Choose(ix *Index, rq Request) (int32, bool) {
+	part := sta.Services
+	if part == 0 {
+		part = 4
+	}
+	return ix.scan(rq, func(slot int32) bool { return (slot%10 < part) == (rq.priority != model.Batch) })
+}
+
+func (ix *Index) scan(rq Request, allowed func(slot int32) bool) (int32, bool) {
+	best, found := int32(0), false
+	for i := range ix.entries {
+		slot := int32(i)
+		if !ix.Fits(slot, rq.need) || !allowed(slot) {
+			continue
+		}
+		if !found || ix.entries[slot].free.MilliCPU() < ix.entries[best].free.MilliCPU() {
+			best, found = slot, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/core/sched/apply.go
@@ -0,0 +1,254 @@
+package sched
+
+import "guavarail/core/model"
+
+func (st *State) submit(op *Op) Verdict {
+	spec := op.job.spec
+	if spec.Tasks < 1 {
+		return UnknownJob
+	}
+	if old, ok := st.jobs[spec.ID]; ok {
+		if old.spec != spec {
+			return Conflict
+		}
+		return Repeated
+	}
+	if st.jobs == nil {
+		st.jobs = map[model.JobID]*job{}
+	}
+	st.submitted++
+	jb := &job{spec: spec, tasks: make([]task, spec.Tasks), sequence: st.submitted, open: spec.Tasks}
+	for i := range jb.tasks {
+		jb.tasks[i].size = spec.Size
+		jb.tasks[i].note(HistoryQueued, ReasonQueued)
+	}
+	st.jobs[spec.ID] = jb
+	return Accepted
+}
+
+// close ends the named jobs: waiting tasks at once, live ones when their
+// attempt has ended. The verdict is that of the last job that was not closed.
+func (st *State) close(ids []model.JobID, why Reason) Verdict {
+	verdict := Repeated
+	for _, id := range ids {
+		jb, ok := st.jobs[id]
+		if !ok {
+			if verdict != Accepted {
+				verdict = UnknownJob
+			}
+			continue
+		}
+		if jb.closed != NoReason || jb.open == 0 {
+			continue
+		}
+		verdict = Accepted
+		st.closeJob(jb, why)
+	}
+	return verdict
+}
+
+func (st *State) closeJob(jb *job, why Reason) {
+	jb.closed = why
+	for i := range jb.tasks {
+		tk := &jb.tasks[i]
+		switch tk.state {
+		case Waiting:
+			st.finish(ref{job: jb, index: int32(i)}, closedState(why))
+		case Starting, Running:
+			tk.state, tk.reason = Stopping, why
+			tk.note(HistoryStopAsked, why)
+		case Stopping, Finished, Failed, Cancelled:
+		}
+	}
+}
+
+func closedState(why Reason) TaskState {
+	if why == ReasonCancelled {
+		return Cancelled
+	}
+	return Failed
+}
+
+// finish puts a task that holds no commitment in a final state.
+func (st *State) finish(re ref, to TaskState) {
+	tk := re.task()
+	tk.state, tk.reason = to, re.job.closed
+	if to != Finished {
+		tk.note(HistoryClosed, re.job.closed)
+	}
+	re.job.open--
+	if re.job.open > 0 {
+		return
+	}
+	st.completed++
+	re.job.done = st.completed
+	st.closed = append(st.closed, re.job.spec.ID)
+	st.retained += len(re.job.tasks)
+	for st.retained > retainedTasks && len(st.closed) > 1 {
+		old := st.closed[0]
+		st.closed = st.closed[1:]
+		st.retained -= len(st.jobs[old].tasks)
+		delete(st.jobs, old)
+	}
+}
+
+func (st *State) know(op *Op) Verdict {
+	if op.worker == "" || !op.size.Valid() {
+		return UnknownWorker
+	}
+	slot, ok := st.slots[op.worker]
+	if !ok {
+		if st.slots == nil {
+			st.slots = map[model.WorkerID]int32{}
+		}
+		slot = int32(len(st.workers))
+		st.slots[op.worker] = slot
+		st.workers = append(st.workers, &worker{id: op.worker})
+	}
+	wk := st.workers[slot]
+	if wk.known && wk.rack == op.rack && wk.size == op.size {
+		return Repeated
+	}
+	if !wk.committed.FitsIn(op.size) {
+		return DoesNotFit
+	}
+	wk.known, wk.rack, wk.size = true, op.rack, op.size
+	return Accepted
+}
+
+func (st *State) remove(op *Op) Verdict {
+	wk, _, ok := st.worker(op.worker)
+	if !ok {
+		return UnknownWorker
+	}
+	if len(wk.refs) > 0 {
+		return InUse
+	}
+	wk.known, wk.refs = false, nil
+	return Accepted
+}
+
+// start records the next attempt. The check of the attempt number makes a
+// start that was decided on an older state harmless.
+func (st *State) start(op *Op) Verdict {
+	re, ok := st.find(op.task)
+	if !ok {
+		return UnknownJob
+	}
+	tk := re.task()
+	if re.job.closed != NoReason {
+		return Closed
+	}
+	if tk.state != Waiting || op.attempt != tk.attempt+1 || op.checkpoint != tk.newest {
+		return StaleAttempt
+	}
+	wk, slot, ok := st.worker(op.worker)
+	if !ok {
+		return UnknownWorker
+	}
+	if !op.size.Valid() || !op.size.FitsIn(wk.free()) {
+		return DoesNotFit
+	}
+	tk.state, tk.attempt, tk.worker, tk.size = Starting, op.attempt, slot+1, op.size
+	tk.borrowed, tk.reason = op.borrowed, NoReason
+	wk.committed = wk.committed.Add(op.size)
+	wk.refs = append(wk.refs, re)
+	tk.note(HistoryStarted, NoReason)
+	return Accepted
+}
+
+// progress applies an operation on a live attempt.
+func (st *State) progress(op *Op) Verdict {
+	re, ok := st.find(op.task)
+	if !ok {
+		return UnknownJob
+	}
+	tk := re.task()
+	if op.attempt != tk.attempt || !tk.state.Live() {
+		return StaleAttempt
+	}
+	switch op.kind {
+	case OpConfirm:
+		return tk.confirm(op.checkpoint)
+	case OpCheckpoint:
+		return tk.checkpoint(op.checkpoint)
+	case OpEvict:
+		if tk.state == Stopping {
+			return Repeated
+		}
+		tk.state, tk.reason = Stopping, op.reason
+		tk.note(HistoryStopAsked, op.reason)
+		return Accepted
+	case OpResize:
+		return st.resize(re, op.size)
+	}
+	st.end(re, op.outcome)
+	return Accepted
+}
+
+// confirm records that the attempt runs. A worker that could not read the
+// newest checkpoint names the one that it resumed from.
+func (tk *task) confirm(from Checkpoint) Verdict {
+	if tk.state != Starting {
+		return Repeated
+	}
+	tk.state = Running
+	tk.note(HistoryRunning, NoReason)
+	if !tk.newest.IsZero() && tk.newest.attempt != tk.attempt && from != tk.newest {
+		tk.newest = from
+		if from != tk.previous {
+			tk.newest = Checkpoint{}
+		}
+		tk.previous = Checkpoint{}
+		tk.note(HistoryFellBack, NoReason)
+	}
+	return Accepted
+}
+
+func (tk *task) checkpoint(cp Checkpoint) Verdict {
+	if cp.attempt != tk.attempt || !tk.newest.Before(cp) {
+		return Repeated
+	}
+	tk.previous, tk.newest = tk.newest, cp
+	return Accepted
+}
+
+func (st *State) resize(re ref, size model.Resources) Verdict {
+	tk := re.task()
+	wk := st.workers[tk.worker-1]
+	rest := wk.committed.Sub(tk.size)
+	if !size.Valid() || !rest.Add(size).FitsIn(wk.size) {
+		return DoesNotFit
+	}
+	wk.committed = rest.Add(size)
+	tk.size = size
+	return Accepted
+}
+
+var outcomeHistory = [...]HistoryKind{
+	0, HistorySucceeded, HistoryBroke, HistoryStopped, HistoryLost, HistoryNotStarted,
+}
+
+// end releases the commitment and decides what comes next: a final state for
+// a task that is complete or whose job is closed, else the next attempt.
+func (st *State) end(re ref, oc Outcome) {
+	tk := re.task()
+	wk := st.workers[tk.worker-1]
+	wk.committed = wk.committed.Sub(tk.size)
+	wk.drop(re)
+	kind := HistoryLost
+	if int(oc) < len(outcomeHistory) && oc != 0 {
+		kind = outcomeHistory[oc]
+	}
+	tk.note(kind, tk.reason)
+	tk.worker, tk.borrowed = 0, false
+	switch {
+	case re.job.closed != NoReason:
+		st.finish(re, closedState(re.job.closed))
+	case oc == Succeeded:
+		st.finish(re, Finished)
+	default:
+		tk.state, tk.reason = Waiting, ReasonQueued
+		tk.note(HistoryQueued, ReasonQueued)
+	}
+}
--- /dev/null
+++ b/core/sched/command.go
@@ -0,0 +1,205 @@
+package sched
+
+import "guavarail/core/model"
+
+// OpKind says what an operation does.
+type OpKind uint8
+
+// The kinds of operations.
+const (
+	// OpSubmit adds a job.
+	OpSubmit OpKind = iota + 1
+	// OpCancel cancels jobs; one record serves a whole wave.
+	OpCancel
+	// OpWorker makes a worker known or changes its size and rack.
+	OpWorker
+	// OpRemove forgets a worker without attempts.
+	OpRemove
+	// OpStart records the next attempt of a task.
+	OpStart
+	// OpConfirm records that the worker runs the attempt.
+	OpConfirm
+	// OpEnd records the end of an attempt.
+	OpEnd
+	// OpCheckpoint records a checkpoint.
+	OpCheckpoint
+	// OpEvict asks for the end of an attempt.
+	OpEvict
+	// OpResize changes the commitment of an attempt.
+	OpResize
+	// OpFail ends a job that cannot run.
+	OpFail
+)
+
+// Op is one operation of a command. Only the fields of its kind are set.
+type Op struct {
+	kind       OpKind
+	reason     Reason
+	outcome    Outcome
+	borrowed   bool
+	attempt    model.Attempt
+	task       model.TaskID
+	worker     model.WorkerID
+	rack       string
+	size       model.Resources
+	checkpoint Checkpoint
+	job        Job
+	jobs       []model.JobID
+}
+
+// Submit adds a job. A repeated submission of the same job is accepted once.
+func Submit(jo Job) Op { return Op{kind: OpSubmit, job: jo} }
+
+// Cancel cancels all the named jobs.
+func Cancel(jobs ...model.JobID) Op {
+	return Op{kind: OpCancel, jobs: append([]model.JobID(nil), jobs...)}
+}
+
+// Worker makes a worker known.
+func Worker(id model.WorkerID, rack string, size model.Resources) Op {
+	return Op{kind: OpWorker, worker: id, rack: rack, size: size}
+}
+
+// Remove forgets a worker that holds no attempt.
+func Remove(id model.WorkerID) Op { return Op{kind: OpRemove, worker: id} }
+
+// Start records attempt att of the task on a worker with a commitment. It
+// consumes checkpoint cp, which is zero for a start from the beginning.
+// Borrowed says that the commitment exceeds the team's quota.
+func Start(task model.TaskID, att model.Attempt, wid model.WorkerID, size model.Resources, cp Checkpoint, borrowed bool) Op {
+	return Op{kind: OpStart, task: task, attempt: att, worker: wid, size: size, checkpoint: cp, borrowed: borrowed}
+}
+
+// Confirm records that the attempt runs and which checkpoint it resumed from.
+func Confirm(task model.TaskID, att model.Attempt, cp Checkpoint) Op {
+	return Op{kind: OpConfirm, task: task, attempt: att, checkpoint: cp}
+}
+
+// End records how the attempt on the worker ended.
+func End(task model.TaskID, att model.Attempt, wid model.WorkerID, oc Outcome) Op {
+	return Op{kind: OpEnd, task: task, attempt: att, worker: wid, outcome: oc}
+}
+
+// TakeCheckpoint records a checkpoint of the attempt named in cp.
+func TakeCheckpoint(task model.TaskID, cp Checkpoint) Op {
+	return Op{kind: OpCheckpoint, task: task, attempt: cp.attempt, checkpoint: cp}
+}
+
+// Evict asks for the end of the attempt; the task waits again afterwards.
+func Evict(task model.TaskID, att model.Attempt, why Reason) Op {
+	return Op{kind: OpEvict, task: task, attempt: att, reason: why}
+}
+
+// Resize changes the commitment of the attempt.
+func Resize(task model.TaskID, att model.Attempt, size model.Resources) Op {
+	return Op{kind: OpResize, task: task, attempt: att, size: size}
+}
+
+// Fail ends a job that cannot run.
+func Fail(id model.JobID, why Reason) Op {
+	return Op{kind: OpFail, jobs: []model.JobID{id}, reason: why}
+}
+
+// Kind says what the operation does.
+func (op Op) Kind() OpKind { return op.kind }
+
+// Reason returns why, for Evict and Fail.
+func (op Op) Reason() Reason { return op.reason }
+
+// Outcome returns how the attempt ended, for End.
+func (op Op) Outcome() Outcome { return op.outcome }
+
+// Borrowed reports whether a start exceeds the quota.
+func (op Op) Borrowed() bool { return op.borrowed }
+
+// Attempt returns the attempt.
+func (op Op) Attempt() model.Attempt { return op.attempt }
+
+// Task returns the task.
+func (op Op) Task() model.TaskID { return op.task }
+
+// Worker returns the worker.
+func (op Op) Worker() model.WorkerID { return op.worker }
+
+// Rack returns the rack of the worker.
+func (op Op) Rack() string { return op.rack }
+
+// Size returns the size of the worker or the commitment.
+func (op Op) Size() model.Resources { return op.size }
+
+// Checkpoint returns the checkpoint.
+func (op Op) Checkpoint() Checkpoint { return op.checkpoint }
+
+// Job returns the submitted job.
+func (op Op) Job() Job { return op.job }
+
+// Jobs returns the jobs to cancel or fail.
+func (op Op) Jobs() []model.JobID { return append([]model.JobID(nil), op.jobs...) }
+
+// Command is a batch of operations that is applied as a whole, in order. The
+// zero value does nothing.
+type Command struct {
+	ops []Op
+	// serial numbers the commands of a planner; 0 for commands of callers.
+	serial uint64
+}
+
+// NewCommand returns a command with the given operations.
+func NewCommand(ops ...Op) Command { return Command{ops: ops} }
+
+// Len returns the number of operations.
+func (cmd Command) Len() int { return len(cmd.ops) }
+
+// Serial returns the number that the planner gave the command, 0 for commands
+// of callers.
+func (cmd Command) Serial() uint64 { return cmd.serial }
+
+// WithSerial returns the command with the number of a planner.
+func (cmd Command) WithSerial(serial uint64) Command {
+	cmd.serial = serial
+	return cmd
+}
+
+// Op returns one operation.
+func (cmd Command) Op(i int) Op { return cmd.ops[i] }
+
+// Verdict says whether an operation took effect.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Accepted Verdict = iota
+	// Repeated: the operation took effect before; nothing changed.
+	Repeated
+	UnknownJob
+	UnknownWorker
+	// StaleAttempt: the operation names another attempt or state than the
+	// task has.
+	StaleAttempt
+	// DoesNotFit: the commitment would exceed the worker's size.
+	DoesNotFit
+	// Closed: the job was cancelled or failed.
+	Closed
+	// Conflict: another job has the same name.
+	Conflict
+	// InUse: the worker still holds attempts.
+	InUse
+)
+
+var verdictNames = [...]string{
+	"accepted", "repeated", "unknownJob", "unknownWorker", "staleAttempt", "doesNotFit", "closed", "conflict", "inUse",
+}
+
+// String returns the name used in the API.
+func (ve Verdict) String() string { return nameOf(verdictNames[:], int(ve)) }
+
+// Result has the verdict of each operation.
+type Result struct {
+	verdicts []Verdict
+}
+
+// Len returns the number of verdicts.
+func (res Result) Len() int { return len(res.verdicts) }
+
+// Verdict returns the verdict of operation i.
+func (res Result) Verdict(i int) Verdict { return res.verdicts[i] }
--- /dev/null
+++ b/core/sched/job.go
@@ -0,0 +1,80 @@
+package sched
+
+import (
+	"strings"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// MaxTasks bounds the tasks of one job, so that one command stays far below
+// the maximum frame and one job cannot fill the memory of the group.
+const MaxTasks = 100_000
+
+// JobSpec is the input of NewJob.
+type JobSpec struct {
+	ID       model.JobID
+	Team     model.TeamID
+	Priority model.Priority
+	// Kind names what the tasks do; sizes, run times and interference are
+	// learned per kind. Empty means the job's own name.
+	Kind  string
+	Tasks int
+	// Size is the declared size of each task.
+	Size model.Resources
+	// RunTime is the declared run time of a task; 0 means unknown.
+	RunTime time.Duration
+}
+
+// Job is what a caller submitted. It passed the check of NewJob.
+type Job struct {
+	spec JobSpec
+}
+
+// JobError reports the fields of a job that are not accepted.
+type JobError struct {
+	faults []model.Fault
+}
+
+// Faults returns the faults in field order.
+func (err *JobError) Faults() []model.Fault { return append([]model.Fault(nil), err.faults...) }
+
+// Error lists every fault.
+func (err *JobError) Error() string {
+	out := make([]string, 0, len(err.faults))
+	for _, fa := range err.faults {
+		out = append(out, fa.Field()+": use "+fa.Allowed())
+	}
+	return "job not accepted: " + strings.Join(out, "; ")
+}
+
+// NewJob checks spec as a whole and returns the job.
+func NewJob(spec JobSpec) (Job, error) {
+	var fas []model.Fault
+	fail := func(bad bool, field, allowed string) {
+		if bad {
+			fas = append(fas, model.NewFault(field, allowed))
+		}
+	}
+	const name = "1 to 63 lower-case letters, digits and dashes"
+	fail(!model.ValidName(string(spec.ID)), "id", name)
+	fail(!model.ValidName(string(spec.Team)), "team", name)
+	fail(spec.Priority > model.Urgent, "priority", "batch, service or urgent")
+	fail(spec.Kind != "" && !model.ValidName(spec.Kind), "kind", name)
+	fail(spec.Tasks < 1 || spec.Tasks > MaxTasks, "tasks", "1 to 100000")
+	fail(!spec.Size.Valid() || spec.Size.MilliCPU() == 0, "size", "milliCpu of 1 or more and other amounts of 0 or more")
+	fail(spec.RunTime < 0, "runTimeMs", "0 or more")
+	if len(fas) > 0 {
+		return Job{}, &JobError{faults: fas}
+	}
+	if spec.Kind == "" {
+		spec.Kind = string(spec.ID)
+	}
+	return Job{spec: spec}, nil
+}
+
+// Spec returns what the job was made from.
+func (jo Job) Spec() JobSpec { return jo.spec }
+
+// ID returns the job's name.
+func (jo Job) ID() model.JobID { return jo.spec.ID }
--- /dev/null
+++ b/core/sched/oracle_test.go
@@ -0,0 +1,173 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// failer is the part of testing.TB that the oracle uses.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+type fakeJob struct {
+	length time.Duration
+	usage  model.Resources
+	breaks bool
+}
+
+type savedKey struct {
+	task model.TaskID
+	cp   Checkpoint
+}
+
+type runKey struct {
+	task    model.TaskID
+	attempt model.Attempt
+}
+
+// oracle checks the invariants against what the fake workers really do.
+type oracle struct {
+	tb    failer
+	jobs  map[model.JobID]fakeJob
+	saved map[savedKey]time.Duration
+	// runs has each attempt that ever ran.
+	runs map[runKey]bool
+	// cancelled has the time of the cancel record of a job.
+	cancelled map[model.JobID]model.Instant
+	done      map[model.TaskID]int
+	finals    map[model.TaskID]TaskState
+}
+
+func newOracle(tb failer) *oracle {
+	return &oracle{
+		tb: tb, jobs: map[model.JobID]fakeJob{}, saved: map[savedKey]time.Duration{}, runs: map[runKey]bool{},
+		cancelled: map[model.JobID]model.Instant{}, done: map[model.TaskID]int{}, finals: map[model.TaskID]TaskState{},
+	}
+}
+
+// started checks P2, P3 and P4 when a worker starts an attempt.
+func (orc *oracle) started(wk *fakeWorker, fa *fakeAttempt) {
+	wd := wk.wd
+	key := runKey{fa.task, fa.attempt}
+	if orc.runs[key] {
+		orc.tb.Fatalf("P3: attempt %d of %s ran twice", fa.attempt, fa.task)
+	}
+	orc.runs[key] = true
+	for _, other := range wd.workers {
+		for _, run := range other.attempts {
+			if run != fa && run.task == fa.task && run.state == AttemptRunning && wd.now < run.until {
+				orc.tb.Fatalf("P2: %s runs as attempt %d on %s and as %d on %s", fa.task, run.attempt, other.id, fa.attempt, wk.id)
+			}
+		}
+	}
+	if wd.out && wd.now.Sub(wd.outAt) > 3*time.Second {
+		orc.tb.Fatalf("P4: %s started %v after the data centre was out", fa.task, wd.now.Sub(wd.outAt))
+	}
+	if at, ok := orc.cancelled[fa.task.Job()]; ok && wd.now.Sub(at) > StartWindow {
+		orc.tb.Fatalf("%s started %v after its cancel", fa.task, wd.now.Sub(at))
+	}
+}
+
+func (orc *oracle) completed(fa *fakeAttempt) { orc.done[fa.task]++ }
+
+// applied checks the records of a command.
+func (orc *oracle) applied(wd *world, vm *replica, cmd Command, res Result) {
+	if vm != wd.leader {
+		return
+	}
+	for i := range cmd.ops {
+		op := cmd.ops[i]
+		if res.verdicts[i] != Accepted {
+			continue
+		}
+		switch op.kind {
+		case OpCancel:
+			for _, id := range op.jobs {
+				if _, ok := orc.cancelled[id]; !ok {
+					orc.cancelled[id] = wd.now
+				}
+			}
+		case OpStart:
+			if _, ok := orc.cancelled[op.task.Job()]; ok {
+				orc.tb.Fatalf("start of %s was recorded after its cancel", op.task)
+			}
+		}
+	}
+}
+
+// check looks at the leader's state after a step.
+func (orc *oracle) check(wd *world) {
+	st := &wd.leader.state
+	for _, wk := range st.workers {
+		sum := model.Resources{}
+		for _, re := range wk.refs {
+			sum = sum.Add(re.task().size)
+		}
+		if sum != wk.committed || !sum.FitsIn(wk.size) {
+			orc.tb.Fatalf("P1: %s has %v committed as %v of %v", wk.id, sum, wk.committed, wk.size)
+		}
+	}
+	for id := range orc.jobs {
+		jb, ok := st.jobs[id]
+		if !ok {
+			continue
+		}
+		for i := range jb.tasks {
+			tid, state := model.NewTaskID(id, i), jb.tasks[i].state
+			if old, ok := orc.finals[tid]; ok && old != state {
+				orc.tb.Fatalf("%s was %s and is %s", tid, old, state)
+			}
+			if state.Final() {
+				orc.finals[tid] = state
+			}
+		}
+	}
+	orc.checkPlanner(wd)
+}
+
+// checkPlanner compares what the leader derived with the state.
+func (orc *oracle) checkPlanner(wd *world) {
+	pl := wd.leader.planner
+	committed := model.Resources{}
+	for slot, wk := range pl.st.workers {
+		committed = committed.Add(wk.committed)
+		lives := 0
+		if slot < len(pl.crews) {
+			lives = len(pl.crews[slot].lives)
+		}
+		if lives != len(wk.refs) {
+			orc.tb.Fatalf("planner has %d attempts on %s, state %d", lives, wk.id, len(wk.refs))
+		}
+	}
+	if committed != pl.usage.committed {
+		orc.tb.Fatalf("planner counts %v, state %v", pl.usage.committed, committed)
+	}
+}
+
+// settle checks that nothing was lost once all faults are over.
+func (orc *oracle) settle(wd *world) {
+	st := &wd.leader.state
+	for id := range orc.jobs {
+		jb, ok := st.jobs[id]
+		if !ok {
+			orc.tb.Fatalf("job %s is lost", id)
+			continue
+		}
+		for i := range jb.tasks {
+			if tk := &jb.tasks[i]; !tk.state.Final() {
+				orc.tb.Fatalf("task %s/%d is still %s: %s", id, i, tk.state, dump(st, tk))
+			}
+		}
+	}
+}
+
+func dump(st *State, tk *task) string {
+	out := ""
+	for _, hi := range tk.history[:tk.steps] {
+		out += fmt.Sprintf(" %s:%d@%s(%s)", hi.kind, hi.attempt, st.name(hi.slot), hi.reason)
+	}
+	return out
+}
--- /dev/null
+++ b/core/sched/planner.go
@@ -0,0 +1,295 @@
+package sched
+
+import (
+	"time"
+
+	"guavarail/core/event"
+	"guavarail/core/model"
+	"guavarail/core/place"
+)
+
+const (
+	// TaskLease is how long a worker may go on with an attempt after it sent
+	// the report that was answered with a renewal.
+	TaskLease = 10 * time.Second
+	// StartWindow is how long after its issue a start order is valid.
+	StartWindow = 500 * time.Millisecond
+	// pollHold is how long a poll waits for orders; workers report every
+	// second.
+	pollHold = 900 * time.Millisecond
+	// freshFor is the age of the last report up to which a worker gets new
+	// tasks: two reports may be missed.
+	freshFor = 3 * time.Second
+	// repeatAfter is the time after which an order that shows no effect is
+	// sent again.
+	repeatAfter = time.Second
+	// proposalWait is the time after which a proposal without a result counts
+	// as lost; an election takes at most 4 s.
+	proposalWait = 5 * time.Second
+	// stopRenewal bounds how long the lease of an attempt that was asked to
+	// stop is renewed, so that a worker that ignores the order loses it.
+	stopRenewal = 30 * time.Second
+)
+
+// live is what the leader knows about one attempt on a worker.
+type live struct {
+	ref      ref
+	attempt  model.Attempt
+	size     model.Resources
+	usage    model.Resources
+	borrowed bool
+	// listed: the last report of the worker has the attempt as running.
+	listed bool
+	// told: a proposal under way records an end or a confirmation.
+	told bool
+	// lost: the lease has passed. It is never renewed again (P2).
+	lost bool
+	// seen is the time that the lease counts from.
+	seen model.Instant
+	// ordered is the time of the last start or stop order.
+	ordered model.Instant
+	// since is when the stop was asked or the attempt was recorded.
+	since model.Instant
+	// over is since when the usage exceeds a commitment that cannot grow.
+	over model.Instant
+}
+
+func (lv *live) task() *task { return lv.ref.task() }
+
+// poll is a poll of a worker that waits for its answer.
+type poll struct {
+	id       uint64
+	worker   model.WorkerID
+	received model.Instant
+	open     bool
+}
+
+// crew is what the leader knows about one worker.
+type crew struct {
+	poll poll
+	// seen is the time of the last report; valid only if heard.
+	seen  model.Instant
+	heard bool
+	lives []live
+	// strays are orders for attempts that the state does not have here.
+	strays  []Order
+	strayed model.Instant
+	lastTag uint64
+	expiry  model.Instant
+	// held keeps freed resources for heldFor until this time.
+	held    model.Instant
+	heldFor *backlog
+	// shrunk: the worker reported less than is committed.
+	shrunk bool
+}
+
+// flight is the proposal under way; there is at most one.
+type flight struct {
+	serial uint64
+	since  model.Instant
+	active bool
+	// picks are the tasks that it starts.
+	picks []pick
+}
+
+// Planner decides for the leader of one data centre. P chooses workers.
+type Planner[P place.Policy] struct {
+	st     *State
+	policy P
+	// leading is set by TookOver; env says whether the lease still holds.
+	leading  bool
+	env      TickSpec
+	started  model.Instant
+	outSince model.Instant
+	index    place.Index
+	// crews has one entry for each worker slot.
+	crews  []crew
+	guests []poll
+	queue  queue
+	usage  usage
+	// quotas are those of the active preset.
+	quotas map[model.TeamID]model.Quota
+	// facts are operations that reports brought; they go first in the next
+	// proposal.
+	facts  []Op
+	flight flight
+	serial uint64
+	tag    uint64
+	out    []Effect
+}
+
+// NewPlanner returns a planner that reads st, which the caller keeps in step
+// with the group.
+func NewPlanner[P place.Policy](st *State, policy P) *Planner[P] {
+	return &Planner[P]{st: st, policy: policy}
+}
+
+// Step takes one input and returns the effects in order.
+func (pl *Planner[P]) Step(now model.Instant, in Input) []Effect {
+	pl.out = nil
+	switch msg := in.(type) {
+	case Tick:
+		pl.tick(now, msg.spec)
+	case WorkerReport:
+		pl.report(now, msg.spec)
+	case Applied:
+		pl.applied(now, msg.cmd, msg.res)
+	case Dropped:
+		pl.dropped()
+	case TookOver:
+		pl.takeOver(now)
+	}
+	out := pl.out
+	pl.out = nil
+	return out
+}
+
+// leads reports whether the leader lease holds, so that leases, orders and
+// proposals may be given.
+func (pl *Planner[P]) leads(now model.Instant) bool {
+	return pl.leading && now.Before(pl.env.LeadUntil)
+}
+
+// mayStart reports whether start orders may be given.
+func (pl *Planner[P]) mayStart(now model.Instant) bool {
+	return pl.leads(now) && now.Before(pl.env.StartUntil) && !pl.env.Out
+}
+
+func (pl *Planner[P]) tick(now model.Instant, env TickSpec) {
+	if env.Out && !pl.env.Out {
+		pl.outSince = now
+	}
+	pl.env = env
+	if !pl.leading {
+		return
+	}
+	pl.answerOld(now)
+	if !pl.leads(now) {
+		return
+	}
+	pl.expire(now)
+	if pl.flight.active {
+		if now.Sub(pl.flight.since) < proposalWait {
+			return
+		}
+		pl.dropped()
+	}
+	pl.quotas = quotasOf(env.Preset)
+	ops, picks := pl.plan(now)
+	ops = append(pl.facts, ops...)
+	pl.facts = nil
+	pl.propose(now, ops, picks)
+}
+
+// plan returns the operations to propose besides the facts of reports.
+func (pl *Planner[P]) plan(now model.Instant) ([]Op, []pick) {
+	if !pl.mayStart(now) {
+		return nil, nil
+	}
+	return pl.starts(now)
+}
+
+func (pl *Planner[P]) propose(now model.Instant, ops []Op, picks []pick) {
+	if len(ops) == 0 {
+		return
+	}
+	pl.serial++
+	pl.flight = flight{serial: pl.serial, since: now, active: true, picks: picks}
+	pl.out = append(pl.out, Propose{cmd: NewCommand(ops...).WithSerial(pl.serial)})
+}
+
+// dropped forgets the proposal under way. Reports bring its facts again.
+func (pl *Planner[P]) dropped() {
+	picks := pl.flight.picks
+	pl.flight = flight{}
+	pl.requeue(picks)
+	for slot := range pl.crews {
+		cr := &pl.crews[slot]
+		for i := range cr.lives {
+			cr.lives[i].told = false
+		}
+		cr.expiry = 0
+		pl.refresh(int32(slot))
+	}
+}
+
+// takeOver builds all leader-only state anew. Every lease counts as renewed
+// now, because the previous leader may have renewed it until its own lease
+// ended.
+func (pl *Planner[P]) takeOver(now model.Instant) {
+	serial, tag := pl.serial, pl.tag
+	*pl = Planner[P]{st: pl.st, policy: pl.policy, leading: true, env: pl.env, outSince: now, started: now, serial: serial, tag: tag}
+	for slot, wk := range pl.st.workers {
+		pl.ensure(int32(slot))
+		if wk.known {
+			pl.usage.grow(wk.size)
+		}
+		for _, re := range wk.refs {
+			pl.addLive(now, int32(slot), re)
+		}
+	}
+	pl.queue.rebuild(pl.st, now)
+}
+
+func (pl *Planner[P]) ensure(slot int32) *crew {
+	for int(slot) >= len(pl.crews) {
+		pl.crews = append(pl.crews, crew{})
+	}
+	return &pl.crews[slot]
+}
+
+func (pl *Planner[P]) addLive(now model.Instant, slot int32, re ref) {
+	tk := re.task()
+	cr := pl.ensure(slot)
+	cr.lives = append(cr.lives, live{
+		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: now,
+	})
+	cr.expiry = 0
+	pl.usage.add(re.job.spec, tk.size, tk.borrowed)
+	pl.queue.occupy(re.job, pl.index.RackOf(pl.st.workers[slot].rack), 1)
+}
+
+// refresh lists the worker in the index with what the state has free, or
+// takes it out while it may not get tasks.
+func (pl *Planner[P]) refresh(slot int32) {
+	cr, wk := &pl.crews[slot], pl.st.workers[slot]
+	if !wk.known || !cr.heard || cr.shrunk {
+		pl.index.Close(slot)
+		return
+	}
+	pl.index.Set(slot, wk.rack, wk.free())
+}
+
+// expire closes silent workers and records the end of attempts whose lease
+// has passed.
+func (pl *Planner[P]) expire(now model.Instant) {
+	for slot := range pl.crews {
+		cr := &pl.crews[slot]
+		if cr.heard && now.Sub(cr.seen) > freshFor {
+			cr.heard = false
+			pl.refresh(int32(slot))
+			pl.note("workerSilent", event.Subject{Worker: pl.st.workers[slot].id})
+		}
+		if now.Before(cr.expiry) || len(cr.lives) == 0 {
+			continue
+		}
+		cr.expiry = now.Add(model.WithDrift(TaskLease))
+		for i := range cr.lives {
+			lv := &cr.lives[i]
+			end := lv.seen.Add(model.WithDrift(TaskLease))
+			if now.Before(end) && !lv.lost {
+				cr.expiry = min(cr.expiry, end)
+				continue
+			}
+			lv.lost = true
+			if !lv.told {
+				lv.told = true
+				pl.facts = append(pl.facts, End(lv.ref.id(), lv.attempt, pl.st.workers[slot].id, Lost))
+			}
+		}
+	}
+}
+
+func (pl *Planner[P]) note(kind event.Kind, sub event.Subject, fis ...event.Field) {
+	pl.out = append(pl.out, Note{ev: event.New(kind, sub, fis...)})
+}
--- /dev/null
+++ b/core/sched/snapshot.go
@@ -0,0 +1,193 @@
+package sched
+
+import (
+	"slices"
+
+	"guavarail/core/model"
+)
+
+// Snapshot is a copy of a State.
+type Snapshot struct {
+	submitted, completed uint64
+	workers              []WorkerRecord
+	jobs                 []JobRecord
+}
+
+// NewSnapshot returns a snapshot; workers are in slot order.
+func NewSnapshot(submitted, completed uint64, workers []WorkerRecord, jobs []JobRecord) Snapshot {
+	return Snapshot{submitted: submitted, completed: completed, workers: workers, jobs: jobs}
+}
+
+// Submitted returns the number of jobs submitted so far.
+func (sn Snapshot) Submitted() uint64 { return sn.submitted }
+
+// Completed returns the number of jobs closed so far.
+func (sn Snapshot) Completed() uint64 { return sn.completed }
+
+// Workers returns the workers in slot order. The caller must not change them.
+func (sn Snapshot) Workers() []WorkerRecord { return sn.workers }
+
+// Jobs returns the jobs in the order of submission. The caller must not
+// change them.
+func (sn Snapshot) Jobs() []JobRecord { return sn.jobs }
+
+// WorkerRecord is a worker in a snapshot.
+type WorkerRecord struct {
+	id    model.WorkerID
+	rack  string
+	size  model.Resources
+	known bool
+}
+
+// NewWorkerRecord returns the record of a worker; known is false for a name
+// that only histories refer to.
+func NewWorkerRecord(id model.WorkerID, rack string, size model.Resources, known bool) WorkerRecord {
+	return WorkerRecord{id: id, rack: rack, size: size, known: known}
+}
+
+// ID returns the worker's name.
+func (wr WorkerRecord) ID() model.WorkerID { return wr.id }
+
+// Rack returns the worker's rack.
+func (wr WorkerRecord) Rack() string { return wr.rack }
+
+// Size returns what the worker has.
+func (wr WorkerRecord) Size() model.Resources { return wr.size }
+
+// Known reports whether the worker is in use.
+func (wr WorkerRecord) Known() bool { return wr.known }
+
+// JobRecord is a job in a snapshot.
+type JobRecord struct {
+	spec           JobSpec
+	sequence, done uint64
+	closed         Reason
+	tasks          []TaskRecord
+}
+
+// NewJobRecord returns the record of a job with its place in the orders of
+// submission and completion.
+func NewJobRecord(spec JobSpec, sequence, done uint64, closed Reason, tasks []TaskRecord) JobRecord {
+	return JobRecord{spec: spec, sequence: sequence, done: done, closed: closed, tasks: tasks}
+}
+
+// Spec returns what the job was made from.
+func (jr JobRecord) Spec() JobSpec { return jr.spec }
+
+// Sequence returns the place in the order of submission.
+func (jr JobRecord) Sequence() uint64 { return jr.sequence }
+
+// Done returns the place in the order of completion, 0 while open.
+func (jr JobRecord) Done() uint64 { return jr.done }
+
+// Closed returns the reason that the job was cancelled or failed.
+func (jr JobRecord) Closed() Reason { return jr.closed }
+
+// Tasks returns the tasks. The caller must not change them.
+func (jr JobRecord) Tasks() []TaskRecord { return jr.tasks }
+
+// TaskRecord is a task in a snapshot.
+type TaskRecord struct {
+	tk task
+}
+
+// TaskSpec is the input of NewTaskRecord.
+type TaskSpec struct {
+	State    TaskState
+	Reason   Reason
+	Borrowed bool
+	Attempt  model.Attempt
+	// Slot is the worker's position in the snapshot plus one, 0 for none.
+	Slot             int32
+	Size             model.Resources
+	Newest, Previous Checkpoint
+	History          []History
+}
+
+// NewTaskRecord returns the record of a task.
+func NewTaskRecord(spec TaskSpec) TaskRecord {
+	tk := task{
+		size: spec.Size, worker: spec.Slot, attempt: spec.Attempt, newest: spec.Newest, previous: spec.Previous,
+		state: spec.State, reason: spec.Reason, borrowed: spec.Borrowed,
+	}
+	tk.steps = uint8(copy(tk.history[:], spec.History))
+	return TaskRecord{tk: tk}
+}
+
+// Spec returns the fields of the record; its history is shared with it.
+func (tr *TaskRecord) Spec() TaskSpec {
+	tk := &tr.tk
+	return TaskSpec{
+		State: tk.state, Reason: tk.reason, Borrowed: tk.borrowed, Attempt: tk.attempt, Slot: tk.worker,
+		Size: tk.size, Newest: tk.newest, Previous: tk.previous, History: tk.history[:tk.steps],
+	}
+}
+
+// Snapshot returns a copy that later commands do not change.
+func (st *State) Snapshot() Snapshot {
+	sn := Snapshot{submitted: st.submitted, completed: st.completed}
+	for _, wk := range st.workers {
+		sn.workers = append(sn.workers, WorkerRecord{id: wk.id, rack: wk.rack, size: wk.size, known: wk.known})
+	}
+	for _, jb := range st.inOrder() {
+		rec := JobRecord{spec: jb.spec, sequence: jb.sequence, done: jb.done, closed: jb.closed}
+		rec.tasks = make([]TaskRecord, len(jb.tasks))
+		for i := range jb.tasks {
+			rec.tasks[i].tk = jb.tasks[i]
+		}
+		sn.jobs = append(sn.jobs, rec)
+	}
+	return sn
+}
+
+// inOrder returns the jobs in the order of submission.
+func (st *State) inOrder() []*job {
+	out := make([]*job, 0, len(st.jobs))
+	for _, jb := range st.jobs {
+		out = append(out, jb)
+	}
+	slices.SortFunc(out, func(a, b *job) int { return int(a.sequence) - int(b.sequence) })
+	return out
+}
+
+// Restore replaces the state.
+func (st *State) Restore(sn Snapshot) {
+	*st = State{
+		jobs: make(map[model.JobID]*job, len(sn.jobs)), slots: make(map[model.WorkerID]int32, len(sn.workers)),
+		submitted: sn.submitted, completed: sn.completed,
+	}
+	for i, wr := range sn.workers {
+		st.slots[wr.id] = int32(i)
+		st.workers = append(st.workers, &worker{id: wr.id, rack: wr.rack, size: wr.size, known: wr.known})
+	}
+	var closed []*job
+	for _, rec := range sn.jobs {
+		jb := st.restoreJob(rec)
+		st.jobs[jb.spec.ID] = jb
+		if jb.done > 0 {
+			closed = append(closed, jb)
+		}
+	}
+	slices.SortFunc(closed, func(a, b *job) int { return int(a.done) - int(b.done) })
+	for _, jb := range closed {
+		st.closed = append(st.closed, jb.spec.ID)
+		st.retained += len(jb.tasks)
+	}
+}
+
+func (st *State) restoreJob(rec JobRecord) *job {
+	jb := &job{spec: rec.spec, tasks: make([]task, len(rec.tasks)), sequence: rec.sequence, closed: rec.closed, done: rec.done}
+	for i := range rec.tasks {
+		tk := rec.tasks[i].tk
+		jb.tasks[i] = tk
+		if !tk.state.Final() {
+			jb.open++
+		}
+		if tk.state.Live() && tk.worker > 0 && int(tk.worker) <= len(st.workers) {
+			wk := st.workers[tk.worker-1]
+			wk.refs = append(wk.refs, ref{job: jb, index: int32(i)})
+			wk.committed = wk.committed.Add(tk.size)
+		}
+	}
+	return jb
+}
--- /dev/null
+++ b/core/sched/starts.go
@@ -0,0 +1,178 @@
+package sched
+
+import (
+	"container/heap"
+
+	"guavarail/core/model"
+	"guavarail/core/place"
+)
+
+const (
+	// maxStarts bounds the starts of one command; a tick of 100 ms needs 580
+	// at the peak of 5,800 a second.
+	maxStarts = 4096
+	// maxMisses bounds how many jobs of one team are tried in vain in a round.
+	maxMisses = 64
+)
+
+// pick is a task that a proposal under way starts.
+type pick struct {
+	bl   *backlog
+	wt   waiting
+	slot int32
+	size model.Resources
+	// borrowed is as in the operation.
+	borrowed bool
+}
+
+// round is one planning pass over the waiting tasks.
+type round struct {
+	ops   []Op
+	picks []pick
+	// misses are sizes that fit on no worker, by priority.
+	misses [model.Urgent + 1][]model.Resources
+}
+
+// starts chooses workers for waiting tasks: by priority, inside quotas before
+// borrowers, and by the lowest weighted share among teams.
+func (pl *Planner[P]) starts(now model.Instant) ([]Op, []pick) {
+	rnd := &round{}
+	for pri := model.Urgent; ; pri-- {
+		pl.pass(now, rnd, pri, false)
+		if pri == model.Batch {
+			break
+		}
+	}
+	pl.pass(now, rnd, model.Batch, true)
+	// The accounts follow the state; they change again when the starts are
+	// applied.
+	for _, pk := range rnd.picks {
+		pl.usage.sub(pk.bl.job.spec, pk.size, pk.borrowed)
+	}
+	return rnd.ops, rnd.picks
+}
+
+func (pl *Planner[P]) pass(now model.Instant, rnd *round, pri model.Priority, borrow bool) {
+	var fair fairness
+	for _, ln := range pl.queue.lines {
+		if len(ln.compact(pri)) > 0 {
+			ln.cursor, ln.share = 0, pl.share(ln.team)
+			fair = append(fair, ln)
+		}
+	}
+	heap.Init(&fair)
+	for len(fair) > 0 && len(rnd.ops) < maxStarts {
+		ln := fair[0]
+		if !pl.next(now, rnd, ln, pri, borrow) {
+			heap.Pop(&fair)
+			continue
+		}
+		ln.share = pl.share(ln.team)
+		heap.Fix(&fair, 0)
+	}
+}
+
+func (pl *Planner[P]) share(id model.TeamID) float64 {
+	return pl.usage.share(pl.usage.team(id), pl.quotas[id].Weight())
+}
+
+// next starts one task of the team, from the first of its jobs that can.
+func (pl *Planner[P]) next(now model.Instant, rnd *round, ln *line, pri model.Priority, borrow bool) bool {
+	jobs := ln.jobs[pri]
+	for ; ln.cursor < min(len(jobs), maxMisses); ln.cursor++ {
+		bl := jobs[ln.cursor]
+		wt, ok := bl.peek()
+		if !ok {
+			continue
+		}
+		bl.reason = pl.try(now, rnd, bl, wt, borrow)
+		if bl.reason == NoReason {
+			bl.head++
+			return true
+		}
+	}
+	return false
+}
+
+// try chooses a worker for one task and returns why there is none.
+func (pl *Planner[P]) try(_ model.Instant, rnd *round, bl *backlog, wt waiting, borrow bool) Reason {
+	spec := &bl.job.spec
+	need := pl.commitment(spec)
+	if why := pl.allowed(spec, need, borrow); why != NoReason {
+		return why
+	}
+	slot, ok := pl.choose(rnd, bl, need)
+	if !ok {
+		return ReasonNoCapacity
+	}
+	borrow = borrow && !pl.withinQuota(spec.Team, need)
+	tk := &bl.job.tasks[wt.index]
+	id := model.NewTaskID(spec.ID, int(wt.index))
+	rnd.ops = append(rnd.ops, Start(id, tk.attempt+1, pl.st.workers[slot].id, need, tk.newest, borrow))
+	rnd.picks = append(rnd.picks, pick{bl: bl, wt: wt, slot: slot, size: need, borrowed: borrow})
+	pl.usage.add(*spec, need, borrow)
+	return NoReason
+}
+
+// allowed checks the limits that do not depend on a worker. Only batch work
+// borrows, because only batch work is evicted to give quota back.
+func (pl *Planner[P]) allowed(spec *JobSpec, need model.Resources, borrow bool) Reason {
+	if !borrow && !pl.withinQuota(spec.Team, need) {
+		return ReasonQuota
+	}
+	total := pl.usage.total.MilliCPU()
+	if adm := pl.env.Admission; adm > 0 && adm < 100 &&
+		pl.usage.committed.MilliCPU()+need.MilliCPU() > total*int64(adm)/100 {
+		return ReasonAdmission
+	}
+	if spec.Priority == model.Batch &&
+		pl.usage.batch.MilliCPU()+need.MilliCPU() > total*int64(pl.env.Preset.BatchShare())/100 {
+		return ReasonBatchShare
+	}
+	return NoReason
+}
+
+// withinQuota reports whether need fits in the quota of the team. Without any
+// quota in the preset there are no limits; a team that the preset leaves out
+// has a quota of nothing.
+func (pl *Planner[P]) withinQuota(id model.TeamID, need model.Resources) bool {
+	if len(pl.quotas) == 0 {
+		return true
+	}
+	lim := pl.quotas[id].Limit()
+	if pl.env.QuotaPercent > 0 {
+		lim = percent(lim, pl.env.QuotaPercent)
+	}
+	return pl.usage.team(id).held.Add(need).FitsIn(lim)
+}
+
+func quotasOf(pre model.Preset) map[model.TeamID]model.Quota {
+	out := map[model.TeamID]model.Quota{}
+	for _, quo := range pre.Quotas() {
+		out[quo.Team()] = quo
+	}
+	return out
+}
+
+// commitment returns what an attempt of the job is given.
+func (pl *Planner[P]) commitment(spec *JobSpec) model.Resources { return spec.Size }
+
+// choose reserves room on a worker.
+func (pl *Planner[P]) choose(rnd *round, bl *backlog, need model.Resources) (int32, bool) {
+	pri := bl.job.spec.Priority
+	for _, miss := range rnd.misses[pri] {
+		if miss.FitsIn(need) {
+			return 0, false
+		}
+	}
+	req := place.NewRequest(need, pri)
+	if pri == model.Service {
+		req = req.Spread(&bl.racks)
+	}
+	slot, ok := pl.policy.Choose(&pl.index, req)
+	if !ok || !pl.index.Reserve(slot, need) {
+		rnd.misses[pri] = append(rnd.misses[pri], need)
+		return 0, false
+	}
+	return slot, true
+}
--- /dev/null
+++ b/core/sched/state.go
@@ -0,0 +1,155 @@
+package sched
+
+import "guavarail/core/model"
+
+const (
+	// historyLength keeps the last attempts of a task within the budget of
+	// 256 bytes for a task.
+	historyLength = 8
+	// retainedTasks bounds the tasks of closed jobs that are kept for reads and
+	// for repeated submissions; about 13 MB.
+	retainedTasks = 100_000
+)
+
+// task is one task; its job and index are known from where it is stored.
+type task struct {
+	// size is the commitment while the task is live, else the size that the
+	// last attempt had.
+	size model.Resources
+	// worker is the slot of the worker plus one while the task is live, else 0.
+	worker  int32
+	attempt model.Attempt
+	// newest is the checkpoint that the next attempt resumes from, previous
+	// the one to fall back to. newest is never before previous.
+	newest, previous Checkpoint
+	history          [historyLength]History
+	steps            uint8
+	state            TaskState
+	reason           Reason
+	borrowed         bool
+}
+
+func (tk *task) note(kind HistoryKind, why Reason) {
+	hi := History{kind: kind, reason: why, attempt: tk.attempt, slot: tk.worker}
+	if tk.steps == historyLength {
+		copy(tk.history[:], tk.history[1:])
+		tk.steps--
+	}
+	tk.history[tk.steps] = hi
+	tk.steps++
+}
+
+// job is one submitted job with its tasks.
+type job struct {
+	spec  JobSpec
+	tasks []task
+	// sequence is the position in the order of submission.
+	sequence uint64
+	// open counts the tasks that are not in a final state.
+	open int
+	// closed is the reason that no further attempt starts, or NoReason.
+	closed Reason
+	// done is the position in the order of completion, 0 while open.
+	done uint64
+}
+
+// ref addresses a task.
+type ref struct {
+	job   *job
+	index int32
+}
+
+func (re ref) task() *task { return &re.job.tasks[re.index] }
+
+func (re ref) id() model.TaskID { return model.NewTaskID(re.job.spec.ID, int(re.index)) }
+
+// worker is one worker VM.
+type worker struct {
+	id   model.WorkerID
+	rack string
+	size model.Resources
+	// committed is the sum of the sizes of refs. It is at most size in every
+	// dimension (P1).
+	committed model.Resources
+	// refs are the live tasks on the worker.
+	refs []ref
+	// known is false after the worker was removed; refs is empty then.
+	known bool
+}
+
+func (wk *worker) free() model.Resources { return wk.size.Sub(wk.committed) }
+
+func (wk *worker) drop(re ref) {
+	for i := range wk.refs {
+		if wk.refs[i] == re {
+			last := len(wk.refs) - 1
+			wk.refs[i] = wk.refs[last]
+			wk.refs[last] = ref{}
+			wk.refs = wk.refs[:last]
+			return
+		}
+	}
+}
+
+// State is the replicated state of the jobs of one data centre. The zero value
+// is empty and ready to use.
+type State struct {
+	jobs map[model.JobID]*job
+	// workers keeps one slot per worker name for good, so that histories can
+	// name removed workers.
+	workers []*worker
+	slots   map[model.WorkerID]int32
+	// submitted and completed number jobs in log order.
+	submitted, completed uint64
+	// closed lists the closed jobs in the order of completion; retained is
+	// the number of their tasks.
+	closed   []model.JobID
+	retained int
+}
+
+// Apply carries out one committed command.
+func (st *State) Apply(cmd Command) Result {
+	res := Result{verdicts: make([]Verdict, len(cmd.ops))}
+	for i := range cmd.ops {
+		res.verdicts[i] = st.apply(&cmd.ops[i])
+	}
+	return res
+}
+
+func (st *State) apply(op *Op) Verdict {
+	switch op.kind {
+	case OpSubmit:
+		return st.submit(op)
+	case OpCancel:
+		return st.close(op.jobs, ReasonCancelled)
+	case OpFail:
+		return st.close(op.jobs, op.reason)
+	case OpWorker:
+		return st.know(op)
+	case OpRemove:
+		return st.remove(op)
+	case OpStart:
+		return st.start(op)
+	case OpConfirm, OpEnd, OpCheckpoint, OpEvict, OpResize:
+		return st.progress(op)
+	}
+	return UnknownJob
+}
+
+// find returns the task with the given identifier.
+func (st *State) find(id model.TaskID) (ref, bool) {
+	jb, ok := st.jobs[id.Job()]
+	if !ok || id.Index() < 0 || id.Index() >= len(jb.tasks) {
+		return ref{}, false
+	}
+	return ref{job: jb, index: int32(id.Index())}, true
+}
+
+// worker returns the known worker with the given name and its slot.
+func (st *State) worker(id model.WorkerID) (*worker, int32, bool) {
+	slot, ok := st.slots[id]
+	if !ok || !st.workers[slot].known {
+		return nil, 0, false
+	}
+	return st.workers[slot], slot, true
+}
--- /dev/null
+++ b/core/sched/values.go
@@ -0,0 +1,180 @@
+package sched
+
+import (
+	"strconv"
+
+	"guavarail/core/model"
+)
+
+// TaskState is the state of a task.
+type TaskState uint8
+
+// The states of a task.
+const (
+	Waiting TaskState = iota
+	Starting
+	Running
+	Stopping
+	Finished
+	Failed
+	Cancelled
+)
+
+var taskStateNames = [...]string{"waiting", "starting", "running", "stopping", "finished", "failed", "cancelled"}
+
+// String returns the name used in the API.
+func (ts TaskState) String() string { return nameOf(taskStateNames[:], int(ts)) }
+
+// Live reports whether an attempt may be on a worker, so that its commitment
+// counts.
+func (ts TaskState) Live() bool { return ts == Starting || ts == Running || ts == Stopping }
+
+// Final reports whether the task never runs again.
+func (ts TaskState) Final() bool { return ts >= Finished }
+
+// Outcome says how an attempt ended.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	// Succeeded: the task is complete.
+	Succeeded Outcome = iota + 1
+	// Broke: the attempt failed by itself.
+	Broke
+	// Stopped: the worker ended the attempt on request.
+	Stopped
+	// Lost: the lease passed without a report of the attempt.
+	Lost
+	// NotStarted: the worker rejected the start order, and nothing ran.
+	NotStarted
+)
+
+var outcomeNames = [...]string{"none", "succeeded", "failed", "stopped", "lost", "notStarted"}
+
+// String returns the name used in the API.
+func (oc Outcome) String() string { return nameOf(outcomeNames[:], int(oc)) }
+
+// Reason says why a task waits, was evicted or failed.
+type Reason uint8
+
+// The reasons.
+const (
+	NoReason Reason = iota
+	// For a waiting task.
+	ReasonQueued
+	ReasonNoCapacity
+	ReasonQuota
+	ReasonBatchShare
+	ReasonCentreOut
+	ReasonNoPermission
+	ReasonAdmission
+	// For an eviction.
+	ReasonUrgent
+	ReasonReclaim
+	ReasonInterference
+	ReasonGrowth
+	ReasonDrain
+	ReasonShrunk
+	// For the end of a job.
+	ReasonCancelled
+	ReasonTooLarge
+	ReasonKeepsFailing
+)
+
+var reasonNames = [...]string{
+	"none", "queued", "noCapacity", "quota", "batchShare", "centreOut", "noPermission", "admission",
+	"urgent", "reclaim", "interference", "growth", "drain", "workerShrunk",
+	"cancelled", "noWorkerLargeEnough", "keepsFailing",
+}
+
+// String returns the name used in the API.
+func (re Reason) String() string { return nameOf(reasonNames[:], int(re)) }
+
+func nameOf(names []string, i int) string {
+	if i < len(names) {
+		return names[i]
+	}
+	return strconv.Itoa(i)
+}
+
+// Checkpoint names a checkpoint of one task by the attempt that took it and
+// its sequence in that attempt. The zero value means none.
+type Checkpoint struct {
+	attempt  model.Attempt
+	sequence uint32
+}
+
+// NewCheckpoint returns the name of a checkpoint.
+func NewCheckpoint(att model.Attempt, sequence uint32) Checkpoint {
+	return Checkpoint{attempt: att, sequence: sequence}
+}
+
+// Attempt returns the attempt that took the checkpoint.
+func (cp Checkpoint) Attempt() model.Attempt { return cp.attempt }
+
+// Sequence returns the position in the attempt, from 1.
+func (cp Checkpoint) Sequence() uint32 { return cp.sequence }
+
+// IsZero reports whether cp names no checkpoint.
+func (cp Checkpoint) IsZero() bool { return cp == Checkpoint{} }
+
+// Before reports whether cp was taken before other.
+func (cp Checkpoint) Before(other Checkpoint) bool {
+	if cp.attempt != other.attempt {
+		return cp.attempt < other.attempt
+	}
+	return cp.sequence < other.sequence
+}
+
+// HistoryKind says what a history entry records.
+type HistoryKind uint8
+
+// The kinds of history entries.
+const (
+	HistoryQueued HistoryKind = iota + 1
+	HistoryStarted
+	HistoryRunning
+	HistoryFellBack
+	HistoryStopAsked
+	HistorySucceeded
+	HistoryBroke
+	HistoryStopped
+	HistoryLost
+	HistoryNotStarted
+	HistoryClosed
+)
+
+var historyNames = [...]string{
+	"none", "queued", "started", "running", "checkpointUnreadable", "stopAsked", "succeeded",
+	"failed", "stopped", "lost", "notStarted", "closed",
+}
+
+// String returns the name used in the API.
+func (hk HistoryKind) String() string { return nameOf(historyNames[:], int(hk)) }
+
+// History is one step in the life of a task.
+type History struct {
+	kind    HistoryKind
+	reason  Reason
+	attempt model.Attempt
+	// slot is the worker's slot plus one; 0 means no worker.
+	slot int32
+}
+
+// NewHistory returns an entry; slot is the worker's position in the snapshot
+// plus one, 0 for none.
+func NewHistory(kind HistoryKind, reason Reason, att model.Attempt, slot int32) History {
+	return History{kind: kind, reason: reason, attempt: att, slot: slot}
+}
+
+// Kind says what happened.
+func (hi History) Kind() HistoryKind { return hi.kind }
+
+// Reason says why.
+func (hi History) Reason() Reason { return hi.reason }
+
+// Attempt returns the attempt that the entry is about.
+func (hi History) Attempt() model.Attempt { return hi.attempt }
+
+// Slot returns the worker's position in the snapshot plus one, 0 for none.
+func (hi History) Slot() int32 { return hi.slot }
--- /dev/null
+++ b/core/sched/view.go
@@ -0,0 +1,149 @@
+package sched
+
+import "guavarail/core/model"
+
+// TaskView is a copy of a task for reads.
+type TaskView struct {
+	id     model.TaskID
+	spec   TaskSpec
+	worker model.WorkerID
+	names  []model.WorkerID
+}
+
+// ID returns the task's identifier.
+func (tv TaskView) ID() model.TaskID { return tv.id }
+
+// State returns the state.
+func (tv TaskView) State() TaskState { return tv.spec.State }
+
+// Reason returns why the task stops or ended, NoReason when it runs.
+func (tv TaskView) Reason() Reason { return tv.spec.Reason }
+
+// Attempt returns the number of the last attempt, 0 before the first.
+func (tv TaskView) Attempt() model.Attempt { return tv.spec.Attempt }
+
+// Worker returns the worker that holds the attempt, or nothing.
+func (tv TaskView) Worker() model.WorkerID { return tv.worker }
+
+// Size returns the commitment.
+func (tv TaskView) Size() model.Resources { return tv.spec.Size }
+
+// Checkpoint returns the checkpoint that the next attempt resumes from.
+func (tv TaskView) Checkpoint() Checkpoint { return tv.spec.Newest }
+
+// Borrowed reports whether the commitment exceeds the team's quota.
+func (tv TaskView) Borrowed() bool { return tv.spec.Borrowed }
+
+// History returns the last steps, oldest first.
+func (tv TaskView) History() []History { return append([]History(nil), tv.spec.History...) }
+
+// HistoryWorker returns the worker of history entry i, or nothing.
+func (tv TaskView) HistoryWorker(i int) model.WorkerID { return tv.names[i] }
+
+// JobView is a copy of a job for reads.
+type JobView struct {
+	spec   JobSpec
+	closed Reason
+	counts [Cancelled + 1]int
+}
+
+// Spec returns what the job was made from.
+func (jv JobView) Spec() JobSpec { return jv.spec }
+
+// Reason returns why the job was cancelled or failed, else NoReason.
+func (jv JobView) Reason() Reason { return jv.closed }
+
+// Count returns the number of tasks in a state.
+func (jv JobView) Count(ts TaskState) int { return jv.counts[ts] }
+
+// State sums the tasks up: the job runs while any task is live, waits while
+// any task waits, and is else final.
+func (jv JobView) State() TaskState {
+	for _, ts := range []TaskState{Running, Starting, Stopping, Waiting, Cancelled, Failed} {
+		if jv.counts[ts] > 0 {
+			return ts
+		}
+	}
+	return Finished
+}
+
+// WorkerView is a copy of a worker for reads.
+type WorkerView struct {
+	id              model.WorkerID
+	rack            string
+	size, committed model.Resources
+	tasks           int
+}
+
+// ID returns the worker's name.
+func (wv WorkerView) ID() model.WorkerID { return wv.id }
+
+// Rack returns the rack.
+func (wv WorkerView) Rack() string { return wv.rack }
+
+// Size returns what the worker has.
+func (wv WorkerView) Size() model.Resources { return wv.size }
+
+// Committed returns the sum of the commitments.
+func (wv WorkerView) Committed() model.Resources { return wv.committed }
+
+// Tasks returns the number of live tasks.
+func (wv WorkerView) Tasks() int { return wv.tasks }
+
+// Job returns a copy of a job.
+func (st *State) Job(id model.JobID) (JobView, bool) {
+	jb, ok := st.jobs[id]
+	if !ok {
+		return JobView{}, false
+	}
+	return jb.view(), true
+}
+
+func (jb *job) view() JobView {
+	jv := JobView{spec: jb.spec, closed: jb.closed}
+	for i := range jb.tasks {
+		jv.counts[jb.tasks[i].state]++
+	}
+	return jv
+}
+
+// Jobs returns copies of all jobs in the order of submission.
+func (st *State) Jobs() []JobView {
+	var out []JobView
+	for _, jb := range st.inOrder() {
+		out = append(out, jb.view())
+	}
+	return out
+}
+
+// Task returns a copy of a task.
+func (st *State) Task(id model.TaskID) (TaskView, bool) {
+	re, ok := st.find(id)
+	if !ok {
+		return TaskView{}, false
+	}
+	tr := TaskRecord{tk: *re.task()}
+	tv := TaskView{id: id, spec: tr.Spec(), worker: st.name(tr.tk.worker)}
+	for _, hi := range tv.spec.History {
+		tv.names = append(tv.names, st.name(hi.slot))
+	}
+	return tv, true
+}
+
+func (st *State) name(slot int32) model.WorkerID {
+	if slot <= 0 || int(slot) > len(st.workers) {
+		return ""
+	}
+	return st.workers[slot-1].id
+}
+
+// Workers returns copies of the known workers.
+func (st *State) Workers() []WorkerView {
+	var out []WorkerView
+	for _, wk := range st.workers {
+		if wk.known {
+			out = append(out, WorkerView{id: wk.id, rack: wk.rack, size: wk.size, committed: wk.committed, tasks: len(wk.refs)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/sched/worker_test.go
@@ -0,0 +1,185 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// fakeAttempt is one attempt on a fake worker.
+type fakeAttempt struct {
+	task     model.TaskID
+	attempt  model.Attempt
+	state    AttemptState
+	until    model.Instant
+	stopAt   model.Instant
+	progress time.Duration
+	taken    Checkpoint
+	resumed  Checkpoint
+	size     model.Resources
+}
+
+// fakeWorker runs tasks as section 5.1 asks of a worker.
+type fakeWorker struct {
+	wd       *world
+	id       model.WorkerID
+	rack     string
+	size     model.Resources
+	dead     bool
+	broken   bool
+	boot     int
+	tag      uint64
+	attempts []*fakeAttempt
+	// highest is the newest attempt of each task that was seen or stopped.
+	highest map[model.TaskID]model.Attempt
+	// next is when the next report is due; sent is set while one is under way.
+	next model.Instant
+	sent model.Instant
+}
+
+func newFakeWorker(wd *world, num int) *fakeWorker {
+	return &fakeWorker{
+		wd: wd, id: model.WorkerID(fmt.Sprintf("worker-%d", num)), rack: fmt.Sprintf("rack-%d", num/2),
+		size: model.NewResources(4000, 8000, 1), highest: map[model.TaskID]model.Attempt{},
+	}
+}
+
+// kill ends the worker with its tasks; restart brings it back empty.
+func (wk *fakeWorker) kill() { wk.dead, wk.attempts = true, nil }
+
+func (wk *fakeWorker) restart() {
+	wk.dead, wk.sent, wk.tag = false, 0, 0
+	wk.boot++
+	wk.highest = map[model.TaskID]model.Attempt{}
+}
+
+func (wk *fakeWorker) advance() {
+	if wk.dead {
+		return
+	}
+	now := wk.wd.now
+	for _, fa := range wk.attempts {
+		wk.work(fa)
+	}
+	if wk.sent != 0 && now.Sub(wk.sent) > 2*time.Second {
+		wk.sent = 0
+	}
+	if wk.sent == 0 && now >= wk.next {
+		wk.report(wk.wd.leader)
+	}
+}
+
+func (wk *fakeWorker) work(fa *fakeAttempt) {
+	now := wk.wd.now
+	if fa.state != AttemptRunning {
+		return
+	}
+	job := wk.wd.oracle.jobs[fa.task.Job()]
+	switch {
+	case now >= fa.until:
+		fa.state = AttemptStopped
+	case fa.stopAt != 0 && now >= fa.stopAt:
+		fa.state = AttemptStopped
+	case wk.broken || job.breaks:
+		fa.state = AttemptBroke
+	default:
+		fa.progress += worldStep
+		if fa.progress%time.Second == 0 {
+			wk.checkpoint(fa)
+		}
+		if fa.progress >= job.length {
+			fa.state = AttemptSucceeded
+			wk.wd.oracle.completed(fa)
+		}
+	}
+}
+
+func (wk *fakeWorker) checkpoint(fa *fakeAttempt) {
+	seq := uint32(1)
+	if fa.taken.attempt == fa.attempt {
+		seq = fa.taken.sequence + 1
+	}
+	fa.taken = NewCheckpoint(fa.attempt, seq)
+	wk.wd.oracle.saved[savedKey{fa.task, fa.taken}] = fa.progress
+}
+
+func (wk *fakeWorker) report(to *replica) {
+	wd := wk.wd
+	wd.nextPoll++
+	rep := ReportSpec{Poll: wd.nextPoll, Worker: wk.id, Rack: wk.rack, Size: wk.size, Tag: wk.tag}
+	for _, fa := range wk.attempts {
+		rep.Attempts = append(rep.Attempts, NewAttemptReport(AttemptSpec{
+			Task: fa.task, Attempt: fa.attempt, State: fa.state, Checkpoint: fa.taken, Resumed: fa.resumed,
+			Usage: wd.oracle.jobs[fa.task.Job()].usage,
+		}))
+	}
+	wk.sent, wk.next = wd.now, wd.now.Add(time.Second)
+	msg := message{worker: wk, boot: wk.boot, to: to, report: rep, sent: wd.now}
+	wd.polls[rep.Poll] = msg
+	wd.send(msg)
+}
+
+func (wk *fakeWorker) receive(msg message) {
+	if wk.dead || msg.boot != wk.boot {
+		return
+	}
+	if msg.sent == wk.sent {
+		wk.sent, wk.next = 0, wk.wd.now
+	}
+	wk.tag = max(wk.tag, msg.answer.tag)
+	for _, le := range msg.answer.leases {
+		if fa := wk.find(le.task); fa != nil && fa.attempt == le.attempt {
+			fa.until = max(fa.until, msg.sent.Add(TaskLease))
+		}
+	}
+	for _, or := range msg.answer.orders {
+		wk.obey(msg, or)
+	}
+}
+
+func (wk *fakeWorker) find(id model.TaskID) *fakeAttempt {
+	for _, fa := range wk.attempts {
+		if fa.task == id && fa.state == AttemptRunning {
+			return fa
+		}
+	}
+	return nil
+}
+
+func (wk *fakeWorker) obey(msg message, or Order) {
+	now := wk.wd.now
+	switch or.kind {
+	case OrderStart:
+		wk.start(msg, or)
+	case OrderStop:
+		wk.highest[or.task] = max(wk.highest[or.task], or.attempt)
+		if fa := wk.find(or.task); fa != nil && fa.attempt == or.attempt && fa.stopAt == 0 {
+			wk.checkpoint(fa)
+			fa.stopAt = now.Add(min(or.grace, 300*time.Millisecond))
+		}
+	case OrderForget:
+		wk.attempts = slices.DeleteFunc(wk.attempts, func(fa *fakeAttempt) bool {
+			return fa.task == or.task && fa.attempt == or.attempt && fa.state != AttemptRunning
+		})
+	case OrderCheckpoint, OrderThrottle:
+	}
+}
+
+func (wk *fakeWorker) start(msg message, or Order) {
+	if or.attempt <= wk.highest[or.task] {
+		return
+	}
+	wk.highest[or.task] = or.attempt
+	fa := &fakeAttempt{
+		task: or.task, attempt: or.attempt, until: msg.sent.Add(TaskLease), resumed: or.resume, taken: or.resume, size: or.size,
+	}
+	wk.attempts = append(wk.attempts, fa)
+	if wk.wd.now >= msg.sent.Add(or.issuedAfter+StartWindow) {
+		fa.state = AttemptRejected
+		return
+	}
+	fa.progress = wk.wd.oracle.saved[savedKey{or.task, or.resume}]
+	wk.wd.oracle.started(wk, fa)
+}
