--- /dev/null
+++ b/io/wire/sched.go
@@ -0,0 +1,151 @@
+package wire
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"guavarail/core/model"
+	"guavarail/core/sched"
+)
+
+// SchedDecodeError reports a record or snapshot of the scheduler that does
+// not decode.
+type SchedDecodeError struct {
+	what  string
+	cause error
+}
+
+// Error describes the failure.
+func (err *SchedDecodeError) Error() string {
+	if err.cause == nil {
+		return "decode scheduler " + err.what
+	}
+	return "decode scheduler " + err.what + ": " + err.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (err *SchedDecodeError) Unwrap() error { return err.cause }
+
+// SchedCommands is the codec of the commands of a data centre's jobs.
+type SchedCommands struct{}
+
+// Encode implements Codec.
+func (SchedCommands) Encode(cmd sched.Command) ([]byte, error) {
+	return proto.Marshal(SchedCommandMessage(cmd))
+}
+
+// Decode implements Codec.
+func (SchedCommands) Decode(buf []byte) (sched.Command, error) {
+	var msg SchedCommand
+	if err := proto.Unmarshal(buf, &msg); err != nil {
+		return sched.Command{}, &SchedDecodeError{what: "command", cause: err}
+	}
+	return SchedCommandValue(&msg)
+}
+
+// SchedCommandMessage returns the message of a command.
+func SchedCommandMessage(cmd sched.Command) *SchedCommand {
+	msg := &SchedCommand{Serial: cmd.Serial(), Ops: make([]*SchedOp, cmd.Len())}
+	for i := range msg.Ops {
+		msg.Ops[i] = schedOpMessage(cmd.Op(i))
+	}
+	return msg
+}
+
+// SchedCommandValue returns the command of a message.
+func SchedCommandValue(msg *SchedCommand) (sched.Command, error) {
+	ops := make([]sched.Op, len(msg.GetOps()))
+	for i, om := range msg.GetOps() {
+		op, err := schedOpValue(om)
+		if err != nil {
+			return sched.Command{}, err
+		}
+		ops[i] = op
+	}
+	return sched.NewCommand(ops...).WithSerial(msg.GetSerial()), nil
+}
+
+func schedOpMessage(op sched.Op) *SchedOp {
+	msg := &SchedOp{
+		Kind: uint32(op.Kind()), Reason: uint32(op.Reason()), Outcome: uint32(op.Outcome()), Borrowed: op.Borrowed(),
+		Attempt: uint32(op.Attempt()), Job: string(op.Task().Job()), Index: int32(op.Task().Index()),
+		Worker: string(op.Worker()), Rack: op.Rack(),
+		CheckpointAttempt: uint32(op.Checkpoint().Attempt()), CheckpointSequence: op.Checkpoint().Sequence(),
+	}
+	if !op.Size().IsZero() {
+		msg.Size = schedResourcesMessage(op.Size())
+	}
+	if op.Kind() == sched.OpSubmit {
+		msg.Submit = schedJobMessage(op.Job().Spec())
+	}
+	for _, id := range op.Jobs() {
+		msg.Jobs = append(msg.Jobs, string(id))
+	}
+	return msg
+}
+
+func schedOpValue(msg *SchedOp) (sched.Op, error) {
+	task := model.NewTaskID(model.JobID(msg.GetJob()), int(msg.GetIndex()))
+	att, wid := model.Attempt(msg.GetAttempt()), model.WorkerID(msg.GetWorker())
+	size := schedResourcesValue(msg.GetSize())
+	cp := sched.NewCheckpoint(model.Attempt(msg.GetCheckpointAttempt()), msg.GetCheckpointSequence())
+	jobs := make([]model.JobID, len(msg.GetJobs()))
+	for i, id := range msg.GetJobs() {
+		jobs[i] = model.JobID(id)
+	}
+	switch sched.OpKind(msg.GetKind()) {
+	case sched.OpSubmit:
+		jo, err := sched.NewJob(schedJobSpec(msg.GetSubmit()))
+		if err != nil {
+			return sched.Op{}, &SchedDecodeError{what: "job", cause: err}
+		}
+		return sched.Submit(jo), nil
+	case sched.OpCancel:
+		return sched.Cancel(jobs...), nil
+	case sched.OpWorker:
+		return sched.Worker(wid, msg.GetRack(), size), nil
+	case sched.OpRemove:
+		return sched.Remove(wid), nil
+	case sched.OpStart:
+		return sched.Start(task, att, wid, size, cp, msg.GetBorrowed()), nil
+	case sched.OpConfirm:
+		return sched.Confirm(task, att, cp), nil
+	case sched.OpEnd:
+		return sched.End(task, att, wid, sched.Outcome(msg.GetOutcome())), nil
+	case sched.OpCheckpoint:
+		return sched.TakeCheckpoint(task, cp), nil
+	case sched.OpEvict:
+		return sched.Evict(task, att, sched.Reason(msg.GetReason())), nil
+	case sched.OpResize:
+		return sched.Resize(task, att, size), nil
+	case sched.OpFail:
+		if len(jobs) == 1 {
+			return sched.Fail(jobs[0], sched.Reason(msg.GetReason())), nil
+		}
+	}
+	return sched.Op{}, &SchedDecodeError{what: "operation of an unknown kind"}
+}
+
+func schedResourcesMessage(re model.Resources) *SchedResources {
+	return &SchedResources{MilliCpu: re.MilliCPU(), MemoryMb: re.MemoryMB(), Accelerators: re.Accelerators()}
+}
+
+func schedResourcesValue(msg *SchedResources) model.Resources {
+	return model.NewResources(msg.GetMilliCpu(), msg.GetMemoryMb(), msg.GetAccelerators())
+}
+
+func schedJobMessage(spec sched.JobSpec) *SchedJob {
+	return &SchedJob{
+		Id: string(spec.ID), Team: string(spec.Team), Priority: uint32(spec.Priority), Kind: spec.Kind,
+		Tasks: int32(spec.Tasks), Size: schedResourcesMessage(spec.Size), RunTimeNs: int64(spec.RunTime),
+	}
+}
+
+func schedJobSpec(msg *SchedJob) sched.JobSpec {
+	return sched.JobSpec{
+		ID: model.JobID(msg.GetId()), Team: model.TeamID(msg.GetTeam()), Priority: model.Priority(msg.GetPriority()),
+		Kind: msg.GetKind(), Tasks: int(msg.GetTasks()), Size: schedResourcesValue(msg.GetSize()),
+		RunTime: time.Duration(msg.GetRunTimeNs()),
+	}
+}
--- /dev/null
+++ b/io/wire/schedsnap.go
@@ -0,0 +1,148 @@
+package wire
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"guavarail/core/model"
+	"guavarail/core/sched"
+)
+
+// SchedSnapshots is the codec of the snapshots of a data centre's jobs.
+type SchedSnapshots struct{}
+
+// Encode implements Codec.
+func (SchedSnapshots) Encode(sn sched.Snapshot) ([]byte, error) {
+	return proto.Marshal(SchedSnapshotMessage(sn))
+}
+
+// Decode implements Codec.
+func (SchedSnapshots) Decode(buf []byte) (sched.Snapshot, error) {
+	var msg SchedSnapshot
+	if err := proto.Unmarshal(buf, &msg); err != nil {
+		return sched.Snapshot{}, &SchedDecodeError{what: "snapshot", cause: err}
+	}
+	return SchedSnapshotValue(&msg)
+}
+
+// SchedSnapshotMessage returns the message of a snapshot.
+func SchedSnapshotMessage(sn sched.Snapshot) *SchedSnapshot {
+	msg := &SchedSnapshot{Submitted: sn.Submitted(), Completed: sn.Completed()}
+	for _, wr := range sn.Workers() {
+		msg.Workers = append(msg.Workers, &SchedWorker{
+			Id: string(wr.ID()), Rack: wr.Rack(), Size: schedResourcesMessage(wr.Size()), Known: wr.Known(),
+		})
+	}
+	for _, jr := range sn.Jobs() {
+		msg.Jobs = append(msg.Jobs, &SchedJobRecord{
+			Job: schedJobMessage(jr.Spec()), Sequence: jr.Sequence(), Done: jr.Done(), Closed: uint32(jr.Closed()),
+			Tasks: schedTasksMessage(jr.Tasks()),
+		})
+	}
+	return msg
+}
+
+// SchedSnapshotValue returns the snapshot of a message.
+func SchedSnapshotValue(msg *SchedSnapshot) (sched.Snapshot, error) {
+	wrs := make([]sched.WorkerRecord, len(msg.GetWorkers()))
+	for i, wm := range msg.GetWorkers() {
+		wrs[i] = sched.NewWorkerRecord(model.WorkerID(wm.GetId()), wm.GetRack(), schedResourcesValue(wm.GetSize()), wm.GetKnown())
+	}
+	jrs := make([]sched.JobRecord, len(msg.GetJobs()))
+	for i, jm := range msg.GetJobs() {
+		trs, err := schedTaskRecords(jm.GetTasks(), len(wrs))
+		if err != nil {
+			return sched.Snapshot{}, err
+		}
+		jrs[i] = sched.NewJobRecord(schedJobSpec(jm.GetJob()), jm.GetSequence(), jm.GetDone(), sched.Reason(jm.GetClosed()), trs)
+	}
+	return sched.NewSnapshot(msg.GetSubmitted(), msg.GetCompleted(), wrs, jrs), nil
+}
+
+func schedTasksMessage(trs []sched.TaskRecord) *SchedTasks {
+	num := len(trs)
+	msg := &SchedTasks{
+		State: make([]byte, num), Reason: make([]byte, num), Borrowed: make([]byte, num), Steps: make([]byte, num),
+		Attempt: make([]uint32, num), Slot: make([]int32, num), Checkpoints: make([]uint32, 0, 4*num),
+		MilliCpu: make([]int64, num), MemoryMb: make([]int64, num), Accelerators: make([]int64, num),
+	}
+	for i := range trs {
+		spec := trs[i].Spec()
+		msg.State[i], msg.Reason[i], msg.Steps[i] = byte(spec.State), byte(spec.Reason), byte(len(spec.History))
+		if spec.Borrowed {
+			msg.Borrowed[i] = 1
+		}
+		msg.Attempt[i], msg.Slot[i] = uint32(spec.Attempt), spec.Slot
+		msg.MilliCpu[i], msg.MemoryMb[i] = spec.Size.MilliCPU(), spec.Size.MemoryMB()
+		msg.Accelerators[i] = spec.Size.Accelerators()
+		msg.Checkpoints = append(msg.Checkpoints, uint32(spec.Newest.Attempt()), spec.Newest.Sequence(),
+			uint32(spec.Previous.Attempt()), spec.Previous.Sequence())
+		for _, hi := range spec.History {
+			msg.HistoryKind = append(msg.HistoryKind, byte(hi.Kind()))
+			msg.HistoryReason = append(msg.HistoryReason, byte(hi.Reason()))
+			msg.HistoryAttempt = append(msg.HistoryAttempt, uint32(hi.Attempt()))
+			msg.HistorySlot = append(msg.HistorySlot, hi.Slot())
+		}
+	}
+	return msg
+}
+
+// schedTaskRecords returns the tasks of a job; the lengths of all columns are
+// checked, because a snapshot of a damaged peer must not end the process.
+func schedTaskRecords(msg *SchedTasks, workers int) ([]sched.TaskRecord, error) {
+	num := len(msg.GetState())
+	steps := 0
+	for _, cnt := range msg.GetSteps() {
+		steps += int(cnt)
+	}
+	for _, lens := range [][2]int{
+		{len(msg.GetReason()), num},
+		{len(msg.GetBorrowed()), num},
+		{len(msg.GetSteps()), num},
+		{len(msg.GetAttempt()), num},
+		{len(msg.GetSlot()), num},
+		{len(msg.GetMilliCpu()), num},
+		{len(msg.GetMemoryMb()), num},
+		{len(msg.GetAccelerators()), num},
+		{len(msg.GetCheckpoints()), 4 * num},
+		{len(msg.GetHistoryKind()), steps},
+		{len(msg.GetHistoryReason()), steps},
+		{len(msg.GetHistoryAttempt()), steps},
+		{len(msg.GetHistorySlot()), steps},
+	} {
+		if lens[0] != lens[1] {
+			return nil, &SchedDecodeError{what: "tasks with columns of different lengths"}
+		}
+	}
+	out := make([]sched.TaskRecord, num)
+	var his []sched.History
+	at := 0
+	for i := range out {
+		state := sched.TaskState(msg.State[i])
+		if slot := msg.Slot[i]; slot < 0 || int(slot) > workers || state.Live() != (slot > 0) {
+			return nil, &SchedDecodeError{what: "task on an unknown worker"}
+		}
+		if state > sched.Cancelled {
+			return nil, &SchedDecodeError{what: "task in an unknown state"}
+		}
+		his = his[:0]
+		for range msg.Steps[i] {
+			his = append(his, sched.NewHistory(sched.HistoryKind(msg.HistoryKind[at]), sched.Reason(msg.HistoryReason[at]),
+				model.Attempt(msg.HistoryAttempt[at]), msg.HistorySlot[at]))
+			at++
+		}
+		out[i] = schedTaskRecord(msg, i, his)
+	}
+	return out, nil
+}
+
+func schedTaskRecord(msg *SchedTasks, i int, his []sched.History) sched.TaskRecord {
+	cps := msg.Checkpoints[4*i : 4*i+4]
+	return sched.NewTaskRecord(sched.TaskSpec{
+		State: sched.TaskState(msg.State[i]), Reason: sched.Reason(msg.Reason[i]), Borrowed: msg.Borrowed[i] == 1,
+		Attempt: model.Attempt(msg.Attempt[i]), Slot: msg.Slot[i],
+		Size:     model.NewResources(msg.MilliCpu[i], msg.MemoryMb[i], msg.Accelerators[i]),
+		Newest:   sched.NewCheckpoint(model.Attempt(cps[0]), cps[1]),
+		Previous: sched.NewCheckpoint(model.Attempt(cps[2]), cps[3]),
+		History:  his,
+	})
+}
