Add the request path of an entry VM

Cause: callers need one path from an entry VM to the backend servers that the other components can wire.

The ports Claims and Forwarder are left to the node.

Result: go test -race ./io/entry passes two tests through a real backend server; the state machines have no fuzz tests yet.

--- /dev/null
+++ b/io/entry/claim.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"guavarail/core/once"
+)
+
+// claim takes the idempotency key and reports whether the request may be sent.
+// Otherwise it has answered the caller.
+func (ex *exchange) claim(wri http.ResponseWriter, req *http.Request) bool {
+	srv := ex.srv
+	if srv.cfg.Claims == nil {
+		srv.notRun(wri, http.StatusServiceUnavailable, "claimsUnavailable", 0)
+		return false
+	}
+	owner := srv.owner(ex.number)
+	ctx, cancel := context.WithTimeout(req.Context(), srv.cfg.Limits.ClaimTime)
+	defer cancel()
+	res, err := srv.cfg.Claims.Claim(ctx, ex.meta.key, owner, claimBound)
+	if err != nil {
+		// The claim may still be committed, so it is released in the background.
+		ex.owner = owner
+		ex.settle(once.None)
+		srv.cfg.Log.Warn("idempotency key not claimed", "service", ex.meta.service, "error", err)
+		srv.notRun(wri, http.StatusServiceUnavailable, "claimsUnavailable", 0)
+		return false
+	}
+	if !res.First() {
+		srv.metrics.add("duplicate")
+		wri.Header().Set(HeaderOutcome, keyOutcome(res.State()))
+		wri.Header().Set(HeaderKeyState, res.State().String())
+		text(wri, http.StatusConflict, "not run again: the request with this key is "+res.State().String())
+		return false
+	}
+	ex.owner = owner
+	return true
+}
+
+// settle records the end of a claimed request. It waits only when the request
+// was not run, so that a caller who tries again at once finds the key free.
+func (ex *exchange) settle(st once.State) {
+	if ex.owner == "" {
+		return
+	}
+	srv, key, owner := ex.srv, ex.meta.key, ex.owner
+	done := make(chan struct{})
+	srv.tasks.run(srv.tasks.ctx, func(ctx context.Context) {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(ctx, srv.cfg.Limits.ClaimTime)
+		defer cancel()
+		if err := srv.cfg.Claims.Settle(ctx, key, owner, st); err != nil {
+			srv.metrics.add("unsettledClaims")
+			srv.cfg.Log.Warn("claim not settled", "service", ex.meta.service, "state", st, "error", err)
+		}
+	})
+	if st == once.None {
+		<-done
+	}
+}
--- /dev/null
+++ b/io/entry/entry_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"guavarail/core/model"
+	"guavarail/core/route"
+)
+
+// rig is an entry VM with fake backend servers.
+type rig struct {
+	*Server
+	url string
+}
+
+func newRig(t testing.TB, change func(cfg *Config), handlers ...http.HandlerFunc) *rig {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := Config{VM: "vm-1", Centre: "riga-a", Listener: lis, System: actor.NewActorSystem(), Seed: 1}
+	if change != nil {
+		change(&cfg)
+	}
+	srv, stop, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	srv.Share(0, 1)
+	for i, han := range handlers {
+		srv.addBackend(t, i, han)
+	}
+	return &rig{Server: srv, url: "http://" + lis.Addr().String() + "/orders/"}
+}
+
+func (srv *Server) addBackend(t testing.TB, num int, han http.HandlerFunc) {
+	t.Helper()
+	bak := httptest.NewServer(han)
+	t.Cleanup(bak.Close)
+	name := string(rune('a' + num))
+	srv.Announce(route.NewBackend(route.BackendSpec{
+		ID: model.BackendID("b-" + name), Worker: model.WorkerID("w-" + name), Service: "orders",
+		Address: bak.Listener.Addr().String(), Slots: 8, Connections: 60,
+	}), -time.Hour)
+}
+
+// get returns the status, outcome and body.
+func (ri *rig) get(t testing.TB, path string) (int, string, string) {
+	t.Helper()
+	resp, err := http.Get(ri.url + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	buf, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header.Get(HeaderOutcome), string(buf)
+}
+
+// Guards against a response that is changed on its way or lacks its outcome.
+func TestResponseReachesCaller(t *testing.T) {
+	ri := newRig(t, nil, func(wri http.ResponseWriter, req *http.Request) {
+		_, _ = io.WriteString(wri, "quote for "+req.URL.Path)
+	})
+	status, outcome, text := ri.get(t, "17")
+	if status != 200 || outcome != OutcomeAnswered || text != "quote for /orders/17" {
+		t.Errorf("got %d %s %q", status, outcome, text)
+	}
+}
+
+// Guards against a request for an unknown service that is not marked as not run.
+func TestUnknownServiceIsNotRun(t *testing.T) {
+	ri := newRig(t, nil)
+	status, outcome, _ := ri.get(t, "17")
+	if status != 503 || outcome != OutcomeNotRun {
+		t.Errorf("got %d %s", status, outcome)
+	}
+}
--- /dev/null
+++ b/io/entry/forward.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"guavarail/core/model"
+	"guavarail/core/once"
+	"guavarail/core/route"
+)
+
+// forward sends the request to an entry VM of another data centre. Addresses
+// are tried in order while no byte of the request was sent.
+func (ex *exchange) forward(wri http.ResponseWriter, req *http.Request, fwd route.Forward[*exchange], bod *body) {
+	srv := ex.srv
+	var addrs []string
+	if srv.cfg.Forwarder != nil {
+		addrs = srv.cfg.Forwarder.Addresses(append(ex.meta.traversed[:len(ex.meta.traversed):len(ex.meta.traversed)], srv.cfg.Centre))
+	}
+	ctx, cancel := context.WithTimeout(srv.tasks.ctx, srv.remaining(fwd.Until()))
+	defer cancel()
+	for _, addr := range addrs {
+		rep, ok := ex.hop(ctx, wri, req, addr, fwd, bod)
+		if !ok {
+			return
+		}
+		if rep.err == nil {
+			ex.relayForward(wri, rep.resp, bod)
+			return
+		}
+		if rep.wrote {
+			ex.settle(once.Unknown)
+			stopReading(wri, bod)
+			srv.unknown(wri, http.StatusBadGateway, "forwardEnded")
+			return
+		}
+		if bod.touched() {
+			break
+		}
+	}
+	ex.settle(once.None)
+	srv.notRun(wri, http.StatusServiceUnavailable, fwd.Reason().String(), time.Second)
+}
+
+// hop sends the request to one address. It returns false when the caller was
+// answered or went away.
+func (ex *exchange) hop(
+	ctx context.Context, wri http.ResponseWriter, req *http.Request, addr string,
+	fwd route.Forward[*exchange], bod *body,
+) (reply, bool) {
+	srv := ex.srv
+	left := srv.remaining(fwd.Deadline())
+	out := ex.request(req, addr, left, bod)
+	out.Header[HeaderCentres] = []string{joinCentres(ex.meta.traversed, srv.cfg.Centre)}
+	out.Header[HeaderCaller] = []string{ex.meta.caller}
+	ctx, cancel := context.WithCancel(ctx)
+	srv.tasks.run(ctx, func(ctx context.Context) { ex.roundTrip(ctx, out, cancel) })
+	// The entry VM there answers at the deadline; the margin covers the way.
+	tim := time.NewTimer(left + forwardMargin)
+	defer tim.Stop()
+	for {
+		select {
+		case rep := <-ex.replies:
+			if rep.code != 0 {
+				informational(wri, rep)
+				continue
+			}
+			// The parent context ends this one when the response is passed on.
+			return rep, true
+		case <-tim.C:
+			close(ex.gone)
+			ex.settle(once.Unknown)
+			stopReading(wri, bod)
+			srv.unknown(wri, http.StatusGatewayTimeout, "deadlineExpired")
+		case <-req.Context().Done():
+			close(ex.gone)
+			ex.settle(once.Unknown)
+			srv.metrics.add("unknownCancelled")
+		}
+		cancel()
+		return reply{}, false
+	}
+}
+
+const forwardMargin = 100 * time.Millisecond
+
+// relayForward passes on a response with the outcome that the other data
+// centre gave it.
+func (ex *exchange) relayForward(wri http.ResponseWriter, resp *http.Response, bod *body) {
+	defer resp.Body.Close()
+	outcome, state := resp.Header.Get(HeaderOutcome), once.Unknown
+	switch outcome {
+	case OutcomeAnswered:
+		state = once.Answered
+	case OutcomeNotRun:
+		state = once.None
+	default:
+		outcome = OutcomeUnknown
+	}
+	ex.settle(state)
+	ex.srv.metrics.add("forwarded")
+	ex.header(wri, resp, outcome)
+	if readErr, writeErr := ex.stream(wri, resp); readErr != nil || writeErr != nil {
+		ex.srv.metrics.add("truncatedResponses")
+		panic(http.ErrAbortHandler)
+	}
+	for name, vals := range resp.Trailer {
+		wri.Header()[http.TrailerPrefix+name] = vals
+	}
+	stopReading(wri, bod)
+}
+
+func joinCentres(traversed []model.CentreID, own model.CentreID) string {
+	names := make([]string, 0, len(traversed)+1)
+	for _, ce := range traversed {
+		names = append(names, string(ce))
+	}
+	return strings.Join(append(names, string(own)), ",")
+}
--- /dev/null
+++ b/io/entry/limits.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"net"
+	"time"
+)
+
+// Limits bounds what callers and backend servers can take up. Zero fields mean
+// the defaults.
+type Limits struct {
+	// HeaderBytes bounds the request line and headers.
+	HeaderBytes int
+	// BodyBytes bounds a request body.
+	BodyBytes int64
+	// ResponseHeaderBytes bounds the headers of a backend server.
+	ResponseHeaderBytes int64
+	// Connections bounds the open connections of callers.
+	Connections int
+	// HeaderTime bounds the reading of the request headers.
+	HeaderTime time.Duration
+	// IdleTime bounds an idle connection of a caller.
+	IdleTime time.Duration
+	// StallTime bounds the time in which a caller takes no byte of a response.
+	StallTime time.Duration
+	// DialTime bounds the connection set-up to a backend server.
+	DialTime time.Duration
+	// ClaimTime bounds the claim of an idempotency key.
+	ClaimTime time.Duration
+	// IdleBackendConnections bounds the idle connections to one backend server.
+	// With 8 slots per worker and 7 entry VMs, 8 keeps the sum under the 60
+	// connections that a server accepts.
+	IdleBackendConnections int
+}
+
+func (li Limits) withDefaults() Limits {
+	return Limits{
+		HeaderBytes:            orDefault(li.HeaderBytes, 64<<10),
+		BodyBytes:              orDefault(li.BodyBytes, 64<<20),
+		ResponseHeaderBytes:    orDefault(li.ResponseHeaderBytes, 256<<10),
+		Connections:            orDefault(li.Connections, 20000),
+		HeaderTime:             orDefault(li.HeaderTime, 10*time.Second),
+		IdleTime:               orDefault(li.IdleTime, 90*time.Second),
+		StallTime:              orDefault(li.StallTime, 10*time.Second),
+		DialTime:               orDefault(li.DialTime, time.Second),
+		ClaimTime:              orDefault(li.ClaimTime, 2*time.Second),
+		IdleBackendConnections: orDefault(li.IdleBackendConnections, 8),
+	}
+}
+
+func orDefault[T comparable](val, def T) T {
+	var zero T
+	if val == zero {
+		return def
+	}
+	return val
+}
+
+// boundedListener closes connections over a limit at once, so that callers see
+// the rejection instead of waiting in the backlog of the kernel.
+type boundedListener struct {
+	net.Listener
+	// places holds one token for each open connection.
+	places chan struct{}
+	full   func()
+}
+
+// Accept returns the next connection within the limit.
+func (bl *boundedListener) Accept() (net.Conn, error) {
+	for {
+		con, err := bl.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case bl.places <- struct{}{}:
+			return &boundedConn{Conn: con, left: bl.places, once: make(chan struct{}, 1)}, nil
+		default:
+			bl.full()
+			_ = con.Close()
+		}
+	}
+}
+
+// boundedConn gives its place back when it is closed for the first time.
+type boundedConn struct {
+	net.Conn
+	left <-chan struct{}
+	once chan struct{}
+}
+
+// Close closes the connection.
+func (bc *boundedConn) Close() error {
+	select {
+	case bc.once <- struct{}{}:
+		<-bc.left
+	default:
+	}
+	return bc.Conn.Close()
+}
