--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -49,20 +49,24 @@
 	fwd Forwarder
 }
 
-// NewMux returns a router without handlers. Calls for another VM go to fwd.
-func NewMux(fwd Forwarder) *Mux {
-	return &Mux{mux: http.NewServeMux(), fwd: fwd}
+// NewMux returns the router of the API.
+func NewMux(por Ports) *Mux {
+	mux := &Mux{mux: http.NewServeMux(), fwd: por.Forward}
+	(&fleetAPI{por: por}).routes(mux)
+	(&tasksAPI{por: por}).routes(mux)
+	(&localAPI{por: por}).routes(mux)
+	return mux
 }
 
-// Handler handles one kind of call: que is the decoded body and req gives the
-// path values and the query.
-type Handler[Q, A any] func(ctx context.Context, req *http.Request, que Q) (A, error)
+// HandlerFunc answers one kind of call: que is the decoded body and req gives
+// the path values and the query.
+type HandlerFunc[Q, A any] func(ctx context.Context, req *http.Request, que Q) (A, error)
 
 // Empty is the body of a call or an answer that has none.
 type Empty struct{}
 
 // Handle routes calls that match pattern to han.
-func Handle[Q, A any](mux *Mux, pattern string, han Handler[Q, A]) {
+func Handle[Q, A any](mux *Mux, pattern string, han HandlerFunc[Q, A]) {
 	mux.mux.HandleFunc(pattern, func(wri http.ResponseWriter, req *http.Request) {
 		var que Q
 		if err := decode(req, &que); err != nil {
@@ -74,7 +78,7 @@
 			writeError(wri, err)
 			return
 		}
-		writeJSON(wri, http.StatusOK, ans)
+		writeAnswer(wri, ans)
 	})
 }
 
@@ -103,7 +107,7 @@
 		return Reply{Status: buf.status, Body: buf.body.Bytes()}
 	}
 	if cal.Hops >= maxHops || mux.fwd == nil {
-		return errorReply(&NoLeaderError{})
+		return errorReply(&ForwardError{vm: buf.elsewhere})
 	}
 	cal.Hops++
 	rep, err := mux.fwd.Forward(ctx, buf.elsewhere, cal)
@@ -113,6 +117,17 @@
 	return rep
 }
 
+// writeAnswer writes the answer of a call that succeeded.
+func writeAnswer(wri http.ResponseWriter, ans any) {
+	body, err := json.Marshal(ans)
+	if err != nil {
+		writeError(wri, err)
+		return
+	}
+	wri.Header().Set("Content-Type", "application/json")
+	_, _ = wri.Write(body)
+}
+
 // decode reads the body into que. An empty body leaves que at its zero value;
 // unknown fields are faults, so that a misspelt field is not ignored.
 func decode(req *http.Request, que any) error {
--- a/io/admin/errors.go
+++ b/io/admin/errors.go
@@ -145,11 +145,14 @@
 func faultsOf(err error) []rest.Fault {
 	var fas interface{ Faults() []model.Fault }
 	var own *FaultsError
+	var que *rest.QueryError
 	var pre *model.PresetError
 	var job *sched.JobError
 	switch {
 	case errors.As(err, &own):
 		return own.faults
+	case errors.As(err, &que):
+		return que.Faults()
 	case errors.As(err, &pre):
 		fas = pre
 	case errors.As(err, &job):
--- a/io/admin/local.go
+++ b/io/admin/local.go
@@ -4,7 +4,6 @@
 	"context"
 	"expvar"
 	"net/http"
-	"strconv"
 
 	"guavarail/core/event"
 	"guavarail/core/model"
@@ -27,25 +26,20 @@
 	return la.por.Local.Status(ctx)
 }
 
-func (la *localAPI) events(ctx context.Context, req *http.Request, _ Empty) (rest.EventList, error) {
-	par := req.URL.Query()
-	after, fault := number(par.Get("after"), "after")
-	limit, fault2 := number(par.Get("limit"), "limit")
-	epoch, fault3 := number(par.Get("epoch"), "epoch")
-	if fas := present(fault, fault2, fault3); len(fas) > 0 {
-		return rest.EventList{}, &FaultsError{faults: fas}
+func (la *localAPI) events(_ context.Context, req *http.Request, _ Empty) (rest.EventList, error) {
+	que, err := rest.ParseEventQuery(req.URL.Query())
+	if err != nil {
+		return rest.EventList{}, err
 	}
 	fil := event.Filter{
-		Kind: event.Kind(par.Get("kind")), Job: model.JobID(par.Get("job")), Task: par.Get("task"),
-		Request: par.Get("request"), VM: model.VMID(par.Get("vm")), Centre: model.CentreID(par.Get("centre")),
-		Worker: model.WorkerID(par.Get("worker")), Backend: model.BackendID(par.Get("backend")),
+		Job: model.JobID(que.Job), Task: que.Task, Request: que.Request,
+		VM: model.VMID(que.VM), Centre: model.CentreID(que.Centre),
 	}
-	pos := event.NewPosition(event.Stamp(epoch), after)
-	pag, err := la.por.Local.Events(ctx, pos, fil, int(min(limit, event.MaxPage)))
+	pag, err := la.por.Local.Events(que.After, fil, min(que.Limit, event.MaxPage))
 	if err != nil {
 		return rest.EventList{}, err
 	}
-	return rest.NewEventList(pag), nil
+	return eventList(pag), nil
 }
 
 func (la *localAPI) announce(_ context.Context, _ *http.Request, que rest.BackendAnnounce) (rest.BackendAnnounced, error) {
@@ -62,24 +56,21 @@
 	return rest.BackendLeft{StopAfterMs: leaveBound.Milliseconds()}, nil
 }
 
-// number reads a query parameter; an empty one is 0.
-func number(text, name string) (uint64, *rest.Fault) {
-	if text == "" {
-		return 0, nil
-	}
-	num, err := strconv.ParseUint(text, 10, 63)
-	if err != nil {
-		return 0, &rest.Fault{Field: name, Allowed: "a whole number of 0 or more"}
-	}
-	return num, nil
-}
-
-func present(fas ...*rest.Fault) []rest.Fault {
-	var out []rest.Fault
-	for _, fa := range fas {
-		if fa != nil {
-			out = append(out, *fa)
+// eventList returns the shape of a page of events.
+func eventList(pag event.Page) rest.EventList {
+	out := rest.EventList{VM: string(pag.VM()), Next: pag.Next().Seq(), Dropped: pag.Lost()}
+	for _, rec := range pag.Records() {
+		sub := rec.Event().Subject()
+		evt := rest.Event{
+			TimeMs: rec.Stamp().Millis(), Count: rec.Stamp().Count(), VM: string(rec.VM()), Sequence: rec.Seq(),
+			Kind: string(rec.Event().Kind()), SubjectVM: string(sub.VM), Centre: string(sub.Centre), Job: string(sub.Job),
+			Task: sub.Task, Request: sub.Request, Worker: string(sub.Worker), Backend: string(sub.Backend),
+			Fields: map[string]string{},
+		}
+		for _, fi := range rec.Event().Fields() {
+			evt.Fields[fi.Key()] = fi.Value()
 		}
+		out.Events = append(out.Events, evt)
 	}
 	return out
 }
--- a/io/admin/ports.go
+++ b/io/admin/ports.go
@@ -26,7 +26,8 @@
 	Propose(ctx context.Context, op sched.Op) (sched.Verdict, error)
 	// View runs fn with the state of the leader. fn must not keep it.
 	View(ctx context.Context, fn func(vie TaskState)) error
-	// Report passes on the report of a worker and waits for its answer.
+	// Report passes on the report of a worker and waits for its answer. The
+	// port sets the identifier of the poll.
 	Report(ctx context.Context, rep sched.ReportSpec) (sched.Answer, error)
 }
 
@@ -46,7 +47,8 @@
 // Local is the port to what this VM knows about itself and its neighbours.
 type Local interface {
 	Status(ctx context.Context) (rest.Status, error)
-	Events(ctx context.Context, pos event.Position, fil event.Filter, limit int) (event.Page, error)
+	// Events returns the events that this VM recorded after the given number.
+	Events(after uint64, fil event.Filter, limit int) (event.Page, error)
 	// Ready returns why this VM is not ready for callers, or "".
 	Ready() string
 	// Neighbour returns a VM of another data centre that can be reached.
--- /dev/null
+++ b/io/admin/view.go
@@ -0,0 +1,96 @@
+package admin
+
+import (
+	"guavarail/core/model"
+	"guavarail/core/sched"
+	"guavarail/io/rest"
+)
+
+// maxTasksShown bounds the tasks in the answer about one job.
+const maxTasksShown = 200
+
+// CentreView reads the tasks of one data centre in the shapes of the API. It
+// is only valid on the actor that owns the state.
+type CentreView struct {
+	centre model.CentreID
+	tasks  *sched.State
+}
+
+var _ TaskState = CentreView{}
+
+// NewCentreView returns a view of the state.
+func NewCentreView(centre model.CentreID, sta *sched.State) CentreView {
+	return CentreView{centre: centre, tasks: sta}
+}
+
+// Jobs returns all jobs without their tasks.
+func (cv CentreView) Jobs() []rest.Job {
+	var out []rest.Job
+	for _, jv := range cv.tasks.Jobs() {
+		out = append(out, cv.job(jv))
+	}
+	return out
+}
+
+// Job returns one job with its tasks.
+func (cv CentreView) Job(id model.JobID) (rest.Job, bool) {
+	jv, ok := cv.tasks.Job(id)
+	if !ok {
+		return rest.Job{}, false
+	}
+	out := cv.job(jv)
+	for i := range min(jv.Spec().Tasks, maxTasksShown) {
+		if tv, ok := cv.tasks.Task(model.NewTaskID(id, i)); ok {
+			out.Tasks = append(out.Tasks, cv.task(i, tv))
+		}
+	}
+	out.MoreTasks = jv.Spec().Tasks - len(out.Tasks)
+	return out, true
+}
+
+func (cv CentreView) job(jv sched.JobView) rest.Job {
+	spec := jv.Spec()
+	out := rest.Job{
+		ID: string(spec.ID), Centre: string(cv.centre), Team: string(spec.Team), Priority: spec.Priority.String(),
+		Kind: spec.Kind, State: jv.State().String(), Size: rest.NewResources(spec.Size), RunTimeMs: spec.RunTime.Milliseconds(),
+		Counts: rest.Counts{
+			Waiting: jv.Count(sched.Waiting), Starting: jv.Count(sched.Starting), Running: jv.Count(sched.Running),
+			Stopping: jv.Count(sched.Stopping), Finished: jv.Count(sched.Finished), Failed: jv.Count(sched.Failed),
+			Cancelled: jv.Count(sched.Cancelled),
+		},
+	}
+	if jv.Reason() != sched.NoReason {
+		out.Reason = jv.Reason().String()
+	}
+	return out
+}
+
+func (cv CentreView) task(index int, tv sched.TaskView) rest.Task {
+	out := rest.Task{
+		Index: index, State: tv.State().String(), Attempt: uint32(tv.Attempt()), Worker: string(tv.Worker()),
+		Size: rest.NewResources(tv.Size()), Borrowed: tv.Borrowed(), Checkpoint: restCheckpoint(tv.Checkpoint()),
+	}
+	if tv.Reason() != sched.NoReason {
+		out.Reason = tv.Reason().String()
+	}
+	for i, his := range tv.History() {
+		stp := rest.Step{Kind: his.Kind().String(), Attempt: uint32(his.Attempt()), Worker: string(tv.HistoryWorker(i))}
+		if his.Reason() != sched.NoReason {
+			stp.Reason = his.Reason().String()
+		}
+		out.History = append(out.History, stp)
+	}
+	return out
+}
+
+// Workers returns all known workers.
+func (cv CentreView) Workers() []rest.Worker {
+	var out []rest.Worker
+	for _, wv := range cv.tasks.Workers() {
+		out = append(out, rest.Worker{
+			Name: string(wv.ID()), Centre: string(cv.centre), Rack: wv.Rack(), State: "ready",
+			Size: rest.NewResources(wv.Size()), Committed: rest.NewResources(wv.Committed()), Tasks: wv.Tasks(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/io/admin/worker.go
@@ -0,0 +1,117 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"guavarail/core/model"
+	"guavarail/core/sched"
+	"guavarail/io/rest"
+)
+
+// attemptStates translates the states that workers report.
+var attemptStates = map[string]sched.AttemptState{
+	"running":   sched.AttemptRunning,
+	"succeeded": sched.AttemptSucceeded,
+	"failed":    sched.AttemptBroke,
+	"stopped":   sched.AttemptStopped,
+	"rejected":  sched.AttemptRejected,
+}
+
+func (ta *tasksAPI) report(ctx context.Context, _ *http.Request, que rest.WorkerReport) (rest.WorkerOrders, error) {
+	rep, fas := reportSpec(que)
+	if len(fas) > 0 {
+		return rest.WorkerOrders{}, &FaultsError{faults: fas}
+	}
+	ans, err := ta.por.Tasks.Report(ctx, rep)
+	if err != nil {
+		return rest.WorkerOrders{}, err
+	}
+	return workerOrders(ans), nil
+}
+
+// reportSpec translates a report and lists the fields that are not accepted.
+func reportSpec(que rest.WorkerReport) (sched.ReportSpec, []rest.Fault) {
+	var fas []rest.Fault
+	fail := func(bad bool, field, allowed string) {
+		if bad {
+			fas = append(fas, rest.Fault{Field: field, Allowed: allowed})
+		}
+	}
+	const name = "1 to 63 lower-case letters, digits and dashes"
+	fail(!model.ValidName(que.Worker), "worker", name)
+	fail(!model.ValidName(que.Rack), "rack", name)
+	fail(!que.Size.Model().Valid(), "size", "amounts of 0 or more")
+	rep := sched.ReportSpec{
+		Worker: model.WorkerID(que.Worker), Rack: que.Rack, Size: que.Size.Model(), Tag: que.Tag,
+	}
+	for i, att := range que.Attempts {
+		field := "attempts." + strconv.Itoa(i)
+		task, ok := parseTask(att.Task)
+		fail(!ok, field+".task", "JOB/INDEX")
+		sta, known := attemptStates[att.State]
+		fail(!known, field+".state", "running, succeeded, failed, stopped or rejected")
+		spec := sched.AttemptSpec{
+			Task: task, Attempt: model.Attempt(att.Attempt), State: sta,
+			UsageAge:   time.Duration(att.UsageAgeMs) * time.Millisecond,
+			Checkpoint: checkpoint(att.Checkpoint), Resumed: checkpoint(att.Resumed),
+		}
+		if att.Usage != nil {
+			spec.Usage = att.Usage.Model()
+			fail(!spec.Usage.Valid(), field+".usage", "amounts of 0 or more")
+		}
+		rep.Attempts = append(rep.Attempts, sched.NewAttemptReport(spec))
+	}
+	return rep, fas
+}
+
+func parseTask(text string) (model.TaskID, bool) {
+	cut := strings.LastIndexByte(text, '/')
+	if cut < 0 {
+		return model.TaskID{}, false
+	}
+	idx, err := strconv.Atoi(text[cut+1:])
+	return model.NewTaskID(model.JobID(text[:cut]), idx), err == nil && idx >= 0
+}
+
+func checkpoint(cp *rest.Checkpoint) sched.Checkpoint {
+	if cp == nil {
+		return sched.Checkpoint{}
+	}
+	return sched.NewCheckpoint(model.Attempt(cp.Attempt), cp.Sequence)
+}
+
+func restCheckpoint(cp sched.Checkpoint) *rest.Checkpoint {
+	if cp.IsZero() {
+		return nil
+	}
+	return &rest.Checkpoint{Attempt: uint32(cp.Attempt()), Sequence: cp.Sequence()}
+}
+
+// workerOrders translates the answer to a report.
+func workerOrders(ans sched.Answer) rest.WorkerOrders {
+	out := rest.WorkerOrders{Tag: ans.Tag(), LeaseMs: sched.TaskLease.Milliseconds()}
+	for _, lea := range ans.Leases() {
+		out.Leases = append(out.Leases, rest.Lease{Task: lea.Task().String(), Attempt: uint32(lea.Attempt())})
+	}
+	for _, ord := range ans.Orders() {
+		ro := rest.Order{
+			Kind: ord.Kind().String(), Task: ord.Task().String(), Attempt: uint32(ord.Attempt()),
+			IssuedAfterMs: ord.IssuedAfter().Milliseconds(), JobKind: ord.TaskKind(),
+			Checkpoint: restCheckpoint(ord.Resume()), Fallback: restCheckpoint(ord.Fallback()),
+			GraceMs: ord.Grace().Milliseconds(),
+		}
+		if ord.Kind() == sched.OrderStart {
+			ro.Priority = ord.Priority().String()
+		}
+		if siz := ord.Size(); !siz.IsZero() {
+			res := rest.NewResources(siz)
+			ro.Size = &res
+		}
+		out.Orders = append(out.Orders, ro)
+	}
+	return out
+}
--- a/io/rest/worker.go
+++ b/io/rest/worker.go
@@ -29,10 +29,9 @@
 	Worker string    `json:"worker"`
 	Rack   string    `json:"rack"`
 	Size   Resources `json:"size"`
-	// Sequence grows with each report, so that a late one is recognised.
-	Sequence uint64 `json:"sequence"`
-	// WaitMs is how long the answer may wait for orders, 1000 at most.
-	WaitMs   int64     `json:"waitMs,omitempty"`
+	// Tag is the tag of the last answer that the worker received, so that a
+	// late report is recognised; 0 before the first.
+	Tag      uint64    `json:"tag,omitempty"`
 	Attempts []Attempt `json:"attempts"`
 }
 
@@ -41,11 +40,10 @@
 	// Task is JOB/INDEX.
 	Task    string `json:"task"`
 	Attempt uint32 `json:"attempt"`
-	// State is starting, running, stopping or ended.
+	// State is running, succeeded, failed, stopped or rejected. An attempt
+	// that is being stopped is running; rejected means that the start order
+	// came too late or names an attempt that is not newer than one seen.
 	State string `json:"state"`
-	// Outcome of an attempt that ended: succeeded, failed, stopped or
-	// notStarted.
-	Outcome string `json:"outcome,omitempty"`
 	// Usage was measured UsageAgeMs before the report; unset while unknown.
 	Usage      *Resources `json:"usage,omitempty"`
 	UsageAgeMs int64      `json:"usageAgeMs,omitempty"`
@@ -53,15 +51,15 @@
 	SlowdownPercent int `json:"slowdownPercent,omitempty"`
 	// Checkpoint is the newest checkpoint that the attempt took.
 	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
-	// Resumed is the checkpoint that the attempt resumed from.
+	// Resumed is the checkpoint that the attempt resumed from; the fallback
+	// when the newer one was unreadable.
 	Resumed *Checkpoint `json:"resumed,omitempty"`
-	// Unreadable reports that the checkpoint of the order was unreadable
-	// and the attempt fell back to Resumed.
-	Unreadable bool `json:"unreadable,omitempty"`
 }
 
 // WorkerOrders answers a report.
 type WorkerOrders struct {
+	// Tag is repeated by the worker in its next report.
+	Tag uint64 `json:"tag"`
 	// LeaseMs is the task lease of every reported attempt in Leases, counted
 	// by the worker from the time it sent the report.
 	LeaseMs int64   `json:"leaseMs"`
@@ -77,7 +75,8 @@
 
 // Order tells a worker to act on one attempt.
 type Order struct {
-	// Kind is start, stop, checkpoint, throttle or restore.
+	// Kind is start, stop, checkpoint, throttle or forget. After forget the
+	// worker reports the attempt no more.
 	Kind    string `json:"kind"`
 	Task    string `json:"task"`
 	Attempt uint32 `json:"attempt"`
@@ -85,13 +84,17 @@
 	// issue of the order. A worker carries out a start only before it sent
 	// the report, plus IssuedAfterMs, plus 500 ms.
 	IssuedAfterMs int64 `json:"issuedAfterMs"`
-	// Size is the commitment, for start.
+	// Size is the commitment for start and the limit for throttle; a throttle
+	// without a size lifts the limit.
 	Size *Resources `json:"size,omitempty"`
 	// JobKind names what the task does, for start.
 	JobKind string `json:"jobKind,omitempty"`
-	// Checkpoint is what a start resumes from.
+	// Priority of the job, for start.
+	Priority string `json:"priority,omitempty"`
+	// Checkpoint is what a start resumes from, and Fallback what it uses when
+	// that cannot be read.
 	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
-	// Percent of its processors that a throttled attempt may use.
-	Percent int    `json:"percent,omitempty"`
-	Reason  string `json:"reason,omitempty"`
+	Fallback   *Checkpoint `json:"fallback,omitempty"`
+	// GraceMs is how long a stop may take to write a checkpoint.
+	GraceMs int64 `json:"graceMs,omitempty"`
 }
