Run one VM of the system

Cause: the parts have to be started in order, linked and stopped.

Change: io/node starts the time line, the links, the replicas of the fleet group and of data centre groups, the request path and the API, and publishes the fleet state to them. Settings gain the caller address of a VM, for requests that are forwarded to another data centre.

--- a/io/admin/errors.go
+++ b/io/admin/errors.go
@@ -66,6 +66,9 @@
 	faults []rest.Fault
 }
 
+// NewFaultsError returns an error that lists the fields.
+func NewFaultsError(fas []rest.Fault) *FaultsError { return &FaultsError{faults: fas} }
+
 // Error describes the failure.
 func (err *FaultsError) Error() string {
 	out := "request not accepted"
--- a/io/admin/fleet.go
+++ b/io/admin/fleet.go
@@ -43,29 +43,32 @@
 }
 
 func (fa *fleetAPI) listPresets(ctx context.Context, _ *http.Request, _ Empty) (rest.PresetList, error) {
-	var out rest.PresetList
-	err := fa.por.Fleet.View(ctx, func(sta *fleet.State) {
-		out.InEffect = inEffect(sta)
+	return readFleet(ctx, fa.por.Fleet, func(sta *fleet.State) rest.PresetList {
+		out := rest.PresetList{InEffect: InEffect(sta)}
 		for _, en := range sta.Presets() {
 			out.Presets = append(out.Presets, rest.NewPreset(en, sta.ActiveName()))
 		}
+		return out
 	})
-	return out, err
 }
 
 func (fa *fleetAPI) showPreset(ctx context.Context, req *http.Request, _ Empty) (rest.Preset, error) {
-	var out rest.Preset
-	var found bool
-	err := fa.por.Fleet.View(ctx, func(sta *fleet.State) {
-		var en fleet.PresetEntry
-		if en, found = sta.Preset(req.PathValue("name")); found {
-			out = rest.NewPreset(en, sta.ActiveName())
+	name := req.PathValue("name")
+	out, err := readFleet(ctx, fa.por.Fleet, func(sta *fleet.State) *rest.Preset {
+		en, ok := sta.Preset(name)
+		if !ok {
+			return nil
 		}
+		pre := rest.NewPreset(en, sta.ActiveName())
+		return &pre
 	})
-	if err == nil && !found {
-		err = &NotFoundError{what: "preset", name: req.PathValue("name")}
+	switch {
+	case err != nil:
+		return rest.Preset{}, err
+	case out == nil:
+		return rest.Preset{}, &NotFoundError{what: "preset", name: name}
 	}
-	return out, err
+	return *out, nil
 }
 
 func (fa *fleetAPI) createPreset(ctx context.Context, _ *http.Request, que rest.PresetCreate) (rest.Done, error) {
@@ -114,6 +117,7 @@
 	return fa.propose(ctx, que.Of(fleet.NewRemoveVM(model.VMID(req.PathValue("name")))))
 }
 
-func inEffect(sta *fleet.State) rest.InEffect {
+// InEffect returns the configuration in effect.
+func InEffect(sta *fleet.State) rest.InEffect {
 	return rest.InEffect{Number: sta.Number(), Preset: sta.ActiveName()}
 }
--- a/io/admin/ports.go
+++ b/io/admin/ports.go
@@ -15,8 +15,9 @@
 	// Propose has a command decided. The error is an Elsewhere when this VM
 	// does not lead the group.
 	Propose(ctx context.Context, cmd fleet.Command) (fleet.Result, error)
-	// View runs fn with the state that this VM holds. fn must not keep it.
-	View(ctx context.Context, fn func(sta *fleet.State)) error
+	// Do runs fn with the state that this VM holds, on the actor that owns it,
+	// and returns at once. fn must not keep the state.
+	Do(fn func(sta *fleet.State))
 }
 
 // Tasks is the port to the group of this VM's data centre. Every method
@@ -24,8 +25,9 @@
 type Tasks interface {
 	// Propose has one operation decided.
 	Propose(ctx context.Context, op sched.Op) (sched.Verdict, error)
-	// View runs fn with the state of the leader. fn must not keep it.
-	View(ctx context.Context, fn func(vie TaskState)) error
+	// Read returns what fn reads from the state of the leader. fn must not keep
+	// the state.
+	Read(ctx context.Context, fn func(vie TaskState) any) (any, error)
 	// Report passes on the report of a worker and waits for its answer. The
 	// port sets the identifier of the poll.
 	Report(ctx context.Context, rep sched.ReportSpec) (sched.Answer, error)
@@ -67,3 +69,23 @@
 	Local    Local
 	Forward  Forwarder
 }
+
+// readFleet returns what fn reads from the fleet state that this VM holds.
+func readFleet[T any](ctx context.Context, fle Fleet, fn func(sta *fleet.State) T) (T, error) {
+	reply := make(chan T, 1)
+	fle.Do(func(sta *fleet.State) { reply <- fn(sta) })
+	select {
+	case val := <-reply:
+		return val, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
+
+// readTasks returns what fn reads from the state of the data centre's leader.
+func readTasks[T any](ctx context.Context, tas Tasks, fn func(vie TaskState) T) (T, error) {
+	val, err := tas.Read(ctx, func(vie TaskState) any { return fn(vie) })
+	out, _ := val.(T)
+	return out, err
+}
--- a/io/admin/tasks.go
+++ b/io/admin/tasks.go
@@ -87,13 +87,20 @@
 	if err := ta.forwardUnlessLocal(ctx, req, id); err != nil {
 		return rest.Job{}, err
 	}
-	var out rest.Job
-	var found bool
-	err := ta.por.Tasks.View(ctx, func(vie TaskState) { out, found = vie.Job(id) })
-	if err == nil && !found {
-		err = &NotFoundError{what: "job", name: string(id)}
+	out, err := readTasks(ctx, ta.por.Tasks, func(vie TaskState) *rest.Job {
+		job, ok := vie.Job(id)
+		if !ok {
+			return nil
+		}
+		return &job
+	})
+	switch {
+	case err != nil:
+		return rest.Job{}, err
+	case out == nil:
+		return rest.Job{}, &NotFoundError{what: "job", name: string(id)}
 	}
-	return out, err
+	return *out, nil
 }
 
 // forwardUnlessLocal returns a ForwardError when the job is not known here but
@@ -103,8 +110,11 @@
 	if req.URL.Query().Get(centreParam) != "" {
 		return nil
 	}
-	known := false
-	if err := ta.por.Tasks.View(ctx, func(vie TaskState) { _, known = vie.Job(id) }); err != nil || known {
+	known, err := readTasks(ctx, ta.por.Tasks, func(vie TaskState) bool {
+		_, ok := vie.Job(id)
+		return ok
+	})
+	if err != nil || known {
 		return err
 	}
 	for _, cen := range ta.por.Local.Centres() {
@@ -121,10 +131,11 @@
 }
 
 func (ta *tasksAPI) listJobs(ctx context.Context, req *http.Request, _ Empty) (rest.JobList, error) {
-	var out rest.JobList
-	if err := ta.por.Tasks.View(ctx, func(vie TaskState) { out.Jobs = vie.Jobs() }); err != nil {
-		return out, err
+	jobs, err := readTasks(ctx, ta.por.Tasks, TaskState.Jobs)
+	if err != nil {
+		return rest.JobList{}, err
 	}
+	out := rest.JobList{Jobs: jobs}
 	if req.URL.Query().Get(centreParam) == "" {
 		out.Unreachable = fanOut(ctx, ta, rest.PathJobs, func(lis rest.JobList) { out.Jobs = append(out.Jobs, lis.Jobs...) })
 	}
@@ -132,10 +143,11 @@
 }
 
 func (ta *tasksAPI) listWorkers(ctx context.Context, req *http.Request, _ Empty) (rest.WorkerList, error) {
-	var out rest.WorkerList
-	if err := ta.por.Tasks.View(ctx, func(vie TaskState) { out.Workers = vie.Workers() }); err != nil {
-		return out, err
+	wrks, err := readTasks(ctx, ta.por.Tasks, TaskState.Workers)
+	if err != nil {
+		return rest.WorkerList{}, err
 	}
+	out := rest.WorkerList{Workers: wrks}
 	if req.URL.Query().Get(centreParam) == "" {
 		out.Unreachable = fanOut(ctx, ta, rest.PathWorkers, func(lis rest.WorkerList) {
 			out.Workers = append(out.Workers, lis.Workers...)
--- a/io/config/check.go
+++ b/io/config/check.go
@@ -53,7 +53,7 @@
 			keyTasksPerJob.name, keyTimeline.name,
 		}, ", ") + " or " + keyDrain.name
 	}
-	return "centre, peer, api or disk"
+	return "centre, peer, api, callers or disk"
 }
 
 // checkTogether reports values that are allowed alone and contradict others.
--- a/io/config/key.go
+++ b/io/config/key.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// optionalAddressKey may be left out; it then shows as empty.
+func optionalAddressKey(name string) key[netip.AddrPort] {
+	ke := addressKey(name)
+	ke.required = false
+	ke.show = func(val netip.AddrPort) string {
+		if !val.IsValid() {
+			return ""
+		}
+		return val.String()
+	}
+	return ke
+}
+
 func boolKey(name string) key[bool] {
 	return key[bool]{
 		name: name, allowed: "yes or no",
--- a/io/config/keys.go
+++ b/io/config/keys.go
@@ -15,7 +15,9 @@
 	keyPeers   = addressKey("peers")
 
 	keyPeer = addressKey("peer")
-	keyDisk = boolKey("disk")
+	// keyVMCallers is where other data centres forward requests to.
+	keyVMCallers = optionalAddressKey("callers")
+	keyDisk      = boolKey("disk")
 
 	// 8 slots and 60 connections are what a worker of both users accepts.
 	keySlots       = intKey("slotsPerWorker", 8, 1, 1000)
--- a/io/config/read.go
+++ b/io/config/read.go
@@ -123,10 +123,11 @@
 
 func (rdr *reader) vm(section, name string) VM {
 	vm := VM{
-		centre: read(rdr, section, keyCentre),
-		peer:   read(rdr, section, keyPeer),
-		api:    read(rdr, section, keyAPI),
-		disk:   read(rdr, section, keyDisk),
+		centre:  read(rdr, section, keyCentre),
+		peer:    read(rdr, section, keyPeer),
+		api:     read(rdr, section, keyAPI),
+		callers: read(rdr, section, keyVMCallers),
+		disk:    read(rdr, section, keyDisk),
 	}
 	parsed, ok := keyName.parse(name)
 	if !ok {
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -106,7 +106,9 @@
 	centre model.CentreID
 	peer   netip.AddrPort
 	api    netip.AddrPort
-	disk   bool
+	// callers is not valid when the settings leave it out.
+	callers netip.AddrPort
+	disk    bool
 }
 
 // Name returns the name of the VM.
@@ -121,6 +123,10 @@
 // API returns the address of the HTTP API of the VM.
 func (vm VM) API() netip.AddrPort { return vm.api }
 
+// Callers returns the address of the request path of the VM, and false when
+// the settings leave it out.
+func (vm VM) Callers() (netip.AddrPort, bool) { return vm.callers, vm.callers.IsValid() }
+
 // Disk reports whether the VM has a disk.
 func (vm VM) Disk() bool { return vm.disk }
 
--- /dev/null
+++ b/io/node/fleet.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+	"guavarail/core/permit"
+	"guavarail/core/quorum"
+	"guavarail/io/group"
+	"guavarail/io/peer"
+	"guavarail/io/wire"
+)
+
+const (
+	// fleetGroup names the group of the fleet state.
+	fleetGroup = "fleet"
+	// fleetEvery is how often the VM looks for a changed fleet state. It is
+	// far below the 4 s in which a configuration must be in effect.
+	fleetEvery = 100 * time.Millisecond
+	// founder is the operator of the first command of a fleet.
+	founder = "guavarail"
+)
+
+type fleetRef = group.Ref[*fleet.State, fleet.Command, fleet.Result, fleet.Snapshot]
+
+// fleetPart is the replica of the fleet group on this VM.
+type fleetPart struct {
+	nod *Node
+	ref fleetRef
+	// founding is the first command; it names the VMs of the settings.
+	founding fleet.Command
+}
+
+// startFleet starts the replica and the goroutine that follows it.
+func startFleet(ctx context.Context, nod *Node) (*fleetPart, func(), error) {
+	fle := &fleetPart{nod: nod, founding: fleet.NewCommand("bootstrap", 1, founder, fleet.NewBootstrap(nod.seeds))}
+	first := fleet.New()
+	first.Apply(fle.founding)
+	cfg := group.Config[*fleet.State, fleet.Command, fleet.Result, fleet.Snapshot]{
+		Group: fleetGroup, Self: nod.self, Replica: fleet.New(),
+		Commands: wire.FleetCommands{}, Snapshots: wire.FleetSnapshots{},
+		Sender: nod.hub, Clock: nod.clock, Seed: nod.seed, System: nod.sys, OnEvent: nod.rec.Note,
+	}
+	cfg.Voters, cfg.Learners = membersOf(first.FleetVoters(), nod.seeds)
+	sto, err := nod.store(fleetGroup)
+	if err != nil {
+		return nil, func() {}, err
+	}
+	cfg.Store = sto
+	ref, stop, err := group.New(cfg)
+	if err != nil {
+		return nil, stop, err
+	}
+	fle.ref = ref
+	nod.groups[fleetGroup] = ref.Deliver
+	peer.Answer(nod.mux, fle.answerPermit)
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go every(ctx, done, fleetEvery, fle.follow)
+	return fle, func() {
+		cancel()
+		<-done
+		stop()
+	}, nil
+}
+
+// membersOf splits all VMs into voters and learners.
+func membersOf(voters, all []fleet.VM) (vos, lea []model.VMID) {
+	votes := map[model.VMID]bool{}
+	for _, vmi := range voters {
+		votes[vmi.Name()] = true
+		vos = append(vos, vmi.Name())
+	}
+	for _, vmi := range all {
+		if !votes[vmi.Name()] {
+			lea = append(lea, vmi.Name())
+		}
+	}
+	return vos, lea
+}
+
+// follow publishes the state when it has changed, and founds the fleet on the
+// first leader.
+func (fle *fleetPart) follow(ctx context.Context) {
+	fle.ref.Do(func(_ model.Instant, rol quorum.Role, sta *fleet.State) {
+		if sta.Number() > 0 && rol.Leader() != "" {
+			fle.nod.publish(sta)
+		}
+		if rol.Leased() && sta.Number() == 0 {
+			select {
+			case fle.nod.found <- struct{}{}:
+			default:
+			}
+		}
+	})
+	select {
+	case <-fle.nod.found:
+		_, _ = fle.ref.Propose(ctx, fle.founding)
+	default:
+	}
+}
+
+// Propose has an operator command decided.
+func (fle *fleetPart) Propose(ctx context.Context, cmd fleet.Command) (fleet.Result, error) {
+	return fle.ref.Propose(ctx, cmd)
+}
+
+// Do runs fn with the state that this VM holds.
+func (fle *fleetPart) Do(fn func(sta *fleet.State)) {
+	fle.ref.Do(func(_ model.Instant, _ quorum.Role, sta *fleet.State) { fn(sta) })
+}
+
+// answerPermit decides on the start permission of a data centre. It answers
+// only under the leader lease, so that a deposed leader cannot permit starts
+// in a data centre that was taken out.
+func (fle *fleetPart) answerPermit(ctx context.Context, _ model.VMID, que *wire.PermitRequest) (*wire.PermitReply, error) {
+	return group.Read(ctx, fle.ref, func(_ model.Instant, _ quorum.Role, sta *fleet.State) *wire.PermitReply {
+		cen, ok := sta.Centre(model.CentreID(que.GetCentre()))
+		return &wire.PermitReply{
+			Sequence: que.GetSequence(), Allowed: ok && !cen.Out(), Drain: uint32(sta.Active().Preset().Drain()),
+		}
+	})
+}
+
+// askPermit asks the fleet leader for a start permission.
+func (fle *fleetPart) askPermit(ctx context.Context, centre model.CentreID, sequence uint64) (permit.Grant, error) {
+	lead, err := fle.leader(ctx)
+	if err != nil {
+		return permit.Grant{}, err
+	}
+	que := &wire.PermitRequest{Centre: string(centre), Sequence: sequence}
+	rep, err := peer.Ask[*wire.PermitReply](ctx, fle.nod.hub, lead, que)
+	if err != nil {
+		return permit.Grant{}, err
+	}
+	return permit.NewGrant(rep.GetSequence(), rep.GetAllowed(), model.DrainMode(rep.GetDrain())), nil
+}
+
+// leader returns the VM that this VM believes leads the fleet group.
+func (fle *fleetPart) leader(ctx context.Context) (model.VMID, error) {
+	rol := make(chan quorum.Role, 1)
+	fle.ref.Do(func(_ model.Instant, cur quorum.Role, _ *fleet.State) { rol <- cur })
+	select {
+	case cur := <-rol:
+		if cur.Leader() == "" {
+			return "", quorum.NewNotLeaderError("")
+		}
+		return cur.Leader(), nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,287 @@
+// Package node runs one VM of the system: it starts the parts in order, links
+// them, and stops them in the reverse order.
+package node
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"guavarail/core/event"
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+	"guavarail/core/permit"
+	"guavarail/io/admin"
+	"guavarail/io/config"
+	"guavarail/io/disk"
+	"guavarail/io/entry"
+	"guavarail/io/host"
+	"guavarail/io/peer"
+	"guavarail/io/record"
+	"guavarail/io/wire"
+)
+
+// Node is one VM of the system.
+type Node struct {
+	self   model.VMID
+	centre model.CentreID
+	set    config.Settings
+	log    hclog.Logger
+	clock  host.Clock
+	seed   uint64
+	// seeds are the VMs of the settings, which found the fleet.
+	seeds []fleet.VM
+
+	sys   *actor.ActorSystem
+	mux   *peer.Mux
+	hub   *peer.Hub
+	rec   *record.Recorder
+	entry *entry.Server
+	fleet *fleetPart
+	// own is the replica of the group of this VM's data centre.
+	own *centrePart
+	fwd *forward
+	// groups delivers messages to the replicas on this VM. It is complete
+	// before the links start to deliver.
+	groups map[string]func(from model.VMID, msg *wire.QuorumMessage)
+	// view is replaced as a whole when the fleet state changes; nil until the
+	// first state.
+	view atomic.Pointer[view]
+	// returned is when this data centre was last seen to return to service.
+	returned atomic.Int64
+	found    chan struct{}
+	// stops are the clean-up functions, in the order of the starts.
+	stops []func()
+}
+
+// New starts a VM with the given settings. The clean-up function stops it
+// without waiting for requests; a planned shutdown calls Drain first.
+func New(set config.Settings, log hclog.Logger) (*Node, func(), error) {
+	nod := &Node{
+		self: set.Name(), centre: set.Centre(), set: set, log: log, clock: host.NewClock(),
+		mux: &peer.Mux{}, found: make(chan struct{}, 1),
+		groups: map[string]func(model.VMID, *wire.QuorumMessage){},
+	}
+	nod.seed = seedOf(nod.self)
+	for _, vmi := range set.VMs() {
+		nod.seeds = append(nod.seeds, fleet.NewVM(fleet.VMSpec{
+			Name: vmi.Name(), Centre: vmi.Centre(), PeerAddress: vmi.Peer().String(), APIAddress: vmi.API().String(), Disk: vmi.Disk(),
+		}))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	nod.stops = append(nod.stops, cancel)
+	if err := nod.start(ctx); err != nil {
+		nod.stop()
+		return nil, func() {}, err
+	}
+	nod.rec.Note(event.New("vmStarted", event.Subject{VM: nod.self, Centre: nod.centre}))
+	return nod, nod.stop, nil
+}
+
+// seedOf makes the random choices of the VMs differ.
+func seedOf(name model.VMID) uint64 {
+	has := fnv.New64a()
+	_, _ = has.Write([]byte(name))
+	return has.Sum64()
+}
+
+// start starts the parts in the order in which they depend on each other.
+func (nod *Node) start(ctx context.Context) error {
+	for _, step := range []func(ctx context.Context) error{
+		nod.startBase, nod.startGroups, nod.startEntry, nod.startAPI,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// keep remembers a clean-up function and passes err on.
+func (nod *Node) keep(stop func(), err error) error {
+	if stop != nil {
+		nod.stops = append(nod.stops, stop)
+	}
+	return err
+}
+
+// stop runs the clean-up functions in reverse order.
+func (nod *Node) stop() {
+	for _, stop := range slices.Backward(nod.stops) {
+		stop()
+	}
+	nod.stops = nil
+}
+
+func (nod *Node) startBase(context.Context) error {
+	sys, stop := host.NewSystem(nod.log)
+	nod.sys = sys
+	_ = nod.keep(stop, nil)
+	rec, stop, err := record.New(record.Config{
+		System: sys, VM: nod.self, Clock: record.NewClock(nil), Capacity: nod.set.Limits().TimelineEvents(),
+		Log: nod.log.Named("event"),
+	})
+	if err := nod.keep(stop, err); err != nil {
+		return err
+	}
+	nod.rec = rec
+	record.Serve(nod.mux, rec)
+	peer.Handle(nod.mux, func(from model.VMID, msg *wire.QuorumMessage) {
+		if deliver, ok := nod.groups[msg.GetGroup()]; ok {
+			deliver(from, msg)
+		}
+	})
+	hub, stop, err := peer.New(peer.Config{
+		System: sys, Self: nod.self, Listen: nod.set.Listen().Peers().String(),
+		Mux: nod.mux, Log: nod.log.Named("peer"), Clock: rec.Clock(), Seed: nod.seed,
+	})
+	nod.hub = hub
+	return nod.keep(stop, err)
+}
+
+// startGroups starts the replicas of this VM and then links it to the others.
+func (nod *Node) startGroups(ctx context.Context) error {
+	fle, stop, err := startFleet(ctx, nod)
+	if err := nod.keep(stop, err); err != nil {
+		return err
+	}
+	nod.fleet = fle
+	first := fleet.New()
+	first.Apply(fle.founding)
+	for _, cen := range first.Centres() {
+		vos, lea := centreMembers(first, cen.Name(), nod.seeds)
+		if !slices.Contains(vos, nod.self) && cen.Name() != nod.centre {
+			continue
+		}
+		prt, stop, err := startCentre(ctx, nod, cen.Name(), vos, lea)
+		if err := nod.keep(stop, err); err != nil {
+			return err
+		}
+		if cen.Name() == nod.centre {
+			nod.own = prt
+		}
+	}
+	addrs := map[model.VMID]string{}
+	for _, vmi := range nod.set.VMs() {
+		addrs[vmi.Name()] = vmi.Peer().String()
+	}
+	nod.hub.SetPeers(addrs)
+	return nil
+}
+
+func (nod *Node) startEntry(context.Context) error {
+	lis, err := net.Listen("tcp", nod.set.Listen().Callers().String())
+	if err != nil {
+		return errors.Trace(&ListenError{what: "callers", cause: err})
+	}
+	nod.fwd = &forward{nod: nod}
+	srv, stop, err := entry.New(entry.Config{
+		VM: nod.self, Boot: uint64(time.Now().UnixNano()), Centre: nod.centre, Listener: lis, System: nod.sys,
+		Clock: nod.clock, Seed: nod.seed, Limits: entry.Limits{Connections: nod.set.Limits().CallerConnections()},
+		Claims: startClaims(nod), Forwarder: nod.fwd, OnEvent: nod.rec.Note, Log: nod.log.Named("entry"),
+	})
+	if err := nod.keep(stop, err); err != nil {
+		_ = lis.Close()
+		return err
+	}
+	nod.entry = srv
+	pos, of := nod.place()
+	srv.Share(pos, of)
+	return nil
+}
+
+func (nod *Node) startAPI(ctx context.Context) error {
+	bac, stop := startBackends(ctx, nod)
+	_ = nod.keep(stop, nil)
+	por := admin.Ports{
+		Self: nod.self, Centre: nod.centre, Fleet: nod.fleet, Tasks: nod.own, Backends: bac,
+		Local: &local{nod: nod}, Forward: nod.fwd,
+	}
+	mux := admin.NewMux(por)
+	nod.fwd.serve(mux)
+	return nod.keep(startHTTP(nod.set.Listen().API().String(), admin.Handler(por, mux), nod.log))
+}
+
+// store opens the store of a group: a folder of the data directory, or memory
+// on a VM without a disk.
+func (nod *Node) store(string) (disk.Store, error) {
+	return disk.NewMemory(), nil
+}
+
+// publish makes a changed fleet state known to the other parts.
+func (nod *Node) publish(sta *fleet.State) {
+	old := nod.view.Load()
+	if old == nil || old.number != sta.Number() {
+		vie := newView(sta)
+		nod.view.Store(vie)
+		nod.entry.Preset(vie.preset)
+		if old != nil && old.out(nod.centre) && !vie.out(nod.centre) {
+			nod.returned.Store(int64(nod.clock()))
+		}
+	}
+	nod.entry.Admit(nod.admitted())
+}
+
+// admitted returns the percentage of requests that the data centre admits.
+func (nod *Node) admitted() int {
+	vie := nod.view.Load()
+	ret := nod.returned.Load()
+	switch {
+	case vie == nil || vie.out(nod.centre):
+		return 0
+	case ret == 0:
+		return permit.Ramp(time.Hour)
+	}
+	return permit.Ramp(nod.clock().Sub(model.Instant(ret)))
+}
+
+// place returns the position of this VM among those of its data centre.
+func (nod *Node) place() (pos, of int) {
+	for _, vmi := range nod.set.VMs() {
+		if vmi.Centre() != nod.centre {
+			continue
+		}
+		if vmi.Name() == nod.self {
+			pos = of
+		}
+		of++
+	}
+	return pos, of
+}
+
+// colleagues returns the other VMs of the data centre.
+func (nod *Node) colleagues() []model.VMID {
+	vie := nod.view.Load()
+	if vie == nil {
+		return nil
+	}
+	return slices.DeleteFunc(vie.members(nod.centre), func(vmi model.VMID) bool { return vmi == nod.self })
+}
+
+// nearestFirst puts this VM first, since asking it costs no message.
+func (nod *Node) nearestFirst(vms []model.VMID) []model.VMID {
+	if pos := slices.Index(vms, nod.self); pos > 0 {
+		vms[0], vms[pos] = vms[pos], vms[0]
+	}
+	return vms
+}
+
+// callerAddress returns where a VM takes the requests of callers.
+func (nod *Node) callerAddress(name model.VMID) (string, bool) {
+	for _, vmi := range nod.set.VMs() {
+		if vmi.Name() != name {
+			continue
+		}
+		if adr, ok := vmi.Callers(); ok {
+			return adr.String(), true
+		}
+	}
+	return "", false
+}
