Add the command line

Cause: operators, schedulers and scripts need one program for reading and changing the system.

Change: io/cmd has a package for each command and io/cmd/shell what they share: parsing, exit codes and what to do after a failure. cmd/guavarail wires them and has one list to which serve, demo, replay and load are added.

--- /dev/null
+++ b/cmd/guavarail/commands.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	centrein "guavarail/io/cmd/centre/in"
+	centrelist "guavarail/io/cmd/centre/list"
+	centreout "guavarail/io/cmd/centre/out"
+	jobcancel "guavarail/io/cmd/job/cancel"
+	joblist "guavarail/io/cmd/job/list"
+	jobshow "guavarail/io/cmd/job/show"
+	jobsubmit "guavarail/io/cmd/job/submit"
+	presetapply "guavarail/io/cmd/preset/apply"
+	presetcreate "guavarail/io/cmd/preset/create"
+	presetlist "guavarail/io/cmd/preset/list"
+	presetshow "guavarail/io/cmd/preset/show"
+	settingscheck "guavarail/io/cmd/settings/check"
+	"guavarail/io/cmd/shell"
+	"guavarail/io/cmd/status"
+	"guavarail/io/cmd/timeline"
+	vmlist "guavarail/io/cmd/vm/list"
+	vmreplace "guavarail/io/cmd/vm/replace"
+	workerlist "guavarail/io/cmd/worker/list"
+)
+
+// commands returns all commands in the order of the overview. serve, demo,
+// replay and load are added here.
+func commands() []shell.Command {
+	return []shell.Command{
+		status.New(),
+		timeline.New(),
+		presetlist.New(),
+		presetshow.New(),
+		presetcreate.New(),
+		presetapply.New(),
+		centrelist.New(),
+		centreout.New(),
+		centrein.New(),
+		jobsubmit.New(),
+		joblist.New(),
+		jobshow.New(),
+		jobcancel.New(),
+		workerlist.New(),
+		vmlist.New(),
+		vmreplace.New(),
+		settingscheck.New(),
+	}
+}
--- /dev/null
+++ b/cmd/guavarail/main.go
@@ -0,0 +1,18 @@
+// Package main wires the commands of guavarail.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"guavarail/io/cmd/shell"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := shell.Main(ctx, shell.System(), os.Args[1:], commands())
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/io/cmd/centre/list/list.go
@@ -0,0 +1,45 @@
+// Package list is the command "centre list".
+package list
+
+import (
+	"context"
+
+	"guavarail/io/cmd/shell"
+	"guavarail/io/rest"
+	"guavarail/io/term"
+)
+
+// Options of the command.
+type Options struct {
+	shell.Target
+	shell.Output
+}
+
+// New returns the command.
+func New() shell.Command {
+	return shell.New("centre list", "List the data centres with their service state.", "guavarail centre list", Run)
+}
+
+// Run prints the data centres.
+func Run(ctx context.Context, env shell.Env, opt Options) error {
+	cl, stop, err := opt.Dial(env)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	list, err := cl.Centres(ctx)
+	if err != nil {
+		return err
+	}
+	return env.Show(opt.Output, list, Table(list.Centres))
+}
+
+// Table shows data centres.
+func Table(ces []rest.Centre) *term.Table {
+	ta := term.NewTable("name", "service", "admits", "reachable", "leader", "vms", "running", "waiting", "changed by")
+	for _, ce := range ces {
+		ta.Add(ce.Name, ce.Service, shell.Count(ce.AdmitPercent)+"%", shell.YesNo(ce.Reachable), shell.OrDash(ce.Leader),
+			shell.Count(ce.VMs), shell.Count(ce.RunningTasks), shell.Count(ce.WaitingTasks), shell.By(ce.By))
+	}
+	return ta
+}
--- /dev/null
+++ b/io/cmd/job/list/list.go
@@ -0,0 +1,57 @@
+// Package list is the command "job list".
+package list
+
+import (
+	"context"
+
+	"guavarail/io/cmd/shell"
+	"guavarail/io/rest"
+	"guavarail/io/term"
+)
+
+// Options of the command.
+type Options struct {
+	Team  string `arg:"--team" help:"only jobs of this team"`
+	State string `arg:"--state" help:"only jobs in this state, such as waiting"`
+	shell.Target
+	shell.Output
+}
+
+// New returns the command.
+func New() shell.Command {
+	return shell.New("job list", "List the jobs with the number of tasks in each state.", "guavarail job list --state waiting", Run)
+}
+
+// Run prints the jobs.
+func Run(ctx context.Context, env shell.Env, opt Options) error {
+	cl, stop, err := opt.Dial(env)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	list, err := cl.Jobs(ctx)
+	if err != nil {
+		return err
+	}
+	list.Jobs = chosen(list.Jobs, opt)
+	ta := term.NewTable("id", "team", "priority", "centre", "state", "waiting", "running", "finished", "failed", "tasks", "reason")
+	for _, jo := range list.Jobs {
+		co := jo.Counts
+		ta.Add(jo.ID, jo.Team, jo.Priority, jo.Centre, jo.State, shell.Count(co.Waiting), shell.Count(co.Starting+co.Running+co.Stopping),
+			shell.Count(co.Finished), shell.Count(co.Failed), shell.Count(co.Total()), shell.OrDash(jo.Reason))
+	}
+	if err := env.Show(opt.Output, list, ta); err != nil || len(list.Unreachable) == 0 {
+		return err
+	}
+	return env.Streams.Note("not reachable, jobs are missing: " + shell.List(list.Unreachable))
+}
+
+func chosen(jobs []rest.Job, opt Options) []rest.Job {
+	out := []rest.Job{}
+	for _, jo := range jobs {
+		if (opt.Team == "" || jo.Team == opt.Team) && (opt.State == "" || jo.State == opt.State) {
+			out = append(out, jo)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/cmd/job/show/show.go
@@ -0,0 +1,96 @@
+// Package show is the command "job show": it explains on one screen why tasks
+// wait, where they ran, why they were evicted and what happened next.
+package show
+
+import (
+	"context"
+
+	"guavarail/io/cmd/shell"
+	"guavarail/io/rest"
+	"guavarail/io/term"
+)
+
+// Options of the command.
+type Options struct {
+	ID   string `arg:"positional,required" help:"name of the job"`
+	Task *int   `arg:"--task" placeholder:"N" help:"show only this task, with all its steps"`
+	shell.Target
+	shell.Output
+}
+
+// New returns the command.
+func New() shell.Command {
+	return shell.New("job show", "Explain the state of a job: why tasks wait, where they ran, why they were evicted.",
+		"guavarail job show fleet-allocation-7 --task 3", Run)
+}
+
+// maxShown bounds the tasks on one screen.
+const maxShown = 12
+
+// Run prints the job.
+func Run(ctx context.Context, env shell.Env, opt Options) error {
+	cl, stop, err := opt.Dial(env)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	jo, err := cl.Job(ctx, opt.ID)
+	if err != nil {
+		return err
+	}
+	if opt.JSON {
+		return env.Streams.JSON(jo)
+	}
+	if opt.Task != nil {
+		return showTask(env, jo, *opt.Task)
+	}
+	return showJob(env, jo)
+}
+
+func showJob(env shell.Env, jo rest.Job) error {
+	if err := env.Streams.Lines(head(jo)...); err != nil {
+		return err
+	}
+	tas := ranked(jo.Tasks)
+	ta := term.NewTable("task", "state", "attempt", "worker", "rack", "why", "history")
+	for _, task := range tas[:min(len(tas), maxShown)] {
+		ta.Add(shell.Count(task.Index), task.State, shell.Count(task.Attempt), shell.OrDash(task.Worker),
+			shell.OrDash(task.Rack), shell.OrDash(why(task)), shell.OrDash(brief(task.History)))
+	}
+	if err := env.Streams.Table(ta); err != nil {
+		return err
+	}
+	left := len(tas) - min(len(tas), maxShown) + jo.MoreTasks
+	if left == 0 {
+		return nil
+	}
+	return env.Streams.Lines("", shell.Count(left)+" more tasks; use --task N to see one, or --json")
+}
+
+func showTask(env shell.Env, jo rest.Job, index int) error {
+	for _, task := range jo.Tasks {
+		if task.Index != index {
+			continue
+		}
+		lines := append(head(jo), "task "+shell.Count(index)+": "+task.State+" "+why(task))
+		for _, step := range task.History {
+			lines = append(lines, "  "+sentence(step))
+		}
+		return env.Streams.Lines(append(lines, "next: "+next(task))...)
+	}
+	return shell.NewUsageError("task "+shell.Count(index)+" is not in the answer", "use a number from 0 to "+shell.Count(jo.Counts.Total()-1)+", or --json")
+}
+
+// head sums the job up.
+func head(jo rest.Job) []string {
+	co := jo.Counts
+	first := "job " + jo.ID + " of team " + jo.Team + " in " + jo.Centre + ": " + jo.State
+	if jo.Reason != "" {
+		first += " (" + reasonText(jo.Reason) + ")"
+	}
+	second := jo.Priority + " work of kind " + jo.Kind + ", " + shell.Resources(jo.Size) + " for each of " + shell.Count(co.Total()) + " tasks"
+	third := shell.Count(co.Waiting) + " waiting, " + shell.Count(co.Starting+co.Running) + " running, " +
+		shell.Count(co.Stopping) + " stopping, " + shell.Count(co.Finished) + " finished, " +
+		shell.Count(co.Failed) + " failed, " + shell.Count(co.Cancelled) + " cancelled"
+	return []string{first, second, third, ""}
+}
--- /dev/null
+++ b/io/cmd/settings/check/check.go
@@ -0,0 +1,50 @@
+// Package check is the command "settings check".
+package check
+
+import (
+	"context"
+
+	"guavarail/io/cmd/shell"
+	"guavarail/io/config"
+	"guavarail/io/term"
+)
+
+// Options of the command.
+type Options struct {
+	File string `arg:"positional,required" help:"settings file"`
+	shell.Output
+}
+
+// New returns the command.
+func New() shell.Command {
+	return shell.New("settings check", "Validate a settings file and print every value in effect.",
+		"guavarail settings check /etc/guavarail.ini", Run)
+}
+
+// value is one key in the JSON output.
+type value struct {
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Value   string `json:"value"`
+	// Source is file or default.
+	Source string `json:"source"`
+}
+
+// Run validates the file and prints the effective settings.
+func Run(_ context.Context, env shell.Env, opt Options) error {
+	se, err := config.Load(opt.File)
+	if err != nil {
+		return err
+	}
+	ta := term.NewTable("section", "key", "value", "source")
+	var vals []value
+	for _, en := range se.Entries() {
+		val := value{Section: en.Section(), Key: en.Key(), Value: en.Value(), Source: "default"}
+		if en.Given() {
+			val.Source = "file"
+		}
+		vals = append(vals, val)
+		ta.Add(val.Section, val.Key, val.Value, val.Source)
+	}
+	return env.Show(opt.Output, vals, ta)
+}
--- /dev/null
+++ b/io/cmd/shell/command.go
@@ -0,0 +1,76 @@
+package shell
+
+import (
+	"bytes"
+	"context"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+	"github.com/juju/errors"
+)
+
+// program is the name in usage texts.
+const program = "guavarail"
+
+// Command is one command with a noun and mostly a verb.
+type Command struct {
+	name    string
+	summary string
+	example string
+	// exec parses the arguments after the name and runs the command.
+	exec func(ctx context.Context, env Env, args []string) error
+}
+
+// New returns a command whose options are parsed into an O, which has the
+// tags of go-arg.
+func New[O any](name, summary, example string, run Run[O]) Command {
+	cmd := Command{name: name, summary: summary, example: example}
+	cmd.exec = func(ctx context.Context, env Env, args []string) error {
+		var opt O
+		par, err := arg.NewParser(arg.Config{Program: program + " " + name, IgnoreEnv: true}, &opt)
+		if err != nil {
+			return errors.Annotate(err, "options of "+name)
+		}
+		err = par.Parse(args)
+		if errors.Is(err, arg.ErrHelp) {
+			return cmd.help(env, par)
+		}
+		if err != nil {
+			return &UsageError{problem: err.Error(), advice: "run " + program + " " + name + " --help"}
+		}
+		return run(ctx, env, opt)
+	}
+	return cmd
+}
+
+// Name returns the words of the command.
+func (cmd Command) Name() string { return cmd.name }
+
+// Summary says in one line what the command does.
+func (cmd Command) Summary() string { return cmd.summary }
+
+func (cmd Command) help(env Env, par *arg.Parser) error {
+	var buf bytes.Buffer
+	par.WriteHelp(&buf)
+	lines := append([]string{cmd.summary, ""}, strings.Split(strings.TrimRight(buf.String(), "\n"), "\n")...)
+	lines = append(lines, "", "Example:", "  "+cmd.example, "",
+		"Exit codes: 0 done, 1 failed, 2 usage, 3 rejected by the system, 4 not reachable")
+	return env.Streams.Lines(lines...)
+}
+
+// words returns the words of the name.
+func (cmd Command) words() []string { return strings.Fields(cmd.name) }
+
+// matches reports whether args begin with the name of the command.
+func (cmd Command) matches(args []string) bool {
+	wos := cmd.words()
+	if len(args) < len(wos) {
+		return false
+	}
+	for i, wo := range wos {
+		if args[i] != wo {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/io/cmd/shell/env.go
@@ -0,0 +1,53 @@
+// Package shell is what all commands share: their environment, the parsing of
+// arguments, exit codes and what a failure tells the operator to do next.
+package shell
+
+import (
+	"context"
+	"crypto/rand"
+	"os"
+	"time"
+
+	"guavarail/io/client"
+	"guavarail/io/term"
+)
+
+// Env is the environment of a command.
+type Env struct {
+	Streams term.Streams
+	// Getenv reads an environment variable.
+	Getenv func(key string) string
+	// Now reads the wall clock; it is only used for display.
+	Now func() time.Time
+	// NewID returns a new command identity.
+	NewID func() string
+	// Connect returns a client of the API.
+	Connect func(cfg client.Config) (*client.Client, func(), error)
+}
+
+// System returns the environment of the process.
+func System() Env {
+	return Env{
+		Streams: term.System(),
+		Getenv:  os.Getenv,
+		Now:     time.Now,
+		NewID:   rand.Text,
+		Connect: client.New,
+	}
+}
+
+// Show prints a value as JSON, or as the table.
+func (env Env) Show(opt Output, val any, ta *term.Table) error {
+	if opt.JSON {
+		return env.Streams.JSON(val)
+	}
+	return env.Streams.Table(ta)
+}
+
+// Output chooses the form of the output.
+type Output struct {
+	JSON bool `arg:"--json" help:"print JSON"`
+}
+
+// Run carries out a command with its parsed options.
+type Run[O any] func(ctx context.Context, env Env, opt O) error
--- /dev/null
+++ b/io/cmd/status/status.go
@@ -0,0 +1,95 @@
+// Package status is the command "status": the state of the system and the
+// reason for it on one screen.
+package status
+
+import (
+	"context"
+
+	centres "guavarail/io/cmd/centre/list"
+	"guavarail/io/cmd/shell"
+	vms "guavarail/io/cmd/vm/list"
+	"guavarail/io/rest"
+	"guavarail/io/term"
+)
+
+// Options of the command.
+type Options struct {
+	shell.Target
+	shell.Output
+}
+
+// New returns the command.
+func New() shell.Command {
+	return shell.New("status", "Show the state of the system and what needs attention.", "guavarail status --api 10.0.0.1:7001", Run)
+}
+
+// Run prints the state.
+func Run(ctx context.Context, env shell.Env, opt Options) error {
+	cl, stop, err := opt.Dial(env)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	sta, err := cl.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if opt.JSON {
+		return env.Streams.JSON(sta)
+	}
+	if err := env.Streams.Lines(head(sta)...); err != nil {
+		return err
+	}
+	for _, ta := range []*term.Table{centres.Table(sta.Centres), vms.Table(sta.VMs), groups(sta.Groups), services(sta.Services)} {
+		if ta.Len() == 0 {
+			continue
+		}
+		if err := env.Streams.Table(ta); err != nil {
+			return err
+		}
+		if err := env.Streams.Lines(""); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// head puts what needs attention before the tables.
+func head(sta rest.Status) []string {
+	first := "preset " + sta.InEffect.Preset + " is in effect, configuration " + shell.Count(sta.InEffect.Number)
+	if ch := sta.Last; ch != nil {
+		first += ": " + ch.Kind + " " + ch.Target + " by " + ch.Operator
+	}
+	lines := []string{first}
+	if !sta.Ready {
+		lines = append(lines, "VM "+sta.VM+" is not ready: "+shell.OrDash(sta.NotReady))
+	}
+	if len(sta.Problems) == 0 {
+		return append(lines, "no problems as seen from VM "+sta.VM+" in "+sta.Centre, "")
+	}
+	for _, pro := range sta.Problems {
+		line := "problem " + pro.Kind + ": " + pro.Detail
+		if pro.Advice != "" {
+			line += "; " + pro.Advice
+		}
+		lines = append(lines, line)
+	}
+	return append(lines, "")
+}
+
+func groups(grs []rest.Group) *term.Table {
+	ta := term.NewTable("group", "leader", "term", "applied", "voters")
+	for _, gr := range grs {
+		ta.Add(gr.Name, shell.OrDash(gr.Leader), shell.Count(gr.Term), shell.Count(gr.Applied), shell.List(gr.Voters))
+	}
+	return ta
+}
+
+func services(sers []rest.Service) *term.Table {
+	ta := term.NewTable("service", "backends", "in flight", "queued", "p99", "target")
+	for _, ser := range sers {
+		ta.Add(ser.Name, shell.Count(ser.Backends), shell.Count(ser.InFlight), shell.Count(ser.Queued),
+			shell.Millis(ser.P99Ms), shell.Millis(ser.TailTargetMs))
+	}
+	return ta
+}
--- a/io/rest/status.go
+++ b/io/rest/status.go
@@ -70,12 +70,12 @@
 }
 
 // EventList answers GET /v1/events, which returns the events that the answering
-// VM itself recorded. Query parameters: after (sequence), limit, job, task,
-// request, vm, centre.
+// VM itself recorded, oldest first. Without after it has the newest ones.
 type EventList struct {
 	VM     string  `json:"vm"`
 	Events []Event `json:"events"`
-	// Next is the value of after for the following events.
+	// Next is the value of after for the following events: the sequence of
+	// the last event that was looked at, whether it matched or not.
 	Next uint64 `json:"next"`
 	// Dropped counts events after the given sequence that are no longer
 	// kept.
