Store the replica in a data directory and keep a failed one following

Cause: a group must survive restarts, torn writes, damaged files and full disks.

A replica whose store fails no longer votes or acknowledges and still follows the leader, so that its VM acts on the newest state.

--- a/core/quorum/config.go
+++ b/core/quorum/config.go
@@ -21,8 +21,8 @@
 	DefaultSnapshotEntries = 1000
 	// DefaultSnapshotBytes bounds the size of those entries.
 	DefaultSnapshotBytes = 4 << 20
-	// PieceBytes is the size of the pieces in which a snapshot is sent.
-	PieceBytes = 256 << 10
+	// DefaultPieceBytes is the size of the pieces in which a snapshot is sent.
+	DefaultPieceBytes = 256 << 10
 
 	// trailEntries are kept in memory behind a snapshot, so that a follower
 	// that is a little behind needs no snapshot.
@@ -66,6 +66,9 @@
 	// snapshot is taken. Zero means the defaults.
 	SnapshotEntries uint64
 	SnapshotBytes   int
+	// PieceBytes is the size of the pieces of a snapshot. Zero means the
+	// default.
+	PieceBytes uint64
 	// Saved is what the store held at the start.
 	Saved Saved
 }
@@ -80,6 +83,9 @@
 	if cfg.SnapshotBytes == 0 {
 		cfg.SnapshotBytes = DefaultSnapshotBytes
 	}
+	if cfg.PieceBytes == 0 {
+		cfg.PieceBytes = DefaultPieceBytes
+	}
 	return cfg
 }
 
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -21,7 +21,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.now.Before(n.deadline) || !n.isVoter() {
+	if n.now.Before(n.deadline) || !n.isVoter() || n.muted != nil {
 		return
 	}
 	n.standing, n.leader = preCandidate, ""
--- a/core/quorum/follow.go
+++ b/core/quorum/follow.go
@@ -10,6 +10,9 @@
 		n.fail(&StaleDiskError{disk: n.cfg.Disk, last: n.log.last(), acked: spec.Acked})
 		return
 	}
+	if n.muted != nil && spec.Kind != Append {
+		return
+	}
 	switch spec.Kind {
 	case PreVote, Vote:
 		n.onVoteRequest(spec)
@@ -136,6 +139,9 @@
 }
 
 func (n *Node) acknowledgeRound(spec MessageSpec) {
+	if n.muted != nil {
+		return
+	}
 	n.send(MessageSpec{
 		Kind: AppendReply, To: spec.From, Term: n.term,
 		Index: min(n.verified, n.durable), Sent: spec.Sent,
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"cmp"
 	"time"
 
 	"guavarail/core/event"
@@ -84,7 +85,11 @@
 	saving   bool
 	// logBytes is the size of the entries applied since the snapshot.
 	logBytes int
-	failed   error
+	// failed stops the replica.
+	failed error
+	// muted keeps it from voting, acknowledging and writing; it still follows
+	// the leader, so that its VM acts on the newest state.
+	muted error
 
 	// seq numbers writes; those up to synced are on disk.
 	seq       uint64
@@ -108,14 +113,13 @@
 	if !n.started {
 		n.start()
 	}
-	if n.failed == nil {
-		n.handle(in)
-	} else {
+	if n.Err() != nil {
 		n.refuse(in)
 	}
 	if n.failed == nil {
-		n.flush()
+		n.handle(in)
 	}
+	n.flush()
 	if role := n.Role(n.now); role.changed(n.role) {
 		n.role = role
 		n.emit(RoleChanged{role: role})
@@ -130,12 +134,12 @@
 	switch val := in.(type) {
 	case Propose:
 		for _, pro := range val.list {
-			n.emit(Refused{id: pro.id, err: n.failed})
+			n.emit(Refused{id: pro.id, err: n.Err()})
 		}
 	case Alter:
-		n.emit(Refused{id: val.id, err: n.failed})
+		n.emit(Refused{id: val.id, err: n.Err()})
 	case Transfer:
-		n.emit(Refused{id: val.id, err: n.failed})
+		n.emit(Refused{id: val.id, err: n.Err()})
 	}
 }
 
@@ -143,12 +147,8 @@
 	switch val := in.(type) {
 	case Tick:
 		n.onTick()
-	case Propose:
-		n.onPropose(val.list)
-	case Alter:
-		n.onAlter(val)
-	case Transfer:
-		n.onTransfer(val)
+	case Propose, Alter, Transfer:
+		n.request(val)
 	case Receive:
 		n.onMessage(val.msg.spec)
 	case Persisted:
@@ -158,7 +158,22 @@
 	case PieceStored:
 		n.onPieceStored(val)
 	case Halt:
-		n.fail(val.cause)
+		n.mute(val.cause)
+	}
+}
+
+// request handles what callers ask for. A replica that stopped has refused it.
+func (n *Node) request(in Input) {
+	if n.muted != nil {
+		return
+	}
+	switch val := in.(type) {
+	case Propose:
+		n.onPropose(val.list)
+	case Alter:
+		n.onAlter(val)
+	case Transfer:
+		n.onTransfer(val)
 	}
 }
 
@@ -286,6 +301,10 @@
 
 // flush hands changes to the store and releases messages that need no write.
 func (n *Node) flush() {
+	if n.Err() != nil {
+		n.dirtyHard, n.dirtyFrom, n.held = false, 0, nil
+		return
+	}
 	if n.dirtyHard || n.dirtyFrom > 0 {
 		n.seq++
 		var ents []Entry
@@ -332,17 +351,25 @@
 	}
 }
 
-// fail takes the replica out of votes and acknowledgements until it is
-// restarted.
+// fail stops a replica whose log cannot be trusted until it is restarted.
 func (n *Node) fail(cause error) {
-	n.failed = cause
+	n.mute(cause)
+	n.failed, n.leader = cause, ""
+}
+
+// mute takes the replica out of votes and acknowledgements until it is
+// restarted.
+func (n *Node) mute(cause error) {
+	if n.muted != nil {
+		return
+	}
 	n.stepDown()
-	n.standing, n.leader, n.held = follower, "", nil
+	n.muted = cause
 	n.report("replicaFailed", n.cfg.Self, event.NewField("reason", cause.Error()))
 }
 
-// Err returns why the replica stopped taking part, or nil.
-func (n *Node) Err() error { return n.failed }
+// Err returns why the replica stopped voting and acknowledging, or nil.
+func (n *Node) Err() error { return cmp.Or(n.failed, n.muted) }
 
 // Members returns the newest configuration.
 func (n *Node) Members() Members {
@@ -358,7 +385,7 @@
 
 // Role returns the role of the replica at the given time.
 func (n *Node) Role(now model.Instant) Role {
-	ro := Role{term: n.term, leader: n.leader, applied: n.commit, failed: n.failed != nil}
+	ro := Role{term: n.term, leader: n.leader, applied: n.commit, failed: n.Err() != nil}
 	if n.standing == leader {
 		ro.leading = true
 		ro.leased = n.leased(now)
--- a/core/quorum/snapshot.go
+++ b/core/quorum/snapshot.go
@@ -28,6 +28,10 @@
 // considerSnapshot takes a snapshot when the log has grown enough. A snapshot
 // that is being sent is kept until it has arrived.
 func (n *Node) considerSnapshot() {
+	if n.muted != nil {
+		n.dropLog(n.commit - min(n.commit, trailEntries))
+		return
+	}
 	grown := n.commit-n.snap.index >= n.cfg.SnapshotEntries || n.logBytes >= n.cfg.SnapshotBytes
 	if n.saving || !grown || n.commit == n.snap.index || n.sending() {
 		return
@@ -113,7 +117,7 @@
 	msg := n.complete(MessageSpec{
 		Kind: Piece, To: pr.vm, Term: n.term, Snapshot: out.snap, Offset: out.offset, Sent: n.now,
 	})
-	n.emit(SendPiece{msg: msg, length: min(PieceBytes, out.snap.size-out.offset)})
+	n.emit(SendPiece{msg: msg, length: min(n.cfg.PieceBytes, out.snap.size-out.offset)})
 }
 
 // resendPiece repeats a piece that was not answered. A stalled transfer starts
--- a/io/disk/errors.go
+++ b/io/disk/errors.go
@@ -1,5 +1,7 @@
 package disk
 
+import "strconv"
+
 // SpawnError reports that an actor could not be started.
 type SpawnError struct {
 	name  string
@@ -11,3 +13,76 @@
 
 // Unwrap returns the cause.
 func (err *SpawnError) Unwrap() error { return err.cause }
+
+// CorruptError reports a file that does not hold what was written. The process
+// must not start with it; the voter is replaced.
+type CorruptError struct {
+	file   string
+	offset int64
+	reason string
+}
+
+// File returns the path of the file.
+func (err *CorruptError) File() string { return err.file }
+
+// Offset returns where the damage starts.
+func (err *CorruptError) Offset() int64 { return err.offset }
+
+// Error describes the failure.
+func (err *CorruptError) Error() string {
+	return err.file + ": " + err.reason + " at offset " + strconv.FormatInt(err.offset, 10) +
+		", replace the voter with an empty data directory"
+}
+
+// OwnerError reports a data directory that belongs to another VM, group or
+// format version.
+type OwnerError struct {
+	dir   string
+	field string
+	found string
+	want  string
+}
+
+// Field returns what differs: vm, group or version.
+func (err *OwnerError) Field() string { return err.field }
+
+// Error describes the failure.
+func (err *OwnerError) Error() string {
+	return "data directory " + err.dir + " is of " + err.field + " " + err.found + " and not " + err.want +
+		", set another directory"
+}
+
+// LockedError reports a data directory that another process uses.
+type LockedError struct {
+	dir   string
+	cause error
+}
+
+// Error describes the failure.
+func (err *LockedError) Error() string {
+	return "data directory " + err.dir + " is in use, stop the other process: " + err.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (err *LockedError) Unwrap() error { return err.cause }
+
+// FileError reports a failed operation on a file.
+type FileError struct {
+	op    string
+	file  string
+	cause error
+}
+
+// Error describes the failure.
+func (err *FileError) Error() string { return err.op + " " + err.file + ": " + err.cause.Error() }
+
+// Unwrap returns the cause.
+func (err *FileError) Unwrap() error { return err.cause }
+
+// fileError returns nil when there is no cause.
+func fileError(op, file string, cause error) error {
+	if cause == nil {
+		return nil
+	}
+	return &FileError{op: op, file: file, cause: cause}
+}
--- /dev/null
+++ b/io/disk/files.go
@@ -0,0 +1,218 @@
+package disk
+
+import (
+	"path/filepath"
+	"strconv"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+	"guavarail/io/wire"
+)
+
+// formatVersion changes when an older program cannot read the files.
+const formatVersion = 1
+
+const (
+	identityName = "identity"
+	lockName     = "lock"
+	logName      = "log"
+	tempSuffix   = ".tmp"
+)
+
+// Config describes the data directory of one replica.
+type Config struct {
+	// Dir is used by this replica only.
+	Dir   string
+	VM    model.VMID
+	Group string
+	// FS is the file system. Nil means that of the operating system.
+	FS FS
+	// Logger takes the lines about repaired files. It may be nil.
+	Logger hclog.Logger
+}
+
+// Files is a store in a data directory.
+type Files struct {
+	cfg   Config
+	disk  quorum.DiskID
+	saved quorum.Saved
+	data  []byte
+	log   *fileLog
+	snaps *fileSnapshots
+}
+
+// Open reads a data directory and creates it when it is empty. The clean-up
+// function closes the files and must be called after the actors that own the
+// store have ended.
+func Open(cfg Config) (*Files, func(), error) {
+	none := func() {}
+	if cfg.FS == nil {
+		cfg.FS = OS{}
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	if err := cfg.FS.MkdirAll(cfg.Dir); err != nil {
+		return nil, none, fileError("create", cfg.Dir, err)
+	}
+	lock, err := cfg.FS.Lock(filepath.Join(cfg.Dir, lockName))
+	if err != nil {
+		return nil, none, &LockedError{dir: cfg.Dir, cause: err}
+	}
+	fls := &Files{cfg: cfg}
+	if err := fls.open(); err != nil {
+		_ = lock.Close()
+		return nil, none, err
+	}
+	return fls, func() {
+		fls.log.close()
+		fls.snaps.close()
+		_ = lock.Close()
+	}, nil
+}
+
+func (fls *Files) open() error {
+	names, err := fls.removeTemps()
+	if err != nil {
+		return err
+	}
+	if err := fls.identify(names); err != nil {
+		return err
+	}
+	fls.snaps = &fileSnapshots{fs: fls.cfg.FS, dir: fls.cfg.Dir}
+	snap, data, err := fls.snaps.load(names)
+	if err != nil {
+		return err
+	}
+	fls.data = data
+	fls.log = &fileLog{fs: fls.cfg.FS, dir: fls.cfg.Dir, logger: fls.cfg.Logger}
+	rec, err := fls.log.load()
+	if err != nil {
+		return err
+	}
+	fls.saved, err = rec.finish(snap)
+	if err != nil || len(fls.saved.Entries()) == len(rec.entries) {
+		return err
+	}
+	// The process ended between the snapshot and the compaction of the log.
+	return fls.log.Replace(fls.saved.Hard(), fls.saved.Entries())
+}
+
+// removeTemps removes files whose writing was interrupted and returns the
+// names of the others.
+func (fls *Files) removeTemps() ([]string, error) {
+	names, err := fls.cfg.FS.List(fls.cfg.Dir)
+	if err != nil {
+		return nil, fileError("list", fls.cfg.Dir, err)
+	}
+	var keep []string
+	for _, name := range names {
+		if filepath.Ext(name) != tempSuffix {
+			keep = append(keep, name)
+		} else if err := fls.cfg.FS.Remove(filepath.Join(fls.cfg.Dir, name)); err != nil {
+			return nil, fileError("remove", name, err)
+		}
+	}
+	return keep, nil
+}
+
+// identify reads the identity, or writes a new one in an empty directory.
+func (fls *Files) identify(names []string) error {
+	path := filepath.Join(fls.cfg.Dir, identityName)
+	hasOthers := false
+	for _, name := range names {
+		switch name {
+		case identityName:
+			return fls.readIdentity(path)
+		case lockName:
+		default:
+			hasOthers = true
+		}
+	}
+	if hasOthers {
+		return &CorruptError{file: path, reason: "the identity is missing beside other files"}
+	}
+	fls.disk = newDiskID()
+	buf, err := proto.Marshal(&wire.QuorumDisk{
+		Version: formatVersion, Disk: string(fls.disk), Vm: string(fls.cfg.VM), Group: fls.cfg.Group,
+	})
+	if err != nil {
+		return fileError("encode", path, err)
+	}
+	return writeFile(fls.cfg.FS, path, appendFrame(nil, buf))
+}
+
+func (fls *Files) readIdentity(path string) error {
+	buf, err := fls.cfg.FS.ReadFile(path)
+	if err != nil {
+		return fileError("read", path, err)
+	}
+	payload, rest, ok := readFrame(buf)
+	var ident wire.QuorumDisk
+	if !ok || len(rest) > 0 || proto.Unmarshal(payload, &ident) != nil {
+		return &CorruptError{file: path, reason: "the identity is damaged"}
+	}
+	wrong := func(field, found, want string) error {
+		return &OwnerError{dir: fls.cfg.Dir, field: field, found: found, want: want}
+	}
+	switch {
+	case ident.GetVersion() != formatVersion:
+		return wrong("version", strconv.Itoa(int(ident.GetVersion())), strconv.Itoa(formatVersion))
+	case ident.GetVm() != string(fls.cfg.VM):
+		return wrong("vm", ident.GetVm(), string(fls.cfg.VM))
+	case ident.GetGroup() != fls.cfg.Group:
+		return wrong("group", ident.GetGroup(), fls.cfg.Group)
+	}
+	fls.disk = quorum.DiskID(ident.GetDisk())
+	return nil
+}
+
+// Disk returns the identity of the data directory.
+func (fls *Files) Disk() quorum.DiskID { return fls.disk }
+
+// Load returns what the directory held when it was opened.
+func (fls *Files) Load() (quorum.Saved, []byte, error) {
+	sv, data := fls.saved, fls.data
+	fls.saved, fls.data = quorum.Saved{}, nil
+	return sv, data, nil
+}
+
+// Log returns the stored log.
+func (fls *Files) Log() Log { return fls.log }
+
+// Snapshots returns the stored snapshots.
+func (fls *Files) Snapshots() Snapshots { return fls.snaps }
+
+// writeFile puts a whole file in place: after a crash it has the old content
+// or the new one.
+func writeFile(fs FS, path string, parts ...[]byte) error {
+	fil, err := fs.Create(path + tempSuffix)
+	if err != nil {
+		return fileError("create", path, err)
+	}
+	for _, part := range parts {
+		if _, err := fil.Write(part); err != nil {
+			_ = fil.Close()
+			return fileError("write", path, err)
+		}
+	}
+	return publish(fs, fil, path+tempSuffix, path)
+}
+
+// publish syncs a temporary file, closes it and gives it its name.
+func publish(fs FS, fil File, temp, path string) error {
+	if err := fil.Sync(); err != nil {
+		_ = fil.Close()
+		return fileError("sync", path, err)
+	}
+	if err := fil.Close(); err != nil {
+		return fileError("close", path, err)
+	}
+	if err := fs.Rename(temp, path); err != nil {
+		return fileError("rename", path, err)
+	}
+	return fileError("sync", filepath.Dir(path), fs.SyncDir(filepath.Dir(path)))
+}
