Serve: run one VM from its settings file

Cause: the parts were not yet one program.

Change: the serve command starts a VM, opens a data directory per group, and on SIGTERM hands over leadership and drains the request path. Fleet state is read under the leader lease, because two commands sent one after the other through a follower otherwise took the same configuration number; without a leader the read is answered from what the VM holds.

--- a/cmd/guavarail/commands.go
+++ b/cmd/guavarail/commands.go
@@ -13,6 +13,7 @@
 	presetlist "guavarail/io/cmd/preset/list"
 	presetshow "guavarail/io/cmd/preset/show"
 	settingscheck "guavarail/io/cmd/settings/check"
+	"guavarail/io/cmd/serve"
 	"guavarail/io/cmd/shell"
 	"guavarail/io/cmd/status"
 	"guavarail/io/cmd/timeline"
@@ -21,10 +22,10 @@
 	workerlist "guavarail/io/cmd/worker/list"
 )
 
-// commands returns all commands in the order of the overview. serve, demo,
-// replay and load are added here.
+// commands returns all commands in the order of the overview.
 func commands() []shell.Command {
 	return []shell.Command{
+		serve.New(),
 		status.New(),
 		timeline.New(),
 		presetlist.New(),
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -111,12 +111,23 @@
 	}
 	cal.Hops++
 	rep, err := mux.fwd.Forward(ctx, buf.elsewhere, cal)
-	if err != nil {
-		return errorReply(err)
+	switch {
+	case err == nil:
+		return rep
+	case cal.Method == http.MethodGet && !isLocal(ctx):
+		// The leader cannot be reached: a read is answered from what this VM
+		// holds.
+		cal.Hops = maxHops
+		return mux.Serve(context.WithValue(ctx, localKey{}, true), cal)
 	}
-	return rep
+	return errorReply(err)
 }
 
+// localKey marks a call that is answered from what this VM holds.
+type localKey struct{}
+
+func isLocal(ctx context.Context) bool { return ctx.Value(localKey{}) != nil }
+
 // writeAnswer writes the answer of a call that succeeded.
 func writeAnswer(wri http.ResponseWriter, ans any) {
 	body, err := json.Marshal(ans)
--- a/io/admin/ports.go
+++ b/io/admin/ports.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/juju/errors"
+
 	"guavarail/core/event"
 	"guavarail/core/fleet"
 	"guavarail/core/model"
@@ -15,6 +17,10 @@
 	// Propose has a command decided. The error is an Elsewhere when this VM
 	// does not lead the group.
 	Propose(ctx context.Context, cmd fleet.Command) (fleet.Result, error)
+	// Read returns what fn reads from the newest state. The error is an
+	// Elsewhere when this VM does not lead the group. fn must not keep the
+	// state.
+	Read(ctx context.Context, fn func(sta *fleet.State) any) (any, error)
 	// Do runs fn with the state that this VM holds, on the actor that owns it,
 	// and returns at once. fn must not keep the state.
 	Do(fn func(sta *fleet.State))
@@ -70,8 +76,21 @@
 	Forward  Forwarder
 }
 
-// readFleet returns what fn reads from the fleet state that this VM holds.
+// readFleet returns what fn reads from the newest fleet state, so that an
+// operator sees the number of the command just sent. Without a leader, as in a
+// partition, it is the state that this VM holds.
 func readFleet[T any](ctx context.Context, fle Fleet, fn func(sta *fleet.State) T) (T, error) {
+	val, err := fle.Read(ctx, func(sta *fleet.State) any { return fn(sta) })
+	var els Elsewhere
+	if errors.As(err, &els) && (els.Leader() == "" || isLocal(ctx)) {
+		return readHeld(ctx, fle, fn)
+	}
+	out, _ := val.(T)
+	return out, err
+}
+
+// readHeld returns what fn reads from the fleet state that this VM holds.
+func readHeld[T any](ctx context.Context, fle Fleet, fn func(sta *fleet.State) T) (T, error) {
 	reply := make(chan T, 1)
 	fle.Do(func(sta *fleet.State) { reply <- fn(sta) })
 	select {
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -107,6 +107,11 @@
 	return fle.ref.Propose(ctx, cmd)
 }
 
+// Read returns what fn reads from the newest state.
+func (fle *fleetPart) Read(ctx context.Context, fn func(sta *fleet.State) any) (any, error) {
+	return group.Read(ctx, fle.ref, func(_ model.Instant, _ quorum.Role, sta *fleet.State) any { return fn(sta) })
+}
+
 // Do runs fn with the state that this VM holds.
 func (fle *fleetPart) Do(fn func(sta *fleet.State)) {
 	fle.ref.Do(func(_ model.Instant, _ quorum.Role, sta *fleet.State) { fn(sta) })
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"hash/fnv"
 	"net"
+	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,8 @@
 	// groups delivers messages to the replicas on this VM. It is complete
 	// before the links start to deliver.
 	groups map[string]func(from model.VMID, msg *wire.QuorumMessage)
+	// transfers hand over the leadership of each group on this VM.
+	transfers []func(ctx context.Context) error
 	// view is replaced as a whole when the fleet state changes; nil until the
 	// first state.
 	view atomic.Pointer[view]
@@ -153,6 +156,7 @@
 		return err
 	}
 	nod.fleet = fle
+	nod.transfers = append(nod.transfers, fle.ref.Transfer)
 	first := fleet.New()
 	first.Apply(fle.founding)
 	for _, cen := range first.Centres() {
@@ -164,6 +168,7 @@
 		if err := nod.keep(stop, err); err != nil {
 			return err
 		}
+		nod.transfers = append(nod.transfers, prt.ref.Transfer)
 		if cen.Name() == nod.centre {
 			nod.own = prt
 		}
@@ -210,9 +215,16 @@
 }
 
 // store opens the store of a group: a folder of the data directory, or memory
-// on a VM without a disk.
-func (nod *Node) store(string) (disk.Store, error) {
-	return disk.NewMemory(), nil
+// on a VM without a disk. It is closed after the replica has stopped.
+func (nod *Node) store(group string) (disk.Store, error) {
+	dir, ok := nod.set.DataDir()
+	if !ok {
+		return disk.NewMemory(), nil
+	}
+	fls, stop, err := disk.Open(disk.Config{
+		Dir: filepath.Join(dir, group), VM: nod.self, Group: group, Logger: nod.log.Named("disk"),
+	})
+	return fls, nod.keep(stop, err)
 }
 
 // publish makes a changed fleet state known to the other parts.
