--- /dev/null
+++ b/cmd/guavarail/main_test.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// runAsProgram makes the test binary act as the program, so that tests start
+// real processes without a build of their own.
+const runAsProgram = "GUAVARAIL_TEST_PROGRAM"
+
+// patience bounds every wait. It only ends a test that hangs; no test passes or
+// fails by how long something took.
+const patience = 60 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runAsProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// vm is one VM of a test fleet, run as a process of its own.
+type vm struct {
+	name, centre       string
+	callers, api, peer string
+	settings           string
+	cmd                *exec.Cmd
+	log                *os.File
+}
+
+// cluster is a test fleet on loopback.
+type cluster struct {
+	t   *testing.T
+	dir string
+	vms []*vm
+}
+
+// newCluster writes the settings of one VM for each name of the form
+// CENTRE-NUMBER and starts them.
+func newCluster(t *testing.T, names ...string) *cluster {
+	t.Helper()
+	clu := &cluster{t: t, dir: t.TempDir()}
+	for _, name := range names {
+		centre := name[:strings.LastIndexByte(name, '-')]
+		adrs := freeAddresses(t, 3)
+		clu.vms = append(clu.vms, &vm{name: name, centre: centre, callers: adrs[0], api: adrs[1], peer: adrs[2]})
+	}
+	for _, v := range clu.vms {
+		clu.writeSettings(v)
+		clu.start(v)
+	}
+	t.Cleanup(func() {
+		for _, v := range clu.vms {
+			clu.kill(v)
+		}
+		if t.Failed() {
+			clu.showLogs()
+		}
+	})
+	for _, v := range clu.vms {
+		clu.waitReady(v)
+	}
+	return clu
+}
+
+// freeAddresses returns loopback addresses that nobody listens on.
+func freeAddresses(t *testing.T, num int) []string {
+	t.Helper()
+	var out []string
+	for range num {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = lis.Close() }()
+		out = append(out, lis.Addr().String())
+	}
+	return out
+}
+
+func (clu *cluster) writeSettings(v *vm) {
+	var buf bytes.Buffer
+	fmt.Fprintf(&buf, "[vm]\nname = %s\ncentre = %s\nregion = test\ndataDir = %s\n", v.name, v.centre, filepath.Join(clu.dir, v.name))
+	fmt.Fprintf(&buf, "[listen]\ncallers = %s\napi = %s\npeers = %s\n", v.callers, v.api, v.peer)
+	for _, o := range clu.vms {
+		fmt.Fprintf(&buf, "[vms.%s]\ncentre = %s\npeer = %s\napi = %s\ncallers = %s\ndisk = yes\n", o.name, o.centre, o.peer, o.api, o.callers)
+	}
+	v.settings = filepath.Join(clu.dir, v.name+".ini")
+	if err := os.WriteFile(v.settings, buf.Bytes(), 0o600); err != nil {
+		clu.t.Fatal(err)
+	}
+}
+
+func (clu *cluster) start(v *vm) {
+	clu.t.Helper()
+	log, err := os.OpenFile(filepath.Join(clu.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		clu.t.Fatal(err)
+	}
+	v.log = log
+	v.cmd = exec.Command(os.Args[0], "serve", "--settings", v.settings)
+	v.cmd.Env = append(os.Environ(), runAsProgram+"=1")
+	v.cmd.Stdout, v.cmd.Stderr = log, log
+	if err := v.cmd.Start(); err != nil {
+		clu.t.Fatal(err)
+	}
+}
+
+// kill ends a VM without warning.
+func (clu *cluster) kill(v *vm) {
+	if v.cmd == nil {
+		return
+	}
+	_ = v.cmd.Process.Signal(syscall.SIGCONT)
+	_ = v.cmd.Process.Kill()
+	_ = v.cmd.Wait()
+	_ = v.log.Close()
+	v.cmd = nil
+}
+
+func (clu *cluster) signal(v *vm, sig syscall.Signal) {
+	clu.t.Helper()
+	if err := v.cmd.Process.Signal(sig); err != nil {
+		clu.t.Fatal(err)
+	}
+}
+
+func (clu *cluster) showLogs() {
+	for _, v := range clu.vms {
+		log, _ := os.ReadFile(filepath.Join(clu.dir, v.name+".log"))
+		lines := strings.Split(string(log), "\n")
+		clu.t.Logf("log of %s:\n%s", v.name, strings.Join(lines[max(0, len(lines)-40):], "\n"))
+	}
+}
+
+func (clu *cluster) waitReady(v *vm) {
+	clu.t.Helper()
+	clu.until("VM "+v.name+" is ready", func() bool {
+		res, err := http.Get("http://" + v.api + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+// until waits for a condition.
+func (clu *cluster) until(what string, cond func() bool) {
+	clu.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for !cond() {
+		select {
+		case <-ctx.Done():
+			clu.t.Fatalf("gave up waiting until %s", what)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// run runs the program with the API of the given VM and returns its standard
+// output and exit code.
+func (clu *cluster) run(v *vm, args ...string) (string, int) {
+	clu.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, os.Args[0], args...)
+	cmd.Env = append(os.Environ(), runAsProgram+"=1", "GUAVARAIL_API="+v.api, "GUAVARAIL_OPERATOR=test")
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	if cmd.ProcessState == nil {
+		clu.t.Fatal(err)
+	}
+	if code := cmd.ProcessState.ExitCode(); code != 0 {
+		return out.String() + errs.String(), code
+	}
+	return out.String(), 0
+}
+
+// must runs a command until it is accepted: an election may be under way.
+func (clu *cluster) must(v *vm, args ...string) string {
+	clu.t.Helper()
+	var out string
+	clu.until("guavarail "+strings.Join(args, " ")+" succeeds", func() bool {
+		var code int
+		out, code = clu.run(v, args...)
+		return code == 0
+	})
+	return out
+}
+
+// get reads a JSON answer of the API; ok is false when the VM did not answer.
+func get[T any](v *vm, path string) (val T, ok bool) {
+	cli := http.Client{Timeout: 5 * time.Second}
+	res, err := cli.Get("http://" + v.api + path)
+	if err != nil {
+		return val, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK {
+		return val, false
+	}
+	return val, json.Unmarshal(body, &val) == nil
+}
