--- /dev/null
+++ b/io/node/fleet_bench_test.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"runtime"
+	"sort"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+	"guavarail/io/config"
+)
+
+// startVMs starts num VMs in this process, in data centres of at most three.
+func startVMs(tb testing.TB, num int) []*Node {
+	tb.Helper()
+	var adrs []string
+	var lis []net.Listener
+	for range 3 * num {
+		li, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		lis = append(lis, li)
+		adrs = append(adrs, li.Addr().String())
+	}
+	for _, li := range lis {
+		_ = li.Close()
+	}
+	var list strings.Builder
+	name := func(i int) (vm, centre string) { return fmt.Sprintf("vm-%d", i), fmt.Sprintf("dc-%d", i/3) }
+	for i := range num {
+		vm, centre := name(i)
+		fmt.Fprintf(&list, "[vms.%s]\ncentre = %s\npeer = %s\napi = %s\ncallers = %s\ndisk = yes\n", vm, centre, adrs[3*i], adrs[3*i+1], adrs[3*i+2])
+	}
+	var nods []*Node
+	for i := range num {
+		vm, centre := name(i)
+		text := fmt.Sprintf("[vm]\nname = %s\ncentre = %s\nregion = bench\ndataDir = %s\n[listen]\npeers = %s\napi = %s\ncallers = %s\n",
+			vm, centre, tb.TempDir(), adrs[3*i], adrs[3*i+1], adrs[3*i+2])
+		set, err := config.Parse(vm+".ini", []byte(text+list.String()))
+		if err != nil {
+			tb.Fatal(err)
+		}
+		nod, stop, err := New(set, hclog.NewNullLogger())
+		if err != nil {
+			tb.Fatal(err)
+		}
+		tb.Cleanup(stop)
+		nods = append(nods, nod)
+	}
+	for _, nod := range nods {
+		for nod.view.Load() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nods
+}
+
+func cpuTime() time.Duration {
+	var use syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &use)
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
+// BenchmarkIdleVM gives the control cost of one idle VM: bytes a second on its
+// sockets, sent and received, share of a core, and heap.
+func BenchmarkIdleVM(b *testing.B) {
+	const watch = 10 * time.Second
+	for _, num := range []int{3, 7, 15, 30} {
+		b.Run(fmt.Sprintf("vms=%d", num), func(b *testing.B) {
+			nods := startVMs(b, num)
+			time.Sleep(3 * time.Second)
+			bytes := func() (sum int64) {
+				for _, nod := range nods {
+					sent, received := nod.hub.Vars().SocketBytes()
+					sum += sent + received
+				}
+				return sum
+			}
+			from, cpu, start := bytes(), cpuTime(), time.Now()
+			time.Sleep(watch)
+			per := time.Since(start).Seconds() * float64(num)
+			b.ReportMetric(float64(bytes()-from)/per, "B/s/VM")
+			b.ReportMetric(100*(cpuTime()-cpu).Seconds()/per, "%core/VM")
+			var mem runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&mem)
+			b.ReportMetric(float64(mem.HeapInuse+mem.StackInuse)/float64(num)/1e6, "MB/VM")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkSwitchInEffect gives the time from an operator's command to the last
+// VM that acts on it.
+func BenchmarkSwitchInEffect(b *testing.B) {
+	const rounds = 40
+	for _, num := range []int{3, 7, 15, 30} {
+		b.Run(fmt.Sprintf("vms=%d", num), func(b *testing.B) {
+			nods := startVMs(b, num)
+			var took []time.Duration
+			for i := range rounds {
+				took = append(took, switchOnce(b, nods, uint64(i+2)))
+			}
+			sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+			b.ReportMetric(float64(took[rounds/2].Milliseconds()), "ms-p50")
+			b.ReportMetric(float64(took[rounds-1].Milliseconds()), "ms-max")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// switchOnce sends one command to the leader and waits for all VMs.
+func switchOnce(b *testing.B, nods []*Node, number uint64) time.Duration {
+	start := time.Now()
+	cmd := fleet.NewCommand(model.CommandID(fmt.Sprint("c", number)), number, "bench", fleet.NewSwitchPreset(fleet.DefaultPreset))
+	for sent := false; !sent; {
+		for _, nod := range nods {
+			res, err := nod.fleet.Propose(b.Context(), cmd)
+			if err == nil && res.Err() == nil {
+				sent = true
+				break
+			}
+		}
+	}
+	for _, nod := range nods {
+		for nod.view.Load().number < number {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(start)
+}
+
