--- a/io/node/fleet_bench_test.go
+++ b/io/node/fleet_bench_test.go
@@ -137,4 +137,3 @@
 	}
 	return time.Since(start)
 }
-
