Check the fleet state against an oracle

Cause: section 4.4 promises that racing and repeated commands cannot corrupt the configuration, also over restarts.

--- /dev/null
+++ b/core/fleet/fuzz_test.go
@@ -0,0 +1,251 @@
+package fleet_test
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+	"guavarail/io/wire"
+)
+
+// TestMain fixes the seed and the number of runs and steps, so that every run
+// tests the same sequences.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, val := range map[string]string{"rapid.seed": "4711", "rapid.checks": "300", "rapid.steps": "150", "rapid.nofailfile": "true"} {
+		given := false
+		flag.Visit(func(fl *flag.Flag) { given = given || fl.Name == name })
+		if given {
+			continue
+		}
+		if err := flag.Set(name, val); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	centres = []string{"riga-a", "riga-b", "riga-c"}
+	vmNames = []string{"v1", "v2", "v3", "v4"}
+	names   = []string{fleet.DefaultPreset, "peak", "night"}
+)
+
+// fleetTest drives one state, a replica that lags behind, and the oracle.
+type fleetTest struct {
+	st *fleet.State
+	or *oracle
+	// log has the commands that the replica has not applied yet.
+	log     [][]byte
+	replica *fleet.State
+	sent    []fleet.Command
+}
+
+func drawVM(t *rapid.T) fleet.VM {
+	disk := rapid.Bool().Draw(t, "disk")
+	spec := fleet.VMSpec{
+		Name: model.VMID(rapid.SampledFrom(vmNames).Draw(t, "vm")), Centre: model.CentreID(rapid.SampledFrom(centres).Draw(t, "centre")),
+		PeerAddress: "10.0.0.1:7002", APIAddress: "10.0.0.1:7001", Disk: disk,
+	}
+	if disk {
+		spec.DiskID = rapid.SampledFrom([]string{"", "d1", "d2"}).Draw(t, "disk identity")
+	}
+	return fleet.NewVM(spec)
+}
+
+func drawAction(t *rapid.T) fleet.Action {
+	centre := model.CentreID(rapid.SampledFrom(centres).Draw(t, "centre"))
+	vm := model.VMID(rapid.SampledFrom(vmNames).Draw(t, "vm"))
+	name := rapid.SampledFrom(names).Draw(t, "preset")
+	flag := rapid.Bool().Draw(t, "flag")
+	switch rapid.IntRange(0, 7).Draw(t, "action") {
+	case 0:
+		pre, err := model.NewPreset(model.PresetSpec{Name: name})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fleet.NewCreatePreset(pre, flag)
+	case 1:
+		return fleet.NewSwitchPreset(name)
+	case 2:
+		return fleet.NewCentreOut(centre, flag)
+	case 3:
+		return fleet.NewCentreIn(centre)
+	case 4:
+		return fleet.NewAddLearner(drawVM(t))
+	case 5:
+		return fleet.NewPromote(vm, rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "disk identity"))
+	case 6:
+		return fleet.NewRemoveVM(vm)
+	}
+	return fleet.NewReplaceVM(vm, drawVM(t))
+}
+
+// apply sends one command to the state and compares the answer.
+func (ft *fleetTest) apply(t *rapid.T, cmd fleet.Command) {
+	buf, err := wire.FleetCommands{}.Encode(cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ft.log = append(ft.log, buf)
+	before, kept := ft.st.Number(), ft.or.kept(cmd.ID())
+	want, again := ft.or.want(cmd)
+	res := ft.st.Apply(cmd)
+	switch {
+	case again:
+		first := ft.or.answer[cmd.ID()]
+		if !same(first, res) || ft.st.Number() != before {
+			t.Fatalf("retry of %s got %+v at %d, first answer %+v", cmd.ID(), res, ft.st.Number(), first)
+		}
+	case want == fleet.Accepted:
+		ch, ok := res.Change()
+		if !ok || ch.Number() != before+1 || ft.st.Number() != before+1 {
+			t.Fatalf("%s %s got %v, want it accepted as %d", cmd.Kind(), cmd.Target(), res.Err(), before+1)
+		}
+	default:
+		rej := res.Rejection()
+		if rej == nil || rej.Reason() != want || rej.Number() != before || rej.Active() != ft.or.active || ft.st.Number() != before {
+			t.Fatalf("%s %s got %+v, want %s at %d", cmd.Kind(), cmd.Target(), res, want, before)
+		}
+		holder, _ := rej.Holder()
+		if want == fleet.NumberTaken && holder.Command() != ft.or.winner[cmd.Number()] {
+			t.Fatalf("holder of %d is %+v, want %s", cmd.Number(), holder, ft.or.winner[cmd.Number()])
+		}
+	}
+	if !kept {
+		ft.or.record(cmd, res)
+	}
+}
+
+func same(ra, rb fleet.Result) bool {
+	ca, oka := ra.Change()
+	cb, okb := rb.Change()
+	if oka != okb || ca != cb {
+		return false
+	}
+	return oka || *ra.Rejection() == *rb.Rejection()
+}
+
+// send sends a new command, often with a number that another one took.
+func (ft *fleetTest) send(t *rapid.T) {
+	now := int64(ft.st.Number())
+	number := max(1, now+rapid.SampledFrom([]int64{1, 1, 1, 1, 0, -1, -20, 2}).Draw(t, "number"))
+	id := model.CommandID("c" + strconv.Itoa(len(ft.sent)))
+	operator := rapid.SampledFrom([]string{"ilze", "janis"}).Draw(t, "operator")
+	cmd := fleet.NewCommand(id, uint64(number), operator, drawAction(t))
+	ft.sent = append(ft.sent, cmd)
+	ft.apply(t, cmd)
+}
+
+// resend repeats any earlier command, sometimes with other content.
+func (ft *fleetTest) resend(t *rapid.T) {
+	if len(ft.sent) == 0 {
+		t.Skip()
+	}
+	cmd := rapid.SampledFrom(ft.sent).Draw(t, "earlier")
+	if rapid.IntRange(0, 4).Draw(t, "altered") == 0 {
+		cmd = fleet.NewCommand(cmd.ID(), cmd.Number(), cmd.Operator(), drawAction(t))
+	}
+	ft.apply(t, cmd)
+}
+
+// restart replaces the state by its encoded snapshot.
+func (ft *fleetTest) restart(t *rapid.T) {
+	next := fleet.NewWithRoom(ft.or.room)
+	restore(t, next, encode(t, ft.st))
+	ft.st = next
+}
+
+// catchUp applies the rest of the log on the replica and compares the states.
+func (ft *fleetTest) catchUp(t *rapid.T) {
+	for _, buf := range ft.log {
+		cmd, err := wire.FleetCommands{}.Decode(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ft.replica.Apply(cmd)
+	}
+	ft.log = nil
+	if !bytes.Equal(encode(t, ft.st), encode(t, ft.replica)) {
+		t.Fatalf("replicas differ: %+v and %+v", ft.st.Snapshot(), ft.replica.Snapshot())
+	}
+}
+
+func encode(t *rapid.T, st *fleet.State) []byte {
+	buf, err := wire.FleetSnapshots{}.Encode(st.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return buf
+}
+
+func restore(t *rapid.T, st *fleet.State, buf []byte) {
+	sn, err := wire.FleetSnapshots{}.Decode(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	st.Restore(sn)
+}
+
+// check compares the state with the oracle after every step.
+func (ft *fleetTest) check(t *rapid.T) {
+	if ft.st.Number() != ft.or.number || ft.st.ActiveName() != ft.or.active {
+		t.Fatalf("configuration %d %s, want %d %s", ft.st.Number(), ft.st.ActiveName(), ft.or.number, ft.or.active)
+	}
+	active := 0
+	for _, en := range ft.st.Presets() {
+		if en.Preset().Name() == ft.st.Active().Preset().Name() {
+			active++
+		}
+	}
+	if active != 1 || len(ft.st.Presets()) != len(ft.or.presets) {
+		t.Fatalf("%d active of %d presets, want 1 of %d", active, len(ft.st.Presets()), len(ft.or.presets))
+	}
+	for _, centre := range centres {
+		ce, ok := ft.st.Centre(model.CentreID(centre))
+		if ok != ft.or.knows(centre) || ce.Out() != ft.or.out[centre] {
+			t.Fatalf("data centre %s is %+v, want known %v, out %v", centre, ce, ft.or.knows(centre), ft.or.out[centre])
+		}
+	}
+	for _, name := range vmNames {
+		vm, _ := ft.st.VM(model.VMID(name))
+		if vm.Spec() != ft.or.vms[name] {
+			t.Fatalf("VM %s is %+v, want %+v", name, vm.Spec(), ft.or.vms[name])
+		}
+	}
+	if kept := len(ft.st.Snapshot().Spec().Answers); kept > ft.or.room {
+		t.Fatalf("%d answers are kept, want %d at most", kept, ft.or.room)
+	}
+}
+
+// Guards section 4.4 and F10: one preset is active, the configuration number
+// only grows, of equal numbers one command wins and the other is told which,
+// retries get the first answer also after a restart, replicas agree, and memory
+// is bounded.
+func TestFleetAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.SampledFrom([]int{4, 16, 64}).Draw(t, "room")
+		ft := &fleetTest{st: fleet.NewWithRoom(room), replica: fleet.NewWithRoom(room), or: newOracle(room)}
+		boot := fleet.NewCommand("boot", 1, "system", fleet.NewBootstrap([]fleet.VM{
+			fleet.NewVM(fleet.VMSpec{Name: "v1", Centre: "riga-a", PeerAddress: "a", APIAddress: "b", Disk: true}),
+			fleet.NewVM(fleet.VMSpec{Name: "v2", Centre: "riga-b", PeerAddress: "a", APIAddress: "b", Disk: true}),
+		}))
+		ft.sent = append(ft.sent, boot)
+		ft.apply(t, boot)
+		t.Repeat(map[string]func(*rapid.T){
+			"":        ft.check,
+			"send":    ft.send,
+			"send 2":  ft.send,
+			"resend":  ft.resend,
+			"restart": ft.restart,
+			"catchUp": ft.catchUp,
+		})
+		ft.catchUp(t)
+	})
+}
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -57,7 +57,7 @@
 
 // Restore replaces the state.
 func (st *State) Restore(sn Snapshot) {
-	*st = State{last: sn.spec.Last, active: sn.spec.Active}
+	*st = State{last: sn.spec.Last, active: sn.spec.Active, room: st.room}
 	st.init()
 	for _, en := range sn.spec.Presets {
 		st.presets[en.preset.Name()] = en
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -90,6 +90,9 @@
 	centres map[model.CentreID]Centre
 	vms     map[model.VMID]VM
 	answers window[model.CommandID, answer]
+	// room is the number of answers kept; 0 means answerRoom. It must be the
+	// same on all replicas.
+	room int
 }
 
 // New returns the state of a fleet without commands.
@@ -101,7 +104,7 @@
 		st.presets = map[string]PresetEntry{}
 		st.centres = map[model.CentreID]Centre{}
 		st.vms = map[model.VMID]VM{}
-		st.answers = newWindow[model.CommandID, answer](answerRoom)
+		st.answers = newWindow[model.CommandID, answer](cmp.Or(st.room, answerRoom))
 	}
 }
 
