Let the fuzzer alter operators, numbers and roles in retries

Cause: trial mutations showed that two faults would pass: ignoring the operator of a retry, and a new VM that claims to be a voter.

Change: the fuzzer draws both, and retries with another number.

--- a/core/fleet/fuzz_test.go
+++ b/core/fleet/fuzz_test.go
@@ -52,6 +52,8 @@
 	spec := fleet.VMSpec{
 		Name: model.VMID(rapid.SampledFrom(vmNames).Draw(t, "vm")), Centre: model.CentreID(rapid.SampledFrom(centres).Draw(t, "centre")),
 		PeerAddress: "10.0.0.1:7002", APIAddress: "10.0.0.1:7001", Disk: disk,
+		// Only a promotion makes a voter, whatever the command says.
+		Role: rapid.SampledFrom([]fleet.VMRole{fleet.Learner, fleet.Voter}).Draw(t, "role"),
 	}
 	if disk {
 		spec.DiskID = rapid.SampledFrom([]string{"", "d1", "d2"}).Draw(t, "disk identity")
@@ -149,8 +151,13 @@
 		t.Skip()
 	}
 	cmd := rapid.SampledFrom(ft.sent).Draw(t, "earlier")
-	if rapid.IntRange(0, 4).Draw(t, "altered") == 0 {
+	switch rapid.IntRange(0, 9).Draw(t, "altered") {
+	case 0:
 		cmd = fleet.NewCommand(cmd.ID(), cmd.Number(), cmd.Operator(), drawAction(t))
+	case 1:
+		cmd = fleet.NewCommand(cmd.ID(), cmd.Number(), "marta", cmd.Action())
+	case 2:
+		cmd = fleet.NewCommand(cmd.ID(), cmd.Number()+1, cmd.Operator(), cmd.Action())
 	}
 	ft.apply(t, cmd)
 }
