Fix the order of retries in the test of old identities

Cause: the test walked a map.

Change: the retries have an order, the kept ones first. The expectations are the same.

--- a/core/fleet/bounds_test.go
+++ b/core/fleet/bounds_test.go
@@ -26,14 +26,24 @@
 	if kept := len(st.Snapshot().Spec().Answers); kept != answerRoom || st.Number() != last {
 		t.Fatalf("%d answers are kept at %d, want %d at %d", kept, st.Number(), answerRoom, last)
 	}
-	for id, want := range map[uint64]fleet.Reason{last: fleet.Accepted, last - answerRoom + 1: fleet.Accepted, last - answerRoom: fleet.AnswerExpired, 1: fleet.AnswerExpired} {
-		res := st.Apply(command(strconv.FormatUint(id, 10), id, fleet.NewSwitchPreset(fleet.DefaultPreset)))
+	// The kept ones come first: the answer to an expired one is kept in turn
+	// and pushes the oldest one out.
+	for _, tc := range []struct {
+		id   uint64
+		want fleet.Reason
+	}{
+		{last, fleet.Accepted},
+		{last - answerRoom + 1, fleet.Accepted},
+		{last - answerRoom, fleet.AnswerExpired},
+		{1, fleet.AnswerExpired},
+	} {
+		res := st.Apply(command(strconv.FormatUint(tc.id, 10), tc.id, fleet.NewSwitchPreset(fleet.DefaultPreset)))
 		got := fleet.Accepted
 		if rej := res.Rejection(); rej != nil {
 			got = rej.Reason()
 		}
-		if got != want || st.Number() != last {
-			t.Errorf("retry of command %d got %s at %d, want %s at %d", id, got, st.Number(), want, last)
+		if got != tc.want || st.Number() != last {
+			t.Errorf("retry of command %d got %s at %d, want %s at %d", tc.id, got, st.Number(), tc.want, last)
 		}
 	}
 }
