--- a/cmd/guavarail/commands.go
+++ b/cmd/guavarail/commands.go
@@ -12,6 +12,7 @@
 	presetcreate "guavarail/io/cmd/preset/create"
 	presetlist "guavarail/io/cmd/preset/list"
 	presetshow "guavarail/io/cmd/preset/show"
+	"guavarail/io/cmd/serve"
 	settingscheck "guavarail/io/cmd/settings/check"
 	"guavarail/io/cmd/shell"
 	"guavarail/io/cmd/status"
@@ -21,10 +22,10 @@
 	workerlist "guavarail/io/cmd/worker/list"
 )
 
-// commands returns all commands in the order of the overview. serve, demo,
-// replay and load are added here.
+// commands returns all commands in the order of the overview.
 func commands() []shell.Command {
 	return []shell.Command{
+		serve.New(),
 		status.New(),
 		timeline.New(),
 		presetlist.New(),
