Read all pages of the time line and drop settings without effect

Cause: the server answers events in pages, oldest first, so the timeline showed the first 1,000 only, and a restarted VM could hide events. Two limits were accepted but nothing read them.

Change: the timeline reads on until there is nothing new and sends the epoch of the VM; io/config derives the list of allowed keys from those that are read; apiBodyBytes and tasksPerJob, and two unused error types, are gone.

Result: with pages of one event and a restart that passes the old number, each event is printed once.

--- a/cmd/guavarail/commands_test.go
+++ b/cmd/guavarail/commands_test.go
@@ -177,7 +177,7 @@
 		"status --api 127.0.0.1:1":             {"", 4, "", "next: check --api"},
 		"status --api x --settings y":          {"", 2, "", "exclude each other"},
 		"settings check /nonexistent/file.ini": {"", 1, "", "give the path of a readable INI file"},
-		"timeline --limit 0":                   {"", 2, "", "use 1 to 10000"},
+		"timeline --limit 0":                   {"", 2, "", "use 1 to 100000"},
 	} {
 		t.Run(line, func(t *testing.T) {
 			srv := httptest.NewServer(newFakeAPI())
--- a/io/cmd/timeline/source.go
+++ b/io/cmd/timeline/source.go
@@ -15,17 +15,21 @@
 type source struct {
 	name string
 	cl   *client.Client
-	// after is the sequence of the last event that was read.
+	// after is the sequence of the last event that was read, in the given
+	// epoch of the VM.
 	after uint64
+	epoch string
 	// down reports that the last read failed.
 	down bool
 }
 
 // reading is what one read of a source gave.
 type reading struct {
-	src  *source
-	list rest.EventList
-	err  error
+	src *source
+	// events has what was read before err.
+	events  []rest.Event
+	dropped uint64
+	err     error
 }
 
 // batch is what one round over all sources gave.
@@ -37,9 +41,10 @@
 	changed []reading
 }
 
-// readAll reads all sources at the same time and merges their events. A source
+// readAll reads all sources at the same time and merges their newest events, at
+// most limit of each. A source
 // is only used by its goroutine until that has delivered its reading.
-func readAll(ctx context.Context, srs []*source, que rest.EventQuery) batch {
+func readAll(ctx context.Context, srs []*source, que rest.EventQuery, limit int) batch {
 	results := make([]chan reading, len(srs))
 	for i, src := range srs {
 		results[i] = make(chan reading, 1)
@@ -49,30 +54,40 @@
 	for _, result := range results {
 		rea := <-result
 		bat.readings = append(bat.readings, rea)
-		if down := rea.err != nil; down != rea.src.down || rea.list.Dropped > 0 {
+		if down := rea.err != nil; down != rea.src.down || rea.dropped > 0 {
 			bat.changed = append(bat.changed, rea)
 			rea.src.down = down
 		}
-		bat.events = append(bat.events, rea.list.Events...)
+		bat.events = append(bat.events, rea.events[max(0, len(rea.events)-limit):]...)
 	}
 	slices.SortFunc(bat.events, compare)
 	bat.events = slices.CompactFunc(bat.events, func(ea, eb rest.Event) bool { return compare(ea, eb) == 0 })
 	return bat
 }
 
+// maxPages bounds the pages of one reading, so that a VM with many events does
+// not hold up the others; the next reading goes on.
+const maxPages = 50
+
 // read delivers one reading and ends.
 func (src *source) read(ctx context.Context, que rest.EventQuery, result chan<- reading) {
-	que.After = src.after
-	list, err := src.cl.Events(ctx, que)
-	switch {
-	case err != nil:
-	case list.Next < src.after:
-		// The VM restarted and numbers its events from the beginning.
-		src.after = 0
-	default:
-		src.after = list.Next
+	rea := reading{src: src}
+	for range maxPages {
+		que.After, que.Epoch = src.after, src.epoch
+		page, err := src.cl.Events(ctx, que)
+		if err != nil {
+			rea.err = err
+			break
+		}
+		rea.events = append(rea.events, page.Events...)
+		rea.dropped += page.Dropped
+		more := page.Next != src.after || page.Epoch != src.epoch
+		src.after, src.epoch = page.Next, page.Epoch
+		if !more {
+			break
+		}
 	}
-	result <- reading{src: src, list: list, err: err}
+	result <- rea
 }
 
 // compare orders events by the hybrid clock, which puts causes before effects,
@@ -105,8 +120,8 @@
 		switch {
 		case rea.err != nil:
 			out = append(out, "VM "+rea.src.name+" cannot be read, its events are missing: "+rea.err.Error())
-		case rea.list.Dropped > 0:
-			out = append(out, "VM "+rea.src.name+" no longer has "+shell.Count(rea.list.Dropped)+" earlier events")
+		case rea.dropped > 0:
+			out = append(out, "VM "+rea.src.name+" no longer has "+shell.Count(rea.dropped)+" earlier events")
 		default:
 			out = append(out, "VM "+rea.src.name+" can be read again")
 		}
--- a/io/cmd/timeline/timeline.go
+++ b/io/cmd/timeline/timeline.go
@@ -19,7 +19,7 @@
 	Request string `arg:"--request" placeholder:"ID" help:"only events of this request"`
 	VM      string `arg:"--vm" help:"only events about this VM or recorded by it"`
 	Centre  string `arg:"--centre" help:"only events of this data centre"`
-	Limit   int    `arg:"--limit" default:"1000" help:"newest events of each VM, 1 to 10000"`
+	Limit   int    `arg:"--limit" default:"1000" help:"newest events of each VM, 1 to 100000"`
 	Follow  bool   `arg:"--follow,-f" help:"print new events until interrupted"`
 	shell.Target
 	shell.Output
@@ -35,10 +35,14 @@
 // within about a second.
 const pollEvery = time.Second
 
+// maxLimit bounds the memory of the command: about 30 VMs with an event of some
+// 300 B each.
+const maxLimit = 100_000
+
 // Run prints the events.
 func Run(ctx context.Context, env shell.Env, opt Options) error {
-	if opt.Limit < 1 || opt.Limit > rest.MaxEvents {
-		return shell.NewUsageError("--limit "+shell.Count(opt.Limit)+" is not allowed", "use 1 to "+shell.Count(rest.MaxEvents))
+	if opt.Limit < 1 || opt.Limit > maxLimit {
+		return shell.NewUsageError("--limit "+shell.Count(opt.Limit)+" is not allowed", "use 1 to "+shell.Count(maxLimit))
 	}
 	cl, stop, err := opt.Dial(env)
 	if err != nil {
@@ -50,7 +54,7 @@
 		return err
 	}
 	for first := true; ; first = false {
-		bat := readAll(ctx, srs, query(opt))
+		bat := readAll(ctx, srs, query(opt), opt.Limit)
 		if first && !bat.any() {
 			return bat.failure()
 		}
@@ -68,7 +72,7 @@
 
 func query(opt Options) rest.EventQuery {
 	return rest.EventQuery{
-		Limit: opt.Limit, Job: opt.Job, Task: opt.Task, Request: opt.Request, VM: opt.VM, Centre: opt.Centre,
+		Job: opt.Job, Task: opt.Task, Request: opt.Request, VM: opt.VM, Centre: opt.Centre,
 	}
 }
 
--- a/io/cmd/timeline/timeline_test.go
+++ b/io/cmd/timeline/timeline_test.go
@@ -20,6 +20,7 @@
 type fakeVM struct {
 	events []rest.Event
 	vms    []rest.VM
+	epoch  string
 }
 
 func (vm *fakeVM) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
@@ -32,11 +33,18 @@
 		wri.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	list := rest.EventList{}
+	if que.Epoch != vm.epoch {
+		que.After = 0
+	}
+	// Pages of one event show whether the reader goes on.
+	list := rest.EventList{Epoch: vm.epoch, Next: que.After}
 	for _, ev := range vm.events {
-		list.Next = ev.Sequence
-		if ev.Sequence > que.After && (que.Job == "" || que.Job == ev.Job) {
-			list.Events = append(list.Events, ev)
+		if ev.Sequence > que.After {
+			list.Next = ev.Sequence
+			if que.Job == "" || que.Job == ev.Job {
+				list.Events = append(list.Events, ev)
+			}
+			break
 		}
 	}
 	_ = json.NewEncoder(wri).Encode(list)
@@ -108,7 +116,7 @@
 }
 
 // Guards against events that are repeated or lost while following, also when a
-// VM restarts and numbers its events from the beginning.
+// VM restarts and its new events pass the number of the last one read.
 func TestFollowShowsEachEventOnce(t *testing.T) {
 	one := &fakeVM{events: []rest.Event{event("a-1", 5, 10, "old", "")}}
 	two := &fakeVM{}
@@ -120,14 +128,18 @@
 		case 1:
 			two.events = append(two.events, event("a-2", 1, 20, "new", ""))
 		case 2:
-			one.events = []rest.Event{event("a-1", 1, 30, "restarted", "")}
+			one.epoch = "second"
+			one.events = nil
+			for seq := uint64(1); seq <= 7; seq++ {
+				one.events = append(one.events, event("a-1", seq, int64(30+seq), "r", ""))
+			}
 		case 5:
 			return context.Canceled
 		}
 		return nil
 	}
 	out, notes := runTimeline(t, Options{Follow: true, Target: shell.Target{API: address}}, wait)
-	if kinds(out) != "old new restarted" {
+	if kinds(out) != "old new r r r r r r r" {
 		t.Errorf("printed\n%s", out)
 	}
 	if strings.Count(notes, "a-3") != 1 {
--- a/io/config/check.go
+++ b/io/config/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -30,7 +31,7 @@
 		case pl.section == "":
 			rdr.failAt(pl.line, "", pl.key, "key is outside a section", "[vm], [listen], [limits] or [vms.NAME] above it")
 		case rdr.known[pl.section] == nil:
-		case !rdr.known[pl.section][pl.key]:
+		case !slices.Contains(rdr.known[pl.section], pl.key):
 			rdr.failAt(pl.line, pl.section, pl.key, "key is not known", rdr.keysOf(pl.section))
 		case seen[full] > 0:
 			rdr.failAt(pl.line, pl.section, pl.key, "key is given twice, first on line "+strconv.Itoa(seen[full]), "each key once")
@@ -42,18 +43,8 @@
 
 // keysOf lists the keys of a section in the order in which they are read.
 func (rdr *reader) keysOf(section string) string {
-	switch section {
-	case "vm":
-		return "name, centre, region, dataDir or logLevel"
-	case "listen":
-		return "callers, api or peers"
-	case "limits":
-		return strings.Join([]string{
-			keySlots.name, keyConnections.name, keyCallerConnections.name, keyAPIBody.name,
-			keyTasksPerJob.name, keyTimeline.name,
-		}, ", ") + " or " + keyDrain.name
-	}
-	return "centre, peer, api, callers or disk"
+	names := rdr.known[section]
+	return strings.Join(names[:len(names)-1], ", ") + " or " + names[len(names)-1]
 }
 
 // checkTogether reports values that are allowed alone and contradict others.
@@ -67,6 +58,7 @@
 		section := vmPrefix + string(vm.name)
 		rdr.checkAddress(taken, section, "peer", vm.peer)
 		rdr.checkAddress(taken, section, "api", vm.api)
+		rdr.checkAddress(taken, section, "callers", vm.callers)
 	}
 	taken = map[netip.AddrPort]string{}
 	rdr.checkAddress(taken, "listen", "callers", se.listen.callers)
--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -59,6 +59,7 @@
 		want     string
 	}{
 		"unknown key":         {"region = riga", "region = riga\nregoin = riga", "a.ini:5: vm.regoin: key is not known; use name, centre"},
+		"unknown VM key":      {"disk = yes", "disk = yes\ndisc = no", "a.ini:15: vms.riga-a-1.disc: key is not known; use centre, peer, api, callers or disk"},
 		"unknown section":     {"[listen]", "[lists]\n[listen]", "a.ini:6: lists: section is not known; use vm, listen"},
 		"key twice":           {"region = riga", "region = riga\nregion = riga", "a.ini:5: vm.region: key is given twice, first on line 4; use each key once"},
 		"section twice":       {"[vms.riga-b-1]", "[vm]\n[vms.riga-b-1]", "a.ini:15: vm: section is given twice; use each section once"},
--- a/io/config/keys.go
+++ b/io/config/keys.go
@@ -24,10 +24,7 @@
 	keyConnections = intKey("connectionsPerWorker", 60, 1, 10_000)
 
 	keyCallerConnections = intKey("callerConnections", 10_000, 1, 1_000_000)
-	// A forwarded API call travels in one frame of at most 8 MB.
-	keyAPIBody     = intKey("apiBodyBytes", 1<<20, 1<<10, 4<<20)
-	keyTasksPerJob = intKey("tasksPerJob", 10_000, 1, 100_000)
-	keyTimeline    = intKey("timelineEvents", 10_000, 100, 1_000_000)
+	keyTimeline          = intKey("timelineEvents", 10_000, 100, 1_000_000)
 	// The maximum request time of 30 s, and 5 s for handing over leadership.
 	keyDrain = intKey("drainSeconds", 35, 1, 600)
 )
--- a/io/config/read.go
+++ b/io/config/read.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return Settings{}, &FileError{file: file, cause: err}
 	}
-	rdr := &reader{file: file, ini: ini, idx: idx, known: map[string]map[string]bool{}}
+	rdr := &reader{file: file, ini: ini, idx: idx, known: map[string][]string{}}
 	se := rdr.settings()
 	rdr.checkUnknown()
 	rdr.checkTogether(se)
@@ -56,8 +56,9 @@
 	idx     lineIndex
 	faults  []Fault
 	entries []Entry
-	// known has the keys of each section that were asked for.
-	known map[string]map[string]bool
+	// known has the keys of each section in the order in which they were
+	// asked for.
+	known map[string][]string
 }
 
 func (rdr *reader) fail(section, name, problem, allowed string) {
@@ -71,10 +72,7 @@
 
 // read returns the value of a key and records a fault or the value in effect.
 func read[T any](rdr *reader, section string, ke key[T]) T {
-	if rdr.known[section] == nil {
-		rdr.known[section] = map[string]bool{}
-	}
-	rdr.known[section][ke.name] = true
+	rdr.known[section] = append(rdr.known[section], ke.name)
 	sec, err := rdr.ini.GetSection(section)
 	given := err == nil && sec.HasKey(ke.name)
 	val := ke.def
@@ -108,8 +106,6 @@
 	se.limits.slotsPerWorker = read(rdr, "limits", keySlots)
 	se.limits.connectionsPerWorker = read(rdr, "limits", keyConnections)
 	se.limits.callerConnections = read(rdr, "limits", keyCallerConnections)
-	se.limits.apiBodyBytes = read(rdr, "limits", keyAPIBody)
-	se.limits.tasksPerJob = read(rdr, "limits", keyTasksPerJob)
 	se.limits.timelineEvents = read(rdr, "limits", keyTimeline)
 	se.limits.drainSeconds = read(rdr, "limits", keyDrain)
 	for _, section := range rdr.idx.order {
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -72,8 +72,6 @@
 	slotsPerWorker       int
 	connectionsPerWorker int
 	callerConnections    int
-	apiBodyBytes         int
-	tasksPerJob          int
 	timelineEvents       int
 	drainSeconds         int
 }
@@ -88,12 +86,6 @@
 // CallerConnections returns the open connections of callers on this VM.
 func (li Limits) CallerConnections() int { return li.callerConnections }
 
-// APIBodyBytes returns the size of the largest body that the API accepts.
-func (li Limits) APIBodyBytes() int { return li.apiBodyBytes }
-
-// TasksPerJob returns the number of tasks that one job may have.
-func (li Limits) TasksPerJob() int { return li.tasksPerJob }
-
 // TimelineEvents returns the number of events that this VM keeps.
 func (li Limits) TimelineEvents() int { return li.timelineEvents }
 
--- a/io/rest/errors.go
+++ b/io/rest/errors.go
@@ -51,12 +51,8 @@
 	TypeNoMajority = "noMajority"
 	// TypeNotReady: the VM has no state yet.
 	TypeNotReady = "notReady"
-	// TypeTooLarge: the body exceeds limits.apiBodyBytes.
-	TypeTooLarge = "tooLarge"
 	// TypeUnknown: it is not known whether the command was carried out.
 	TypeUnknown = "unknown"
-	// TypeMethod: the path does not accept the method.
-	TypeMethod = "method"
 	// TypeInternal: a fault of the system.
 	TypeInternal = "internal"
 )
@@ -67,9 +63,7 @@
 	TypeConflict:   http.StatusConflict,
 	TypeNoMajority: http.StatusServiceUnavailable,
 	TypeNotReady:   http.StatusServiceUnavailable,
-	TypeTooLarge:   http.StatusRequestEntityTooLarge,
 	TypeUnknown:    http.StatusGatewayTimeout,
-	TypeMethod:     http.StatusMethodNotAllowed,
 	TypeInternal:   http.StatusInternalServerError,
 }
 
--- a/io/rest/query.go
+++ b/io/rest/query.go
@@ -3,13 +3,17 @@
 import (
 	"net/url"
 	"strconv"
+
+	"guavarail/core/event"
 )
 
 // EventQuery selects events. Empty fields select everything; the others must
 // all match.
 type EventQuery struct {
-	// After is the sequence of the last event that the caller has.
+	// After is the sequence of the last event that the caller has, and Epoch
+	// the epoch that it belongs to, empty for the current one.
 	After uint64
+	Epoch string
 	// Limit bounds the number of events; 0 means DefaultEvents.
 	Limit   int
 	Job     string
@@ -23,7 +27,7 @@
 // Bounds of the number of events in one answer.
 const (
 	DefaultEvents = 1000
-	MaxEvents     = 10_000
+	MaxEvents     = event.MaxPage
 )
 
 // Values returns the query parameters.
@@ -37,6 +41,7 @@
 	if que.After > 0 {
 		set("after", strconv.FormatUint(que.After, 10))
 	}
+	set("epoch", que.Epoch)
 	if que.Limit > 0 {
 		set("limit", strconv.Itoa(que.Limit))
 	}
@@ -68,7 +73,7 @@
 func ParseEventQuery(vals url.Values) (EventQuery, error) {
 	que := EventQuery{Limit: DefaultEvents}
 	texts := map[string]*string{
-		"job": &que.Job, "task": &que.Task, "request": &que.Request, "vm": &que.VM, "centre": &que.Centre,
+		"epoch": &que.Epoch, "job": &que.Job, "task": &que.Task, "request": &que.Request, "vm": &que.VM, "centre": &que.Centre,
 	}
 	var faults []Fault
 	for key := range vals {
@@ -85,7 +90,7 @@
 				err = strconv.ErrRange
 			}
 		default:
-			faults = append(faults, Fault{Field: key, Allowed: "after, limit, job, task, request, vm or centre"})
+			faults = append(faults, Fault{Field: key, Allowed: "after, epoch, limit, job, task, request, vm or centre"})
 		}
 		if err != nil {
 			faults = append(faults, Fault{Field: key, Allowed: "a number; limit is 1 to " + strconv.Itoa(MaxEvents)})
--- a/io/rest/status.go
+++ b/io/rest/status.go
@@ -70,13 +70,17 @@
 }
 
 // EventList answers GET /v1/events, which returns the events that the answering
-// VM itself recorded, oldest first. Without after it has the newest ones.
+// VM itself recorded, oldest first.
 type EventList struct {
 	VM     string  `json:"vm"`
 	Events []Event `json:"events"`
 	// Next is the value of after for the following events: the sequence of
-	// the last event that was looked at, whether it matched or not.
+	// the last event that was looked at, whether it matched or not. It equals
+	// after when there are no further events.
 	Next uint64 `json:"next"`
+	// Epoch is an opaque text that changes with each start of the VM, which
+	// numbers its events from 1 again.
+	Epoch string `json:"epoch,omitempty"`
 	// Dropped counts events after the given sequence that are no longer
 	// kept.
 	Dropped uint64 `json:"dropped,omitempty"`
