Bring the members of each group in line with the fleet state

Cause: replacing a VM changed the fleet state and not the voters of the groups.

Change: core/repair decides one membership change at a time; the leader of each group carries it out, and the fleet leader promotes a VM with a new disk once it answers with the identity of its disk.

--- a/io/node/centre.go
+++ b/io/node/centre.go
@@ -129,6 +129,9 @@
 // data centre votes as a tie-breaker and does not lead.
 func (cen *centrePart) local() bool { return cen.name == cen.nod.centre }
 
+// leads reports whether this VM leads the group under its lease.
+func (cen *centrePart) leads(ctx context.Context) bool { return leads(ctx, cen.ref) }
+
 func (cen *centrePart) transfer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -143,6 +143,9 @@
 	return permit.NewGrant(rep.GetSequence(), rep.GetAllowed(), model.DrainMode(rep.GetDrain())), nil
 }
 
+// leads reports whether this VM leads the group under its lease.
+func (fle *fleetPart) leads(ctx context.Context) bool { return leads(ctx, fle.ref) }
+
 // leader returns the VM that this VM believes leads the fleet group.
 func (fle *fleetPart) leader(ctx context.Context) (model.VMID, error) {
 	rol := make(chan quorum.Role, 1)
@@ -157,3 +160,15 @@
 		return "", ctx.Err()
 	}
 }
+
+// leads reports whether the replica on this VM leads its group under its lease.
+func leads[M quorum.Replica[C, R, S], C, R, S any](ctx context.Context, ref group.Ref[M, C, R, S]) bool {
+	rol := make(chan bool, 1)
+	ref.Do(func(_ model.Instant, cur quorum.Role, _ M) { rol <- cur.Leased() })
+	select {
+	case ok := <-rol:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -60,6 +60,9 @@
 	// returned is when this data centre was last seen to return to service.
 	returned atomic.Int64
 	found    chan struct{}
+	// diskID is the identity of the data directory of the fleet group; empty
+	// without a disk.
+	diskID string
 	// stops are the clean-up functions, in the order of the starts.
 	stops []func()
 }
@@ -211,6 +214,7 @@
 	}
 	mux := admin.NewMux(por)
 	nod.fwd.serve(mux)
+	_ = nod.keep(startRepair(ctx, nod), nil)
 	return nod.keep(startHTTP(nod.set.Listen().API().String(), admin.Handler(por, mux), nod.log))
 }
 
@@ -224,15 +228,22 @@
 	fls, stop, err := disk.Open(disk.Config{
 		Dir: filepath.Join(dir, group), VM: nod.self, Group: group, Logger: nod.log.Named("disk"),
 	})
-	return fls, nod.keep(stop, err)
+	if err := nod.keep(stop, err); err != nil {
+		return nil, err
+	}
+	if group == fleetGroup {
+		nod.diskID = string(fls.Disk())
+	}
+	return fls, nil
 }
 
 // publish makes a changed fleet state known to the other parts.
 func (nod *Node) publish(sta *fleet.State) {
 	old := nod.view.Load()
 	if old == nil || old.number != sta.Number() {
-		vie := newView(sta)
+		vie := newView(sta, nod.centre)
 		nod.view.Store(vie)
+		nod.hub.SetPeers(vie.addresses())
 		nod.entry.Preset(vie.preset)
 		if old != nil && old.out(nod.centre) && !vie.out(nod.centre) {
 			nod.returned.Store(int64(nod.clock()))
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -3,6 +3,7 @@
 import (
 	"guavarail/core/fleet"
 	"guavarail/core/model"
+	"guavarail/core/repair"
 )
 
 // view is a copy of the parts of the fleet state that a VM acts on. It is
@@ -12,15 +13,29 @@
 	preset  model.Preset
 	centres []fleet.Centre
 	vms     []fleet.VM
+	// fleetGoal and centreGoal are the wanted members of the two groups that
+	// this VM belongs to.
+	fleetGoal  repair.Goal
+	centreGoal repair.Goal
 }
 
-// newView copies the state.
-func newView(sta *fleet.State) *view {
+// newView copies the state for a VM of the given data centre.
+func newView(sta *fleet.State, own model.CentreID) *view {
 	return &view{
 		number: sta.Number(), preset: sta.Active().Preset(), centres: sta.Centres(), vms: sta.VMs(),
+		fleetGoal: repair.FleetGoal(sta), centreGoal: repair.CentreGoal(sta, own),
 	}
 }
 
+// addresses returns where the VMs listen for each other.
+func (vi *view) addresses() map[model.VMID]string {
+	out := map[model.VMID]string{}
+	for _, vmi := range vi.vms {
+		out[vmi.Name()] = vmi.Spec().PeerAddress
+	}
+	return out
+}
+
 // out reports whether a data centre is out of service.
 func (vi *view) out(name model.CentreID) bool {
 	for _, cen := range vi.centres {
