--- /dev/null
+++ b/io/peer/watch.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/juju/errors"
+
+	"guavarail/core/member"
+	"guavarail/core/model"
+	"guavarail/io/host"
+	"guavarail/io/wire"
+)
+
+// watchTimeout bounds the wait for the detector of the same process.
+const watchTimeout = 2 * time.Second
+
+// WatchConfig describes the failure detector of one VM.
+type WatchConfig struct {
+	System *actor.ActorSystem
+	Member member.Config
+	Sender Sender
+	Mux    *Mux
+	// OnChange receives each change of the state of a VM. It runs on the actor
+	// of the detector and must not block.
+	OnChange func(member.Changed)
+}
+
+// Watcher is the failure detector of one VM.
+type Watcher struct {
+	ref host.Ref[*member.Node, member.Input, member.Effect]
+}
+
+// Watch starts a failure detector over the links of a VM.
+func Watch(cfg WatchConfig) (*Watcher, func(), error) {
+	if cfg.OnChange == nil {
+		cfg.OnChange = func(member.Changed) {}
+	}
+	every := member.DefaultTick
+	if cfg.Member.Period > 0 {
+		every = cfg.Member.Period / (member.DefaultPeriod / member.DefaultTick)
+	}
+	ref, stop, err := host.Spawn(cfg.System, host.Config[*member.Node, member.Input, member.Effect]{
+		Name:    "watch-" + string(cfg.Member.Self),
+		Machine: member.New(cfg.Member),
+		Clock:   host.NewClock(),
+		Carry: func(eff member.Effect) {
+			switch val := eff.(type) {
+			case member.Send:
+				cfg.Sender.Send(val.To(), wire.FromMember(val.Message()))
+			case member.Changed:
+				cfg.OnChange(val)
+			}
+		},
+		Every: every,
+		Tick:  func() member.Input { return member.Tick{} },
+	})
+	if err != nil {
+		return nil, stop, errors.Trace(err)
+	}
+	Handle(cfg.Mux, func(from model.VMID, enc *wire.MemberMessage) {
+		if msg, ok := wire.ToMember(enc); ok {
+			ref.Tell(member.Received{From: from, Message: msg})
+		}
+	})
+	return &Watcher{ref: ref}, stop, nil
+}
+
+// SetPeers replaces the set of other VMs.
+func (wat *Watcher) SetPeers(vms []model.VMID) {
+	wat.ref.Tell(member.Peers{VMs: slices.Clone(vms)})
+}
+
+// States returns the state of every other VM, ordered by name.
+func (wat *Watcher) States() ([]member.News, error) {
+	got, err := host.Read(wat.ref, watchTimeout, func(_ model.Instant, nod *member.Node) []member.News { return nod.All() })
+	return got, errors.Trace(err)
+}
--- /dev/null
+++ b/io/wire/member_test.go
@@ -0,0 +1,33 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+
+	"guavarail/core/member"
+)
+
+// Guards the numbers of the enumerations and the fields of every message.
+func TestMemberMessagesSurviveTheWire(t *testing.T) {
+	for kind, want := range map[member.Kind]MemberKind{
+		member.Ping: MemberKind_MEMBER_KIND_PING, member.Ack: MemberKind_MEMBER_KIND_ACK,
+		member.Nack: MemberKind_MEMBER_KIND_NACK, member.Ask: MemberKind_MEMBER_KIND_ASK,
+	} {
+		for state, wantState := range map[member.State]MemberState{
+			member.Unknown: MemberState_MEMBER_STATE_UNKNOWN, member.Alive: MemberState_MEMBER_STATE_ALIVE,
+			member.Suspect: MemberState_MEMBER_STATE_SUSPECT, member.Dead: MemberState_MEMBER_STATE_DEAD,
+		} {
+			msg := member.NewMessage(kind, 7, "t", 8, member.NewNews("v", state, 9))
+			enc := FromMember(msg)
+			if enc.GetKind() != want || enc.GetNews()[0].GetState() != wantState {
+				t.Errorf("%v and %v are %v", kind, state, enc)
+			}
+			if got, ok := ToMember(enc); !ok || !reflect.DeepEqual(got, msg) {
+				t.Errorf("decoded %+v, want %+v", got, msg)
+			}
+		}
+	}
+	if _, ok := ToMember(&MemberMessage{Kind: 99}); ok {
+		t.Error("an unknown kind was accepted")
+	}
+}
