--- /dev/null
+++ b/io/admin/local.go
@@ -0,0 +1,95 @@
+package admin
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+
+	"guavarail/core/event"
+	"guavarail/core/model"
+	"guavarail/io/rest"
+)
+
+// localAPI answers calls on what this VM itself knows.
+type localAPI struct {
+	por Ports
+}
+
+func (la *localAPI) routes(mux *Mux) {
+	Handle(mux, "GET "+rest.PathStatus, la.status)
+	Handle(mux, "GET "+rest.PathEvents, la.events)
+	Handle(mux, "POST "+rest.PathBackendAnnounce, la.announce)
+	Handle(mux, "POST "+rest.PathBackendLeave, la.leave)
+}
+
+func (la *localAPI) status(ctx context.Context, _ *http.Request, _ Empty) (rest.Status, error) {
+	return la.por.Local.Status(ctx)
+}
+
+func (la *localAPI) events(_ context.Context, req *http.Request, _ Empty) (rest.EventList, error) {
+	que, err := rest.ParseEventQuery(req.URL.Query())
+	if err != nil {
+		return rest.EventList{}, err
+	}
+	fil := event.Filter{
+		Job: model.JobID(que.Job), Task: que.Task, Request: que.Request,
+		VM: model.VMID(que.VM), Centre: model.CentreID(que.Centre),
+	}
+	pag, err := la.por.Local.Events(que.After, fil, min(que.Limit, event.MaxPage))
+	if err != nil {
+		return rest.EventList{}, err
+	}
+	return eventList(pag), nil
+}
+
+func (la *localAPI) announce(_ context.Context, _ *http.Request, que rest.BackendAnnounce) (rest.BackendAnnounced, error) {
+	if err := la.por.Backends.Announce(que); err != nil {
+		return rest.BackendAnnounced{}, err
+	}
+	return rest.BackendAnnounced{NextMs: announceEvery.Milliseconds()}, nil
+}
+
+func (la *localAPI) leave(_ context.Context, _ *http.Request, que rest.BackendLeave) (rest.BackendLeft, error) {
+	if err := la.por.Backends.Leave(que); err != nil {
+		return rest.BackendLeft{}, err
+	}
+	return rest.BackendLeft{StopAfterMs: leaveBound.Milliseconds()}, nil
+}
+
+// eventList returns the shape of a page of events.
+func eventList(pag event.Page) rest.EventList {
+	out := rest.EventList{VM: string(pag.VM()), Next: pag.Next().Seq(), Dropped: pag.Lost()}
+	for _, rec := range pag.Records() {
+		sub := rec.Event().Subject()
+		evt := rest.Event{
+			TimeMs: rec.Stamp().Millis(), Count: rec.Stamp().Count(), VM: string(rec.VM()), Sequence: rec.Seq(),
+			Kind: string(rec.Event().Kind()), SubjectVM: string(sub.VM), Centre: string(sub.Centre), Job: string(sub.Job),
+			Task: sub.Task, Request: sub.Request, Worker: string(sub.Worker), Backend: string(sub.Backend),
+			Fields: map[string]string{},
+		}
+		for _, fi := range rec.Event().Fields() {
+			evt.Fields[fi.Key()] = fi.Value()
+		}
+		out.Events = append(out.Events, evt)
+	}
+	return out
+}
+
+// Handler returns the HTTP handler of the API address: the API itself, the
+// health checks of the load balancer and the metrics.
+func Handler(por Ports, mux *Mux) http.Handler {
+	top := http.NewServeMux()
+	top.Handle("/v1/", mux)
+	top.Handle("GET /debug/vars", expvar.Handler())
+	top.HandleFunc("GET /healthz", func(wri http.ResponseWriter, _ *http.Request) {
+		_, _ = wri.Write([]byte("ok\n"))
+	})
+	top.HandleFunc("GET /readyz", func(wri http.ResponseWriter, _ *http.Request) {
+		if why := por.Local.Ready(); why != "" {
+			http.Error(wri, why, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = wri.Write([]byte("ready\n"))
+	})
+	return top
+}
