Separate the advice of a rejection from its message

Change: the API has the advice in a field of its own; the client prints the message only; job show uses the reason of the last step of a waiting task.

--- a/cmd/guavarail/commands_test.go
+++ b/cmd/guavarail/commands_test.go
@@ -157,7 +157,7 @@
 		"preset list":                          {"", 0, "default\tyes\t10s\t60%\tfinish\tno\t-\n", ""},
 		"preset show peak":                     {"", 3, "", "nothing at /v1/presets/peak\nnext: list what exists"},
 		"preset switch default":                {"", 0, "switchPreset default is configuration 2; preset default is in effect\n", ""},
-		"preset switch default --number 1":     {"", 3, "", "numberTaken"},
+		"preset switch default --number 1":     {"", 3, "", "(command boot); configuration 1 with preset default is in effect\nnext: look at the configuration in effect and send"},
 		"preset switch default --command x":    {"", 2, "", "give --number as in the first send"},
 		"preset switch peak":                   {"", 3, "", "unknownPreset"},
 		"preset create peak --file -":          {`{"batchSharePercent":20}`, 0, "createPreset peak is configuration 2", ""},
--- a/core/fleet/result.go
+++ b/core/fleet/result.go
@@ -114,7 +114,7 @@
 // Active returns the preset in effect at the rejection.
 func (err *RejectedError) Active() string { return err.active }
 
-// Error describes the rejection and what to do.
+// Error describes the rejection; the reason has the advice.
 func (err *RejectedError) Error() string {
 	out := "rejected (" + err.reason.String() + ")"
 	if ch, ok := err.Holder(); ok {
@@ -122,7 +122,7 @@
 			" of " + ch.operator + " (command " + string(ch.command) + ")"
 	}
 	return out + "; configuration " + strconv.FormatUint(err.number, 10) + " with preset " + err.active +
-		" is in effect; " + err.reason.Advice()
+		" is in effect"
 }
 
 // Result is the answer to a command. The zero value answers no command.
--- a/io/client/errors.go
+++ b/io/client/errors.go
@@ -45,14 +45,10 @@
 
 // Error describes the failure.
 func (err *APIError) Error() string {
-	out := err.body.Message
-	if out == "" {
-		out = "the API answered " + strconv.Itoa(err.status) + " " + http.StatusText(err.status)
+	if err.body.Message != "" {
+		return err.body.Message
 	}
-	for _, fa := range err.body.Faults {
-		out += "\n  " + fa.Field + ": use " + fa.Allowed
-	}
-	return out
+	return "the API answered " + strconv.Itoa(err.status) + " " + http.StatusText(err.status)
 }
 
 // UnreachableError reports that no address gave a usable answer.
--- a/io/cmd/job/show/explain.go
+++ b/io/cmd/job/show/explain.go
@@ -36,11 +36,20 @@
 	return reason
 }
 
+// reasonOf returns the reason for the state of a task. A waiting task without
+// one has the reason of its last step.
+func reasonOf(task rest.Task) string {
+	if task.Reason == "" && task.State == "waiting" && len(task.History) > 0 {
+		return task.History[len(task.History)-1].Reason
+	}
+	return task.Reason
+}
+
 // why explains the state of a task.
 func why(task rest.Task) string {
 	var parts []string
-	if task.Reason != "" && task.Reason != "none" {
-		parts = append(parts, reasonText(task.Reason))
+	if reason := reasonOf(task); reason != "" && reason != "none" {
+		parts = append(parts, reasonText(reason))
 	}
 	if task.Detail != "" {
 		parts = append(parts, task.Detail)
@@ -69,7 +78,7 @@
 func next(task rest.Task) string {
 	switch task.State {
 	case "waiting":
-		text, ok := nexts[task.Reason]
+		text, ok := nexts[reasonOf(task)]
 		if !ok {
 			text = "it starts when a worker has room"
 		}
--- a/io/cmd/job/show/show.go
+++ b/io/cmd/job/show/show.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"guavarail/io/cmd/shell"
 	"guavarail/io/rest"
@@ -72,7 +73,7 @@
 		if task.Index != index {
 			continue
 		}
-		lines := append(head(jo), "task "+shell.Count(index)+": "+task.State+" "+why(task))
+		lines := append(head(jo), strings.TrimSuffix("task "+shell.Count(index)+": "+task.State+", "+why(task), ", "))
 		for _, step := range task.History {
 			lines = append(lines, "  "+sentence(step))
 		}
--- a/io/cmd/shell/errors.go
+++ b/io/cmd/shell/errors.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"cmp"
 	"strconv"
 
 	"github.com/juju/errors"
@@ -99,7 +100,7 @@
 	}
 	var ape *client.APIError
 	if errors.As(err, &ape) {
-		return adviceOf(ape.Type())
+		return cmp.Or(ape.Body().Advice, adviceOf(ape.Type()))
 	}
 	var une *client.UnreachableError
 	var adr *client.AddressError
--- a/io/cmd/status/status.go
+++ b/io/cmd/status/status.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 
 	centres "guavarail/io/cmd/centre/list"
 	"guavarail/io/cmd/shell"
@@ -58,7 +59,7 @@
 func head(sta rest.Status) []string {
 	first := "preset " + sta.InEffect.Preset + " is in effect, configuration " + shell.Count(sta.InEffect.Number)
 	if ch := sta.Last; ch != nil {
-		first += ": " + ch.Kind + " " + ch.Target + " by " + ch.Operator
+		first += ": " + strings.TrimSpace(ch.Kind+" "+ch.Target) + " by " + ch.Operator
 	}
 	lines := []string{first}
 	if !sta.Ready {
--- a/io/rest/errors.go
+++ b/io/rest/errors.go
@@ -12,8 +12,9 @@
 	// Type is one of the types below, or the reason of a rejected operator
 	// command.
 	Type string `json:"type"`
-	// Message says what happened and what to do, in lower case.
+	// Message says what happened, and Advice what to do.
 	Message string `json:"message"`
+	Advice  string `json:"advice,omitempty"`
 	// Command is the identity of a rejected operator command.
 	Command string `json:"command,omitempty"`
 	// Holder is the change that holds the number of a rejected command.
--- a/io/rest/fleet.go
+++ b/io/rest/fleet.go
@@ -58,9 +58,9 @@
 // NewRejected returns the body for a rejected operator command.
 func NewRejected(rej *fleet.RejectedError) Failure {
 	holder, _ := rej.Holder()
-	kind := rej.Reason().String()
 	return Failure{Error: Error{
-		Type: kind, Message: rej.Error(), Command: string(rej.Command()), Holder: NewChange(holder),
+		Type: rej.Reason().String(), Message: rej.Error(), Advice: rej.Reason().Advice(),
+		Command: string(rej.Command()), Holder: NewChange(holder),
 		InEffect: &InEffect{Number: rej.Number(), Preset: rej.Active()},
 	}}
 }
