--- /dev/null
+++ b/io/config/docs_test.go
@@ -0,0 +1,40 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// Guards docs/settings.md: a key, default or example that the program does not
+// have.
+func TestSettingsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(page)
+	start := strings.Index(text, "```ini\n") + len("```ini\n")
+	se, err := Parse("settings.md", []byte(text[start:start+strings.Index(text[start:], "```")]))
+	if err != nil {
+		t.Fatalf("the example is not accepted: %v", err)
+	}
+	rows := map[string]string{}
+	for _, line := range strings.Split(text, "\n") {
+		if cells := strings.Split(line, " | "); len(cells) > 2 && strings.HasPrefix(line, "| `") {
+			rows[strings.Trim(cells[0], "|` ")] = strings.Trim(cells[1], "`")
+		}
+	}
+	existing := map[string]bool{}
+	for _, en := range se.Entries() {
+		existing[en.Key()] = true
+		if def, ok := rows[en.Key()]; !ok || !en.Given() && en.Value() != def && def != "none" {
+			t.Errorf("key %s with value %q is documented with default %q", en.Key(), en.Value(), def)
+		}
+	}
+	for name := range rows {
+		if !existing[name] {
+			t.Errorf("key %s is documented and does not exist", name)
+		}
+	}
+}
