Add the lender and holder of slot credits

Cause: a worker must never run more requests than it has slots, however many entry VMs choose it.

Change: core/slots has the lender of the data centre group and the holder of each entry VM as deterministic machines, io/wire their messages. Credits of core/route carry a version that the machine confirms, and one lease for all of them.

Lease length and drift are not caught by a test.

--- a/core/route/effect.go
+++ b/core/route/effect.go
@@ -105,11 +105,11 @@
 // Usage tells the holder of slot credits what this VM uses of a worker and
 // which limit the machine keeps to.
 type Usage struct {
-	worker model.WorkerID
-	slots  int
-	limit  int
-	inUse  int
-	wanted int
+	worker  model.WorkerID
+	version uint64
+	slots   int
+	inUse   int
+	wanted  int
 }
 
 // Worker names the worker.
@@ -118,8 +118,8 @@
 // Slots returns the slots that the worker announced.
 func (us Usage) Slots() int { return us.slots }
 
-// Limit returns the credits that the machine was last given.
-func (us Usage) Limit() int { return us.limit }
+// Version is that of the credits that the machine keeps to.
+func (us Usage) Version() uint64 { return us.version }
 
 // InUse returns the slots in use, including those of expired requests.
 func (us Usage) InUse() int { return us.inUse }
--- a/core/route/input.go
+++ b/core/route/input.go
@@ -72,19 +72,25 @@
 	return Leave{backend: id, incarnation: incarnation}
 }
 
-// Credits says how many slots of a worker this VM may use until an instant. A
-// zero instant is a static share without a lease.
+// Credits says how many slots of a worker this VM may use while its lease
+// lasts. The machine confirms the version with a Usage.
 type Credits struct {
-	worker model.WorkerID
-	limit  int
-	until  model.Instant
+	worker  model.WorkerID
+	limit   int
+	version uint64
 }
 
 // NewCredits returns the credits held now for worker.
-func NewCredits(wo model.WorkerID, limit int, until model.Instant) Credits {
-	return Credits{worker: wo, limit: limit, until: until}
+func NewCredits(wo model.WorkerID, limit int, version uint64) Credits {
+	return Credits{worker: wo, limit: limit, version: version}
 }
 
+// Lease says until when this VM may use its credits.
+type Lease struct{ until model.Instant }
+
+// NewLease returns the lease until an instant.
+func NewLease(until model.Instant) Lease { return Lease{until: until} }
+
 // Share gives this VM a fixed part of the slots of each worker, for a data
 // centre that runs without slot credits.
 type Share struct{ pos, of int }
@@ -208,6 +214,7 @@
 func (Announce) input()  {}
 func (Leave) input()     {}
 func (Credits) input()   {}
+func (Lease) input()     {}
 func (Share) input()     {}
 func (Arrive[K]) input() {}
 func (Sent[K]) input()   {}
--- a/core/route/machine.go
+++ b/core/route/machine.go
@@ -25,6 +25,8 @@
 	// declined is the percentage of requests that the data centre does not take.
 	declined int
 	stopping bool
+	// lease ends the use of all credits but a static share.
+	lease model.Instant
 	// share replaces credits while it is set.
 	share    Share
 	services map[model.ServiceID]*service[K]
@@ -111,6 +113,8 @@
 		mac.leave(now, msg)
 	case Credits:
 		mac.credit(now, msg)
+	case Lease:
+		mac.renew(now, msg)
 	case Share:
 		mac.share = msg
 	case Tick:
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -43,10 +43,10 @@
 	id      model.WorkerID
 	slots   int
 	servers []*server
-	// limit is the credits held until the given instant; a zero instant has no
-	// lease.
-	limit int
-	until model.Instant
+	limit   int
+	version uint64
+	// until ends the lease of the credits; it is nil for a static share.
+	until *model.Instant
 	// inUse is at most the limit at each dispatch. It exceeds the limit only
 	// after the limit was lowered.
 	inUse int
@@ -56,8 +56,10 @@
 	extra int
 }
 
+func (wo *worker) valid(now model.Instant) bool { return wo.until == nil || now.Before(*wo.until) }
+
 func (wo *worker) free(now model.Instant) bool {
-	return wo.inUse < wo.limit && (wo.until == 0 || now.Before(wo.until))
+	return wo.inUse < wo.limit && wo.valid(now)
 }
 
 func (se *server) alive(now model.Instant) bool {
@@ -120,7 +122,7 @@
 func (sv *service[K]) credits(now model.Instant) int {
 	sum := 0
 	for _, se := range sv.servers {
-		if se.alive(now) && (se.worker.until == 0 || now.Before(se.worker.until)) {
+		if se.alive(now) && se.worker.valid(now) {
 			sum += se.worker.limit
 		}
 	}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -30,7 +30,7 @@
 	se.heard = max(se.heard, heard)
 	se.worker.slots = ba.Slots()
 	if mac.share.of > 0 {
-		se.worker.limit, se.worker.until = mac.share.part(ba.Slots()), 0
+		se.worker.limit, se.worker.until = mac.share.part(ba.Slots()), nil
 	}
 	sv := mac.service(ba.Service())
 	sv.refresh(now, se)
@@ -123,7 +123,7 @@
 
 func (mac *Machine[K, C]) credit(now model.Instant, msg Credits) {
 	wo := mac.worker(msg.worker)
-	wo.limit, wo.until = max(msg.limit, 0), msg.until
+	wo.limit, wo.version, wo.until = max(msg.limit, 0), msg.version, &mac.lease
 	mac.refreshWorker(now, wo)
 	for _, se := range append([]*server(nil), wo.servers...) {
 		mac.pump(now, mac.services[se.backend.Service()])
@@ -132,8 +132,23 @@
 	mac.emit(wo.told)
 }
 
+// renew extends the lease of all credits.
+func (mac *Machine[K, C]) renew(now model.Instant, msg Lease) {
+	lapsed := !now.Before(mac.lease)
+	mac.lease = msg.until
+	if !lapsed {
+		return
+	}
+	for _, sv := range mac.order {
+		for _, se := range sv.servers {
+			sv.refresh(now, se)
+		}
+		mac.pump(now, sv)
+	}
+}
+
 func (wo *worker) usage() Usage {
-	us := Usage{worker: wo.id, limit: wo.limit, inUse: wo.inUse}
+	us := Usage{worker: wo.id, version: wo.version, inUse: wo.inUse}
 	if len(wo.servers) > 0 {
 		us.slots = wo.slots
 		us.wanted = min(wo.inUse+wo.extra, wo.slots)
--- /dev/null
+++ b/core/slots/rules_test.go
@@ -0,0 +1,95 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// granted returns a holder with five credits of w-1, told to the routing
+// machine and confirmed, after report 1.
+func granted(t *testing.T) *Holder {
+	t.Helper()
+	ho := NewHolder("vm-1", 1)
+	ho.Step(0, NewUsage("w-1", 0, 8, 0, 1))
+	out := ho.Step(1, NewGrant(GrantSpec{VM: "vm-1", Boot: 1, Term: 1, Number: 1, Sequence: 1, Shares: []Share{NewShare("w-1", 5, 5)}}))
+	for _, eff := range out {
+		if cr, ok := eff.(Credits); ok {
+			ho.Step(2, NewUsage("w-1", cr.Version(), 8, 0, 1))
+		}
+	}
+	if ho.Held("w-1") != 5 {
+		t.Fatalf("holds %d credits, want 5", ho.Held("w-1"))
+	}
+	return ho
+}
+
+// Guards against a late grant that brings back credits that were given back
+// after it was made.
+func TestGrantForEarlierReportIsIgnored(t *testing.T) {
+	ho := granted(t)
+	number := ho.number
+	ho.Step(model.Instant(time.Second), Tick{})
+	if ho.number <= number {
+		t.Fatal("no report after the renewal time")
+	}
+	out := ho.Step(model.Instant(time.Second), NewGrant(GrantSpec{
+		VM: "vm-1", Boot: 1, Term: 1, Number: number, Sequence: 9, Shares: []Share{NewShare("w-1", 8, 8)},
+	}))
+	if len(out) != 0 || ho.Held("w-1") != 5 {
+		t.Errorf("late grant gave %v, holds %d", out, ho.Held("w-1"))
+	}
+}
+
+// Guards against credits that are given back while the routing machine still
+// keeps to the higher limit.
+func TestCreditsStayHeldUntilLimitIsConfirmed(t *testing.T) {
+	ho := granted(t)
+	out := ho.Step(3, NewGrant(GrantSpec{
+		VM: "vm-1", Boot: 1, Term: 1, Number: ho.number, Sequence: 2, Shares: []Share{NewShare("w-1", 5, 2)},
+	}))
+	var lowered Credits
+	for _, eff := range out {
+		if cr, ok := eff.(Credits); ok {
+			lowered = cr
+		}
+	}
+	if lowered.Limit() != 2 {
+		t.Fatalf("limit %d, want 2", lowered.Limit())
+	}
+	ho.Step(4, NewUsage("w-1", lowered.Version()-1, 8, 0, 1))
+	if ho.Held("w-1") != 5 {
+		t.Errorf("usage under the old limit lowered the credits held to %d", ho.Held("w-1"))
+	}
+	ho.Step(5, NewUsage("w-1", lowered.Version(), 8, 3, 1))
+	if ho.Held("w-1") != 3 {
+		t.Errorf("holds %d with 3 in use under a limit of 2", ho.Held("w-1"))
+	}
+}
+
+// Guards against a report made before the takeover: until the holder knows the
+// new term it can still take a grant of the former leader.
+func TestReportOfFormerTermIsNotCounted(t *testing.T) {
+	var le Lender
+	le.Step(0, NewLead(2, model.Instant(time.Second), []model.VMID{"vm-1"}))
+	out := le.Step(1, NewReport(ReportSpec{
+		VM: "vm-1", Boot: 1, Term: 1, Number: 4, Full: true, Uptime: time.Hour, Claims: []Claim{NewClaim("w-1", 8, 3, 3)},
+	}))
+	if len(out) != 1 || !out[0].(Grant).Spec().Resync || !le.Collecting(1) {
+		t.Errorf("got %v, want a request for a full report", out)
+	}
+}
+
+// Guards against a holder that takes a grant of a former leader after it
+// reported its credits to the next one.
+func TestGrantOfFormerTermIsIgnored(t *testing.T) {
+	ho := granted(t)
+	ho.Step(3, NewGrant(GrantSpec{VM: "vm-1", Boot: 1, Term: 2, Number: ho.number, Resync: true}))
+	ho.Step(4, NewGrant(GrantSpec{
+		VM: "vm-1", Boot: 1, Term: 1, Number: ho.number, Sequence: 9, Shares: []Share{NewShare("w-1", 8, 8)},
+	}))
+	if ho.Held("w-1") != 5 {
+		t.Errorf("holds %d credits, want 5", ho.Held("w-1"))
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -155,10 +155,13 @@
 }
 
 // Credits sets the slots of a worker that this VM holds.
-func (srv *Server) Credits(wo model.WorkerID, limit int, until model.Instant) {
-	srv.ref.Tell(route.NewCredits(wo, limit, until))
+func (srv *Server) Credits(wo model.WorkerID, limit int, version uint64) {
+	srv.ref.Tell(route.NewCredits(wo, limit, version))
 }
 
+// Lease sets the end of the lease of the credits.
+func (srv *Server) Lease(until model.Instant) { srv.ref.Tell(route.NewLease(until)) }
+
 // Share replaces credits by a fixed part of the slots of each worker.
 func (srv *Server) Share(pos, of int) { srv.ref.Tell(route.NewShare(pos, of)) }
 
--- /dev/null
+++ b/io/wire/slots.go
@@ -0,0 +1,61 @@
+package wire
+
+import (
+	"time"
+
+	"guavarail/core/model"
+	"guavarail/core/slots"
+)
+
+// FromSlotReport returns the message for re to the lender of group.
+func FromSlotReport(group string, re slots.Report) *SlotReport {
+	spec := re.Spec()
+	msg := &SlotReport{
+		Group: group, Boot: spec.Boot, Term: spec.Term, Number: spec.Number, Ack: spec.Ack,
+		UptimeMs: uint64(spec.Uptime.Milliseconds()), Full: spec.Full, Leaving: spec.Leaving,
+	}
+	for _, cl := range spec.Claims {
+		msg.Claims = append(msg.Claims, &SlotClaim{
+			Worker: string(cl.Worker()), Slots: uint32(cl.Slots()), Held: uint32(cl.Held()), Wanted: uint32(cl.Wanted()),
+		})
+	}
+	return msg
+}
+
+// ToSlotReport returns the report in msg that came from a VM.
+func ToSlotReport(from model.VMID, msg *SlotReport) slots.Report {
+	spec := slots.ReportSpec{
+		VM: from, Boot: msg.GetBoot(), Term: msg.GetTerm(), Number: msg.GetNumber(), Ack: msg.GetAck(),
+		Uptime: time.Duration(msg.GetUptimeMs()) * time.Millisecond, Full: msg.GetFull(), Leaving: msg.GetLeaving(),
+	}
+	for _, cl := range msg.GetClaims() {
+		spec.Claims = append(spec.Claims, slots.NewClaim(model.WorkerID(cl.GetWorker()),
+			int(cl.GetSlots()), int(cl.GetHeld()), int(cl.GetWanted())))
+	}
+	return slots.NewReport(spec)
+}
+
+// FromSlotGrant returns the message for gr from the lender of group.
+func FromSlotGrant(group string, gr slots.Grant) *SlotGrant {
+	spec := gr.Spec()
+	msg := &SlotGrant{
+		Group: group, Boot: spec.Boot, Term: spec.Term, Number: spec.Number, Sequence: spec.Sequence, Resync: spec.Resync,
+	}
+	for _, sh := range spec.Shares {
+		msg.Shares = append(msg.Shares, &SlotShare{
+			Worker: string(sh.Worker()), Limit: uint32(sh.Limit()), Target: uint32(sh.Target()),
+		})
+	}
+	return msg
+}
+
+// ToSlotGrant returns the grant in msg for the VM that received it.
+func ToSlotGrant(to model.VMID, msg *SlotGrant) slots.Grant {
+	spec := slots.GrantSpec{
+		VM: to, Boot: msg.GetBoot(), Term: msg.GetTerm(), Number: msg.GetNumber(), Sequence: msg.GetSequence(), Resync: msg.GetResync(),
+	}
+	for _, sh := range msg.GetShares() {
+		spec.Shares = append(spec.Shares, slots.NewShare(model.WorkerID(sh.GetWorker()), int(sh.GetLimit()), int(sh.GetTarget())))
+	}
+	return slots.NewGrant(spec)
+}
