Share slots by credits and show the real state of groups and VMs

Cause: static shares left slots unused, and the status could not show whether a repair was complete.

Change: the holder and lender of slot credits run on each VM; the failure detector runs on the links; status has the members of the groups, the state of VMs, a summary of each data centre, services and problems.

--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -23,6 +23,7 @@
 		nod.handOver(ctx)
 	}()
 	err := nod.entry.Drain(ctx)
+	nod.slots.depart(ctx)
 	<-handed
 	return err
 }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -33,8 +33,8 @@
 	founding fleet.Command
 }
 
-// startFleet starts the replica and the goroutine that follows it.
-func startFleet(ctx context.Context, nod *Node) (*fleetPart, func(), error) {
+// startFleet starts the replica.
+func startFleet(nod *Node) (*fleetPart, func(), error) {
 	fle := &fleetPart{nod: nod, founding: fleet.NewCommand("bootstrap", 1, founder, fleet.NewBootstrap(nod.seeds))}
 	first := fleet.New()
 	first.Apply(fle.founding)
@@ -56,14 +56,19 @@
 	fle.ref = ref
 	nod.groups[fleetGroup] = ref.Deliver
 	peer.Answer(nod.mux, fle.answerPermit)
+	return fle, stop, nil
+}
+
+// startFollow starts the goroutine that publishes the state. All parts that
+// take it must have been started.
+func (fle *fleetPart) startFollow(ctx context.Context) func() {
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go every(ctx, done, fleetEvery, fle.follow)
-	return fle, func() {
+	return func() {
 		cancel()
 		<-done
-		stop()
-	}, nil
+	}
 }
 
 // membersOf splits all VMs into voters and learners.
--- a/io/node/local.go
+++ b/io/node/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"guavarail/core/centre"
 	"guavarail/core/event"
 	"guavarail/core/fleet"
 	"guavarail/core/model"
@@ -13,7 +14,7 @@
 )
 
 // statusTimeout bounds the wait for the parts of the status.
-const statusTimeout = time.Second
+const statusTimeout = 2 * time.Second
 
 // local answers what this VM knows about itself. It implements admin.Local.
 type local struct {
@@ -39,17 +40,13 @@
 	return nil
 }
 
-// Neighbour returns a VM of another data centre.
+// Neighbour returns a VM of another data centre that is believed to be alive.
 func (loc *local) Neighbour(name model.CentreID) (model.VMID, bool) {
 	vie := loc.nod.view.Load()
 	if vie == nil || name == loc.nod.centre {
 		return "", false
 	}
-	vms := vie.members(name)
-	if len(vms) == 0 {
-		return "", false
-	}
-	return vms[0], true
+	return loc.nod.liveMember(vie, name, loc.nod.states())
 }
 
 // Events returns the events that this VM recorded after the given number.
@@ -61,43 +58,58 @@
 	return loc.nod.rec.Page(event.NewPosition(start.Next().Epoch(), after), fil, limit)
 }
 
-// Status returns the state of the system as this VM sees it.
-func (loc *local) Status(ctx context.Context) (rest.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	out := make(chan rest.Status, 1)
-	loc.nod.fleet.ref.Do(func(_ model.Instant, rol quorum.Role, sta *fleet.State) { out <- loc.status(rol, sta) })
-	select {
-	case sta := <-out:
-		return sta, nil
-	case <-ctx.Done():
-		return rest.Status{}, ctx.Err()
-	}
+// groupState is what this VM knows about one of its groups.
+type groupState struct {
+	name    string
+	role    quorum.Role
+	members quorum.Members
 }
 
-func (loc *local) status(rol quorum.Role, sta *fleet.State) rest.Status {
-	why := loc.Ready()
-	out := rest.Status{
-		VM: string(loc.nod.self), Centre: string(loc.nod.centre), Ready: why == "", NotReady: why,
-		InEffect: admin.InEffect(sta), Last: rest.NewChange(sta.Last()),
-		Groups: []rest.Group{{Name: fleetGroup, Leader: string(rol.Leader()), Term: rol.Term(), Applied: rol.Applied()}},
+// groupStates returns the two groups of this VM.
+func (loc *local) groupStates(ctx context.Context) ([]groupState, error) {
+	nod := loc.nod
+	fle := groupState{name: fleetGroup}
+	cen := groupState{name: groupName(nod.centre)}
+	var err error
+	if fle.members, err = nod.fleet.ref.Members(ctx); err != nil {
+		return nil, err
+	}
+	if cen.members, err = nod.own.ref.Members(ctx); err != nil {
+		return nil, err
 	}
-	for _, vmi := range sta.FleetVoters() {
-		out.Groups[0].Voters = append(out.Groups[0].Voters, string(vmi.Name()))
+	roles := make(chan quorum.Role, 1)
+	nod.fleet.ref.Do(func(_ model.Instant, rol quorum.Role, _ *fleet.State) { roles <- rol })
+	if fle.role, err = next(ctx, roles); err != nil {
+		return nil, err
 	}
-	counts := map[model.CentreID]int{}
-	for _, vmi := range sta.VMs() {
-		counts[vmi.Centre()]++
-		out.VMs = append(out.VMs, rest.NewVM(vmi))
+	nod.own.ref.Do(func(_ model.Instant, rol quorum.Role, _ *centre.State) { roles <- rol })
+	if cen.role, err = next(ctx, roles); err != nil {
+		return nil, err
 	}
-	for _, cen := range sta.Centres() {
-		row := rest.Centre{
-			Name: string(cen.Name()), Service: rest.ServiceIn, AdmitPercent: 100, VMs: counts[cen.Name()], By: rest.NewChange(cen.By()),
-		}
-		if cen.Out() {
-			row.Service, row.AdmitPercent = rest.ServiceOut, 0
-		}
-		out.Centres = append(out.Centres, row)
+	return []groupState{fle, cen}, nil
+}
+
+// next returns the next value of a channel, or the error of ctx.
+func next[T any](ctx context.Context, vals <-chan T) (T, error) {
+	select {
+	case val := <-vals:
+		return val, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
 	}
-	return out
+}
+
+// heldFleet is the part of the status that comes from the fleet state.
+type heldFleet struct {
+	inEffect rest.InEffect
+	last     fleet.Change
+}
+
+func (loc *local) heldFleet(ctx context.Context) (heldFleet, error) {
+	vals := make(chan heldFleet, 1)
+	loc.nod.fleet.ref.Do(func(_ model.Instant, _ quorum.Role, sta *fleet.State) {
+		vals <- heldFleet{inEffect: admin.InEffect(sta), last: sta.Last()}
+	})
+	return next(ctx, vals)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -44,7 +44,9 @@
 	mux   *peer.Mux
 	hub   *peer.Hub
 	rec   *record.Recorder
+	watch *peer.Watcher
 	entry *entry.Server
+	slots *slotPart
 	fleet *fleetPart
 	// own is the replica of the group of this VM's data centre.
 	own *centrePart
@@ -154,7 +156,7 @@
 
 // startGroups starts the replicas of this VM and then links it to the others.
 func (nod *Node) startGroups(ctx context.Context) error {
-	fle, stop, err := startFleet(ctx, nod)
+	fle, stop, err := startFleet(nod)
 	if err := nod.keep(stop, err); err != nil {
 		return err
 	}
@@ -181,28 +183,33 @@
 		addrs[vmi.Name()] = vmi.Peer().String()
 	}
 	nod.hub.SetPeers(addrs)
-	return nil
+	serveSummary(nod)
+	wat, stop, err := startWatch(nod)
+	nod.watch = wat
+	return nod.keep(stop, err)
 }
 
-func (nod *Node) startEntry(context.Context) error {
+func (nod *Node) startEntry(ctx context.Context) error {
 	lis, err := net.Listen("tcp", nod.set.Listen().Callers().String())
 	if err != nil {
 		return errors.Trace(&ListenError{what: "callers", cause: err})
 	}
 	nod.fwd = &forward{nod: nod}
+	nod.slots = newSlots(nod)
+	boot := uint64(time.Now().UnixNano())
 	srv, stop, err := entry.New(entry.Config{
-		VM: nod.self, Boot: uint64(time.Now().UnixNano()), Centre: nod.centre, Listener: lis, System: nod.sys,
+		VM: nod.self, Boot: boot, Centre: nod.centre, Listener: lis, System: nod.sys,
 		Clock: nod.clock, Seed: nod.seed, Limits: entry.Limits{Connections: nod.set.Limits().CallerConnections()},
-		Claims: startClaims(nod), Forwarder: nod.fwd, OnEvent: nod.rec.Note, Log: nod.log.Named("entry"),
+		Claims: startClaims(nod), Forwarder: nod.fwd, OnUsage: nod.slots.use, OnEvent: nod.rec.Note,
+		Log: nod.log.Named("entry"),
 	})
 	if err := nod.keep(stop, err); err != nil {
 		_ = lis.Close()
 		return err
 	}
 	nod.entry = srv
-	pos, of := nod.place()
-	srv.Share(pos, of)
-	return nil
+	stop, err = nod.slots.start(ctx, boot)
+	return nod.keep(stop, err)
 }
 
 func (nod *Node) startAPI(ctx context.Context) error {
@@ -215,6 +222,7 @@
 	mux := admin.NewMux(por)
 	nod.fwd.serve(mux)
 	_ = nod.keep(startRepair(ctx, nod), nil)
+	_ = nod.keep(nod.fleet.startFollow(ctx), nil)
 	return nod.keep(startHTTP(nod.set.Listen().API().String(), admin.Handler(por, mux), nod.log))
 }
 
@@ -244,6 +252,7 @@
 		vie := newView(sta, nod.centre)
 		nod.view.Store(vie)
 		nod.hub.SetPeers(vie.addresses())
+		nod.watch.SetPeers(vie.others(nod.self))
 		nod.entry.Preset(vie.preset)
 		if old != nil && old.out(nod.centre) && !vie.out(nod.centre) {
 			nod.returned.Store(int64(nod.clock()))
@@ -265,20 +274,6 @@
 	return permit.Ramp(nod.clock().Sub(model.Instant(ret)))
 }
 
-// place returns the position of this VM among those of its data centre.
-func (nod *Node) place() (pos, of int) {
-	for _, vmi := range nod.set.VMs() {
-		if vmi.Centre() != nod.centre {
-			continue
-		}
-		if vmi.Name() == nod.self {
-			pos = of
-		}
-		of++
-	}
-	return pos, of
-}
-
 // colleagues returns the other VMs of the data centre.
 func (nod *Node) colleagues() []model.VMID {
 	vie := nod.view.Load()
--- a/io/node/repair.go
+++ b/io/node/repair.go
@@ -25,8 +25,8 @@
 	identityTimeout = time.Second
 )
 
-// member is what repair needs of a replica, whatever it replicates.
-type member interface {
+// replica is what repair needs of a group, whatever it replicates.
+type replica interface {
 	Members(ctx context.Context) (quorum.Members, error)
 	Change(ctx context.Context, chg quorum.Change) error
 }
@@ -66,10 +66,10 @@
 	}
 }
 
-func (rep *repairer) change(ctx context.Context, group string, mem member, goa repair.Goal) {
+func (rep *repairer) change(ctx context.Context, group string, ref replica, goa repair.Goal) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	mems, err := mem.Members(ctx)
+	mems, err := ref.Members(ctx)
 	if err != nil {
 		return
 	}
@@ -77,7 +77,7 @@
 	if !ok {
 		return
 	}
-	if err := mem.Change(ctx, chg); err != nil {
+	if err := ref.Change(ctx, chg); err != nil {
 		rep.nod.log.Warn("members not changed", "group", group, "vm", chg.VM(), "error", err)
 	}
 }
--- /dev/null
+++ b/io/node/slots.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"guavarail/core/centre"
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+	"guavarail/core/route"
+	"guavarail/core/slots"
+	"guavarail/io/host"
+	"guavarail/io/peer"
+	"guavarail/io/wire"
+)
+
+const (
+	// slotTick is the precision of leases and of urgent reports.
+	slotTick = 20 * time.Millisecond
+	// lenderTick is how often the lender is told whether this VM leads.
+	lenderTick = 100 * time.Millisecond
+	// departTimeout bounds the wait for credits that are still in use.
+	departTimeout = 2 * time.Second
+)
+
+type (
+	holderRef = host.Ref[*slots.Holder, slots.Input, slots.Effect]
+	lenderRef = host.Ref[*slots.Lender, slots.Input, slots.Effect]
+)
+
+// slotPart shares the slots of workers between the entry VMs of the data
+// centre: the holder of this VM, and the lender that acts while this VM leads
+// the group of the data centre.
+type slotPart struct {
+	nod    *Node
+	holder holderRef
+	lender lenderRef
+}
+
+// newSlots returns the part before its actors run; the request path needs it
+// first.
+func newSlots(nod *Node) *slotPart { return &slotPart{nod: nod} }
+
+// start starts the actors.
+func (slo *slotPart) start(ctx context.Context, boot uint64) (func(), error) {
+	nod := slo.nod
+	lender, stopLender, err := host.Spawn(nod.sys, host.Config[*slots.Lender, slots.Input, slots.Effect]{
+		Name: "lender", Machine: &slots.Lender{}, Clock: nod.clock, Carry: slo.lend,
+		Every: slotTick, Tick: func() slots.Input { return slots.Tick{} },
+	})
+	if err != nil {
+		return stopLender, err
+	}
+	holder, stopHolder, err := host.Spawn(nod.sys, host.Config[*slots.Holder, slots.Input, slots.Effect]{
+		Name: "holder", Machine: slots.NewHolder(nod.self, boot), Clock: nod.clock, Carry: slo.hold,
+		Every: slotTick, Tick: func() slots.Input { return slots.Tick{} },
+	})
+	if err != nil {
+		stopLender()
+		return stopHolder, err
+	}
+	slo.lender, slo.holder = lender, holder
+	peer.Handle(nod.mux, func(from model.VMID, msg *wire.SlotReport) {
+		if msg.GetGroup() == groupName(nod.centre) {
+			lender.Tell(wire.ToSlotReport(from, msg))
+		}
+	})
+	peer.Handle(nod.mux, func(_ model.VMID, msg *wire.SlotGrant) {
+		if msg.GetGroup() == groupName(nod.centre) {
+			holder.Tell(wire.ToSlotGrant(nod.self, msg))
+		}
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go every(ctx, done, lenderTick, slo.lead)
+	return func() {
+		cancel()
+		<-done
+		stopHolder()
+		stopLender()
+	}, nil
+}
+
+// use passes the usage of a worker on to the holder.
+func (slo *slotPart) use(us route.Usage) {
+	slo.holder.Tell(slots.NewUsage(us.Worker(), us.Version(), us.Slots(), us.InUse(), us.Wanted()))
+}
+
+// hold carries out the effects of the holder.
+func (slo *slotPart) hold(eff slots.Effect) {
+	switch val := eff.(type) {
+	case slots.Credits:
+		slo.nod.entry.Credits(val.Worker(), val.Limit(), val.Version())
+	case slots.Renewed:
+		slo.nod.entry.Lease(val.Until())
+	case slots.Report:
+		msg := wire.FromSlotReport(groupName(slo.nod.centre), val)
+		slo.nod.own.ref.Do(func(_ model.Instant, rol quorum.Role, _ *centre.State) {
+			if rol.Leader() != "" {
+				slo.nod.hub.Send(rol.Leader(), msg)
+			}
+		})
+	}
+}
+
+// lend carries out the effects of the lender.
+func (slo *slotPart) lend(eff slots.Effect) {
+	if gra, ok := eff.(slots.Grant); ok {
+		slo.nod.hub.Send(gra.Spec().VM, wire.FromSlotGrant(groupName(slo.nod.centre), gra))
+	}
+}
+
+// lead tells the lender whether this VM leads the group of the data centre.
+func (slo *slotPart) lead(context.Context) {
+	vie := slo.nod.view.Load()
+	if vie == nil {
+		return
+	}
+	slo.lender.Tell(slots.NewLongest(vie.preset.MaxRequest()))
+	slo.nod.own.ref.Do(func(now model.Instant, rol quorum.Role, _ *centre.State) {
+		if rol.Leased() {
+			slo.lender.Tell(slots.NewLead(rol.Term(), now.Add(lenderTick), vie.members(slo.nod.centre)))
+		}
+	})
+}
+
+// depart gives all credits back and returns once the lender has them, or after
+// a bound.
+func (slo *slotPart) depart(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, departTimeout)
+	defer cancel()
+	slo.holder.Tell(slots.Depart{})
+	for ctx.Err() == nil {
+		empty, err := host.Read(slo.holder, departTimeout, func(_ model.Instant, ho *slots.Holder) bool { return ho.Empty() })
+		if err != nil || empty {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(slotTick):
+		}
+	}
+}
--- /dev/null
+++ b/io/node/status.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"guavarail/core/member"
+	"guavarail/core/model"
+	"guavarail/core/route"
+	"guavarail/io/admin"
+	"guavarail/io/rest"
+	"guavarail/io/wire"
+)
+
+// Status returns the state of the system as this VM sees it.
+func (loc *local) Status(ctx context.Context) (rest.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	vie := loc.nod.view.Load()
+	if vie == nil {
+		return rest.Status{}, &admin.NotReadyError{}
+	}
+	held, err := loc.heldFleet(ctx)
+	if err != nil {
+		return rest.Status{}, err
+	}
+	grps, err := loc.groupStates(ctx)
+	if err != nil {
+		return rest.Status{}, err
+	}
+	why := loc.Ready()
+	out := rest.Status{
+		VM: string(loc.nod.self), Centre: string(loc.nod.centre), Ready: why == "", NotReady: why,
+		InEffect: held.inEffect, Last: rest.NewChange(held.last),
+	}
+	states := loc.nod.states()
+	sums := loc.nod.summaries(ctx, vie, states)
+	for _, grp := range grps {
+		out.Groups = append(out.Groups, groupRow(grp))
+	}
+	out.VMs = vmRows(vie, states, out.Groups)
+	out.Centres = loc.centreRows(vie, sums)
+	out.Services = loc.serviceRows(vie)
+	out.Problems = problems(out)
+	return out, nil
+}
+
+func groupRow(grp groupState) rest.Group {
+	row := rest.Group{Name: grp.name, Leader: string(grp.role.Leader()), Term: grp.role.Term(), Applied: grp.role.Applied()}
+	for _, mem := range grp.members.List() {
+		if mem.Voter() {
+			row.Voters = append(row.Voters, string(mem.VM()))
+		}
+	}
+	return row
+}
+
+func vmRows(vie *view, states map[model.VMID]member.State, grps []rest.Group) []rest.VM {
+	var out []rest.VM
+	for _, vmi := range vie.vms {
+		row := rest.NewVM(vmi)
+		row.State = "unreachable"
+		if sta := states[vmi.Name()]; sta == member.Alive || sta == member.Suspect {
+			row.State = sta.String()
+		}
+		for _, grp := range grps {
+			if grp.Leader == row.Name {
+				row.Leads = append(row.Leads, grp.Name)
+			}
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+func (loc *local) centreRows(vie *view, sums map[model.CentreID]*wire.SummaryReply) []rest.Centre {
+	var out []rest.Centre
+	for _, cen := range vie.centres {
+		sum, ok := sums[cen.Name()]
+		row := rest.Centre{
+			Name: string(cen.Name()), Service: rest.ServiceIn, AdmitPercent: int(sum.GetAdmitPercent()), Reachable: ok,
+			Leader: sum.GetLeader(), VMs: len(vie.members(cen.Name())), By: rest.NewChange(cen.By()),
+			RunningTasks: int(sum.GetRunningTasks()), WaitingTasks: int(sum.GetWaitingTasks()),
+		}
+		switch {
+		case cen.Out():
+			row.Service = rest.ServiceOut
+		case ok && row.AdmitPercent < 100:
+			row.Service = rest.ServiceReturning
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+// serviceRows sums up the backend servers by service.
+func (loc *local) serviceRows(vie *view) []rest.Service {
+	sts, err := loc.nod.entry.Servers(time.Second)
+	if err != nil {
+		return nil
+	}
+	var out []rest.Service
+	at := map[model.ServiceID]int{}
+	for _, sta := range sts {
+		name := sta.Backend().Service()
+		pos, ok := at[name]
+		if !ok {
+			pos = len(out)
+			at[name] = pos
+			target := vie.preset.Service(name).TailTarget()
+			out = append(out, rest.Service{Name: string(name), TailTargetMs: target.Milliseconds()})
+		}
+		addServer(&out[pos], sta)
+	}
+	return out
+}
+
+func addServer(row *rest.Service, sta route.Status) {
+	row.Backends++
+	row.InFlight += sta.InFlight()
+}
+
+// problems lists what needs attention, the most urgent first.
+func problems(sta rest.Status) []rest.Problem {
+	var out []rest.Problem
+	add := func(kind, detail, advice string) {
+		out = append(out, rest.Problem{Kind: kind, Detail: detail, Advice: advice})
+	}
+	for _, grp := range sta.Groups {
+		if grp.Leader == "" {
+			add("noLeader", "group "+grp.Name+" has no leader that this VM knows", "wait a few seconds; then look at the VMs that are unreachable")
+		}
+	}
+	for _, cen := range sta.Centres {
+		if !cen.Reachable {
+			add("centreUnreachable", "data centre "+cen.Name+" does not answer", "none is needed for a short partition; it starts no task meanwhile")
+		}
+		if cen.Service == rest.ServiceOut {
+			add("centreOut", "data centre "+cen.Name+" is out of service", "guavarail centre in "+cen.Name)
+		}
+	}
+	for _, vmi := range sta.VMs {
+		switch {
+		case vmi.State == "unreachable":
+			add("vmUnreachable", "VM "+vmi.Name+" does not answer", "restart it, or guavarail vm replace "+vmi.Name)
+		case vmi.Disk && vmi.Role == "learner":
+			add("vmLearning", "VM "+vmi.Name+" has a new disk and does not vote yet", "none; it votes once it has the whole state")
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/node/summary.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"guavarail/core/centre"
+	"guavarail/core/member"
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+	"guavarail/core/sched"
+	"guavarail/io/peer"
+	"guavarail/io/wire"
+)
+
+// summaryTimeout bounds the wait for what another data centre knows.
+const summaryTimeout = 500 * time.Millisecond
+
+// serveSummary answers other VMs about this VM's data centre.
+func serveSummary(nod *Node) {
+	peer.Answer(nod.mux, func(ctx context.Context, _ model.VMID, _ *wire.SummaryRequest) (*wire.SummaryReply, error) {
+		return nod.summary(ctx)
+	})
+}
+
+// summary counts the tasks of this VM's data centre as its replica has them.
+func (nod *Node) summary(ctx context.Context) (*wire.SummaryReply, error) {
+	reply := make(chan *wire.SummaryReply, 1)
+	nod.own.ref.Do(func(_ model.Instant, rol quorum.Role, sta *centre.State) {
+		out := &wire.SummaryReply{Leader: string(rol.Leader()), AdmitPercent: uint32(nod.admitted())}
+		for _, jv := range sta.Tasks().Jobs() {
+			out.WaitingTasks += uint32(jv.Count(sched.Waiting))
+			out.RunningTasks += uint32(jv.Count(sched.Starting) + jv.Count(sched.Running) + jv.Count(sched.Stopping))
+		}
+		reply <- out
+	})
+	select {
+	case out := <-reply:
+		return out, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// summaries asks one live VM of each data centre at the same time. A data
+// centre that does not answer is missing.
+func (nod *Node) summaries(ctx context.Context, vie *view, states map[model.VMID]member.State) map[model.CentreID]*wire.SummaryReply {
+	ctx, cancel := context.WithTimeout(ctx, summaryTimeout)
+	defer cancel()
+	type answer struct {
+		centre model.CentreID
+		reply  *wire.SummaryReply
+	}
+	asked := 0
+	answers := make(chan answer, len(vie.centres))
+	for _, name := range vie.names() {
+		vmi, ok := nod.liveMember(vie, name, states)
+		if !ok {
+			continue
+		}
+		asked++
+		go func() {
+			rep, err := peer.Ask[*wire.SummaryReply](ctx, nod.hub, vmi, &wire.SummaryRequest{})
+			if err != nil {
+				rep = nil
+			}
+			answers <- answer{centre: name, reply: rep}
+		}()
+	}
+	out := map[model.CentreID]*wire.SummaryReply{}
+	for range asked {
+		if ans := <-answers; ans.reply != nil {
+			out[ans.centre] = ans.reply
+		}
+	}
+	return out
+}
+
+// liveMember returns a VM of a data centre that is believed to be alive, this
+// VM first.
+func (nod *Node) liveMember(vie *view, name model.CentreID, states map[model.VMID]member.State) (model.VMID, bool) {
+	for _, vmi := range nod.nearestFirst(vie.members(name)) {
+		if states[vmi] == member.Alive {
+			return vmi, true
+		}
+	}
+	return "", false
+}
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -27,6 +27,17 @@
 	}
 }
 
+// others returns every VM but self.
+func (vi *view) others(self model.VMID) []model.VMID {
+	var out []model.VMID
+	for _, vmi := range vi.vms {
+		if vmi.Name() != self {
+			out = append(out, vmi.Name())
+		}
+	}
+	return out
+}
+
 // addresses returns where the VMs listen for each other.
 func (vi *view) addresses() map[model.VMID]string {
 	out := map[model.VMID]string{}
