--- a/core/quorum/alter.go
+++ b/core/quorum/alter.go
@@ -44,10 +44,26 @@
 		return "it is a voter already"
 	case chg.kind == Remove && n.members().only(chg.vm):
 		return "it is the only voter"
+	case chg.kind == Remove && mem.voter && !n.quorumWithout(chg.vm):
+		return "the remaining voters have no quorum, replace the lost voter first"
 	}
 	return ""
 }
 
+// quorumWithout reports whether the voters that answer are a quorum once vm is
+// removed.
+func (n *Node) quorumWithout(vm model.VMID) bool {
+	vots := n.members().without(vm).voters()
+	up := 0
+	for _, mem := range vots {
+		pr := n.lead.peers[mem.vm]
+		if mem.vm == n.cfg.Self || pr != nil && pr.replied && n.since(pr.acked) < ElectionShortest {
+			up++
+		}
+	}
+	return up >= majority(len(vots))
+}
+
 // tryPromote carries out a promotion once the learner has every accepted
 // command on disk.
 func (n *Node) tryPromote() {
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -21,7 +21,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.now.Before(n.deadline) || !n.isVoter() || n.muted != nil {
+	if n.now.Before(n.deadline) || !n.mayCampaign() || n.muted != nil {
 		return
 	}
 	n.standing, n.leader = preCandidate, ""
@@ -31,6 +31,15 @@
 	n.countVotes()
 }
 
+// mayCampaign reports whether the replica is a voter, or was one before changes
+// that may not be committed. Only it may have the log to commit them.
+func (n *Node) mayCampaign() bool {
+	if n.disowned && !n.members().bound() {
+		return false
+	}
+	return n.isVoter() || n.configAt(n.commit).members.isVoter(n.cfg.Self, n.cfg.Disk)
+}
+
 // startElection opens a new term and votes for itself.
 func (n *Node) startElection(transfer bool) {
 	n.newTerm(n.term + 1)
--- a/core/quorum/follow.go
+++ b/core/quorum/follow.go
@@ -10,6 +10,9 @@
 		n.fail(&StaleDiskError{disk: n.cfg.Disk, last: n.log.last(), acked: spec.Acked})
 		return
 	}
+	if spec.ToDisk != "" && spec.ToDisk != n.cfg.Disk {
+		n.disown(spec)
+	}
 	if n.muted != nil && spec.Kind != Append {
 		return
 	}
@@ -40,6 +43,14 @@
 	}
 }
 
+// disown notes that the sender knows this VM with another disk.
+func (n *Node) disown(spec MessageSpec) {
+	if !n.disowned {
+		n.disowned = true
+		n.report("diskNotMember", n.cfg.Self, event.NewField("disk", string(n.cfg.Disk)), event.NewField("expected", string(spec.ToDisk)))
+	}
+}
+
 // followLeader accepts the sender as the leader of its term. It returns false
 // for an old leader and for a message meant for another disk.
 func (n *Node) followLeader(spec MessageSpec) bool {
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -79,6 +79,9 @@
 	// known holds the highest committed index that each voter's disk has
 	// acknowledged, as far as this replica was told.
 	known map[DiskID]uint64
+	// disowned is set when the group knows this VM with another disk. The
+	// replica then waits for an operator to replace the voter.
+	disowned bool
 	// foreign is the last disk that posed as a member with another disk.
 	foreign  DiskID
 	incoming incoming
@@ -200,12 +203,20 @@
 	// restart, so it counts as having heard from one now.
 	n.heard, n.heardAny = n.now, n.term > 0 || n.log.last() > 0
 	n.resetDeadline()
-	if n.members().only(n.cfg.Self) && n.configs[len(n.configs)-1].index <= foundingEntries {
+	if n.aloneSinceFounding() {
 		// No other VM ever was a voter, so none can hold a lease.
 		n.deadline, n.heardAny = n.now, false
 	}
 }
 
+// aloneSinceFounding reports whether no other VM was a voter of the group. An
+// empty disk in a group with learners may have lost a log in which one was
+// promoted, so it first waits for messages of such a voter.
+func (n *Node) aloneSinceFounding() bool {
+	cur := n.configs[len(n.configs)-1]
+	return cur.members.only(n.cfg.Self) && cur.index <= foundingEntries && (cur.index > 0 || len(cur.members.list) == 1)
+}
+
 // addEntry adds an entry to the log in memory.
 func (n *Node) addEntry(ent Entry) {
 	n.log.push(ent)
--- a/core/quorum/snapshot.go
+++ b/core/quorum/snapshot.go
@@ -215,8 +215,8 @@
 		return
 	}
 	if spec.Offset >= out.snap.size {
-		pr.outgoing = outgoing{}
 		pr.next = max(pr.match, out.snap.index) + 1
+		pr.outgoing = outgoing{}
 		n.appendTo(pr, true)
 		n.considerSnapshot()
 		return
