--- a/core/fleet/change.go
+++ b/core/fleet/change.go
@@ -32,16 +32,6 @@
 	return kindNames[KindNone]
 }
 
-// ParseKind returns the kind with the given name.
-func ParseKind(name string) (Kind, bool) {
-	for i, known := range kindNames {
-		if known == name {
-			return Kind(i), true
-		}
-	}
-	return KindNone, false
-}
-
 // Change is an accepted command without its content. It is the answer to that
 // command, and each part of the state names the change that it comes from.
 type Change struct {
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -1,7 +1,5 @@
 package fleet
 
-import "maps"
-
 // Answer is one kept answer in a snapshot.
 type Answer struct{ ans answer }
 
@@ -72,12 +70,3 @@
 		st.answers.put(an.ans.asked.command, an.ans)
 	}
 }
-
-// Clone returns an independent copy, for readers outside the owning actor.
-func (st *State) Clone() *State {
-	out := &State{last: st.last, active: st.active}
-	out.presets = maps.Clone(st.presets)
-	out.centres = maps.Clone(st.centres)
-	out.vms = maps.Clone(st.vms)
-	return out
-}
--- a/io/client/errors.go
+++ b/io/client/errors.go
@@ -59,9 +59,6 @@
 	last error
 }
 
-// Tried returns the addresses.
-func (err *UnreachableError) Tried() []string { return append([]string(nil), err.tried...) }
-
 // MaybeDone reports that a command may have been carried out. Sending it again
 // with the same identity returns its answer.
 func (err *UnreachableError) MaybeDone() bool { return err.sent }
