Send a job again to the same data centre only

Cause: names of jobs are compared inside one data centre. When the answer to a job was lost, the client sent it again to a VM of another data centre, which accepted it as new, so the work ran twice.

Change: the client asks for the data centre of the VM that answers first and names it in every send; the advice after an unknown outcome names it too.

--- a/io/client/calls.go
+++ b/io/client/calls.go
@@ -42,8 +42,22 @@
 	return post[rest.Done](ctx, cl, rest.PathCentres+"/"+url.PathEscape(name)+"/in", body)
 }
 
-// SubmitJob submits a job. Its name makes a resend safe.
+// NearCentre returns the data centre of the VM that answers first.
+func (cl *Client) NearCentre(ctx context.Context) (string, error) {
+	sta, err := cl.Status(ctx)
+	return sta.Centre, err
+}
+
+// SubmitJob submits a job. Its name makes a resend safe inside one data centre,
+// so a job without one gets that of the VM that answers first: sent again to a
+// VM of another data centre, it would run there as well.
 func (cl *Client) SubmitJob(ctx context.Context, body rest.JobSubmit) (rest.JobAccepted, error) {
+	if body.Centre == "" {
+		var err error
+		if body.Centre, err = cl.NearCentre(ctx); err != nil {
+			return rest.JobAccepted{}, err
+		}
+	}
 	return post[rest.JobAccepted](ctx, cl, rest.PathJobs, body)
 }
 
--- a/io/cmd/job/submit/submit.go
+++ b/io/cmd/job/submit/submit.go
@@ -51,10 +51,15 @@
 	if body.ID == "" {
 		body.ID = "job-" + strings.ToLower(env.NewID())
 	}
+	if body.Centre == "" {
+		if body.Centre, err = cl.NearCentre(ctx); err != nil {
+			return err
+		}
+	}
 	acc, err := cl.SubmitJob(ctx, body)
 	var une *client.UnreachableError
 	if errors.As(err, &une) && une.MaybeDone() {
-		return shell.NewResendError(err, "run the command again with the name "+body.ID+" and the same options; the job is accepted once")
+		return shell.NewResendError(err, "run the command again with the name "+body.ID+", --centre "+body.Centre+" and the same options; the job is accepted once")
 	}
 	if err != nil {
 		return err
