--- /dev/null
+++ b/core/blame/blame_test.go
@@ -0,0 +1,102 @@
+package blame
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+func wid(num int) model.WorkerID { return model.WorkerID(fmt.Sprintf("worker-%d", num)) }
+
+// Guards against a bad worker that fails good jobs for them: it is
+// quarantined, and no job is failed.
+func TestBadWorkerIsQuarantined(t *testing.T) {
+	var bk Book
+	for i := range 3 {
+		id := model.JobID(fmt.Sprintf("job-%d", i))
+		bk.Failed(wid(0), id)
+		bk.Ran(wid(1+i), id)
+	}
+	dur, ok := bk.Quarantine(0, wid(0), 10)
+	if !ok || dur != time.Minute {
+		t.Fatalf("quarantine %v %v", dur, ok)
+	}
+	for i := range 3 {
+		if bk.Hopeless(model.JobID(fmt.Sprintf("job-%d", i)), 10) {
+			t.Errorf("job-%d is failed for the worker's fault", i)
+		}
+	}
+	if got := bk.Paroled(model.Instant(time.Minute)); len(got) != 1 || bk.Standing(wid(0)) != OnProbation {
+		t.Fatalf("paroled %v", got)
+	}
+	bk.Failed(wid(0), "job-4")
+	if dur, ok = bk.Quarantine(model.Instant(time.Minute), wid(0), 10); !ok || dur != 2*time.Minute {
+		t.Errorf("second quarantine %v %v, want 2m", dur, ok)
+	}
+}
+
+// Guards against good workers quarantined for a job that can never run.
+func TestImpossibleJobEnds(t *testing.T) {
+	var bk Book
+	for i := range 4 {
+		if bk.Hopeless("bad", 10) {
+			t.Fatalf("failed after %d attempts", i)
+		}
+		bk.Ran(wid(i), "good")
+		bk.Failed(wid(i), "bad")
+		if _, ok := bk.Quarantine(0, wid(i), 10); ok {
+			t.Errorf("%s is quarantined for one job", wid(i))
+		}
+	}
+	if !bk.Hopeless("bad", 10) {
+		t.Error("not failed after 4 workers")
+	}
+}
+
+// Guards against a fault of all workers, such as a bad image, that would
+// quarantine the whole data centre.
+func TestQuarantineIsCapped(t *testing.T) {
+	var bk Book
+	confined := 0
+	for i := range 10 {
+		for j := range 3 {
+			bk.Failed(wid(i), model.JobID(fmt.Sprintf("job-%d", j)))
+		}
+		if _, ok := bk.Quarantine(0, wid(i), 10); ok {
+			confined++
+		}
+	}
+	if confined != 2 {
+		t.Errorf("%d of 10 workers are in quarantine, want 2", confined)
+	}
+}
+
+// Guards against a good worker quarantined for three impossible jobs.
+func TestSuspectJobsDoNotBlameWorkers(t *testing.T) {
+	var bk Book
+	for i := range 5 {
+		bk.Succeeded(wid(i), "good")
+	}
+	for j := range 3 {
+		for i := range 4 {
+			bk.Failed(wid(i), model.JobID(fmt.Sprintf("bad-%d", j)))
+		}
+	}
+	if _, ok := bk.Quarantine(0, wid(3), 20); ok {
+		t.Error("worker-3 is quarantined for jobs that fail everywhere")
+	}
+}
+
+// Guards against a job of many tasks that ends because of rare failures.
+func TestRareFailuresDoNotAddUp(t *testing.T) {
+	var bk Book
+	for i := range 40 {
+		bk.Failed(wid(i%8), "many")
+		bk.Succeeded(wid((i+1)%8), "many")
+		if bk.Hopeless("many", 8) {
+			t.Fatalf("failed after %d rare failures", i+1)
+		}
+	}
+}
--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"strconv"
 
 	"guavarail/core/event"
@@ -87,7 +88,7 @@
 			}
 		}
 		if jb.open == 0 {
-			pl.queue.forget(jb)
+			pl.forget(jb)
 		}
 	}
 }
@@ -121,6 +122,7 @@
 func (pl *Planner[P]) workerRemoved(op *Op) {
 	slot := pl.st.slots[op.worker]
 	pl.crews[slot] = crew{}
+	pl.book.Dismiss(op.worker)
 	pl.index.Close(slot)
 	pl.recount()
 	pl.note("workerRemoved", event.Subject{Worker: op.worker})
@@ -128,12 +130,26 @@
 
 // recount sums up the sizes of the known workers.
 func (pl *Planner[P]) recount() {
-	pl.usage.total = model.Resources{}
+	pl.usage.total, pl.sizes = model.Resources{}, nil
 	for _, wk := range pl.st.workers {
-		if wk.known {
-			pl.usage.grow(wk.size)
+		if !wk.known {
+			continue
+		}
+		pl.usage.total = pl.usage.total.Add(wk.size)
+		if !slices.Contains(pl.sizes, wk.size) {
+			pl.sizes = append(pl.sizes, wk.size)
+		}
+	}
+}
+
+// fitsSomewhere reports whether some known worker is large enough.
+func (pl *Planner[P]) fitsSomewhere(need model.Resources) bool {
+	for _, size := range pl.sizes {
+		if need.FitsIn(size) {
+			return true
 		}
 	}
+	return false
 }
 
 // progressed follows an operation on an attempt.
@@ -183,9 +199,9 @@
 	cr := &pl.crews[slot]
 	for i := range cr.lives {
 		if lv := &cr.lives[i]; lv.ref == re {
-			pl.usage.sub(re.job.spec, lv.size, lv.borrowed)
-			lv.size = size
-			pl.usage.add(re.job.spec, lv.size, lv.borrowed)
+			pl.usage.sub(re.job.spec, lv.size.resources(), lv.borrowed)
+			lv.size, lv.over, lv.throttle = pack(size), 0, false
+			pl.usage.add(re.job.spec, size, lv.borrowed)
 		}
 	}
 	pl.refresh(slot)
@@ -199,7 +215,8 @@
 		return
 	}
 	jb := lv.ref.job
-	pl.usage.sub(jb.spec, lv.size, lv.borrowed)
+	pl.usage.sub(jb.spec, lv.size.resources(), lv.borrowed)
+	pl.attribute(now, slot, &lv, op.outcome)
 	pl.queue.occupy(jb, pl.index.RackOf(pl.st.workers[slot].rack), -1)
 	pl.refresh(slot)
 	sub := event.Subject{Job: jb.spec.ID, Task: op.task.String(), Worker: pl.st.workers[slot].id}
@@ -209,7 +226,7 @@
 		pl.queue.push(lv.ref, now)
 	}
 	if jb.open == 0 {
-		pl.queue.forget(jb)
+		pl.forget(jb)
 		pl.note("jobEnded", event.Subject{Job: jb.spec.ID}, event.NewField("state", jb.view().State().String()))
 	}
 }
--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -19,7 +19,7 @@
 	st.submitted++
 	jb := &job{spec: spec, tasks: make([]task, spec.Tasks), sequence: st.submitted, open: spec.Tasks}
 	for i := range jb.tasks {
-		jb.tasks[i].size = spec.Size
+		jb.tasks[i].size = pack(spec.Size)
 		jb.tasks[i].note(HistoryQueued, ReasonQueued)
 	}
 	st.jobs[spec.ID] = jb
@@ -93,7 +93,7 @@
 }
 
 func (st *State) know(op *Op) Verdict {
-	if op.worker == "" || !op.size.Valid() {
+	if op.worker == "" || !storable(op.size) {
 		return UnknownWorker
 	}
 	slot, ok := st.slots[op.worker]
@@ -146,10 +146,10 @@
 	if !ok {
 		return UnknownWorker
 	}
-	if !op.size.Valid() || !op.size.FitsIn(wk.free()) {
+	if !storable(op.size) || !op.size.FitsIn(wk.free()) {
 		return DoesNotFit
 	}
-	tk.state, tk.attempt, tk.worker, tk.size = Starting, op.attempt, slot+1, op.size
+	tk.state, tk.attempt, tk.worker, tk.size = Starting, op.attempt, slot+1, pack(op.size)
 	tk.borrowed, tk.reason = op.borrowed, NoReason
 	wk.committed = wk.committed.Add(op.size)
 	wk.refs = append(wk.refs, re)
@@ -216,12 +216,12 @@
 func (st *State) resize(re ref, size model.Resources) Verdict {
 	tk := re.task()
 	wk := st.workers[tk.worker-1]
-	rest := wk.committed.Sub(tk.size)
-	if !size.Valid() || !rest.Add(size).FitsIn(wk.size) {
+	rest := wk.committed.Sub(tk.size.resources())
+	if !storable(size) || !rest.Add(size).FitsIn(wk.size) {
 		return DoesNotFit
 	}
 	wk.committed = rest.Add(size)
-	tk.size = size
+	tk.size = pack(size)
 	return Accepted
 }
 
@@ -234,7 +234,7 @@
 func (st *State) end(re ref, oc Outcome) {
 	tk := re.task()
 	wk := st.workers[tk.worker-1]
-	wk.committed = wk.committed.Sub(tk.size)
+	wk.committed = wk.committed.Sub(tk.size.resources())
 	wk.drop(re)
 	kind := HistoryLost
 	if int(oc) < len(outcomeHistory) && oc != 0 {
--- /dev/null
+++ b/core/sched/fuzz_test.go
@@ -0,0 +1,212 @@
+package sched
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"guavarail/core/model"
+)
+
+// TestMain fixes the seed and the number of runs. GUAVARAIL_FUZZ_RUNS asks for
+// more runs and GUAVARAIL_FUZZ_SEED for another seed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := func(name, env, def string) {
+		val := os.Getenv(env)
+		if val == "" {
+			val = def
+		}
+		if err := flag.Set(name, val); err != nil {
+			panic(err)
+		}
+	}
+	set("rapid.checks", "GUAVARAIL_FUZZ_RUNS", "60")
+	set("rapid.seed", "GUAVARAIL_FUZZ_SEED", "20261204")
+	set("rapid.steps", "GUAVARAIL_FUZZ_STEPS", "60")
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// fuzzer drives a world by drawn actions.
+type fuzzer struct {
+	wd   *world
+	jobs int
+}
+
+func newFuzzer(t *rapid.T) *fuzzer {
+	fz := &fuzzer{wd: newWorld(newOracle(t), rapid.IntRange(3, 8).Draw(t, "workers"))}
+	spec := model.PresetSpec{Name: "fuzz", BatchSharePercent: 100}
+	if rapid.Bool().Draw(t, "move") {
+		spec.Drain = model.DrainMove
+	}
+	if rapid.Bool().Draw(t, "quotas") {
+		spec.Quotas = []model.Quota{
+			model.NewQuota("kiln", model.NewResources(6000, 12000, 2), 2),
+			model.NewQuota("fleet", model.NewResources(4000, 9000, 1), 1),
+		}
+	}
+	pre, err := model.NewPreset(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fz.wd.preset = pre
+	fz.wd.run(2 * time.Second)
+	return fz
+}
+
+func (fz *fuzzer) actions() map[string]func(*rapid.T) {
+	wd := fz.wd
+	return map[string]func(*rapid.T){
+		"run":     func(t *rapid.T) { wd.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "steps")) * worldStep) },
+		"runLong": func(t *rapid.T) { wd.run(time.Duration(rapid.IntRange(2, 15).Draw(t, "seconds")) * time.Second) },
+		"submit":  fz.submit,
+		"submit2": fz.submit,
+		"load":    fz.load,
+		"cancel":  fz.cancel,
+		"depose": func(*rapid.T) {
+			wd.depose()
+		},
+		"elect": func(t *rapid.T) {
+			wd.depose()
+			wd.run(time.Second)
+			wd.elect(rapid.Bool().Draw(t, "committed"))
+		},
+		"astray":  func(*rapid.T) { wd.astray = !wd.astray },
+		"kill":    func(t *rapid.T) { fz.worker(t).kill() },
+		"restart": func(t *rapid.T) { fz.restart(t) },
+		"freeze":  func(t *rapid.T) { fz.worker(t).frozen = true },
+		"thaw":    func(t *rapid.T) { fz.worker(t).frozen = false },
+		"break": func(t *rapid.T) {
+			wk := fz.worker(t)
+			wk.broken = !wk.broken
+		},
+		"lose":   func(t *rapid.T) { wd.lose = rapid.IntRange(1, 10).Draw(t, "messages") },
+		"repeat": func(t *rapid.T) { wd.repeat = rapid.IntRange(1, 10).Draw(t, "messages") },
+		"delay":  func(t *rapid.T) { wd.delay = time.Duration(rapid.IntRange(1, 240).Draw(t, "steps")) * worldStep },
+		"drop": func(*rapid.T) {
+			if len(wd.proposed) > 0 {
+				wd.proposed = nil
+				wd.step(wd.leader, Dropped{})
+			}
+		},
+		"out": func(*rapid.T) {
+			if !wd.out {
+				wd.out, wd.outAt = true, wd.now
+			}
+		},
+		"in":      func(*rapid.T) { wd.out = false },
+		"restore": fz.restore,
+	}
+}
+
+func (fz *fuzzer) worker(t *rapid.T) *fakeWorker {
+	return rapid.SampledFrom(fz.wd.workers).Draw(t, "worker")
+}
+
+func (fz *fuzzer) restart(t *rapid.T) {
+	if wk := fz.worker(t); wk.dead {
+		wk.restart()
+	}
+}
+
+// restore replaces the state of the VM that does not lead by a snapshot.
+func (fz *fuzzer) restore(*rapid.T) {
+	for _, vm := range fz.wd.vms {
+		if vm != fz.wd.leader && !vm.believes {
+			vm.state.Restore(fz.wd.leader.state.Snapshot())
+			vm.applied = fz.wd.leader.applied
+		}
+	}
+}
+
+func (fz *fuzzer) submit(t *rapid.T) {
+	if fz.wd.deposed {
+		return
+	}
+	fz.jobs++
+	spec := JobSpec{
+		ID:       model.JobID(fmt.Sprintf("job-%d", fz.jobs)),
+		Team:     rapid.SampledFrom([]model.TeamID{"kiln", "fleet"}).Draw(t, "team"),
+		Priority: model.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+		Kind:     rapid.SampledFrom([]string{"allocate", "reconcile"}).Draw(t, "kind"),
+		Tasks:    rapid.IntRange(1, 12).Draw(t, "tasks"),
+		Size: model.NewResources(rapid.Int64Range(500, 3000).Draw(t, "cpu"), rapid.Int64Range(100, 3000).Draw(t, "memory"),
+			rapid.Int64Range(0, 1).Draw(t, "accelerators")),
+	}
+	fj := fakeJob{length: time.Duration(rapid.IntRange(1, 200).Draw(t, "length")) * worldStep, usage: spec.Size}
+	switch rapid.IntRange(0, 9).Draw(t, "fault") {
+	case 0:
+		fj.breaks = true
+	case 1:
+		spec.Size = model.NewResources(9000, 100, 0)
+	case 2, 3:
+		fj.usage = spec.Size.Add(model.NewResources(rapid.Int64Range(0, 3000).Draw(t, "extra"), 0, 0))
+	}
+	fz.wd.submit(t, spec, fj)
+}
+
+// load fills the workers with long batch tasks.
+func (fz *fuzzer) load(t *rapid.T) {
+	if fz.wd.deposed {
+		return
+	}
+	fz.jobs++
+	spec := JobSpec{
+		ID:    model.JobID(fmt.Sprintf("job-%d", fz.jobs)),
+		Team:  rapid.SampledFrom([]model.TeamID{"kiln", "fleet"}).Draw(t, "team"),
+		Tasks: rapid.IntRange(5, 30).Draw(t, "tasks"), Size: model.NewResources(1000, 1000, 0),
+	}
+	length := time.Duration(rapid.IntRange(10, 60).Draw(t, "length")) * time.Second
+	fz.wd.submit(t, spec, fakeJob{length: length, usage: spec.Size})
+}
+
+func (fz *fuzzer) cancel(t *rapid.T) {
+	if fz.wd.deposed || fz.jobs == 0 {
+		return
+	}
+	var ids []model.JobID
+	for range rapid.IntRange(1, 5).Draw(t, "wave") {
+		ids = append(ids, model.JobID(fmt.Sprintf("job-%d", rapid.IntRange(1, fz.jobs).Draw(t, "job"))))
+	}
+	fz.wd.commit(NewCommand(Cancel(ids...)))
+}
+
+// heal ends all faults and lets everything run to its end.
+func (fz *fuzzer) heal() {
+	wd := fz.wd
+	wd.lose, wd.repeat, wd.delay, wd.out, wd.astray = 0, 0, 0, false, false
+	for _, wk := range wd.workers {
+		if wk.dead {
+			wk.restart()
+		}
+		wk.broken, wk.frozen = false, false
+	}
+	if wd.deposed {
+		wd.run(time.Second)
+		wd.elect(true)
+	}
+	for range 60 {
+		wd.run(20 * time.Second)
+		if wd.oracle.settled(wd) {
+			break
+		}
+	}
+	wd.oracle.settle(wd)
+}
+
+// Guards P1 to P4, quotas, cancellation and lost work against every order of
+// faults that is drawn.
+func TestFaultsBreakNoInvariant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fz := newFuzzer(t)
+		t.Repeat(fz.actions())
+		fz.heal()
+	})
+}
--- a/core/sched/input.go
+++ b/core/sched/input.go
@@ -91,6 +91,8 @@
 	// Usage was measured UsageAge before the report was sent.
 	Usage    model.Resources
 	UsageAge time.Duration
+	// Throttled says that the attempt is limited.
+	Throttled bool
 	// Checkpoint is the newest checkpoint that the attempt took, if any.
 	Checkpoint Checkpoint
 	// Resumed is the checkpoint that the attempt resumed from, if any.
--- a/core/sched/oracle_test.go
+++ b/core/sched/oracle_test.go
@@ -91,6 +91,7 @@
 				}
 			}
 		case OpStart:
+			orc.withinQuota(wd, op)
 			if _, ok := orc.cancelled[op.task.Job()]; ok {
 				orc.tb.Fatalf("start of %s was recorded after its cancel", op.task)
 			}
@@ -98,13 +99,37 @@
 	}
 }
 
+// withinQuota checks a start that claims to fit in the quota of its team.
+func (orc *oracle) withinQuota(wd *world, start Op) {
+	st := &wd.leader.state
+	team := st.jobs[start.task.Job()].spec.Team
+	quo, ok := wd.preset.Quota(team)
+	if start.borrowed || len(wd.preset.Quotas()) == 0 {
+		if start.borrowed && st.jobs[start.task.Job()].spec.Priority != model.Batch {
+			orc.tb.Fatalf("%s borrows but is not batch", start.task)
+		}
+		return
+	}
+	held := model.Resources{}
+	for _, wk := range st.workers {
+		for _, re := range wk.refs {
+			if re.job.spec.Team == team && !re.task().borrowed {
+				held = held.Add(re.task().size.resources())
+			}
+		}
+	}
+	if !ok || !held.FitsIn(quo.Limit()) {
+		orc.tb.Fatalf("%s holds %v with the start of %s, quota %v", team, held, start.task, quo.Limit())
+	}
+}
+
 // check looks at the leader's state after a step.
 func (orc *oracle) check(wd *world) {
 	st := &wd.leader.state
 	for _, wk := range st.workers {
 		sum := model.Resources{}
 		for _, re := range wk.refs {
-			sum = sum.Add(re.task().size)
+			sum = sum.Add(re.task().size.resources())
 		}
 		if sum != wk.committed || !sum.FitsIn(wk.size) {
 			orc.tb.Fatalf("P1: %s has %v committed as %v of %v", wk.id, sum, wk.committed, wk.size)
@@ -147,6 +172,16 @@
 	}
 }
 
+// settled reports whether every task is in a final state.
+func (orc *oracle) settled(wd *world) bool {
+	for id := range orc.jobs {
+		if jb, ok := wd.leader.state.jobs[id]; !ok || jb.open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // settle checks that nothing was lost once all faults are over.
 func (orc *oracle) settle(wd *world) {
 	st := &wd.leader.state
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"guavarail/core/blame"
 	"guavarail/core/event"
 	"guavarail/core/model"
 	"guavarail/core/place"
@@ -26,6 +27,8 @@
 	// proposalWait is the time after which a proposal without a result counts
 	// as lost; an election takes at most 4 s.
 	proposalWait = 5 * time.Second
+	// checkpointEvery bounds the work that a lost worker costs a batch task.
+	checkpointEvery = 5 * time.Minute
 	// stopRenewal bounds how long the lease of an attempt that was asked to
 	// stop is renewed, so that a worker that ignores the order loses it.
 	stopRenewal = 30 * time.Second
@@ -33,15 +36,20 @@
 
 // live is what the leader knows about one attempt on a worker.
 type live struct {
-	ref      ref
-	attempt  model.Attempt
-	size     model.Resources
-	usage    model.Resources
+	ref     ref
+	attempt model.Attempt
+	// size is the commitment that the accounts hold.
+	size amount
+	// peak is the largest usage that was reported.
+	peak     amount
 	borrowed bool
 	// listed: the last report of the worker has the attempt as running.
 	listed bool
 	// told: a proposal under way records an end or a confirmation.
 	told bool
+	// spent: a worker that restarted since may have run the attempt, so that
+	// the start order is not sent again (P3).
+	spent bool
 	// lost: the lease has passed. It is never renewed again (P2).
 	lost bool
 	// seen is the time that the lease counts from.
@@ -50,8 +58,13 @@
 	ordered model.Instant
 	// since is when the stop was asked or the attempt was recorded.
 	since model.Instant
-	// over is since when the usage exceeds a commitment that cannot grow.
+	// over is since when the usage exceeds a commitment that cannot grow, 0
+	// while it does not.
 	over model.Instant
+	// throttle: the attempt is to be limited to its commitment, because it
+	// grew or, with slow, because it interferes. throttled is what the worker
+	// reported.
+	throttle, slow, throttled bool
 }
 
 func (lv *live) task() *task { return lv.ref.task() }
@@ -76,9 +89,9 @@
 	strayed model.Instant
 	lastTag uint64
 	expiry  model.Instant
-	// held keeps freed resources for heldFor until this time.
-	held    model.Instant
+	// heldFor gets what becomes free until held.
 	heldFor *backlog
+	held    model.Instant
 	// shrunk: the worker reported less than is committed.
 	shrunk bool
 }
@@ -109,6 +122,16 @@
 	usage  usage
 	// quotas are those of the active preset.
 	quotas map[model.TeamID]model.Quota
+	book   blame.Book
+	kinds  kinds
+	// charges are the commitments of the plan in the making.
+	charges []charge
+	// growing are attempts that use more than their commitment.
+	growing []spot
+	// hopeless are jobs to end, with the reason.
+	hopeless []Op
+	// sizes are the different sizes of the known workers.
+	sizes []model.Resources
 	// facts are operations that reports brought; they go first in the next
 	// proposal.
 	facts  []Op
@@ -183,10 +206,17 @@
 
 // plan returns the operations to propose besides the facts of reports.
 func (pl *Planner[P]) plan(now model.Instant) ([]Op, []pick) {
+	defer pl.settle()
+	ops := pl.repair(now)
+	ops = append(ops, pl.grow(now)...)
+	ops = append(ops, pl.drain(now)...)
 	if !pl.mayStart(now) {
-		return nil, nil
+		return ops, nil
 	}
-	return pl.starts(now)
+	pl.releaseHolds(now)
+	starts, picks := pl.starts(now)
+	ops = append(ops, starts...)
+	return append(ops, pl.makeRoom(now)...), picks
 }
 
 func (pl *Planner[P]) propose(now model.Instant, ops []Op, picks []pick) {
@@ -219,14 +249,16 @@
 func (pl *Planner[P]) takeOver(now model.Instant) {
 	serial, tag := pl.serial, pl.tag
 	*pl = Planner[P]{st: pl.st, policy: pl.policy, leading: true, env: pl.env, outSince: now, started: now, serial: serial, tag: tag}
+	pl.recount()
 	for slot, wk := range pl.st.workers {
 		pl.ensure(int32(slot))
-		if wk.known {
-			pl.usage.grow(wk.size)
-		}
 		for _, re := range wk.refs {
 			pl.addLive(now, int32(slot), re)
 		}
+		// The previous leader may have sent the start orders.
+		for i := range pl.crews[slot].lives {
+			pl.crews[slot].lives[i].spent = true
+		}
 	}
 	pl.queue.rebuild(pl.st, now)
 }
@@ -241,11 +273,15 @@
 func (pl *Planner[P]) addLive(now model.Instant, slot int32, re ref) {
 	tk := re.task()
 	cr := pl.ensure(slot)
+	ordered := model.Instant(0)
+	if tk.state == Running {
+		ordered = now
+	}
 	cr.lives = append(cr.lives, live{
-		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: now,
+		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: now, ordered: ordered,
 	})
 	cr.expiry = 0
-	pl.usage.add(re.job.spec, tk.size, tk.borrowed)
+	pl.usage.add(re.job.spec, tk.size.resources(), tk.borrowed)
 	pl.queue.occupy(re.job, pl.index.RackOf(pl.st.workers[slot].rack), 1)
 }
 
@@ -253,7 +289,9 @@
 // takes it out while it may not get tasks.
 func (pl *Planner[P]) refresh(slot int32) {
 	cr, wk := &pl.crews[slot], pl.st.workers[slot]
-	if !wk.known || !cr.heard || cr.shrunk {
+	sta := pl.book.Standing(wk.id)
+	if !wk.known || !cr.heard || cr.shrunk || cr.heldFor != nil ||
+		sta == blame.Quarantined || sta == blame.OnProbation && len(cr.lives) > 0 {
 		pl.index.Close(slot)
 		return
 	}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -24,7 +24,7 @@
 	racks place.Racks
 	// reason is why the oldest task waits.
 	reason Reason
-	// holds are workers where room is being made for the oldest task.
+	// holds are workers where room is being made for the oldest tasks.
 	holds []int32
 }
 
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -10,12 +10,13 @@
 // report takes in a poll. The poll is answered at once when there are orders,
 // else after pollHold.
 func (pl *Planner[P]) report(now model.Instant, rep ReportSpec) {
-	pl.tag = max(pl.tag, rep.Tag) + 1
-	pol := poll{id: rep.Poll, worker: rep.Worker, received: now, open: true}
 	if !pl.leads(now) {
-		pl.out = append(pl.out, Answer{worker: rep.Worker, poll: rep.Poll, tag: pl.tag})
+		// The tag stays, so that the leader sees that a worker restarted.
+		pl.out = append(pl.out, Answer{worker: rep.Worker, poll: rep.Poll, tag: rep.Tag})
 		return
 	}
+	pl.tag = max(pl.tag, rep.Tag) + 1
+	pol := poll{id: rep.Poll, worker: rep.Worker, received: now, open: true}
 	wk, slot, ok := pl.st.worker(rep.Worker)
 	if !ok {
 		pl.welcome(pol, rep)
@@ -28,6 +29,9 @@
 		return
 	}
 	cr.lastTag = rep.Tag
+	if rep.Tag == 0 {
+		spendOrdered(cr.lives)
+	}
 	pl.answer(now, slot, true)
 	cr.poll = pol
 	pl.resized(cr, wk, rep)
@@ -41,6 +45,13 @@
 	pl.answer(now, slot, false)
 }
 
+// spendOrdered marks the starts that were sent before the worker restarted.
+func spendOrdered(lvs []live) {
+	for i := range lvs {
+		lvs[i].spent = lvs[i].spent || lvs[i].ordered != 0
+	}
+}
+
 // welcome proposes to make an unknown worker known and keeps its poll.
 func (pl *Planner[P]) welcome(pol poll, rep ReportSpec) {
 	for i := range pl.guests {
@@ -114,7 +125,8 @@
 	tk := lv.task()
 	oc, ended := spec.State.outcome()
 	lv.listed = !ended
-	lv.usage = spec.Usage
+	lv.throttled = spec.Throttled
+	pl.measure(cr, lv, spec.Usage)
 	if lv.told {
 		if !ended && !lv.lost {
 			lv.seen = now
@@ -200,10 +212,10 @@
 		}
 		tk, spec := lv.task(), &lv.ref.job.spec
 		switch {
-		case tk.state == Starting && !lv.listed && pl.mayStart(now):
+		case tk.state == Starting && !lv.listed && !lv.spent && pl.mayStart(now):
 			out = append(out, Order{
 				kind: OrderStart, task: lv.ref.id(), attempt: lv.attempt, taskKind: spec.Kind,
-				priority: spec.Priority, size: tk.size, resume: tk.newest, fallback: tk.previous,
+				priority: spec.Priority, size: tk.size.resources(), resume: tk.newest, fallback: tk.previous,
 				issuedAfter: now.Sub(cr.poll.received),
 			})
 			// The worker counts its lease from the send time of this poll.
@@ -211,6 +223,16 @@
 		case tk.state == Stopping:
 			out = append(out, Order{kind: OrderStop, task: lv.ref.id(), attempt: lv.attempt, grace: grace(tk.reason)})
 			lv.ordered = now
+		case tk.state == Running && lv.listed && lv.throttled != (lv.throttle || lv.slow):
+			or := Order{kind: OrderThrottle, task: lv.ref.id(), attempt: lv.attempt}
+			if !lv.throttled {
+				or.size = tk.size.resources()
+			}
+			out = append(out, or)
+			lv.ordered = now
+		case tk.state == Running && lv.listed && spec.Priority == model.Batch && now.Sub(lv.ordered) >= checkpointEvery:
+			out = append(out, Order{kind: OrderCheckpoint, task: lv.ref.id(), attempt: lv.attempt})
+			lv.ordered = now
 		}
 	}
 	return out
--- /dev/null
+++ b/core/sched/rules_test.go
@@ -0,0 +1,252 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// full returns a world whose four workers are full of long batch tasks.
+func full(t *testing.T, quos ...model.Quota) *world {
+	wd := newWorld(newOracle(t), 4)
+	pre, err := model.NewPreset(model.PresetSpec{Name: "test", BatchSharePercent: 100, Quotas: quos, Drain: model.DrainMove})
+	if err != nil {
+		t.Fatal(err)
+	}
+	wd.preset = pre
+	wd.run(3 * time.Second)
+	wd.batch(t, "filler", "fleet", 16, 1000)
+	wd.run(3 * time.Second)
+	if jv := wd.job("filler"); jv.Count(Running) != 16 {
+		t.Fatalf("%d of 16 tasks run", jv.Count(Running))
+	}
+	return wd
+}
+
+func (wd *world) batch(t *testing.T, id model.JobID, team model.TeamID, tasks int, cpu int64) {
+	size := model.NewResources(cpu, 500, 0)
+	wd.submit(t, JobSpec{ID: id, Team: team, Tasks: tasks, Size: size}, fakeJob{length: time.Hour, usage: size})
+}
+
+func (wd *world) job(id model.JobID) JobView {
+	jv, _ := wd.leader.state.Job(id)
+	return jv
+}
+
+// evictions counts the evictions by reason.
+func (wd *world) evictions(why Reason) int {
+	num := 0
+	for _, cmd := range wd.log {
+		for _, op := range cmd.ops {
+			if op.kind == OpEvict && op.reason == why {
+				num++
+			}
+		}
+	}
+	return num
+}
+
+// Guards the bound of 7.7 s for urgent work and the number of evictions.
+func TestUrgentWorkEvictsTheFewest(t *testing.T) {
+	wd := full(t)
+	size := model.NewResources(1000, 500, 0)
+	wd.submit(t, JobSpec{ID: "now", Team: "kiln", Priority: model.Urgent, Tasks: 3, Size: size}, fakeJob{length: time.Minute, usage: size})
+	wd.run(7700 * time.Millisecond)
+	if jv := wd.job("now"); jv.Count(Running) != 3 {
+		t.Errorf("%d of 3 urgent tasks run after 7.7 s", jv.Count(Running))
+	}
+	if got := wd.evictions(ReasonUrgent); got != 3 {
+		t.Errorf("%d evictions, want 3", got)
+	}
+}
+
+// Guards the bound of 60 s for work within its quota, and that only borrowed
+// batch work pays for it.
+func TestQuotaIsReclaimed(t *testing.T) {
+	wd := full(t,
+		model.NewQuota("fleet", model.NewResources(10000, 8000, 0), 1),
+		model.NewQuota("kiln", model.NewResources(6000, 8000, 0), 1))
+	wd.batch(t, "own", "kiln", 6, 1000)
+	wd.run(time.Minute)
+	if jv := wd.job("own"); jv.Count(Running) != 6 {
+		t.Errorf("%d of 6 tasks within quota run after 60 s", jv.Count(Running))
+	}
+	if got := wd.evictions(ReasonReclaim); got != 6 {
+		t.Errorf("%d evictions, want 6", got)
+	}
+	if jv := wd.job("filler"); jv.Count(Running) != 10 {
+		t.Errorf("%d tasks of the borrower run, want the 10 of its quota", jv.Count(Running))
+	}
+}
+
+// Guards a large task against starving among small gaps.
+func TestLargeTaskGetsAWholeWorker(t *testing.T) {
+	wd := newWorld(newOracle(t), 2)
+	wd.preset, _ = model.NewPreset(model.PresetSpec{Name: "test", BatchSharePercent: 100})
+	wd.run(3 * time.Second)
+	size := model.NewResources(1000, 500, 0)
+	wd.submit(t, JobSpec{ID: "small", Team: "fleet", Tasks: 300, Size: size}, fakeJob{length: 4 * time.Second, usage: size})
+	wd.run(3 * time.Second)
+	wd.batch(t, "large", "kiln", 1, 4000)
+	wd.run(time.Minute)
+	if jv := wd.job("large"); jv.Count(Running) != 1 {
+		t.Errorf("the large task is %s after 60 s", jv.State())
+	}
+}
+
+// Guards P4 and the drain that moves: batch work stops with a checkpoint and
+// resumes from it when the data centre is back.
+func TestDrainStopsBatchAndResumes(t *testing.T) {
+	wd := full(t)
+	wd.out, wd.outAt = true, wd.now
+	wd.run(20 * time.Second)
+	if jv := wd.job("filler"); jv.Count(Waiting) != 16 {
+		t.Fatalf("%d of 16 tasks wait", jv.Count(Waiting))
+	}
+	tv, _ := wd.leader.state.Task(model.NewTaskID("filler", 0))
+	if tv.Checkpoint().IsZero() {
+		t.Error("task 0 has no checkpoint")
+	}
+	wd.out = false
+	wd.run(10 * time.Second)
+	if jv := wd.job("filler"); jv.Count(Running) != 16 {
+		t.Errorf("%d of 16 tasks run after the return", jv.Count(Running))
+	}
+}
+
+// Guards against good jobs that end because of a bad worker, and good workers
+// out of use because of an impossible job.
+func TestBadWorkerAndImpossibleJob(t *testing.T) {
+	wd := newWorld(newOracle(t), 8)
+	wd.run(3 * time.Second)
+	wd.workers[0].broken = true
+	size := model.NewResources(1000, 500, 0)
+	for _, id := range []model.JobID{"one", "two", "three", "four"} {
+		wd.submit(t, JobSpec{ID: id, Team: "kiln", Tasks: 8, Size: size}, fakeJob{length: 3 * time.Second, usage: size})
+	}
+	wd.submit(t, JobSpec{ID: "bad", Team: "kiln", Tasks: 2, Size: size}, fakeJob{breaks: true, usage: size})
+	wd.submit(t, JobSpec{ID: "huge", Team: "kiln", Tasks: 1, Size: model.NewResources(9000, 1, 0)}, fakeJob{})
+	wd.run(time.Minute)
+	for _, id := range []model.JobID{"one", "two", "three", "four"} {
+		if jv := wd.job(id); jv.Count(Finished) != 8 {
+			t.Errorf("%s: %d of 8 tasks finished", id, jv.Count(Finished))
+		}
+	}
+	if jv := wd.job("bad"); jv.Reason() != ReasonKeepsFailing || jv.Count(Failed) != 2 {
+		t.Errorf("bad ended as %s because of %s", jv.State(), jv.Reason())
+	}
+	if jv := wd.job("huge"); jv.Reason() != ReasonTooLarge {
+		t.Errorf("huge ended because of %s", jv.Reason())
+	}
+}
+
+// Guards services against the loss of one rack.
+func TestServicesSpreadOverRacks(t *testing.T) {
+	wd := newWorld(newOracle(t), 8)
+	wd.run(3 * time.Second)
+	size := model.NewResources(1000, 500, 0)
+	wd.submit(t, JobSpec{ID: "desk", Team: "kiln", Priority: model.Service, Tasks: 4, Size: size}, fakeJob{length: time.Hour, usage: size})
+	wd.run(5 * time.Second)
+	racks := map[string]int{}
+	for _, wk := range wd.workers {
+		racks[wk.rack] += len(wk.attempts)
+	}
+	for rack, num := range racks {
+		if num != 1 {
+			t.Errorf("%s has %d of 4 tasks", rack, num)
+		}
+	}
+}
+
+// Guards P2 after a leader change: the next attempt waits for the whole lease
+// counted from the takeover.
+func TestNewLeaderWaitsForLeases(t *testing.T) {
+	wd := full(t)
+	wd.workers[0].frozen = true
+	wd.run(5 * time.Second)
+	wd.depose()
+	wd.run(time.Second)
+	wd.elect(false)
+	wd.run(10400 * time.Millisecond)
+	if jv := wd.job("filler"); jv.Count(Running) != 16 {
+		t.Errorf("%d tasks run before the leases passed, want 16", jv.Count(Running))
+	}
+	wd.run(time.Second)
+	if jv := wd.job("filler"); jv.Count(Waiting) != 4 {
+		t.Errorf("%d tasks wait after the leases passed, want 4", jv.Count(Waiting))
+	}
+}
+
+// Guards against an attempt that is started again after its worker restarted
+// (P3; found by the fuzzer with seed 208988).
+func TestRestartedWorkerGetsNoSecondStart(t *testing.T) {
+	wd := newWorld(newOracle(t), 1)
+	wd.run(3 * time.Second)
+	wd.batch(t, "tray", "kiln", 1, 1000)
+	for len(wd.workers[0].attempts) == 0 {
+		wd.advance()
+	}
+	wd.workers[0].kill()
+	wd.workers[0].restart()
+	wd.run(20 * time.Second)
+	tv, _ := wd.leader.state.Task(model.NewTaskID("tray", 0))
+	if tv.State() != Running || tv.Attempt() != 2 {
+		t.Errorf("the task is %s in attempt %d, want running in 2", tv.State(), tv.Attempt())
+	}
+}
+
+// Guards quotas against growth in the same command as a start (found by the
+// fuzzer with seed 213), and commitments against the size of a worker.
+func TestGrowthCountsBeforeStarts(t *testing.T) {
+	wd := newWorld(newOracle(t), 4)
+	wd.preset, _ = model.NewPreset(model.PresetSpec{
+		Name: "test", BatchSharePercent: 100, Quotas: []model.Quota{model.NewQuota("kiln", model.NewResources(6000, 8000, 0), 1)},
+	})
+	wd.run(3 * time.Second)
+	size := model.NewResources(1000, 500, 0)
+	wd.submit(t, JobSpec{ID: "liar", Team: "kiln", Priority: model.Service, Tasks: 2, Size: size},
+		fakeJob{length: time.Hour, usage: size})
+	wd.run(3 * time.Second)
+	// While a proposal is under way, growth and the next job come together.
+	wd.stalled = true
+	wd.run(1500 * time.Millisecond)
+	wd.oracle.jobs["liar"] = fakeJob{length: time.Hour, usage: model.NewResources(2500, 500, 0)}
+	wd.submit(t, JobSpec{ID: "next", Team: "kiln", Priority: model.Service, Tasks: 2, Size: size}, fakeJob{length: time.Hour, usage: size})
+	wd.run(1500 * time.Millisecond)
+	wd.stalled = false
+	wd.run(10 * time.Second)
+	tv, _ := wd.leader.state.Task(model.NewTaskID("liar", 0))
+	if tv.Size().MilliCPU() < 2500 {
+		t.Errorf("the commitment is %d, the usage 2500", tv.Size().MilliCPU())
+	}
+	if jv := wd.job("next"); jv.Count(Waiting) != 2 {
+		t.Errorf("%d of 2 tasks wait for quota", jv.Count(Waiting))
+	}
+}
+
+// Guards against a task that is stuck on a checkpoint that cannot be read.
+func TestUnreadableCheckpointFallsBack(t *testing.T) {
+	var st State
+	jo, _ := NewJob(JobSpec{ID: "tray", Team: "kiln", Tasks: 1, Size: model.NewResources(1, 1, 0)})
+	tid := model.NewTaskID("tray", 0)
+	first, second := NewCheckpoint(1, 1), NewCheckpoint(1, 2)
+	res := st.Apply(NewCommand(
+		Submit(jo), Worker("one", "rack", model.NewResources(9, 9, 0)),
+		Start(tid, 1, "one", jo.Spec().Size, Checkpoint{}, false), Confirm(tid, 1, Checkpoint{}),
+		TakeCheckpoint(tid, first), TakeCheckpoint(tid, second), End(tid, 1, "one", Lost),
+		Start(tid, 2, "one", jo.Spec().Size, first, false), Start(tid, 2, "one", jo.Spec().Size, second, false),
+		Confirm(tid, 2, first),
+	))
+	if res.Verdict(7) != StaleAttempt || res.Verdict(8) != Accepted {
+		t.Errorf("start from the older checkpoint %s, from the newest %s", res.Verdict(7), res.Verdict(8))
+	}
+	tv, _ := st.Task(tid)
+	if tv.Checkpoint() != first {
+		t.Errorf("the next attempt resumes from %v, want %v", tv.Checkpoint(), first)
+	}
+	his := tv.History()
+	if his[len(his)-1].Kind() != HistoryFellBack {
+		t.Errorf("last entry of the history is %s", his[len(his)-1].Kind())
+	}
+}
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -107,7 +107,7 @@
 // NewTaskRecord returns the record of a task.
 func NewTaskRecord(spec TaskSpec) TaskRecord {
 	tk := task{
-		size: spec.Size, worker: spec.Slot, attempt: spec.Attempt, newest: spec.Newest, previous: spec.Previous,
+		size: pack(spec.Size), worker: spec.Slot, attempt: spec.Attempt, newest: spec.Newest, previous: spec.Previous,
 		state: spec.State, reason: spec.Reason, borrowed: spec.Borrowed,
 	}
 	tk.steps = uint8(copy(tk.history[:], spec.History))
@@ -119,7 +119,7 @@
 	tk := &tr.tk
 	return TaskSpec{
 		State: tk.state, Reason: tk.reason, Borrowed: tk.borrowed, Attempt: tk.attempt, Slot: tk.worker,
-		Size: tk.size, Newest: tk.newest, Previous: tk.previous, History: tk.history[:tk.steps],
+		Size: tk.size.resources(), Newest: tk.newest, Previous: tk.previous, History: tk.history[:tk.steps],
 	}
 }
 
@@ -186,7 +186,7 @@
 		if tk.state.Live() && tk.worker > 0 && int(tk.worker) <= len(st.workers) {
 			wk := st.workers[tk.worker-1]
 			wk.refs = append(wk.refs, ref{job: jb, index: int32(i)})
-			wk.committed = wk.committed.Add(tk.size)
+			wk.committed = wk.committed.Add(tk.size.resources())
 		}
 	}
 	return jb
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 
+	"guavarail/core/blame"
 	"guavarail/core/model"
 	"guavarail/core/place"
 )
@@ -20,11 +21,30 @@
 	bl   *backlog
 	wt   waiting
 	slot int32
-	size model.Resources
-	// borrowed is as in the operation.
+}
+
+// charge is a commitment that the operations of one plan will add.
+type charge struct {
+	spec     *JobSpec
+	size     model.Resources
 	borrowed bool
 }
 
+// charge counts a commitment while the plan is made, so that later decisions
+// of the plan see it. The accounts follow the state again after settle.
+func (pl *Planner[P]) charge(spec *JobSpec, size model.Resources, borrowed bool) {
+	pl.usage.add(*spec, size, borrowed)
+	pl.charges = append(pl.charges, charge{spec: spec, size: size, borrowed: borrowed})
+}
+
+// settle takes back the charges of a plan.
+func (pl *Planner[P]) settle() {
+	for _, ch := range pl.charges {
+		pl.usage.sub(*ch.spec, ch.size, ch.borrowed)
+	}
+	pl.charges = pl.charges[:0]
+}
+
 // round is one planning pass over the waiting tasks.
 type round struct {
 	ops   []Op
@@ -44,11 +64,6 @@
 		}
 	}
 	pl.pass(now, rnd, model.Batch, true)
-	// The accounts follow the state; they change again when the starts are
-	// applied.
-	for _, pk := range rnd.picks {
-		pl.usage.sub(pk.bl.job.spec, pk.size, pk.borrowed)
-	}
 	return rnd.ops, rnd.picks
 }
 
@@ -109,8 +124,8 @@
 	tk := &bl.job.tasks[wt.index]
 	id := model.NewTaskID(spec.ID, int(wt.index))
 	rnd.ops = append(rnd.ops, Start(id, tk.attempt+1, pl.st.workers[slot].id, need, tk.newest, borrow))
-	rnd.picks = append(rnd.picks, pick{bl: bl, wt: wt, slot: slot, size: need, borrowed: borrow})
-	pl.usage.add(*spec, need, borrow)
+	rnd.picks = append(rnd.picks, pick{bl: bl, wt: wt, slot: slot})
+	pl.charge(spec, need, borrow)
 	return NoReason
 }
 
@@ -154,12 +169,23 @@
 	return out
 }
 
-// commitment returns what an attempt of the job is given.
-func (pl *Planner[P]) commitment(spec *JobSpec) model.Resources { return spec.Size }
+// commitment returns what an attempt of the job is given: the declared size or
+// what its kind was measured to use, if that is larger.
+func (pl *Planner[P]) commitment(spec *JobSpec) model.Resources {
+	if seen, ok := pl.kinds.size(spec.Kind); ok {
+		if need := spec.Size.Max(seen); pl.fitsSomewhere(need) {
+			return need
+		}
+	}
+	return spec.Size
+}
 
 // choose reserves room on a worker.
 func (pl *Planner[P]) choose(rnd *round, bl *backlog, need model.Resources) (int32, bool) {
 	pri := bl.job.spec.Priority
+	if slot, ok := pl.useHold(bl, need); ok {
+		return slot, true
+	}
 	for _, miss := range rnd.misses[pri] {
 		if miss.FitsIn(need) {
 			return 0, false
@@ -169,10 +195,17 @@
 	if pri == model.Service {
 		req = req.Spread(&bl.racks)
 	}
+	if id := bl.job.spec.ID; pl.book.HasFailures(id) {
+		req = req.Avoid(func(slot int32) bool { return pl.book.FailedOn(id, pl.st.workers[slot].id) })
+	}
 	slot, ok := pl.policy.Choose(&pl.index, req)
 	if !ok || !pl.index.Reserve(slot, need) {
 		rnd.misses[pri] = append(rnd.misses[pri], need)
 		return 0, false
 	}
+	if pl.book.Standing(pl.st.workers[slot].id) == blame.OnProbation {
+		// One task decides about the worker.
+		pl.index.Close(slot)
+	}
 	return slot, true
 }
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -15,7 +15,7 @@
 type task struct {
 	// size is the commitment while the task is live, else the size that the
 	// last attempt had.
-	size model.Resources
+	size amount
 	// worker is the slot of the worker plus one while the task is live, else 0.
 	worker  int32
 	attempt model.Attempt
--- a/core/sched/usage.go
+++ b/core/sched/usage.go
@@ -29,8 +29,6 @@
 	return acc
 }
 
-func (us *usage) grow(size model.Resources) { us.total = us.total.Add(size) }
-
 func (us *usage) add(spec JobSpec, size model.Resources, borrowed bool) {
 	us.committed = us.committed.Add(size)
 	if spec.Priority == model.Batch {
--- a/core/sched/values.go
+++ b/core/sched/values.go
@@ -178,3 +178,25 @@
 
 // Slot returns the worker's position in the snapshot plus one, 0 for none.
 func (hi History) Slot() int32 { return hi.slot }
+
+// maxAmount bounds each part of an amount, so that it is stored in 32 bits.
+const maxAmount = 1<<31 - 1
+
+// amount is a packed model.Resources, half its size; half a million tasks
+// have two each.
+type amount struct {
+	milliCPU, memoryMB, accelerators int32
+}
+
+func pack(re model.Resources) amount {
+	return amount{int32(re.MilliCPU()), int32(re.MemoryMB()), int32(re.Accelerators())}
+}
+
+func (am amount) resources() model.Resources {
+	return model.NewResources(int64(am.milliCPU), int64(am.memoryMB), int64(am.accelerators))
+}
+
+// storable reports whether re can be packed.
+func storable(re model.Resources) bool {
+	return re.Valid() && re.FitsIn(model.NewResources(maxAmount, maxAmount, maxAmount))
+}
--- a/core/sched/worker_test.go
+++ b/core/sched/worker_test.go
@@ -29,6 +29,7 @@
 	size     model.Resources
 	dead     bool
 	broken   bool
+	frozen   bool
 	boot     int
 	tag      uint64
 	attempts []*fakeAttempt
@@ -56,7 +57,7 @@
 }
 
 func (wk *fakeWorker) advance() {
-	if wk.dead {
+	if wk.dead || wk.frozen {
 		return
 	}
 	now := wk.wd.now
@@ -67,10 +68,21 @@
 		wk.sent = 0
 	}
 	if wk.sent == 0 && now >= wk.next {
-		wk.report(wk.wd.leader)
+		wk.report(wk.target())
 	}
 }
 
+// target is the VM that the worker reports to.
+func (wk *fakeWorker) target() *replica {
+	if !wk.wd.astray {
+		return wk.wd.leader
+	}
+	if wk.wd.vms[0] == wk.wd.leader {
+		return wk.wd.vms[1]
+	}
+	return wk.wd.vms[0]
+}
+
 func (wk *fakeWorker) work(fa *fakeAttempt) {
 	now := wk.wd.now
 	if fa.state != AttemptRunning {
@@ -122,7 +134,7 @@
 }
 
 func (wk *fakeWorker) receive(msg message) {
-	if wk.dead || msg.boot != wk.boot {
+	if wk.dead || wk.frozen || msg.boot != wk.boot {
 		return
 	}
 	if msg.sent == wk.sent {
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -54,6 +54,12 @@
 	// permission of the start order, as granted by the fleet.
 	startUntil, nextRequest model.Instant
 	oracle                  *oracle
+	// deposed: the leader's lease is not renewed and nothing commits.
+	deposed bool
+	// stalled: proposals wait for their commit.
+	stalled bool
+	// astray: workers report to a VM that does not lead.
+	astray bool
 	// lose, repeat and delay are faults for the next messages.
 	lose, repeat int
 	delay        time.Duration
@@ -74,13 +80,32 @@
 	return wd
 }
 
+// depose stops the renewal of the leader's lease. The leader keeps believing.
+func (wd *world) depose() { wd.deposed = true }
+
+// elect makes another VM the leader, after the old lease has passed. Proposals
+// under way were committed or not.
+func (wd *world) elect(committed bool) {
+	if wd.now.Before(wd.leader.leadUntil) {
+		return
+	}
+	if committed {
+		wd.log = append(wd.log, wd.proposed...)
+	}
+	other := wd.vms[0]
+	if other == wd.leader {
+		other = wd.vms[1]
+	}
+	wd.lead(other)
+}
+
 // lead makes vm the leader; the previous leader keeps believing.
 func (wd *world) lead(vm *replica) {
-	wd.proposed = nil
+	wd.proposed, wd.deposed = nil, false
+	wd.catchUp(vm)
 	wd.leader = vm
 	vm.believes = true
 	vm.leadUntil = wd.now.Add(leaderLease)
-	wd.catchUp(vm)
 	wd.step(vm, TookOver{})
 }
 
@@ -145,11 +170,11 @@
 func (wd *world) advance() {
 	wd.now = wd.now.Add(worldStep)
 	wd.permit()
-	if wd.leader != nil {
+	if !wd.deposed {
 		wd.leader.leadUntil = wd.now.Add(leaderLease)
-	}
-	for _, cmd := range wd.takeProposed() {
-		wd.commit(cmd)
+		for _, cmd := range wd.takeProposed() {
+			wd.commit(cmd)
+		}
 	}
 	for _, wk := range wd.workers {
 		wk.advance()
@@ -169,6 +194,9 @@
 }
 
 func (wd *world) takeProposed() []Command {
+	if wd.stalled {
+		return nil
+	}
 	cmds := wd.proposed
 	wd.proposed = nil
 	return cmds
@@ -176,7 +204,7 @@
 
 // permit renews the start permission every 500 ms while in service.
 func (wd *world) permit() {
-	if wd.now < wd.nextRequest || wd.out {
+	if wd.now < wd.nextRequest || wd.out || wd.deposed {
 		return
 	}
 	wd.startUntil = wd.now.Add(2 * time.Second)
