--- /dev/null
+++ b/core/guard/guard_test.go
@@ -0,0 +1,66 @@
+package guard
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+const target = 100 * time.Millisecond
+
+// feed steps one reading each second and returns the actions.
+func feed(gu *Guard, now *model.Instant, secs int, tail time.Duration, kinds ...string) []Action {
+	var out []Action
+	for range secs {
+		*now = now.Add(time.Second)
+		out = append(out, gu.Step(*now, NewReading("one", "desk", tail, target, 0.5, kinds, 100))...)
+	}
+	return out
+}
+
+// Guards against acting on kinds that do no harm, on too few samples, and
+// against steps that are skipped or taken too fast.
+func TestStepsAgainstTheHarmfulKind(t *testing.T) {
+	var gu Guard
+	now := model.Instant(0)
+	feed(&gu, &now, 20, 60*time.Millisecond)
+	feed(&gu, &now, 20, 61*time.Millisecond, "quiet")
+	acs := feed(&gu, &now, 7, 180*time.Millisecond, "quiet", "noisy")
+	if len(acs) != 0 {
+		t.Fatalf("acted on %d samples", 7)
+	}
+	acs = feed(&gu, &now, 11, 180*time.Millisecond, "quiet", "noisy")
+	want := []Step{Separated, Throttled, Evicting}
+	if len(acs) != len(want) {
+		t.Fatalf("%d actions in 11 s, want %d", len(acs), len(want))
+	}
+	for i, ac := range acs {
+		if ac.Step() != want[i] || ac.Kind() != "noisy" {
+			t.Errorf("action %d is %s of %s, want %s of noisy", i, ac.Step(), ac.Kind(), want[i])
+		}
+	}
+	if !gu.Apart("desk", "noisy") || gu.Apart("desk", "quiet") {
+		t.Error("the wrong kind is placed separately")
+	}
+	acs = feed(&gu, &now, 95, 60*time.Millisecond)
+	if len(acs) != 3 || !acs[2].Revert() || gu.StepOf("one") != Free {
+		t.Errorf("%d steps reverted, the worker is %s", len(acs), gu.StepOf("one"))
+	}
+}
+
+// Guards the cap on evictions.
+func TestEvictionsAreCapped(t *testing.T) {
+	var gu Guard
+	now := model.Instant(0)
+	feed(&gu, &now, 20, 60*time.Millisecond)
+	num := 0
+	for _, ac := range feed(&gu, &now, 60, 300*time.Millisecond, "noisy") {
+		if ac.Step() == Evicting {
+			num++
+		}
+	}
+	if num == 0 || num > 10 {
+		t.Errorf("%d evictions of 100 tasks in 60 s, want 1 to 10", num)
+	}
+}
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -11,7 +11,9 @@
 	need     model.Resources
 	priority model.Priority
 	racks    *Racks
-	avoid    func(slot int32) bool
+	// avoid names workers to use only when no other fits, forbid those to use
+	// never.
+	avoid, forbid func(slot int32) bool
 }
 
 // NewRequest returns a request for a worker with need free.
@@ -32,6 +34,17 @@
 	return rq
 }
 
+// Forbid returns the request with workers that may not be used.
+func (rq Request) Forbid(forbid func(slot int32) bool) Request {
+	rq.forbid = forbid
+	return rq
+}
+
+// takes reports whether the worker may be chosen.
+func (rq *Request) takes(slot int32) bool {
+	return (rq.avoid == nil || !rq.avoid(slot)) && (rq.forbid == nil || !rq.forbid(slot))
+}
+
 // Need returns what must be free.
 func (rq Request) Need() model.Resources { return rq.need }
 
@@ -122,7 +135,7 @@
 			pos -= len(lst)
 		}
 		slot := lst[pos]
-		if rq.need.FitsIn(ix.entries[slot].free) && (rq.avoid == nil || !rq.avoid(slot)) {
+		if rq.need.FitsIn(ix.entries[slot].free) && rq.takes(slot) {
 			return slot, true
 		}
 	}
@@ -153,7 +166,7 @@
 func (ix *Index) inRack(num int32, rq Request) (int32, bool) {
 	best, found := int32(0), false
 	for _, slot := range ix.racks[num].slots {
-		if !ix.Fits(slot, rq.need) || rq.avoid != nil && rq.avoid(slot) {
+		if !ix.Fits(slot, rq.need) || !rq.takes(slot) {
 			continue
 		}
 		if !found || ix.entries[slot].free.MilliCPU() < ix.entries[best].free.MilliCPU() {
@@ -169,7 +182,7 @@
 // Choose implements Policy.
 func (FirstFit) Choose(ix *Index, rq Request) (int32, bool) {
 	for slot := range ix.entries {
-		if ix.Fits(int32(slot), rq.need) {
+		if ix.Fits(int32(slot), rq.need) && rq.takes(int32(slot)) {
 			return int32(slot), true
 		}
 	}
@@ -205,7 +218,7 @@
 	best, found := int32(0), false
 	for i := range ix.entries {
 		slot := int32(i)
-		if !ix.Fits(slot, rq.need) || !allowed(slot) {
+		if !ix.Fits(slot, rq.need) || !rq.takes(slot) || !allowed(slot) {
 			continue
 		}
 		if !found || ix.entries[slot].free.MilliCPU() < ix.entries[best].free.MilliCPU() {
--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -123,6 +123,7 @@
 	slot := pl.st.slots[op.worker]
 	pl.crews[slot] = crew{}
 	pl.book.Dismiss(op.worker)
+	pl.guard.Dismiss(op.worker)
 	pl.index.Close(slot)
 	pl.recount()
 	pl.note("workerRemoved", event.Subject{Worker: op.worker})
@@ -216,6 +217,9 @@
 	}
 	jb := lv.ref.job
 	pl.usage.sub(jb.spec, lv.size.resources(), lv.borrowed)
+	if jb.spec.Priority == model.Batch {
+		pl.batch--
+	}
 	pl.attribute(now, slot, &lv, op.outcome)
 	pl.queue.occupy(jb, pl.index.RackOf(pl.st.workers[slot].rack), -1)
 	pl.refresh(slot)
--- a/core/sched/input.go
+++ b/core/sched/input.go
@@ -127,6 +127,25 @@
 // NewWorkerReport returns the report of a worker.
 func NewWorkerReport(spec ReportSpec) WorkerReport { return WorkerReport{spec: spec} }
 
+// TailSpec is the input of NewTail.
+type TailSpec struct {
+	Worker  model.WorkerID
+	Service model.ServiceID
+	// Tail is the 99th percentile of the latency since the last reading.
+	Tail time.Duration
+	// Load is the part of the service's slots on the worker in use, 0 to 1.
+	Load float64
+}
+
+// Tail reports the latency of a service on a worker, as entry VMs see it.
+type Tail struct {
+	spec TailSpec
+}
+
+// NewTail returns a reading of the tail latency.
+func NewTail(spec TailSpec) Tail { return Tail{spec: spec} }
+
+func (Tail) input()         {}
 func (Tick) input()         {}
 func (Applied) input()      {}
 func (Dropped) input()      {}
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -5,6 +5,7 @@
 
 	"guavarail/core/blame"
 	"guavarail/core/event"
+	"guavarail/core/guard"
 	"guavarail/core/model"
 	"guavarail/core/place"
 )
@@ -92,6 +93,8 @@
 	// heldFor gets what becomes free until held.
 	heldFor *backlog
 	held    model.Instant
+	// serves has the services with a recent reading on the worker.
+	serves []served
 	// shrunk: the worker reported less than is committed.
 	shrunk bool
 }
@@ -124,10 +127,15 @@
 	quotas map[model.TeamID]model.Quota
 	book   blame.Book
 	kinds  kinds
+	guard  guard.Guard
+	// batch counts the live batch attempts.
+	batch int
 	// charges are the commitments of the plan in the making.
 	charges []charge
 	// growing are attempts that use more than their commitment.
 	growing []spot
+	// relief are evictions that the guard asked for.
+	relief []Op
 	// hopeless are jobs to end, with the reason.
 	hopeless []Op
 	// sizes are the different sizes of the known workers.
@@ -157,6 +165,8 @@
 		pl.report(now, msg.spec)
 	case Applied:
 		pl.applied(now, msg.cmd, msg.res)
+	case Tail:
+		pl.protect(now, msg.spec)
 	case Dropped:
 		pl.dropped()
 	case TookOver:
@@ -207,7 +217,8 @@
 // plan returns the operations to propose besides the facts of reports.
 func (pl *Planner[P]) plan(now model.Instant) ([]Op, []pick) {
 	defer pl.settle()
-	ops := pl.repair(now)
+	ops := append(pl.repair(now), pl.relief...)
+	pl.relief = nil
 	ops = append(ops, pl.grow(now)...)
 	ops = append(ops, pl.drain(now)...)
 	if !pl.mayStart(now) {
@@ -281,6 +292,9 @@
 		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: now, ordered: ordered,
 	})
 	cr.expiry = 0
+	if re.job.spec.Priority == model.Batch {
+		pl.batch++
+	}
 	pl.usage.add(re.job.spec, tk.size.resources(), tk.borrowed)
 	pl.queue.occupy(re.job, pl.index.RackOf(pl.st.workers[slot].rack), 1)
 }
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -198,6 +198,10 @@
 	if id := bl.job.spec.ID; pl.book.HasFailures(id) {
 		req = req.Avoid(func(slot int32) bool { return pl.book.FailedOn(id, pl.st.workers[slot].id) })
 	}
+	if pri == model.Batch && pl.env.Preset.Guards() {
+		kind := bl.job.spec.Kind
+		req = req.Forbid(func(slot int32) bool { return pl.harms(slot, kind) })
+	}
 	slot, ok := pl.policy.Choose(&pl.index, req)
 	if !ok || !pl.index.Reserve(slot, need) {
 		rnd.misses[pri] = append(rnd.misses[pri], need)
