--- a/core/route/server.go
+++ b/core/route/server.go
@@ -10,9 +10,13 @@
 	// announceLife is how long a server takes requests after its last
 	// announcement. With 200 ms of batching it stays under the 3 s of P8.
 	announceLife = 2500 * time.Millisecond
-	// tombstoneLife covers announcements that were under way between VMs when
-	// the leave message arrived.
-	tombstoneLife = 5 * time.Second
+	// tombstoneLife is the longest time that a leaving server can still run
+	// requests and announce itself by mistake; a new start has a new incarnation.
+	tombstoneLife = 10 * time.Minute
+	// unnumberedLife is the same for servers that announce no incarnation. It
+	// covers announcements that were under way between VMs, and then the server
+	// may come back.
+	unnumberedLife = 5 * time.Second
 
 	ejectAfter = 5
 	ejectFirst = time.Second
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -9,9 +9,6 @@
 	ba := msg.backend
 	heard := now.Add(-max(msg.age, 0))
 	if gr, ok := mac.graves[ba.ID()]; ok && ba.Incarnation() <= gr.incarnation && now.Before(gr.until) {
-		if ba.Incarnation() > 0 {
-			mac.graves[ba.ID()] = grave{incarnation: gr.incarnation, until: now.Add(tombstoneLife)}
-		}
 		return
 	}
 	se := mac.servers[ba.ID()]
@@ -80,7 +77,11 @@
 	if gr := mac.graves[msg.backend]; gr.incarnation > inc {
 		inc = gr.incarnation
 	}
-	mac.graves[msg.backend] = grave{incarnation: inc, until: now.Add(tombstoneLife)}
+	life := tombstoneLife
+	if inc == 0 {
+		life = unnumberedLife
+	}
+	mac.graves[msg.backend] = grave{incarnation: inc, until: now.Add(life)}
 	if se == nil || se.leaving {
 		return
 	}
