Test the request path and the claims against failures

Cause: truncated, slow, half-closed, cancelled and late exchanges, drains and duplicate keys must end as the design says.

A handler whose caller went away ends without a response.

--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -66,9 +66,9 @@
 			"arrive": func(t *rapid.T) {
 				for range rapid.IntRange(1, 4).Draw(t, "requests") {
 					or.arrive(RequestSpec{
-						Service: model.ServiceID(fmt.Sprint("s-", rapid.IntRange(0, 2).Draw(t, "service"))),
-						Caller:  fmt.Sprint("c-", rapid.IntRange(0, 3).Draw(t, "caller")),
-						Timeout: time.Duration(rapid.SampledFrom([]int{0, 1, 50, 1000}).Draw(t, "timeout")) * time.Millisecond,
+						Service:   model.ServiceID(fmt.Sprint("s-", rapid.IntRange(0, 2).Draw(t, "service"))),
+						Caller:    fmt.Sprint("c-", rapid.IntRange(0, 3).Draw(t, "caller")),
+						Timeout:   time.Duration(rapid.SampledFrom([]int{0, 1, 50, 1000}).Draw(t, "timeout")) * time.Millisecond,
 						Forwarded: rapid.Bool().Draw(t, "forwarded"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
 					})
 				}
@@ -94,6 +94,11 @@
 					or.unsent(key)
 				}
 			},
+			"reports against a sent request": func(t *rapid.T) {
+				if key := or.pick("running"); key >= 0 && or.reqs[key].sent {
+					or.step(rapid.SampledFrom([]Input{NewUnsent(key), NewCancel(key), NewEnded(key)}).Draw(t, "report"))
+				}
+			},
 			"stray reports": func(t *rapid.T) {
 				if key := or.pick("over", "rejected", "forwarded"); key >= 0 {
 					or.step(rapid.SampledFrom([]Input{NewUnsent(key), NewEnded(key), NewDone(key, Answered), NewCancel(key), NewSent(key)}).Draw(t, "report"))
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 
 	"guavarail/core/model"
 	"guavarail/core/route"
+	"guavarail/io/host"
 )
 
 // rig is an entry VM with fake backend servers.
@@ -26,7 +28,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := Config{VM: "vm-1", Centre: "riga-a", Listener: lis, System: actor.NewActorSystem(), Seed: 1}
+	cfg := Config{VM: "vm-1", Centre: "riga-a", Listener: lis, System: newSystem(), Seed: 1}
+	// The clock stands still, so that no announcement expires during a test.
+	cfg.Clock = func() model.Instant { return model.Instant(time.Hour) }
 	if change != nil {
 		change(&cfg)
 	}
@@ -50,7 +54,35 @@
 	srv.Announce(route.NewBackend(route.BackendSpec{
 		ID: model.BackendID("b-" + name), Worker: model.WorkerID("w-" + name), Service: "orders",
 		Address: bak.Listener.Addr().String(), Slots: 8, Connections: 60,
-	}), -time.Hour)
+	}), 0)
+}
+
+// newSystem returns an actor system that logs nothing.
+func newSystem() *actor.ActorSystem {
+	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(slog.DiscardHandler)
+	}))
+}
+
+// held returns the slots in use.
+func (srv *Server) held(t testing.TB) int {
+	t.Helper()
+	num, err := host.Read(srv.ref, 10*time.Second, func(_ model.Instant, mac *machine) int { return mac.Held() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return num
+}
+
+// await waits for a condition that other goroutines bring about. The bound only
+// ends a test that would hang.
+func (srv *Server) await(t testing.TB, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("condition not reached, metrics %s, %d slots held", srv.Metrics(), srv.held(t))
+		}
+	}
 }
 
 // get returns the status, outcome and body.
--- /dev/null
+++ b/io/entry/failure_test.go
@@ -0,0 +1,298 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+	"guavarail/core/route"
+)
+
+// Guards against a response that its backend server cut short and that reaches
+// the caller as complete.
+func TestTruncatedResponseIsAborted(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ri := newRig(t, nil, func(wri http.ResponseWriter, _ *http.Request) {
+				con, buf, _ := http.NewResponseController(wri).Hijack()
+				_, _ = buf.WriteString(head)
+				_ = buf.Flush()
+				_ = con.Close()
+			})
+			resp, err := http.Get(ri.url)
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			if buf, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("truncated response read as complete: %q", buf)
+			}
+		})
+	}
+}
+
+// Guards against a response that ends with its connection and that the caller
+// sees with an end mark the backend server never sent.
+func TestResponseWithoutLengthStaysWithoutEnd(t *testing.T) {
+	ri := newRig(t, nil, func(wri http.ResponseWriter, _ *http.Request) {
+		con, buf, _ := http.NewResponseController(wri).Hijack()
+		_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end")
+		_ = buf.Flush()
+		_ = con.Close()
+	})
+	resp, err := http.Get(ri.url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if buf, _ := io.ReadAll(resp.Body); string(buf) != "until the end" || len(resp.TransferEncoding) > 0 || resp.ContentLength >= 0 {
+		t.Errorf("got %q, encoding %v, length %d", buf, resp.TransferEncoding, resp.ContentLength)
+	}
+}
+
+// Guards against a request that is sent again after its connection ended: it
+// may be running.
+func TestRequestIsNotSentAgain(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			runs := make(chan string, 10)
+			ri := newRig(t, nil, func(wri http.ResponseWriter, req *http.Request) {
+				if strings.HasSuffix(req.URL.Path, "warm") {
+					return
+				}
+				runs <- req.Method
+				con, _, _ := http.NewResponseController(wri).Hijack()
+				_ = con.Close()
+			})
+			// A kept connection is what makes the transport try again.
+			ri.get(t, "warm")
+			req, _ := http.NewRequest(method, ri.url, nil)
+			req.Header.Set(HeaderCaller, "c")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusBadGateway || resp.Header.Get(HeaderOutcome) != OutcomeUnknown || len(runs) != 1 {
+				t.Errorf("status %d, outcome %s, %d runs", resp.StatusCode, resp.Header.Get(HeaderOutcome), len(runs))
+			}
+		})
+	}
+}
+
+// Guards against a server that cannot be reached failing a request that was
+// not sent, while another server is free.
+func TestUnsentRequestGoesToAnotherServer(t *testing.T) {
+	ri := newRig(t, nil, func(http.ResponseWriter, *http.Request) {})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lis.Close()
+	ri.Announce(route.NewBackend(route.BackendSpec{
+		ID: "b-dead", Worker: "w-dead", Service: "orders", Address: lis.Addr().String(), Slots: 8,
+	}), 0)
+	for range 10 {
+		if status, outcome, _ := ri.get(t, ""); status != 200 || outcome != OutcomeAnswered {
+			t.Fatalf("got %d %s", status, outcome)
+		}
+	}
+}
+
+// Guards against an expired request whose slot is used again before the late
+// response, and against the late response reaching another caller.
+func TestExpiredRequestHoldsItsSlot(t *testing.T) {
+	gate := make(chan struct{})
+	ri := newRig(t, nil, func(wri http.ResponseWriter, req *http.Request) {
+		if strings.HasSuffix(req.URL.Path, "slow") {
+			<-gate
+		}
+		_, _ = io.WriteString(wri, req.URL.Path)
+	})
+	ri.Share(0, 8)
+	ri.announceAgain("b-a", "w-a", 8)
+	req, _ := http.NewRequest(http.MethodGet, ri.url+"slow", nil)
+	req.Header.Set(HeaderDeadline, "30")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(HeaderOutcome) != OutcomeUnknown {
+		t.Fatalf("got %d %s", resp.StatusCode, resp.Header.Get(HeaderOutcome))
+	}
+	if got := ri.held(t); got != 1 {
+		t.Fatalf("%d slots counted before the late response, want 1", got)
+	}
+	close(gate)
+	ri.await(t, func() bool { return ri.held(t) == 0 })
+	if _, _, text := ri.get(t, "next"); text != "/orders/next" {
+		t.Errorf("got the response %q", text)
+	}
+}
+
+// Guards against a caller that goes away and leaves its slot in use for good,
+// or free while the request still runs.
+func TestCancelledRequestHoldsItsSlot(t *testing.T) {
+	gate, started := make(chan struct{}), make(chan struct{})
+	ri := newRig(t, nil, func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-gate
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, ri.url, nil)
+	go func() {
+		<-started
+		cancel()
+	}()
+	if _, err := http.DefaultClient.Do(req); !errors.Is(err, context.Canceled) {
+		t.Fatalf("error %v", err)
+	}
+	ri.await(t, func() bool { return ri.Metrics().String() != "{}" })
+	if got := ri.held(t); got != 1 {
+		t.Errorf("%d slots counted while the request runs, want 1", got)
+	}
+	close(gate)
+	ri.await(t, func() bool { return ri.held(t) == 0 })
+}
+
+// Guards against a half-closed caller connection that leaves a request behind.
+func TestHalfClosedCallerFreesItsSlot(t *testing.T) {
+	ri := newRig(t, nil, func(wri http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wri, "whole") })
+	con, err := net.Dial("tcp", ri.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	_, _ = io.WriteString(con, "GET /orders/ HTTP/1.1\r\nHost: x\r\n\r\n")
+	_ = con.(*net.TCPConn).CloseWrite()
+	resp, err := http.ReadResponse(bufio.NewReader(con), nil)
+	if err == nil {
+		if buf, err := io.ReadAll(resp.Body); err == nil && string(buf) != "whole" {
+			t.Errorf("got %q", buf)
+		}
+	}
+	ri.await(t, func() bool { return ri.held(t) == 0 })
+}
+
+// Guards against a backend server's own refusal being told as anything but not
+// run.
+func TestBackendRefusalIsNotRun(t *testing.T) {
+	ri := newRig(t, nil, func(wri http.ResponseWriter, _ *http.Request) {
+		wri.Header().Set(HeaderNotRun, "true")
+		wri.Header().Set(HeaderOutcome, OutcomeAnswered)
+		wri.WriteHeader(http.StatusServiceUnavailable)
+	})
+	resp, err := http.Get(ri.url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.Header.Get(HeaderOutcome) != OutcomeNotRun || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %v", resp.Header)
+	}
+}
+
+// Guards against an idle slow upload that blocks the handler after the deadline.
+func TestSlowUploadEndsAtDeadline(t *testing.T) {
+	ri := newRig(t, nil, func(_ http.ResponseWriter, req *http.Request) { _, _ = io.Copy(io.Discard, req.Body) })
+	con, err := net.Dial("tcp", ri.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	_, _ = io.WriteString(con, "POST /orders/ HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n"+HeaderDeadline+": 30\r\n\r\npart")
+	resp, err := http.ReadResponse(bufio.NewReader(con), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	ri.await(t, func() bool { return ri.held(t) == 0 })
+}
+
+// Guards against a drain that interrupts a response in flight.
+func TestDrainCompletesLongResponse(t *testing.T) {
+	started, gate := make(chan struct{}), make(chan struct{})
+	ri := newRig(t, nil, func(wri http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(wri, "first ")
+		_ = http.NewResponseController(wri).Flush()
+		close(started)
+		<-gate
+		_, _ = io.WriteString(wri, "last")
+	})
+	got := make(chan string, 1)
+	go func() {
+		resp, err := http.Get(ri.url)
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		buf, err := io.ReadAll(resp.Body)
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		got <- string(buf)
+	}()
+	<-started
+	done := make(chan error, 1)
+	go func() { done <- ri.Drain(context.Background()) }()
+	ri.await(t, func() bool { return !ri.Ready() })
+	close(gate)
+	if text := <-got; text != "first last" {
+		t.Errorf("got %q", text)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("drain: %v", err)
+	}
+}
+
+// Guards against a request that never ends and holds up the shutdown.
+func TestDrainAbortsAtBound(t *testing.T) {
+	started, gate := make(chan struct{}), make(chan struct{})
+	ri := newRig(t, nil, func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-gate
+	})
+	defer close(gate)
+	ended := make(chan error, 1)
+	go func() {
+		resp, err := http.Get(ri.url)
+		if err == nil {
+			resp.Body.Close()
+		}
+		ended <- err
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var dre *DrainError
+	if err := ri.Drain(ctx); !errors.As(err, &dre) || dre.Aborted() != 1 {
+		t.Errorf("drain: %v", err)
+	}
+	<-ended
+}
+
+func (srv *Server) announceAgain(id model.BackendID, wo model.WorkerID, slots int) {
+	sts, _ := srv.Servers(5 * time.Second)
+	for _, st := range sts {
+		if st.Backend().ID() == id {
+			srv.Announce(route.NewBackend(route.BackendSpec{
+				ID: id, Worker: wo, Service: "orders", Address: st.Backend().Address(), Slots: slots,
+			}), 0)
+		}
+	}
+}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -78,6 +78,8 @@
 			close(ex.gone)
 			ex.settle(once.Unknown)
 			srv.metrics.add("unknownCancelled")
+			cancel()
+			leave()
 		}
 		cancel()
 		return reply{}, false
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -78,6 +78,7 @@
 		default:
 			srv.metrics.add("cancelledWaiting")
 			ex.settle(once.None)
+			leave()
 		}
 		return
 	}
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -41,11 +41,15 @@
 		case <-req.Context().Done():
 			ex.abandon(wri, bod, route.Cancelled)
 			srv.metrics.add("unknownCancelled")
-			return true
+			leave()
 		}
 	}
 }
 
+// leave ends the handler without a response. A caller that only closed its
+// sending side would take the empty response of a plain return for complete.
+func leave() { panic(http.ErrAbortHandler) }
+
 // abandon leaves the response to the courier, which reports the end of the
 // slot.
 func (ex *exchange) abandon(wri http.ResponseWriter, bod *body, ou route.Outcome) {
