Add the load tool

Cause: the figures of the request path need an open-loop load that counts the time a request waits before it is sent.

Change: io/cmd/load sends at seeded intended times, counts latencies from them with HdrHistogram, and reports as text or JSON.

--- /dev/null
+++ b/io/cmd/load/report.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
+)
+
+// The outcomes that are counted. Answered, notRun and unknown are those of the
+// entry VM; error is a connection that failed, unsent a request whose deadline
+// passed before a connection was free.
+const (
+	outcomeAnswered = "answered"
+	outcomeUnknown  = "unknown"
+	outcomeError    = "error"
+	outcomeUnsent   = "unsent"
+)
+
+// tally counts the requests of one sender.
+type tally struct {
+	counts map[string]int64
+	good   int64
+	// answered has the latencies of answered requests in microseconds.
+	answered *hdrhistogram.Histogram
+}
+
+func newTally() *tally {
+	// Up to 2 minutes with an error under 1%.
+	return &tally{counts: map[string]int64{}, answered: hdrhistogram.New(1, 120_000_000, 2)}
+}
+
+func (ta *tally) add(outcome string, took time.Duration, good bool) {
+	ta.counts[outcome]++
+	if outcome == outcomeAnswered {
+		_ = ta.answered.RecordValue(min(max(took.Microseconds(), 1), 120_000_000))
+	}
+	if good {
+		ta.good++
+	}
+}
+
+func (ta *tally) merge(other *tally) {
+	for outcome, num := range other.counts {
+		ta.counts[outcome] += num
+	}
+	ta.good += other.good
+	ta.answered.Merge(other.answered)
+}
+
+// Report is the result of one run. Latencies are those of answered requests,
+// counted from the intended send time.
+type Report struct {
+	Connections int              `json:"connections"`
+	Rate        float64          `json:"rate"`
+	Seed        uint64           `json:"seed"`
+	Seconds     float64          `json:"seconds"`
+	Requests    int64            `json:"requests"`
+	Outcomes    map[string]int64 `json:"outcomes"`
+	Throughput  float64          `json:"answeredPerSecond"`
+	Goodput     float64          `json:"goodputPerSecond"`
+	P50         float64          `json:"p50Ms"`
+	P90         float64          `json:"p90Ms"`
+	P99         float64          `json:"p99Ms"`
+	P999        float64          `json:"p999Ms"`
+	Max         float64          `json:"maxMs"`
+}
+
+func newReport(op Options, ta *tally, took time.Duration) Report {
+	rep := Report{
+		Connections: op.Connections, Rate: op.Rate, Seed: op.Seed, Seconds: took.Seconds(), Outcomes: ta.counts,
+		// Responses after the end of the schedule belong to its time.
+		Throughput: float64(ta.counts[outcomeAnswered]) / op.Duration.Seconds(),
+		Goodput:    float64(ta.good) / op.Duration.Seconds(),
+	}
+	for _, num := range ta.counts {
+		rep.Requests += num
+	}
+	milli := func(quantile float64) float64 { return float64(ta.answered.ValueAtQuantile(quantile)) / 1000 }
+	rep.P50, rep.P90, rep.P99, rep.P999 = milli(50), milli(90), milli(99), milli(99.9)
+	rep.Max = float64(ta.answered.Max()) / 1000
+	return rep
+}
+
+// WriteJSON prints the report as one JSON object.
+func (rep Report) WriteJSON(out io.Writer) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return errors.Trace(enc.Encode(rep))
+}
+
+// WriteText prints the report for people.
+func (rep Report) WriteText(out io.Writer) error {
+	_, err := fmt.Fprintf(out,
+		"requests     %d in %.1f s on %d connections, seed %d\n"+
+			"outcomes     %d answered, %d not run, %d unknown, %d errors, %d unsent\n"+
+			"throughput   %.0f/s answered, %.0f/s within the deadline\n"+
+			"latency ms   p50 %.2f  p90 %.2f  p99 %.2f  p99.9 %.2f  max %.2f\n",
+		rep.Requests, rep.Seconds, rep.Connections, rep.Seed,
+		rep.Outcomes[outcomeAnswered], rep.Outcomes["notRun"], rep.Outcomes[outcomeUnknown],
+		rep.Outcomes[outcomeError], rep.Outcomes[outcomeUnsent],
+		rep.Throughput, rep.Goodput, rep.P50, rep.P90, rep.P99, rep.P999, rep.Max)
+	return errors.Trace(err)
+}
--- /dev/null
+++ b/io/cmd/load/sender.go
@@ -0,0 +1,77 @@
+package load
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// sender owns one connection's worth of requests and its tally.
+type sender struct {
+	op        Options
+	transport *http.Transport
+	tally     *tally
+	start     time.Time
+}
+
+// run sends the arrivals of plan until it is closed or ctx ends, and then hands
+// over its tally.
+func (sen *sender) run(ctx context.Context, plan <-chan arrival, parts chan<- *tally) {
+	defer func() { parts <- sen.tally }()
+	for {
+		select {
+		case arr, ok := <-plan:
+			if !ok {
+				return
+			}
+			if sen.op.Rate == 0 {
+				// Without a rate the intended time is when the connection is free.
+				arr.at = time.Now()
+			}
+			sen.send(ctx, arr)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (sen *sender) send(ctx context.Context, arr arrival) {
+	left := sen.op.Deadline - time.Since(arr.at)
+	if left <= 0 {
+		// The caller gave up before a connection was free.
+		sen.tally.add(outcomeUnsent, sen.op.Deadline, false)
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, sen.op.Method, sen.op.URL, nil)
+	if err != nil {
+		sen.tally.add(outcomeError, 0, false)
+		return
+	}
+	req.Header["Guavarail-Deadline-Ms"] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
+	if sen.op.Callers > 0 {
+		req.Header["Guavarail-Caller"] = []string{"caller-" + strconv.FormatUint(arr.number%uint64(sen.op.Callers), 10)}
+	}
+	resp, err := sen.transport.RoundTrip(req)
+	if err != nil {
+		sen.tally.add(outcomeError, time.Since(arr.at), false)
+		return
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	took := time.Since(arr.at)
+	if err != nil {
+		sen.tally.add(outcomeError, took, false)
+		return
+	}
+	outcome := resp.Header.Get("Guavarail-Outcome")
+	if outcome == "" {
+		outcome = outcomeAnswered
+		if resp.StatusCode >= http.StatusInternalServerError {
+			outcome = outcomeUnknown
+		}
+	}
+	good := outcome == outcomeAnswered && resp.StatusCode < http.StatusInternalServerError && took <= sen.op.Deadline
+	sen.tally.add(outcome, took, good)
+}
