--- /dev/null
+++ b/io/node/view.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"guavarail/core/fleet"
+	"guavarail/core/model"
+	"guavarail/core/repair"
+)
+
+// view is a copy of the parts of the fleet state that a VM acts on. It is
+// never changed after it was made.
+type view struct {
+	number  uint64
+	preset  model.Preset
+	centres []fleet.Centre
+	vms     []fleet.VM
+	// fleetGoal and centreGoal are the wanted members of the two groups that
+	// this VM belongs to.
+	fleetGoal  repair.Goal
+	centreGoal repair.Goal
+}
+
+// newView copies the state for a VM of the given data centre.
+func newView(sta *fleet.State, own model.CentreID) *view {
+	return &view{
+		number: sta.Number(), preset: sta.Active().Preset(), centres: sta.Centres(), vms: sta.VMs(),
+		fleetGoal: repair.FleetGoal(sta), centreGoal: repair.CentreGoal(sta, own),
+	}
+}
+
+// addresses returns where the VMs listen for each other.
+func (vi *view) addresses() map[model.VMID]string {
+	out := map[model.VMID]string{}
+	for _, vmi := range vi.vms {
+		out[vmi.Name()] = vmi.Spec().PeerAddress
+	}
+	return out
+}
+
+// out reports whether a data centre is out of service.
+func (vi *view) out(name model.CentreID) bool {
+	for _, cen := range vi.centres {
+		if cen.Name() == name {
+			return cen.Out()
+		}
+	}
+	return false
+}
+
+// names returns the data centres.
+func (vi *view) names() []model.CentreID {
+	out := make([]model.CentreID, 0, len(vi.centres))
+	for _, cen := range vi.centres {
+		out = append(out, cen.Name())
+	}
+	return out
+}
+
+// members returns the VMs of a data centre.
+func (vi *view) members(name model.CentreID) []model.VMID {
+	var out []model.VMID
+	for _, vmi := range vi.vms {
+		if vmi.Centre() == name {
+			out = append(out, vmi.Name())
+		}
+	}
+	return out
+}
+
+// centreOf returns the data centre of a VM.
+func (vi *view) centreOf(name model.VMID) model.CentreID {
+	for _, vmi := range vi.vms {
+		if vmi.Name() == name {
+			return vmi.Centre()
+		}
+	}
+	return ""
+}
