--- /dev/null
+++ b/io/peer/fault_test.go
@@ -0,0 +1,194 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"guavarail/core/member"
+	"guavarail/core/model"
+	"guavarail/io/fake/relay"
+	"guavarail/io/host"
+)
+
+// relayed links two hubs through relays, whichever of them dials.
+type relayed struct {
+	// fromA is dialled by hub a and fromB by hub b.
+	fromA, fromB *relay.Relay
+}
+
+// hold holds the bytes from a to b, and also those from b to a.
+func (re relayed) hold(ab, ba bool) {
+	re.fromA.Set(relay.ToTarget, relay.Fault{Hold: ab})
+	re.fromA.Set(relay.ToDialer, relay.Fault{Hold: ba})
+	re.fromB.Set(relay.ToTarget, relay.Fault{Hold: ba})
+	re.fromB.Set(relay.ToDialer, relay.Fault{Hold: ab})
+}
+
+// startRelay starts a relay to addr.
+func startRelay(t *testing.T, addr string) *relay.Relay {
+	t.Helper()
+	sys, stopSys := host.NewSystem(hclog.NewNullLogger())
+	t.Cleanup(stopSys)
+	rel, stop, err := relay.New(relay.Config{System: sys, Listen: "127.0.0.1:0", Target: addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return rel
+}
+
+// trio starts hubs a, b and c; a and b are linked through relays.
+func trio(t *testing.T, mux *Mux) (hubA, hubB, hubC *Hub, re relayed) {
+	t.Helper()
+	hubs := make([]*Hub, 3)
+	for at, vm := range []model.VMID{"a", "b", "c"} {
+		hub, stop := startHub(t, vm, mux)
+		t.Cleanup(stop)
+		hubs[at] = hub
+	}
+	re = relayed{fromA: startRelay(t, hubs[1].Addr()), fromB: startRelay(t, hubs[0].Addr())}
+	hubs[0].SetPeers(map[model.VMID]string{"b": re.fromA.Addr(), "c": hubs[2].Addr()})
+	hubs[1].SetPeers(map[model.VMID]string{"a": re.fromB.Addr(), "c": hubs[2].Addr()})
+	hubs[2].SetPeers(map[model.VMID]string{"a": hubs[0].Addr(), "b": hubs[1].Addr()})
+	eventually(t, "three VMs linked", func() bool {
+		return hubs[0].Vars().OpenLinks() == 2 && hubs[1].Vars().OpenLinks() == 2 && hubs[2].Vars().OpenLinks() == 2
+	})
+	return hubs[0], hubs[1], hubs[2], re
+}
+
+// Guards against a link that stays open while it works in one direction only:
+// both VMs close it, and it comes back when the direction does.
+func TestOneWayLinkIsClosed(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		ab, ba bool
+	}{{"to the higher name", true, false}, {"to the lower name", false, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			mux := &Mux{}
+			Answer(mux, func(_ context.Context, _ model.VMID, que *wrapperspb.StringValue) (*wrapperspb.StringValue, error) {
+				return que, nil
+			})
+			hubA, hubB, _, re := trio(t, mux)
+			re.hold(tc.ab, tc.ba)
+			hubA.Send("b", wrapperspb.Bool(true))
+			hubB.Send("a", wrapperspb.Bool(true))
+			eventually(t, "link closed on both sides", func() bool {
+				return hubA.Vars().OpenLinks() == 1 && hubB.Vars().OpenLinks() == 1
+			})
+			re.hold(false, false)
+			for _, hub := range []*Hub{hubA, hubB} {
+				to := model.VMID("a")
+				if hub == hubA {
+					to = "b"
+				}
+				eventually(t, "answer again", func() bool {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					_, err := hub.Request(ctx, to, wrapperspb.String("x"))
+					return err == nil
+				})
+			}
+		})
+	}
+}
+
+// Guards against a VM that reads nothing and holds up the messages and
+// requests to another one, or fills the memory of the sender.
+func TestStalledVMDoesNotBlockOthers(t *testing.T) {
+	// All of it fits in what the hub itself may hold, so the bound of the link
+	// is tested.
+	const num = maxTransit / (64 << 10)
+	mux := &Mux{}
+	got := make(chan int64, 1000)
+	Handle(mux, func(_ model.VMID, msg *wrapperspb.Int64Value) { got <- msg.GetValue() })
+	Answer(mux, func(_ context.Context, _ model.VMID, que *wrapperspb.StringValue) (*wrapperspb.StringValue, error) {
+		return que, nil
+	})
+	hubA, _, _, re := trio(t, mux)
+	re.hold(true, true)
+	big := wrapperspb.Bytes(make([]byte, 60<<10))
+	for range num {
+		hubA.Send("b", big)
+	}
+	for val := range int64(1000) {
+		hubA.Send("c", wrapperspb.Int64(val))
+	}
+	for want := range int64(1000) {
+		select {
+		case val := <-got:
+			if val != want {
+				t.Fatalf("message %d in place of %d", val, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("message %d did not arrive", want)
+		}
+	}
+	if _, err := hubA.Request(context.Background(), "c", wrapperspb.String("x")); err != nil {
+		t.Errorf("request to c: %v", err)
+	}
+	var unr *UnreachableError
+	if _, err := hubA.Request(context.Background(), "b", wrapperspb.String("x")); !errors.As(err, &unr) {
+		t.Errorf("request to b: %v, want an UnreachableError", err)
+	}
+	eventually(t, "messages to b dropped", func() bool { return hubA.Vars().Dropped() > num/2 })
+}
+
+// Guards the failure detector over real links: a VM that stops is found dead
+// and one that comes back is found alive.
+func TestWatchOverLinks(t *testing.T) {
+	vms := []model.VMID{"a", "b", "c"}
+	addrs := map[model.VMID]string{}
+	watch := func(vm model.VMID, listen string) (*Watcher, *Hub, func()) {
+		sys, stopSys := host.NewSystem(hclog.NewNullLogger())
+		mux := &Mux{}
+		hub, stopHub, err := New(Config{System: sys, Self: vm, Listen: listen, Mux: mux})
+		if err != nil {
+			t.Fatal(err)
+		}
+		wat, stopWatch, err := Watch(WatchConfig{
+			System: sys, Sender: hub, Mux: mux, Member: member.Config{Self: vm, Peers: vms, Seed: uint64(len(vm))},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return wat, hub, func() { stopWatch(); stopHub(); stopSys() }
+	}
+	wats, hubs, stops := make([]*Watcher, 3), make([]*Hub, 3), make([]func(), 3)
+	for at, vm := range vms {
+		wats[at], hubs[at], stops[at] = watch(vm, "127.0.0.1:0")
+		addrs[vm] = hubs[at].Addr()
+	}
+	for _, hub := range hubs {
+		hub.SetPeers(addrs)
+	}
+	sees := func(at int, vm model.VMID, want member.State) {
+		t.Helper()
+		eventually(t, string(vms[at])+" holds "+string(vm)+" for "+want.String(), func() bool {
+			news, err := wats[at].States()
+			for _, ne := range news {
+				if ne.VM() == vm {
+					return err == nil && ne.State() == want
+				}
+			}
+			return false
+		})
+	}
+	sees(0, "c", member.Alive)
+	sees(1, "c", member.Alive)
+	stops[2]()
+	sees(0, "c", member.Dead)
+	sees(1, "c", member.Dead)
+	wats[2], hubs[2], stops[2] = watch("c", addrs["c"])
+	hubs[2].SetPeers(addrs)
+	for at, vm := range []model.VMID{"c", "c", "a"} {
+		sees(at, vm, member.Alive)
+	}
+	for _, stop := range stops {
+		stop()
+	}
+}
--- a/io/peer/hub.go
+++ b/io/peer/hub.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -14,11 +14,18 @@
 	"google.golang.org/protobuf/reflect/protoregistry"
 
 	"guavarail/core/model"
+	"guavarail/io/host"
 	"guavarail/io/wire"
 )
 
-// defaultRequest bounds requests whose context has no deadline.
-const defaultRequest = 10 * time.Second
+const (
+	// defaultRequest bounds requests whose context has no deadline.
+	defaultRequest = 10 * time.Second
+	// maxTransit bounds the bytes of ordered messages that wait for the actor of
+	// the hub, which never blocks, and maxLinkTransit those for one link.
+	maxTransit     = 8 * MaxFrame
+	maxLinkTransit = 2 * MaxFrame
+)
 
 // Clock is the hybrid clock that frames carry. It is called from many
 // goroutines at once.
@@ -52,6 +59,8 @@
 	pid  *actor.PID
 	addr net.Addr
 	vars *Vars
+	// transit is the size of the ordered messages in the mailbox of the hub.
+	transit atomic.Int64
 	// done is closed when the hub stops.
 	done chan struct{}
 }
@@ -59,11 +68,6 @@
 // New starts to listen and to link to the other VMs. The clean-up function
 // closes all links and returns when their goroutines have ended.
 func New(cfg Config) (*Hub, func(), error) {
-	if cfg.System == nil {
-		cfg.System = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-			return slog.New(slog.DiscardHandler)
-		}))
-	}
 	if cfg.Mux == nil {
 		cfg.Mux = &Mux{}
 	}
@@ -73,8 +77,13 @@
 	if cfg.Clock == nil {
 		cfg.Clock = noClock{}
 	}
+	stopSystem := func() {}
+	if cfg.System == nil {
+		cfg.System, stopSystem = host.NewSystem(cfg.Log)
+	}
 	lis, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
+		stopSystem()
 		return nil, func() {}, errors.Trace(&ListenError{addr: cfg.Listen, cause: err})
 	}
 	hub := &Hub{cfg: cfg, addr: lis.Addr(), vars: newVars(cfg.Self), done: make(chan struct{})}
@@ -82,12 +91,14 @@
 	hub.pid, err = cfg.System.Root.SpawnNamed(prp, "peer-"+string(cfg.Self))
 	if err != nil {
 		_ = lis.Close()
+		stopSystem()
 		return nil, func() {}, errors.Trace(&ListenError{addr: cfg.Listen, cause: err})
 	}
 	hub.SetPeers(cfg.Peers)
 	return hub, func() {
 		close(hub.done)
 		_ = cfg.System.Root.PoisonFuture(hub.pid).Wait()
+		stopSystem()
 	}, nil
 }
 
@@ -123,6 +134,11 @@
 		hub.cfg.Log.Error("message not sent", "to", to, "kind", env.GetKind(), "error", err)
 		return
 	}
+	if hub.transit.Add(int64(len(fr.buf))) > maxTransit {
+		hub.transit.Add(-int64(len(fr.buf)))
+		hub.vars.droppedFrames.Add(1)
+		return
+	}
 	hub.cfg.System.Root.Send(hub.pid, outgoing{to: to, fr: fr})
 }
 
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -42,6 +43,8 @@
 	addr string
 	post func(msg any)
 	wait backoff
+	// transit is reduced as ordered messages leave the mailbox.
+	transit *atomic.Int64
 
 	// ses is the session in use; nil while the VM is not linked.
 	ses *session
@@ -58,8 +61,8 @@
 	linked bool
 }
 
-func newLink(hub *Hub, peer model.VMID) *link {
-	return &link{hub: hub, peer: peer, wait: newBackoff(hub.cfg.Seed, hub.cfg.Self, peer)}
+func newLink(hub *Hub, peer model.VMID, transit *atomic.Int64) *link {
+	return &link{hub: hub, peer: peer, transit: transit, wait: newBackoff(hub.cfg.Seed, hub.cfg.Self, peer)}
 }
 
 // Receive handles one actor message.
@@ -78,6 +81,7 @@
 			li.redial()
 		}
 	case outgoing:
+		li.transit.Add(-int64(len(msg.fr.buf)))
 		li.enqueue(msg.fr)
 		li.flush()
 	case *exchange:
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/asynkron/protoactor-go/actor"
 
@@ -27,11 +28,18 @@
 	}
 )
 
+// linkRef addresses the actor of a link.
+type linkRef struct {
+	pid *actor.PID
+	// transit is the size of the ordered messages in the mailbox of the link.
+	transit atomic.Int64
+}
+
 // hubActor owns the listener and the table of links.
 type hubActor struct {
 	hub   *Hub
 	lis   net.Listener
-	links map[model.VMID]*actor.PID
+	links map[model.VMID]*linkRef
 	// stop ends the accept loop, which signals on ended.
 	stop  context.CancelFunc
 	ended chan struct{}
@@ -49,14 +57,10 @@
 	case setPeers:
 		act.setPeers(ctx, msg.addrs)
 	case outgoing:
-		if pid := act.links[msg.to]; pid != nil {
-			ctx.Send(pid, msg)
-		} else {
-			act.hub.vars.droppedFrames.Add(1)
-		}
+		act.forward(ctx, msg)
 	case *exchange:
-		if pid := act.links[msg.to]; pid != nil {
-			ctx.Send(pid, msg)
+		if ref := act.links[msg.to]; ref != nil {
+			ctx.Send(ref.pid, msg)
 		} else {
 			msg.fail(&UnreachableError{vm: msg.to})
 		}
@@ -70,8 +74,25 @@
 	}
 }
 
+// forward hands an ordered message to its link.
+func (act *hubActor) forward(ctx actor.Context, msg outgoing) {
+	size := int64(len(msg.fr.buf))
+	act.hub.transit.Add(-size)
+	ref := act.links[msg.to]
+	if ref == nil {
+		act.hub.vars.droppedFrames.Add(1)
+		return
+	}
+	if ref.transit.Add(size) > maxLinkTransit {
+		ref.transit.Add(-size)
+		act.hub.vars.droppedFrames.Add(1)
+		return
+	}
+	ctx.Send(ref.pid, msg)
+}
+
 func (act *hubActor) start(ctx actor.Context) {
-	act.links = map[model.VMID]*actor.PID{}
+	act.links = map[model.VMID]*linkRef{}
 	run, cancel := context.WithCancel(context.Background())
 	act.stop, act.ended = cancel, make(chan struct{})
 	root, self := ctx.ActorSystem().Root, ctx.Self()
@@ -80,28 +101,28 @@
 }
 
 func (act *hubActor) setPeers(ctx actor.Context, addrs map[model.VMID]string) {
-	for vm, pid := range act.links {
+	for vm, ref := range act.links {
 		if _, ok := addrs[vm]; !ok {
-			ctx.Stop(pid)
+			ctx.Stop(ref.pid)
 			delete(act.links, vm)
 		}
 	}
 	for vm, addr := range addrs {
 		if act.links[vm] == nil {
-			act.links[vm] = ctx.Spawn(actor.PropsFromProducer(func() actor.Actor {
-				return newLink(act.hub, vm)
-			}))
+			ref := &linkRef{}
+			ref.pid = ctx.Spawn(actor.PropsFromProducer(func() actor.Actor { return newLink(act.hub, vm, &ref.transit) }))
+			act.links[vm] = ref
 		}
-		ctx.Send(act.links[vm], setAddr{addr: addr})
+		ctx.Send(act.links[vm].pid, setAddr{addr: addr})
 	}
 }
 
 func (act *hubActor) accept(ctx actor.Context, msg incoming) {
-	pid := act.links[msg.from]
-	if pid == nil {
+	ref := act.links[msg.from]
+	if ref == nil {
 		act.hub.cfg.Log.Warn("link refused", "from", msg.from, "reason", "unknown vm")
 		_ = msg.conn.Close()
 		return
 	}
-	ctx.Send(pid, msg)
+	ctx.Send(ref.pid, msg)
 }
--- a/io/record/record_test.go
+++ b/io/record/record_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -14,13 +13,14 @@
 
 	"guavarail/core/event"
 	"guavarail/core/model"
+	"guavarail/io/host"
 	"guavarail/io/peer"
 )
 
-func quietSystem() *actor.ActorSystem {
-	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(slog.DiscardHandler)
-	}))
+func quietSystem(t *testing.T) *actor.ActorSystem {
+	sys, stop := host.NewSystem(hclog.NewNullLogger())
+	t.Cleanup(stop)
+	return sys
 }
 
 // Guards against a log line that is split or lacks what the event is about,
@@ -28,7 +28,7 @@
 func TestOneLineForEachEvent(t *testing.T) {
 	var buf bytes.Buffer
 	rec, stop, err := New(Config{
-		System: quietSystem(), VM: "a", Clock: NewClock(func() int64 { return 0 }),
+		System: quietSystem(t), VM: "a", Clock: NewClock(func() int64 { return 0 }),
 		Log: hclog.New(&hclog.LoggerOptions{Output: &buf, DisableTime: true}),
 	})
 	if err != nil {
@@ -46,7 +46,7 @@
 // after the event that preceded the message, though the wall clock of the
 // sender is ahead, and a reader continues from its position.
 func TestQueryAcrossVMs(t *testing.T) {
-	sys := quietSystem()
+	sys := quietSystem(t)
 	start := func(vm model.VMID, wallMs int64, mux *peer.Mux) (*Recorder, *peer.Hub) {
 		rec, stop, err := New(Config{System: sys, VM: vm, Clock: NewClock(func() int64 { return wallMs })})
 		if err != nil {
