Add the demo: three data centres in one process on recorded input

Cause: a newcomer needs one command that runs the main job and checks it.

Change: io/demo plays a trace of each user with real VMs, fake workers and callers, and checks the outcomes and the ten invariants; the demo command prints them and exits non-zero when one differs.

--- a/cmd/guavarail/commands.go
+++ b/cmd/guavarail/commands.go
@@ -4,6 +4,7 @@
 	centrein "guavarail/io/cmd/centre/in"
 	centrelist "guavarail/io/cmd/centre/list"
 	centreout "guavarail/io/cmd/centre/out"
+	"guavarail/io/cmd/demo"
 	jobcancel "guavarail/io/cmd/job/cancel"
 	joblist "guavarail/io/cmd/job/list"
 	jobshow "guavarail/io/cmd/job/show"
@@ -25,6 +26,7 @@
 // commands returns all commands in the order of the overview.
 func commands() []shell.Command {
 	return []shell.Command{
+		demo.New(),
 		serve.New(),
 		status.New(),
 		timeline.New(),
--- /dev/null
+++ b/io/demo/errors.go
@@ -0,0 +1,41 @@
+package demo
+
+import (
+	"strconv"
+	"strings"
+)
+
+// UserError reports a user without a recorded trace.
+type UserError struct {
+	user string
+}
+
+// Error describes the failure.
+func (err *UserError) Error() string {
+	return "no trace of user " + strconv.Quote(err.user) + "; use one of " + strings.Join(Users(), ", ")
+}
+
+// TraceError reports a line of a trace that cannot be read.
+type TraceError struct {
+	user  string
+	line  int
+	cause error
+}
+
+// Error describes the failure.
+func (err *TraceError) Error() string {
+	return "trace of " + err.user + ", line " + strconv.Itoa(err.line) + ": " + err.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (err *TraceError) Unwrap() error { return err.cause }
+
+// OutcomeError reports that outcomes differ from the expected ones.
+type OutcomeError struct {
+	failed []string
+}
+
+// Error lists what failed.
+func (err *OutcomeError) Error() string {
+	return "outcomes differ from the expected ones: " + strings.Join(err.failed, "; ")
+}
--- a/io/fake/caller/caller.go
+++ b/io/fake/caller/caller.go
@@ -52,6 +52,9 @@
 	Name string
 	// Targets are the addresses of entry VMs; requests take turns.
 	Targets []string
+	// Ready says whether a target takes requests, as the load balancer of the
+	// platform learns it; nil means that all do.
+	Ready   func(target string) bool
 	Service string
 	// Count is the number of requests and Rate how many are sent a second, at
 	// random times that Seed fixes.
@@ -135,7 +138,18 @@
 		return
 	}
 	cal.flying++
-	go cal.exchange(ctx, res, cal.cfg.Targets[num%len(cal.cfg.Targets)])
+	go cal.exchange(ctx, res, cal.target(num))
+}
+
+// target returns the next target that is ready, or the next one if none is.
+func (cal *caller) target(num int) string {
+	for i := range cal.cfg.Targets {
+		next := cal.cfg.Targets[(num+i)%len(cal.cfg.Targets)]
+		if cal.cfg.Ready == nil || cal.cfg.Ready(next) {
+			return next
+		}
+	}
+	return cal.cfg.Targets[num%len(cal.cfg.Targets)]
 }
 
 // exchange sends one request and signals its end with the result.
--- a/io/fake/caller/result.go
+++ b/io/fake/caller/result.go
@@ -27,6 +27,9 @@
 // Request returns what was sent.
 func (res Result) Request() Request { return res.request }
 
+// Due returns when the request was due to be sent.
+func (res Result) Due() time.Time { return res.due }
+
 // Status returns the HTTP status; 0 when there was no response.
 func (res Result) Status() int { return res.status }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -261,6 +261,17 @@
 	nod.entry.Admit(nod.admitted())
 }
 
+// Ready returns why this VM is not ready for callers, or "".
+func (nod *Node) Ready() string { return (&local{nod: nod}).Ready() }
+
+// Configuration returns the configuration number that this VM acts on.
+func (nod *Node) Configuration() uint64 {
+	if vie := nod.view.Load(); vie != nil {
+		return vie.number
+	}
+	return 0
+}
+
 // admitted returns the percentage of requests that the data centre admits.
 func (nod *Node) admitted() int {
 	vie := nod.view.Load()
