Test the files against torn writes, damage and failing disks

Change: tests that cut and flip the log at every byte, fail every file operation in turn, refuse directories of other owners, restart a group, replace an emptied disk and lose another one right after, and fill the leader's disk. A replica that failed names the leader to callers.

--- a/core/quorum/fuzz_test.go
+++ b/core/quorum/fuzz_test.go
@@ -13,7 +13,7 @@
 
 // The fixed run of CI. The environment variables of the same names with the
 // prefix GUAVARAIL_FUZZ_ ask for more.
-var fuzzDefaults = map[string]string{"CHECKS": "60", "STEPS": "60", "SEED": "1"}
+var fuzzDefaults = map[string]string{"CHECKS": "300", "STEPS": "80", "SEED": "1"}
 
 // fuzz runs the model with a seed, so that a run gives the same verdict each
 // time.
@@ -186,6 +186,7 @@
 // that has every answered command, and all members must reach its state.
 func (mod *groupModel) finish(rt *rapid.T) {
 	s := mod.s
+	healed := s.now
 	led := s.settle(60 * time.Second)
 	mod.Check(rt)
 	if led == nil {
@@ -194,11 +195,20 @@
 		}
 		return
 	}
-	s.propose(led)
+	// A command may meet the end of a transfer, so callers retry.
+	for before := s.oracle.acked; s.oracle.acked == before; {
+		if s.now > healed+120*time.Second {
+			rt.Fatalf("a healed group accepts no command\n%s", s.dump())
+		}
+		if led = s.leader(); led != nil {
+			s.propose(led)
+		}
+		s.run(time.Second)
+	}
 	s.run(10 * time.Second)
 	mod.Check(rt)
-	if s.oracle.acked == 0 {
-		rt.Fatalf("a healed group accepts no command")
+	if led = s.leader(); led == nil {
+		rt.Fatalf("a healed group has no leader\n%s", s.dump())
 	}
 	for _, mem := range led.node.members().list {
 		nod := s.nodes[mem.vm]
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -116,12 +116,7 @@
 	if !n.started {
 		n.start()
 	}
-	if n.Err() != nil {
-		n.refuse(in)
-	}
-	if n.failed == nil {
-		n.handle(in)
-	}
+	n.handle(in)
 	n.flush()
 	if role := n.Role(n.now); role.changed(n.role) {
 		n.role = role
@@ -132,26 +127,27 @@
 	return effs
 }
 
-// refuse answers a request to a replica that no longer takes part.
-func (n *Node) refuse(in Input) {
+// handle passes one input on. A replica that stopped refuses requests, because
+// it does not lead, and ignores the rest.
+func (n *Node) handle(in Input) {
 	switch val := in.(type) {
 	case Propose:
-		for _, pro := range val.list {
-			n.emit(Refused{id: pro.id, err: n.Err()})
-		}
+		n.onPropose(val.list)
 	case Alter:
-		n.emit(Refused{id: val.id, err: n.Err()})
+		n.onAlter(val)
 	case Transfer:
-		n.emit(Refused{id: val.id, err: n.Err()})
+		n.onTransfer(val)
+	default:
+		if n.failed == nil {
+			n.handleEvent(in)
+		}
 	}
 }
 
-func (n *Node) handle(in Input) {
+func (n *Node) handleEvent(in Input) {
 	switch val := in.(type) {
 	case Tick:
 		n.onTick()
-	case Propose, Alter, Transfer:
-		n.request(val)
 	case Receive:
 		n.onMessage(val.msg.spec)
 	case Persisted:
@@ -165,21 +161,6 @@
 	}
 }
 
-// request handles what callers ask for. A replica that stopped has refused it.
-func (n *Node) request(in Input) {
-	if n.muted != nil {
-		return
-	}
-	switch val := in.(type) {
-	case Propose:
-		n.onPropose(val.list)
-	case Alter:
-		n.onAlter(val)
-	case Transfer:
-		n.onTransfer(val)
-	}
-}
-
 // start takes over the state of the store.
 func (n *Node) start() {
 	n.started = true
--- /dev/null
+++ b/io/disk/files_test.go
@@ -0,0 +1,270 @@
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"guavarail/core/quorum"
+)
+
+// faultFS fails its operations from the one numbered failAt on, like a disk
+// that went away or is full.
+type faultFS struct {
+	OS
+	ops    int
+	failAt int
+}
+
+func (fs *faultFS) fault() error {
+	fs.ops++
+	if fs.failAt > 0 && fs.ops >= fs.failAt {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
+func (fs *faultFS) Create(name string) (File, error) { return fs.wrap(fs.OS.Create(name)) }
+func (fs *faultFS) Append(name string) (File, error) { return fs.wrap(fs.OS.Append(name)) }
+
+func (fs *faultFS) wrap(fil File, err error) (File, error) {
+	return &faultFile{File: fil, fs: fs}, err
+}
+
+func (fs *faultFS) Rename(from, to string) error {
+	if err := fs.fault(); err != nil {
+		return err
+	}
+	return fs.OS.Rename(from, to)
+}
+
+func (fs *faultFS) SyncDir(dir string) error {
+	if err := fs.fault(); err != nil {
+		return err
+	}
+	return fs.OS.SyncDir(dir)
+}
+
+type faultFile struct {
+	File
+	fs *faultFS
+}
+
+// Write writes half of the data before it fails.
+func (fil *faultFile) Write(buf []byte) (int, error) {
+	if err := fil.fs.fault(); err != nil {
+		n, _ := fil.File.Write(buf[:len(buf)/2])
+		return n, err
+	}
+	return fil.File.Write(buf)
+}
+
+func (fil *faultFile) Sync() error {
+	if err := fil.fs.fault(); err != nil {
+		return err
+	}
+	return fil.File.Sync()
+}
+
+func openDir(tb testing.TB, dir string, fs FS) (*Files, func()) {
+	tb.Helper()
+	fls, closeFiles, err := Open(Config{Dir: dir, VM: "a", Group: "g", FS: fs})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return fls, closeFiles
+}
+
+func entries(from, to, term uint64) []quorum.Entry {
+	var lst []quorum.Entry
+	for idx := from; idx <= to; idx++ {
+		lst = append(lst, quorum.NewEntry(idx, term, quorum.EntryCommand, []byte{byte(idx)}))
+	}
+	return lst
+}
+
+// fill writes three frames with two entries each and returns where they end.
+func fill(tb testing.TB, dir string) []int64 {
+	tb.Helper()
+	fls, closeFiles := openDir(tb, dir, OS{})
+	defer closeFiles()
+	var ends []int64
+	for idx := uint64(1); idx <= 5; idx += 2 {
+		if err := errors.Join(fls.Log().Append(quorum.NewHard(1, "a"), entries(idx, idx+1, 1)), fls.Log().Sync()); err != nil {
+			tb.Fatal(err)
+		}
+		inf, err := os.Stat(filepath.Join(dir, logName))
+		if err != nil {
+			tb.Fatal(err)
+		}
+		ends = append(ends, inf.Size())
+	}
+	return ends
+}
+
+// Guards restarts: what was synced is there, and the identity stays.
+func TestRestartKeepsWhatWasSynced(t *testing.T) {
+	dir := t.TempDir()
+	fill(t, dir)
+	fls, closeFiles := openDir(t, dir, OS{})
+	disk := fls.Disk()
+	// A new leader replaces the end of the log.
+	if err := errors.Join(fls.Log().Append(quorum.NewHard(2, "b"), entries(5, 5, 2)), fls.Log().Sync()); err != nil {
+		t.Fatal(err)
+	}
+	closeFiles()
+	fls, closeFiles = openDir(t, dir, OS{})
+	defer closeFiles()
+	sv, _, _ := fls.Load()
+	if ents := sv.Entries(); len(ents) != 5 || ents[4].Term() != 2 || sv.Hard().Vote() != "b" || fls.Disk() != disk {
+		t.Fatalf("got %+v, disk %s, want disk %s", sv, fls.Disk(), disk)
+	}
+}
+
+// Guards torn writes: a last frame that was cut off anywhere is dropped, and
+// the synced frames before it stay.
+func TestTornTailIsCutOff(t *testing.T) {
+	dir := t.TempDir()
+	ends := fill(t, dir)
+	path := filepath.Join(dir, logName)
+	whole, _ := os.ReadFile(path)
+	for size := ends[1]; size < ends[2]; size++ {
+		// The rest of the frame may be missing or not be written yet.
+		for _, buf := range [][]byte{whole[:size], append(whole[:size:size], make([]byte, ends[2]-size)...)} {
+			_ = os.WriteFile(path, buf, fileMode)
+			fls, closeFiles := openDir(t, dir, OS{})
+			sv, _, _ := fls.Load()
+			closeFiles()
+			if len(sv.Entries()) != 4 {
+				t.Fatalf("cut at %d of %d: %d entries, want 4", size, ends[2], len(sv.Entries()))
+			}
+		}
+	}
+}
+
+// Guards against silent loss: damage before the last frame must stop the start
+// and name the file and the offset.
+func TestDamageIsReported(t *testing.T) {
+	dir := t.TempDir()
+	ends := fill(t, dir)
+	path := filepath.Join(dir, logName)
+	whole, _ := os.ReadFile(path)
+	for pos := range ends[1] {
+		buf := append([]byte(nil), whole...)
+		buf[pos] ^= 0x10
+		_ = os.WriteFile(path, buf, fileMode)
+		want := int64(0)
+		if pos >= ends[0] {
+			want = ends[0]
+		}
+		_, _, err := Open(Config{Dir: dir, VM: "a", Group: "g"})
+		var bad *CorruptError
+		if !errors.As(err, &bad) || bad.File() != path || bad.Offset() != want {
+			t.Fatalf("byte %d: got %v, want damage at %d", pos, err, want)
+		}
+	}
+}
+
+// Guards against a mix-up of disks: a directory of another VM, group or format
+// is refused, and so is one without its identity or in use.
+func TestForeignDirectoryIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	fill(t, dir)
+	for field, cfg := range map[string]Config{
+		"vm": {Dir: dir, VM: "b", Group: "g"}, "group": {Dir: dir, VM: "a", Group: "h"},
+	} {
+		_, _, err := Open(cfg)
+		var bad *OwnerError
+		if !errors.As(err, &bad) || bad.Field() != field {
+			t.Errorf("%s: got %v", field, err)
+		}
+	}
+	_, closeFiles := openDir(t, dir, OS{})
+	_, _, err := Open(Config{Dir: dir, VM: "a", Group: "g"})
+	var locked *LockedError
+	if !errors.As(err, &locked) {
+		t.Errorf("in use: got %v", err)
+	}
+	closeFiles()
+	_ = os.Remove(filepath.Join(dir, identityName))
+	_, _, err = Open(Config{Dir: dir, VM: "a", Group: "g"})
+	var bad *CorruptError
+	if !errors.As(err, &bad) {
+		t.Errorf("no identity: got %v", err)
+	}
+}
+
+// work does what a replica does to its store and returns the last entry whose
+// sync succeeded.
+func work(fls *Files) uint64 {
+	synced := uint64(0)
+	log, snaps := fls.Log(), fls.Snapshots()
+	mems := quorum.NewMembers(false, quorum.NewMember("a", "d", true))
+	for idx := uint64(1); idx <= 6; idx++ {
+		if log.Append(quorum.NewHard(1, "a"), entries(idx, idx, 1)) != nil || log.Sync() != nil {
+			return synced
+		}
+		synced = idx
+		if idx%2 > 0 {
+			continue
+		}
+		snap := quorum.NewSnapshot(idx, 1, mems, 1).WithSize(3)
+		if snaps.Save(snap, []byte("abc")) != nil || log.Replace(quorum.NewHard(1, "a"), nil) != nil {
+			return synced
+		}
+	}
+	half := quorum.NewSnapshot(9, 1, mems, 1).WithSize(4)
+	if _, err := snaps.Receive(half, 0, []byte("ab"), false); err != nil {
+		return synced
+	}
+	if data, err := snaps.Receive(half, 2, []byte("cd"), true); err != nil || string(data) != "abcd" {
+		return synced
+	}
+	return 9
+}
+
+// Guards every step at which a disk can fail or fill up: after a restart all
+// that was synced is there.
+func TestDiskFailureAtEveryStep(t *testing.T) {
+	count := &faultFS{}
+	fls, closeFiles := openDir(t, t.TempDir(), count)
+	if got := work(fls); got != 9 {
+		t.Fatalf("without failures %d is synced, want 9", got)
+	}
+	closeFiles()
+	for failAt := 1; failAt <= count.ops; failAt++ {
+		dir := t.TempDir()
+		synced := uint64(0)
+		if fls, closeFiles, err := Open(Config{Dir: dir, VM: "a", Group: "g", FS: &faultFS{failAt: failAt}}); err == nil {
+			synced = work(fls)
+			closeFiles()
+		}
+		fls, closeFiles := openDir(t, dir, OS{})
+		sv, _, _ := fls.Load()
+		closeFiles()
+		if got := sv.Snapshot().Index() + uint64(len(sv.Entries())); got < synced {
+			t.Fatalf("failure at operation %d: %d entries after restart, %d were synced", failAt, got, synced)
+		}
+	}
+}
+
+// Guards the parts of a snapshot that are sent: they must be the stored bytes.
+func TestPiecesOfSnapshot(t *testing.T) {
+	for name, sto := range map[string]Store{"files": first(openDir(t, t.TempDir(), OS{})), "memory": NewMemory()} {
+		snap := quorum.NewSnapshot(7, 1, quorum.Members{}, 1).WithSize(6)
+		if err := sto.Snapshots().Save(snap, []byte("abcdef")); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := sto.Snapshots().Read(snap, 2, 3); string(got) != "cde" || err != nil {
+			t.Errorf("%s: got %q, %v", name, got, err)
+		}
+		old := quorum.NewSnapshot(6, 1, quorum.Members{}, 1).WithSize(6)
+		if got, err := sto.Snapshots().Read(old, 2, 3); got != nil || err != nil {
+			t.Errorf("%s: got %q, %v of a replaced snapshot", name, got, err)
+		}
+	}
+}
+
+func first(fls *Files, _ func()) Store { return fls }
--- /dev/null
+++ b/io/group/restart_test.go
@@ -0,0 +1,187 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+	"guavarail/io/disk"
+)
+
+// fullFS reports a full disk once it is told to.
+type fullFS struct {
+	disk.OS
+	full atomic.Bool
+}
+
+func (fs *fullFS) Append(name string) (disk.File, error) {
+	fil, err := fs.OS.Append(name)
+	return &fullFile{File: fil, fs: fs}, err
+}
+
+type fullFile struct {
+	disk.File
+	fs *fullFS
+}
+
+func (fil *fullFile) Write(buf []byte) (int, error) {
+	if fil.fs.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return fil.File.Write(buf)
+}
+
+// replica is one VM of a test with a data directory.
+type replica struct {
+	vm   model.VMID
+	ref  testRef
+	stop func()
+}
+
+func startOnDisk(tb testing.TB, lin *links, dir string, fs disk.FS, vm model.VMID, voters ...model.VMID) *replica {
+	tb.Helper()
+	fls, closeFiles, err := disk.Open(disk.Config{Dir: filepath.Join(dir, string(vm)), VM: vm, Group: "test", FS: fs})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	ref, stop := startReplica(tb, lin, vm, fls, voters...)
+	return &replica{vm: vm, ref: ref, stop: func() {
+		stop()
+		closeFiles()
+	}}
+}
+
+func startAll(tb testing.TB, lin *links, dir string, vms ...model.VMID) map[model.VMID]*replica {
+	tb.Helper()
+	reps := map[model.VMID]*replica{}
+	for _, vm := range vms {
+		reps[vm] = startOnDisk(tb, lin, dir, nil, vm, vms...)
+	}
+	return reps
+}
+
+func refsOf(reps map[model.VMID]*replica) []testRef {
+	var lst []testRef
+	for _, rep := range reps {
+		lst = append(lst, rep.ref)
+	}
+	return lst
+}
+
+func proposeCount(ctx context.Context, tb testing.TB, ref testRef, count int) {
+	tb.Helper()
+	for pos := range count {
+		if _, err := ref.Propose(ctx, strconv.Itoa(pos)); err != nil {
+			tb.Fatal(err)
+		}
+	}
+}
+
+// Guards restarts of the whole group: every command is there, from the snapshot
+// and from the log after it.
+func TestRestartOfAllKeepsCommands(t *testing.T) {
+	ctx := testContext(t)
+	lin := &links{refs: map[model.VMID]testRef{}}
+	dir := t.TempDir()
+	reps := startAll(t, lin, dir, "a", "b", "c")
+	proposeCount(ctx, t, leaderOf(ctx, t, refsOf(reps)...), quorum.DefaultSnapshotEntries+200)
+	for _, rep := range reps {
+		rep.stop()
+	}
+	reps = startAll(t, lin, dir, "a", "b", "c")
+	defer func() {
+		for _, rep := range reps {
+			rep.stop()
+		}
+	}()
+	got, err := leaderOf(ctx, t, refsOf(reps)...).Propose(ctx, "last")
+	if got != quorum.DefaultSnapshotEntries+201 || err != nil {
+		t.Fatalf("got %d, %v", got, err)
+	}
+}
+
+// Guards a repair: a VM with an emptied disk does not count until it is
+// replaced, and after that a second loss right away loses no command.
+func TestSecondLossAfterReplace(t *testing.T) {
+	ctx := testContext(t)
+	lin := &links{refs: map[model.VMID]testRef{}}
+	dir := t.TempDir()
+	reps := startAll(t, lin, dir, "a", "b", "c")
+	led := leaderOf(ctx, t, refsOf(reps)...)
+	proposeCount(ctx, t, led, quorum.DefaultSnapshotEntries+50)
+	var others []model.VMID
+	for vm := range reps {
+		if vm != led.self {
+			others = append(others, vm)
+		}
+	}
+	lost, second := others[0], others[1]
+	reps[lost].stop()
+	if err := os.RemoveAll(filepath.Join(dir, string(lost))); err != nil {
+		t.Fatal(err)
+	}
+	reps[lost] = startOnDisk(t, lin, dir, nil, lost, "a", "b", "c")
+	if err := led.Replace(ctx, lost); err != nil {
+		t.Fatal(err)
+	}
+	reps[second].stop()
+	delete(reps, second)
+	got, err := led.Propose(ctx, "last")
+	if got != quorum.DefaultSnapshotEntries+51 || err != nil {
+		t.Fatalf("got %d, %v", got, err)
+	}
+	if err := led.Transfer(ctx); err != nil {
+		t.Fatal(err)
+	}
+	next := leaderOf(ctx, t, refsOf(reps)...)
+	if got, err := next.Propose(ctx, "after"); next.self != lost || got != quorum.DefaultSnapshotEntries+52 || err != nil {
+		t.Fatalf("%s got %d, %v", next.self, got, err)
+	}
+	for _, rep := range reps {
+		rep.stop()
+	}
+}
+
+// Guards a full disk: the replica stops leading, answers no command, and the
+// others go on; its state still follows.
+func TestFullDiskHandsOver(t *testing.T) {
+	ctx := testContext(t)
+	lin := &links{refs: map[model.VMID]testRef{}}
+	fss := map[model.VMID]*fullFS{}
+	reps := map[model.VMID]*replica{}
+	dir := t.TempDir()
+	for _, vm := range []model.VMID{"a", "b", "c"} {
+		fss[vm] = &fullFS{}
+		reps[vm] = startOnDisk(t, lin, dir, fss[vm], vm, "a", "b", "c")
+		defer reps[vm].stop()
+	}
+	led := leaderOf(ctx, t, refsOf(reps)...)
+	proposeCount(ctx, t, led, 10)
+	fss[led.self].full.Store(true)
+	_, _ = led.Propose(ctx, "maybe")
+	next := leaderOf(ctx, t, refsOf(reps)...)
+	if next.self == led.self {
+		t.Fatalf("%s leads with a full disk", led.self)
+	}
+	proposeCount(ctx, t, next, 10)
+	var notLeader *NotLeaderError
+	if _, err := led.Propose(ctx, "late"); !errors.As(err, &notLeader) {
+		t.Fatalf("got %v", err)
+	}
+	states := make(chan int, 1)
+	for want, got := 20, 0; got < want; {
+		led.Do(func(_ model.Instant, _ quorum.Role, mac *list) { states <- len(mac.cmds) })
+		select {
+		case got = <-states:
+		case <-ctx.Done():
+			t.Fatalf("%d commands on the full disk's VM, want %d", got, want)
+		}
+	}
+}
