--- a/core/guard/estimate.go
+++ b/core/guard/estimate.go
@@ -106,11 +106,15 @@
 	}
 }
 
-// slowdown returns the lower bound of the slowdown at the load.
+// slowdown returns the lower bound of the slowdown at the load. Interference
+// grows with load, so that a lower band bounds it from below after a sudden
+// shift, when the band itself has too few samples.
 func (ests *estimates) slowdown(service model.ServiceID, kind string, load float64) float64 {
-	es, ok := ests.pairs[key{service: service, kind: kind, band: bandOf(load)}]
-	if !ok {
-		return 0
+	for bd := bandOf(load); bd >= 0; bd-- {
+		es, ok := ests.pairs[key{service: service, kind: kind, band: bd}]
+		if ok && es.count >= enough {
+			return es.lower()
+		}
 	}
-	return es.lower()
+	return 0
 }
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -71,6 +71,9 @@
 // takes the policy as a type parameter.
 type Policy interface {
 	Choose(ix *Index, rq Request) (slot int32, ok bool)
+	// Allows reports whether work of the priority may be on the worker at
+	// all; room is made only on such workers.
+	Allows(slot int32, pri model.Priority) bool
 }
 
 const (
@@ -105,6 +108,9 @@
 	return ix.search(rq.Avoid(nil), len(ix.entries))
 }
 
+// Allows implements Policy.
+func (BestFit) Allows(int32, model.Priority) bool { return true }
+
 // search goes through the bands from the need upwards. Workers of a higher
 // band in every dimension fit without a check.
 func (ix *Index) search(rq Request, limit int) (int32, bool) {
@@ -189,6 +195,9 @@
 	return 0, false
 }
 
+// Allows implements Policy.
+func (FirstFit) Allows(int32, model.Priority) bool { return true }
+
 // LinearScan takes the fitting worker with the fewest free processors, by a
 // scan over all workers. It is the baseline of the benchmarks.
 type LinearScan struct{}
@@ -198,6 +207,9 @@
 	return ix.scan(rq, func(int32) bool { return true })
 }
 
+// Allows implements Policy.
+func (LinearScan) Allows(int32, model.Priority) bool { return true }
+
 // Static keeps services and batch on separate workers: of every ten workers
 // Services take service and urgent tasks, the others batch tasks. The zero
 // value gives services four.
@@ -207,11 +219,16 @@
 
 // Choose implements Policy.
 func (sta Static) Choose(ix *Index, rq Request) (int32, bool) {
+	return ix.scan(rq, func(slot int32) bool { return sta.Allows(slot, rq.priority) })
+}
+
+// Allows implements Policy.
+func (sta Static) Allows(slot int32, pri model.Priority) bool {
 	part := sta.Services
 	if part == 0 {
 		part = 4
 	}
-	return ix.scan(rq, func(slot int32) bool { return (slot%10 < part) == (rq.priority != model.Batch) })
+	return (slot%10 < part) == (pri != model.Batch)
 }
 
 func (ix *Index) scan(rq Request, allowed func(slot int32) bool) (int32, bool) {
--- a/core/sched/room.go
+++ b/core/sched/room.go
@@ -74,7 +74,7 @@
 // useHold takes a worker that was kept for the job, once there is room.
 func (pl *Planner[P]) useHold(bl *backlog, need model.Resources) (int32, bool) {
 	for _, slot := range bl.holds {
-		if pl.usable(slot) && need.FitsIn(pl.st.workers[slot].free()) {
+		if pl.suits(slot, &bl.job.spec) && need.FitsIn(pl.st.workers[slot].free()) {
 			pl.unhold(slot)
 			return slot, true
 		}
@@ -88,6 +88,13 @@
 	return wk.known && cr.heard && !cr.shrunk && pl.book.Standing(wk.id) == blame.Good
 }
 
+// suits reports whether tasks of the job may be on the worker: the policy
+// allows it and no service there is harmed.
+func (pl *Planner[P]) suits(slot int32, spec *JobSpec) bool {
+	return pl.usable(slot) && pl.policy.Allows(slot, spec.Priority) &&
+		(spec.Priority != model.Batch || !pl.env.Preset.Guards() || !pl.harms(slot, spec.Kind))
+}
+
 // makeRoom evicts for urgent work and for work within its quota that waits.
 func (pl *Planner[P]) makeRoom(now model.Instant) []Op {
 	var ops []Op
@@ -140,12 +147,12 @@
 	}
 	// When the share of batch is used up, the evictions have to cover the whole
 	// need, however much the worker has free.
-	if slot, lvs, ok := pl.fewest(need, may, bl.reason == ReasonNoCapacity); ok {
+	if slot, lvs, ok := pl.fewest(spec, need, may, bl.reason == ReasonNoCapacity); ok {
 		pl.hold(slot, bl, now.Add(holdFor))
 		return evictAll(lvs, why), true
 	}
 	if wt, _ := bl.peek(); now.Sub(wt.since) >= wholeWait && len(bl.holds) == 0 {
-		if slot, ok := pl.emptiest(need); ok {
+		if slot, ok := pl.emptiest(spec, need); ok {
 			pl.hold(slot, bl, now.Add(wholeHold))
 			return nil, true
 		}
@@ -161,11 +168,11 @@
 }
 
 // fewest returns the worker on which the fewest evictions make room.
-func (pl *Planner[P]) fewest(need model.Resources, may func(*live) bool, useFree bool) (int32, []*live, bool) {
+func (pl *Planner[P]) fewest(spec *JobSpec, need model.Resources, may func(*live) bool, useFree bool) (int32, []*live, bool) {
 	best, lvs, found := int32(0), []*live(nil), false
 	for i := range pl.crews {
 		slot := int32(i)
-		if pl.crews[i].heldFor != nil || !pl.usable(slot) || !need.FitsIn(pl.st.workers[i].size) {
+		if pl.crews[i].heldFor != nil || !pl.suits(slot, spec) || !need.FitsIn(pl.st.workers[i].size) {
 			continue
 		}
 		free := model.Resources{}
@@ -184,11 +191,11 @@
 }
 
 // emptiest returns the worker that lacks the least for need.
-func (pl *Planner[P]) emptiest(need model.Resources) (int32, bool) {
+func (pl *Planner[P]) emptiest(spec *JobSpec, need model.Resources) (int32, bool) {
 	best, found, most := int32(0), false, int64(0)
 	for i, wk := range pl.st.workers {
 		slot := int32(i)
-		if pl.crews[i].heldFor != nil || !pl.usable(slot) || !need.FitsIn(wk.size) {
+		if pl.crews[i].heldFor != nil || !pl.suits(slot, spec) || !need.FitsIn(wk.size) {
 			continue
 		}
 		if free := wk.free().MilliCPU(); !found || free > most {
