--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -97,7 +97,7 @@
 	cr := &pl.crews[slot]
 	for i := range cr.lives {
 		if lv := &cr.lives[i]; lv.ref == re {
-			lv.since, lv.ordered = now, 0
+			lv.since, lv.ordered = stampOf(now), 0
 		}
 	}
 	pl.answer(now, slot, false)
--- /dev/null
+++ b/core/sched/bench_test.go
@@ -0,0 +1,209 @@
+package sched
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+	"guavarail/core/place"
+)
+
+// centre returns a planner over a data centre with running tasks, 30 on each
+// worker, and the jobs that hold them.
+func centre[P place.Policy](tb testing.TB, policy P, workers, tasks int) (*State, *Planner[P]) {
+	st := &State{}
+	pl := NewPlanner(st, policy)
+	ops := make([]Op, 0, workers)
+	for i := range workers {
+		ops = append(ops, Worker(workerName(i), fmt.Sprintf("rack-%d", i/8), model.NewResources(32000, 125000, 2)))
+	}
+	st.Apply(NewCommand(ops...))
+	const perJob = 1000
+	for jb := 0; jb*perJob < tasks; jb++ {
+		fill(tb, st, jb, min(perJob, tasks-jb*perJob), workers)
+	}
+	pl.Step(benchNow, TookOver{})
+	for i := range workers {
+		pl.crews[i].seen, pl.crews[i].heard = benchNow, true
+		pl.refresh(int32(i))
+	}
+	pl.env = TickSpec{LeadUntil: benchNow.Add(time.Hour), StartUntil: benchNow.Add(time.Hour), Preset: benchPreset(tb)}
+	return st, pl
+}
+
+const benchNow = model.Instant(time.Minute)
+
+func workerName(i int) model.WorkerID { return model.WorkerID(fmt.Sprintf("worker-%05d", i)) }
+
+func benchPreset(tb testing.TB) model.Preset {
+	pre, err := model.NewPreset(model.PresetSpec{Name: "bench", BatchSharePercent: 100})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return pre
+}
+
+// fill submits a job and starts its tasks on workers in turn.
+func fill(tb testing.TB, st *State, num, tasks, workers int) {
+	jo, err := NewJob(JobSpec{
+		ID: model.JobID(fmt.Sprintf("job-%d", num)), Team: model.TeamID(fmt.Sprintf("team-%d", num%450)),
+		Tasks: tasks, Size: model.NewResources(800, 3000, 0),
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	ops := []Op{Submit(jo)}
+	for i := range tasks {
+		tid := model.NewTaskID(jo.ID(), i)
+		ops = append(ops, Start(tid, 1, workerName((num*1000+i)%workers), jo.Spec().Size, Checkpoint{}, false), Confirm(tid, 1, Checkpoint{}))
+	}
+	res := st.Apply(NewCommand(ops...))
+	for i := range res.Len() {
+		if res.Verdict(i) != Accepted {
+			tb.Fatalf("operation %d: %s", i, res.Verdict(i))
+		}
+	}
+}
+
+var benchSizes = []int{100, 1000, 5000, 17000}
+
+func tasksOf(workers int) int { return workers * 520_000 / 17_000 }
+
+func BenchmarkPlacement(b *testing.B) {
+	for _, workers := range benchSizes {
+		b.Run(fmt.Sprintf("bestFit/workers=%d", workers), func(b *testing.B) { placement(b, place.BestFit{}, workers) })
+		b.Run(fmt.Sprintf("linearScan/workers=%d", workers), func(b *testing.B) { placement(b, place.LinearScan{}, workers) })
+	}
+}
+
+// placement measures single choices with a reservation and a release, so that
+// the data centre stays equally full, with sizes that vary.
+func placement[P place.Policy](b *testing.B, policy P, workers int) {
+	_, pl := centre(b, policy, workers, tasksOf(workers))
+	sizes := make([]model.Resources, 997)
+	for i := range sizes {
+		sizes[i] = model.NewResources(int64(100+i*7), int64(500+i*29), int64(i%50/49))
+	}
+	took := make([]time.Duration, 0, b.N)
+	type taken struct {
+		slot int32
+		size model.Resources
+	}
+	var ring [512]taken
+	misses := 0
+	b.ResetTimer()
+	for i := range b.N {
+		size, start := sizes[i%len(sizes)], time.Now()
+		slot, ok := pl.policy.Choose(&pl.index, place.NewRequest(size, model.Batch))
+		if !ok || !pl.index.Reserve(slot, size) {
+			misses++
+			slot, size = 0, model.Resources{}
+		}
+		took = append(took, time.Since(start))
+		old := &ring[i%len(ring)]
+		if i >= len(ring) {
+			pl.index.Release(old.slot, old.size)
+		}
+		*old = taken{slot: slot, size: size}
+	}
+	b.StopTimer()
+	report(b, took)
+	b.ReportMetric(float64(misses)/float64(b.N)*100, "missPercent")
+}
+
+func report(b *testing.B, took []time.Duration) {
+	slices.Sort(took)
+	b.ReportMetric(float64(took[(len(took)-1)*99/100].Nanoseconds()), "p99-ns")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "decisions/s")
+}
+
+// BenchmarkStarts measures whole plans: queue, quotas, fair share, choice and
+// the command, for 580 starts as in one tick at the peak.
+func BenchmarkStarts(b *testing.B) {
+	const perTick = 580
+	for _, workers := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			st, pl := centre(b, place.BestFit{}, workers, tasksOf(workers))
+			jo, err := NewJob(JobSpec{ID: "next", Team: "team-1", Tasks: perTick, Size: model.NewResources(100, 100, 0)})
+			if err != nil {
+				b.Fatal(err)
+			}
+			cmd := NewCommand(Submit(jo))
+			pl.Step(benchNow, NewApplied(cmd, st.Apply(cmd)))
+			started := 0
+			b.ResetTimer()
+			for range b.N {
+				ops, picks := pl.plan(benchNow)
+				started += len(picks)
+				if len(ops) == 0 {
+					b.Fatal("no starts")
+				}
+				b.StopTimer()
+				pl.requeue(picks)
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(started)/b.Elapsed().Seconds(), "starts/s")
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return ms.HeapAlloc
+}
+
+// BenchmarkMemory reports the heap for each worker and each running task, of
+// State and Planner together.
+func BenchmarkMemory(b *testing.B) {
+	for range b.N {
+		before := heapInUse()
+		st, pl := centre(b, place.BestFit{}, 17000, 0)
+		empty := heapInUse()
+		runtime.KeepAlive(st)
+		runtime.KeepAlive(pl)
+		st, pl = centre(b, place.BestFit{}, 17000, 520_000)
+		full := heapInUse()
+		runtime.KeepAlive(st)
+		runtime.KeepAlive(pl)
+		b.ReportMetric(float64(empty-before)/17000, "B/worker")
+		b.ReportMetric(float64(full-empty)/520_000, "B/task")
+	}
+}
+
+// BenchmarkTick measures a tick without anything to decide, at full size.
+func BenchmarkTick(b *testing.B) {
+	_, pl := centre(b, place.BestFit{}, 17000, 520_000)
+	tck := NewTick(pl.env)
+	for b.Loop() {
+		pl.Step(benchNow, tck)
+	}
+}
+
+// BenchmarkReport measures one poll of a worker with 30 running attempts.
+func BenchmarkReport(b *testing.B) {
+	_, pl := centre(b, place.BestFit{}, 17000, 520_000)
+	var atts []AttemptReport
+	for i := range pl.crews[0].lives {
+		lv := &pl.crews[0].lives[i]
+		atts = append(atts, NewAttemptReport(AttemptSpec{Task: lv.ref.id(), Attempt: lv.attempt, Usage: lv.task().size.resources()}))
+	}
+	num := uint64(0)
+	for b.Loop() {
+		num++
+		pl.Step(benchNow, NewWorkerReport(ReportSpec{Poll: num, Worker: workerName(0), Rack: "rack-0", Size: model.NewResources(32000, 125000, 2), Attempts: atts}))
+	}
+}
+
+// BenchmarkTakeOver measures how long a new leader needs before it decides.
+func BenchmarkTakeOver(b *testing.B) {
+	_, pl := centre(b, place.BestFit{}, 17000, 520_000)
+	for b.Loop() {
+		pl.Step(benchNow, TookOver{})
+	}
+}
--- a/core/sched/grow.go
+++ b/core/sched/grow.go
@@ -91,8 +91,8 @@
 	}
 	switch {
 	case lv.over == 0:
-		lv.over, lv.throttle = now, true
-	case now.Sub(lv.over) >= growThrottled:
+		lv.over, lv.throttle = stampOf(now), true
+	case lv.over.age(now) >= growThrottled:
 		return []Op{Evict(lv.ref.id(), lv.attempt, ReasonGrowth)}
 	}
 	return nil
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -23,7 +23,7 @@
 	switch oc {
 	case Succeeded:
 		back = pl.book.Succeeded(wid, spec.ID)
-		pl.kinds.took(spec.Kind, now.Sub(lv.since))
+		pl.kinds.took(spec.Kind, lv.since.age(now))
 	case Stopped:
 		back = pl.book.Ran(wid, spec.ID)
 	case Broke:
--- a/core/sched/oracle_test.go
+++ b/core/sched/oracle_test.go
@@ -201,7 +201,7 @@
 
 func dump(st *State, tk *task) string {
 	out := ""
-	for _, hi := range tk.history[:tk.steps] {
+	for _, hi := range tk.entries() {
 		out += fmt.Sprintf(" %s:%d@%s(%s)", hi.kind, hi.attempt, st.name(hi.slot), hi.reason)
 	}
 	return out
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -56,12 +56,12 @@
 	// seen is the time that the lease counts from.
 	seen model.Instant
 	// ordered is the time of the last start or stop order.
-	ordered model.Instant
+	ordered stamp
 	// since is when the stop was asked or the attempt was recorded.
-	since model.Instant
+	since stamp
 	// over is since when the usage exceeds a commitment that cannot grow, 0
 	// while it does not.
-	over model.Instant
+	over stamp
 	// throttle: the attempt is to be limited to its commitment, because it
 	// grew or, with slow, because it interferes. throttled is what the worker
 	// reported.
@@ -284,12 +284,12 @@
 func (pl *Planner[P]) addLive(now model.Instant, slot int32, re ref) {
 	tk := re.task()
 	cr := pl.ensure(slot)
-	ordered := model.Instant(0)
+	ordered := stamp(0)
 	if tk.state == Running {
-		ordered = now
+		ordered = stampOf(now)
 	}
 	cr.lives = append(cr.lives, live{
-		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: now, ordered: ordered,
+		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: stampOf(now), ordered: ordered,
 	})
 	cr.expiry = 0
 	if re.job.spec.Priority == model.Batch {
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -145,7 +145,7 @@
 		lv.told = true
 		pl.facts = append(pl.facts, End(lv.ref.id(), lv.attempt, cr.poll.worker, oc))
 	case lv.lost:
-	case tk.state == Stopping && now.Sub(lv.since) > stopRenewal:
+	case tk.state == Stopping && lv.since.age(now) > stopRenewal:
 		lv.listed = false
 	default:
 		lv.seen = now
@@ -207,7 +207,7 @@
 	var out []Order
 	for i := range cr.lives {
 		lv := &cr.lives[i]
-		if lv.lost || lv.told || (lv.ordered != 0 && now.Sub(lv.ordered) < repeatAfter) {
+		if lv.lost || lv.told || (lv.ordered != 0 && lv.ordered.age(now) < repeatAfter) {
 			continue
 		}
 		tk, spec := lv.task(), &lv.ref.job.spec
@@ -219,20 +219,20 @@
 				issuedAfter: now.Sub(cr.poll.received),
 			})
 			// The worker counts its lease from the send time of this poll.
-			lv.ordered, lv.seen = now, now
+			lv.ordered, lv.seen = stampOf(now), now
 		case tk.state == Stopping:
 			out = append(out, Order{kind: OrderStop, task: lv.ref.id(), attempt: lv.attempt, grace: grace(tk.reason)})
-			lv.ordered = now
+			lv.ordered = stampOf(now)
 		case tk.state == Running && lv.listed && lv.throttled != (lv.throttle || lv.slow):
 			or := Order{kind: OrderThrottle, task: lv.ref.id(), attempt: lv.attempt}
 			if !lv.throttled {
 				or.size = tk.size.resources()
 			}
 			out = append(out, or)
-			lv.ordered = now
-		case tk.state == Running && lv.listed && spec.Priority == model.Batch && now.Sub(lv.ordered) >= checkpointEvery:
+			lv.ordered = stampOf(now)
+		case tk.state == Running && lv.listed && spec.Priority == model.Batch && lv.ordered.age(now) >= checkpointEvery:
 			out = append(out, Order{kind: OrderCheckpoint, task: lv.ref.id(), attempt: lv.attempt})
-			lv.ordered = now
+			lv.ordered = stampOf(now)
 		}
 	}
 	return out
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -110,16 +110,19 @@
 		size: pack(spec.Size), worker: spec.Slot, attempt: spec.Attempt, newest: spec.Newest, previous: spec.Previous,
 		state: spec.State, reason: spec.Reason, borrowed: spec.Borrowed,
 	}
-	tk.steps = uint8(copy(tk.history[:], spec.History))
+	for _, hi := range spec.History[:min(len(spec.History), historyLength)] {
+		tk.history[tk.steps] = step{kind: hi.kind, reason: hi.reason, attempt: uint16(hi.attempt), slot: hi.slot}
+		tk.steps++
+	}
 	return TaskRecord{tk: tk}
 }
 
-// Spec returns the fields of the record; its history is shared with it.
+// Spec returns the fields of the record.
 func (tr *TaskRecord) Spec() TaskSpec {
 	tk := &tr.tk
 	return TaskSpec{
 		State: tk.state, Reason: tk.reason, Borrowed: tk.borrowed, Attempt: tk.attempt, Slot: tk.worker,
-		Size: tk.size.resources(), Newest: tk.newest, Previous: tk.previous, History: tk.history[:tk.steps],
+		Size: tk.size.resources(), Newest: tk.newest, Previous: tk.previous, History: tk.entries(),
 	}
 }
 
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -22,15 +22,34 @@
 	// newest is the checkpoint that the next attempt resumes from, previous
 	// the one to fall back to. newest is never before previous.
 	newest, previous Checkpoint
-	history          [historyLength]History
+	history          [historyLength]step
 	steps            uint8
 	state            TaskState
 	reason           Reason
 	borrowed         bool
 }
 
+// step is a stored History entry. It has the low bits of the attempt, which
+// are enough because the last entries are about the last attempts.
+type step struct {
+	slot    int32
+	attempt uint16
+	kind    HistoryKind
+	reason  Reason
+}
+
+// entries returns the history, oldest first.
+func (tk *task) entries() []History {
+	out := make([]History, tk.steps)
+	for i, sp := range tk.history[:tk.steps] {
+		att := tk.attempt - model.Attempt(uint16(tk.attempt)-sp.attempt)
+		out[i] = History{kind: sp.kind, reason: sp.reason, attempt: att, slot: sp.slot}
+	}
+	return out
+}
+
 func (tk *task) note(kind HistoryKind, why Reason) {
-	hi := History{kind: kind, reason: why, attempt: tk.attempt, slot: tk.worker}
+	hi := step{kind: kind, reason: why, attempt: uint16(tk.attempt), slot: tk.worker}
 	if tk.steps == historyLength {
 		copy(tk.history[:], tk.history[1:])
 		tk.steps--
--- a/core/sched/values.go
+++ b/core/sched/values.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"guavarail/core/model"
 )
@@ -179,6 +180,19 @@
 // Slot returns the worker's position in the snapshot plus one, 0 for none.
 func (hi History) Slot() int32 { return hi.slot }
 
+// stamp is a coarse time in 32 bits, which last 13 years. The zero value means
+// none.
+type stamp uint32
+
+const stampUnit = 100 * time.Millisecond
+
+func stampOf(now model.Instant) stamp { return stamp(now/model.Instant(stampUnit)) + 1 }
+
+// age returns the time since the stamp.
+func (sta stamp) age(now model.Instant) time.Duration {
+	return now.Sub(model.Instant(sta-1) * model.Instant(stampUnit))
+}
+
 // maxAmount bounds each part of an amount, so that it is stored in 32 bits.
 const maxAmount = 1<<31 - 1
 
--- /dev/null
+++ b/io/wire/schedbench_test.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"fmt"
+	"testing"
+
+	"guavarail/core/model"
+	"guavarail/core/sched"
+)
+
+// benchState returns a state with tasks running on workers, and n further
+// commands that each end and start ten tasks.
+func benchState(b *testing.B, workers, tasks, commands int) (sched.Snapshot, [][]byte) {
+	const perJob = 1000
+	st := &sched.State{}
+	wid := func(i int) model.WorkerID { return model.WorkerID(fmt.Sprintf("worker-%05d", i)) }
+	for i := range workers {
+		st.Apply(sched.NewCommand(sched.Worker(wid(i), fmt.Sprintf("rack-%d", i/8), model.NewResources(32000, 125000, 2))))
+	}
+	size := model.NewResources(800, 3000, 0)
+	for num := range tasks / perJob {
+		jo, err := sched.NewJob(sched.JobSpec{ID: model.JobID(fmt.Sprintf("job-%d", num)), Team: "kiln", Tasks: perJob, Size: size})
+		if err != nil {
+			b.Fatal(err)
+		}
+		ops := []sched.Op{sched.Submit(jo)}
+		for i := range perJob {
+			tid := model.NewTaskID(jo.ID(), i)
+			ops = append(ops, sched.Start(tid, 1, wid((num*perJob+i)%workers), size, sched.Checkpoint{}, false),
+				sched.Confirm(tid, 1, sched.Checkpoint{}))
+		}
+		st.Apply(sched.NewCommand(ops...))
+	}
+	var log [][]byte
+	for i := range commands {
+		var ops []sched.Op
+		for j := range 10 {
+			num := (i*10 + j) * 37 % tasks
+			tid := model.NewTaskID(model.JobID(fmt.Sprintf("job-%d", num/perJob)), num%perJob)
+			ops = append(ops, sched.End(tid, 1, wid(num%workers), sched.Lost), sched.Start(tid, 2, wid(num%workers), size, sched.Checkpoint{}, false))
+		}
+		buf, err := SchedCommands{}.Encode(sched.NewCommand(ops...))
+		if err != nil {
+			b.Fatal(err)
+		}
+		log = append(log, buf)
+	}
+	return st.Snapshot(), log
+}
+
+// BenchmarkSchedRestore measures the restart of a replica: decode and restore
+// a snapshot of 520,000 tasks, then decode and apply 1,000 commands.
+func BenchmarkSchedRestore(b *testing.B) {
+	sn, log := benchState(b, 17000, 520_000, 1000)
+	buf, err := SchedSnapshots{}.Encode(sn)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(buf))/1e6, "MB")
+	for b.Loop() {
+		got, err := SchedSnapshots{}.Decode(buf)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var st sched.State
+		st.Restore(got)
+		for _, rec := range log {
+			cmd, err := SchedCommands{}.Decode(rec)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if st.Apply(cmd).Verdict(1) != sched.Accepted {
+				b.Fatal("command rejected")
+			}
+		}
+	}
+	b.ReportMetric(float64(len(buf))/1e6, "MB")
+}
+
+// BenchmarkSchedSnapshot measures the copy that the owner of the replica makes
+// for a snapshot.
+func BenchmarkSchedSnapshot(b *testing.B) {
+	sn, _ := benchState(b, 17000, 520_000, 0)
+	var st sched.State
+	st.Restore(sn)
+	for b.Loop() {
+		_ = st.Snapshot()
+	}
+}
