--- a/io/cmd/load/load.go
+++ b/io/cmd/load/load.go
@@ -5,12 +5,13 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
+
+	"guavarail/io/cmd/shell"
 )
 
 // Options are the arguments of the command.
@@ -23,7 +24,7 @@
 	Callers     int           `arg:"--callers" default:"1" help:"number of caller names to use in turn"`
 	Method      string        `arg:"--method" default:"GET" help:"request method"`
 	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the arrival times"`
-	JSON        bool          `arg:"--json" help:"print the report as JSON"`
+	shell.Output
 }
 
 // OptionError reports an argument that cannot be used.
@@ -46,16 +47,22 @@
 	return nil
 }
 
-// Run sends the load and prints the report to out.
-func Run(ctx context.Context, out io.Writer, op Options) error {
+// New returns the command.
+func New() shell.Command {
+	return shell.New("load", "Send requests at a fixed rate and report outcomes and latencies.",
+		"guavarail load http://127.0.0.1:8080/orders/quote --rate 2000 --duration 30s --connections 600", Run)
+}
+
+// Run sends the load and prints the report.
+func Run(ctx context.Context, env shell.Env, op Options) error {
 	rep, err := Drive(ctx, op)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	if op.JSON {
-		return errors.Trace(rep.WriteJSON(out))
+		return env.Streams.JSON(rep)
 	}
-	return errors.Trace(rep.WriteText(out))
+	return env.Streams.Lines(rep.Lines()...)
 }
 
 // Drive sends the load and returns the report.
--- a/io/cmd/load/load_test.go
+++ b/io/cmd/load/load_test.go
@@ -8,6 +8,9 @@
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"guavarail/io/cmd/shell"
+	"guavarail/io/term"
 )
 
 // Guards against requests that the report loses or counts twice, and against a
@@ -23,9 +26,9 @@
 	}))
 	defer bak.Close()
 	var out bytes.Buffer
-	err := Run(context.Background(), &out, Options{
+	err := Run(context.Background(), shell.Env{Streams: term.New(nil, &out, &out, false)}, Options{
 		URL: bak.URL, Rate: 500, Duration: 200 * time.Millisecond, Connections: 4, Deadline: time.Minute,
-		Method: "GET", Seed: 7, JSON: true,
+		Method: "GET", Seed: 7, Output: shell.Output{JSON: true},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/io/cmd/load/report.go
+++ b/io/cmd/load/report.go
@@ -1,13 +1,10 @@
 package load
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/juju/errors"
 )
 
 // The outcomes that are counted. Answered, notRun and unknown are those of the
@@ -85,23 +82,14 @@
 	return rep
 }
 
-// WriteJSON prints the report as one JSON object.
-func (rep Report) WriteJSON(out io.Writer) error {
-	enc := json.NewEncoder(out)
-	enc.SetIndent("", "  ")
-	return errors.Trace(enc.Encode(rep))
-}
-
-// WriteText prints the report for people.
-func (rep Report) WriteText(out io.Writer) error {
-	_, err := fmt.Fprintf(out,
-		"requests     %d in %.1f s on %d connections, seed %d\n"+
-			"outcomes     %d answered, %d not run, %d unknown, %d errors, %d unsent\n"+
-			"throughput   %.0f/s answered, %.0f/s within the deadline\n"+
-			"latency ms   p50 %.2f  p90 %.2f  p99 %.2f  p99.9 %.2f  max %.2f\n",
-		rep.Requests, rep.Seconds, rep.Connections, rep.Seed,
-		rep.Outcomes[outcomeAnswered], rep.Outcomes["notRun"], rep.Outcomes[outcomeUnknown],
-		rep.Outcomes[outcomeError], rep.Outcomes[outcomeUnsent],
-		rep.Throughput, rep.Goodput, rep.P50, rep.P90, rep.P99, rep.P999, rep.Max)
-	return errors.Trace(err)
+// Lines returns the report for people.
+func (rep Report) Lines() []string {
+	return []string{
+		fmt.Sprintf("requests     %d in %.1f s on %d connections, seed %d", rep.Requests, rep.Seconds, rep.Connections, rep.Seed),
+		fmt.Sprintf("outcomes     %d answered, %d not run, %d unknown, %d errors, %d unsent",
+			rep.Outcomes[outcomeAnswered], rep.Outcomes["notRun"], rep.Outcomes[outcomeUnknown],
+			rep.Outcomes[outcomeError], rep.Outcomes[outcomeUnsent]),
+		fmt.Sprintf("throughput   %.0f/s answered, %.0f/s within the deadline", rep.Throughput, rep.Goodput),
+		fmt.Sprintf("latency ms   p50 %.2f  p90 %.2f  p99 %.2f  p99.9 %.2f  max %.2f", rep.P50, rep.P90, rep.P99, rep.P999, rep.Max),
+	}
 }
