Keep a session when a request on it is abandoned

Cause: a caller that gave up in the middle of a large request ended the session, and with it all other requests to that VM. A VM that was replaced at another address kept the session of the old one.

Change: a failed request ends its own stream only; a changed address closes the session.

Result: the new test of abandoned requests fails with the old rule and passes now; go test -race ./io/peer passes.

--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -117,25 +117,27 @@
 }
 
 // serveStream serves one stream and signals its end by taking a value from
-// ses.serving.
+// ses.serving. A request that fails, or that its caller gave up half way, ends
+// its own stream only; without the ordered stream the session is of no use.
 func (ses *session) serveStream(ctx context.Context, str *yamux.Stream) {
 	defer func() { <-ses.serving }()
 	defer func() { _ = str.Close() }()
 	var kind [1]byte
-	_, err := io.ReadFull(str, kind[:])
-	if err == nil {
-		switch kind[0] {
-		case orderedStream:
-			err = ses.serveOrdered(ctx, str)
-		case requestStream:
-			err = ses.serveRequest(ctx, str)
-		default:
-			err = &ProtocolError{text: "unknown kind of stream"}
-		}
+	if _, err := io.ReadFull(str, kind[:]); err != nil {
+		return
 	}
-	if err != nil && ctx.Err() == nil && !errors.Is(err, io.EOF) {
-		ses.hub.vars.refusedFrames.Add(1)
-		ses.post(broken{ses: ses, cause: err})
+	switch kind[0] {
+	case orderedStream:
+		if err := ses.serveOrdered(ctx, str); err != nil && ctx.Err() == nil {
+			ses.post(broken{ses: ses, cause: err})
+		}
+	case requestStream:
+		if err := ses.serveRequest(ctx, str); err != nil && ctx.Err() == nil {
+			ses.hub.vars.refusedFrames.Add(1)
+			ses.hub.cfg.Log.Debug("request refused", "from", ses.peer, "error", err)
+		}
+	default:
+		ses.post(broken{ses: ses, cause: &ProtocolError{text: "unknown kind of stream"}})
 	}
 }
 
--- a/io/peer/hub.go
+++ b/io/peer/hub.go
@@ -109,7 +109,7 @@
 func (hub *Hub) Vars() *Vars { return hub.vars }
 
 // SetPeers replaces the addresses of the other VMs. Links to VMs that are not
-// in the map are closed; links whose address is unchanged stay up.
+// in the map or that have another address are closed; the others stay up.
 func (hub *Hub) SetPeers(addrs map[model.VMID]string) {
 	addrs = maps.Clone(addrs)
 	delete(addrs, hub.cfg.Self)
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -75,11 +75,7 @@
 		li.drop()
 		li.stopDial()
 	case setAddr:
-		if li.addr != msg.addr {
-			li.addr = msg.addr
-			li.stopDial()
-			li.redial()
-		}
+		li.move(msg.addr)
 	case outgoing:
 		li.transit.Add(-int64(len(msg.fr.buf)))
 		li.enqueue(msg.fr)
@@ -102,6 +98,20 @@
 	}
 }
 
+// move sets the address. The session with a VM that had another address may be
+// one with the VM that was replaced.
+func (li *link) move(addr string) {
+	if li.addr == addr {
+		return
+	}
+	if li.addr != "" {
+		li.drop()
+	}
+	li.addr = addr
+	li.stopDial()
+	li.redial()
+}
+
 // enqueue adds a frame and drops the oldest ones beyond the bound.
 func (li *link) enqueue(fr frame) {
 	li.queue = append(li.queue, fr)
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -114,6 +114,51 @@
 	}
 }
 
+// Guards against a caller that gives up in the middle of a large request and
+// thereby ends the session that other requests use.
+func TestAbandonedRequestKeepsTheSession(t *testing.T) {
+	mux := &Mux{}
+	Answer(mux, func(_ context.Context, _ model.VMID, que *wrapperspb.BytesValue) (*wrapperspb.Int64Value, error) {
+		return wrapperspb.Int64(int64(len(que.GetValue()))), nil
+	})
+	hubA, hubB := pair(t, nil, mux)
+	big := wrapperspb.Bytes(make([]byte, MaxFrame-1000))
+	for wait := range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(wait)*time.Millisecond)
+		_, _ = hubA.Request(ctx, "b", big)
+		cancel()
+	}
+	if _, err := hubA.Request(context.Background(), "b", big); err != nil {
+		t.Errorf("request after abandoned ones: %v", err)
+	}
+	if num := hubA.Vars().Reconnects() + hubB.Vars().Reconnects(); num != 0 {
+		t.Errorf("%d reconnects", num)
+	}
+}
+
+// Guards against requests that go on to a VM that was replaced by one with the
+// same name and another address.
+func TestReplacedVMGetsTheRequests(t *testing.T) {
+	answer := func(text string) *Mux {
+		mux := &Mux{}
+		Answer(mux, func(context.Context, model.VMID, *wrapperspb.BoolValue) (*wrapperspb.StringValue, error) {
+			return wrapperspb.String(text), nil
+		})
+		return mux
+	}
+	hubA, _ := pair(t, nil, answer("old"))
+	hubB, stop := startHub(t, "b", answer("new"))
+	defer stop()
+	hubB.SetPeers(map[model.VMID]string{"a": hubA.Addr()})
+	hubA.SetPeers(map[model.VMID]string{"b": hubB.Addr()})
+	eventually(t, "the new VM answers", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		ans, err := Ask[*wrapperspb.StringValue](ctx, hubA, "b", wrapperspb.Bool(true))
+		return err == nil && ans.GetValue() == "new"
+	})
+}
+
 // Guards the frame bound on both sides: the sender refuses, and a VM that does
 // not keep to the bound cannot make the reader allocate the frame.
 func TestFrameBound(t *testing.T) {
