Let a VM use slots at once after a planned shutdown or the first start

Cause: a lender of slot credits waited 33.6 s for every process younger than that, because an earlier process of the VM might still have requests at a worker.

Change: a drained VM that gave all credits back records it in its data directory; the next process reports it. The first leader of a group waits for nobody, as no leader before it can have granted credits. After a crash the wait stays.

--- a/core/slots/holder.go
+++ b/core/slots/holder.go
@@ -58,6 +58,8 @@
 	boot  uint64
 	start model.Instant
 	begun bool
+	// clean says that no earlier process of this VM can still use a slot.
+	clean bool
 	term  uint64
 	// number is that of the latest report, sent at sentAt. Grants for other
 	// reports are ignored.
@@ -222,7 +224,7 @@
 	ho.urgent = false
 	spec := ReportSpec{
 		VM: ho.vm, Boot: ho.boot, Term: ho.term, Number: ho.number, Ack: ho.ack,
-		Uptime: now.Sub(ho.start), Full: ho.full, Leaving: ho.leaving,
+		Uptime: ho.Uptime(now), Full: ho.full, Leaving: ho.leaving,
 	}
 	kept := ho.order[:0]
 	for _, hd := range ho.order {
@@ -275,5 +277,19 @@
 // Until returns the end of the lease.
 func (ho *Holder) Until() model.Instant { return ho.until }
 
-// Uptime returns the time since the first step.
-func (ho *Holder) Uptime(now model.Instant) time.Duration { return now.Sub(ho.start) }
+// StartedClean tells the holder, before its first step, that the last process
+// of this VM ended in a planned shutdown, so that the lender need not wait for
+// requests of that process.
+func (ho *Holder) StartedClean() { ho.clean = true }
+
+// cleanUptime is longer than any request of an earlier process can take.
+const cleanUptime = 24 * time.Hour
+
+// Uptime returns the time for which no earlier process of this VM used a slot:
+// the time since the first step, or longer after a planned shutdown.
+func (ho *Holder) Uptime(now model.Instant) time.Duration {
+	if ho.clean {
+		return cleanUptime
+	}
+	return now.Sub(ho.start)
+}
--- /dev/null
+++ b/io/disk/marker.go
@@ -0,0 +1,51 @@
+package disk
+
+import "path/filepath"
+
+// markerName is the file that a planned shutdown leaves behind.
+const markerName = "cleanStop"
+
+// MarkCleanStop records in dir that the process ended without slot credits or
+// requests in flight. A missing directory is created.
+func MarkCleanStop(fs FS, dir string) error {
+	if err := fs.MkdirAll(dir); err != nil {
+		return fileError("create", dir, err)
+	}
+	name := filepath.Join(dir, markerName)
+	fil, err := fs.Create(name)
+	if err != nil {
+		return fileError("create", name, err)
+	}
+	if err := fil.Close(); err != nil {
+		return fileError("close", name, err)
+	}
+	if err := fs.SyncDir(dir); err != nil {
+		return fileError("sync", dir, err)
+	}
+	return nil
+}
+
+// TakeCleanStop reports whether the last process ended that way, and removes
+// the record durably, so that a crash from now on does not count as a planned
+// shutdown.
+func TakeCleanStop(fs FS, dir string) (bool, error) {
+	name := filepath.Join(dir, markerName)
+	names, err := fs.List(dir)
+	if err != nil {
+		// The directory does not exist before the first start.
+		return false, nil
+	}
+	for _, one := range names {
+		if one != markerName {
+			continue
+		}
+		if err := fs.Remove(name); err != nil {
+			return false, fileError("remove", name, err)
+		}
+		if err := fs.SyncDir(dir); err != nil {
+			return false, fileError("sync", dir, err)
+		}
+		return true, nil
+	}
+	return false, nil
+}
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"guavarail/core/event"
+	"guavarail/io/disk"
 )
 
 // handOverTime bounds the transfer of leadership at a planned shutdown.
@@ -23,7 +26,9 @@
 		nod.handOver(ctx)
 	}()
 	err := nod.entry.Drain(ctx)
-	nod.slots.depart(ctx)
+	if nod.slots.depart(ctx) && err == nil {
+		nod.markCleanStop()
+	}
 	<-handed
 	return err
 }
@@ -39,3 +44,25 @@
 		}
 	}
 }
+
+// markCleanStop lets the next process of this VM use slots at once.
+func (nod *Node) markCleanStop() {
+	dir, ok := nod.set.DataDir()
+	if !ok {
+		return
+	}
+	if err := disk.MarkCleanStop(disk.OS{}, dir); err != nil {
+		nod.log.Warn("planned shutdown not recorded", "error", err)
+	}
+}
+
+// takeCleanStop reads and removes the record of the last process.
+func (nod *Node) takeCleanStop() error {
+	dir, ok := nod.set.DataDir()
+	if !ok {
+		return nil
+	}
+	clean, err := disk.TakeCleanStop(disk.OS{}, dir)
+	nod.cleanStart = clean
+	return errors.Trace(err)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -65,6 +65,8 @@
 	// diskID is the identity of the data directory of the fleet group; empty
 	// without a disk.
 	diskID string
+	// cleanStart says that the last process ended in a planned shutdown.
+	cleanStart bool
 	// stops are the clean-up functions, in the order of the starts.
 	stops []func()
 }
@@ -129,6 +131,9 @@
 }
 
 func (nod *Node) startBase(context.Context) error {
+	if err := nod.takeCleanStop(); err != nil {
+		return err
+	}
 	sys, stop := host.NewSystem(nod.log)
 	nod.sys = sys
 	_ = nod.keep(stop, nil)
--- a/io/node/slots.go
+++ b/io/node/slots.go
@@ -19,6 +19,9 @@
 	slotTick = 20 * time.Millisecond
 	// lenderTick is how often the lender is told whether this VM leads.
 	lenderTick = 100 * time.Millisecond
+	// firstTerm is the term of the first leader of a group. No leader before it
+	// can have granted credits.
+	firstTerm = 1
 	// departTimeout bounds the wait for credits that are still in use.
 	departTimeout = 2 * time.Second
 )
@@ -51,8 +54,12 @@
 	if err != nil {
 		return stopLender, err
 	}
+	keep := slots.NewHolder(nod.self, boot)
+	if nod.cleanStart {
+		keep.StartedClean()
+	}
 	holder, stopHolder, err := host.Spawn(nod.sys, host.Config[*slots.Holder, slots.Input, slots.Effect]{
-		Name: "holder", Machine: slots.NewHolder(nod.self, boot), Clock: nod.clock, Carry: slo.hold,
+		Name: "holder", Machine: keep, Clock: nod.clock, Carry: slo.hold,
 		Every: slotTick, Tick: func() slots.Input { return slots.Tick{} },
 	})
 	if err != nil {
@@ -118,26 +125,32 @@
 	}
 	slo.lender.Tell(slots.NewLongest(vie.preset.MaxRequest()))
 	slo.nod.own.ref.Do(func(now model.Instant, rol quorum.Role, _ *centre.State) {
-		if rol.Leased() {
-			slo.lender.Tell(slots.NewLead(rol.Term(), now.Add(lenderTick), vie.members(slo.nod.centre)))
+		if !rol.Leased() {
+			return
 		}
+		var mems []model.VMID
+		if rol.Term() > firstTerm {
+			mems = vie.members(slo.nod.centre)
+		}
+		slo.lender.Tell(slots.NewLead(rol.Term(), now.Add(lenderTick), mems))
 	})
 }
 
-// depart gives all credits back and returns once the lender has them, or after
+// depart gives all credits back. It reports whether the lender has them within
 // a bound.
-func (slo *slotPart) depart(ctx context.Context) {
+func (slo *slotPart) depart(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, departTimeout)
 	defer cancel()
 	slo.holder.Tell(slots.Depart{})
 	for ctx.Err() == nil {
 		empty, err := host.Read(slo.holder, departTimeout, func(_ model.Instant, ho *slots.Holder) bool { return ho.Empty() })
 		if err != nil || empty {
-			return
+			return err == nil
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(slotTick):
 		}
 	}
+	return false
 }
