--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -55,16 +55,22 @@
 
 type testRef = Ref[*list, string, int, []string]
 
-// links joins the replicas of a test.
+// deliver is the input of one replica.
+type deliver func(from model.VMID, msg *wire.QuorumMessage)
+
+// links joins the replicas of a test. The zero value has none.
 type links struct {
 	mu   sync.Mutex
-	refs map[model.VMID]testRef
+	refs map[model.VMID]deliver
 }
 
-func (lin *links) add(vm model.VMID, ref testRef) {
+func (lin *links) add(vm model.VMID, to deliver) {
 	lin.mu.Lock()
 	defer lin.mu.Unlock()
-	lin.refs[vm] = ref
+	if lin.refs == nil {
+		lin.refs = map[model.VMID]deliver{}
+	}
+	lin.refs[vm] = to
 }
 
 func (lin *links) remove(vm model.VMID) {
@@ -80,10 +86,10 @@
 
 func (lk link) Send(to model.VMID, msg proto.Message) {
 	lk.lin.mu.Lock()
-	ref, ok := lk.lin.refs[to]
+	dlv, ok := lk.lin.refs[to]
 	lk.lin.mu.Unlock()
 	if ok {
-		ref.Deliver(lk.self, msg.(*wire.QuorumMessage))
+		dlv(lk.self, msg.(*wire.QuorumMessage))
 	}
 }
 
@@ -93,14 +99,19 @@
 
 func startReplica(tb testing.TB, lin *links, vm model.VMID, sto disk.Store, voters ...model.VMID) (testRef, func()) {
 	tb.Helper()
-	ref, stop, err := New(Config[*list, string, int, []string]{
-		Group: "test", Self: vm, Voters: voters, Replica: &list{}, Commands: textCodec{}, Snapshots: listCodec{},
+	return startWith(tb, lin, &list{}, vm, sto, voters...)
+}
+
+func startWith[M quorum.Replica[string, int, []string]](tb testing.TB, lin *links, mac M, vm model.VMID, sto disk.Store, voters ...model.VMID) (Ref[M, string, int, []string], func()) {
+	tb.Helper()
+	ref, stop, err := New(Config[M, string, int, []string]{
+		Group: "test", Self: vm, Voters: voters, Replica: mac, Commands: textCodec{}, Snapshots: listCodec{},
 		Store: sto, Sender: link{lin: lin, self: vm}, Seed: uint64(len(vm)) + uint64(vm[0]),
 	})
 	if err != nil {
 		tb.Fatal(err)
 	}
-	lin.add(vm, ref)
+	lin.add(vm, ref.Deliver)
 	return ref, func() {
 		lin.remove(vm)
 		stop()
@@ -108,11 +119,11 @@
 }
 
 // leaderOf waits until one of the replicas serves a read under its lease.
-func leaderOf(ctx context.Context, tb testing.TB, refs ...testRef) testRef {
+func leaderOf[M quorum.Replica[string, int, []string]](ctx context.Context, tb testing.TB, refs ...Ref[M, string, int, []string]) Ref[M, string, int, []string] {
 	tb.Helper()
 	for {
 		for _, ref := range refs {
-			if _, err := Read(ctx, ref, func(model.Instant, quorum.Role, *list) int { return 0 }); err == nil {
+			if _, err := Read(ctx, ref, func(model.Instant, quorum.Role, M) int { return 0 }); err == nil {
 				return ref
 			}
 		}
@@ -133,7 +144,7 @@
 // Guards a group of one: it must commit without any message.
 func TestSingleVoterCommits(t *testing.T) {
 	ctx := testContext(t)
-	ref, stop := startReplica(t, &links{refs: map[model.VMID]testRef{}}, "a", nil, "a")
+	ref, stop := startReplica(t, &links{}, "a", nil, "a")
 	defer stop()
 	leaderOf(ctx, t, ref)
 	if got, err := ref.Propose(ctx, "x"); got != 1 || err != nil {
@@ -145,7 +156,7 @@
 // after leadership was handed to another VM.
 func TestThreeVotersKeepCommandsOverTransfer(t *testing.T) {
 	ctx := testContext(t)
-	lin := &links{refs: map[model.VMID]testRef{}}
+	lin := &links{}
 	var refs []testRef
 	for _, vm := range []model.VMID{"a", "b", "c"} {
 		ref, stop := startReplica(t, lin, vm, nil, "a", "b", "c")
--- a/io/group/restart_test.go
+++ b/io/group/restart_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"guavarail/core/model"
 	"guavarail/core/quorum"
@@ -88,7 +89,7 @@
 // and from the log after it.
 func TestRestartOfAllKeepsCommands(t *testing.T) {
 	ctx := testContext(t)
-	lin := &links{refs: map[model.VMID]testRef{}}
+	lin := &links{}
 	dir := t.TempDir()
 	reps := startAll(t, lin, dir, "a", "b", "c")
 	proposeCount(ctx, t, leaderOf(ctx, t, refsOf(reps)...), quorum.DefaultSnapshotEntries+200)
@@ -111,7 +112,7 @@
 // replaced, and after that a second loss right away loses no command.
 func TestSecondLossAfterReplace(t *testing.T) {
 	ctx := testContext(t)
-	lin := &links{refs: map[model.VMID]testRef{}}
+	lin := &links{}
 	dir := t.TempDir()
 	reps := startAll(t, lin, dir, "a", "b", "c")
 	led := leaderOf(ctx, t, refsOf(reps)...)
@@ -153,7 +154,7 @@
 // others go on; its state still follows.
 func TestFullDiskHandsOver(t *testing.T) {
 	ctx := testContext(t)
-	lin := &links{refs: map[model.VMID]testRef{}}
+	lin := &links{}
 	fss := map[model.VMID]*fullFS{}
 	reps := map[model.VMID]*replica{}
 	dir := t.TempDir()
@@ -165,7 +166,9 @@
 	led := leaderOf(ctx, t, refsOf(reps)...)
 	proposeCount(ctx, t, led, 10)
 	fss[led.self].full.Store(true)
+	// The others may commit the command before the disk reports its failure.
 	_, _ = led.Propose(ctx, "maybe")
+	waitFor(ctx, t, led, func(role quorum.Role, _ *list) bool { return role.Failed() })
 	next := leaderOf(ctx, t, refsOf(reps)...)
 	if next.self == led.self {
 		t.Fatalf("%s leads with a full disk", led.self)
@@ -175,13 +178,22 @@
 	if _, err := led.Propose(ctx, "late"); !errors.As(err, &notLeader) {
 		t.Fatalf("got %v", err)
 	}
-	states := make(chan int, 1)
-	for want, got := 20, 0; got < want; {
-		led.Do(func(_ model.Instant, _ quorum.Role, mac *list) { states <- len(mac.cmds) })
+	waitFor(ctx, t, led, func(_ quorum.Role, mac *list) bool { return len(mac.cmds) >= 20 })
+}
+
+// waitFor waits until a condition holds on a replica.
+func waitFor(ctx context.Context, tb testing.TB, ref testRef, cond func(role quorum.Role, mac *list) bool) {
+	tb.Helper()
+	got := make(chan bool, 1)
+	for {
+		ref.Do(func(_ model.Instant, role quorum.Role, mac *list) { got <- cond(role, mac) })
+		if <-got {
+			return
+		}
 		select {
-		case got = <-states:
 		case <-ctx.Done():
-			t.Fatalf("%d commands on the full disk's VM, want %d", got, want)
+			tb.Fatal("the condition does not hold")
+		case <-time.After(10 * time.Millisecond):
 		}
 	}
 }
