Wait for fresh answers before a membership change

Cause: the fuzzer removed a voter while another one had just lost its disk and promoted a learner whose disk was just lost; both groups had no quorum afterwards. The known acknowledgements lagged behind those of the slower voters, so an older copy of a disk could go unnoticed.

Change: a promotion and a removal wait for answers to a round that was sent after the request. The log, the writes and the progress of members have files of their own. A test that cut the link before the removal now cuts it after the removal was written, since the removal waits for the other voter.

--- a/core/quorum/alter.go
+++ b/core/quorum/alter.go
@@ -22,11 +22,12 @@
 		return
 	}
 	n.lead.pending, n.lead.asked = &in, n.now
-	if in.change.kind != Promote {
-		n.commitChange()
-		return
+	for _, mem := range n.members().list {
+		if pr := n.lead.peers[mem.vm]; pr != nil {
+			n.appendTo(pr, true)
+		}
 	}
-	n.tryPromote()
+	n.tryChange()
 }
 
 func (n *Node) refuseChange(chg Change) string {
@@ -44,46 +45,63 @@
 		return "it is a voter already"
 	case chg.kind == Remove && n.members().only(chg.vm):
 		return "it is the only voter"
-	case chg.kind == Remove && mem.voter && !n.quorumWithout(chg.vm):
+	case chg.kind == Remove && mem.voter && !n.quorumWithout(chg.vm, n.now.Add(-ElectionShortest)):
 		return "the remaining voters have no quorum, replace the lost voter first"
 	}
 	return ""
 }
 
-// quorumWithout reports whether the voters that answer are a quorum once vm is
-// removed.
-func (n *Node) quorumWithout(vm model.VMID) bool {
+// answered reports whether a voter or learner has answered a round that was
+// sent at or after the given time.
+func (n *Node) answered(vm model.VMID, since model.Instant) bool {
+	pr := n.lead.peers[vm]
+	return vm == n.cfg.Self || pr != nil && pr.replied && !pr.acked.Before(since)
+}
+
+// quorumWithout reports whether the voters that answered since then are a
+// quorum once vm is removed.
+func (n *Node) quorumWithout(vm model.VMID, since model.Instant) bool {
 	vots := n.members().without(vm).voters()
 	up := 0
 	for _, mem := range vots {
-		pr := n.lead.peers[mem.vm]
-		if mem.vm == n.cfg.Self || pr != nil && pr.replied && n.since(pr.acked) < ElectionShortest {
+		if n.answered(mem.vm, since) {
 			up++
 		}
 	}
 	return up >= majority(len(vots))
 }
 
-// tryPromote carries out a promotion once the learner has every accepted
-// command on disk.
-func (n *Node) tryPromote() {
+// tryChange writes the pending change once the members that it depends on have
+// answered a round that was sent after the request. An older answer may come
+// from a disk that was lost meanwhile. A promotion also waits until the learner
+// has every accepted command on disk.
+func (n *Node) tryChange() {
 	alt := n.lead.pending
-	if alt == nil || alt.change.kind != Promote {
+	if alt == nil || n.standing != leader {
 		return
 	}
-	if pr := n.lead.peers[alt.change.vm]; pr != nil && pr.disk != "" && pr.match >= n.commit {
+	ready := true
+	switch vm := alt.change.vm; alt.change.kind {
+	case Promote:
+		pr := n.lead.peers[vm]
+		ready = pr != nil && pr.disk != "" && pr.match >= n.commit && n.answered(vm, n.lead.asked)
+	case Remove:
+		mem, _ := n.members().Find(vm)
+		ready = !mem.voter || n.quorumWithout(vm, n.lead.asked)
+	}
+	if ready {
 		n.commitChange()
 	}
 }
 
-// tickPromote gives up a promotion whose learner does not catch up.
-func (n *Node) tickPromote() {
+// tickChange gives up a change whose members do not answer.
+func (n *Node) tickChange() {
 	alt := n.lead.pending
-	if alt == nil || n.since(n.lead.asked) < promoteTimeout {
+	if alt == nil || n.since(n.lead.asked) < changeTimeout {
 		return
 	}
 	n.lead.pending = nil
-	n.emit(Refused{id: alt.id, err: &ChangeError{vm: alt.change.vm, reason: "it has not caught up, check that it is running"}})
+	n.emit(Refused{id: alt.id, err: &ChangeError{vm: alt.change.vm, reason: "members did not answer or catch up, check that they run"}})
 }
 
 // commitChange writes the configuration with the pending change.
--- a/core/quorum/config.go
+++ b/core/quorum/config.go
@@ -42,9 +42,9 @@
 	// transferStall is the time without progress after which a snapshot
 	// transfer no longer holds back a newer snapshot.
 	transferStall = 10 * time.Second
-	// promoteTimeout ends a promotion whose learner does not catch up, so that
-	// other changes can be made.
-	promoteTimeout = 30 * time.Second
+	// changeTimeout ends a change whose members do not answer or catch up, so
+	// that other changes can be made.
+	changeTimeout = 30 * time.Second
 	// neverAcked is older than any round.
 	neverAcked = model.Instant(-1 << 62)
 )
@@ -92,6 +92,16 @@
 // source is a splitmix64 generator. The zero value works.
 type source struct{ state uint64 }
 
+// newSource mixes the VM into the seed, so that replicas with the same seed
+// do not start elections at the same time.
+func newSource(seed uint64, vm model.VMID) source {
+	src := source{state: seed}
+	for _, ch := range []byte(vm) {
+		src.state = src.next() ^ uint64(ch)
+	}
+	return src
+}
+
 func (src *source) next() uint64 {
 	src.state += 0x9e3779b97f4a7c15
 	val := src.state
--- a/core/quorum/found_test.go
+++ b/core/quorum/found_test.go
@@ -77,9 +77,18 @@
 func TestRemovedLeaderFinishesItsRemoval(t *testing.T) {
 	s, led := foundSim(t, 1, 2, 0)
 	other := s.others(led)[0]
-	s.cut[[2]model.VMID{led.vm, other.vm}] = true
 	s.step(led, NewAlter(1, NewChange(Remove, led.vm)))
+	for range 100 {
+		if led.node.members().only(other.vm) {
+			break
+		}
+		s.run(100 * time.Microsecond)
+	}
+	s.cut[[2]model.VMID{led.vm, other.vm}] = true
 	s.run(50 * time.Millisecond)
+	if !led.node.members().only(other.vm) || other.node.members().only(other.vm) {
+		t.Fatalf("the removal is not on the leader only\n%s", s.dump())
+	}
 	s.crash(led)
 	if got := s.settle(30 * time.Second); got == nil {
 		t.Fatalf("no leader\n%s", s.dump())
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -29,20 +29,6 @@
 	members Members
 }
 
-// flight is a write that was handed to the store.
-type flight struct {
-	seq uint64
-	// last is the last entry that is on disk after the write.
-	last uint64
-}
-
-// heldMessage waits for a write.
-type heldMessage struct {
-	// seq is 0 until the end of the step that made the message.
-	seq uint64
-	msg Message
-}
-
 // Node is one replica of a group. The zero value is a group of one without a
 // name. A Node is driven by Step only and must not be copied after that.
 type Node struct {
@@ -165,7 +151,7 @@
 func (n *Node) start() {
 	n.started = true
 	n.cfg = n.cfg.withDefaults()
-	n.rnd = source{state: n.cfg.Seed}
+	n.rnd = newSource(n.cfg.Seed, n.cfg.Self)
 	n.known = map[DiskID]uint64{}
 	sv := n.cfg.Saved
 	n.cfg.Saved = Saved{}
@@ -198,57 +184,6 @@
 	return cur.members.only(n.cfg.Self) && cur.index <= foundingEntries && (cur.index > 0 || len(cur.members.list) == 1)
 }
 
-// addEntry adds an entry to the log in memory.
-func (n *Node) addEntry(ent Entry) {
-	n.log.push(ent)
-	if ent.kind == EntryMembers {
-		n.configs = append(n.configs, placed{index: ent.index, members: ent.members})
-	}
-}
-
-// write adds an entry to the log and to the next Persist.
-func (n *Node) write(ent Entry) {
-	n.addEntry(ent)
-	if n.dirtyFrom == 0 {
-		n.dirtyFrom = ent.index
-	}
-}
-
-// cutLog removes the entries from idx on, which are not committed.
-func (n *Node) cutLog(idx uint64) {
-	n.log.cut(idx)
-	for len(n.configs) > 1 && n.configs[len(n.configs)-1].index >= idx {
-		n.configs = n.configs[:len(n.configs)-1]
-	}
-	n.durable = min(n.durable, idx-1)
-	n.verified = min(n.verified, idx-1)
-	for pos := range n.flights {
-		n.flights[pos].last = min(n.flights[pos].last, idx-1)
-	}
-	if n.dirtyFrom >= idx {
-		n.dirtyFrom = 0
-	}
-}
-
-// termAt returns the term of the entry at idx, if it is known.
-func (n *Node) termAt(idx uint64) (uint64, bool) {
-	if ent, ok := n.log.at(idx); ok {
-		return ent.term, true
-	}
-	switch idx {
-	case n.log.base:
-		return n.logTerm, true
-	case n.snap.index:
-		return n.snap.term, true
-	}
-	return 0, idx == 0
-}
-
-func (n *Node) lastTerm() uint64 {
-	term, _ := n.termAt(n.log.last())
-	return term
-}
-
 // members returns the newest configuration, committed or not.
 func (n *Node) members() Members { return n.configs[len(n.configs)-1].members }
 
@@ -274,75 +209,6 @@
 	n.emit(Report{event: event.New(kind, event.Subject{VM: vm}, fis...)})
 }
 
-// send completes a message and sends it at once.
-func (n *Node) send(spec MessageSpec) { n.emit(Send{msg: n.complete(spec)}) }
-
-// sendSynced sends a message after everything up to the end of this step is on
-// disk.
-func (n *Node) sendSynced(spec MessageSpec) {
-	n.held = append(n.held, heldMessage{msg: n.complete(spec)})
-}
-
-func (n *Node) complete(spec MessageSpec) Message {
-	spec.From, spec.Disk = n.cfg.Self, n.cfg.Disk
-	if mem, ok := n.members().Find(spec.To); ok && mem.disk != "" {
-		spec.ToDisk, spec.Acked = mem.disk, n.known[mem.disk]
-	}
-	return Message{spec: spec}
-}
-
-// flush hands changes to the store and releases messages that need no write.
-func (n *Node) flush() {
-	if n.Err() != nil {
-		n.dirtyHard, n.dirtyFrom, n.held = false, 0, nil
-		return
-	}
-	if n.dirtyHard || n.dirtyFrom > 0 {
-		n.seq++
-		var ents []Entry
-		if n.dirtyFrom > 0 {
-			ents = n.log.from(n.dirtyFrom)
-		}
-		n.flights = append(n.flights, flight{seq: n.seq, last: n.log.last()})
-		n.emit(Persist{seq: n.seq, hard: Hard{term: n.term, vote: n.vote}, entries: ents})
-		n.dirtyHard, n.dirtyFrom = false, 0
-	}
-	for pos := range n.held {
-		if n.held[pos].seq == 0 {
-			n.held[pos].seq = n.seq
-		}
-	}
-	n.release()
-}
-
-// release sends the messages whose writes are on disk.
-func (n *Node) release() {
-	for len(n.held) > 0 && n.held[0].seq <= n.synced {
-		n.emit(Send{msg: n.held[0].msg})
-		n.held = n.held[1:]
-	}
-}
-
-func (n *Node) onPersisted(seq uint64) {
-	if seq <= n.synced || seq > n.seq {
-		return
-	}
-	n.synced = seq
-	for len(n.flights) > 0 && n.flights[0].seq <= seq {
-		n.durable = max(n.durable, n.flights[0].last)
-		n.flights = n.flights[1:]
-	}
-	n.release()
-	switch n.standing {
-	case leader:
-		n.advance()
-	case candidate:
-		n.countVotes()
-	default:
-		n.acknowledge()
-	}
-}
-
 // fail stops a replica whose log cannot be trusted until it is restarted.
 func (n *Node) fail(cause error) {
 	n.mute(cause)
