Refuse commands that no frame can carry

Cause: an entry above the largest frame of 8 MB would never reach the other voters and would hold up every later command.

Change: Propose refuses commands above 4 MB with a *SizeError.

Result: a command of 4 MB commits, a larger one is refused and the group goes on.

--- a/io/group/errors.go
+++ b/io/group/errors.go
@@ -43,6 +43,18 @@
 // Unwrap returns the cause.
 func (err *SpawnError) Unwrap() error { return err.cause }
 
+// SizeError reports a command that is too large for one message. It is not
+// carried out.
+type SizeError struct {
+	size  int
+	limit int
+}
+
+// Error describes the failure.
+func (err *SizeError) Error() string {
+	return fmt.Sprintf("command has %d bytes, use at most %d", err.size, err.limit)
+}
+
 // PanicError reports that the replica failed in a way that leaves its state
 // unknown. It takes part again after a restart of the process.
 type PanicError struct{ group string }
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -20,6 +20,10 @@
 // tickInterval is the precision of heartbeats and elections.
 const tickInterval = 25 * time.Millisecond
 
+// maxCommand keeps a command well under the largest frame of 8 MB, which no
+// larger entry could pass.
+const maxCommand = 4 << 20
+
 // Config describes one replica of a group.
 type Config[M quorum.Replica[C, R, S], C, R, S any] struct {
 	// Group names the group. Every message carries it.
@@ -166,6 +170,9 @@
 	if err != nil {
 		return zero, errors.Trace(err)
 	}
+	if len(data) > maxCommand {
+		return zero, &SizeError{size: len(data), limit: maxCommand}
+	}
 	res, err := ask(ctx, ref.done, ref.unknown, func(reply chan<- result[R]) {
 		ref.sys.Root.Send(ref.pid, propose[R]{data: data, reply: reply})
 	})
@@ -215,7 +222,8 @@
 	})
 }
 
-// Do runs fn on the owning actor, whatever the role. It returns at once.
+// Do runs fn on the owning actor, whatever the role. It returns at once. Once
+// the replica is stopped, fn is not run.
 func (ref Ref[M, C, R, S]) Do(fn func(now model.Instant, role quorum.Role, mac M)) {
 	if ref.pid != nil {
 		ref.sys.Root.Send(ref.pid, do[M](fn))
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -152,6 +154,22 @@
 	}
 }
 
+// Guards the log against a command that no frame can carry: it must be refused
+// and leave the group working.
+func TestLargeCommandIsRefused(t *testing.T) {
+	ctx := testContext(t)
+	ref, stop := startReplica(t, &links{}, "a", nil, "a")
+	defer stop()
+	leaderOf(ctx, t, ref)
+	var large *SizeError
+	if _, err := ref.Propose(ctx, strings.Repeat("x", maxCommand+1)); !errors.As(err, &large) {
+		t.Fatalf("got %v", err)
+	}
+	if got, err := ref.Propose(ctx, strings.Repeat("x", maxCommand)); got != 1 || err != nil {
+		t.Fatalf("got %d, %v", got, err)
+	}
+}
+
 // Guards the whole path: a command that one leader accepted must be there
 // after leadership was handed to another VM.
 func TestThreeVotersKeepCommandsOverTransfer(t *testing.T) {
