--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,44 @@
+package place
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"guavarail/core/model"
+)
+
+// Guards against a worker that has room and is not found, and against a choice
+// that does not fit: after any changes the index agrees with a linear scan.
+func TestIndexAgreesWithScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ix Index
+		draw := func(name string, most int64) model.Resources {
+			return model.NewResources(
+				rapid.Int64Range(0, most*1000).Draw(t, name+"Cpu"), rapid.Int64Range(0, most*4000).Draw(t, name+"Memory"),
+				rapid.Int64Range(0, 9).Draw(t, name+"Accelerators"))
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "changes") {
+			slot := int32(rapid.IntRange(0, 12).Draw(t, "slot"))
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				ix.Close(slot)
+			case 1:
+				ix.Reserve(slot, draw("reserve", 4))
+			default:
+				ix.Set(slot, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "rack"), draw("free", 40))
+			}
+			rq := NewRequest(draw("need", 40), model.Batch)
+			if rapid.Bool().Draw(t, "spread") {
+				rq = rq.Spread(&Racks{})
+			}
+			odd := rapid.Bool().Draw(t, "odd")
+			rq = rq.Forbid(func(slot int32) bool { return odd && slot%2 == 1 })
+			got, ok := BestFit{}.Choose(&ix, rq)
+			_, want := LinearScan{}.Choose(&ix, rq)
+			if ok != want || ok && (!ix.Fits(got, rq.Need()) || odd && got%2 == 1) {
+				t.Fatalf("slot %d, %v, the scan finds one: %v", got, ok, want)
+			}
+		}
+	})
+}
--- a/core/sched/worker_test.go
+++ b/core/sched/worker_test.go
@@ -40,6 +40,9 @@
 	sent model.Instant
 }
 
+// slowest is how long a time takes on a worker whose clock lags the most.
+func slowest(dur time.Duration) time.Duration { return model.WithDrift(dur) }
+
 func newFakeWorker(wd *world, num int) *fakeWorker {
 	return &fakeWorker{
 		wd: wd, id: model.WorkerID(fmt.Sprintf("worker-%d", num)), rack: fmt.Sprintf("rack-%d", num/2),
@@ -143,7 +146,7 @@
 	wk.tag = max(wk.tag, msg.answer.tag)
 	for _, le := range msg.answer.leases {
 		if fa := wk.find(le.task); fa != nil && fa.attempt == le.attempt {
-			fa.until = max(fa.until, msg.sent.Add(TaskLease))
+			fa.until = max(fa.until, msg.sent.Add(slowest(TaskLease)))
 		}
 	}
 	for _, or := range msg.answer.orders {
@@ -185,10 +188,10 @@
 	}
 	wk.highest[or.task] = or.attempt
 	fa := &fakeAttempt{
-		task: or.task, attempt: or.attempt, until: msg.sent.Add(TaskLease), resumed: or.resume, taken: or.resume, size: or.size,
+		task: or.task, attempt: or.attempt, until: msg.sent.Add(slowest(TaskLease)), resumed: or.resume, taken: or.resume, size: or.size,
 	}
 	wk.attempts = append(wk.attempts, fa)
-	if wk.wd.now >= msg.sent.Add(or.issuedAfter+StartWindow) {
+	if wk.wd.now >= msg.sent.Add(slowest(or.issuedAfter+StartWindow)) {
 		fa.state = AttemptRejected
 		return
 	}
