--- a/core/sched/doc.go
+++ b/core/sched/doc.go
@@ -15,7 +15,8 @@
 // holds now gives now plus the tick interval. Step WorkerReport for every poll
 // of a worker. Carry out the effects in order: Propose proposes the command in
 // the group, Answer completes the poll that it names, and Event goes to the
-// timeline. Step Dropped only when it is certain that a proposal will never be
+// timeline. Step SteppedDown when the group lost the leadership, before any
+// later command or snapshot. Step Dropped only when it is certain that a proposal will never be
 // applied, such as when the group refused it; after a timeout its fate is
 // unknown, and the planner waits for Applied or TookOver. Never propose the
 // same command twice. Submit and Cancel commands of callers are proposed straight to the
--- a/core/sched/fuzz_test.go
+++ b/core/sched/fuzz_test.go
@@ -122,10 +122,13 @@
 	}
 }
 
-// restore replaces the state of the VM that does not lead by a snapshot.
+// restore lets the VM that does not lead step down and replaces its state by a
+// snapshot.
 func (fz *fuzzer) restore(*rapid.T) {
 	for _, vm := range fz.wd.vms {
-		if vm != fz.wd.leader && !vm.believes {
+		if vm != fz.wd.leader {
+			vm.believes = false
+			fz.wd.step(vm, SteppedDown{})
 			vm.state.Restore(fz.wd.leader.state.Snapshot())
 			vm.applied = fz.wd.leader.applied
 		}
--- a/core/sched/input.go
+++ b/core/sched/input.go
@@ -52,6 +52,10 @@
 // committed before.
 type TookOver struct{}
 
+// SteppedDown reports that this VM no longer leads. It must come before the
+// state is restored from a snapshot.
+type SteppedDown struct{}
+
 // AttemptState is what a worker says about an attempt.
 type AttemptState uint8
 
@@ -145,6 +149,7 @@
 // NewTail returns a reading of the tail latency.
 func NewTail(spec TailSpec) Tail { return Tail{spec: spec} }
 
+func (SteppedDown) input()  {}
 func (Tail) input()         {}
 func (Tick) input()         {}
 func (Applied) input()      {}
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -167,6 +167,8 @@
 		pl.dropped()
 	case TookOver:
 		pl.takeOver(now)
+	case SteppedDown:
+		pl.stepDown()
 	}
 	out := pl.out
 	pl.out = nil
@@ -249,26 +251,6 @@
 	}
 }
 
-// takeOver builds all leader-only state anew. Every lease counts as renewed
-// now, because the previous leader may have renewed it until its own lease
-// ended.
-func (pl *Planner[P]) takeOver(now model.Instant) {
-	serial, tag := pl.serial, pl.tag
-	*pl = Planner[P]{st: pl.st, policy: pl.policy, leading: true, env: pl.env, outSince: now, started: now, serial: serial, tag: tag}
-	pl.recount()
-	for slot, wk := range pl.st.workers {
-		pl.ensure(int32(slot))
-		for _, re := range wk.refs {
-			pl.addLive(now, int32(slot), re)
-		}
-		// The previous leader may have sent the start orders.
-		for i := range pl.crews[slot].lives {
-			pl.crews[slot].lives[i].spent = true
-		}
-	}
-	pl.queue.rebuild(pl.st, now)
-}
-
 func (pl *Planner[P]) ensure(slot int32) *crew {
 	for int(slot) >= len(pl.crews) {
 		pl.crews = append(pl.crews, crew{})
@@ -307,36 +289,6 @@
 	pl.index.Set(slot, wk.rack, wk.free())
 }
 
-// expire closes silent workers and records the end of attempts whose lease
-// has passed.
-func (pl *Planner[P]) expire(now model.Instant) {
-	for slot := range pl.crews {
-		cr := &pl.crews[slot]
-		if cr.heard && now.Sub(cr.seen) > freshFor {
-			cr.heard = false
-			pl.refresh(int32(slot))
-			pl.note("workerSilent", event.Subject{Worker: pl.st.workers[slot].id})
-		}
-		if now.Before(cr.expiry) || len(cr.lives) == 0 {
-			continue
-		}
-		cr.expiry = now.Add(model.WithDrift(TaskLease))
-		for i := range cr.lives {
-			lv := &cr.lives[i]
-			end := lv.seen.Add(model.WithDrift(TaskLease))
-			if now.Before(end) && !lv.lost {
-				cr.expiry = min(cr.expiry, end)
-				continue
-			}
-			lv.lost = true
-			if !lv.told {
-				lv.told = true
-				pl.facts = append(pl.facts, End(lv.ref.id(), lv.attempt, pl.st.workers[slot].id, Lost))
-			}
-		}
-	}
-}
-
 func (pl *Planner[P]) note(kind event.Kind, sub event.Subject, fis ...event.Field) {
 	pl.out = append(pl.out, Note{ev: event.New(kind, sub, fis...)})
 }
