End the guard's steps on workers that no longer serve

A kind stayed away from a worker, and throttled on it, after the service had left, because steps end only by calm readings. Services without a reading for 10 s now end them. The fuzzer gained tail latency readings.

--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -83,6 +83,8 @@
 type watch struct {
 	step Step
 	kind string
+	// apart is the kind that the first step was taken against.
+	apart string
 	// service is the one that the steps were taken for.
 	service model.ServiceID
 	changed model.Instant
@@ -150,8 +152,10 @@
 	}
 	if wa.step == Free {
 		gu.apart[pair{rd.service, kind}]++
+		wa.apart = kind
+		wa.service = rd.service
 	}
-	wa.step, wa.kind, wa.service, wa.changed, wa.calm = next, kind, rd.service, now, 0
+	wa.step, wa.kind, wa.changed, wa.calm = next, kind, now, 0
 	return []Action{{worker: rd.worker, kind: kind, step: next}}
 }
 
@@ -181,7 +185,7 @@
 	wa.step--
 	wa.changed, wa.calm = now, now
 	if wa.step == Free {
-		pr := pair{rd.service, wa.kind}
+		pr := pair{rd.service, wa.apart}
 		gu.apart[pr] = max(0, gu.apart[pr]-1)
 	}
 	return []Action{ac}
@@ -207,5 +211,12 @@
 	return gu.ests.slowdown(service, kind, load)
 }
 
-// Dismiss drops a worker that was removed.
-func (gu *Guard) Dismiss(worker model.WorkerID) { delete(gu.watches, worker) }
+// Dismiss drops the steps of a worker that was removed or that no longer
+// serves. What was learned stays.
+func (gu *Guard) Dismiss(worker model.WorkerID) {
+	if wa, ok := gu.watches[worker]; ok && wa.step != Free {
+		pr := pair{wa.service, wa.apart}
+		gu.apart[pr] = max(0, gu.apart[pr]-1)
+	}
+	delete(gu.watches, worker)
+}
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -64,3 +64,18 @@
 		t.Errorf("%d evictions of 100 tasks in 60 s, want 1 to 10", num)
 	}
 }
+
+// Guards against a kind that stays kept away after the service has left.
+func TestDismissEndsSeparation(t *testing.T) {
+	var gu Guard
+	now := model.Instant(0)
+	feed(&gu, &now, 20, 60*time.Millisecond)
+	feed(&gu, &now, 20, 300*time.Millisecond, "noisy")
+	if !gu.Apart("desk", "noisy") {
+		t.Fatal("noisy is not placed separately")
+	}
+	gu.Dismiss("one")
+	if gu.Apart("desk", "noisy") {
+		t.Error("noisy is still placed separately")
+	}
+}
--- a/core/sched/fuzz_test.go
+++ b/core/sched/fuzz_test.go
@@ -109,6 +109,10 @@
 		},
 		"in":      func(*rapid.T) { wd.out = false },
 		"restore": fz.restore,
+		"tail": func(t *rapid.T) {
+			tail := time.Duration(rapid.IntRange(50, 500).Draw(t, "ms")) * time.Millisecond
+			wd.tails = map[model.WorkerID]time.Duration{fz.worker(t).id: tail, fz.worker(t).id: 60 * time.Millisecond}
+		},
 	}
 }
 
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -199,6 +199,7 @@
 		return
 	}
 	pl.expire(now)
+	pl.forgetServices(now)
 	if pl.flight.active {
 		// A proposal that is late may still be applied, so that nothing else is
 		// planned until its fate is known.
--- a/core/sched/protect.go
+++ b/core/sched/protect.go
@@ -27,9 +27,7 @@
 		return
 	}
 	cr := pl.ensure(slot)
-	cr.serves = slices.DeleteFunc(cr.serves, func(se served) bool {
-		return se.service == spec.Service || now.Sub(se.at) > servedFor
-	})
+	cr.serves = slices.DeleteFunc(cr.serves, func(se served) bool { return se.service == spec.Service })
 	cr.serves = append(cr.serves, served{service: spec.Service, at: now})
 	target := pl.env.Preset.Service(spec.Service).TailTarget()
 	rd := guard.NewReading(spec.Worker, spec.Service, spec.Tail, target, spec.Load, batchKinds(cr), pl.batch)
@@ -38,6 +36,25 @@
 	}
 }
 
+// forgetServices ends the steps on workers without a recent reading, such as
+// when a backend server left.
+func (pl *Planner[P]) forgetServices(now model.Instant) {
+	for slot := range pl.crews {
+		cr := &pl.crews[slot]
+		if len(cr.serves) == 0 {
+			continue
+		}
+		cr.serves = slices.DeleteFunc(cr.serves, func(se served) bool { return now.Sub(se.at) > servedFor })
+		if len(cr.serves) > 0 {
+			continue
+		}
+		pl.guard.Dismiss(pl.st.workers[slot].id)
+		for i := range cr.lives {
+			cr.lives[i].slow = false
+		}
+	}
+}
+
 // batchKinds returns the different kinds of batch tasks that run.
 func batchKinds(cr *crew) []string {
 	var out []string
--- a/core/sched/worker_test.go
+++ b/core/sched/worker_test.go
@@ -19,6 +19,8 @@
 	taken    Checkpoint
 	resumed  Checkpoint
 	size     model.Resources
+	// throttled is what the last order asked for.
+	throttled bool
 }
 
 // fakeWorker runs tasks as section 5.1 asks of a worker.
@@ -126,7 +128,7 @@
 	rep := ReportSpec{Poll: wd.nextPoll, Worker: wk.id, Rack: wk.rack, Size: wk.size, Tag: wk.tag}
 	for _, fa := range wk.attempts {
 		rep.Attempts = append(rep.Attempts, NewAttemptReport(AttemptSpec{
-			Task: fa.task, Attempt: fa.attempt, State: fa.state, Checkpoint: fa.taken, Resumed: fa.resumed,
+			Task: fa.task, Attempt: fa.attempt, State: fa.state, Checkpoint: fa.taken, Resumed: fa.resumed, Throttled: fa.throttled,
 			Usage: wd.oracle.jobs[fa.task.Job()].usage,
 		}))
 	}
@@ -178,7 +180,11 @@
 		wk.attempts = slices.DeleteFunc(wk.attempts, func(fa *fakeAttempt) bool {
 			return fa.task == or.task && fa.attempt == or.attempt && fa.state != AttemptRunning
 		})
-	case OrderCheckpoint, OrderThrottle:
+	case OrderThrottle:
+		if fa := wk.find(or.task); fa != nil && fa.attempt == or.attempt {
+			fa.throttled = !or.size.IsZero()
+		}
+	case OrderCheckpoint:
 	}
 }
 
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -60,6 +60,8 @@
 	stalled bool
 	// astray: workers report to a VM that does not lead.
 	astray bool
+	// tails has the tail latency of a service on some workers.
+	tails map[model.WorkerID]time.Duration
 	// lose, repeat and delay are faults for the next messages.
 	lose, repeat int
 	delay        time.Duration
@@ -180,6 +182,11 @@
 		wk.advance()
 	}
 	wd.deliver()
+	for _, wk := range wd.workers {
+		if tail, ok := wd.tails[wk.id]; ok && wd.now%model.Instant(time.Second) == 0 {
+			wd.step(wd.leader, NewTail(TailSpec{Worker: wk.id, Service: "desk", Tail: tail, Load: 0.5}))
+		}
+	}
 	if wd.now/model.Instant(worldStep)%2 == 0 {
 		for _, vm := range wd.vms {
 			if vm.believes {
--- a/io/wire/schedsnap.go
+++ b/io/wire/schedsnap.go
@@ -86,11 +86,10 @@
 	return msg
 }
 
-// schedTaskRecords returns the tasks of a job; the lengths of all columns are
-// checked, because a snapshot of a damaged peer must not end the process.
-func schedTaskRecords(msg *SchedTasks, workers int) ([]sched.TaskRecord, error) {
-	num := len(msg.GetState())
-	steps := 0
+// checkSchedTasks compares the lengths of all columns, because a snapshot of a
+// damaged peer must not end the process.
+func checkSchedTasks(msg *SchedTasks) error {
+	num, steps := len(msg.GetState()), 0
 	for _, cnt := range msg.GetSteps() {
 		steps += int(cnt)
 	}
@@ -110,9 +109,18 @@
 		{len(msg.GetHistorySlot()), steps},
 	} {
 		if lens[0] != lens[1] {
-			return nil, &SchedDecodeError{what: "tasks with columns of different lengths"}
+			return &SchedDecodeError{what: "tasks with columns of different lengths"}
 		}
 	}
+	return nil
+}
+
+// schedTaskRecords returns the tasks of a job.
+func schedTaskRecords(msg *SchedTasks, workers int) ([]sched.TaskRecord, error) {
+	if err := checkSchedTasks(msg); err != nil {
+		return nil, err
+	}
+	num := len(msg.GetState())
 	out := make([]sched.TaskRecord, num)
 	var his []sched.History
 	at := 0
