Count the readings over the target in a replay

The p99 over a whole trace hides how long a target was missed. The table now has the number of readings over the target, and the traces are run twice to show that the outcome is repeatable.

--- a/core/trace/sim.go
+++ b/core/trace/sim.go
@@ -157,6 +157,10 @@
 		load := sim.loads[se.service]
 		tail := wk.tail(*se, load)
 		sim.tails = append(sim.tails, tail)
+		sim.outcome.readings++
+		if tail > sim.trace.preset.Service(se.service).TailTarget() {
+			sim.outcome.over++
+		}
 		sim.step(sched.NewTail(sched.TailSpec{Worker: wk.id, Service: se.service, Tail: tail, Load: load}))
 	}
 }
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -136,6 +136,7 @@
 	evictions, attempts               int
 	tail                              time.Duration
 	work, last                        time.Duration
+	over, readings                    int
 	reasons                           map[model.JobID]string
 	violations                        []string
 }
@@ -161,6 +162,10 @@
 // Tail returns the 99th percentile of the tail latency readings.
 func (ou Outcome) Tail() time.Duration { return ou.tail }
 
+// OverTarget returns the number of readings with a tail latency beyond the
+// target of the service, and the number of all readings.
+func (ou Outcome) OverTarget() (over, readings int) { return ou.over, ou.readings }
+
 // Work returns the batch work that was done and not lost.
 func (ou Outcome) Work() time.Duration { return ou.work }
 
--- a/io/cmd/replay/replay.go
+++ b/io/cmd/replay/replay.go
@@ -53,7 +53,7 @@
 		return errors.Trace(err)
 	}
 	out := trace.Run(tra, place.BestFit{})
-	if err := row(dep.Out, "policy", "finished", "failed", "cancelled", "open", "attempts", "evictions", "tailP99Ms", "batchWorkS", "lastEndS"); err != nil {
+	if err := row(dep.Out, "policy", "finished", "failed", "cancelled", "open", "attempts", "evictions", "tailP99Ms", "overTarget", "readings", "batchWorkS", "lastEndS"); err != nil {
 		return errors.Trace(err)
 	}
 	if err := outcomeRow(dep.Out, "guard", out); err != nil {
@@ -83,8 +83,9 @@
 }
 
 func outcomeRow(out io.Writer, policy string, ou trace.Outcome) error {
+	over, readings := ou.OverTarget()
 	return row(out, policy, ou.Finished(), ou.Failed(), ou.Cancelled(), ou.Open(), ou.Attempts(), ou.Evictions(),
-		ou.Tail().Milliseconds(), int(ou.Work().Seconds()), int(ou.Last().Seconds()))
+		ou.Tail().Milliseconds(), over, readings, int(ou.Work().Seconds()), int(ou.Last().Seconds()))
 }
 
 func row(out io.Writer, cells ...any) error {
--- a/io/cmd/replay/replay_test.go
+++ b/io/cmd/replay/replay_test.go
@@ -24,6 +24,11 @@
 			if err := Run(Options{File: name}, dep); err != nil {
 				t.Errorf("%v\n%s", err, out.String())
 			}
+			first := out.String()
+			out.Reset()
+			if err := Run(Options{File: name}, dep); err != nil || out.String() != first {
+				t.Errorf("the second run differs:\n%s%s", first, out.String())
+			}
 		})
 	}
 }
