--- a/core/sched/fuzz_test.go
+++ b/core/sched/fuzz_test.go
@@ -109,6 +109,10 @@
 		},
 		"in":      func(*rapid.T) { wd.out = false },
 		"restore": fz.restore,
+		"tail": func(t *rapid.T) {
+			tail := time.Duration(rapid.IntRange(50, 500).Draw(t, "ms")) * time.Millisecond
+			wd.tails = map[model.WorkerID]time.Duration{fz.worker(t).id: tail, fz.worker(t).id: 60 * time.Millisecond}
+		},
 	}
 }
 
@@ -122,10 +126,13 @@
 	}
 }
 
-// restore replaces the state of the VM that does not lead by a snapshot.
+// restore lets the VM that does not lead step down and replaces its state by a
+// snapshot.
 func (fz *fuzzer) restore(*rapid.T) {
 	for _, vm := range fz.wd.vms {
-		if vm != fz.wd.leader && !vm.believes {
+		if vm != fz.wd.leader {
+			vm.believes = false
+			fz.wd.step(vm, SteppedDown{})
 			vm.state.Restore(fz.wd.leader.state.Snapshot())
 			vm.applied = fz.wd.leader.applied
 		}
--- a/core/sched/worker_test.go
+++ b/core/sched/worker_test.go
@@ -19,6 +19,8 @@
 	taken    Checkpoint
 	resumed  Checkpoint
 	size     model.Resources
+	// throttled is what the last order asked for.
+	throttled bool
 }
 
 // fakeWorker runs tasks as section 5.1 asks of a worker.
@@ -40,6 +42,9 @@
 	sent model.Instant
 }
 
+// slowest is how long a time takes on a worker whose clock lags the most.
+func slowest(dur time.Duration) time.Duration { return model.WithDrift(dur) }
+
 func newFakeWorker(wd *world, num int) *fakeWorker {
 	return &fakeWorker{
 		wd: wd, id: model.WorkerID(fmt.Sprintf("worker-%d", num)), rack: fmt.Sprintf("rack-%d", num/2),
@@ -123,7 +128,7 @@
 	rep := ReportSpec{Poll: wd.nextPoll, Worker: wk.id, Rack: wk.rack, Size: wk.size, Tag: wk.tag}
 	for _, fa := range wk.attempts {
 		rep.Attempts = append(rep.Attempts, NewAttemptReport(AttemptSpec{
-			Task: fa.task, Attempt: fa.attempt, State: fa.state, Checkpoint: fa.taken, Resumed: fa.resumed,
+			Task: fa.task, Attempt: fa.attempt, State: fa.state, Checkpoint: fa.taken, Resumed: fa.resumed, Throttled: fa.throttled,
 			Usage: wd.oracle.jobs[fa.task.Job()].usage,
 		}))
 	}
@@ -143,7 +148,7 @@
 	wk.tag = max(wk.tag, msg.answer.tag)
 	for _, le := range msg.answer.leases {
 		if fa := wk.find(le.task); fa != nil && fa.attempt == le.attempt {
-			fa.until = max(fa.until, msg.sent.Add(TaskLease))
+			fa.until = max(fa.until, msg.sent.Add(slowest(TaskLease)))
 		}
 	}
 	for _, or := range msg.answer.orders {
@@ -175,7 +180,11 @@
 		wk.attempts = slices.DeleteFunc(wk.attempts, func(fa *fakeAttempt) bool {
 			return fa.task == or.task && fa.attempt == or.attempt && fa.state != AttemptRunning
 		})
-	case OrderCheckpoint, OrderThrottle:
+	case OrderThrottle:
+		if fa := wk.find(or.task); fa != nil && fa.attempt == or.attempt {
+			fa.throttled = !or.size.IsZero()
+		}
+	case OrderCheckpoint:
 	}
 }
 
@@ -185,10 +194,10 @@
 	}
 	wk.highest[or.task] = or.attempt
 	fa := &fakeAttempt{
-		task: or.task, attempt: or.attempt, until: msg.sent.Add(TaskLease), resumed: or.resume, taken: or.resume, size: or.size,
+		task: or.task, attempt: or.attempt, until: msg.sent.Add(slowest(TaskLease)), resumed: or.resume, taken: or.resume, size: or.size,
 	}
 	wk.attempts = append(wk.attempts, fa)
-	if wk.wd.now >= msg.sent.Add(or.issuedAfter+StartWindow) {
+	if wk.wd.now >= msg.sent.Add(slowest(or.issuedAfter+StartWindow)) {
 		fa.state = AttemptRejected
 		return
 	}
