Serve during the return of a data centre and settle new VMs

Change: a request that no other data centre takes is run where it is; a forward tries the next entry VM while the request was not run; a VM is ready 1.5 s after its first fleet state. The API reports an unknown outcome before a lost leader.

--- /dev/null
+++ b/core/route/admit_test.go
@@ -0,0 +1,36 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Guards against a request that another data centre forwarded and that the
+// data centre it reached sends away while it returns to service: nobody else
+// would take it.
+func TestForwardedRequestIsTakenDuringTheReturn(t *testing.T) {
+	for _, tc := range []struct {
+		percent   int
+		forwarded bool
+		want      int
+	}{{0, true, 0}, {10, true, 100}, {100, false, 100}, {0, false, 0}} {
+		mac := New[int](Config[PowerOfTwo]{Seed: 1})
+		mac.Step(0, NewShare(0, 1))
+		mac.Step(0, NewAnnounce(NewBackend(BackendSpec{ID: "b", Service: "s", Worker: "w", Address: "x", Slots: 200}), 0))
+		mac.Step(0, NewAdmit(tc.percent))
+		taken := 0
+		for key := range 100 {
+			spec := RequestSpec{Service: "s", Timeout: time.Second, Forwarded: tc.forwarded}
+			for _, eff := range mac.Step(model.Instant(key+1), NewArrive(key, spec)) {
+				if _, ok := eff.(Dispatch[int]); ok {
+					taken++
+				}
+			}
+		}
+		if taken != tc.want {
+			t.Errorf("at %d%%, forwarded %v: %d of 100 taken, want %d", tc.percent, tc.forwarded, taken, tc.want)
+		}
+	}
+}
--- a/core/route/request.go
+++ b/core/route/request.go
@@ -29,7 +29,7 @@
 	switch {
 	case mac.stopping:
 		mac.reject(en, Stopping)
-	case mac.declined > 0 && mac.rnd.Below(100) < mac.declined:
+	case mac.declines(msg.spec):
 		mac.decline(en, OutOfService)
 	case sv == nil || !sv.anyAlive(now):
 		mac.decline(en, NoBackend)
@@ -42,6 +42,16 @@
 	}
 }
 
+// declines decides whether a request goes to another data centre. While this
+// one returns to service, it takes every request that was forwarded here,
+// because such a request has nowhere else to go.
+func (mac *Machine[K, C]) declines(spec RequestSpec) bool {
+	if spec.Forwarded && mac.declined < 100 {
+		return false
+	}
+	return mac.declined > 0 && mac.rnd.Below(100) < mac.declined
+}
+
 func (mac *Machine[K, C]) admit(now model.Instant, en *entry[K]) {
 	sv := en.service
 	if sv.queue.size == 0 {
--- a/io/admin/errors.go
+++ b/io/admin/errors.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 
@@ -9,6 +10,8 @@
 	"guavarail/core/fleet"
 	"guavarail/core/model"
 	"guavarail/core/sched"
+	"guavarail/io/group"
+	"guavarail/io/peer"
 	"guavarail/io/rest"
 )
 
@@ -90,7 +93,7 @@
 // answer.
 func writeError(wri http.ResponseWriter, err error) {
 	var els Elsewhere
-	if buf, ok := wri.(*bufferWriter); ok && errors.As(err, &els) && els.Leader() != "" {
+	if buf, ok := wri.(*bufferWriter); ok && typeOf(err) == rest.TypeNoMajority && errors.As(err, &els) && els.Leader() != "" {
 		buf.elsewhere = els.Leader()
 		return
 	}
@@ -131,10 +134,12 @@
 		return rest.TypeConflict
 	case matches[*NotReadyError](err):
 		return rest.TypeNotReady
-	case matches[Elsewhere](err):
-		return rest.TypeNoMajority
-	case errors.Is(err, errors.Timeout), matches[interface{ Timeout() bool }](err):
+	case matches[*group.UnknownError](err), matches[*peer.TimeoutError](err), errors.Is(err, context.DeadlineExceeded):
+		// Checked before the leader, because an unknown outcome may be caused
+		// by a lost leader.
 		return rest.TypeUnknown
+	case matches[Elsewhere](err), matches[*peer.UnreachableError](err):
+		return rest.TypeNoMajority
 	}
 	return rest.TypeInternal
 }
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -12,8 +12,9 @@
 )
 
 // forward sends the request to an entry VM of another data centre. Addresses
-// are tried in order while no byte of the request was sent.
-func (ex *exchange) forward(wri http.ResponseWriter, req *http.Request, fwd route.Forward[*exchange], bod *body) {
+// are tried in order while the request was certainly not run. It returns false
+// when no data centre took the request and it may still be sent.
+func (ex *exchange) forward(wri http.ResponseWriter, req *http.Request, fwd route.Forward[*exchange], bod *body) bool {
 	srv := ex.srv
 	var addrs []string
 	if srv.cfg.Forwarder != nil {
@@ -21,29 +22,43 @@
 	}
 	ctx, cancel := context.WithTimeout(srv.tasks.ctx, srv.remaining(fwd.Until()))
 	defer cancel()
-	for _, addr := range addrs {
+	for i, addr := range addrs {
 		rep, ok := ex.hop(ctx, wri, req, addr, fwd, bod)
 		if !ok {
-			return
+			return true
+		}
+		last := i == len(addrs)-1 && fwd.Reason() != route.OutOfService
+		if rep.err == nil && declined(rep.resp) && !last && !bod.touched() {
+			// That entry VM proved that it did not run the request, as one that
+			// was just started does, so the next one may.
+			drain(rep.resp.Body)
+			continue
 		}
 		if rep.err == nil {
 			ex.relayForward(wri, rep.resp, bod)
-			return
+			return true
 		}
 		if rep.wrote {
 			ex.settle(once.Unknown)
 			stopReading(wri, bod)
 			srv.unknown(wri, http.StatusBadGateway, "forwardEnded")
-			return
+			return true
 		}
 		if bod.touched() {
 			break
 		}
 	}
+	if fwd.Reason() == route.OutOfService && !bod.touched() {
+		return false
+	}
 	ex.settle(once.None)
 	srv.notRun(wri, http.StatusServiceUnavailable, fwd.Reason().String(), time.Second)
+	return true
 }
 
+// declined reports whether an entry VM did not run the request.
+func declined(resp *http.Response) bool { return resp.Header.Get(HeaderOutcome) == OutcomeNotRun }
+
 // hop sends the request to one address. It returns false when the caller was
 // answered or went away.
 func (ex *exchange) hop(
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -59,10 +59,11 @@
 func (ex *exchange) run(wri http.ResponseWriter, req *http.Request) {
 	srv, me := ex.srv, ex.meta
 	bod := newBody(req, srv.cfg.Limits.BodyBytes)
-	srv.ref.Tell(route.NewArrive(ex, route.RequestSpec{
+	spec := route.RequestSpec{
 		Service: me.service, Caller: me.caller, Timeout: me.timeout,
 		Idempotent: me.idempotent, Forwarded: len(me.traversed) > 0,
-	}))
+	}
+	srv.ref.Tell(route.NewArrive(ex, spec))
 	for {
 		eff := ex.await(req.Context())
 		switch msg := eff.(type) {
@@ -71,7 +72,14 @@
 				continue
 			}
 		case route.Forward[*exchange]:
-			ex.forward(wri, req, msg, bod)
+			if !ex.forward(wri, req, msg, bod) {
+				// Nobody else takes it: it counts as a forwarded one here, which
+				// a data centre that returns to service does not send away.
+				spec.Forwarded = true
+				spec.Timeout = max(srv.remaining(msg.Deadline()), time.Millisecond)
+				srv.ref.Tell(route.NewArrive(ex, spec))
+				continue
+			}
 		case route.Reject[*exchange]:
 			ex.settle(once.None)
 			srv.notRun(wri, rejectStatus(msg.Reason()), msg.Reason().String(), msg.RetryAfter())
--- a/io/node/local.go
+++ b/io/node/local.go
@@ -16,6 +16,10 @@
 // statusTimeout bounds the wait for the parts of the status.
 const statusTimeout = 2 * time.Second
 
+// settleTime is how long a VM collects announcements, which backend servers
+// repeat every second, before it takes callers.
+const settleTime = 1500 * time.Millisecond
+
 // local answers what this VM knows about itself. It implements admin.Local.
 type local struct {
 	nod *Node
@@ -26,6 +30,8 @@
 	switch {
 	case loc.nod.view.Load() == nil:
 		return "no fleet state yet"
+	case loc.nod.clock().Sub(model.Instant(loc.nod.informed.Load())) < settleTime:
+		return "collecting the announcements of backend servers"
 	case !loc.nod.entry.Ready():
 		return "shutting down"
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -59,6 +59,8 @@
 	// view is replaced as a whole when the fleet state changes; nil until the
 	// first state.
 	view atomic.Pointer[view]
+	// informed is when the first fleet state was published.
+	informed atomic.Int64
 	// returned is when this data centre was last seen to return to service.
 	returned atomic.Int64
 	found    chan struct{}
@@ -255,6 +257,9 @@
 	old := nod.view.Load()
 	if old == nil || old.number != sta.Number() {
 		vie := newView(sta, nod.centre)
+		if old == nil {
+			nod.informed.Store(int64(nod.clock()))
+		}
 		nod.view.Store(vie)
 		nod.hub.SetPeers(vie.addresses())
 		nod.watch.SetPeers(vie.others(nod.self))
