--- a/core/route/table.go
+++ b/core/route/table.go
@@ -218,7 +218,9 @@
 		mac.reject(en, TooLate)
 	}
 	mac.pump(now, sv)
-	extra := (sv.queue.size+len(sv.servers)-1)/len(sv.servers) + 1
+	// Asking for a spare slot would take credits from VMs that have a queue; the
+	// lender hands out what nobody wants anyway.
+	extra := (sv.queue.size + len(sv.servers) - 1) / len(sv.servers)
 	for _, se := range sv.servers {
 		se.worker.extra = max(se.worker.extra, extra)
 	}
--- a/io/cmd/load/load.go
+++ b/io/cmd/load/load.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -70,10 +69,6 @@
 	if err := op.check(); err != nil {
 		return Report{}, errors.Trace(err)
 	}
-	tra := &http.Transport{
-		MaxConnsPerHost: op.Connections, MaxIdleConnsPerHost: op.Connections, DisableCompression: true,
-	}
-	defer tra.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(ctx, op.Duration+op.Deadline+grace)
 	defer cancel()
 	start := time.Now()
@@ -84,7 +79,7 @@
 	plan := make(chan arrival, ahead)
 	parts := make(chan *tally, op.Connections)
 	for range op.Connections {
-		sen := &sender{op: op, transport: tra, tally: newTally(), start: start}
+		sen := &sender{op: op, tally: newTally()}
 		go sen.run(ctx, plan, parts)
 	}
 	planned := make(chan struct{})
--- a/io/cmd/load/sender.go
+++ b/io/cmd/load/sender.go
@@ -8,18 +8,22 @@
 	"time"
 )
 
-// sender owns one connection's worth of requests and its tally.
+// sender owns one connection and its tally. Arrivals reach the senders in turn,
+// so that all connections stay in use.
 type sender struct {
 	op        Options
-	transport *http.Transport
+	transport http.Transport
 	tally     *tally
-	start     time.Time
 }
 
 // run sends the arrivals of plan until it is closed or ctx ends, and then hands
 // over its tally.
 func (sen *sender) run(ctx context.Context, plan <-chan arrival, parts chan<- *tally) {
-	defer func() { parts <- sen.tally }()
+	sen.transport.MaxConnsPerHost, sen.transport.DisableCompression = 1, true
+	defer func() {
+		sen.transport.CloseIdleConnections()
+		parts <- sen.tally
+	}()
 	for {
 		select {
 		case arr, ok := <-plan:
