--- a/core/slots/rules_test.go
+++ b/core/slots/rules_test.go
@@ -93,3 +93,25 @@
 		t.Errorf("holds %d credits, want 5", ho.Held("w-1"))
 	}
 }
+
+// Guards against a VM without load that gets no credit for its next request
+// while another one wants all. Found by TestSlotsNeverExceeded with seed 97288.
+func TestVMWithoutLoadKeepsOneCredit(t *testing.T) {
+	var le Lender
+	le.Step(0, NewLead(1, model.Instant(time.Second), nil))
+	for i, wanted := range []int{0, 7, 1} {
+		vm := model.VMID([]string{"vm-1", "vm-2", "vm-3"}[i])
+		le.Step(1, NewReport(ReportSpec{
+			VM: vm, Boot: 1, Term: 1, Number: 1, Full: true, Claims: []Claim{NewClaim("w-1", 8, 0, wanted)},
+		}))
+	}
+	// The first VM got all slots, and gives back those above its target.
+	le.Step(2, NewReport(ReportSpec{
+		VM: "vm-1", Boot: 1, Term: 1, Number: 2, Ack: 3, Claims: []Claim{NewClaim("w-1", 8, 1, 0)},
+	}))
+	for _, vm := range []model.VMID{"vm-1", "vm-2", "vm-3"} {
+		if got := le.Granted(vm, "w-1"); got < 1 {
+			t.Errorf("%s has %d credits", vm, got)
+		}
+	}
+}
