--- a/core/slots/rules_test.go
+++ b/core/slots/rules_test.go
@@ -105,9 +105,9 @@
 			VM: vm, Boot: 1, Term: 1, Number: 1, Full: true, Claims: []Claim{NewClaim("w-1", 8, 0, wanted)},
 		}))
 	}
-	// The first VM got all slots, and gives back those above its target.
+	// The first VM got all slots, and gives them back.
 	le.Step(2, NewReport(ReportSpec{
-		VM: "vm-1", Boot: 1, Term: 1, Number: 2, Ack: 3, Claims: []Claim{NewClaim("w-1", 8, 1, 0)},
+		VM: "vm-1", Boot: 1, Term: 1, Number: 2, Ack: 3, Claims: []Claim{NewClaim("w-1", 8, 0, 0)},
 	}))
 	for _, vm := range []model.VMID{"vm-1", "vm-2", "vm-3"} {
 		if got := le.Granted(vm, "w-1"); got < 1 {
