Settle the key of a request with its late response

Cause: a keyed request whose deadline expired stayed unknown for 24 h even when its late response showed that it ran.

Change: the goroutine that waits for the late response settles the claim.

Result: TestLateResponseSettlesItsKey and go test -race -count=3 ./io/entry pass.

--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"guavarail/core/once"
 	"guavarail/core/route"
 )
 
@@ -45,6 +46,7 @@
 // roundTrip sends out and posts the result to the handler. Once the handler is
 // gone, it waits for the late response and reports the end of the connection.
 func (ex *exchange) roundTrip(ctx context.Context, out *http.Request, late func()) {
+	// The handler does not change the exchange after gone is closed.
 	tra := &tracer{ex: ex}
 	out = out.WithContext(httptrace.WithClientTrace(ctx, tra.hooks(ctx)))
 	resp, err := ex.srv.transport.RoundTrip(out)
@@ -54,11 +56,20 @@
 	case <-ex.gone:
 		if resp != nil {
 			drain(resp.Body)
+			if ran(resp) {
+				ex.settle(once.Answered)
+			}
 		}
 		late()
 	}
 }
 
+// ran reports whether a late response shows that the request was run.
+func ran(resp *http.Response) bool {
+	outcome := resp.Header.Get(HeaderOutcome)
+	return resp.Header.Get(HeaderNotRun) != "true" && (outcome == "" || outcome == OutcomeAnswered)
+}
+
 // drain reads a response to its end, which frees the connection for the next
 // request, and closes it.
 func drain(body io.ReadCloser) {
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -152,6 +152,31 @@
 	}
 }
 
+// Guards against a key that stays unknown although the late response showed
+// that its request ran.
+func TestLateResponseSettlesItsKey(t *testing.T) {
+	gate := make(chan struct{})
+	cls := &localClaims{}
+	ri := newRig(t, func(cfg *Config) { cfg.Claims = cls }, func(http.ResponseWriter, *http.Request) { <-gate })
+	post := func() string {
+		req, _ := http.NewRequest(http.MethodPost, ri.url, nil)
+		req.Header.Set(HeaderKey, "k-1")
+		req.Header.Set(HeaderDeadline, "30")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.Header.Get(HeaderKeyState)
+	}
+	if state := post(); state != "" {
+		t.Fatalf("first request found its key %s", state)
+	}
+	ri.await(t, func() bool { return post() == once.Unknown.String() })
+	close(gate)
+	ri.await(t, func() bool { return post() == once.Answered.String() })
+}
+
 // Guards against informational responses and upgrades that get lost.
 func TestInformationalAndUpgrade(t *testing.T) {
 	ri := newRig(t, nil, func(wri http.ResponseWriter, req *http.Request) {
