Give the answers of net/http itself an outcome and count them

Cause: requests that net/http cannot read were answered without Guavarail-Outcome, and their rejection was not counted.

Change: the connection of a caller marks and counts what is written before the first request reaches a handler, and counts connections that close before one.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -94,11 +94,12 @@
 		ReadHeaderTimeout: cfg.Limits.HeaderTime,
 		IdleTimeout:       cfg.Limits.IdleTime,
 		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
+		ConnContext:       withConn,
 		ErrorLog:          cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	lis := &boundedListener{
 		Listener: cfg.Listener, places: make(chan struct{}, cfg.Limits.Connections),
-		full: func() { srv.metrics.add("rejectedConnections") },
+		count: srv.metrics.add,
 	}
 	go srv.serve(lis)
 	return srv, func() { srv.close(stop) }, nil
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -18,6 +18,7 @@
 
 // handle serves one request of a caller on its own goroutine.
 func (srv *Server) handle(wri http.ResponseWriter, req *http.Request) {
+	markServed(req)
 	me := parseMeta(req)
 	srv.allowWrites(wri)
 	if !srv.Ready() {
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -1,9 +1,6 @@
 package entry
 
-import (
-	"net"
-	"time"
-)
+import "time"
 
 // Limits bounds what callers and backend servers can take up. Zero fields mean
 // the defaults.
@@ -54,46 +51,3 @@
 	}
 	return val
 }
-
-// boundedListener closes connections over a limit at once, so that callers see
-// the rejection instead of waiting in the backlog of the kernel.
-type boundedListener struct {
-	net.Listener
-	// places holds one token for each open connection.
-	places chan struct{}
-	full   func()
-}
-
-// Accept returns the next connection within the limit.
-func (bl *boundedListener) Accept() (net.Conn, error) {
-	for {
-		con, err := bl.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case bl.places <- struct{}{}:
-			return &boundedConn{Conn: con, left: bl.places, once: make(chan struct{}, 1)}, nil
-		default:
-			bl.full()
-			_ = con.Close()
-		}
-	}
-}
-
-// boundedConn gives its place back when it is closed for the first time.
-type boundedConn struct {
-	net.Conn
-	left <-chan struct{}
-	once chan struct{}
-}
-
-// Close closes the connection.
-func (bc *boundedConn) Close() error {
-	select {
-	case bc.once <- struct{}{}:
-		<-bc.left
-	default:
-	}
-	return bc.Conn.Close()
-}
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -255,6 +255,29 @@
 	}
 }
 
+// Guards against responses of net/http itself that lack their outcome or are
+// not counted.
+func TestUnreadableRequestIsNotRun(t *testing.T) {
+	ri := newRig(t, func(cfg *Config) { cfg.Limits = Limits{HeaderBytes: 1000, HeaderTime: 20 * time.Millisecond} })
+	for name, head := range map[string]string{
+		"rejectedMalformed":      "GET /orders HTTP/1.1\r\nbad header\r\n\r\n",
+		"rejectedHeaderTooLarge": "GET /orders/ HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 20000) + "\r\n\r\n",
+		"closedBeforeRequest":    "GET /orders/ HTTP/1.1\r\n",
+	} {
+		con, err := net.Dial("tcp", ri.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(con, head)
+		resp, err := http.ReadResponse(bufio.NewReader(con), nil)
+		if err == nil && resp.Header.Get(HeaderOutcome) != OutcomeNotRun {
+			t.Errorf("%s: %d without outcome", name, resp.StatusCode)
+		}
+		con.Close()
+		ri.await(t, func() bool { return strings.Contains(ri.Metrics().String(), name) })
+	}
+}
+
 // Guards against a caller that takes no byte of a response and keeps its slot.
 func TestStalledReaderIsCutOff(t *testing.T) {
 	ri := newRig(t, func(cfg *Config) { cfg.Limits = Limits{StallTime: 50 * time.Millisecond} },
