--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -152,6 +152,31 @@
 	}
 }
 
+// Guards against a key that stays unknown although the late response showed
+// that its request ran.
+func TestLateResponseSettlesItsKey(t *testing.T) {
+	gate := make(chan struct{})
+	cls := &localClaims{}
+	ri := newRig(t, func(cfg *Config) { cfg.Claims = cls }, func(http.ResponseWriter, *http.Request) { <-gate })
+	post := func() string {
+		req, _ := http.NewRequest(http.MethodPost, ri.url, nil)
+		req.Header.Set(HeaderKey, "k-1")
+		req.Header.Set(HeaderDeadline, "30")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.Header.Get(HeaderKeyState)
+	}
+	if state := post(); state != "" {
+		t.Fatalf("first request found its key %s", state)
+	}
+	ri.await(t, func() bool { return post() == once.Unknown.String() })
+	close(gate)
+	ri.await(t, func() bool { return post() == once.Answered.String() })
+}
+
 // Guards against informational responses and upgrades that get lost.
 func TestInformationalAndUpgrade(t *testing.T) {
 	ri := newRig(t, nil, func(wri http.ResponseWriter, req *http.Request) {
@@ -230,6 +255,29 @@
 	}
 }
 
+// Guards against responses of net/http itself that lack their outcome or are
+// not counted.
+func TestUnreadableRequestIsNotRun(t *testing.T) {
+	ri := newRig(t, func(cfg *Config) { cfg.Limits = Limits{HeaderBytes: 1000, HeaderTime: 20 * time.Millisecond} })
+	for name, head := range map[string]string{
+		"rejectedMalformed":      "GET /orders HTTP/1.1\r\nbad header\r\n\r\n",
+		"rejectedHeaderTooLarge": "GET /orders/ HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 20000) + "\r\n\r\n",
+		"closedBeforeRequest":    "GET /orders/ HTTP/1.1\r\n",
+	} {
+		con, err := net.Dial("tcp", ri.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(con, head)
+		resp, err := http.ReadResponse(bufio.NewReader(con), nil)
+		if err == nil && resp.Header.Get(HeaderOutcome) != OutcomeNotRun {
+			t.Errorf("%s: %d without outcome", name, resp.StatusCode)
+		}
+		con.Close()
+		ri.await(t, func() bool { return strings.Contains(ri.Metrics().String(), name) })
+	}
+}
+
 // Guards against a caller that takes no byte of a response and keeps its slot.
 func TestStalledReaderIsCutOff(t *testing.T) {
 	ri := newRig(t, func(cfg *Config) { cfg.Limits = Limits{StallTime: 50 * time.Millisecond} },
