Feed the guard with tail latencies and explain waiting tasks and workers

Cause: nothing gave the planner the tail latency of services, a lost proposal counted as certain although its outcome was unknown, and job show could not say why a task waits.

--- a/core/centre/leader.go
+++ b/core/centre/leader.go
@@ -42,20 +42,32 @@
 // NewApplied returns the input for an applied command.
 func NewApplied(cmd Command, res Result) Applied { return Applied{cmd: cmd, res: res} }
 
-// Dropped reports that the last proposal was not applied.
+// Dropped reports that the last proposal will certainly not be applied.
 type Dropped struct{}
 
+// SteppedDown reports that this VM no longer leads the group. It must come
+// before commands that were applied later and before a restored snapshot.
+type SteppedDown struct{}
+
+// Tail reports the latency of a service on a worker, as an entry VM sees it.
+type Tail struct{ spec sched.TailSpec }
+
+// NewTail returns the input for a reading of the tail latency.
+func NewTail(spec sched.TailSpec) Tail { return Tail{spec: spec} }
+
 // Granted passes on the answer of the fleet leader to a permission request.
 type Granted struct{ grant permit.Grant }
 
 // NewGranted returns the input for an answer of the fleet leader.
 func NewGranted(gr permit.Grant) Granted { return Granted{grant: gr} }
 
-func (Tick) input()    {}
-func (Report) input()  {}
-func (Applied) input() {}
-func (Dropped) input() {}
-func (Granted) input() {}
+func (Tick) input()        {}
+func (Report) input()      {}
+func (Applied) input()     {}
+func (Dropped) input()     {}
+func (SteppedDown) input() {}
+func (Tail) input()        {}
+func (Granted) input()     {}
 
 // Effect is what a leader asks its owner to do.
 type Effect interface{ effect() }
@@ -95,7 +107,10 @@
 type Leader struct {
 	plan *sched.Planner[place.BestFit]
 	hold permit.Holder
-	// leased is set from the first tick with a lease until one without.
+	// leading is set from the first tick with a lease until SteppedDown; the
+	// planner follows the state meanwhile.
+	leading bool
+	// leased says that the lease held at the last tick. It implies leading.
 	leased bool
 	// asked is when the last permission was requested.
 	asked model.Instant
@@ -114,11 +129,19 @@
 	case Report:
 		return ld.carry(ld.plan.Step(now, sched.NewWorkerReport(msg.report)))
 	case Applied:
-		if cmd, ok := msg.cmd.Tasks(); ok && ld.leased {
+		if cmd, ok := msg.cmd.Tasks(); ok && ld.leading {
 			return ld.carry(ld.plan.Step(now, sched.NewApplied(cmd, msg.res.tasks)))
 		}
 	case Dropped:
 		return ld.carry(ld.plan.Step(now, sched.Dropped{}))
+	case SteppedDown:
+		ld.leading, ld.leased = false, false
+		ld.hold.Drop()
+		return ld.carry(ld.plan.Step(now, sched.SteppedDown{}))
+	case Tail:
+		if ld.leased {
+			return ld.carry(ld.plan.Step(now, sched.NewTail(msg.spec)))
+		}
 	case Granted:
 		ld.hold.Receive(now, msg.grant)
 	}
@@ -127,12 +150,10 @@
 
 func (ld *Leader) tick(now model.Instant, tic Tick) []Effect {
 	var effs []Effect
-	if tic.leased != ld.leased {
-		ld.leased, ld.asked = tic.leased, 0
-		ld.hold.Drop()
-		if ld.leased {
-			effs = append(effs, ld.carry(ld.plan.Step(now, sched.TookOver{}))...)
-		}
+	ld.leased = tic.leased
+	if ld.leased && !ld.leading {
+		ld.leading, ld.asked = true, 0
+		effs = append(effs, ld.carry(ld.plan.Step(now, sched.TookOver{}))...)
 	}
 	if ld.leased && (ld.asked == 0 || now.Sub(ld.asked) >= permit.RenewEvery) {
 		ld.asked = now
@@ -171,6 +192,17 @@
 	return out
 }
 
+// Waits returns why the oldest waiting task of a job waits, or NoReason.
+func (ld *Leader) Waits(now model.Instant, job model.JobID) sched.Reason {
+	if !ld.leased {
+		return sched.NoReason
+	}
+	return ld.plan.Waits(now, job)
+}
+
+// Worker returns what the leader knows about a worker.
+func (ld *Leader) Worker(id model.WorkerID) sched.WorkerState { return ld.plan.WorkerState(id) }
+
 // MayStart reports whether the data centre may start tasks at now.
 func (ld *Leader) MayStart(now model.Instant) bool { return ld.leased && ld.hold.Valid(now) }
 
--- a/core/route/request.go
+++ b/core/route/request.go
@@ -235,9 +235,11 @@
 	case Answered:
 		en.service.hold.add(now, held)
 		en.server.latency.add(now, held)
+		en.server.tail.add(held)
 		mac.judge(now, en, true)
 	case Expired:
 		en.server.latency.add(now, held)
+		en.server.tail.add(held)
 		mac.judge(now, en, false)
 	case NotRun, Failed:
 		mac.judge(now, en, false)
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -33,6 +33,7 @@
 	leaving  bool
 	inFlight int
 	latency  average
+	tail     window
 	// failures counts consecutive failures; ejections doubles the next ejection.
 	failures     int
 	ejections    int
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -198,6 +198,12 @@
 			continue
 		}
 		sv.refresh(now, se)
+		if tail, ok := se.tail.take(now); ok {
+			mac.emit(Tail{
+				worker: se.worker.id, service: se.backend.Service(), latency: tail,
+				load: float64(se.inFlight) / float64(max(se.backend.Slots(), 1)),
+			})
+		}
 	}
 }
 
--- a/io/admin/view.go
+++ b/io/admin/view.go
@@ -1,6 +1,8 @@
 package admin
 
 import (
+	"guavarail/core/blame"
+	"guavarail/core/centre"
 	"guavarail/core/model"
 	"guavarail/core/sched"
 	"guavarail/io/rest"
@@ -13,14 +15,16 @@
 // is only valid on the actor that owns the state.
 type CentreView struct {
 	centre model.CentreID
+	now    model.Instant
 	tasks  *sched.State
+	lead   *centre.Leader
 }
 
 var _ TaskState = CentreView{}
 
-// NewCentreView returns a view of the state.
-func NewCentreView(centre model.CentreID, sta *sched.State) CentreView {
-	return CentreView{centre: centre, tasks: sta}
+// NewCentreView returns a view of the state and of what its leader knows.
+func NewCentreView(name model.CentreID, now model.Instant, sta *sched.State, lead *centre.Leader) CentreView {
+	return CentreView{centre: name, now: now, tasks: sta, lead: lead}
 }
 
 // Jobs returns all jobs without their tasks.
@@ -39,15 +43,31 @@
 		return rest.Job{}, false
 	}
 	out := cv.job(jv)
+	waits := cv.lead.Waits(cv.now, id)
 	for i := range min(jv.Spec().Tasks, maxTasksShown) {
 		if tv, ok := cv.tasks.Task(model.NewTaskID(id, i)); ok {
-			out.Tasks = append(out.Tasks, cv.task(i, tv))
+			task := cv.task(i, tv)
+			if tv.State() == sched.Waiting && waits != sched.NoReason {
+				task.Reason, task.Detail = waits.String(), waitDetails[waits]
+			}
+			out.Tasks = append(out.Tasks, task)
 		}
 	}
 	out.MoreTasks = jv.Spec().Tasks - len(out.Tasks)
 	return out, true
 }
 
+// waitDetails says what a waiting task needs.
+var waitDetails = map[sched.Reason]string{
+	sched.ReasonQueued:       "it is next in the queue of its team",
+	sched.ReasonNoCapacity:   "no worker has enough free; it starts when a task ends or a worker joins",
+	sched.ReasonQuota:        "its team holds its quota and nothing is left to borrow",
+	sched.ReasonBatchShare:   "batch holds the share of processors that the active preset allows",
+	sched.ReasonCentreOut:    "its data centre is out of service; it starts when operators bring it back",
+	sched.ReasonNoPermission: "the leader of the fleet group cannot be reached, so no task may start here",
+	sched.ReasonAdmission:    "its data centre returns to service in steps",
+}
+
 func (cv CentreView) job(jv sched.JobView) rest.Job {
 	spec := jv.Spec()
 	out := rest.Job{
@@ -87,10 +107,25 @@
 func (cv CentreView) Workers() []rest.Worker {
 	var out []rest.Worker
 	for _, wv := range cv.tasks.Workers() {
-		out = append(out, rest.Worker{
+		row := rest.Worker{
 			Name: string(wv.ID()), Centre: string(cv.centre), Rack: wv.Rack(), State: "ready",
 			Size: rest.NewResources(wv.Size()), Committed: rest.NewResources(wv.Committed()), Tasks: wv.Tasks(),
-		})
+		}
+		row.State, row.Reason = workerState(cv.lead.Worker(wv.ID()))
+		out = append(out, row)
 	}
 	return out
 }
+
+// workerState returns the state of a worker and why it gets no tasks.
+func workerState(ws sched.WorkerState) (state, reason string) {
+	switch {
+	case ws.Silent():
+		return "unresponsive", "it has not reported for 3 s"
+	case ws.Standing() == blame.Quarantined:
+		return "quarantined", "tasks of several jobs failed here"
+	case ws.Standing() == blame.OnProbation:
+		return "probation", "it gets one task, whose outcome decides"
+	}
+	return "ready", ""
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -39,8 +39,9 @@
 	Claims Claims
 	// Forwarder may be nil: then no request is forwarded.
 	Forwarder Forwarder
-	// OnUsage and OnEvent run on the owning actor and must not block.
+	// OnUsage, OnTail and OnEvent run on the owning actor and must not block.
 	OnUsage func(us route.Usage)
+	OnTail  func(ta route.Tail)
 	OnEvent func(ev event.Event)
 	Log     hclog.Logger
 	// FreeExpired frees the slot of an expired request at once. Only the
@@ -138,6 +139,10 @@
 		if srv.cfg.OnUsage != nil {
 			srv.cfg.OnUsage(msg)
 		}
+	case route.Tail:
+		if srv.cfg.OnTail != nil {
+			srv.cfg.OnTail(msg)
+		}
 	case route.Event:
 		if srv.cfg.OnEvent != nil {
 			srv.cfg.OnEvent(msg.Event())
--- a/io/group/actor.go
+++ b/io/group/actor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/asynkron/protoactor-go/actor"
 
@@ -142,7 +143,17 @@
 }
 
 func (act *groupActor[M, C, R, S]) step(in quorum.Input) {
-	for _, eff := range act.node.Step(act.cfg.Clock(), in) {
+	effs := act.node.Step(act.cfg.Clock(), in)
+	// State that belongs to the leader must be dropped before what follows is
+	// applied or restored.
+	for i, eff := range effs {
+		if val, ok := eff.(quorum.RoleChanged); ok && !val.Role().Leading() {
+			act.roleChanged(val.Role())
+			effs = slices.Delete(slices.Clone(effs), i, i+1)
+			break
+		}
+	}
+	for _, eff := range effs {
 		act.carry(eff)
 	}
 	if act.broken != nil && act.node.Err() == nil {
--- a/io/node/centre.go
+++ b/io/node/centre.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"guavarail/core/centre"
 	"guavarail/core/fleet"
 	"guavarail/core/model"
@@ -67,6 +69,11 @@
 		OnApply: func(_ uint64, cmd centre.Command, res centre.Result) {
 			cen.step(nod.clock(), centre.NewApplied(cmd, res))
 		},
+		OnRole: func(rol quorum.Role) {
+			if !rol.Leading() {
+				cen.step(nod.clock(), centre.SteppedDown{})
+			}
+		},
 	})
 	if err != nil {
 		return nil, stop, err
@@ -145,7 +152,9 @@
 	for _, eff := range cen.lead.Step(now, in) {
 		switch val := eff.(type) {
 		case centre.Propose:
-			cen.errand(func(ctx context.Context) { cen.propose(ctx, val.Command()) })
+			if !cen.errand(func(ctx context.Context) { cen.propose(ctx, val.Command()) }) {
+				cen.step(now, centre.Dropped{})
+			}
 		case centre.RequestPermit:
 			cen.errand(func(ctx context.Context) { cen.permit(ctx, val.Sequence()) })
 		case centre.Answer:
@@ -159,19 +168,25 @@
 	}
 }
 
-// errand hands over something that takes time. When too much is under way it
-// is left out; the planner repeats what it needs.
-func (cen *centrePart) errand(run func(ctx context.Context)) {
+// errand hands over something that takes time. It returns false when too much
+// is under way; the planner repeats what it needs.
+func (cen *centrePart) errand(run func(ctx context.Context)) bool {
 	select {
 	case cen.errands <- run:
+		return true
 	default:
+		return false
 	}
 }
 
 func (cen *centrePart) propose(ctx context.Context, cmd centre.Command) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	if _, err := cen.ref.Propose(ctx, cmd); err != nil {
+	_, err := cen.ref.Propose(ctx, cmd)
+	var unk *group.UnknownError
+	if err != nil && !errors.As(err, &unk) {
+		// After an unknown outcome the command may still be applied; the planner
+		// then waits for it or for the next takeover.
 		cen.ref.Do(func(now model.Instant, _ quorum.Role, _ *centre.State) { cen.step(now, centre.Dropped{}) })
 	}
 }
@@ -203,8 +218,8 @@
 
 // Read returns what fn reads from the state of the leader.
 func (cen *centrePart) Read(ctx context.Context, fn func(vie admin.TaskState) any) (any, error) {
-	val, err := group.Read(ctx, cen.ref, func(_ model.Instant, _ quorum.Role, sta *centre.State) any {
-		return fn(admin.NewCentreView(cen.name, sta.Tasks()))
+	val, err := group.Read(ctx, cen.ref, func(now model.Instant, _ quorum.Role, sta *centre.State) any {
+		return fn(admin.NewCentreView(cen.name, now, sta.Tasks(), cen.lead))
 	})
 	return val, cen.redirect(err)
 }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"guavarail/core/event"
 	"guavarail/core/fleet"
 	"guavarail/core/model"
 	"guavarail/core/permit"
@@ -43,6 +45,7 @@
 		Commands: wire.FleetCommands{}, Snapshots: wire.FleetSnapshots{},
 		Sender: nod.hub, Clock: nod.clock, Seed: nod.seed, System: nod.sys, OnEvent: nod.rec.Note,
 	}
+	cfg.OnApply = fle.applied
 	cfg.Voters, cfg.Learners = membersOf(first.FleetVoters(), nod.seeds)
 	sto, err := nod.store(fleetGroup)
 	if err != nil {
@@ -71,6 +74,21 @@
 	}
 }
 
+// applied puts an operator command on the timeline once it is applied here.
+func (fle *fleetPart) applied(_ uint64, cmd fleet.Command, res fleet.Result) {
+	kind := event.Kind("configurationApplied")
+	fis := []event.Field{
+		event.NewField("number", strconv.FormatUint(cmd.Number(), 10)), event.NewField("kind", cmd.Kind().String()),
+		event.NewField("target", cmd.Target()), event.NewField("operator", cmd.Operator()),
+		event.NewField("command", string(cmd.ID())),
+	}
+	if rej := res.Rejection(); rej != nil {
+		kind = "commandRejected"
+		fis = append(fis, event.NewField("reason", rej.Reason().String()))
+	}
+	fle.nod.rec.Note(event.New(kind, event.Subject{VM: fle.nod.self, Centre: fle.nod.centre}, fis...))
+}
+
 // membersOf splits all VMs into voters and learners.
 func membersOf(voters, all []fleet.VM) (vos, lea []model.VMID) {
 	votes := map[model.VMID]bool{}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -203,11 +203,12 @@
 	}
 	nod.fwd = &forward{nod: nod}
 	nod.slots = newSlots(nod)
+	tai := newTails(nod)
 	boot := uint64(time.Now().UnixNano())
 	srv, stop, err := entry.New(entry.Config{
 		VM: nod.self, Boot: boot, Centre: nod.centre, Listener: lis, System: nod.sys,
 		Clock: nod.clock, Seed: nod.seed, Limits: entry.Limits{Connections: nod.set.Limits().CallerConnections()},
-		Claims: startClaims(nod), Forwarder: nod.fwd, OnUsage: nod.slots.use, OnEvent: nod.rec.Note,
+		Claims: startClaims(nod), Forwarder: nod.fwd, OnUsage: nod.slots.use, OnTail: tai.note, OnEvent: nod.rec.Note,
 		Log: nod.log.Named("entry"),
 	})
 	if err := nod.keep(stop, err); err != nil {
@@ -215,6 +216,7 @@
 		return err
 	}
 	nod.entry = srv
+	_ = nod.keep(tai.start(ctx), nil)
 	stop, err = nod.slots.start(ctx, boot)
 	return nod.keep(stop, err)
 }
