--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -11,7 +11,9 @@
 	need     model.Resources
 	priority model.Priority
 	racks    *Racks
-	avoid    func(slot int32) bool
+	// avoid names workers to use only when no other fits, forbid those to use
+	// never.
+	avoid, forbid func(slot int32) bool
 }
 
 // NewRequest returns a request for a worker with need free.
@@ -32,6 +34,17 @@
 	return rq
 }
 
+// Forbid returns the request with workers that may not be used.
+func (rq Request) Forbid(forbid func(slot int32) bool) Request {
+	rq.forbid = forbid
+	return rq
+}
+
+// takes reports whether the worker may be chosen.
+func (rq *Request) takes(slot int32) bool {
+	return (rq.avoid == nil || !rq.avoid(slot)) && (rq.forbid == nil || !rq.forbid(slot))
+}
+
 // Need returns what must be free.
 func (rq Request) Need() model.Resources { return rq.need }
 
@@ -58,6 +71,9 @@
 // takes the policy as a type parameter.
 type Policy interface {
 	Choose(ix *Index, rq Request) (slot int32, ok bool)
+	// Allows reports whether work of the priority may be on the worker at
+	// all; room is made only on such workers.
+	Allows(slot int32, pri model.Priority) bool
 }
 
 const (
@@ -92,6 +108,9 @@
 	return ix.search(rq.Avoid(nil), len(ix.entries))
 }
 
+// Allows implements Policy.
+func (BestFit) Allows(int32, model.Priority) bool { return true }
+
 // search goes through the bands from the need upwards. Workers of a higher
 // band in every dimension fit without a check.
 func (ix *Index) search(rq Request, limit int) (int32, bool) {
@@ -122,7 +141,7 @@
 			pos -= len(lst)
 		}
 		slot := lst[pos]
-		if rq.need.FitsIn(ix.entries[slot].free) && (rq.avoid == nil || !rq.avoid(slot)) {
+		if rq.need.FitsIn(ix.entries[slot].free) && rq.takes(slot) {
 			return slot, true
 		}
 	}
@@ -153,7 +172,7 @@
 func (ix *Index) inRack(num int32, rq Request) (int32, bool) {
 	best, found := int32(0), false
 	for _, slot := range ix.racks[num].slots {
-		if !ix.Fits(slot, rq.need) || rq.avoid != nil && rq.avoid(slot) {
+		if !ix.Fits(slot, rq.need) || !rq.takes(slot) {
 			continue
 		}
 		if !found || ix.entries[slot].free.MilliCPU() < ix.entries[best].free.MilliCPU() {
@@ -169,13 +188,16 @@
 // Choose implements Policy.
 func (FirstFit) Choose(ix *Index, rq Request) (int32, bool) {
 	for slot := range ix.entries {
-		if ix.Fits(int32(slot), rq.need) {
+		if ix.Fits(int32(slot), rq.need) && rq.takes(int32(slot)) {
 			return int32(slot), true
 		}
 	}
 	return 0, false
 }
 
+// Allows implements Policy.
+func (FirstFit) Allows(int32, model.Priority) bool { return true }
+
 // LinearScan takes the fitting worker with the fewest free processors, by a
 // scan over all workers. It is the baseline of the benchmarks.
 type LinearScan struct{}
@@ -185,6 +207,9 @@
 	return ix.scan(rq, func(int32) bool { return true })
 }
 
+// Allows implements Policy.
+func (LinearScan) Allows(int32, model.Priority) bool { return true }
+
 // Static keeps services and batch on separate workers: of every ten workers
 // Services take service and urgent tasks, the others batch tasks. The zero
 // value gives services four.
@@ -194,18 +219,23 @@
 
 // Choose implements Policy.
 func (sta Static) Choose(ix *Index, rq Request) (int32, bool) {
+	return ix.scan(rq, func(slot int32) bool { return sta.Allows(slot, rq.priority) })
+}
+
+// Allows implements Policy.
+func (sta Static) Allows(slot int32, pri model.Priority) bool {
 	part := sta.Services
 	if part == 0 {
 		part = 4
 	}
-	return ix.scan(rq, func(slot int32) bool { return (slot%10 < part) == (rq.priority != model.Batch) })
+	return (slot%10 < part) == (pri != model.Batch)
 }
 
 func (ix *Index) scan(rq Request, allowed func(slot int32) bool) (int32, bool) {
 	best, found := int32(0), false
 	for i := range ix.entries {
 		slot := int32(i)
-		if !ix.Fits(slot, rq.need) || !allowed(slot) {
+		if !ix.Fits(slot, rq.need) || !rq.takes(slot) || !allowed(slot) {
 			continue
 		}
 		if !found || ix.entries[slot].free.MilliCPU() < ix.entries[best].free.MilliCPU() {
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"guavarail/core/blame"
 	"guavarail/core/event"
+	"guavarail/core/guard"
 	"guavarail/core/model"
 	"guavarail/core/place"
 )
@@ -23,9 +25,8 @@
 	// repeatAfter is the time after which an order that shows no effect is
 	// sent again.
 	repeatAfter = time.Second
-	// proposalWait is the time after which a proposal without a result counts
-	// as lost; an election takes at most 4 s.
-	proposalWait = 5 * time.Second
+	// checkpointEvery bounds the work that a lost worker costs a batch task.
+	checkpointEvery = 5 * time.Minute
 	// stopRenewal bounds how long the lease of an attempt that was asked to
 	// stop is renewed, so that a worker that ignores the order loses it.
 	stopRenewal = 30 * time.Second
@@ -33,25 +34,35 @@
 
 // live is what the leader knows about one attempt on a worker.
 type live struct {
-	ref      ref
-	attempt  model.Attempt
-	size     model.Resources
-	usage    model.Resources
+	ref     ref
+	attempt model.Attempt
+	// size is the commitment that the accounts hold.
+	size amount
+	// peak is the largest usage that was reported.
+	peak     amount
 	borrowed bool
 	// listed: the last report of the worker has the attempt as running.
 	listed bool
 	// told: a proposal under way records an end or a confirmation.
 	told bool
+	// spent: a worker that restarted since may have run the attempt, so that
+	// the start order is not sent again (P3).
+	spent bool
 	// lost: the lease has passed. It is never renewed again (P2).
 	lost bool
 	// seen is the time that the lease counts from.
 	seen model.Instant
 	// ordered is the time of the last start or stop order.
-	ordered model.Instant
+	ordered stamp
 	// since is when the stop was asked or the attempt was recorded.
-	since model.Instant
-	// over is since when the usage exceeds a commitment that cannot grow.
-	over model.Instant
+	since stamp
+	// over is since when the usage exceeds a commitment that cannot grow, 0
+	// while it does not.
+	over stamp
+	// throttle: the attempt is to be limited to its commitment, because it
+	// grew or, with slow, because it interferes. throttled is what the worker
+	// reported.
+	throttle, slow, throttled bool
 }
 
 func (lv *live) task() *task { return lv.ref.task() }
@@ -76,9 +87,11 @@
 	strayed model.Instant
 	lastTag uint64
 	expiry  model.Instant
-	// held keeps freed resources for heldFor until this time.
-	held    model.Instant
+	// heldFor gets what becomes free until held.
 	heldFor *backlog
+	held    model.Instant
+	// serves has the services with a recent reading on the worker.
+	serves []served
 	// shrunk: the worker reported less than is committed.
 	shrunk bool
 }
@@ -86,7 +99,6 @@
 // flight is the proposal under way; there is at most one.
 type flight struct {
 	serial uint64
-	since  model.Instant
 	active bool
 	// picks are the tasks that it starts.
 	picks []pick
@@ -109,6 +121,21 @@
 	usage  usage
 	// quotas are those of the active preset.
 	quotas map[model.TeamID]model.Quota
+	book   blame.Book
+	kinds  kinds
+	guard  guard.Guard
+	// batch counts the live batch attempts.
+	batch int
+	// charges are the commitments of the plan in the making.
+	charges []charge
+	// growing are attempts that use more than their commitment.
+	growing []spot
+	// relief are evictions that the guard asked for.
+	relief []Op
+	// hopeless are jobs to end, with the reason.
+	hopeless []Op
+	// sizes are the different sizes of the known workers.
+	sizes []model.Resources
 	// facts are operations that reports brought; they go first in the next
 	// proposal.
 	facts  []Op
@@ -134,10 +161,14 @@
 		pl.report(now, msg.spec)
 	case Applied:
 		pl.applied(now, msg.cmd, msg.res)
+	case Tail:
+		pl.protect(now, msg.spec)
 	case Dropped:
 		pl.dropped()
 	case TookOver:
 		pl.takeOver(now)
+	case SteppedDown:
+		pl.stepDown()
 	}
 	out := pl.out
 	pl.out = nil
@@ -168,33 +199,41 @@
 		return
 	}
 	pl.expire(now)
+	pl.forgetServices(now)
 	if pl.flight.active {
-		if now.Sub(pl.flight.since) < proposalWait {
-			return
-		}
-		pl.dropped()
+		// A proposal that is late may still be applied, so that nothing else is
+		// planned until its fate is known.
+		return
 	}
 	pl.quotas = quotasOf(env.Preset)
 	ops, picks := pl.plan(now)
 	ops = append(pl.facts, ops...)
 	pl.facts = nil
-	pl.propose(now, ops, picks)
+	pl.propose(ops, picks)
 }
 
 // plan returns the operations to propose besides the facts of reports.
 func (pl *Planner[P]) plan(now model.Instant) ([]Op, []pick) {
+	defer pl.settle()
+	ops := append(pl.repair(now), pl.relief...)
+	pl.relief = nil
+	ops = append(ops, pl.grow(now)...)
+	ops = append(ops, pl.drain(now)...)
 	if !pl.mayStart(now) {
-		return nil, nil
+		return ops, nil
 	}
-	return pl.starts(now)
+	pl.releaseHolds(now)
+	starts, picks := pl.starts(now)
+	ops = append(ops, starts...)
+	return append(ops, pl.makeRoom(now)...), picks
 }
 
-func (pl *Planner[P]) propose(now model.Instant, ops []Op, picks []pick) {
+func (pl *Planner[P]) propose(ops []Op, picks []pick) {
 	if len(ops) == 0 {
 		return
 	}
 	pl.serial++
-	pl.flight = flight{serial: pl.serial, since: now, active: true, picks: picks}
+	pl.flight = flight{serial: pl.serial, active: true, picks: picks}
 	pl.out = append(pl.out, Propose{cmd: NewCommand(ops...).WithSerial(pl.serial)})
 }
 
@@ -213,24 +252,6 @@
 	}
 }
 
-// takeOver builds all leader-only state anew. Every lease counts as renewed
-// now, because the previous leader may have renewed it until its own lease
-// ended.
-func (pl *Planner[P]) takeOver(now model.Instant) {
-	serial, tag := pl.serial, pl.tag
-	*pl = Planner[P]{st: pl.st, policy: pl.policy, leading: true, env: pl.env, outSince: now, started: now, serial: serial, tag: tag}
-	for slot, wk := range pl.st.workers {
-		pl.ensure(int32(slot))
-		if wk.known {
-			pl.usage.grow(wk.size)
-		}
-		for _, re := range wk.refs {
-			pl.addLive(now, int32(slot), re)
-		}
-	}
-	pl.queue.rebuild(pl.st, now)
-}
-
 func (pl *Planner[P]) ensure(slot int32) *crew {
 	for int(slot) >= len(pl.crews) {
 		pl.crews = append(pl.crews, crew{})
@@ -241,11 +262,18 @@
 func (pl *Planner[P]) addLive(now model.Instant, slot int32, re ref) {
 	tk := re.task()
 	cr := pl.ensure(slot)
+	ordered := stamp(0)
+	if tk.state == Running {
+		ordered = stampOf(now)
+	}
 	cr.lives = append(cr.lives, live{
-		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: now,
+		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: stampOf(now), ordered: ordered,
 	})
 	cr.expiry = 0
-	pl.usage.add(re.job.spec, tk.size, tk.borrowed)
+	if re.job.spec.Priority == model.Batch {
+		pl.batch++
+	}
+	pl.usage.add(re.job.spec, tk.size.resources(), tk.borrowed)
 	pl.queue.occupy(re.job, pl.index.RackOf(pl.st.workers[slot].rack), 1)
 }
 
@@ -253,43 +281,15 @@
 // takes it out while it may not get tasks.
 func (pl *Planner[P]) refresh(slot int32) {
 	cr, wk := &pl.crews[slot], pl.st.workers[slot]
-	if !wk.known || !cr.heard || cr.shrunk {
+	sta := pl.book.Standing(wk.id)
+	if !wk.known || !cr.heard || cr.shrunk || cr.heldFor != nil ||
+		sta == blame.Quarantined || sta == blame.OnProbation && len(cr.lives) > 0 {
 		pl.index.Close(slot)
 		return
 	}
 	pl.index.Set(slot, wk.rack, wk.free())
 }
 
-// expire closes silent workers and records the end of attempts whose lease
-// has passed.
-func (pl *Planner[P]) expire(now model.Instant) {
-	for slot := range pl.crews {
-		cr := &pl.crews[slot]
-		if cr.heard && now.Sub(cr.seen) > freshFor {
-			cr.heard = false
-			pl.refresh(int32(slot))
-			pl.note("workerSilent", event.Subject{Worker: pl.st.workers[slot].id})
-		}
-		if now.Before(cr.expiry) || len(cr.lives) == 0 {
-			continue
-		}
-		cr.expiry = now.Add(model.WithDrift(TaskLease))
-		for i := range cr.lives {
-			lv := &cr.lives[i]
-			end := lv.seen.Add(model.WithDrift(TaskLease))
-			if now.Before(end) && !lv.lost {
-				cr.expiry = min(cr.expiry, end)
-				continue
-			}
-			lv.lost = true
-			if !lv.told {
-				lv.told = true
-				pl.facts = append(pl.facts, End(lv.ref.id(), lv.attempt, pl.st.workers[slot].id, Lost))
-			}
-		}
-	}
-}
-
 func (pl *Planner[P]) note(kind event.Kind, sub event.Subject, fis ...event.Field) {
 	pl.out = append(pl.out, Note{ev: event.New(kind, sub, fis...)})
 }
--- a/core/sched/values.go
+++ b/core/sched/values.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"guavarail/core/model"
 )
@@ -178,3 +179,38 @@
 
 // Slot returns the worker's position in the snapshot plus one, 0 for none.
 func (hi History) Slot() int32 { return hi.slot }
+
+// stamp is a coarse time in 32 bits, which last 13 years. The zero value means
+// none.
+type stamp uint32
+
+const stampUnit = 100 * time.Millisecond
+
+func stampOf(now model.Instant) stamp { return stamp(now/model.Instant(stampUnit)) + 1 }
+
+// age returns the time since the stamp.
+func (sta stamp) age(now model.Instant) time.Duration {
+	return now.Sub(model.Instant(sta-1) * model.Instant(stampUnit))
+}
+
+// maxAmount bounds each part of an amount, so that it is stored in 32 bits.
+const maxAmount = 1<<31 - 1
+
+// amount is a packed model.Resources, half its size; half a million tasks
+// have two each.
+type amount struct {
+	milliCPU, memoryMB, accelerators int32
+}
+
+func pack(re model.Resources) amount {
+	return amount{int32(re.MilliCPU()), int32(re.MemoryMB()), int32(re.Accelerators())}
+}
+
+func (am amount) resources() model.Resources {
+	return model.NewResources(int64(am.milliCPU), int64(am.memoryMB), int64(am.accelerators))
+}
+
+// storable reports whether re can be packed.
+func storable(re model.Resources) bool {
+	return re.Valid() && re.FitsIn(model.NewResources(maxAmount, maxAmount, maxAmount))
+}
