Claim the key of a forwarded request as well

Change: every entry VM claims the key; between entry VMs the name of the first claim travels along, and a repeated claim of the same name is granted only while the request runs.

Result: TestForgedForwardDoesNotSkipTheClaim fails without the change and passes with it; go test ./io/entry passes.

--- a/io/entry/claim.go
+++ b/io/entry/claim.go
@@ -8,14 +8,16 @@
 )
 
 // claim takes the idempotency key and reports whether the request may be sent.
-// Otherwise it has answered the caller.
+// Otherwise it has answered the caller. A forwarded request claims its key
+// again under the name of the first claim, because a caller can send the headers
+// of a forwarded request as well.
 func (ex *exchange) claim(wri http.ResponseWriter, req *http.Request) bool {
 	srv := ex.srv
 	if srv.cfg.Claims == nil {
 		srv.notRun(wri, http.StatusServiceUnavailable, "claimsUnavailable", 0)
 		return false
 	}
-	owner := srv.owner(ex.number)
+	owner := orDefault(ex.meta.claimant, srv.owner(ex.number))
 	ctx, cancel := context.WithTimeout(req.Context(), srv.cfg.Limits.ClaimTime)
 	defer cancel()
 	res, err := srv.cfg.Claims.Claim(ctx, ex.meta.key, owner, claimBound)
--- /dev/null
+++ b/io/entry/claim_test.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Guards P7: a caller that sends the headers of a forwarded request runs a
+// keyed request a second time.
+func TestForgedForwardDoesNotSkipTheClaim(t *testing.T) {
+	runs := make(chan struct{}, 100)
+	ri := newRig(t, func(cfg *Config) { cfg.Claims = &localClaims{} })
+	ri.addBackend(t, 0, func(http.ResponseWriter, *http.Request) { runs <- struct{}{} })
+	for i, claimant := range []string{"", "", "forged"} {
+		req, _ := http.NewRequest(http.MethodPost, ri.url, strings.NewReader("order"))
+		req.Header.Set(HeaderKey, "k-1")
+		if i > 0 {
+			req.Header.Set(HeaderCentres, "elsewhere")
+			req.Header.Set(HeaderClaimant, claimant)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if want := map[bool]int{true: http.StatusOK, false: http.StatusConflict}[i == 0]; resp.StatusCode != want {
+			t.Errorf("request %d: status %d, want %d", i, resp.StatusCode, want)
+		}
+	}
+	if len(runs) != 1 {
+		t.Errorf("ran %d times", len(runs))
+	}
+}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -70,6 +70,9 @@
 	out := ex.request(req, addr, left, bod)
 	out.Header[HeaderCentres] = []string{joinCentres(ex.meta.traversed, srv.cfg.Centre)}
 	out.Header[HeaderCaller] = []string{ex.meta.caller}
+	if ex.owner != "" {
+		out.Header[HeaderClaimant] = []string{ex.owner}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	srv.tasks.run(ctx, func(ctx context.Context) { ex.roundTrip(ctx, out, cancel) })
 	// The entry VM there answers at the deadline; the margin covers the way.
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -32,7 +32,7 @@
 		srv: srv, meta: me, number: srv.tasks.number.Add(1),
 		verdicts: make(chan route.Effect, 2), replies: make(chan reply), gone: make(chan struct{}),
 	}
-	if me.key != "" && len(me.traversed) == 0 && !ex.claim(wri, req) {
+	if me.key != "" && !ex.claim(wri, req) {
 		return
 	}
 	ex.run(wri, req)
--- a/io/entry/headers.go
+++ b/io/entry/headers.go
@@ -24,6 +24,8 @@
 	HeaderKey        = "Idempotency-Key"
 	HeaderKeyState   = "Guavarail-Key-State"
 	HeaderCentres    = "Guavarail-Centres"
+	// HeaderClaimant names the request that claimed the key, between entry VMs.
+	HeaderClaimant = "Guavarail-Claimant"
 )
 
 // The values of HeaderOutcome.
@@ -36,6 +38,9 @@
 // maxTimeoutMs keeps the conversion to a duration from overflowing.
 const maxTimeoutMs = 3_600_000
 
+// maxClaimant bounds the length of the name of a claim.
+const maxClaimant = 128
+
 // maxKey bounds the length of an idempotency key, since all claims are held in
 // memory.
 const maxKey = 255
@@ -54,7 +59,9 @@
 	timeout    time.Duration
 	idempotent bool
 	// key is the idempotency key with its service; empty when there is none.
-	key       string
+	key string
+	// claimant is set in a forwarded request whose key was claimed before.
+	claimant  string
 	traversed []model.CentreID
 	// fault names the header that cannot be used.
 	fault string
@@ -82,6 +89,9 @@
 			me.traversed = append(me.traversed, model.CentreID(name))
 		}
 	}
+	if name := req.Header.Get(HeaderClaimant); len(me.traversed) > 0 && len(name) <= maxClaimant {
+		me.claimant = name
+	}
 	return me
 }
 
@@ -153,6 +163,7 @@
 func outgoing(req *http.Request, remaining time.Duration) http.Header {
 	hdr := make(http.Header, len(req.Header)+3)
 	copyHeaders(hdr, req.Header)
+	delete(hdr, HeaderClaimant)
 	hdr[HeaderDeadline] = []string{strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)}
 	if name, _, err := net.SplitHostPort(req.RemoteAddr); err == nil {
 		if prior := req.Header["X-Forwarded-For"]; len(prior) > 0 {
