Act on a restarted replica's state only once it is current

Change: a role says whether the replica has applied a command of the present term; the fleet state is published only then.

Result: go test ./cmd/guavarail -run 'P10|Racing|SecondLoss' passes in 41 s.

--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -244,6 +244,8 @@
 // Role returns the role of the replica at the given time.
 func (n *Node) Role(now model.Instant) Role {
 	ro := Role{term: n.term, leader: n.leader, applied: n.commit, failed: n.Err() != nil}
+	last, ok := n.termAt(n.commit)
+	ro.current = ok && last == n.term && n.leader != ""
 	if n.standing == leader {
 		ro.leading = true
 		ro.leased = n.leased(now)
--- a/core/quorum/role.go
+++ b/core/quorum/role.go
@@ -7,6 +7,8 @@
 	// leased is set only while leading is.
 	leased  bool
 	leading bool
+	// current is set only while the leader is known.
+	current bool
 	failed  bool
 	term    uint64
 	leader  model.VMID
@@ -20,6 +22,10 @@
 // accepted before is applied, so that the replica's state is the newest.
 func (ro Role) Leased() bool { return ro.leased }
 
+// Current reports whether the replica has applied a command of the present
+// term, so that its state is not older than one that it had before a restart.
+func (ro Role) Current() bool { return ro.current }
+
 // Failed reports whether the replica stopped taking part because of its disk.
 func (ro Role) Failed() bool { return ro.failed }
 
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -108,7 +108,7 @@
 // first leader.
 func (fle *fleetPart) follow(ctx context.Context) {
 	fle.ref.Do(func(_ model.Instant, rol quorum.Role, sta *fleet.State) {
-		if sta.Number() > 0 && rol.Leader() != "" {
+		if sta.Number() > 0 && rol.Current() {
 			fle.nod.publish(sta)
 		}
 		if rol.Leased() && sta.Number() == 0 {
