Name the drain mode after what it does and bound the fleet voters

Cause: the mode move stops batch tasks at a checkpoint until the data centre returns and moves nothing; and the fleet group had one voter for each data centre, 19 at the size to come.

Result: go test ./core/... ./io/cmd/... ./io/rest ./io/wire passes.

--- a/core/fleet/vm.go
+++ b/core/fleet/vm.go
@@ -79,13 +79,18 @@
 	return cmp.Or(cmp.Compare(va.by.number, vb.by.number), cmp.Compare(va.spec.Name, vb.spec.Name))
 }
 
+// maxFleetVoters bounds the voters of the fleet group. Seven survive the loss
+// of three, and the heartbeats of the leader do not grow with the number of data
+// centres beyond that.
+const maxFleetVoters = 7
+
 // FleetVoters returns the voters of the fleet group: the most senior voter of
-// each data centre.
+// each data centre, of at most seven of them.
 func (st *State) FleetVoters() []VM {
 	seen := map[model.CentreID]bool{}
 	var out []VM
 	for _, vm := range st.voters() {
-		if !seen[vm.Centre()] {
+		if !seen[vm.Centre()] && len(out) < maxFleetVoters {
 			seen[vm.Centre()] = true
 			out = append(out, vm)
 		}
--- a/core/model/check.go
+++ b/core/model/check.go
@@ -59,7 +59,7 @@
 	fail(deadline > longest, "deadlineMs", "at most maxRequestMs ("+strconv.FormatInt(longest.Milliseconds(), 10)+")")
 	fail(spec.QueuePerSlot < 0 || spec.QueuePerSlot > maxQueue, "queuePerSlot", "1 to 100")
 	fail(spec.BatchSharePercent < 0 || spec.BatchSharePercent > maxBatchSharePercent, "batchSharePercent", "1 to 100")
-	fail(spec.Drain > DrainMove, "drain", "finish or move")
+	fail(spec.Drain > DrainCheckpoint, "drain", "finish or checkpoint")
 	sers := map[ServiceID]bool{}
 	for _, sp := range spec.Services {
 		name := "services." + string(sp.service)
--- a/core/model/preset.go
+++ b/core/model/preset.go
@@ -9,13 +9,13 @@
 // The drain modes. The zero value lets tasks finish.
 const (
 	DrainFinish DrainMode = iota
-	DrainMove
+	DrainCheckpoint
 )
 
 // String returns the name used in the API.
 func (dm DrainMode) String() string {
-	if dm == DrainMove {
-		return "move"
+	if dm == DrainCheckpoint {
+		return "checkpoint"
 	}
 	return "finish"
 }
@@ -25,8 +25,8 @@
 	switch name {
 	case "finish", "":
 		return DrainFinish, true
-	case "move":
-		return DrainMove, true
+	case "checkpoint":
+		return DrainCheckpoint, true
 	}
 	return DrainFinish, false
 }
--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -51,12 +51,12 @@
 func TestRefusalHoldsAgainstOlderGrant(t *testing.T) {
 	var ho Holder
 	old, cur := ho.Request(0), ho.Request(1)
-	ho.Receive(2, NewGrant(cur, false, model.DrainMove))
+	ho.Receive(2, NewGrant(cur, false, model.DrainCheckpoint))
 	ho.Receive(3, NewGrant(old, true, model.DrainFinish))
 	if ho.Valid(3) {
 		t.Error("an older grant was taken over after a refusal")
 	}
-	if mode, out := ho.Out(); !out || mode != model.DrainMove {
+	if mode, out := ho.Out(); !out || mode != model.DrainCheckpoint {
 		t.Errorf("out is %v with %v, want true with move", out, mode)
 	}
 }
--- a/core/sched/fuzz_test.go
+++ b/core/sched/fuzz_test.go
@@ -45,8 +45,8 @@
 func newFuzzer(t *rapid.T) *fuzzer {
 	fz := &fuzzer{wd: newWorld(newOracle(t), rapid.IntRange(3, 8).Draw(t, "workers"))}
 	spec := model.PresetSpec{Name: "fuzz", BatchSharePercent: 100}
-	if rapid.Bool().Draw(t, "move") {
-		spec.Drain = model.DrainMove
+	if rapid.Bool().Draw(t, "checkpoint") {
+		spec.Drain = model.DrainCheckpoint
 	}
 	if rapid.Bool().Draw(t, "quotas") {
 		spec.Quotas = []model.Quota{
--- a/core/sched/rules_test.go
+++ b/core/sched/rules_test.go
@@ -10,7 +10,7 @@
 // full returns a world whose four workers are full of long batch tasks.
 func full(t *testing.T, quos ...model.Quota) *world {
 	wd := newWorld(newOracle(t), 4)
-	pre, err := model.NewPreset(model.PresetSpec{Name: "test", BatchSharePercent: 100, Quotas: quos, Drain: model.DrainMove})
+	pre, err := model.NewPreset(model.PresetSpec{Name: "test", BatchSharePercent: 100, Quotas: quos, Drain: model.DrainCheckpoint})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/cmd/preset/create/create.go
+++ b/io/cmd/preset/create/create.go
@@ -21,7 +21,7 @@
 	MaxRequestMs int64  `arg:"--max-request-ms" placeholder:"MS" help:"longest time of a request, 10 to 600000 [default: 30000]"`
 	QueuePerSlot int    `arg:"--queue-per-slot" placeholder:"N" help:"queued requests for each slot, 1 to 100 [default: 2]"`
 	BatchShare   int    `arg:"--batch-share" placeholder:"PERCENT" help:"processors that batch may hold, 1 to 100 [default: 60]"`
-	Drain        string `arg:"--drain" placeholder:"MODE" help:"batch of a data centre taken out: finish or move [default: finish]"`
+	Drain        string `arg:"--drain" placeholder:"MODE" help:"batch of a data centre taken out: finish or checkpoint [default: finish]"`
 	Forward      bool   `arg:"--forward" help:"allow forwarding requests to other data centres"`
 	NoGuards     bool   `arg:"--no-guards" help:"turn the guards on tail latency off"`
 	shell.Operator
--- a/io/cmd/replay/decode.go
+++ b/io/cmd/replay/decode.go
@@ -140,7 +140,7 @@
 func (dec *decoder) takePreset(ln line) error {
 	mode, ok := model.ParseDrainMode(ln.Drain)
 	if !ok {
-		return dec.fault("use drain finish or move")
+		return dec.fault("use drain finish or checkpoint")
 	}
 	dec.preset.Drain, dec.preset.BatchSharePercent, dec.preset.GuardsOff = mode, ln.BatchShare, ln.GuardsOff
 	if ln.Service != "" {
--- a/io/rest/preset.go
+++ b/io/rest/preset.go
@@ -82,7 +82,7 @@
 	// they are reported together with the other faults.
 	drain, ok := model.ParseDrainMode(pr.Drain)
 	if !ok {
-		drain = model.DrainMove + 1
+		drain = model.DrainCheckpoint + 1
 	}
 	spec := model.PresetSpec{
 		Name: pr.Name, Deadline: millis(pr.DeadlineMs), MaxRequest: millis(pr.MaxRequestMs),
--- a/io/rest/rest_test.go
+++ b/io/rest/rest_test.go
@@ -12,7 +12,7 @@
 // Guards against a preset that changes between the API and the model.
 func TestPresetKeepsItsValues(t *testing.T) {
 	body := `{"name":"peak","deadlineMs":3000,"maxRequestMs":30000,"queuePerSlot":4,"batchSharePercent":20,` +
-		`"drain":"move","forward":true,"guards":false,"services":[{"service":"hire-desk","tailTargetMs":120,"weight":3}],` +
+		`"drain":"checkpoint","forward":true,"guards":false,"services":[{"service":"hire-desk","tailTargetMs":120,"weight":3}],` +
 		`"quotas":[{"team":"fleet","limit":{"milliCpu":4000,"memoryMb":9,"accelerators":1},"weight":2}]}`
 	var pr Preset
 	if err := json.Unmarshal([]byte(body), &pr); err != nil {
--- a/io/wire/fleet_test.go
+++ b/io/wire/fleet_test.go
@@ -13,7 +13,7 @@
 	t.Helper()
 	pre, err := model.NewPreset(model.PresetSpec{
 		Name: "peak", Deadline: 3 * time.Second, QueuePerSlot: 4, BatchSharePercent: 20,
-		Drain: model.DrainMove, Forward: true, GuardsOff: true,
+		Drain: model.DrainCheckpoint, Forward: true, GuardsOff: true,
 		Services: []model.ServicePolicy{model.NewServicePolicy("hire-desk", 120*time.Millisecond, 1<<40)},
 		Quotas:   []model.Quota{model.NewQuota("fleet", model.NewResources(4000, 9, 1), 2)},
 	})
