Add the commands replay and load to the program

Cause: both had a package but were not part of the program, and replay could not be run by an operator or a script. The test of the traces runs the command line, and another one checks that a difference fails it, which no test did before.

--- a/cmd/guavarail/commands.go
+++ b/cmd/guavarail/commands.go
@@ -9,10 +9,12 @@
 	joblist "guavarail/io/cmd/job/list"
 	jobshow "guavarail/io/cmd/job/show"
 	jobsubmit "guavarail/io/cmd/job/submit"
+	"guavarail/io/cmd/load"
 	presetapply "guavarail/io/cmd/preset/apply"
 	presetcreate "guavarail/io/cmd/preset/create"
 	presetlist "guavarail/io/cmd/preset/list"
 	presetshow "guavarail/io/cmd/preset/show"
+	"guavarail/io/cmd/replay"
 	"guavarail/io/cmd/serve"
 	settingscheck "guavarail/io/cmd/settings/check"
 	"guavarail/io/cmd/shell"
@@ -27,6 +29,8 @@
 func commands() []shell.Command {
 	return []shell.Command{
 		demo.New(),
+		replay.New(),
+		load.New(),
 		serve.New(),
 		status.New(),
 		timeline.New(),
--- a/io/cmd/replay/decode.go
+++ b/io/cmd/replay/decode.go
@@ -32,6 +32,9 @@
 	return err.name + ":" + strconv.Itoa(err.line) + ": " + err.cause
 }
 
+// Advice says what to do next.
+func (*LineError) Advice() string { return "correct this line of the trace" }
+
 // line is one line of a trace; the fields depend on the event.
 type line struct {
 	AtMs    int64           `json:"atMs"`
--- a/io/cmd/replay/replay.go
+++ b/io/cmd/replay/replay.go
@@ -1,14 +1,15 @@
 package replay
 
 import (
-	"fmt"
-	"io"
+	"context"
+	"os"
 	"strings"
 
 	"github.com/juju/errors"
 
 	"guavarail/core/place"
 	"guavarail/core/trace"
+	"guavarail/io/cmd/shell"
 )
 
 // Options are the arguments of the command.
@@ -17,14 +18,7 @@
 	File string `arg:"positional,required" placeholder:"FILE" help:"trace in JSON Lines"`
 	// Compare also runs the trace without guards and with static separation.
 	Compare bool `arg:"--compare" help:"also run without guards and with static separation"`
-}
-
-// Deps are what the command needs from outside.
-type Deps struct {
-	// Open opens the trace.
-	Open func(name string) (io.ReadCloser, error)
-	// Out receives the table.
-	Out io.Writer
+	shell.Output
 }
 
 // OutcomeError reports an outcome that differs from what the trace expects.
@@ -41,11 +35,23 @@
 	return err.name + ": outcome differs: " + strings.Join(err.differences, "; ")
 }
 
-// Run replays the trace and prints one row for each policy, tab-separated.
-func Run(opt Options, dep Deps) error {
-	fil, err := dep.Open(opt.File)
+// Advice says what to do next.
+func (*OutcomeError) Advice() string {
+	return "correct the expect line if the trace is wrong; otherwise the scheduler has a fault"
+}
+
+// New returns the command.
+func New() shell.Command {
+	return shell.New("replay", "Run a recorded trace against the scheduler and check its outcome.",
+		"guavarail replay io/cmd/replay/testdata/vmLoss.jsonl --compare", Run)
+}
+
+// Run replays the trace and prints one row for each policy. A difference from
+// the expected outcome is an OutcomeError, after the rows are printed.
+func Run(_ context.Context, env shell.Env, opt Options) error {
+	fil, err := os.Open(opt.File)
 	if err != nil {
-		return errors.Annotate(err, "open trace")
+		return shell.NewFileError(opt.File, err)
 	}
 	defer fil.Close() //nolint:errcheck // only read
 	tra, err := Decode(opt.File, fil)
@@ -53,46 +59,31 @@
 		return errors.Trace(err)
 	}
 	out := trace.Run(tra, place.BestFit{})
-	if err := row(dep.Out, "policy", "finished", "failed", "cancelled", "open", "attempts", "evictions", "tailP99Ms", "overTarget", "readings", "batchWorkS", "lastEndS"); err != nil {
-		return errors.Trace(err)
-	}
-	if err := outcomeRow(dep.Out, "guard", out); err != nil {
-		return errors.Trace(err)
-	}
+	rep := Report{Trace: opt.File, Rows: []Row{newRow("guard", out)}, Differences: tra.Expect().Differences(out)}
 	if opt.Compare {
-		if err := compare(dep.Out, tra); err != nil {
+		rows, err := compare(tra)
+		if err != nil {
 			return errors.Trace(err)
 		}
+		rep.Rows = append(rep.Rows, rows...)
 	}
-	if diffs := tra.Expect().Differences(out); len(diffs) > 0 {
-		return errors.Trace(&OutcomeError{name: opt.File, differences: diffs})
+	if err := env.Show(opt.Output, rep, rep.table()); err != nil {
+		return errors.Trace(err)
+	}
+	if len(rep.Differences) > 0 {
+		return errors.Trace(&OutcomeError{name: opt.File, differences: rep.Differences})
 	}
 	return nil
 }
 
 // compare runs the baselines on the same input.
-func compare(out io.Writer, tra trace.Trace) error {
+func compare(tra trace.Trace) ([]Row, error) {
 	bare, err := tra.WithoutGuards()
 	if err != nil {
-		return errors.Trace(err)
-	}
-	if err := outcomeRow(out, "noPolicy", trace.Run(bare, place.BestFit{})); err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Trace(outcomeRow(out, "staticSeparation", trace.Run(bare, place.Static{})))
-}
-
-func outcomeRow(out io.Writer, policy string, ou trace.Outcome) error {
-	over, readings := ou.OverTarget()
-	return row(out, policy, ou.Finished(), ou.Failed(), ou.Cancelled(), ou.Open(), ou.Attempts(), ou.Evictions(),
-		ou.Tail().Milliseconds(), over, readings, int(ou.Work().Seconds()), int(ou.Last().Seconds()))
-}
-
-func row(out io.Writer, cells ...any) error {
-	text := make([]string, len(cells))
-	for i, cell := range cells {
-		text[i] = fmt.Sprint(cell)
+		return nil, errors.Trace(err)
 	}
-	_, err := fmt.Fprintln(out, strings.Join(text, "\t"))
-	return errors.Trace(err)
+	return []Row{
+		newRow("noPolicy", trace.Run(bare, place.BestFit{})),
+		newRow("staticSeparation", trace.Run(bare, place.Static{})),
+	}, nil
 }
--- a/io/cmd/replay/replay_test.go
+++ b/io/cmd/replay/replay_test.go
@@ -2,16 +2,29 @@
 
 import (
 	"bytes"
+	"context"
+	"encoding/json"
 	"errors"
-	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+
+	"guavarail/io/cmd/shell"
+	"guavarail/io/term"
 )
 
+// play runs the command line and returns both outputs and the exit code.
+func play(args ...string) (string, string, int) {
+	var out, err bytes.Buffer
+	env := shell.Env{Streams: term.New(nil, &out, &err, false)}
+	code := shell.Main(context.Background(), env, append([]string{"replay"}, args...), []shell.Command{New()})
+	return out.String(), err.String(), code
+}
+
 // Guards each recorded failure: the trace breaks no invariant and has the
-// outcome that it expects.
+// outcome that it expects, run by the command.
 func TestTracesHaveTheirOutcomes(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.jsonl")
 	if err != nil || len(files) < 8 {
@@ -19,20 +32,44 @@
 	}
 	for _, name := range files {
 		t.Run(filepath.Base(name), func(t *testing.T) {
-			var out bytes.Buffer
-			dep := Deps{Open: func(name string) (io.ReadCloser, error) { return os.Open(name) }, Out: &out}
-			if err := Run(Options{File: name}, dep); err != nil {
-				t.Errorf("%v\n%s", err, out.String())
+			first, note, code := play(name)
+			if code != shell.ExitDone || !strings.HasPrefix(first, "guard\t") {
+				t.Errorf("exit %d\n%s%s", code, first, note)
 			}
-			first := out.String()
-			out.Reset()
-			if err := Run(Options{File: name}, dep); err != nil || out.String() != first {
-				t.Errorf("the second run differs:\n%s%s", first, out.String())
+			if again, note, code := play(name); code != shell.ExitDone || again != first {
+				t.Errorf("the second run differs, exit %d:\n%s%s%s", code, first, again, note)
 			}
 		})
 	}
 }
 
+// Guards against a difference that a script does not notice: the command shows
+// the outcome, names what differs and fails.
+func TestDifferenceFailsTheCommand(t *testing.T) {
+	buf, err := os.ReadFile("testdata/vmLoss.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "wrong.jsonl")
+	wrong := strings.Replace(string(buf), `"finished":100`, `"finished":99`, 1)
+	if err := os.WriteFile(file, []byte(wrong), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, note, code := play(file, "--json", "--compare")
+	var rep Report
+	if err := json.Unmarshal([]byte(out), &rep); err != nil {
+		t.Fatalf("%v in %s", err, out)
+	}
+	const want = "finished 100, expected 99"
+	if code != shell.ExitFailed || len(rep.Rows) != 3 || !slices.Equal(rep.Differences, []string{want}) ||
+		!strings.Contains(note, want) || !strings.Contains(note, "\nnext: correct the expect line") {
+		t.Errorf("exit %d, %+v\n%s", code, rep, note)
+	}
+	if _, note, code := play("testdata/missing.jsonl"); code != shell.ExitFailed || !strings.Contains(note, "next: correct the file") {
+		t.Errorf("exit %d without a file, %s", code, note)
+	}
+}
+
 // Guards against a trace that is accepted in part.
 func TestBadLinesAreNamed(t *testing.T) {
 	for _, text := range []string{
--- /dev/null
+++ b/io/cmd/replay/report.go
@@ -0,0 +1,54 @@
+package replay
+
+import (
+	"guavarail/core/trace"
+	"guavarail/io/cmd/shell"
+	"guavarail/io/term"
+)
+
+// Row is the outcome of a trace with one policy.
+type Row struct {
+	Policy    string `json:"policy"`
+	Finished  int    `json:"finished"`
+	Failed    int    `json:"failed"`
+	Cancelled int    `json:"cancelled"`
+	// Open counts the tasks that had not ended.
+	Open      int   `json:"open"`
+	Attempts  int   `json:"attempts"`
+	Evictions int   `json:"evictions"`
+	TailP99Ms int64 `json:"tailP99Ms"`
+	// OverTarget counts the tail latency readings beyond the target.
+	OverTarget int `json:"overTarget"`
+	Readings   int `json:"readings"`
+	BatchWorkS int `json:"batchWorkS"`
+	LastEndS   int `json:"lastEndS"`
+}
+
+// Report is the JSON output of the command.
+type Report struct {
+	Trace string `json:"trace"`
+	Rows  []Row  `json:"rows"`
+	// Differences name what the outcome with guards has and the trace does not
+	// expect, broken invariants included.
+	Differences []string `json:"differences,omitempty"`
+}
+
+func newRow(policy string, ou trace.Outcome) Row {
+	over, readings := ou.OverTarget()
+	return Row{
+		Policy: policy, Finished: ou.Finished(), Failed: ou.Failed(), Cancelled: ou.Cancelled(), Open: ou.Open(),
+		Attempts: ou.Attempts(), Evictions: ou.Evictions(), TailP99Ms: ou.Tail().Milliseconds(),
+		OverTarget: over, Readings: readings, BatchWorkS: int(ou.Work().Seconds()), LastEndS: int(ou.Last().Seconds()),
+	}
+}
+
+func (rep Report) table() *term.Table {
+	ta := term.NewTable("policy", "finished", "failed", "cancelled", "open", "attempts", "evictions",
+		"tail p99 ms", "over target", "readings", "batch work s", "last end s")
+	for _, ro := range rep.Rows {
+		ta.Add(ro.Policy, shell.Count(ro.Finished), shell.Count(ro.Failed), shell.Count(ro.Cancelled), shell.Count(ro.Open),
+			shell.Count(ro.Attempts), shell.Count(ro.Evictions), shell.Count(ro.TailP99Ms), shell.Count(ro.OverTarget),
+			shell.Count(ro.Readings), shell.Count(ro.BatchWorkS), shell.Count(ro.LastEndS))
+	}
+	return ta
+}
