Name the evidence for each invariant, measure and failure

Cause: nobody could see on one page which test, oracle, trace and figure stands behind P1 to P10, M1 to M4 and F1 to F13, and what is not proved. TestPromisesPage fails when a row is missing, names a file, test, trace or command that does not exist, selects no test, or has a gap that it does not state; TestPromisesFaultsAreFound feeds it each kind of fault.

--- /dev/null
+++ b/cmd/guavarail/promises_test.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// The columns of a row of docs/promises.md.
+const (
+	colID = iota
+	colPromise
+	colCode
+	colTest
+	colOracle
+	colTrace
+	colCommand
+	colFigure
+	colGap
+	columns
+)
+
+// root is the root of the repository.
+const root = "../.."
+
+var (
+	codeSpan  = regexp.MustCompile("`([^`]+)`")
+	testFunc  = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)\w+)\(`)
+	cellSplit = regexp.MustCompile(`[^\\]\|`)
+	rowStart  = regexp.MustCompile(`^\| ([PMF]\d+) \|`)
+	runFlag   = regexp.MustCompile(`-(run|bench) ('[^']*'|\S+)`)
+)
+
+// Guards docs/promises.md: an invariant, measure or failure without a row, a
+// row that names what does not exist, and a gap that the row hides.
+func TestPromisesPage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs/promises.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ids []string
+	traces := map[string]bool{}
+	for _, line := range strings.Split(string(page), "\n") {
+		if !rowStart.MatchString(line) {
+			continue
+		}
+		cells := splitRow(line)
+		if len(cells) != columns {
+			t.Errorf("%d cells, want %d: %s", len(cells), columns, line)
+			continue
+		}
+		ids = append(ids, cells[colID])
+		checkRow(t, cells, traces)
+	}
+	if want := promiseIDs(); !slices.Equal(ids, want) {
+		t.Errorf("rows %q, want %q", ids, want)
+	}
+	recorded, err := filepath.Glob(filepath.Join(root, "io/cmd/replay/testdata/*.jsonl"))
+	if err != nil || len(recorded) == 0 {
+		t.Fatalf("%d traces, %v", len(recorded), err)
+	}
+	for _, file := range recorded {
+		if name, _ := filepath.Rel(root, file); !traces[name] {
+			t.Errorf("no row names the trace %s", name)
+		}
+	}
+}
+
+// Guards the check itself: each kind of fault in a row is found.
+func TestPromisesFaultsAreFound(t *testing.T) {
+	for name, tc := range map[string]struct{ kind, text string }{
+		"file":            {"file", "core/sched/nothing.go"},
+		"directory":       {"file", "core/sched"},
+		"test":            {"test", "core/sched TestNothing"},
+		"test elsewhere":  {"test", "core/route TestFaultsBreakNoInvariant"},
+		"package":         {"test", "core/nothing TestFaultsBreakNoInvariant"},
+		"test shape":      {"test", "TestFaultsBreakNoInvariant"},
+		"command":         {"command", "guavarail fly"},
+		"argument":        {"command", "guavarail replay io/cmd/replay/testdata/nothing.jsonl"},
+		"run":             {"command", "go test ./core/sched -run 'FaultsBreak|Nothing'"},
+		"run as bench":    {"command", "go test ./core/sched -run XXX -bench FaultsBreakNoInvariant"},
+		"tested package":  {"command", "go test ./core/nothing"},
+		"no package":      {"command", "go test -run FaultsBreakNoInvariant"},
+		"another program": {"command", "make test"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := map[string]func(string) string{"file": fileFault, "test": testFault, "command": commandFault}[tc.kind]
+			if check(tc.text) == "" {
+				t.Errorf("%q is accepted", tc.text)
+			}
+		})
+	}
+}
+
+func promiseIDs() []string {
+	var out []string
+	for _, group := range []struct {
+		letter string
+		last   int
+	}{{"P", 10}, {"M", 4}, {"F", 13}} {
+		for num := 1; num <= group.last; num++ {
+			out = append(out, group.letter+strconv.Itoa(num))
+		}
+	}
+	return out
+}
+
+// splitRow returns the cells of a row; a pipe after a backslash is text.
+func splitRow(line string) []string {
+	line = strings.TrimSuffix(strings.TrimPrefix(line, "| "), "|")
+	var cells []string
+	from := 0
+	for _, at := range cellSplit.FindAllStringIndex(line, -1) {
+		cells = append(cells, line[from:at[1]-1])
+		from = at[1]
+	}
+	cells = append(cells, line[from:])
+	for i, cell := range cells {
+		cells[i] = strings.ReplaceAll(strings.TrimSpace(cell), `\|`, "|")
+	}
+	return cells
+}
+
+func checkRow(t *testing.T, cells []string, traces map[string]bool) {
+	t.Helper()
+	checks := map[int]func(string) string{
+		colCode: fileFault, colTest: testFault, colOracle: fileFault, colTrace: fileFault, colCommand: commandFault,
+	}
+	for col, check := range checks {
+		spans := codeSpan.FindAllStringSubmatch(cells[col], -1)
+		if len(spans) == 0 && (cells[col] != "none" || cells[colGap] == "") {
+			t.Errorf("%s: cell %q names nothing, and the row does not say what is not proved", cells[colID], cells[col])
+		}
+		for _, span := range spans {
+			if fault := check(span[1]); fault != "" {
+				t.Errorf("%s: %s", cells[colID], fault)
+			}
+			if col == colTrace {
+				traces[span[1]] = true
+			}
+		}
+	}
+	if cells[colFigure] == "" || strings.Contains(cells[colFigure], "FIG_") {
+		t.Errorf("%s: no figure", cells[colID])
+	}
+}
+
+// fileFault returns what is wrong with the name of a file, or "".
+func fileFault(name string) string {
+	if info, err := os.Stat(filepath.Join(root, name)); err != nil || info.IsDir() {
+		return "file " + name + " does not exist"
+	}
+	return ""
+}
+
+// testFault returns what is wrong with a test of the form PACKAGE NAME, or "".
+func testFault(text string) string {
+	dir, name, ok := strings.Cut(text, " ")
+	if !ok || !slices.Contains(testsIn(dir), name) {
+		return "test " + text + " does not exist"
+	}
+	return ""
+}
+
+// testsIn returns the tests and benchmarks of a package.
+func testsIn(dir string) []string {
+	files, _ := filepath.Glob(filepath.Join(root, dir, "*_test.go"))
+	var out []string
+	for _, file := range files {
+		buf, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		for _, match := range testFunc.FindAllSubmatch(buf, -1) {
+			out = append(out, string(match[1]))
+		}
+	}
+	return out
+}
+
+// commandFault returns what is wrong with a command, or "".
+func commandFault(line string) string {
+	switch {
+	case strings.HasPrefix(line, "go test "):
+		return goTestFault(line)
+	case strings.HasPrefix(line, "guavarail "):
+		return programFault(line)
+	}
+	return "command " + line + " is neither guavarail nor go test"
+}
+
+// goTestFault checks that each package of the command has tests and that each
+// alternative of its patterns selects one.
+func goTestFault(line string) string {
+	var names []string
+	for _, word := range strings.Fields(line) {
+		dir, ok := strings.CutPrefix(word, "./")
+		if !ok {
+			continue
+		}
+		found := testsIn(dir)
+		if len(found) == 0 {
+			return "package " + word + " has no tests"
+		}
+		names = append(names, found...)
+	}
+	if len(names) == 0 {
+		return "command " + line + " names no package"
+	}
+	for _, flag := range runFlag.FindAllStringSubmatch(line, -1) {
+		kind := map[string]string{"run": "Test", "bench": "Benchmark"}[flag[1]]
+		for _, pattern := range strings.Split(strings.Trim(flag[2], "'"), "|") {
+			exp, err := regexp.Compile(pattern)
+			if err != nil {
+				return "pattern " + pattern + ": " + err.Error()
+			}
+			selects := func(name string) bool { return strings.HasPrefix(name, kind) && exp.MatchString(name) }
+			// XXX selects no test, so that only benchmarks run.
+			if pattern != "XXX" && !slices.ContainsFunc(names, selects) {
+				return "pattern " + pattern + " of " + line + " selects nothing"
+			}
+		}
+	}
+	return ""
+}
+
+// programFault checks the name of the command and the files it is given.
+func programFault(line string) string {
+	words := strings.Fields(line)[1:]
+	known := false
+	for _, cmd := range commands() {
+		name := strings.Fields(cmd.Name())
+		known = known || len(words) >= len(name) && slices.Equal(words[:len(name)], name)
+	}
+	if !known {
+		return "command " + line + " does not exist"
+	}
+	for _, word := range words {
+		if strings.Contains(word, "/") && fileFault(word) != "" {
+			return fileFault(word)
+		}
+	}
+	return ""
+}
