Quarantine a bad worker in a small data centre with a single job

Cause: with three workers the cap of 20% allowed no quarantine, a worker was suspect only after failures of three different jobs, and 16 failures ended a job wherever they happened. In a trial with three processes one worker that fails everything ended a good job of 30 tasks.

Change: five failures in a row of jobs that failed nowhere else make a worker suspect; one of three or more workers may always be in quarantine; 16 failures end a job only when they are spread over three workers, 64 anywhere.

Result: TestOneBadWorkerOfThreeDoesNotEndAJob passes, and go test ./core/blame ./core/sched ./io/cmd/replay.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -21,6 +21,16 @@
 	// hopeless fails a job whose failures cannot be attributed because its
 	// workers are doubtful too; it bounds the attempts of any job.
 	hopeless = 16
+	// hopelessAnywhere fails a job whatever its workers are, so that its attempts
+	// stay bounded when only one worker takes it.
+	hopelessAnywhere = 64
+	// suspectStreak is the number of failures in a row that make a worker
+	// suspect when their jobs failed nowhere else. A data centre may run a single
+	// job, so that different jobs cannot tell.
+	suspectStreak = 5
+	// cappedFrom is the number of workers from which one may be in quarantine
+	// even if it is more than quarantinePercent of them.
+	cappedFrom = 3
 	// firstQuarantine is doubled after each failed probation up to
 	// longestQuarantine.
 	firstQuarantine   = time.Minute
@@ -64,6 +74,8 @@
 	level int
 	// row has the different jobs that failed since the last success.
 	row []model.JobID
+	// streak counts the failures since the last success.
+	streak int
 	// failed has the different jobs that failed here, newest last.
 	failed []failure
 	// proven: an attempt succeeded or ran here since the last quarantine.
@@ -128,7 +140,7 @@
 // whether the worker returned to good standing.
 func (bk *Book) Ran(wid model.WorkerID, id model.JobID) bool {
 	rec := bk.worker(wid)
-	rec.row, rec.proven = rec.row[:0], true
+	rec.row, rec.streak, rec.proven = rec.row[:0], 0, true
 	tri := bk.job(id)
 	tri.ran = remember(tri.ran, wid)
 	for _, other := range tri.workers {
@@ -153,7 +165,7 @@
 }
 
 func (bk *Book) release(wid model.WorkerID, rec *record) {
-	rec.standing, rec.level = Good, 0
+	rec.standing, rec.level, rec.streak = Good, 0, 0
 	rec.row, rec.failed = rec.row[:0], rec.failed[:0]
 	for i, other := range bk.confined {
 		if other == wid {
@@ -167,6 +179,7 @@
 func (bk *Book) Failed(wid model.WorkerID, id model.JobID) {
 	rec, tri := bk.worker(wid), bk.job(id)
 	tri.failures++
+	rec.streak++
 	tri.workers = remember(tri.workers, wid)
 	rec.row = remember(rec.row, id)
 	for _, fa := range rec.failed {
@@ -198,7 +211,17 @@
 			row++
 		}
 	}
-	return row >= suspectJobs || elsewhere >= suspectJobs
+	return row >= suspectJobs || elsewhere >= suspectJobs || rec.streak >= suspectStreak && bk.onlyHere(rec)
+}
+
+// onlyHere reports whether the jobs of the streak failed on no other worker.
+func (bk *Book) onlyHere(rec *record) bool {
+	for _, id := range rec.row {
+		if tri, ok := bk.jobs[id]; !ok || len(tri.workers) > 1 {
+			return false
+		}
+	}
+	return true
 }
 
 // suspectJob reports whether the job failed on enough workers that are not in
@@ -226,7 +249,7 @@
 		return 0, false
 	}
 	if !again {
-		if (len(bk.confined)+1)*100 > workers*quarantinePercent {
+		if len(bk.confined) >= quarantineCap(workers) {
 			return 0, false
 		}
 		bk.confined = append(bk.confined, wid)
@@ -234,10 +257,19 @@
 	dur := min(firstQuarantine<<min(rec.level, 10), longestQuarantine)
 	rec.level++
 	rec.standing, rec.until, rec.proven = Quarantined, now.Add(dur), false
-	rec.row, rec.failed = rec.row[:0], rec.failed[:0]
+	rec.row, rec.failed, rec.streak = rec.row[:0], rec.failed[:0], 0
 	return dur, true
 }
 
+// quarantineCap returns how many of the workers may be in quarantine.
+func quarantineCap(workers int) int {
+	num := workers * quarantinePercent / 100
+	if workers >= cappedFrom {
+		return max(num, 1)
+	}
+	return num
+}
+
 // Paroled moves the workers whose quarantine has passed to probation and
 // returns them.
 func (bk *Book) Paroled(now model.Instant) []model.WorkerID {
@@ -273,7 +305,9 @@
 		}
 	}
 	need := min(failAfter, max(workers, 1))
-	return attributed >= need && tri.failures >= failAfter || tri.failures >= hopeless
+	spread := len(tri.workers) >= min(suspectWorkers, max(workers, 1))
+	return attributed >= need && tri.failures >= failAfter ||
+		tri.failures >= hopeless && spread || tri.failures >= hopelessAnywhere
 }
 
 // vouched reports whether a failure on the worker counts against the job: the
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -100,3 +100,23 @@
 		}
 	}
 }
+
+// Guards F8 in a small data centre: with one job and three workers, a worker
+// that fails everything before the first task ends must not end the job, and
+// must go into quarantine.
+func TestOneBadWorkerOfThreeDoesNotEndAJob(t *testing.T) {
+	var bk Book
+	for i := range 20 {
+		bk.Failed(wid(0), "good")
+		if bk.Hopeless("good", 3) {
+			t.Fatalf("the job ended after %d failures on one worker", i+1)
+		}
+		if _, ok := bk.Quarantine(0, wid(0), 3); ok {
+			if i+1 != suspectStreak {
+				t.Errorf("quarantine after %d failures, want %d", i+1, suspectStreak)
+			}
+			return
+		}
+	}
+	t.Error("the worker was never put in quarantine")
+}
