--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -161,27 +161,37 @@
 // BenchmarkMemory reports the heap for each worker and each running task, of
 // State and Planner together.
 func BenchmarkMemory(b *testing.B) {
-	for range b.N {
-		before := heapInUse()
-		st, pl := centre(b, place.BestFit{}, 17000, 0)
-		empty := heapInUse()
-		runtime.KeepAlive(st)
-		runtime.KeepAlive(pl)
-		st, pl = centre(b, place.BestFit{}, 17000, 520_000)
-		full := heapInUse()
-		runtime.KeepAlive(st)
-		runtime.KeepAlive(pl)
-		b.ReportMetric(float64(empty-before)/17000, "B/worker")
-		b.ReportMetric(float64(full-empty)/520_000, "B/task")
+	for _, workers := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			tasks := tasksOf(workers)
+			for range b.N {
+				before := heapInUse()
+				st, pl := centre(b, place.BestFit{}, workers, 0)
+				empty := heapInUse()
+				runtime.KeepAlive(st)
+				runtime.KeepAlive(pl)
+				st, pl = centre(b, place.BestFit{}, workers, tasks)
+				full := heapInUse()
+				runtime.KeepAlive(st)
+				runtime.KeepAlive(pl)
+				b.ReportMetric(float64(empty-before)/float64(workers), "B/worker")
+				b.ReportMetric(float64(full-empty)/float64(tasks), "B/task")
+				b.ReportMetric(float64(full-before)/1e6, "MB")
+			}
+		})
 	}
 }
 
-// BenchmarkTick measures a tick without anything to decide, at full size.
+// BenchmarkTick measures a tick without anything to decide.
 func BenchmarkTick(b *testing.B) {
-	_, pl := centre(b, place.BestFit{}, 17000, 520_000)
-	tck := NewTick(pl.env)
-	for b.Loop() {
-		pl.Step(benchNow, tck)
+	for _, workers := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			_, pl := centre(b, place.BestFit{}, workers, tasksOf(workers))
+			tck := NewTick(pl.env)
+			for b.Loop() {
+				pl.Step(benchNow, tck)
+			}
+		})
 	}
 }
 
@@ -202,8 +212,12 @@
 
 // BenchmarkTakeOver measures how long a new leader needs before it decides.
 func BenchmarkTakeOver(b *testing.B) {
-	_, pl := centre(b, place.BestFit{}, 17000, 520_000)
-	for b.Loop() {
-		pl.Step(benchNow, TookOver{})
+	for _, workers := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			_, pl := centre(b, place.BestFit{}, workers, tasksOf(workers))
+			for b.Loop() {
+				pl.Step(benchNow, TookOver{})
+			}
+		})
 	}
 }
--- a/io/node/fleet_bench_test.go
+++ b/io/node/fleet_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"runtime"
 	"sort"
@@ -13,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"guavarail/core/fleet"
+	"guavarail/core/member"
 	"guavarail/core/model"
 	"guavarail/io/config"
 )
@@ -69,26 +71,22 @@
 	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
 }
 
-// BenchmarkIdleVM gives the control cost of one idle VM: bytes a second on its
-// sockets, sent and received, share of a core, and heap.
+// BenchmarkIdleVM gives the control cost of an idle VM: bytes a second on its
+// sockets, sent and received apart, of the mean, the quietest and the busiest
+// VM; share of a core and heap of the mean VM, because all VMs share this
+// process.
 func BenchmarkIdleVM(b *testing.B) {
 	const watch = 10 * time.Second
-	for _, num := range []int{3, 7, 15, 30} {
+	for _, num := range []int{3, 7, 15, 30, 60} {
 		b.Run(fmt.Sprintf("vms=%d", num), func(b *testing.B) {
 			nods := startVMs(b, num)
-			time.Sleep(3 * time.Second)
-			bytes := func() (sum int64) {
-				for _, nod := range nods {
-					sent, received := nod.hub.Vars().SocketBytes()
-					sum += sent + received
-				}
-				return sum
-			}
-			from, cpu, start := bytes(), cpuTime(), time.Now()
+			// The news of the start travels with the first probes of all VMs.
+			time.Sleep(3*time.Second + time.Duration(2*num)*member.DefaultPeriod)
+			from, cpu, start := readTraffic(nods), cpuTime(), time.Now()
 			time.Sleep(watch)
-			per := time.Since(start).Seconds() * float64(num)
-			b.ReportMetric(float64(bytes()-from)/per, "B/s/VM")
-			b.ReportMetric(100*(cpuTime()-cpu).Seconds()/per, "%core/VM")
+			elapsed := time.Since(start).Seconds()
+			reportTraffic(b, from, readTraffic(nods), elapsed)
+			b.ReportMetric(100*(cpuTime()-cpu).Seconds()/elapsed/float64(num), "%core/VM")
 			var mem runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&mem)
@@ -98,6 +96,44 @@
 	}
 }
 
+// traffic is the count of bytes on the sockets of one VM.
+type traffic struct{ sent, received int64 }
+
+func readTraffic(nods []*Node) []traffic {
+	var trs []traffic
+	for _, nod := range nods {
+		sent, received := nod.hub.Vars().SocketBytes()
+		trs = append(trs, traffic{sent: sent, received: received})
+	}
+	return trs
+}
+
+// reportTraffic reports the mean VM and the VMs with the largest and the
+// smallest sum. The mean hides a leader, whose traffic grows with the number
+// of VMs; the smallest leads nothing.
+func reportTraffic(b *testing.B, from, till []traffic, elapsed float64) {
+	var sum, busiest traffic
+	quietest := traffic{sent: math.MaxInt64 / 2, received: math.MaxInt64 / 2}
+	for i := range from {
+		tra := traffic{sent: till[i].sent - from[i].sent, received: till[i].received - from[i].received}
+		sum.sent += tra.sent
+		sum.received += tra.received
+		if tra.sent+tra.received > busiest.sent+busiest.received {
+			busiest = tra
+		}
+		if tra.sent+tra.received < quietest.sent+quietest.received {
+			quietest = tra
+		}
+	}
+	num := float64(len(from))
+	b.ReportMetric(float64(sum.sent)/elapsed/num, "meanSentB/s")
+	b.ReportMetric(float64(sum.received)/elapsed/num, "meanReceivedB/s")
+	b.ReportMetric(float64(quietest.sent)/elapsed, "quietestSentB/s")
+	b.ReportMetric(float64(quietest.received)/elapsed, "quietestReceivedB/s")
+	b.ReportMetric(float64(busiest.sent)/elapsed, "busiestSentB/s")
+	b.ReportMetric(float64(busiest.received)/elapsed, "busiestReceivedB/s")
+}
+
 // BenchmarkSwitchInEffect gives the time from an operator's command to the last
 // VM that acts on it.
 func BenchmarkSwitchInEffect(b *testing.B) {
--- a/io/wire/schedbench_test.go
+++ b/io/wire/schedbench_test.go
@@ -48,42 +48,55 @@
 	return st.Snapshot(), log
 }
 
+// schedSizes are numbers of workers; each has 30 tasks. The largest is the size
+// of the table in section 1.8 of the design page.
+var schedSizes = []int{100, 1000, 5000, 17_000}
+
+func schedTasks(workers int) int { return workers * 520_000 / 17_000 / 1000 * 1000 }
+
 // BenchmarkSchedRestore measures the restart of a replica: decode and restore
-// a snapshot of 520,000 tasks, then decode and apply 1,000 commands.
+// a snapshot, then decode and apply 1,000 commands, or 300 at the smallest size.
 func BenchmarkSchedRestore(b *testing.B) {
-	sn, log := benchState(b, 17000, 520_000, 1000)
-	buf, err := SchedSnapshots{}.Encode(sn)
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.ReportMetric(float64(len(buf))/1e6, "MB")
-	for b.Loop() {
-		got, err := SchedSnapshots{}.Decode(buf)
-		if err != nil {
-			b.Fatal(err)
-		}
-		var st sched.State
-		st.Restore(got)
-		for _, rec := range log {
-			cmd, err := SchedCommands{}.Decode(rec)
+	for _, workers := range schedSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			sn, log := benchState(b, workers, schedTasks(workers), min(1000, schedTasks(workers)/10))
+			buf, err := SchedSnapshots{}.Encode(sn)
 			if err != nil {
 				b.Fatal(err)
 			}
-			if st.Apply(cmd).Verdict(1) != sched.Accepted {
-				b.Fatal("command rejected")
+			for b.Loop() {
+				got, err := SchedSnapshots{}.Decode(buf)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var st sched.State
+				st.Restore(got)
+				for _, rec := range log {
+					cmd, err := SchedCommands{}.Decode(rec)
+					if err != nil {
+						b.Fatal(err)
+					}
+					if st.Apply(cmd).Verdict(1) != sched.Accepted {
+						b.Fatal("command rejected")
+					}
+				}
 			}
-		}
+			b.ReportMetric(float64(len(buf))/1e6, "MB")
+		})
 	}
-	b.ReportMetric(float64(len(buf))/1e6, "MB")
 }
 
 // BenchmarkSchedSnapshot measures the copy that the owner of the replica makes
 // for a snapshot.
 func BenchmarkSchedSnapshot(b *testing.B) {
-	sn, _ := benchState(b, 17000, 520_000, 0)
-	var st sched.State
-	st.Restore(sn)
-	for b.Loop() {
-		_ = st.Snapshot()
+	for _, workers := range schedSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			sn, _ := benchState(b, workers, schedTasks(workers), 0)
+			var st sched.State
+			st.Restore(sn)
+			for b.Loop() {
+				_ = st.Snapshot()
+			}
+		})
 	}
 }
