Measure idle VMs up to 120 and the planner by attempts

Cause: the idle figures had to be stretched 2.7 times to 163 VMs, and the planner's cost of a poll was known at one size only.

Change: BenchmarkIdleVM has 120 VMs, BenchmarkReport 4 to 31 attempts.

--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -195,18 +195,25 @@
 	}
 }
 
-// BenchmarkReport measures one poll of a worker with 30 running attempts.
+// BenchmarkReport measures one poll of a worker by its running attempts.
 func BenchmarkReport(b *testing.B) {
-	_, pl := centre(b, place.BestFit{}, 17000, 520_000)
-	var atts []AttemptReport
-	for i := range pl.crews[0].lives {
-		lv := &pl.crews[0].lives[i]
-		atts = append(atts, NewAttemptReport(AttemptSpec{Task: lv.ref.id(), Attempt: lv.attempt, Usage: lv.task().size.resources()}))
-	}
-	num := uint64(0)
-	for b.Loop() {
-		num++
-		pl.Step(benchNow, NewWorkerReport(ReportSpec{Poll: num, Worker: workerName(0), Rack: "rack-0", Size: model.NewResources(32000, 125000, 2), Attempts: atts}))
+	for _, tasks := range []int{4, 8, 16, 31} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			_, pl := centre(b, place.BestFit{}, 1000, 1000*tasks)
+			var atts []AttemptReport
+			for i := range pl.crews[0].lives {
+				lv := &pl.crews[0].lives[i]
+				atts = append(atts, NewAttemptReport(AttemptSpec{Task: lv.ref.id(), Attempt: lv.attempt, Usage: lv.task().size.resources()}))
+			}
+			if len(atts) != tasks {
+				b.Fatalf("%d attempts on the worker", len(atts))
+			}
+			num := uint64(0)
+			for b.Loop() {
+				num++
+				pl.Step(benchNow, NewWorkerReport(ReportSpec{Poll: num, Worker: workerName(0), Rack: "rack-0", Size: model.NewResources(32000, 125000, 2), Attempts: atts}))
+			}
+		})
 	}
 }
 
--- a/io/node/fleet_bench_test.go
+++ b/io/node/fleet_bench_test.go
@@ -77,7 +77,7 @@
 // process.
 func BenchmarkIdleVM(b *testing.B) {
 	const watch = 10 * time.Second
-	for _, num := range []int{3, 7, 15, 30, 60} {
+	for _, num := range []int{3, 7, 15, 30, 60, 120} {
 		b.Run(fmt.Sprintf("vms=%d", num), func(b *testing.B) {
 			nods := startVMs(b, num)
 			// The news of the start travels with the first probes of all VMs.
