Give the planner the real end of the leader lease and share one ticker

Cause: the planner's right to answer lasted exactly one tick, so a late tick refused up to 4 of 200 polls; the end of a job was reported once for each of its last tasks; centre list lagged behind an accepted command; three packages had a ticker of their own.

Change: a role carries the end of its lease, which the planner and the lender of slot credits use; jobEnded is noted once for each job and command; centre list reads the newest fleet state; host.Every replaces the copies.

Result: go test ./core/... ./io/group ./io/host ./io/admin passes.

--- a/core/centre/leader.go
+++ b/core/centre/leader.go
@@ -16,15 +16,18 @@
 // Input is what a leader is stepped with.
 type Input interface{ input() }
 
-// Tick passes the time. Leased says that this VM leads the group, that its
-// lease holds now and that it has applied all that was committed before.
+// Tick passes the time and how long this VM leads the group.
 type Tick struct {
-	leased bool
+	until  model.Instant
 	preset model.Preset
 }
 
-// NewTick returns a tick with the active preset.
-func NewTick(leased bool, preset model.Preset) Tick { return Tick{leased: leased, preset: preset} }
+// NewTick returns a tick with the active preset. until is the end of the leader
+// lease, and lies in the past when this VM does not lead or has not applied all
+// that was committed before.
+func NewTick(until model.Instant, preset model.Preset) Tick {
+	return Tick{until: until, preset: preset}
+}
 
 // Report is the report of a worker.
 type Report struct{ report sched.ReportSpec }
@@ -150,7 +153,7 @@
 
 func (ld *Leader) tick(now model.Instant, tic Tick) []Effect {
 	var effs []Effect
-	ld.leased = tic.leased
+	ld.leased = now.Before(tic.until)
 	if ld.leased && !ld.leading {
 		ld.leading, ld.asked = true, 0
 		effs = append(effs, ld.carry(ld.plan.Step(now, sched.TookOver{}))...)
@@ -162,18 +165,13 @@
 	return append(effs, ld.carry(ld.plan.Step(now, sched.NewTick(ld.tickSpec(now, tic))))...)
 }
 
-// tickSpec returns what the planner may do until the next tick. The lease was
-// checked at now; the time to the next tick lies within the distance between a
-// lease and the next election.
+// tickSpec returns what the planner may do from now on. The lease may end before
+// the next tick; the planner then stops by itself.
 func (ld *Leader) tickSpec(now model.Instant, tic Tick) sched.TickSpec {
 	_, out := ld.hold.Out()
-	spec := sched.TickSpec{
-		StartUntil: ld.hold.Until(), Out: out, Admission: ld.hold.Percent(now), Preset: tic.preset,
-	}
-	if ld.leased {
-		spec.LeadUntil = now.Add(TickEvery)
+	return sched.TickSpec{
+		LeadUntil: tic.until, StartUntil: ld.hold.Until(), Out: out, Admission: ld.hold.Percent(now), Preset: tic.preset,
 	}
-	return spec
 }
 
 // carry translates the effects of the planner.
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -248,14 +248,18 @@
 	ro.current = ok && last == n.term && n.leader != ""
 	if n.standing == leader {
 		ro.leading = true
-		ro.leased = n.leased(now)
+		if ro.leased = n.leased(now); ro.leased {
+			ro.leasedUntil = n.confirmed(now).Add(Lease)
+		}
 	}
 	return ro
 }
 
-// changed reports whether more than the applied index differs.
+// changed reports whether more than the applied index and the end of the lease
+// differ.
 func (ro Role) changed(old Role) bool {
 	ro.applied, old.applied = 0, 0
+	ro.leasedUntil, old.leasedUntil = 0, 0
 	return ro != old
 }
 
--- a/core/quorum/role.go
+++ b/core/quorum/role.go
@@ -13,6 +13,8 @@
 	term    uint64
 	leader  model.VMID
 	applied uint64
+	// leasedUntil is set only while leased is.
+	leasedUntil model.Instant
 }
 
 // Leading reports whether the replica leads its group.
@@ -26,6 +28,10 @@
 // term, so that its state is not older than one that it had before a restart.
 func (ro Role) Current() bool { return ro.current }
 
+// LeasedUntil returns the end of the leader lease as known now; it is only
+// meaningful while Leased. Renewals move it ahead.
+func (ro Role) LeasedUntil() model.Instant { return ro.leasedUntil }
+
 // Failed reports whether the replica stopped taking part because of its disk.
 func (ro Role) Failed() bool { return ro.failed }
 
--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -23,12 +23,26 @@
 			pl.untold(re, re.task().worker-1)
 		}
 	}
+	pl.noteEnded(cmd, res)
 	if pl.flight.active && cmd.serial == pl.flight.serial {
 		pl.landed()
 	}
 	pl.answerTouched(now, cmd)
 }
 
+// noteEnded reports each job that ended with the command once, also when its
+// last tasks ended together.
+func (pl *Planner[P]) noteEnded(cmd Command, res Result) {
+	for i := range min(len(cmd.ops), len(res.verdicts)) {
+		if cmd.ops[i].kind != OpEnd || res.verdicts[i] != Accepted || !endsJob(cmd, i) {
+			continue
+		}
+		if jb, ok := pl.st.jobs[cmd.ops[i].task.Job()]; ok && jb.open == 0 {
+			pl.note("jobEnded", event.Subject{Job: jb.spec.ID}, event.NewField("state", jb.view().State().String()))
+		}
+	}
+}
+
 // landed ends the proposal under way; tasks whose start was rejected wait
 // again.
 func (pl *Planner[P]) landed() {
@@ -231,7 +245,6 @@
 	}
 	if jb.open == 0 {
 		pl.forget(jb)
-		pl.note("jobEnded", event.Subject{Job: jb.spec.ID}, event.NewField("state", jb.view().State().String()))
 	}
 }
 
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -62,6 +62,17 @@
 	pl.book.Forget(jb.spec.ID)
 }
 
+// endsJob reports whether operation i is the last end of a task of its job in
+// the command.
+func endsJob(cmd Command, i int) bool {
+	for _, op := range cmd.ops[i+1:] {
+		if op.kind == OpEnd && op.task.Job() == cmd.ops[i].task.Job() {
+			return false
+		}
+	}
+	return true
+}
+
 // repair ends jobs that can never run and removes workers that are gone.
 func (pl *Planner[P]) repair(now model.Instant) []Op {
 	ops := pl.hopeless
--- a/io/admin/fleet.go
+++ b/io/admin/fleet.go
@@ -91,9 +91,46 @@
 	return fa.propose(ctx, que.Of(fleet.NewCentreIn(model.CentreID(req.PathValue("name")))))
 }
 
+// listCentres takes the service state from the newest fleet state, since an
+// operator looks at it right after a command.
 func (fa *fleetAPI) listCentres(ctx context.Context, _ *http.Request, _ Empty) (rest.CentreList, error) {
+	out, err := readFleet(ctx, fa.por.Fleet, func(sta *fleet.State) rest.CentreList {
+		lis := rest.CentreList{InEffect: InEffect(sta)}
+		for _, cen := range sta.Centres() {
+			row := rest.Centre{Name: string(cen.Name()), Service: rest.ServiceIn, By: rest.NewChange(cen.By())}
+			if cen.Out() {
+				row.Service = rest.ServiceOut
+			}
+			lis.Centres = append(lis.Centres, row)
+		}
+		return lis
+	})
+	if err != nil {
+		return out, err
+	}
 	sta, err := fa.por.Local.Status(ctx)
-	return rest.CentreList{InEffect: sta.InEffect, Centres: sta.Centres}, err
+	for i := range out.Centres {
+		fillCentre(&out.Centres[i], sta.Centres)
+	}
+	return out, err
+}
+
+// fillCentre adds what the answering VM knows about the data centre.
+func fillCentre(row *rest.Centre, known []rest.Centre) {
+	for _, one := range known {
+		if one.Name != row.Name {
+			continue
+		}
+		service, by := row.Service, row.By
+		*row = one
+		row.By = by
+		switch {
+		case service == rest.ServiceOut:
+			row.Service, row.AdmitPercent = rest.ServiceOut, 0
+		case row.Service == rest.ServiceOut:
+			row.Service = rest.ServiceReturning
+		}
+	}
 }
 
 func (fa *fleetAPI) listVMs(ctx context.Context, _ *http.Request, _ Empty) (rest.VMList, error) {
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -106,7 +106,7 @@
 		return none, func() {}, errors.Trace(err)
 	}
 	cfg.System.Root.Send(pid, storeReady{store: sto})
-	stopTicks := startTicker(tickInterval, func() { ref.tell(quorum.Tick{}) })
+	stopTicks := host.Every(context.Background(), tickInterval, func(context.Context) { ref.tell(quorum.Tick{}) })
 	return ref, func() {
 		stopTicks()
 		close(done)
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -4,6 +4,7 @@
 package host
 
 import (
+	"context"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -124,5 +125,6 @@
 	if act.cfg.Every <= 0 || act.cfg.Tick == nil {
 		return
 	}
-	act.stop = startTicker(ctx.ActorSystem().Root, ctx.Self(), act.cfg.Every)
+	root, self := ctx.ActorSystem().Root, ctx.Self()
+	act.stop = Every(context.Background(), act.cfg.Every, func(context.Context) { root.Send(self, tick{}) })
 }
--- a/io/host/ticker.go
+++ b/io/host/ticker.go
@@ -3,33 +3,31 @@
 import (
 	"context"
 	"time"
-
-	"github.com/asynkron/protoactor-go/actor"
 )
 
-// startTicker sends a tick to pid in every interval. The returned function
-// stops the goroutine and waits for its end.
-func startTicker(root *actor.RootContext, pid *actor.PID, every time.Duration) func() {
-	ctx, cancel := context.WithCancel(context.Background())
+// Every calls run in each interval, on a goroutine that ends with ctx. The
+// returned function ends it and waits for its end.
+func Every(ctx context.Context, interval time.Duration, run func(ctx context.Context)) func() {
+	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
-	go runTicker(ctx, done, every, func() { root.Send(pid, tick{}) })
+	go repeat(ctx, done, interval, run)
 	return func() {
 		cancel()
 		<-done
 	}
 }
 
-// runTicker calls fire in every interval until ctx ends and then closes done.
-func runTicker(ctx context.Context, done chan<- struct{}, every time.Duration, fire func()) {
+// repeat calls run in each interval until ctx ends and then closes done.
+func repeat(ctx context.Context, done chan<- struct{}, interval time.Duration, run func(ctx context.Context)) {
 	defer close(done)
-	tck := time.NewTicker(every)
+	tck := time.NewTicker(interval)
 	defer tck.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tck.C:
-			fire()
+			run(ctx)
 		}
 	}
 }
--- a/io/node/backends.go
+++ b/io/node/backends.go
@@ -8,6 +8,7 @@
 	"guavarail/core/model"
 	"guavarail/core/route"
 	"guavarail/io/admin"
+	"guavarail/io/host"
 	"guavarail/io/peer"
 	"guavarail/io/rest"
 	"guavarail/io/wire"
@@ -42,13 +43,7 @@
 	bac := &backends{nod: nod, fresh: make(chan announced, announceRoom)}
 	peer.Handle(nod.mux, bac.received)
 	peer.Handle(nod.mux, bac.left)
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go every(ctx, done, spreadEvery, bac.spread)
-	return bac, func() {
-		cancel()
-		<-done
-	}
+	return bac, host.Every(ctx, spreadEvery, bac.spread)
 }
 
 // Announce takes in the announcement of a backend server.
--- a/io/node/centre.go
+++ b/io/node/centre.go
@@ -15,6 +15,7 @@
 	"guavarail/core/sched"
 	"guavarail/io/admin"
 	"guavarail/io/group"
+	"guavarail/io/host"
 	"guavarail/io/wire"
 )
 
@@ -81,12 +82,12 @@
 	cen.ref = ref
 	nod.groups[groupName(name)] = ref.Deliver
 	ctx, cancel := context.WithCancel(ctx)
-	ticks, runs := make(chan struct{}), make(chan struct{})
-	go every(ctx, ticks, centre.TickEvery, cen.tick)
+	runs := make(chan struct{})
+	stopTicks := host.Every(ctx, centre.TickEvery, cen.tick)
 	go cen.runErrands(ctx, runs)
 	return cen, func() {
+		stopTicks()
 		cancel()
-		<-ticks
 		<-runs
 		stop()
 	}, nil
@@ -125,7 +126,11 @@
 		return
 	}
 	cen.ref.Do(func(now model.Instant, rol quorum.Role, _ *centre.State) {
-		cen.step(now, centre.NewTick(rol.Leased() && cen.local(), vie.preset))
+		var until model.Instant
+		if rol.Leased() && cen.local() {
+			until = rol.LeasedUntil()
+		}
+		cen.step(now, centre.NewTick(until, vie.preset))
 		if rol.Leased() && !cen.local() {
 			cen.errand(cen.transfer)
 		}
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -11,6 +11,7 @@
 	"guavarail/core/permit"
 	"guavarail/core/quorum"
 	"guavarail/io/group"
+	"guavarail/io/host"
 	"guavarail/io/peer"
 	"guavarail/io/wire"
 )
@@ -65,13 +66,7 @@
 // startFollow starts the goroutine that publishes the state. All parts that
 // take it must have been started.
 func (fle *fleetPart) startFollow(ctx context.Context) func() {
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go every(ctx, done, fleetEvery, fle.follow)
-	return func() {
-		cancel()
-		<-done
-	}
+	return host.Every(ctx, fleetEvery, fle.follow)
 }
 
 // applied puts an operator command on the timeline once it is applied here.
--- a/io/node/repair.go
+++ b/io/node/repair.go
@@ -11,6 +11,7 @@
 	"guavarail/core/model"
 	"guavarail/core/quorum"
 	"guavarail/core/repair"
+	"guavarail/io/host"
 	"guavarail/io/peer"
 	"guavarail/io/wire"
 )
@@ -41,13 +42,7 @@
 func startRepair(ctx context.Context, nod *Node) func() {
 	rep := &repairer{nod: nod}
 	peer.Answer(nod.mux, rep.identity)
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go every(ctx, done, repairEvery, rep.look)
-	return func() {
-		cancel()
-		<-done
-	}
+	return host.Every(ctx, repairEvery, rep.look)
 }
 
 // look makes at most one change in each group that this VM leads.
--- a/io/node/slots.go
+++ b/io/node/slots.go
@@ -77,12 +77,9 @@
 			holder.Tell(wire.ToSlotGrant(nod.self, msg))
 		}
 	})
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go every(ctx, done, lenderTick, slo.lead)
+	stopLead := host.Every(ctx, lenderTick, slo.lead)
 	return func() {
-		cancel()
-		<-done
+		stopLead()
 		stopHolder()
 		stopLender()
 	}, nil
@@ -124,7 +121,7 @@
 		return
 	}
 	slo.lender.Tell(slots.NewLongest(vie.preset.MaxRequest()))
-	slo.nod.own.ref.Do(func(now model.Instant, rol quorum.Role, _ *centre.State) {
+	slo.nod.own.ref.Do(func(_ model.Instant, rol quorum.Role, _ *centre.State) {
 		if !rol.Leased() {
 			return
 		}
@@ -132,7 +129,7 @@
 		if rol.Term() > firstTerm {
 			mems = vie.members(slo.nod.centre)
 		}
-		slo.lender.Tell(slots.NewLead(rol.Term(), now.Add(lenderTick), mems))
+		slo.lender.Tell(slots.NewLead(rol.Term(), rol.LeasedUntil(), mems))
 	})
 }
 
--- a/io/node/tails.go
+++ b/io/node/tails.go
@@ -9,6 +9,7 @@
 	"guavarail/core/quorum"
 	"guavarail/core/route"
 	"guavarail/core/sched"
+	"guavarail/io/host"
 	"guavarail/io/peer"
 	"guavarail/io/wire"
 )
@@ -33,13 +34,7 @@
 // start starts the goroutine that sends the readings.
 func (tai *tails) start(ctx context.Context) func() {
 	peer.Handle(tai.nod.mux, tai.received)
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go every(ctx, done, tailsEvery, tai.send)
-	return func() {
-		cancel()
-		<-done
-	}
+	return host.Every(ctx, tailsEvery, tai.send)
 }
 
 // note takes a reading; it is dropped when too many wait.
