Step down when the target of a transfer is removed

Cause: with a removal under way, a transfer of leadership could choose the voter that was then removed. The transfer was cleared, but the leader had given up its lease for good and stayed leader: no reads, no permissions and no commands until it lost its quorum. Ruled out: the membership rules and the state of the disks; all members had acknowledged everything.

Change: a leader that has given up its lease steps down as soon as the target is no longer a member.

--- a/core/quorum/alter.go
+++ b/core/quorum/alter.go
@@ -168,7 +168,9 @@
 	pr := n.lead.peers[han.target]
 	late := n.since(han.start) >= ElectionShortest
 	switch {
-	case late && n.lead.yielded:
+	case n.lead.yielded && (late || pr == nil):
+		// The lease of this term is given up for good, also when the target was
+		// removed from the group meanwhile.
 		n.stepDown()
 	case late || pr == nil:
 		n.emit(Refused{id: han.id, err: &TransferError{reason: string(han.target) + " has not caught up"}})
--- a/core/quorum/found_test.go
+++ b/core/quorum/found_test.go
@@ -211,3 +211,25 @@
 		t.Fatalf("%d commands applied, want 1", applied)
 	}
 }
+
+// Guards against a leader without a lease for good: the target of a transfer
+// was removed from the group after the leader had given up its lease, found
+// with seed 41539902.
+func TestTransferToARemovedVoterEnds(t *testing.T) {
+	s, led := foundSim(t, 41539902, 3, 0)
+	target := s.others(led)[0]
+	s.step(led, NewAlter(1, NewChange(Remove, target.vm)))
+	s.cut[[2]model.VMID{led.vm, target.vm}] = true
+	s.step(led, NewTransfer(2))
+	if led.node.lead.handover.target != target.vm || !led.node.lead.yielded {
+		t.Fatalf("the transfer does not go to the removed voter\n%s", s.dump())
+	}
+	s.run(200 * time.Millisecond)
+	if _, ok := led.node.members().Find(target.vm); ok {
+		t.Fatalf("the voter is not removed\n%s", s.dump())
+	}
+	if got := s.settle(30 * time.Second); got == nil {
+		t.Fatalf("no leader\n%s", s.dump())
+	}
+	s.checked(t)
+}
