Prove the quarantine of a bad worker with processes

Without the larger batch share the scheduler avoids the worker by itself and no quarantine is needed, so the test opens the data centre to batch.

--- a/cmd/guavarail/tasks_test.go
+++ b/cmd/guavarail/tasks_test.go
@@ -224,3 +224,32 @@
 	clu.until("tasks run again", func() bool { return rl.complete("alloc") > before+5 })
 	rl.check(t)
 }
+
+// Guards F8 in a small data centre: one worker of three fails every task, and
+// the only job must end well while the worker is in quarantine.
+func TestF8BadWorkerDoesNotEndAGoodJob(t *testing.T) {
+	clu := newCluster(t, "riga-a-1")
+	rl := newRunLog()
+	wrks := startWorkers(t, clu, 3, host.NewClock(), rl, 2*time.Second)
+	wrks[0].Tell(worker.FailTasks, true)
+	const tasks = 30
+	// With the whole data centre open to batch, the good workers are full and
+	// the bad one is the only place left.
+	clu.must(clu.vms[0], "preset", "create", "full", "--batch-share", "100")
+	clu.must(clu.vms[0], "preset", "switch", "full")
+	clu.must(clu.vms[0], "job", "submit", "stock-1", "--team", "stock", "--tasks", fmt.Sprint(tasks), "--cpu", "1", "--memory-mb", "512")
+	clu.until("the bad worker is in quarantine", func() bool {
+		lis, _ := get[rest.WorkerList](clu.vms[0], rest.PathWorkers)
+		return slices.ContainsFunc(lis.Workers, func(wor rest.Worker) bool { return wor.Name == "w-0" && wor.State == "quarantined" })
+	})
+	t.Log(clu.must(clu.vms[0], "worker", "list"))
+	t.Log(clu.must(clu.vms[0], "job", "show", "stock-1"))
+	clu.until("all tasks are complete", func() bool {
+		job, ok := get[rest.Job](clu.vms[0], rest.PathJobs+"/stock-1")
+		if ok && job.Counts.Failed > 0 {
+			t.Fatalf("the job failed: %s", job.Reason)
+		}
+		return ok && job.Counts.Finished == tasks
+	})
+	rl.check(t)
+}
--- a/io/admin/view.go
+++ b/io/admin/view.go
@@ -48,7 +48,7 @@
 		if tv, ok := cv.tasks.Task(model.NewTaskID(id, i)); ok {
 			task := cv.task(i, tv)
 			if tv.State() == sched.Waiting && waits != sched.NoReason {
-				task.Reason, task.Detail = waits.String(), waitDetails[waits]
+				task.Reason = waits.String()
 			}
 			out.Tasks = append(out.Tasks, task)
 		}
@@ -57,17 +57,6 @@
 	return out, true
 }
 
-// waitDetails says what a waiting task needs.
-var waitDetails = map[sched.Reason]string{
-	sched.ReasonQueued:       "it is next in the queue of its team",
-	sched.ReasonNoCapacity:   "no worker has enough free; it starts when a task ends or a worker joins",
-	sched.ReasonQuota:        "its team holds its quota and nothing is left to borrow",
-	sched.ReasonBatchShare:   "batch holds the share of processors that the active preset allows",
-	sched.ReasonCentreOut:    "its data centre is out of service; it starts when operators bring it back",
-	sched.ReasonNoPermission: "the leader of the fleet group cannot be reached, so no task may start here",
-	sched.ReasonAdmission:    "its data centre returns to service in steps",
-}
-
 func (cv CentreView) job(jv sched.JobView) rest.Job {
 	spec := jv.Spec()
 	out := rest.Job{
@@ -123,7 +112,7 @@
 	case ws.Silent():
 		return "unresponsive", "it has not reported for 3 s"
 	case ws.Standing() == blame.Quarantined:
-		return "quarantined", "tasks of several jobs failed here"
+		return "quarantined", "tasks failed here and ran elsewhere"
 	case ws.Standing() == blame.OnProbation:
 		return "probation", "it gets one task, whose outcome decides"
 	}
