--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -13,44 +13,44 @@
 // Guards against a bad worker that fails good jobs for them: it is
 // quarantined, and no job is failed.
 func TestBadWorkerIsQuarantined(t *testing.T) {
-	var bk Book
+	var trk Tracker
 	for i := range 3 {
 		id := model.JobID(fmt.Sprintf("job-%d", i))
-		bk.Failed(wid(0), id)
-		bk.Ran(wid(1+i), id)
+		trk.Failed(wid(0), id)
+		trk.Ran(wid(1+i), id)
 	}
-	dur, ok := bk.Quarantine(0, wid(0), 10)
+	dur, ok := trk.Quarantine(0, wid(0), 10)
 	if !ok || dur != time.Minute {
 		t.Fatalf("quarantine %v %v", dur, ok)
 	}
 	for i := range 3 {
-		if bk.Hopeless(model.JobID(fmt.Sprintf("job-%d", i)), 10) {
+		if trk.KeepsFailing(model.JobID(fmt.Sprintf("job-%d", i)), 10) {
 			t.Errorf("job-%d is failed for the worker's fault", i)
 		}
 	}
-	if got := bk.Paroled(model.Instant(time.Minute)); len(got) != 1 || bk.Standing(wid(0)) != OnProbation {
+	if got := trk.EndQuarantines(model.Instant(time.Minute)); len(got) != 1 || trk.Standing(wid(0)) != OnProbation {
 		t.Fatalf("paroled %v", got)
 	}
-	bk.Failed(wid(0), "job-4")
-	if dur, ok = bk.Quarantine(model.Instant(time.Minute), wid(0), 10); !ok || dur != 2*time.Minute {
+	trk.Failed(wid(0), "job-4")
+	if dur, ok = trk.Quarantine(model.Instant(time.Minute), wid(0), 10); !ok || dur != 2*time.Minute {
 		t.Errorf("second quarantine %v %v, want 2m", dur, ok)
 	}
 }
 
 // Guards against good workers quarantined for a job that can never run.
 func TestImpossibleJobEnds(t *testing.T) {
-	var bk Book
+	var trk Tracker
 	for i := range 4 {
-		if bk.Hopeless("bad", 10) {
+		if trk.KeepsFailing("bad", 10) {
 			t.Fatalf("failed after %d attempts", i)
 		}
-		bk.Ran(wid(i), "good")
-		bk.Failed(wid(i), "bad")
-		if _, ok := bk.Quarantine(0, wid(i), 10); ok {
+		trk.Ran(wid(i), "good")
+		trk.Failed(wid(i), "bad")
+		if _, ok := trk.Quarantine(0, wid(i), 10); ok {
 			t.Errorf("%s is quarantined for one job", wid(i))
 		}
 	}
-	if !bk.Hopeless("bad", 10) {
+	if !trk.KeepsFailing("bad", 10) {
 		t.Error("not failed after 4 workers")
 	}
 }
@@ -58,44 +58,44 @@
 // Guards against a fault of all workers, such as a bad image, that would
 // quarantine the whole data centre.
 func TestQuarantineIsCapped(t *testing.T) {
-	var bk Book
-	confined := 0
+	var trk Tracker
+	restricted := 0
 	for i := range 10 {
 		for j := range 3 {
-			bk.Failed(wid(i), model.JobID(fmt.Sprintf("job-%d", j)))
+			trk.Failed(wid(i), model.JobID(fmt.Sprintf("job-%d", j)))
 		}
-		if _, ok := bk.Quarantine(0, wid(i), 10); ok {
-			confined++
+		if _, ok := trk.Quarantine(0, wid(i), 10); ok {
+			restricted++
 		}
 	}
-	if confined != 2 {
-		t.Errorf("%d of 10 workers are in quarantine, want 2", confined)
+	if restricted != 2 {
+		t.Errorf("%d of 10 workers are in quarantine, want 2", restricted)
 	}
 }
 
 // Guards against a good worker quarantined for three impossible jobs.
 func TestSuspectJobsDoNotBlameWorkers(t *testing.T) {
-	var bk Book
+	var trk Tracker
 	for i := range 5 {
-		bk.Succeeded(wid(i), "good")
+		trk.Succeeded(wid(i), "good")
 	}
 	for j := range 3 {
 		for i := range 4 {
-			bk.Failed(wid(i), model.JobID(fmt.Sprintf("bad-%d", j)))
+			trk.Failed(wid(i), model.JobID(fmt.Sprintf("bad-%d", j)))
 		}
 	}
-	if _, ok := bk.Quarantine(0, wid(3), 20); ok {
+	if _, ok := trk.Quarantine(0, wid(3), 20); ok {
 		t.Error("worker-3 is quarantined for jobs that fail everywhere")
 	}
 }
 
 // Guards against a job of many tasks that ends because of rare failures.
 func TestRareFailuresDoNotAddUp(t *testing.T) {
-	var bk Book
+	var trk Tracker
 	for i := range 40 {
-		bk.Failed(wid(i%8), "many")
-		bk.Succeeded(wid((i+1)%8), "many")
-		if bk.Hopeless("many", 8) {
+		trk.Failed(wid(i%8), "many")
+		trk.Succeeded(wid((i+1)%8), "many")
+		if trk.KeepsFailing("many", 8) {
 			t.Fatalf("failed after %d rare failures", i+1)
 		}
 	}
@@ -105,13 +105,13 @@
 // that fails everything before the first task ends must not end the job, and
 // must go into quarantine.
 func TestOneBadWorkerOfThreeDoesNotEndAJob(t *testing.T) {
-	var bk Book
+	var trk Tracker
 	for i := range 20 {
-		bk.Failed(wid(0), "good")
-		if bk.Hopeless("good", 3) {
+		trk.Failed(wid(0), "good")
+		if trk.KeepsFailing("good", 3) {
 			t.Fatalf("the job ended after %d failures on one worker", i+1)
 		}
-		if _, ok := bk.Quarantine(0, wid(0), 3); ok {
+		if _, ok := trk.Quarantine(0, wid(0), 3); ok {
 			if i+1 != suspectStreak {
 				t.Errorf("quarantine after %d failures, want %d", i+1, suspectStreak)
 			}
--- /dev/null
+++ b/core/blame/quarantine.go
@@ -0,0 +1,188 @@
+package blame
+
+import (
+	"time"
+
+	"guavarail/core/model"
+)
+
+// suspect reports whether the failures speak against the worker. Failures of
+// jobs that are suspect themselves do not.
+func (trk *Tracker) suspect(rec *workerRecord) bool {
+	elsewhere, row := 0, 0
+	for _, fa := range rec.failed {
+		if fa.elsewhere {
+			elsewhere++
+		}
+	}
+	for _, id := range rec.row {
+		if !trk.suspectJob(id) {
+			row++
+		}
+	}
+	return row >= suspectJobs || elsewhere >= suspectJobs || rec.streak >= suspectStreak && trk.onlyHere(rec)
+}
+
+// onlyHere reports whether the jobs of the streak failed on no other worker.
+func (trk *Tracker) onlyHere(rec *workerRecord) bool {
+	for _, id := range rec.row {
+		if jrec, ok := trk.jobs[id]; !ok || len(jrec.workers) > 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// suspectJob reports whether the job failed on enough workers that are not in
+// doubt, and ran nowhere.
+func (trk *Tracker) suspectJob(id model.JobID) bool {
+	jrec, ok := trk.jobs[id]
+	if !ok || len(jrec.ran) > 0 {
+		return false
+	}
+	good := 0
+	for _, wid := range jrec.workers {
+		if rec := trk.workers[wid]; rec != nil && rec.standing == Good && rec.proven {
+			good++
+		}
+	}
+	return good >= suspectWorkers
+}
+
+// Quarantine puts the worker in quarantine if it is suspect, or failed its
+// probation, and the cap over workers allows it. It returns the duration.
+func (trk *Tracker) Quarantine(now model.Instant, wid model.WorkerID, workers int) (time.Duration, bool) {
+	rec := trk.worker(wid)
+	again := rec.standing == OnProbation && len(rec.row) > 0
+	if rec.standing == Quarantined || !again && !trk.suspect(rec) {
+		return 0, false
+	}
+	if !again {
+		if len(trk.restricted) >= quarantineCap(workers) {
+			return 0, false
+		}
+		trk.restricted = append(trk.restricted, wid)
+	}
+	dur := min(firstQuarantine<<min(rec.level, 10), longestQuarantine)
+	rec.level++
+	rec.standing, rec.until, rec.proven = Quarantined, now.Add(dur), false
+	rec.row, rec.failed, rec.streak = rec.row[:0], rec.failed[:0], 0
+	return dur, true
+}
+
+// quarantineCap returns how many of the workers may be in quarantine.
+func quarantineCap(workers int) int {
+	num := workers * quarantinePercent / 100
+	if workers >= cappedFrom {
+		return max(num, 1)
+	}
+	return num
+}
+
+// EndQuarantines moves the workers whose quarantine has passed to probation and
+// returns them.
+func (trk *Tracker) EndQuarantines(now model.Instant) []model.WorkerID {
+	var out []model.WorkerID
+	for _, wid := range trk.restricted {
+		if rec := trk.workers[wid]; rec.standing == Quarantined && !now.Before(rec.until) {
+			rec.standing = OnProbation
+			out = append(out, wid)
+		}
+	}
+	return out
+}
+
+// Standing returns what the worker may be given.
+func (trk *Tracker) Standing(wid model.WorkerID) Standing {
+	if rec, ok := trk.workers[wid]; ok {
+		return rec.standing
+	}
+	return Good
+}
+
+// KeepsFailing reports whether the job should end: it failed on enough different
+// workers that are not in doubt themselves, or far too often.
+func (trk *Tracker) KeepsFailing(id model.JobID, workers int) bool {
+	jrec, ok := trk.jobs[id]
+	if !ok {
+		return false
+	}
+	attributed := 0
+	for _, wid := range jrec.workers {
+		if trk.countsAgainst(wid, id) {
+			attributed++
+		}
+	}
+	need := min(failAfter, max(workers, 1))
+	spread := len(jrec.workers) >= min(suspectWorkers, max(workers, 1))
+	return attributed >= need && jrec.failures >= failAfter ||
+		jrec.failures >= failSpread && spread || jrec.failures >= failTotal
+}
+
+// countsAgainst reports whether a failure on the worker counts against the job: the
+// worker runs other jobs, or nothing but this job failed there.
+func (trk *Tracker) countsAgainst(wid model.WorkerID, id model.JobID) bool {
+	rec := trk.workers[wid]
+	if rec == nil {
+		return true
+	}
+	if rec.standing != Good {
+		return false
+	}
+	if rec.proven {
+		return true
+	}
+	others := 0
+	for _, fa := range rec.failed {
+		if fa.job != id {
+			others++
+		}
+	}
+	return others == 0
+}
+
+// FailedOn reports whether the job failed on the worker, so that its next
+// attempt can be placed elsewhere.
+func (trk *Tracker) FailedOn(id model.JobID, wid model.WorkerID) bool {
+	jrec, ok := trk.jobs[id]
+	if !ok {
+		return false
+	}
+	for _, other := range jrec.workers {
+		if other == wid {
+			return true
+		}
+	}
+	return false
+}
+
+// HasFailures reports whether any attempt of the job failed.
+func (trk *Tracker) HasFailures(id model.JobID) bool {
+	jrec, ok := trk.jobs[id]
+	return ok && len(jrec.workers) > 0
+}
+
+// Forget drops a job that ended.
+func (trk *Tracker) Forget(id model.JobID) { delete(trk.jobs, id) }
+
+// Dismiss drops a worker that was removed.
+func (trk *Tracker) Dismiss(wid model.WorkerID) {
+	if rec, ok := trk.workers[wid]; ok {
+		trk.release(wid, rec)
+		delete(trk.workers, wid)
+	}
+}
+
+// remember adds a value that is not in the list and drops the oldest one when
+// the list is full.
+func remember[T comparable](list []T, val T) []T {
+	for _, old := range list {
+		if old == val {
+			return list
+		}
+	}
+	if len(list) == memory {
+		list = append(list[:0], list[1:]...)
+	}
+	return append(list, val)
+}
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -43,7 +43,7 @@
 		nod.started, nod.lastTick, nod.nextProbe = true, now, now
 	}
 	if gap := now.Sub(nod.lastTick); gap > nod.cfg.Period {
-		nod.thaw(gap)
+		nod.resume(gap)
 	}
 	nod.lastTick = now
 	nod.endRelays(now)
@@ -65,9 +65,9 @@
 	}
 }
 
-// thaw forgets what ran out while the VM itself stood still: others may have
+// resume forgets what ran out while the VM itself stood still: others may have
 // answered meanwhile, and their time to contradict did not pass here.
-func (nod *Node) thaw(gap time.Duration) {
+func (nod *Node) resume(gap time.Duration) {
 	nod.regular, nod.extra, nod.relays = nil, nil, nil
 	for _, pe := range nod.peers {
 		pe.since = pe.since.Add(gap)
--- a/core/route/machine.go
+++ b/core/route/machine.go
@@ -31,18 +31,18 @@
 	share    Share
 	services map[model.ServiceID]*service[K]
 	// order lists the services by first announcement, for a fixed iteration order.
-	order    []*service[K]
-	servers  map[model.BackendID]*server
-	workers  map[model.WorkerID]*worker
-	staff    []*worker
-	requests map[K]*entry[K]
-	graves   map[model.BackendID]grave
-	out      []Effect
+	order      []*service[K]
+	servers    map[model.BackendID]*server
+	workers    map[model.WorkerID]*worker
+	workerList []*worker
+	requests   map[K]*entry[K]
+	tombstones map[model.BackendID]tombstone
+	out        []Effect
 }
 
-// grave remembers a server that left, so that a late announcement does not
+// tombstone remembers a server that left, so that a late announcement does not
 // bring it back.
-type grave struct {
+type tombstone struct {
 	incarnation uint64
 	until       model.Instant
 }
@@ -137,7 +137,7 @@
 	mac.servers = map[model.BackendID]*server{}
 	mac.workers = map[model.WorkerID]*worker{}
 	mac.requests = map[K]*entry[K]{}
-	mac.graves = map[model.BackendID]grave{}
+	mac.tombstones = map[model.BackendID]tombstone{}
 }
 
 func (mac *Machine[K, C]) emit(eff Effect) { mac.out = append(mac.out, eff) }
--- a/core/route/request.go
+++ b/core/route/request.go
@@ -173,7 +173,7 @@
 	se.inFlight--
 	en.worker.inUse--
 	if se.leaving && se.inFlight == 0 {
-		mac.bury(se)
+		mac.remove(se)
 	}
 	mac.refreshWorker(now, en.worker)
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -8,7 +8,7 @@
 func (mac *Machine[K, C]) announce(now model.Instant, msg Announce) {
 	ba := msg.backend
 	heard := now.Add(-max(msg.age, 0))
-	if gr, ok := mac.graves[ba.ID()]; ok && ba.Incarnation() <= gr.incarnation && now.Before(gr.until) {
+	if gr, ok := mac.tombstones[ba.ID()]; ok && ba.Incarnation() <= gr.incarnation && now.Before(gr.until) {
 		return
 	}
 	se := mac.servers[ba.ID()]
@@ -60,7 +60,7 @@
 	if wo == nil {
 		wo = &worker{id: id}
 		mac.workers[id] = wo
-		mac.staff = append(mac.staff, wo)
+		mac.workerList = append(mac.workerList, wo)
 	}
 	return wo
 }
@@ -74,14 +74,14 @@
 	if se != nil {
 		inc = max(inc, se.backend.Incarnation())
 	}
-	if gr := mac.graves[msg.backend]; gr.incarnation > inc {
+	if gr := mac.tombstones[msg.backend]; gr.incarnation > inc {
 		inc = gr.incarnation
 	}
 	life := tombstoneLife
 	if inc == 0 {
 		life = unnumberedLife
 	}
-	mac.graves[msg.backend] = grave{incarnation: inc, until: now.Add(life)}
+	mac.tombstones[msg.backend] = tombstone{incarnation: inc, until: now.Add(life)}
 	if se == nil || se.leaving {
 		return
 	}
@@ -98,12 +98,12 @@
 	se.leaving = true
 	sv.refresh(now, se)
 	if se.inFlight == 0 {
-		mac.bury(se)
+		mac.remove(se)
 	}
 }
 
-// bury removes the record of a server without requests in flight.
-func (mac *Machine[K, C]) bury(se *server) {
+// remove deletes the record of a server without requests in flight.
+func (mac *Machine[K, C]) remove(se *server) {
 	mac.services[se.backend.Service()].remove(se)
 	if mac.servers[se.backend.ID()] == se {
 		delete(mac.servers, se.backend.ID())
@@ -158,20 +158,20 @@
 }
 
 func (mac *Machine[K, C]) tick(now model.Instant) {
-	for id, gr := range mac.graves {
+	for id, gr := range mac.tombstones {
 		if !now.Before(gr.until) {
-			delete(mac.graves, id)
+			delete(mac.tombstones, id)
 		}
 	}
-	for _, wo := range mac.staff {
+	for _, wo := range mac.workerList {
 		wo.extra = 0
 	}
 	for _, sv := range mac.order {
 		mac.tickServers(now, sv)
 		mac.tickQueue(now, sv)
 	}
-	kept := mac.staff[:0]
-	for _, wo := range mac.staff {
+	kept := mac.workerList[:0]
+	for _, wo := range mac.workerList {
 		if us := wo.usage(); us != wo.told {
 			wo.told = us
 			mac.emit(us)
@@ -182,7 +182,7 @@
 		}
 		kept = append(kept, wo)
 	}
-	mac.staff = kept
+	mac.workerList = kept
 }
 
 // tickServers readmits ejected servers and removes silent ones.
--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -108,9 +108,9 @@
 }
 
 func (pl *Planner[P]) stopAsked(now model.Instant, re ref, slot int32) {
-	cr := &pl.crews[slot]
-	for i := range cr.lives {
-		if lv := &cr.lives[i]; lv.ref == re {
+	wst := &pl.statuses[slot]
+	for i := range wst.lives {
+		if lv := &wst.lives[i]; lv.ref == re {
 			lv.since, lv.ordered = stampOf(now), 0
 		}
 	}
@@ -119,13 +119,13 @@
 
 func (pl *Planner[P]) workerKnown(op *Op) {
 	slot := pl.st.slots[op.worker]
-	cr := pl.ensure(slot)
+	wst := pl.ensure(slot)
 	pl.recount()
-	for i, pol := range pl.guests {
+	for i, pol := range pl.newcomers {
 		if pol.worker == op.worker {
 			// The worker has just reported.
-			cr.seen, cr.heard, cr.poll = pol.received, true, pol
-			pl.guests = append(pl.guests[:i], pl.guests[i+1:]...)
+			wst.seen, wst.heard, wst.poll = pol.received, true, pol
+			pl.newcomers = append(pl.newcomers[:i], pl.newcomers[i+1:]...)
 			break
 		}
 	}
@@ -135,8 +135,8 @@
 
 func (pl *Planner[P]) workerRemoved(op *Op) {
 	slot := pl.st.slots[op.worker]
-	pl.crews[slot] = crew{}
-	pl.book.Dismiss(op.worker)
+	pl.statuses[slot] = workerStatus{}
+	pl.failures.Dismiss(op.worker)
 	pl.guard.Dismiss(op.worker)
 	pl.index.Close(slot)
 	pl.recount()
@@ -202,18 +202,18 @@
 }
 
 func (pl *Planner[P]) untold(re ref, slot int32) {
-	cr := &pl.crews[slot]
-	for i := range cr.lives {
-		if cr.lives[i].ref == re {
-			cr.lives[i].told = false
+	wst := &pl.statuses[slot]
+	for i := range wst.lives {
+		if wst.lives[i].ref == re {
+			wst.lives[i].told = false
 		}
 	}
 }
 
 func (pl *Planner[P]) resizedLive(re ref, slot int32, size model.Resources) {
-	cr := &pl.crews[slot]
-	for i := range cr.lives {
-		if lv := &cr.lives[i]; lv.ref == re {
+	wst := &pl.statuses[slot]
+	for i := range wst.lives {
+		if lv := &wst.lives[i]; lv.ref == re {
 			pl.usage.sub(re.job.spec, lv.size.resources(), lv.borrowed)
 			lv.size, lv.over, lv.throttle = pack(size), 0, false
 			pl.usage.add(re.job.spec, size, lv.borrowed)
@@ -254,13 +254,13 @@
 	if !ok {
 		return 0, live{}, false
 	}
-	cr := pl.ensure(slot)
-	for i := range cr.lives {
-		if lv := cr.lives[i]; lv.attempt == op.attempt && lv.ref.id() == op.task {
-			last := len(cr.lives) - 1
-			cr.lives[i] = cr.lives[last]
-			cr.lives[last] = live{}
-			cr.lives = cr.lives[:last]
+	wst := pl.ensure(slot)
+	for i := range wst.lives {
+		if lv := wst.lives[i]; lv.attempt == op.attempt && lv.ref.id() == op.task {
+			last := len(wst.lives) - 1
+			wst.lives[i] = wst.lives[last]
+			wst.lives[last] = live{}
+			wst.lives = wst.lives[:last]
 			return slot, lv, true
 		}
 	}
--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -27,7 +27,7 @@
 	}
 	pl.Step(benchNow, TookOver{})
 	for i := range workers {
-		pl.crews[i].seen, pl.crews[i].heard = benchNow, true
+		pl.statuses[i].seen, pl.statuses[i].heard = benchNow, true
 		pl.refresh(int32(i))
 	}
 	pl.env = TickSpec{LeadUntil: benchNow.Add(time.Hour), StartUntil: benchNow.Add(time.Hour), Preset: benchPreset(tb)}
@@ -201,8 +201,8 @@
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
 			_, pl := centre(b, place.BestFit{}, 1000, 1000*tasks)
 			var atts []AttemptReport
-			for i := range pl.crews[0].lives {
-				lv := &pl.crews[0].lives[i]
+			for i := range pl.statuses[0].lives {
+				lv := &pl.statuses[0].lives[i]
 				atts = append(atts, NewAttemptReport(AttemptSpec{Task: lv.ref.id(), Attempt: lv.attempt, Usage: lv.task().size.resources()}))
 			}
 			if len(atts) != tasks {
--- a/core/sched/explain.go
+++ b/core/sched/explain.go
@@ -50,13 +50,13 @@
 // WorkerState returns what the leader knows about a worker.
 func (pl *Planner[P]) WorkerState(id model.WorkerID) WorkerState {
 	_, slot, ok := pl.st.worker(id)
-	if !ok || int(slot) >= len(pl.crews) {
+	if !ok || int(slot) >= len(pl.statuses) {
 		return WorkerState{silent: true}
 	}
-	cr := &pl.crews[slot]
-	ws := WorkerState{standing: pl.book.Standing(id), silent: !cr.heard}
+	wst := &pl.statuses[slot]
+	ws := WorkerState{standing: pl.failures.Standing(id), silent: !wst.heard}
 	if ws.silent {
-		ws.unknown = len(cr.lives)
+		ws.unknown = len(wst.lives)
 	}
 	return ws
 }
--- a/core/sched/grow.go
+++ b/core/sched/grow.go
@@ -30,7 +30,7 @@
 }
 
 // measure takes in a usage report.
-func (pl *Planner[P]) measure(cr *crew, lv *live, used model.Resources) {
+func (pl *Planner[P]) measure(wst *workerStatus, lv *live, used model.Resources) {
 	if !storable(used) {
 		return
 	}
@@ -42,7 +42,7 @@
 		}
 		return
 	}
-	slot := pl.st.slots[cr.poll.worker]
+	slot := pl.st.slots[wst.poll.worker]
 	pl.growing = append(pl.growing, spot{slot: slot, ref: lv.ref, attempt: lv.attempt})
 }
 
@@ -63,9 +63,9 @@
 }
 
 func (pl *Planner[P]) liveAt(sp spot) *live {
-	cr := &pl.crews[sp.slot]
-	for i := range cr.lives {
-		if lv := &cr.lives[i]; lv.ref == sp.ref && lv.attempt == sp.attempt {
+	wst := &pl.statuses[sp.slot]
+	for i := range wst.lives {
+		if lv := &wst.lives[i]; lv.ref == sp.ref && lv.attempt == sp.attempt {
 			return lv
 		}
 	}
@@ -114,9 +114,9 @@
 		return nil
 	}
 	var ops []Op
-	for slot := range pl.crews {
-		for i := range pl.crews[slot].lives {
-			if lv := &pl.crews[slot].lives[i]; anyBatch(lv) && !lv.lost && len(ops) < drainBatch {
+	for slot := range pl.statuses {
+		for i := range pl.statuses[slot].lives {
+			if lv := &pl.statuses[slot].lives[i]; anyBatch(lv) && !lv.lost && len(ops) < drainBatch {
 				ops = append(ops, Evict(lv.ref.id(), lv.attempt, ReasonDrain))
 			}
 		}
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -16,18 +16,18 @@
 	settleTime = 15 * time.Second
 )
 
-// attribute tells the book and the learned sizes how an attempt ended.
+// attribute tells the failure tracker and the learned sizes how an attempt ended.
 func (pl *Planner[P]) attribute(now model.Instant, slot int32, lv *live, oc Outcome) {
 	wid, spec := pl.st.workers[slot].id, &lv.ref.job.spec
 	back := false
 	switch oc {
 	case Succeeded:
-		back = pl.book.Succeeded(wid, spec.ID)
+		back = pl.failures.Succeeded(wid, spec.ID)
 		pl.kinds.took(spec.Kind, lv.since.age(now))
 	case Stopped:
-		back = pl.book.Ran(wid, spec.ID)
+		back = pl.failures.Ran(wid, spec.ID)
 	case Broke:
-		pl.book.Failed(wid, spec.ID)
+		pl.failures.Failed(wid, spec.ID)
 		pl.judge(now, wid, spec.ID)
 	case Lost, NotStarted:
 		return
@@ -48,18 +48,18 @@
 			known++
 		}
 	}
-	if dur, ok := pl.book.Quarantine(now, wid, known); ok {
+	if dur, ok := pl.failures.Quarantine(now, wid, known); ok {
 		pl.note("workerQuarantined", event.Subject{Worker: wid}, event.NewField("forS", seconds(dur)))
 	}
-	if pl.book.Hopeless(id, known) {
-		pl.hopeless = append(pl.hopeless, Fail(id, ReasonKeepsFailing))
+	if pl.failures.KeepsFailing(id, known) {
+		pl.ending = append(pl.ending, Fail(id, ReasonKeepsFailing))
 	}
 }
 
 // forget drops what is known of a job that ended.
 func (pl *Planner[P]) forget(jb *job) {
 	pl.queue.forget(jb)
-	pl.book.Forget(jb.spec.ID)
+	pl.failures.Forget(jb.spec.ID)
 }
 
 // endsJob reports whether operation i is the last end of a task of its job in
@@ -75,9 +75,9 @@
 
 // repair ends jobs that can never run and removes workers that are gone.
 func (pl *Planner[P]) repair(now model.Instant) []Op {
-	ops := pl.hopeless
-	pl.hopeless = nil
-	for _, wid := range pl.book.Paroled(now) {
+	ops := pl.ending
+	pl.ending = nil
+	for _, wid := range pl.failures.EndQuarantines(now) {
 		pl.note("workerOnProbation", event.Subject{Worker: wid})
 		if slot, ok := pl.st.slots[wid]; ok {
 			pl.refresh(slot)
@@ -101,8 +101,8 @@
 func (pl *Planner[P]) removals(now model.Instant) []Op {
 	var ops []Op
 	for slot, wk := range pl.st.workers {
-		cr := &pl.crews[slot]
-		if wk.known && len(wk.refs) == 0 && !cr.heard && now.Sub(max(cr.seen, pl.started)) > removeAfter {
+		wst := &pl.statuses[slot]
+		if wk.known && len(wk.refs) == 0 && !wst.heard && now.Sub(max(wst.seen, pl.started)) > removeAfter {
 			ops = append(ops, Remove(wk.id))
 		}
 	}
--- a/core/sched/lead.go
+++ b/core/sched/lead.go
@@ -18,8 +18,8 @@
 			pl.addLive(now, int32(slot), re)
 		}
 		// The previous leader may have sent the start orders.
-		for i := range pl.crews[slot].lives {
-			pl.crews[slot].lives[i].spent = true
+		for i := range pl.statuses[slot].lives {
+			pl.statuses[slot].lives[i].spent = true
 		}
 	}
 	pl.queue.rebuild(pl.st, now)
@@ -27,12 +27,12 @@
 
 // stepDown forgets all leader-only state and lets the polls go.
 func (pl *Planner[P]) stepDown() {
-	for i := range pl.crews {
-		if pol := pl.crews[i].poll; pol.open {
+	for i := range pl.statuses {
+		if pol := pl.statuses[i].poll; pol.open {
 			pl.out = append(pl.out, Answer{worker: pol.worker, poll: pol.id, tag: pl.tag})
 		}
 	}
-	for _, pol := range pl.guests {
+	for _, pol := range pl.newcomers {
 		pl.out = append(pl.out, Answer{worker: pol.worker, poll: pol.id, tag: pl.tag})
 	}
 	*pl = Planner[P]{st: pl.st, policy: pl.policy, env: pl.env, serial: pl.serial, tag: pl.tag, out: pl.out}
@@ -41,22 +41,22 @@
 // expire closes silent workers and records the end of attempts whose lease
 // has passed.
 func (pl *Planner[P]) expire(now model.Instant) {
-	for slot := range pl.crews {
-		cr := &pl.crews[slot]
-		if cr.heard && now.Sub(cr.seen) > freshFor {
-			cr.heard = false
+	for slot := range pl.statuses {
+		wst := &pl.statuses[slot]
+		if wst.heard && now.Sub(wst.seen) > freshFor {
+			wst.heard = false
 			pl.refresh(int32(slot))
 			pl.note("workerSilent", event.Subject{Worker: pl.st.workers[slot].id})
 		}
-		if now.Before(cr.expiry) || len(cr.lives) == 0 {
+		if now.Before(wst.expiry) || len(wst.lives) == 0 {
 			continue
 		}
-		cr.expiry = now.Add(model.WithDrift(TaskLease))
-		for i := range cr.lives {
-			lv := &cr.lives[i]
+		wst.expiry = now.Add(model.WithDrift(TaskLease))
+		for i := range wst.lives {
+			lv := &wst.lives[i]
 			end := lv.seen.Add(model.WithDrift(TaskLease))
 			if now.Before(end) && !lv.lost {
-				cr.expiry = min(cr.expiry, end)
+				wst.expiry = min(wst.expiry, end)
 				continue
 			}
 			lv.lost = true
--- a/core/sched/oracle_test.go
+++ b/core/sched/oracle_test.go
@@ -165,8 +165,8 @@
 	for slot, wk := range pl.st.workers {
 		committed = committed.Add(wk.committed)
 		lives := 0
-		if slot < len(pl.crews) {
-			lives = len(pl.crews[slot].lives)
+		if slot < len(pl.statuses) {
+			lives = len(pl.statuses[slot].lives)
 		}
 		if lives != len(wk.refs) {
 			orc.tb.Fatalf("planner has %d attempts on %s, state %d", lives, wk.id, len(wk.refs))
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -75,8 +75,8 @@
 	open     bool
 }
 
-// crew is what the leader knows about one worker.
-type crew struct {
+// workerStatus is what the leader knows about one worker.
+type workerStatus struct {
 	poll poll
 	// seen is the time of the last report; valid only if heard.
 	seen  model.Instant
@@ -114,16 +114,16 @@
 	started  model.Instant
 	outSince model.Instant
 	index    place.Index
-	// crews has one entry for each worker slot.
-	crews  []crew
-	guests []poll
-	queue  queue
-	usage  usage
+	// statuses has one entry for each worker slot.
+	statuses  []workerStatus
+	newcomers []poll
+	queue     queue
+	usage     usage
 	// quotas are those of the active preset.
-	quotas map[model.TeamID]model.Quota
-	book   blame.Book
-	kinds  kinds
-	guard  guard.Guard
+	quotas   map[model.TeamID]model.Quota
+	failures blame.Tracker
+	kinds    kinds
+	guard    guard.Guard
 	// batch counts the live batch attempts.
 	batch int
 	// charges are the commitments of the plan in the making.
@@ -132,8 +132,8 @@
 	growing []spot
 	// relief are evictions that the guard asked for.
 	relief []Op
-	// hopeless are jobs to end, with the reason.
-	hopeless []Op
+	// ending are jobs to end, with the reason.
+	ending []Op
 	// sizes are the different sizes of the known workers.
 	sizes []model.Resources
 	// facts are operations that reports brought; they go first in the next
@@ -242,34 +242,34 @@
 	picks := pl.flight.picks
 	pl.flight = flight{}
 	pl.requeue(picks)
-	for slot := range pl.crews {
-		cr := &pl.crews[slot]
-		for i := range cr.lives {
-			cr.lives[i].told = false
+	for slot := range pl.statuses {
+		wst := &pl.statuses[slot]
+		for i := range wst.lives {
+			wst.lives[i].told = false
 		}
-		cr.expiry = 0
+		wst.expiry = 0
 		pl.refresh(int32(slot))
 	}
 }
 
-func (pl *Planner[P]) ensure(slot int32) *crew {
-	for int(slot) >= len(pl.crews) {
-		pl.crews = append(pl.crews, crew{})
+func (pl *Planner[P]) ensure(slot int32) *workerStatus {
+	for int(slot) >= len(pl.statuses) {
+		pl.statuses = append(pl.statuses, workerStatus{})
 	}
-	return &pl.crews[slot]
+	return &pl.statuses[slot]
 }
 
 func (pl *Planner[P]) addLive(now model.Instant, slot int32, re ref) {
 	tk := re.task()
-	cr := pl.ensure(slot)
+	wst := pl.ensure(slot)
 	ordered := stamp(0)
 	if tk.state == Running {
 		ordered = stampOf(now)
 	}
-	cr.lives = append(cr.lives, live{
+	wst.lives = append(wst.lives, live{
 		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, seen: now, since: stampOf(now), ordered: ordered,
 	})
-	cr.expiry = 0
+	wst.expiry = 0
 	if re.job.spec.Priority == model.Batch {
 		pl.batch++
 	}
@@ -280,10 +280,10 @@
 // refresh lists the worker in the index with what the state has free, or
 // takes it out while it may not get tasks.
 func (pl *Planner[P]) refresh(slot int32) {
-	cr, wk := &pl.crews[slot], pl.st.workers[slot]
-	sta := pl.book.Standing(wk.id)
-	if !wk.known || !cr.heard || cr.shrunk || cr.heldFor != nil ||
-		sta == blame.Quarantined || sta == blame.OnProbation && len(cr.lives) > 0 {
+	wst, wk := &pl.statuses[slot], pl.st.workers[slot]
+	sta := pl.failures.Standing(wk.id)
+	if !wk.known || !wst.heard || wst.shrunk || wst.heldFor != nil ||
+		sta == blame.Quarantined || sta == blame.OnProbation && len(wst.lives) > 0 {
 		pl.index.Close(slot)
 		return
 	}
--- a/core/sched/protect.go
+++ b/core/sched/protect.go
@@ -26,11 +26,11 @@
 	if !ok || !pl.leads(now) || !pl.env.Preset.Guards() {
 		return
 	}
-	cr := pl.ensure(slot)
-	cr.serves = slices.DeleteFunc(cr.serves, func(se served) bool { return se.service == spec.Service })
-	cr.serves = append(cr.serves, served{service: spec.Service, at: now})
+	wst := pl.ensure(slot)
+	wst.serves = slices.DeleteFunc(wst.serves, func(se served) bool { return se.service == spec.Service })
+	wst.serves = append(wst.serves, served{service: spec.Service, at: now})
 	target := pl.env.Preset.Service(spec.Service).TailTarget()
-	rd := guard.NewReading(spec.Worker, spec.Service, spec.Tail, target, spec.Load, batchKinds(cr), pl.batch)
+	rd := guard.NewReading(spec.Worker, spec.Service, spec.Tail, target, spec.Load, batchKinds(wst), pl.batch)
 	for _, ac := range pl.guard.Step(now, rd) {
 		pl.act(now, slot, ac)
 	}
@@ -39,27 +39,27 @@
 // forgetServices ends the steps on workers without a recent reading, such as
 // when a backend server left.
 func (pl *Planner[P]) forgetServices(now model.Instant) {
-	for slot := range pl.crews {
-		cr := &pl.crews[slot]
-		if len(cr.serves) == 0 {
+	for slot := range pl.statuses {
+		wst := &pl.statuses[slot]
+		if len(wst.serves) == 0 {
 			continue
 		}
-		cr.serves = slices.DeleteFunc(cr.serves, func(se served) bool { return now.Sub(se.at) > servedFor })
-		if len(cr.serves) > 0 {
+		wst.serves = slices.DeleteFunc(wst.serves, func(se served) bool { return now.Sub(se.at) > servedFor })
+		if len(wst.serves) > 0 {
 			continue
 		}
 		pl.guard.Dismiss(pl.st.workers[slot].id)
-		for i := range cr.lives {
-			cr.lives[i].slow = false
+		for i := range wst.lives {
+			wst.lives[i].slow = false
 		}
 	}
 }
 
 // batchKinds returns the different kinds of batch tasks that run.
-func batchKinds(cr *crew) []string {
+func batchKinds(wst *workerStatus) []string {
 	var out []string
-	for i := range cr.lives {
-		lv := &cr.lives[i]
+	for i := range wst.lives {
+		lv := &wst.lives[i]
 		if spec := &lv.ref.job.spec; spec.Priority == model.Batch && lv.listed && !slices.Contains(out, spec.Kind) {
 			out = append(out, spec.Kind)
 		}
@@ -74,9 +74,9 @@
 	}
 	pl.note("interference", event.Subject{Worker: ac.Worker()},
 		event.NewField("kind", ac.Kind()), event.NewField("step", what))
-	cr := &pl.crews[slot]
-	for i := range cr.lives {
-		lv := &cr.lives[i]
+	wst := &pl.statuses[slot]
+	for i := range wst.lives {
+		lv := &wst.lives[i]
 		if lv.ref.job.spec.Kind != ac.Kind() || !anyBatch(lv) {
 			continue
 		}
@@ -94,7 +94,7 @@
 // harms reports whether a batch task of the kind is to be kept away from the
 // worker because of a service there.
 func (pl *Planner[P]) harms(slot int32, kind string) bool {
-	for _, se := range pl.crews[slot].serves {
+	for _, se := range pl.statuses[slot].serves {
 		if pl.guard.Apart(se.service, kind) {
 			return true
 		}
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -19,25 +19,25 @@
 	pol := poll{id: rep.Poll, worker: rep.Worker, received: now, open: true}
 	wk, slot, ok := pl.st.worker(rep.Worker)
 	if !ok {
-		pl.welcome(pol, rep)
+		pl.register(pol, rep)
 		return
 	}
-	cr := pl.ensure(slot)
-	if rep.Tag != 0 && rep.Tag < cr.lastTag {
+	wst := pl.ensure(slot)
+	if rep.Tag != 0 && rep.Tag < wst.lastTag {
 		// A late report is older than one that was taken in.
 		pl.out = append(pl.out, Answer{worker: rep.Worker, poll: rep.Poll, tag: pl.tag})
 		return
 	}
-	cr.lastTag = rep.Tag
+	wst.lastTag = rep.Tag
 	if rep.Tag == 0 {
-		spendOrdered(cr.lives)
+		spendOrdered(wst.lives)
 	}
 	pl.answer(now, slot, true)
-	cr.poll = pol
-	pl.resized(cr, wk, rep)
-	pl.takeIn(now, cr, rep.Attempts)
-	back := !cr.heard
-	cr.seen, cr.heard = now, true
+	wst.poll = pol
+	pl.resized(wst, wk, rep)
+	pl.takeIn(now, wst, rep.Attempts)
+	back := !wst.heard
+	wst.seen, wst.heard = now, true
 	if back {
 		pl.refresh(slot)
 		pl.note("workerReports", event.Subject{Worker: rep.Worker})
@@ -52,59 +52,59 @@
 	}
 }
 
-// welcome proposes to make an unknown worker known and keeps its poll.
-func (pl *Planner[P]) welcome(pol poll, rep ReportSpec) {
-	for i := range pl.guests {
-		if pl.guests[i].worker == rep.Worker {
-			pl.out = append(pl.out, Answer{worker: rep.Worker, poll: pl.guests[i].id, tag: pl.tag})
-			pl.guests[i] = pol
+// register proposes to make an unknown worker known and keeps its poll.
+func (pl *Planner[P]) register(pol poll, rep ReportSpec) {
+	for i := range pl.newcomers {
+		if pl.newcomers[i].worker == rep.Worker {
+			pl.out = append(pl.out, Answer{worker: rep.Worker, poll: pl.newcomers[i].id, tag: pl.tag})
+			pl.newcomers[i] = pol
 			return
 		}
 	}
-	pl.guests = append(pl.guests, pol)
+	pl.newcomers = append(pl.newcomers, pol)
 	pl.facts = append(pl.facts, Worker(rep.Worker, rep.Rack, rep.Size))
 }
 
 // resized proposes a changed size or rack. A worker that has less than is
 // committed gets no tasks until enough has ended.
-func (pl *Planner[P]) resized(cr *crew, wk *worker, rep ReportSpec) {
+func (pl *Planner[P]) resized(wst *workerStatus, wk *worker, rep ReportSpec) {
 	if wk.size == rep.Size && wk.rack == rep.Rack {
-		if cr.shrunk {
-			cr.shrunk, cr.heard = false, false
+		if wst.shrunk {
+			wst.shrunk, wst.heard = false, false
 		}
 		return
 	}
-	cr.shrunk = !wk.committed.FitsIn(rep.Size)
-	if cr.shrunk {
+	wst.shrunk = !wk.committed.FitsIn(rep.Size)
+	if wst.shrunk {
 		pl.index.Close(pl.st.slots[wk.id])
 		return
 	}
 	pl.facts = append(pl.facts, Worker(rep.Worker, rep.Rack, rep.Size))
 }
 
-func (pl *Planner[P]) takeIn(now model.Instant, cr *crew, atts []AttemptReport) {
-	for i := range cr.lives {
-		cr.lives[i].listed = false
+func (pl *Planner[P]) takeIn(now model.Instant, wst *workerStatus, atts []AttemptReport) {
+	for i := range wst.lives {
+		wst.lives[i].listed = false
 	}
-	cr.strays = cr.strays[:0]
+	wst.strays = wst.strays[:0]
 	for i := range atts {
 		spec := &atts[i].spec
-		lv := pl.findLive(cr, spec)
+		lv := pl.findLive(wst, spec)
 		if lv == nil {
-			cr.strays = append(cr.strays, strayOrder(spec))
+			wst.strays = append(wst.strays, strayOrder(spec))
 			continue
 		}
-		pl.learn(now, cr, lv, spec)
+		pl.learn(now, wst, lv, spec)
 	}
 }
 
-func (pl *Planner[P]) findLive(cr *crew, spec *AttemptSpec) *live {
+func (pl *Planner[P]) findLive(wst *workerStatus, spec *AttemptSpec) *live {
 	re, ok := pl.st.find(spec.Task)
 	if !ok {
 		return nil
 	}
-	for i := range cr.lives {
-		if lv := &cr.lives[i]; lv.ref == re && lv.attempt == spec.Attempt {
+	for i := range wst.lives {
+		if lv := &wst.lives[i]; lv.ref == re && lv.attempt == spec.Attempt {
 			return lv
 		}
 	}
@@ -121,12 +121,12 @@
 }
 
 // learn takes in the report of a live attempt.
-func (pl *Planner[P]) learn(now model.Instant, cr *crew, lv *live, spec *AttemptSpec) {
+func (pl *Planner[P]) learn(now model.Instant, wst *workerStatus, lv *live, spec *AttemptSpec) {
 	tk := lv.task()
 	oc, ended := spec.State.outcome()
 	lv.listed = !ended
 	lv.throttled = spec.Throttled
-	pl.measure(cr, lv, spec.Usage)
+	pl.measure(wst, lv, spec.Usage)
 	if lv.told {
 		if !ended && !lv.lost {
 			lv.seen = now
@@ -143,7 +143,7 @@
 	switch {
 	case ended:
 		lv.told = true
-		pl.facts = append(pl.facts, End(lv.ref.id(), lv.attempt, cr.poll.worker, oc))
+		pl.facts = append(pl.facts, End(lv.ref.id(), lv.attempt, wst.poll.worker, oc))
 	case lv.lost:
 	case tk.state == Stopping && lv.since.age(now) > stopRenewal:
 		lv.listed = false
@@ -154,59 +154,59 @@
 
 // answerOld completes the polls that have waited long enough.
 func (pl *Planner[P]) answerOld(now model.Instant) {
-	for slot := range pl.crews {
-		if cr := &pl.crews[slot]; cr.poll.open && now.Sub(cr.poll.received) >= pollHold {
+	for slot := range pl.statuses {
+		if wst := &pl.statuses[slot]; wst.poll.open && now.Sub(wst.poll.received) >= pollHold {
 			pl.answer(now, int32(slot), true)
 		}
 	}
-	kept := pl.guests[:0]
-	for _, pol := range pl.guests {
+	kept := pl.newcomers[:0]
+	for _, pol := range pl.newcomers {
 		if now.Sub(pol.received) >= pollHold {
 			pl.out = append(pl.out, Answer{worker: pol.worker, poll: pol.id, tag: pl.tag})
 			continue
 		}
 		kept = append(kept, pol)
 	}
-	pl.guests = kept
+	pl.newcomers = kept
 }
 
 // answer completes the open poll of the worker if there are orders or force
 // is set.
 func (pl *Planner[P]) answer(now model.Instant, slot int32, force bool) {
-	cr := &pl.crews[slot]
-	if !cr.poll.open {
+	wst := &pl.statuses[slot]
+	if !wst.poll.open {
 		return
 	}
-	an := Answer{worker: cr.poll.worker, poll: cr.poll.id, tag: pl.tag}
+	an := Answer{worker: wst.poll.worker, poll: wst.poll.id, tag: pl.tag}
 	if pl.leads(now) {
-		an.orders = pl.orders(now, cr)
-		strays := len(cr.strays) > 0 && (force || now.Sub(cr.strayed) >= repeatAfter || cr.strayed == 0)
+		an.orders = pl.orders(now, wst)
+		strays := len(wst.strays) > 0 && (force || now.Sub(wst.strayed) >= repeatAfter || wst.strayed == 0)
 		if strays {
-			cr.strayed = now
-			an.orders = append(an.orders, cr.strays...)
-			cr.strays = nil
+			wst.strayed = now
+			an.orders = append(an.orders, wst.strays...)
+			wst.strays = nil
 		}
 		if len(an.orders) == 0 && !force {
 			return
 		}
-		for i := range cr.lives {
-			if lv := &cr.lives[i]; lv.listed && !lv.lost {
+		for i := range wst.lives {
+			if lv := &wst.lives[i]; lv.listed && !lv.lost {
 				an.leases = append(an.leases, Lease{task: lv.ref.id(), attempt: lv.attempt})
 			}
 		}
 	} else if !force {
 		return
 	}
-	cr.poll.open = false
+	wst.poll.open = false
 	pl.out = append(pl.out, an)
 }
 
 // orders derives the orders for a worker from the state, so that lost answers
 // and new leaders need no bookkeeping of their own.
-func (pl *Planner[P]) orders(now model.Instant, cr *crew) []Order {
+func (pl *Planner[P]) orders(now model.Instant, wst *workerStatus) []Order {
 	var out []Order
-	for i := range cr.lives {
-		lv := &cr.lives[i]
+	for i := range wst.lives {
+		lv := &wst.lives[i]
 		if lv.lost || lv.told || (lv.ordered != 0 && lv.ordered.age(now) < repeatAfter) {
 			continue
 		}
@@ -216,7 +216,7 @@
 			out = append(out, Order{
 				kind: OrderStart, task: lv.ref.id(), attempt: lv.attempt, taskKind: spec.Kind,
 				priority: spec.Priority, size: tk.size.resources(), resume: tk.newest, fallback: tk.previous,
-				issuedAfter: now.Sub(cr.poll.received),
+				issuedAfter: now.Sub(wst.poll.received),
 			})
 			// The worker counts its lease from the send time of this poll.
 			lv.ordered, lv.seen = stampOf(now), now
--- a/core/sched/room.go
+++ b/core/sched/room.go
@@ -43,12 +43,12 @@
 
 // releaseHolds opens workers that were kept long enough or for nothing.
 func (pl *Planner[P]) releaseHolds(now model.Instant) {
-	for slot := range pl.crews {
-		cr := &pl.crews[slot]
-		if cr.heldFor == nil {
+	for slot := range pl.statuses {
+		wst := &pl.statuses[slot]
+		if wst.heldFor == nil {
 			continue
 		}
-		if _, ok := cr.heldFor.peek(); !ok || now >= cr.held {
+		if _, ok := wst.heldFor.peek(); !ok || now >= wst.held {
 			pl.unhold(int32(slot))
 			pl.refresh(int32(slot))
 		}
@@ -57,12 +57,12 @@
 
 // unhold ends the hold of a worker. The caller refreshes the index.
 func (pl *Planner[P]) unhold(slot int32) {
-	cr := &pl.crews[slot]
-	bl := cr.heldFor
+	wst := &pl.statuses[slot]
+	bl := wst.heldFor
 	if bl == nil {
 		return
 	}
-	cr.heldFor = nil
+	wst.heldFor = nil
 	for i, other := range bl.holds {
 		if other == slot {
 			bl.holds = append(bl.holds[:i], bl.holds[i+1:]...)
@@ -84,8 +84,8 @@
 
 // usable reports whether the worker may get tasks at all.
 func (pl *Planner[P]) usable(slot int32) bool {
-	cr, wk := &pl.crews[slot], pl.st.workers[slot]
-	return wk.known && cr.heard && !cr.shrunk && pl.book.Standing(wk.id) == blame.Good
+	wst, wk := &pl.statuses[slot], pl.st.workers[slot]
+	return wk.known && wst.heard && !wst.shrunk && pl.failures.Standing(wk.id) == blame.Good
 }
 
 // suits reports whether tasks of the job may be on the worker: the policy
@@ -161,8 +161,8 @@
 }
 
 func (pl *Planner[P]) hold(slot int32, bl *backlog, until model.Instant) {
-	cr := &pl.crews[slot]
-	cr.heldFor, cr.held = bl, until
+	wst := &pl.statuses[slot]
+	wst.heldFor, wst.held = bl, until
 	bl.holds = append(bl.holds, slot)
 	pl.index.Close(slot)
 }
@@ -170,9 +170,9 @@
 // fewest returns the worker on which the fewest evictions make room.
 func (pl *Planner[P]) fewest(spec *JobSpec, need model.Resources, may func(*live) bool, useFree bool) (int32, []*live, bool) {
 	best, lvs, found := int32(0), []*live(nil), false
-	for i := range pl.crews {
+	for i := range pl.statuses {
 		slot := int32(i)
-		if pl.crews[i].heldFor != nil || !pl.suits(slot, spec) || !need.FitsIn(pl.st.workers[i].size) {
+		if pl.statuses[i].heldFor != nil || !pl.suits(slot, spec) || !need.FitsIn(pl.st.workers[i].size) {
 			continue
 		}
 		free := model.Resources{}
@@ -195,7 +195,7 @@
 	best, found, most := int32(0), false, int64(0)
 	for i, wk := range pl.st.workers {
 		slot := int32(i)
-		if pl.crews[i].heldFor != nil || !pl.suits(slot, spec) || !need.FitsIn(wk.size) {
+		if pl.statuses[i].heldFor != nil || !pl.suits(slot, spec) || !need.FitsIn(wk.size) {
 			continue
 		}
 		if free := wk.free().MilliCPU(); !found || free > most {
@@ -208,10 +208,10 @@
 // victims returns the fewest attempts whose end makes room on the worker that
 // has free. What is stopping already counts as free.
 func (pl *Planner[P]) victims(slot int32, need, free model.Resources, may func(*live) bool) ([]*live, bool) {
-	cr := &pl.crews[slot]
+	wst := &pl.statuses[slot]
 	var cands []*live
-	for i := range cr.lives {
-		lv := &cr.lives[i]
+	for i := range wst.lives {
+		lv := &wst.lives[i]
 		switch {
 		case lv.task().state == Stopping:
 			free = free.Add(lv.size.resources())
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -195,8 +195,8 @@
 	if pri == model.Service {
 		req = req.Spread(&bl.racks)
 	}
-	if id := bl.job.spec.ID; pl.book.HasFailures(id) {
-		req = req.Avoid(func(slot int32) bool { return pl.book.FailedOn(id, pl.st.workers[slot].id) })
+	if id := bl.job.spec.ID; pl.failures.HasFailures(id) {
+		req = req.Avoid(func(slot int32) bool { return pl.failures.FailedOn(id, pl.st.workers[slot].id) })
 	}
 	if pri == model.Batch && pl.env.Preset.Guards() {
 		kind := bl.job.spec.Kind
@@ -207,7 +207,7 @@
 		rnd.misses[pri] = append(rnd.misses[pri], need)
 		return 0, false
 	}
-	if pl.book.Standing(pl.st.workers[slot].id) == blame.OnProbation {
+	if pl.failures.Standing(pl.st.workers[slot].id) == blame.OnProbation {
 		// One task decides about the worker.
 		pl.index.Close(slot)
 	}
--- a/core/slots/lender.go
+++ b/core/slots/lender.go
@@ -47,7 +47,7 @@
 	sessions map[model.VMID]*session
 	// order lists the sessions by name, for a fixed iteration order.
 	order   []*session
-	ghosts  []*ghost
+	orphans []*orphan
 	workers map[model.WorkerID]*pool
 	// touched are the workers whose shares may change in this step.
 	touched []*pool
@@ -99,9 +99,9 @@
 	marked  bool
 }
 
-// ghost holds the credits of an earlier start of a VM until its requests must
+// orphan holds the credits of an earlier start of a VM until its requests must
 // have ended.
-type ghost struct {
+type orphan struct {
 	until   model.Instant
 	granted map[*pool]int
 }
@@ -188,7 +188,7 @@
 		return
 	}
 	if se != nil && se.boot != re.Boot {
-		le.bury(now, se)
+		le.orphanSession(now, se)
 		se = nil
 	}
 	if se == nil {
@@ -283,14 +283,14 @@
 	}
 }
 
-// bury keeps what an earlier start of a VM was granted until its requests must
+// orphanSession keeps what an earlier start of a VM was granted until its requests must
 // have ended.
-func (le *Lender) bury(now model.Instant, se *session) {
-	gh := &ghost{until: se.heard.Add(le.reclaim(now)), granted: map[*pool]int{}}
+func (le *Lender) orphanSession(now model.Instant, se *session) {
+	gh := &orphan{until: se.heard.Add(le.reclaim(now)), granted: map[*pool]int{}}
 	for _, ac := range se.accounts() {
 		gh.granted[ac.pool] = ac.granted
 	}
-	le.ghosts = append(le.ghosts, gh)
+	le.orphans = append(le.orphans, gh)
 	le.leave(se)
 }
 
@@ -304,7 +304,7 @@
 			le.leave(se)
 		}
 	}
-	le.ghosts = slices.DeleteFunc(le.ghosts, func(gh *ghost) bool {
+	le.orphans = slices.DeleteFunc(le.orphans, func(gh *orphan) bool {
 		over := !now.Before(gh.until)
 		if over {
 			for _, po := range sortedPools(gh.granted) {
--- a/core/slots/share.go
+++ b/core/slots/share.go
@@ -73,7 +73,7 @@
 // used returns the credits that are granted or may be.
 func (le *Lender) used(po *pool) int {
 	used := po.unknown
-	for _, gh := range le.ghosts {
+	for _, gh := range le.orphans {
 		used += gh.granted[po]
 	}
 	for _, se := range le.order {
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -103,6 +103,10 @@
 	}
 	buf := &bufferWriter{header: http.Header{}, status: http.StatusOK}
 	mux.mux.ServeHTTP(buf, req)
+	if _, pattern := mux.mux.Handler(req); pattern == "" {
+		// The router of net/http answers in plain text.
+		return errorReply(&RouteError{method: cal.Method, path: req.URL.Path, known: buf.status == http.StatusMethodNotAllowed})
+	}
 	if buf.elsewhere == "" {
 		return Reply{Status: buf.status, Body: buf.body.Bytes()}
 	}
--- a/io/admin/errors.go
+++ b/io/admin/errors.go
@@ -44,6 +44,22 @@
 // Unwrap returns the cause.
 func (err *BodyError) Unwrap() error { return err.cause }
 
+// RouteError reports a path that the API does not have, or not with the method.
+type RouteError struct {
+	method string
+	path   string
+	// known is set when the path accepts other methods.
+	known bool
+}
+
+// Error describes the failure.
+func (err *RouteError) Error() string {
+	if err.known {
+		return err.path + " does not accept " + err.method
+	}
+	return "the api has no path " + err.path
+}
+
 // NotFoundError reports a name that does not exist.
 type NotFoundError struct {
 	what string
@@ -125,7 +141,12 @@
 
 // typeOf returns the type that the API reports for err.
 func typeOf(err error) string {
+	var rou *RouteError
 	switch {
+	case errors.As(err, &rou) && rou.known:
+		return rest.TypeMethod
+	case rou != nil:
+		return rest.TypeNotFound
 	case matches[*BodyError](err), faultsOf(err) != nil:
 		return rest.TypeInvalid
 	case matches[*NotFoundError](err):
--- a/io/demo/play.go
+++ b/io/demo/play.go
@@ -32,9 +32,9 @@
 	start model.Instant
 	// calls collects the results of the callers.
 	calls chan []caller.Result
-	// errands counts the goroutines whose end is reported on ended.
-	errands int
-	ended   chan struct{}
+	// background counts the goroutines whose end is reported on ended.
+	background int
+	ended      chan struct{}
 	// outs has when each data centre was out of service.
 	outs []window
 }
@@ -70,15 +70,15 @@
 			return errors.Annotatef(err, "step %s %s", st.Kind, st.Name)
 		}
 	}
-	for ; pla.errands > 0; pla.errands-- {
+	for ; pla.background > 0; pla.background-- {
 		<-pla.ended
 	}
 	return pla.awaitTasks(ctx)
 }
 
-// errand runs something beside the steps.
-func (pla *player) errand(run func()) {
-	pla.errands++
+// inBackground runs something beside the steps.
+func (pla *player) inBackground(run func()) {
+	pla.background++
 	go func() {
 		run()
 		pla.ended <- struct{}{}
@@ -100,13 +100,13 @@
 	case "centreOut", "centreIn":
 		return pla.service(ctx, st)
 	case "requests":
-		pla.errand(func() { pla.calls <- pla.request(ctx, st) })
+		pla.inBackground(func() { pla.calls <- pla.request(ctx, st) })
 	case "job":
 		return pla.job(ctx, st)
 	case "leave":
-		pla.errand(func() { pla.leave(ctx, st.Name) })
+		pla.inBackground(func() { pla.leave(ctx, st.Name) })
 	case "restart":
-		pla.errand(func() { pla.restart(ctx, st.Name) })
+		pla.inBackground(func() { pla.restart(ctx, st.Name) })
 	}
 	return nil
 }
@@ -132,7 +132,7 @@
 	}
 	pla.tell(fmt.Sprintf("%s %s is configuration %d", st.Kind, st.Name, num))
 	accepted := pla.sit.clock()
-	pla.errand(func() { pla.inEffect(ctx, num, accepted) })
+	pla.inBackground(func() { pla.inEffect(ctx, num, accepted) })
 	return nil
 }
 
@@ -142,7 +142,7 @@
 		for evm.nod.Load().Configuration() < num {
 			if !pla.sit.clock().Before(bound) {
 				if evm.nod.Load().Ready() == "" {
-					pla.sit.led.violate("P10", fmt.Sprintf("configuration %d is not in effect on %s", num, evm.name))
+					pla.sit.ora.violate("P10", fmt.Sprintf("configuration %d is not in effect on %s", num, evm.name))
 				}
 				break
 			}
@@ -156,7 +156,7 @@
 func (pla *player) service(ctx context.Context, st step) error {
 	out := st.Kind == "centreOut"
 	if !out {
-		pla.sit.led.service(st.Name, false, pla.sit.clock())
+		pla.sit.ora.service(st.Name, false, pla.sit.clock())
 		for i := range pla.outs {
 			if win := &pla.outs[i]; win.centre == st.Name && win.to == 0 {
 				win.to = pla.sit.clock()
@@ -174,7 +174,7 @@
 	})
 	if out && err == nil {
 		pla.outs = append(pla.outs, window{centre: st.Name, from: pla.sit.clock()})
-		pla.sit.led.service(st.Name, true, pla.sit.clock())
+		pla.sit.ora.service(st.Name, true, pla.sit.clock())
 	}
 	return err
 }
@@ -222,7 +222,7 @@
 // awaitTasks waits until all tasks are complete.
 func (pla *player) awaitTasks(ctx context.Context) error {
 	end := pla.sit.clock().Add(finishTime)
-	for pla.sit.led.finished() < pla.sit.scr.expect.TasksFinished && pla.sit.clock().Before(end) {
+	for pla.sit.ora.finished() < pla.sit.scr.expect.TasksFinished && pla.sit.clock().Before(end) {
 		if err := pla.cli.Wait(ctx, 50*time.Millisecond); err != nil {
 			return err
 		}
--- a/io/demo/report.go
+++ b/io/demo/report.go
@@ -89,18 +89,18 @@
 }
 
 func (pla *player) batchRows(rep *Report, took time.Duration) {
-	exp, led := pla.sit.scr.expect, pla.sit.led
-	done := led.finished()
+	exp, ora := pla.sit.scr.expect, pla.sit.ora
+	done := ora.finished()
 	rep.add(done == exp.TasksFinished, "batch tasks finished", fmt.Sprint(done), fmt.Sprint(exp.TasksFinished))
 	rep.add(true, "batch throughput, tasks/s", fmt.Sprintf("%.2f", float64(done)/seconds(took)), "")
-	rep.add(led.evictions <= exp.MaxEvictions, "evictions", fmt.Sprint(led.evictions), fmt.Sprintf("at most %d", exp.MaxEvictions))
+	rep.add(ora.evictions <= exp.MaxEvictions, "evictions", fmt.Sprint(ora.evictions), fmt.Sprintf("at most %d", exp.MaxEvictions))
 }
 
 // outRows counts the work that was done while data centres were out.
 func (pla *player) outRows(rep *Report, all []caller.Result) {
 	for _, win := range pla.outs {
 		tasks, answered, sent := 0, 0, 0
-		for _, end := range pla.sit.led.ends {
+		for _, end := range pla.sit.ora.ends {
 			if end > win.from && end < win.to {
 				tasks++
 			}
@@ -125,18 +125,18 @@
 	for name, wor := range pla.sit.workers {
 		acc, err := wor.Account()
 		if err != nil {
-			pla.sit.led.violate("P7", "no account of "+name)
+			pla.sit.ora.violate("P7", "no account of "+name)
 			continue
 		}
 		for id, num := range acc.Runs() {
 			runs[id] += num
 		}
 		if acc.Most() > workerSlots {
-			pla.sit.led.violate("P1", fmt.Sprintf("%s ran %d requests at once", name, acc.Most()))
+			pla.sit.ora.violate("P1", fmt.Sprintf("%s ran %d requests at once", name, acc.Most()))
 		}
 	}
 	for _, vio := range caller.Verify(all, runs) {
-		pla.sit.led.violate(vio.Invariant(), vio.String())
+		pla.sit.ora.violate(vio.Invariant(), vio.String())
 	}
 }
 
@@ -145,7 +145,7 @@
 	for name, wor := range pla.sit.workers {
 		_, peak, err := wor.Load()
 		if err != nil || !peak.FitsIn(size) {
-			pla.sit.led.violate("P1", name+" was committed beyond its size")
+			pla.sit.ora.violate("P1", name+" was committed beyond its size")
 		}
 	}
 }
@@ -166,7 +166,7 @@
 
 func (pla *player) invariantRows(rep *Report) {
 	for _, inv := range invariants {
-		fas := pla.sit.led.faults[inv.id]
+		fas := pla.sit.ora.faults[inv.id]
 		value := "kept"
 		if len(fas) > 0 {
 			value = fmt.Sprintf("broken %d times: %s", len(fas), strings.Join(fas[:min(len(fas), 3)], ", "))
--- a/io/demo/site.go
+++ b/io/demo/site.go
@@ -49,14 +49,14 @@
 	sys     *actor.ActorSystem
 	vms     []*entryVM
 	workers map[string]*worker.Worker
-	led     *ledger
+	ora     *oracle
 	// stops are the clean-up functions, in the order of the starts.
 	stops []func()
 }
 
 // newSite starts the fleet. The clean-up function ends it and removes its data.
 func newSite(scr script, log hclog.Logger) (*site, func(), error) {
-	sit := &site{scr: scr, log: log, clock: host.NewClock(), workers: map[string]*worker.Worker{}, led: newLedger()}
+	sit := &site{scr: scr, log: log, clock: host.NewClock(), workers: map[string]*worker.Worker{}, ora: newOracle()}
 	dir, err := os.MkdirTemp("", "guavarail-demo-")
 	if err != nil {
 		return nil, func() {}, errors.Trace(err)
@@ -147,7 +147,7 @@
 				System: sit.sys, Name: name, Rack: "rack-" + evm.centre, Clock: sit.clock,
 				Size:      model.NewResources(workerMilliCPU, workerMemoryMB, 0),
 				Addresses: []string{evm.api}, Service: sit.scr.site.Service, Listen: "127.0.0.1:0",
-				Slots: workerSlots, Connections: workerConns, OnRun: sit.led.note(evm.centre),
+				Slots: workerSlots, Connections: workerConns, OnRun: sit.ora.note(evm.centre),
 				Plan: worker.Plan{RunTime: sit.runTime}, Log: sit.log,
 			})
 			if err != nil {
--- a/io/demo/stops.go
+++ b/io/demo/stops.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if after := total(wor); after > before {
-		pla.sit.led.violate("P8", fmt.Sprintf("%s got %d new requests after it left", name, after-before))
+		pla.sit.ora.violate("P8", fmt.Sprintf("%s got %d new requests after it left", name, after-before))
 	}
 }
 
@@ -50,11 +50,11 @@
 	ctx, cancel := context.WithTimeout(ctx, drainTime)
 	defer cancel()
 	if err := evm.nod.Load().Drain(ctx); err != nil {
-		pla.sit.led.violate("P9", name+": "+err.Error())
+		pla.sit.ora.violate("P9", name+": "+err.Error())
 	}
 	evm.stop()
 	if err := pla.sit.startVM(evm); err != nil {
-		pla.sit.led.violate("P9", name+" did not start again: "+err.Error())
+		pla.sit.ora.violate("P9", name+" did not start again: "+err.Error())
 		return
 	}
 	pla.tell("entry VM " + name + " is started again")
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -14,7 +14,7 @@
 )
 
 // exchange is one request of a caller. The handler goroutine owns it. The
-// actor posts verdicts, the courier goroutine posts the response.
+// actor posts verdicts, the goroutine of the round trip posts the response.
 type exchange struct {
 	srv  *Server
 	meta meta
@@ -22,7 +22,7 @@
 	// withdrawal, so that the actor never blocks.
 	verdicts chan route.Effect
 	// replies is unbuffered: either the handler takes the response or, once
-	// gone is closed, the courier drains it.
+	// gone is closed, the goroutine of the round trip drains it.
 	replies chan reply
 	gone    chan struct{}
 	owner   string
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -50,7 +50,7 @@
 // sending side would take the empty response of a plain return for complete.
 func leave() { panic(http.ErrAbortHandler) }
 
-// abandon leaves the response to the courier, which reports the end of the
+// abandon leaves the response to the goroutine of the round trip, which reports the end of the
 // slot.
 func (ex *exchange) abandon(wri http.ResponseWriter, bod *body, ou route.Outcome) {
 	ex.srv.ref.Tell(route.NewDone(ex, ou))
--- a/io/fake/worker/backend.go
+++ b/io/fake/worker/backend.go
@@ -21,7 +21,7 @@
 
 // server is the backend server of a worker.
 type server struct {
-	ref    host.Ref[*Desk, Visit, struct{}]
+	ref    host.Ref[*RequestLog, RequestMark, struct{}]
 	mode   *atomic.Uint32
 	lateBy time.Duration
 	// ctx ends when the server is closed.
@@ -39,8 +39,8 @@
 	if err != nil {
 		return nil, func() {}, errors.Trace(&ListenError{addr: addr, cause: err})
 	}
-	ref, stop, err := host.Spawn(sys, host.Config[*Desk, Visit, struct{}]{
-		Name: "desk-" + name, Machine: &Desk{}, Clock: host.NewClock(), Carry: func(struct{}) {},
+	ref, stop, err := host.Spawn(sys, host.Config[*RequestLog, RequestMark, struct{}]{
+		Name: "requests-" + name, Machine: &RequestLog{}, Clock: host.NewClock(), Carry: func(struct{}) {},
 	})
 	if err != nil {
 		_ = lis.Close()
@@ -78,7 +78,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(req.Body, maxReply))
-	srv.ref.Tell(Visit{ID: wis.id, Begin: true})
+	srv.ref.Tell(RequestMark{ID: wis.id, Begin: true})
 	work := wis.work
 	if srv.has(Slow) {
 		work *= SlowFactor
@@ -90,7 +90,7 @@
 	for end := time.Now().Add(work); time.Now().Before(end) && srv.ctx.Err() == nil && !srv.has(Vanished); {
 		pause(srv.ctx, min(time.Until(end), tickEvery))
 	}
-	srv.ref.Tell(Visit{ID: wis.id})
+	srv.ref.Tell(RequestMark{ID: wis.id})
 	for srv.has(Silent) && srv.ctx.Err() == nil && req.Context().Err() == nil {
 		pause(srv.ctx, tickEvery)
 	}
@@ -114,7 +114,7 @@
 }
 
 func (srv *server) account() (Account, error) {
-	acc, err := host.Read(srv.ref, readTimeout, func(_ model.Instant, des *Desk) Account { return des.account() })
+	acc, err := host.Read(srv.ref, readTimeout, func(_ model.Instant, rlo *RequestLog) Account { return rlo.account() })
 	return acc, errors.Trace(err)
 }
 
--- a/io/fake/worker/desk.go
+++ b/io/fake/worker/requests.go
@@ -6,32 +6,32 @@
 	"guavarail/core/model"
 )
 
-// Visit is the begin or the end of one request at a backend server.
-type Visit struct {
+// RequestMark is the begin or the end of one request at a backend server.
+type RequestMark struct {
 	ID    string
 	Begin bool
 }
 
-// Desk keeps account of the requests of a backend server. It implements
+// RequestLog keeps account of the requests of a backend server. It implements
 // model.Machine and has no effects. The zero value works.
-type Desk struct {
+type RequestLog struct {
 	busy, most int
 	// runs counts how often each request was run.
 	runs map[string]int
 }
 
 // Step implements model.Machine.
-func (des *Desk) Step(_ model.Instant, in Visit) []struct{} {
+func (rlo *RequestLog) Step(_ model.Instant, in RequestMark) []struct{} {
 	if !in.Begin {
-		des.busy--
+		rlo.busy--
 		return nil
 	}
-	if des.runs == nil {
-		des.runs = map[string]int{}
+	if rlo.runs == nil {
+		rlo.runs = map[string]int{}
 	}
-	des.busy++
-	des.most = max(des.most, des.busy)
-	des.runs[in.ID]++
+	rlo.busy++
+	rlo.most = max(rlo.most, rlo.busy)
+	rlo.runs[in.ID]++
 	return nil
 }
 
@@ -41,8 +41,8 @@
 	runs       map[string]int
 }
 
-func (des *Desk) account() Account {
-	return Account{busy: des.busy, most: des.most, runs: maps.Clone(des.runs)}
+func (rlo *RequestLog) account() Account {
+	return Account{busy: rlo.busy, most: rlo.most, runs: maps.Clone(rlo.runs)}
 }
 
 // Busy returns the number of requests that run now.
--- a/io/node/centre.go
+++ b/io/node/centre.go
@@ -28,9 +28,9 @@
 	permitTimeout = 500 * time.Millisecond
 	// reportTimeout bounds the wait of a worker for its answer.
 	reportTimeout = 3 * time.Second
-	// errandRoom bounds the proposals and permission requests under way; the
+	// backgroundRoom bounds the proposals and permission requests under way; the
 	// planner has at most one of each.
-	errandRoom = 8
+	backgroundRoom = 8
 )
 
 type centreRef = group.Ref[*centre.State, centre.Command, centre.Result, centre.Snapshot]
@@ -45,8 +45,8 @@
 	polls map[uint64]chan<- sched.Answer
 	// nextPoll numbers the polls of workers.
 	nextPoll atomic.Uint64
-	// errands takes what the leader asks for and must not block the actor.
-	errands chan func(ctx context.Context)
+	// background takes what the leader asks for and must not block the actor.
+	background chan func(ctx context.Context)
 }
 
 // groupName names the group of a data centre.
@@ -61,7 +61,7 @@
 	sta := &centre.State{}
 	cen := &centrePart{
 		nod: nod, name: name, lead: centre.NewLeader(sta), polls: map[uint64]chan<- sched.Answer{},
-		errands: make(chan func(ctx context.Context), errandRoom),
+		background: make(chan func(ctx context.Context), backgroundRoom),
 	}
 	ref, stop, err := group.New(group.Config[*centre.State, centre.Command, centre.Result, centre.Snapshot]{
 		Group: groupName(name), Self: nod.self, Voters: voters, Learners: learners, Replica: sta,
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	runs := make(chan struct{})
 	stopTicks := host.Every(ctx, centre.TickEvery, cen.tick)
-	go cen.runErrands(ctx, runs)
+	go cen.runBackground(ctx, runs)
 	return cen, func() {
 		stopTicks()
 		cancel()
@@ -93,10 +93,10 @@
 	}, nil
 }
 
-// runErrands carries out proposals and permission requests until ctx ends.
-// Each errand has a bound and runs on a goroutine of its own, so that a
+// runBackground carries out proposals and permission requests until ctx ends.
+// Each of them has a bound and runs on a goroutine of its own, so that a
 // proposal does not delay a permission.
-func (cen *centrePart) runErrands(ctx context.Context, done chan<- struct{}) {
+func (cen *centrePart) runBackground(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	ended := make(chan struct{})
 	running := 0
@@ -109,7 +109,7 @@
 			return
 		case <-ended:
 			running--
-		case run := <-cen.errands:
+		case run := <-cen.background:
 			running++
 			go func() {
 				run(ctx)
@@ -132,7 +132,7 @@
 		}
 		cen.step(now, centre.NewTick(until, vie.preset))
 		if rol.Leased() && !cen.local() {
-			cen.errand(cen.transfer)
+			cen.inBackground(cen.transfer)
 		}
 	})
 }
@@ -157,11 +157,11 @@
 	for _, eff := range cen.lead.Step(now, in) {
 		switch val := eff.(type) {
 		case centre.Propose:
-			if !cen.errand(func(ctx context.Context) { cen.propose(ctx, val.Command()) }) {
+			if !cen.inBackground(func(ctx context.Context) { cen.propose(ctx, val.Command()) }) {
 				cen.step(now, centre.Dropped{})
 			}
 		case centre.RequestPermit:
-			cen.errand(func(ctx context.Context) { cen.permit(ctx, val.Sequence()) })
+			cen.inBackground(func(ctx context.Context) { cen.permit(ctx, val.Sequence()) })
 		case centre.Answer:
 			if reply, ok := cen.polls[val.Answer().Poll()]; ok {
 				delete(cen.polls, val.Answer().Poll())
@@ -173,11 +173,11 @@
 	}
 }
 
-// errand hands over something that takes time. It returns false when too much
+// inBackground hands over something that takes time. It returns false when too much
 // is under way; the planner repeats what it needs.
-func (cen *centrePart) errand(run func(ctx context.Context)) bool {
+func (cen *centrePart) inBackground(run func(ctx context.Context)) bool {
 	select {
-	case cen.errands <- run:
+	case cen.background <- run:
 		return true
 	default:
 		return false
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net"
 	"path/filepath"
 	"slices"
@@ -97,13 +96,6 @@
 	return nod, nod.stop, nil
 }
 
-// seedOf makes the random choices of the VMs differ.
-func seedOf(name model.VMID) uint64 {
-	has := fnv.New64a()
-	_, _ = has.Write([]byte(name))
-	return has.Sum64()
-}
-
 // start starts the parts in the order in which they depend on each other.
 func (nod *Node) start(ctx context.Context) error {
 	for _, step := range []func(ctx context.Context) error{
@@ -296,33 +288,3 @@
 	}
 	return permit.Ramp(nod.clock().Sub(model.Instant(ret)))
 }
-
-// colleagues returns the other VMs of the data centre.
-func (nod *Node) colleagues() []model.VMID {
-	vie := nod.view.Load()
-	if vie == nil {
-		return nil
-	}
-	return slices.DeleteFunc(vie.members(nod.centre), func(vmi model.VMID) bool { return vmi == nod.self })
-}
-
-// nearestFirst puts this VM first, since asking it costs no message.
-func (nod *Node) nearestFirst(vms []model.VMID) []model.VMID {
-	if pos := slices.Index(vms, nod.self); pos > 0 {
-		vms[0], vms[pos] = vms[pos], vms[0]
-	}
-	return vms
-}
-
-// callerAddress returns where a VM takes the requests of callers.
-func (nod *Node) callerAddress(name model.VMID) (string, bool) {
-	for _, vmi := range nod.set.VMs() {
-		if vmi.Name() != name {
-			continue
-		}
-		if adr, ok := vmi.Callers(); ok {
-			return adr.String(), true
-		}
-	}
-	return "", false
-}
--- a/io/rest/errors.go
+++ b/io/rest/errors.go
@@ -56,6 +56,8 @@
 	TypeUnknown = "unknown"
 	// TypeInternal: a fault of the system.
 	TypeInternal = "internal"
+	// TypeMethod: the path does not accept the method.
+	TypeMethod = "method"
 )
 
 var statusOf = map[string]int{
@@ -66,6 +68,7 @@
 	TypeNotReady:   http.StatusServiceUnavailable,
 	TypeUnknown:    http.StatusGatewayTimeout,
 	TypeInternal:   http.StatusInternalServerError,
+	TypeMethod:     http.StatusMethodNotAllowed,
 }
 
 // StatusCode returns the HTTP status of an error type. The reasons of rejected
