Guard the jobs of the client test's VMs with a lock

The handler whose answer is lost may still run when the client sends the job again; both changed the same map of the test's VM.

Change: one lock for the VMs of that test. What it checks is unchanged.

--- a/io/client/submit_test.go
+++ b/io/client/submit_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"guavarail/io/rest"
@@ -13,6 +14,9 @@
 
 // jobVM keeps the jobs of its data centre and passes those of another one on.
 type jobVM struct {
+	// mu is shared by all VMs: a handler whose answer is lost may still run when
+	// the client sends the job again.
+	mu     *sync.Mutex
 	centre string
 	jobs   map[string]int
 	others map[string]*jobVM
@@ -29,6 +33,8 @@
 	if err := json.NewDecoder(req.Body).Decode(&body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
 	home := vm
 	if body.Centre != "" {
 		home = vm.others[body.Centre]
@@ -45,9 +51,10 @@
 // sent again to a VM of another data centre.
 func TestLostAnswerDoesNotDuplicateJob(t *testing.T) {
 	vms := map[string]*jobVM{}
+	var mu sync.Mutex
 	var addresses []string
 	for _, centre := range []string{"riga-a", "riga-b"} {
-		vm := &jobVM{centre: centre, jobs: map[string]int{}, others: vms}
+		vm := &jobVM{mu: &mu, centre: centre, jobs: map[string]int{}, others: vms}
 		vms[centre] = vm
 		srv := httptest.NewServer(vm)
 		defer srv.Close()
@@ -59,6 +66,8 @@
 	if err != nil || acc.Centre != "riga-a" || !acc.Repeated {
 		t.Errorf("answer %+v, %v; want that of riga-a again", acc, err)
 	}
+	mu.Lock()
+	defer mu.Unlock()
 	if count := vms["riga-b"].jobs["j"]; count != 0 {
 		t.Errorf("riga-b got the job %d times", count)
 	}
