Keep one pause and one description of names, and drop dead accessors

Cause: io/peer and two fakes had the same pause, five places repeated what a name may be, and core/centre had three accessors that nothing calls.

Change: host.Pause and model.NameAllowed serve all; the accessors are gone. Texts and behaviour are unchanged; a pause of no time now returns at once everywhere.

Result: vet, revive and gofumpt are clean; go test -race -short of io/peer, io/fake, io/host, io/admin, io/node and io/config, and go test of core/model and core/sched pass.

--- a/core/centre/leader.go
+++ b/core/centre/leader.go
@@ -200,9 +200,3 @@
 
 // Worker returns what the leader knows about a worker.
 func (ld *Leader) Worker(id model.WorkerID) sched.WorkerState { return ld.plan.WorkerState(id) }
-
-// MayStart reports whether the data centre may start tasks at now.
-func (ld *Leader) MayStart(now model.Instant) bool { return ld.leased && ld.hold.Valid(now) }
-
-// Percent returns the share of starts that the data centre admits at now.
-func (ld *Leader) Percent(now model.Instant) int { return ld.hold.Percent(now) }
--- a/core/centre/state.go
+++ b/core/centre/state.go
@@ -87,6 +87,3 @@
 
 // Tasks returns the part with the tasks, for reads.
 func (st *State) Tasks() *sched.State { return &st.tasks }
-
-// Claims returns the number of idempotency keys that are kept.
-func (st *State) Claims() int { return st.claims.Len() }
--- a/core/model/check.go
+++ b/core/model/check.go
@@ -52,7 +52,7 @@
 			fas = append(fas, NewFault(field, allowed))
 		}
 	}
-	fail(!ValidName(spec.Name), "name", "1 to 63 lower-case letters, digits and dashes")
+	fail(!ValidName(spec.Name), "name", NameAllowed)
 	fail(outside(spec.Deadline), "deadlineMs", "10 to 600000")
 	fail(outside(spec.MaxRequest), "maxRequestMs", "10 to 600000")
 	deadline, longest := orDefault(spec.Deadline, DefaultDeadline), orDefault(spec.MaxRequest, DefaultMaxRequest)
@@ -63,7 +63,7 @@
 	sers := map[ServiceID]bool{}
 	for _, sp := range spec.Services {
 		name := "services." + string(sp.service)
-		fail(!ValidName(string(sp.service)), name, "1 to 63 lower-case letters, digits and dashes")
+		fail(!ValidName(string(sp.service)), name, NameAllowed)
 		fail(sers[sp.service], name, "each service once")
 		fail(outside(sp.tailTarget), name+".tailTargetMs", "10 to 600000")
 		fail(sp.weight < 0, name+".weight", "1 or more")
@@ -72,7 +72,7 @@
 	teams := map[TeamID]bool{}
 	for _, qu := range spec.Quotas {
 		name := "quotas." + string(qu.team)
-		fail(!ValidName(string(qu.team)), name, "1 to 63 lower-case letters, digits and dashes")
+		fail(!ValidName(string(qu.team)), name, NameAllowed)
 		fail(teams[qu.team], name, "each team once")
 		fail(!qu.limit.Valid(), name+".limit", "amounts of 0 or more")
 		fail(qu.weight < 0, name+".weight", "1 or more")
@@ -87,6 +87,9 @@
 	return dur != 0 && (dur < minDeadline || dur > maxDeadline)
 }
 
+// NameAllowed says what ValidName accepts, for faults that name a field.
+const NameAllowed = "1 to 63 lower-case letters, digits and dashes"
+
 // ValidName reports whether name is made of 1 to 63 lower-case letters, digits
 // and dashes.
 func ValidName(name string) bool {
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -56,11 +56,10 @@
 			fas = append(fas, model.NewFault(field, allowed))
 		}
 	}
-	const name = "1 to 63 lower-case letters, digits and dashes"
-	fail(!model.ValidName(string(spec.ID)), "id", name)
-	fail(!model.ValidName(string(spec.Team)), "team", name)
+	fail(!model.ValidName(string(spec.ID)), "id", model.NameAllowed)
+	fail(!model.ValidName(string(spec.Team)), "team", model.NameAllowed)
 	fail(spec.Priority > model.Urgent, "priority", "batch, service or urgent")
-	fail(spec.Kind != "" && !model.ValidName(spec.Kind), "kind", name)
+	fail(spec.Kind != "" && !model.ValidName(spec.Kind), "kind", model.NameAllowed)
 	fail(spec.Tasks < 1 || spec.Tasks > MaxTasks, "tasks", "1 to 100000")
 	fail(!storable(spec.Size) || spec.Size.MilliCPU() == 0, "size", "milliCpu of 1 or more and other amounts of 0 or more, below 2147483648")
 	fail(spec.RunTime < 0, "runTimeMs", "0 or more")
--- a/io/admin/worker.go
+++ b/io/admin/worker.go
@@ -41,9 +41,8 @@
 			fas = append(fas, rest.Fault{Field: field, Allowed: allowed})
 		}
 	}
-	const name = "1 to 63 lower-case letters, digits and dashes"
-	fail(!model.ValidName(que.Worker), "worker", name)
-	fail(!model.ValidName(que.Rack), "rack", name)
+	fail(!model.ValidName(que.Worker), "worker", model.NameAllowed)
+	fail(!model.ValidName(que.Rack), "rack", model.NameAllowed)
 	fail(!que.Size.Model().Valid(), "size", "amounts of 0 or more")
 	rep := sched.ReportSpec{
 		Worker: model.WorkerID(que.Worker), Rack: que.Rack, Size: que.Size.Model(), Tag: que.Tag,
--- a/io/config/key.go
+++ b/io/config/key.go
@@ -27,7 +27,7 @@
 	}
 }
 
-const nameAllowed = "1 to 63 lower-case letters, digits and dashes"
+const nameAllowed = model.NameAllowed
 
 func nameKey[T ~string](name string) key[T] { return textKey[T](name, nameAllowed, model.ValidName) }
 
--- a/io/fake/relay/pipe.go
+++ b/io/fake/relay/pipe.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"guavarail/io/host"
 )
 
 const chunkSize = 32 << 10
@@ -92,7 +94,7 @@
 			lossy = lossy || num > 0
 		case num > 0:
 			if fault.Delay > 0 {
-				pause(ctx, fault.Delay)
+				host.Pause(ctx, fault.Delay)
 			}
 			if _, err := dst.Write(buf[:num]); err != nil {
 				done <- false
--- a/io/fake/relay/relay.go
+++ b/io/fake/relay/relay.go
@@ -10,6 +10,8 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/juju/errors"
+
+	"guavarail/io/host"
 )
 
 const (
@@ -183,7 +185,7 @@
 	for ctx.Err() == nil {
 		conn, err := lis.Accept()
 		if err != nil {
-			pause(ctx, acceptPause)
+			host.Pause(ctx, acceptPause)
 			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -198,16 +200,6 @@
 	_ = conn.Close()
 }
 
-// pause waits for dur or the end of ctx.
-func pause(ctx context.Context, dur time.Duration) {
-	tim := time.NewTimer(dur)
-	defer tim.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tim.C:
-	}
-}
-
 // ListenError reports that the address of the relay cannot be used.
 type ListenError struct {
 	addr  string
--- a/io/fake/worker/backend.go
+++ b/io/fake/worker/backend.go
@@ -88,11 +88,11 @@
 	}
 	// The work goes on when the caller gives up, as that of a real server.
 	for end := time.Now().Add(work); time.Now().Before(end) && srv.ctx.Err() == nil && !srv.has(Vanished); {
-		pause(srv.ctx, min(time.Until(end), tickEvery))
+		host.Pause(srv.ctx, min(time.Until(end), tickEvery))
 	}
 	srv.ref.Tell(RequestMark{ID: wis.id})
 	for srv.has(Silent) && srv.ctx.Err() == nil && req.Context().Err() == nil {
-		pause(srv.ctx, tickEvery)
+		host.Pause(srv.ctx, tickEvery)
 	}
 	if srv.ctx.Err() != nil || srv.has(Vanished) {
 		panic(http.ErrAbortHandler)
@@ -117,16 +117,3 @@
 	acc, err := host.Read(srv.ref, readTimeout, func(_ model.Instant, rlo *RequestLog) Account { return rlo.account() })
 	return acc, errors.Trace(err)
 }
-
-// pause waits for dur or the end of ctx.
-func pause(ctx context.Context, dur time.Duration) {
-	if dur <= 0 {
-		return
-	}
-	tim := time.NewTimer(dur)
-	defer tim.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tim.C:
-	}
-}
--- a/io/fake/worker/worker.go
+++ b/io/fake/worker/worker.go
@@ -194,7 +194,7 @@
 	defer ap.close()
 	for ctx.Err() == nil {
 		if wor.mute() {
-			pause(ctx, reportGap)
+			host.Pause(ctx, reportGap)
 			continue
 		}
 		ans, err := wor.report(ctx, ap)
@@ -202,7 +202,7 @@
 			wor.cfg.Log.Debug("report failed", "worker", wor.cfg.Name, "error", err)
 		}
 		if wor.has(Late) {
-			pause(ctx, wor.cfg.LateBy)
+			host.Pause(ctx, wor.cfg.LateBy)
 		}
 		if err == nil && !wor.mute() {
 			wor.ref.Tell(ans)
@@ -211,7 +211,7 @@
 		if len(ans.Orders.Orders) > 0 {
 			wait = 0
 		}
-		pause(ctx, max(wait, reportGap))
+		host.Pause(ctx, max(wait, reportGap))
 	}
 }
 
@@ -269,6 +269,6 @@
 			return
 		}
 		wor.cfg.Log.Debug("leave message failed", "worker", wor.cfg.Name, "error", err)
-		pause(ctx, reportGap)
+		host.Pause(ctx, reportGap)
 	}
 }
--- a/io/host/ticker.go
+++ b/io/host/ticker.go
@@ -31,3 +31,16 @@
 		}
 	}
 }
+
+// Pause waits for dur or the end of ctx.
+func Pause(ctx context.Context, dur time.Duration) {
+	if dur <= 0 {
+		return
+	}
+	tim := time.NewTimer(dur)
+	defer tim.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tim.C:
+	}
+}
--- a/io/node/backends.go
+++ b/io/node/backends.go
@@ -79,10 +79,9 @@
 			fas = append(fas, rest.Fault{Field: field, Allowed: allowed})
 		}
 	}
-	const name = "1 to 63 lower-case letters, digits and dashes"
-	fail(!model.ValidName(string(spec.ID)), "backend", name)
-	fail(!model.ValidName(string(spec.Service)), "service", name)
-	fail(!model.ValidName(string(spec.Worker)), "worker", name)
+	fail(!model.ValidName(string(spec.ID)), "backend", model.NameAllowed)
+	fail(!model.ValidName(string(spec.Service)), "service", model.NameAllowed)
+	fail(!model.ValidName(string(spec.Worker)), "worker", model.NameAllowed)
 	adr, err := netip.ParseAddrPort(spec.Address)
 	fail(err != nil || adr.Port() == 0, "address", "an IP address and a port")
 	fail(spec.Slots < 1 || spec.Slots > maxSlots, "slots", "1 to 1000")
--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -10,6 +10,7 @@
 
 	"guavarail/core/member"
 	"guavarail/core/model"
+	"guavarail/io/host"
 	"guavarail/io/wire"
 )
 
@@ -122,7 +123,7 @@
 				hub.Send(vm, &wire.MemberMessage{Seq: seq, Incarnation: uint64(time.Now().Unix())})
 			}
 		}
-		pause(ctx, beatEvery)
+		host.Pause(ctx, beatEvery)
 	}
 }
 
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"guavarail/core/model"
+	"guavarail/io/host"
 )
 
 const (
@@ -78,7 +79,7 @@
 
 // run makes the attempt, sends its outcome on dia.result and posts dialDone.
 func (dia *dialing) run(ctx context.Context, hub *Hub, peer model.VMID, addr string, delay time.Duration, post func(msg any)) {
-	pause(ctx, delay)
+	host.Pause(ctx, delay)
 	ymx, err := dial(ctx, hub, peer, addr)
 	if err != nil && ctx.Err() == nil {
 		hub.cfg.Log.Debug("dial failed", "peer", peer, "address", addr, "error", err)
--- a/io/peer/listen.go
+++ b/io/peer/listen.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"guavarail/core/model"
+	"guavarail/io/host"
 	"guavarail/io/wire"
 )
 
@@ -41,7 +42,7 @@
 	for ctx.Err() == nil {
 		conn, err := acc.lis.Accept()
 		if err != nil {
-			pause(ctx, acceptPause)
+			host.Pause(ctx, acceptPause)
 			continue
 		}
 		select {
@@ -113,13 +114,3 @@
 		busy <- struct{}{}
 	}
 }
-
-// pause waits for dur or the end of ctx.
-func pause(ctx context.Context, dur time.Duration) {
-	tim := time.NewTimer(dur)
-	defer tim.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tim.C:
-	}
-}
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"guavarail/core/model"
+	"guavarail/io/host"
 )
 
 const (
@@ -157,7 +158,7 @@
 			return errors.Trace(err)
 		}
 		idle.Reset(idlePing)
-		pause(ctx, pingGap)
+		host.Pause(ctx, pingGap)
 		if ctx.Err() != nil {
 			return nil
 		}
