--- a/cmd/guavarail/commands.go
+++ b/cmd/guavarail/commands.go
@@ -23,6 +23,7 @@
 	vmlist "guavarail/io/cmd/vm/list"
 	vmreplace "guavarail/io/cmd/vm/replace"
 	workerlist "guavarail/io/cmd/worker/list"
+	"guavarail/platform"
 )
 
 // commands returns all commands in the order of the overview.
@@ -31,7 +32,7 @@
 		demo.New(),
 		replay.New(),
 		load.New(),
-		serve.New(),
+		serve.New(platform.Attach),
 		status.New(),
 		timeline.New(),
 		presetlist.New(),
--- /dev/null
+++ b/core/cell/document.go
@@ -0,0 +1,159 @@
+// Package cell is the replicated state of a cell: a group of data centres that
+// share one log. It holds the configuration document, the data centres that are
+// out of service and the jobs of steps.
+package cell
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Queue takes the jobs that are addressed to a host and a path prefix.
+type Queue struct {
+	spec QueueSpec
+}
+
+// QueueSpec describes a queue.
+type QueueSpec struct {
+	Name    string
+	Host    string
+	Prefix  string
+	Service model.ServiceID
+	// Timeout bounds a call of the queue.
+	Timeout time.Duration
+	// Priority 0 goes first.
+	Priority int
+	// Attempts is the number of failures of a task that ends its job.
+	Attempts int
+	// Factor and Target give the objective of a job: Factor times its longest
+	// chain of steps, and Target more.
+	Factor float64
+	Target time.Duration
+}
+
+// NewQueue returns the queue; NewDocument checks it.
+func NewQueue(spec QueueSpec) Queue { return Queue{spec: spec} }
+
+// Spec returns what the queue was made from.
+func (qu Queue) Spec() QueueSpec { return qu.spec }
+
+// Service is a pool of workers.
+type Service struct {
+	name model.ServiceID
+	// guarded workers reject what does not fit.
+	guarded bool
+}
+
+// NewService returns a service.
+func NewService(name model.ServiceID, guarded bool) Service {
+	return Service{name: name, guarded: guarded}
+}
+
+// Name returns the name of the service.
+func (ser Service) Name() model.ServiceID { return ser.name }
+
+// Guarded reports whether the workers reject what does not fit.
+func (ser Service) Guarded() bool { return ser.guarded }
+
+// DocumentSpec is the input of NewDocument.
+type DocumentSpec struct {
+	Version uint64
+	// Text is the document as the operator sent it; it is read back unchanged.
+	Text     []byte
+	Queues   []Queue
+	Services []Service
+}
+
+// Document is a whole configuration. It passed the check of NewDocument. The
+// zero value is the configuration before the first.
+type Document struct {
+	spec DocumentSpec
+}
+
+// DocumentError reports all faults of a document.
+type DocumentError struct {
+	faults []model.Fault
+}
+
+// Faults returns the faults in order.
+func (err *DocumentError) Faults() []model.Fault { return append([]model.Fault(nil), err.faults...) }
+
+// Error lists every fault.
+func (err *DocumentError) Error() string {
+	out := make([]string, 0, len(err.faults))
+	for _, fa := range err.faults {
+		out = append(out, fa.Field()+": use "+fa.Allowed())
+	}
+	return "configuration not accepted: " + strings.Join(out, "; ")
+}
+
+// NewDocument checks spec as a whole.
+func NewDocument(spec DocumentSpec) (Document, error) {
+	var fas []model.Fault
+	fail := func(bad bool, field, allowed string) {
+		if bad {
+			fas = append(fas, model.NewFault(field, allowed))
+		}
+	}
+	fail(spec.Version == 0, "version", "1 or more")
+	services := map[model.ServiceID]bool{}
+	for pos, ser := range spec.Services {
+		name := "services." + strconv.Itoa(pos)
+		fail(ser.name == "", name+".name", "a name")
+		fail(services[ser.name], name+".name", "each service once")
+		services[ser.name] = true
+	}
+	type address struct{ host, prefix string }
+	taken := map[address]bool{}
+	names := map[string]bool{}
+	for pos, qu := range spec.Queues {
+		name := "queues." + strconv.Itoa(pos)
+		adr := address{host: strings.ToLower(qu.spec.Host), prefix: qu.spec.Prefix}
+		fail(qu.spec.Host == "", name+".host", "a host")
+		fail(!strings.HasPrefix(qu.spec.Prefix, "/"), name+".prefix", "a path")
+		fail(qu.spec.Name != "" && names[qu.spec.Name], name+".name", "each name once")
+		fail(!services[qu.spec.Service], name+".service", "a service of the document")
+		fail(taken[adr], name+".prefix", "each host and prefix once")
+		fail(qu.spec.Timeout <= 0, name+".timeout", "more than 0")
+		fail(qu.spec.Attempts < 0 || qu.spec.Factor < 0 || qu.spec.Target < 0, name, "amounts of 0 or more")
+		taken[adr], names[qu.spec.Name] = true, true
+	}
+	if len(fas) > 0 {
+		return Document{}, &DocumentError{faults: fas}
+	}
+	return Document{spec: spec}, nil
+}
+
+// Version returns the number of the document; 0 means none yet.
+func (doc Document) Version() uint64 { return doc.spec.Version }
+
+// Text returns the document as it was sent.
+func (doc Document) Text() []byte { return doc.spec.Text }
+
+// Queues returns the queues in the order of the document.
+func (doc Document) Queues() []Queue { return append([]Queue(nil), doc.spec.Queues...) }
+
+// Services returns the services in the order of the document.
+func (doc Document) Services() []Service { return append([]Service(nil), doc.spec.Services...) }
+
+// Find returns the queue with the longest prefix of path on host and the rest
+// of the path.
+func (doc Document) Find(host, path string) (Queue, string, bool) {
+	var best Queue
+	found := false
+	for _, qu := range doc.spec.Queues {
+		if !strings.EqualFold(qu.spec.Host, host) || !strings.HasPrefix(path, qu.spec.Prefix) {
+			continue
+		}
+		if !found || len(qu.spec.Prefix) > len(best.spec.Prefix) {
+			best, found = qu, true
+		}
+	}
+	if !found {
+		return Queue{}, "", false
+	}
+	return best, path[len(best.spec.Prefix):], true
+}
--- /dev/null
+++ b/core/cell/state.go
@@ -0,0 +1,130 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+
+	"guavarail/core/flow"
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+)
+
+// Command is one entry of the log. One of its parts is set.
+type Command struct {
+	ops      []flow.Op
+	document Document
+	centre   model.CentreID
+	out      bool
+}
+
+// Jobs returns a command on jobs.
+func Jobs(ops ...flow.Op) Command { return Command{ops: ops} }
+
+// Configure returns a command that stores a document.
+func Configure(doc Document) Command { return Command{document: doc} }
+
+// Evacuate takes a data centre out of service, or back with out false.
+func Evacuate(centre model.CentreID, out bool) Command { return Command{centre: centre, out: out} }
+
+// Ops returns the operations on jobs.
+func (cmd Command) Ops() []flow.Op { return cmd.ops }
+
+// Document returns the document, and false when the command stores none.
+func (cmd Command) Document() (Document, bool) { return cmd.document, cmd.document.Version() > 0 }
+
+// Centre returns the data centre and whether it goes out of service; it is
+// empty for other commands.
+func (cmd Command) Centre() (model.CentreID, bool) { return cmd.centre, cmd.out }
+
+// Result is the result of a command.
+type Result struct {
+	verdicts []flow.Verdict
+	version  uint64
+}
+
+// Verdicts returns one verdict for each operation on jobs.
+func (res Result) Verdicts() []flow.Verdict { return res.verdicts }
+
+// Version returns the version in effect after the command.
+func (res Result) Version() uint64 { return res.version }
+
+// Snapshot is a copy of the state.
+type Snapshot struct {
+	document Document
+	out      []model.CentreID
+	jobs     flow.Snapshot
+}
+
+// NewSnapshot returns a snapshot of all parts.
+func NewSnapshot(doc Document, out []model.CentreID, jobs flow.Snapshot) Snapshot {
+	return Snapshot{document: doc, out: out, jobs: jobs}
+}
+
+// Document returns the configuration.
+func (sn Snapshot) Document() Document { return sn.document }
+
+// Out returns the data centres that are out of service, by name.
+func (sn Snapshot) Out() []model.CentreID { return sn.out }
+
+// Jobs returns the jobs.
+func (sn Snapshot) Jobs() flow.Snapshot { return sn.jobs }
+
+// State is the replicated state of a cell. The zero value is empty.
+type State struct {
+	document Document
+	out      map[model.CentreID]bool
+	jobs     flow.State
+}
+
+var _ quorum.Replica[Command, Result, Snapshot] = (*State)(nil)
+
+// Apply carries out one committed command. The highest version of the
+// configuration is in effect; an overtaken one changes nothing.
+func (st *State) Apply(cmd Command) Result {
+	var res Result
+	switch {
+	case cmd.document.Version() > 0:
+		if cmd.document.Version() > st.document.Version() {
+			st.document = cmd.document
+		}
+	case cmd.centre != "":
+		if st.out == nil {
+			st.out = map[model.CentreID]bool{}
+		}
+		if cmd.out {
+			st.out[cmd.centre] = true
+		} else {
+			delete(st.out, cmd.centre)
+		}
+	default:
+		res.verdicts = make([]flow.Verdict, len(cmd.ops))
+		for i, op := range cmd.ops {
+			res.verdicts[i] = st.jobs.Apply(op)
+		}
+	}
+	res.version = st.document.Version()
+	return res
+}
+
+// Snapshot returns a copy of the state.
+func (st *State) Snapshot() Snapshot {
+	return Snapshot{document: st.document, out: slices.Sorted(maps.Keys(st.out)), jobs: st.jobs.Snapshot()}
+}
+
+// Restore replaces the state.
+func (st *State) Restore(snap Snapshot) {
+	st.document, st.out = snap.document, map[model.CentreID]bool{}
+	for _, cen := range snap.out {
+		st.out[cen] = true
+	}
+	st.jobs.Restore(snap.jobs)
+}
+
+// Document returns the configuration in effect.
+func (st *State) Document() Document { return st.document }
+
+// Out returns a copy of the data centres that are out of service.
+func (st *State) Out() map[model.CentreID]bool { return maps.Clone(st.out) }
+
+// Jobs returns the jobs, for reads and for the planner of the leader.
+func (st *State) Jobs() *flow.State { return &st.jobs }
--- /dev/null
+++ b/core/flow/job.go
@@ -0,0 +1,257 @@
+package flow
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"guavarail/core/model"
+)
+
+const (
+	// maxBody bounds the text that each start of a task carries, in bytes.
+	maxBody = 4000
+	// maxTasks bounds the tasks of one run of a job.
+	maxTasks = 20_000
+	// maxSteps bounds the steps of a job.
+	maxSteps = 200
+	// maxTimes bounds the occurrences of a job that repeats.
+	maxTimes = 10_000
+)
+
+// StepSpec describes the equal tasks of one step.
+type StepSpec struct {
+	Tasks int
+	// Size is what each task needs. The processors of a Filler are not counted.
+	Size model.Resources
+	// Estimate is the declared duration of a task, often far off; 0 means unknown.
+	Estimate time.Duration
+	// After lists earlier steps whose tasks must all have succeeded.
+	After []int
+	// Checkpoints says that the tasks resume from a checkpoint.
+	Checkpoints bool
+	// Gang says that the tasks only run together, and OneRack that they are
+	// faster on a single rack.
+	Gang, OneRack bool
+	// Label is one that the worker must have; Rack is where the data is.
+	Label, Rack string
+	// PerWorker bounds the tasks on one worker; 0 means no bound.
+	PerWorker int
+	// Copies says that several attempts of a task may run at once.
+	Copies bool
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool
+	// Filler tasks use the processors that others leave.
+	Filler bool
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string
+	// TailTarget bounds the tail latency of a lasting task's own callers; 0
+	// means that it has none.
+	TailTarget time.Duration
+	// Misses is how many tasks of a lasting step may be down at once because
+	// of orders of the system; -1 means no bound.
+	Misses int
+}
+
+// JobSpec is the input of NewJob.
+type JobSpec struct {
+	ID      model.JobID
+	Queue   string
+	Service model.ServiceID
+	// Body is passed on to each task unchanged.
+	Body  string
+	Steps []StepSpec
+	// Priority 0 goes first.
+	Priority int
+	// Attempts is the number of failures that ends the job.
+	Attempts int
+	// Factor and Target give the objective: Factor times the longest chain of
+	// steps, and Target more.
+	Factor float64
+	Target time.Duration
+	// Accepted is the wall clock of the leader when it took the job in, in
+	// milliseconds since 1970.
+	Accepted int64
+	// First is when the first occurrence of a repeating job is due, in
+	// milliseconds since 1970; Every is the time between two and Times their
+	// number. Times is 0 for a job that runs once, as soon as possible.
+	First int64
+	Every time.Duration
+	Times int
+}
+
+// Job is what a caller submitted. It passed the check of NewJob.
+type Job struct {
+	spec JobSpec
+	// tails has the declared time from the start of each step to the end of
+	// the longest chain that begins with it.
+	tails []time.Duration
+}
+
+// JobError reports the fields of a job that are not accepted.
+type JobError struct {
+	faults []model.Fault
+}
+
+// Faults returns the faults in field order.
+func (err *JobError) Faults() []model.Fault { return append([]model.Fault(nil), err.faults...) }
+
+// Error lists every fault.
+func (err *JobError) Error() string {
+	out := make([]string, 0, len(err.faults))
+	for _, fa := range err.faults {
+		out = append(out, fa.Field()+": use "+fa.Allowed())
+	}
+	return "job not accepted: " + strings.Join(out, "; ")
+}
+
+// NewJob checks spec as a whole and returns the job.
+func NewJob(spec JobSpec) (Job, error) {
+	var fas []model.Fault
+	fail := func(bad bool, field, allowed string) {
+		if bad {
+			fas = append(fas, model.NewFault(field, allowed))
+		}
+	}
+	fail(spec.ID == "", "id", "a name")
+	fail(len(spec.Body) > maxBody, "body", "at most 4000 bytes")
+	fail(len(spec.Steps) == 0 || len(spec.Steps) > maxSteps, "steps", "1 to 200 steps")
+	fail(spec.Times < 0 || spec.Times > maxTimes, "times", "0 to 10000")
+	fail(spec.Times > 0 && spec.Every < 0, "every", "0 or more")
+	total := 0
+	for pos, st := range spec.Steps {
+		name := "steps." + strconv.Itoa(pos)
+		total += max(0, st.Tasks)
+		fail(st.Tasks < 1, name+".tasks", "1 or more")
+		fail(!st.Size.Valid(), name+".size", "amounts of 0 or more")
+		fail(st.Estimate < 0, name+".estimate", "0 or more")
+		for _, dep := range st.After {
+			fail(dep < 0 || dep >= pos, name+".after", "numbers of earlier steps")
+		}
+	}
+	fail(total > maxTasks, "tasks", "at most 20000 in all steps")
+	if len(fas) > 0 {
+		return Job{}, &JobError{faults: fas}
+	}
+	return Job{spec: spec, tails: tailsOf(spec.Steps)}, nil
+}
+
+// tailsOf returns the longest declared chain from each step on.
+func tailsOf(steps []StepSpec) []time.Duration {
+	tails := make([]time.Duration, len(steps))
+	for pos := len(steps) - 1; pos >= 0; pos-- {
+		tails[pos] += steps[pos].Estimate
+		for _, dep := range steps[pos].After {
+			tails[dep] = max(tails[dep], tails[pos])
+		}
+	}
+	return tails
+}
+
+// Spec returns what the job was made from.
+func (jo Job) Spec() JobSpec { return jo.spec }
+
+// ID returns the job's name.
+func (jo Job) ID() model.JobID { return jo.spec.ID }
+
+// Chain returns the declared duration of the longest chain of steps.
+func (jo Job) Chain() time.Duration {
+	var most time.Duration
+	for _, tail := range jo.tails {
+		most = max(most, tail)
+	}
+	return most
+}
+
+// Objective returns the time from the acceptance in which the job should end.
+func (jo Job) Objective() time.Duration {
+	return time.Duration(jo.spec.Factor*float64(jo.Chain())) + jo.spec.Target
+}
+
+// lasting reports whether the job runs until it is cancelled.
+func (jo Job) lasting() bool {
+	for _, st := range jo.spec.Steps {
+		if st.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// due returns when occurrence k is due, in milliseconds since 1970.
+func (jo Job) due(k int) int64 {
+	if jo.spec.Times == 0 {
+		return jo.spec.Accepted
+	}
+	return jo.spec.First + int64(k)*jo.spec.Every.Milliseconds()
+}
+
+// TaskID names a task: an occurrence of a job, a step and an index in it.
+type TaskID struct {
+	job                     model.JobID
+	occurrence, step, index int
+}
+
+// NewTaskID returns the identifier of a task.
+func NewTaskID(job model.JobID, occurrence, step, index int) TaskID {
+	return TaskID{job: job, occurrence: occurrence, step: step, index: index}
+}
+
+// Job returns the job of the task.
+func (id TaskID) Job() model.JobID { return id.job }
+
+// Occurrence returns the repetition of the job, from 0.
+func (id TaskID) Occurrence() int { return id.occurrence }
+
+// Step returns the position of the step, from 0.
+func (id TaskID) Step() int { return id.step }
+
+// Index returns the position in the step, from 0.
+func (id TaskID) Index() int { return id.index }
+
+// String returns the four parts with dots between them.
+func (id TaskID) String() string {
+	buf := make([]byte, 0, len(id.job)+12)
+	buf = append(buf, id.job...)
+	for _, num := range [...]int{id.occurrence, id.step, id.index} {
+		buf = strconv.AppendInt(append(buf, '.'), int64(num), 10)
+	}
+	return string(buf)
+}
+
+// ParseTaskID is the inverse of TaskID.String.
+func ParseTaskID(text string) (TaskID, bool) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return TaskID{}, false
+	}
+	var nums [3]int
+	for i := range nums {
+		num, err := strconv.Atoi(parts[i+1])
+		if err != nil || num < 0 {
+			return TaskID{}, false
+		}
+		nums[i] = num
+	}
+	return NewTaskID(model.JobID(parts[0]), nums[0], nums[1], nums[2]), true
+}
+
+// Life is one life of a worker: its name and when it started. A worker that
+// restarts under its old name has a new life and runs nothing.
+type Life struct {
+	worker model.WorkerID
+	// born is in milliseconds since 1970 of the worker's clock.
+	born int64
+}
+
+// NewLife returns the life of a worker that started at born.
+func NewLife(worker model.WorkerID, born int64) Life { return Life{worker: worker, born: born} }
+
+// Worker returns the name of the worker.
+func (li Life) Worker() model.WorkerID { return li.worker }
+
+// Born returns the start of the life in milliseconds since 1970.
+func (li Life) Born() int64 { return li.born }
+
+// String returns the name and the start.
+func (li Life) String() string { return string(li.worker) + "@" + strconv.FormatInt(li.born, 10) }
--- /dev/null
+++ b/core/flow/place.go
@@ -0,0 +1,233 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"guavarail/core/model"
+)
+
+const (
+	// farCost is what a worker away from the data or the rack of a step costs
+	// against the share of processors that stays free, which is 0 to 1.
+	farCost = 4.0
+	// crowdCost is what each serving task on a worker costs a filler or
+	// another serving task.
+	crowdCost = 0.5
+	// sharedCost is what each task of the same lasting step costs.
+	sharedCost = 1.0
+)
+
+// wanted is a step of an occurrence with tasks that wait.
+type wanted struct {
+	job        *job
+	occ        *occurrence
+	occurrence int
+	step       int
+	spec       *StepSpec
+	// slack is the time that is left before the step must start for the job
+	// to meet its objective.
+	slack time.Duration
+}
+
+// plan starts what can start.
+func (pl *Planner) plan(now model.Instant) {
+	for _, wa := range pl.wants(now) {
+		if wa.spec.Gang {
+			pl.startGang(now, wa)
+			continue
+		}
+		pl.startTasks(now, wa)
+	}
+}
+
+// wants lists the steps with waiting tasks in the order in which they are
+// served: by priority, then lasting tasks, then the least slack; jobs that are
+// too late for their objective come after those that can meet it.
+func (pl *Planner) wants(now model.Instant) []wanted {
+	wall := pl.wall(now)
+	var out []wanted
+	for _, jb := range pl.open {
+		if jb.status.Final() {
+			continue
+		}
+		for k := range jb.times() {
+			if jb.spec.Times > 0 && jb.due(k) > wall {
+				break
+			}
+			occ := jb.occurrence(k)
+			if occ.open == 0 {
+				continue
+			}
+			out = pl.wantedSteps(out, jb, occ, k, wall)
+		}
+	}
+	slices.SortStableFunc(out, order)
+	return out
+}
+
+func (pl *Planner) wantedSteps(out []wanted, jb *job, occ *occurrence, k int, wall int64) []wanted {
+	for s := range occ.steps {
+		spec := &jb.spec.Steps[s]
+		if occ.steps[s].idle == 0 || !occ.ready(spec) {
+			continue
+		}
+		age := time.Duration(wall-jb.due(k)) * time.Millisecond
+		out = append(out, wanted{
+			job: jb, occ: occ, occurrence: k, step: s, spec: spec, slack: jb.Objective() - age - jb.tails[s],
+		})
+	}
+	return out
+}
+
+// order compares two steps by who is served first.
+func order(wa, wb wanted) int {
+	return cmp.Or(
+		cmp.Compare(wa.job.spec.Priority, wb.job.spec.Priority),
+		before(wa.spec.Lasting, wb.spec.Lasting),
+		before(wa.slack >= 0, wb.slack >= 0),
+		cmp.Compare(wa.slack, wb.slack),
+	)
+}
+
+// before puts true first.
+func before(va, vb bool) int {
+	switch {
+	case va == vb:
+		return 0
+	case va:
+		return -1
+	}
+	return 1
+}
+
+// startTasks places the waiting tasks of a step one by one.
+func (pl *Planner) startTasks(now model.Instant, wa wanted) {
+	sp := &wa.occ.steps[wa.step]
+	for i := range sp.tasks {
+		tk := &sp.tasks[i]
+		if !tk.waiting() {
+			continue
+		}
+		id := NewTaskID(wa.job.ID(), wa.occurrence, wa.step, i)
+		wk := pl.choose(now, wa, id, nil)
+		if wk == nil {
+			return
+		}
+		pl.propose(now, wa, tk, id, tk.attempt+1, wk)
+	}
+}
+
+// startGang places all tasks of a step or none. All of them get the same
+// number, which is above all earlier ones.
+func (pl *Planner) startGang(now model.Instant, wa wanted) {
+	sp := &wa.occ.steps[wa.step]
+	attempt := 0
+	for i := range sp.tasks {
+		if !sp.tasks[i].waiting() {
+			return
+		}
+		attempt = max(attempt, sp.tasks[i].attempt+1)
+	}
+	var first *worker
+	placed := make([]*worker, 0, len(sp.tasks))
+	for i := range sp.tasks {
+		id := NewTaskID(wa.job.ID(), wa.occurrence, wa.step, i)
+		wk := pl.choose(now, wa, id, first)
+		if wk == nil {
+			for j, old := range placed {
+				pl.retract(old, NewTaskID(wa.job.ID(), wa.occurrence, wa.step, j), attempt, &sp.tasks[j])
+			}
+			return
+		}
+		if first == nil {
+			first = wk
+		}
+		placed = append(placed, wk)
+		pl.hold(now, wa, &sp.tasks[i], id, attempt, wk)
+	}
+	for i, wk := range placed {
+		id := NewTaskID(wa.job.ID(), wa.occurrence, wa.step, i)
+		pl.queued = append(pl.queued, Start(id, attempt, wk.life))
+	}
+}
+
+// propose starts one task on a worker.
+func (pl *Planner) propose(now model.Instant, wa wanted, tk *task, id TaskID, attempt int, wk *worker) {
+	pl.hold(now, wa, tk, id, attempt, wk)
+	pl.queued = append(pl.queued, Start(id, attempt, wk.life))
+}
+
+// hold takes room for a run that is about to be proposed.
+func (pl *Planner) hold(now model.Instant, wa wanted, tk *task, id TaskID, attempt int, wk *worker) {
+	tk.planned++
+	pd := newPlaced(wa.job, id, attempt, now)
+	pd.planned, pd.checkpoint = true, tk.checkpoint
+	wk.add(pd)
+}
+
+// retract gives back the room of a run that was not proposed.
+func (pl *Planner) retract(wk *worker, id TaskID, attempt int, tk *task) {
+	if pd := wk.find(id, attempt); pd != nil {
+		wk.drop(pd)
+		tk.planned--
+	}
+}
+
+// choose returns the worker with the lowest cost for a task, or nil. near is
+// the worker of another task that should be on the same rack.
+func (pl *Planner) choose(now model.Instant, wa wanted, id TaskID, near *worker) *worker {
+	need := wa.spec.counted()
+	var best *worker
+	lowest := 0.0
+	for _, wk := range pl.workers {
+		if !pl.usable(now, wk, wa, id, need) {
+			continue
+		}
+		cost := pl.cost(wk, wa, id, need, near)
+		if best == nil || cost < lowest || cost == lowest && wk.life.worker < best.life.worker {
+			best, lowest = wk, cost
+		}
+	}
+	return best
+}
+
+// usable reports whether a task may be on the worker.
+func (pl *Planner) usable(now model.Instant, wk *worker, wa wanted, id TaskID, need model.Resources) bool {
+	switch {
+	case !wk.known || wk.draining || wk.service != wa.job.spec.Service || pl.outage[wk.centre]:
+		return false
+	case now.Sub(wk.heard) > freshFor || wk.health.quarantined(now):
+		return false
+	case !need.FitsIn(wk.free()) || !wa.spec.Size.FitsIn(wk.size):
+		return false
+	case wa.spec.Label != "" && !slices.Contains(wk.labels, wa.spec.Label):
+		return false
+	case wa.spec.PerWorker > 0 && wk.sameStep(id) >= wa.spec.PerWorker:
+		return false
+	}
+	return true
+}
+
+// cost compares workers for a task: those near the data first; serving tasks
+// and fillers apart; then the fullest worker, so that large tasks find room.
+// Fillers go where most is left over.
+func (pl *Planner) cost(wk *worker, wa wanted, id TaskID, need model.Resources, near *worker) float64 {
+	total := float64(max(1, wk.size.MilliCPU()))
+	left := float64(wk.free().MilliCPU()-need.MilliCPU()) / total
+	cost := left
+	if wa.spec.Filler {
+		cost = 1 - (float64(wk.free().MilliCPU()-wk.filling) / total) + crowdCost*float64(wk.serving)
+	}
+	if wa.spec.TailTarget > 0 {
+		cost += crowdCost*float64(wk.fillers+wk.serving) + sharedCost*float64(wk.sameStep(id))
+	}
+	if wa.spec.Rack != "" && wa.spec.Rack != wk.rack {
+		cost += farCost
+	}
+	if near != nil && wa.spec.OneRack && wk.rack != near.rack {
+		cost += farCost
+	}
+	return cost
+}
--- /dev/null
+++ b/core/flow/planner.go
@@ -0,0 +1,432 @@
+package flow
+
+import (
+	"strconv"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Bounds are the times that the deployment sets.
+type Bounds struct {
+	// Hold is how long what a worker runs outlives its last answered report.
+	Hold time.Duration
+	// Keep is how long an ended job can be asked for.
+	Keep time.Duration
+}
+
+const (
+	// defaultHold bridges a change of the leader and a short outage; a silent
+	// worker's tasks start elsewhere this long after its last report.
+	defaultHold = 6 * time.Second
+	// defaultKeep is how long an ended job is kept for reads.
+	defaultKeep = 2 * time.Minute
+	// holdMargin covers the drift of a worker's clock, 2%, and the answer's
+	// way through this process.
+	holdMargin  = 50 * time.Millisecond
+	holdDivisor = 40
+	// freshFor is the age of the last report up to which a worker gets tasks.
+	freshFor = 2500 * time.Millisecond
+	// busyWait is how long the report of a worker with tasks waits for orders:
+	// one commit. The worker does not report an end while its report waits.
+	busyWait = 30 * time.Millisecond
+	// endWait bounds the wait for the commit of reported ends.
+	endWait = 150 * time.Millisecond
+	// idleWait is the same for a worker without tasks; the answer must arrive
+	// within a second.
+	idleWait = 700 * time.Millisecond
+	// busyAgain and idleAgain are the pauses between reports.
+	busyAgain = 150 * time.Millisecond
+	idleAgain = 20 * time.Millisecond
+	// fetchWait is how long a start waits for the next report of its worker.
+	fetchWait = time.Second
+	// forgetWorker is the age of the last report after which a worker without
+	// tasks is forgotten.
+	forgetWorker = 15 * time.Second
+	// sweepEvery is how often leases and old jobs are looked at.
+	sweepEvery = 100 * time.Millisecond
+)
+
+func (bo Bounds) hold() time.Duration {
+	if bo.Hold <= 0 {
+		return defaultHold
+	}
+	return bo.Hold
+}
+
+func (bo Bounds) keep() time.Duration {
+	if bo.Keep <= 0 {
+		return defaultKeep
+	}
+	return bo.Keep
+}
+
+// leaseEnd returns when a lease that was renewed at now is over for certain.
+func (bo Bounds) leaseEnd(now model.Instant) model.Instant {
+	hold := bo.hold()
+	return now.Add(hold + hold/holdDivisor + holdMargin)
+}
+
+// Planner decides for the leader of a cell. The zero value leads nothing; use
+// NewPlanner.
+type Planner struct {
+	st     *State
+	bounds Bounds
+	// leading is set from TookOver to SteppedDown.
+	leading   bool
+	term      uint64
+	leadUntil model.Instant
+	// wallAt is the time of day at wallRead, in milliseconds since 1970.
+	wallAt   int64
+	wallRead model.Instant
+	outage   map[model.CentreID]bool
+	workers  map[model.WorkerID]*worker
+	// former are earlier lives of workers whose runs may not be over.
+	former []*worker
+	// open are the jobs that have not ended, in the order of submission.
+	open []*job
+	// closing are the jobs that have ended and are kept for reads.
+	closing []*job
+	// queued are operations for the next proposal.
+	queued []Op
+	// flying is set while a proposal is under way.
+	flying bool
+	// dirty is set when something changed that could let a task start.
+	dirty bool
+	swept model.Instant
+	out   []Effect
+}
+
+// NewPlanner returns a planner that reads st, which the caller keeps in step
+// with the group.
+func NewPlanner(st *State, bounds Bounds) *Planner {
+	return &Planner{st: st, bounds: bounds}
+}
+
+// Step takes one input and returns the effects in order.
+func (pl *Planner) Step(now model.Instant, in Input) []Effect {
+	switch msg := in.(type) {
+	case Tick:
+		pl.leadUntil, pl.wallAt, pl.wallRead = msg.LeadUntil, msg.Wall, now
+		pl.tick(now)
+	case TookOver:
+		pl.leadUntil, pl.wallAt, pl.wallRead = msg.LeadUntil, msg.Wall, now
+		pl.takeOver(now, msg.Term)
+	case SteppedDown:
+		pl.stepDown()
+	case Applied:
+		pl.applied(now, msg)
+	case Settled:
+		pl.settled(msg.Applied)
+	case Leave:
+		pl.leave(msg.Worker)
+	case Outage:
+		pl.outage, pl.dirty = msg.Centres, true
+	case Beat:
+		pl.beat(now, &msg)
+	}
+	if pl.leads(now) {
+		pl.advance(now)
+	}
+	out := pl.out
+	pl.out = nil
+	return out
+}
+
+func (pl *Planner) leads(now model.Instant) bool { return pl.leading && now.Before(pl.leadUntil) }
+
+// wall returns the time of day in milliseconds since 1970.
+func (pl *Planner) wall(now model.Instant) int64 {
+	return pl.wallAt + now.Sub(pl.wallRead).Milliseconds()
+}
+
+// takeOver builds the leader's view from the state. Every lease counts as
+// renewed now, because the previous leader may have renewed it until its own
+// lease ended.
+func (pl *Planner) takeOver(now model.Instant, term uint64) {
+	pl.stepDown()
+	pl.leading, pl.term, pl.dirty = true, term, true
+	pl.workers = map[model.WorkerID]*worker{}
+	for _, jb := range pl.st.inOrder() {
+		jb.seen = now
+		if jb.status.Final() {
+			pl.closing = append(pl.closing, jb)
+		} else {
+			pl.open = append(pl.open, jb)
+		}
+		pl.adopt(now, jb)
+	}
+	pl.note("leadershipTaken", "", "", "", "term", strconv.FormatUint(term, 10), "jobs", strconv.Itoa(len(pl.open)))
+}
+
+// adopt places the runs of a job on their workers.
+func (pl *Planner) adopt(now model.Instant, jb *job) {
+	for k, occ := range jb.occurrences {
+		for s := range occ.steps {
+			for i := range occ.steps[s].tasks {
+				tk := &occ.steps[s].tasks[i]
+				tk.planned = 0
+				for _, ru := range tk.runs {
+					wk := pl.lifeOf(now, ru.life)
+					wk.add(newPlaced(jb, NewTaskID(jb.ID(), k, s, i), ru.attempt, now).inherit())
+				}
+			}
+		}
+	}
+}
+
+// stepDown forgets what only the leader knows and lets the reports go.
+func (pl *Planner) stepDown() {
+	for _, wk := range pl.workers {
+		if wk.polled {
+			pl.out = append(pl.out, Answer{Poll: wk.poll, Refused: true})
+		}
+	}
+	for _, jb := range pl.open {
+		jb.unplan()
+	}
+	*pl = Planner{
+		st: pl.st, bounds: pl.bounds, out: pl.out, outage: pl.outage,
+		leadUntil: pl.leadUntil, wallAt: pl.wallAt, wallRead: pl.wallRead,
+	}
+}
+
+// unplan forgets starts that were proposed.
+func (jb *job) unplan() {
+	for _, occ := range jb.occurrences {
+		for s := range occ.steps {
+			for i := range occ.steps[s].tasks {
+				occ.steps[s].tasks[i].planned = 0
+			}
+		}
+	}
+}
+
+// advance plans, proposes and answers what can be answered.
+func (pl *Planner) advance(now model.Instant) {
+	if !pl.flying {
+		if pl.dirty {
+			pl.dirty = false
+			pl.plan(now)
+		}
+		if len(pl.queued) > 0 {
+			pl.flying = true
+			pl.out = append(pl.out, Propose{Ops: pl.queued})
+			pl.queued = nil
+		}
+	}
+	for _, wk := range pl.workers {
+		if wk.polled && pl.due(now, wk) {
+			pl.answer(now, wk)
+		}
+	}
+}
+
+func (pl *Planner) tick(now model.Instant) {
+	if !pl.leads(now) || now.Sub(pl.swept) < sweepEvery {
+		return
+	}
+	pl.swept = now
+	// Occurrences fall due and reports grow old with time alone.
+	pl.dirty = true
+	for _, wk := range pl.workers {
+		pl.withdraw(now, wk)
+		pl.expire(now, wk)
+		if len(wk.placed) == 0 && now.Sub(wk.heard) > forgetWorker {
+			delete(pl.workers, wk.life.worker)
+			pl.note("workerForgotten", "", "", wk.life.String())
+		}
+	}
+	kept := pl.former[:0]
+	for _, wk := range pl.former {
+		pl.expire(now, wk)
+		if len(wk.placed) > 0 {
+			kept = append(kept, wk)
+		}
+	}
+	pl.former = kept
+	pl.forgetJobs(now)
+}
+
+// expire ends the runs of a worker whose lease is over.
+func (pl *Planner) expire(now model.Instant, wk *worker) {
+	if now.Before(wk.lease) || len(wk.placed) == 0 {
+		return
+	}
+	if !wk.expired {
+		wk.expired = true
+		pl.note("leaseExpired", "", "", wk.life.String(), "runs", strconv.Itoa(len(wk.placed)),
+			"silentMs", strconv.FormatInt(now.Sub(wk.heard).Milliseconds(), 10))
+	}
+	pl.endAll(wk, Lost)
+}
+
+// withdraw ends starts that a silent worker did not fetch.
+func (pl *Planner) withdraw(now model.Instant, wk *worker) {
+	for _, pd := range wk.placed {
+		if !pd.told && !pd.inherited && now.Sub(pd.since) > fetchWait {
+			pl.end(pd, NotStarted, pd.checkpoint)
+		}
+	}
+}
+
+// endAll proposes the end of every run on the worker.
+func (pl *Planner) endAll(wk *worker, oc Outcome) {
+	for _, pd := range wk.placed {
+		pl.end(pd, oc, pd.checkpoint)
+	}
+}
+
+// end proposes the end of a run once.
+func (pl *Planner) end(pd *placed, oc Outcome, checkpoint string) {
+	if pd.ending || pd.planned {
+		return
+	}
+	pd.ending = true
+	pl.queued = append(pl.queued, End(pd.task, pd.attempt, oc, checkpoint))
+}
+
+// forgetJobs drops the jobs that ended long ago and moves those that ended
+// since out of the way.
+func (pl *Planner) forgetJobs(now model.Instant) {
+	open := pl.open[:0]
+	for _, jb := range pl.open {
+		if jb.status.Final() {
+			jb.seen = now
+			pl.closing = append(pl.closing, jb)
+			continue
+		}
+		open = append(open, jb)
+	}
+	clear(pl.open[len(open):])
+	pl.open = open
+	closing := pl.closing[:0]
+	for _, jb := range pl.closing {
+		if jb.live == 0 && now.Sub(jb.seen) > pl.bounds.keep() {
+			pl.queued = append(pl.queued, Forget(jb.ID()))
+			continue
+		}
+		closing = append(closing, jb)
+	}
+	clear(pl.closing[len(closing):])
+	pl.closing = closing
+}
+
+// applied follows the state after an operation, whoever proposed it.
+func (pl *Planner) applied(now model.Instant, msg Applied) {
+	if !pl.leading {
+		return
+	}
+	op := msg.Op
+	switch op.kind {
+	case OpSubmit:
+		if msg.Verdict == Accepted {
+			pl.open = append(pl.open, pl.st.jobs[op.id])
+			pl.dirty = true
+		}
+	case OpCancel:
+		pl.note("jobCancelled", op.id, "", "", "verdict", msg.Verdict.String())
+		pl.dirty = true
+	case OpStart:
+		pl.appliedStart(now, msg)
+	case OpEnd:
+		pl.appliedEnd(now, msg)
+	}
+}
+
+func (pl *Planner) appliedStart(now model.Instant, msg Applied) {
+	op := msg.Op
+	wk := pl.lifeOf(now, op.life)
+	pd := wk.find(op.task, op.attempt)
+	if pd != nil && pd.planned {
+		pd.planned = false
+		if _, _, tk, ok := pl.st.find(op.task); ok && tk.planned > 0 {
+			tk.planned--
+		}
+	}
+	if msg.Verdict == Accepted {
+		if pd == nil {
+			wk.add(newPlaced(pl.st.jobs[op.id], op.task, op.attempt, now).inherit())
+		}
+		return
+	}
+	if pd != nil {
+		wk.drop(pd)
+	}
+	pl.dirty = true
+	pl.note("startRejected", op.id, op.task.String(), op.life.String(), "verdict", msg.Verdict.String())
+}
+
+func (pl *Planner) appliedEnd(now model.Instant, msg Applied) {
+	op := msg.Op
+	pl.dirty = true
+	if msg.Verdict != Accepted {
+		return
+	}
+	wk, pd := pl.holder(op.task, op.attempt)
+	if pd == nil {
+		return
+	}
+	wk.drop(pd)
+	pl.judge(now, wk, pd, op.outcome)
+	jb := pl.st.jobs[op.id]
+	if op.outcome != Succeeded && op.outcome != Stopped {
+		pl.note("runEnded", op.id, op.task.String(), wk.life.String(), "attempt", strconv.Itoa(op.attempt),
+			"outcome", op.outcome.String())
+	}
+	if jb != nil && jb.status.Final() && jb.live == 0 {
+		pl.note("jobEnded", op.id, "", "", "state", jb.status.String())
+	}
+}
+
+// holder returns the worker that has a run.
+func (pl *Planner) holder(task TaskID, attempt int) (*worker, *placed) {
+	for _, wk := range pl.workers {
+		if pd := wk.find(task, attempt); pd != nil {
+			return wk, pd
+		}
+	}
+	for _, wk := range pl.former {
+		if pd := wk.find(task, attempt); pd != nil {
+			return wk, pd
+		}
+	}
+	return nil, nil
+}
+
+// settled ends the proposal under way. What was not applied is decided anew.
+func (pl *Planner) settled(applied bool) {
+	pl.flying, pl.dirty = false, true
+	if applied {
+		return
+	}
+	for _, wk := range pl.workers {
+		pl.unplan(wk)
+	}
+	for _, wk := range pl.former {
+		pl.unplan(wk)
+	}
+}
+
+// unplan forgets what was proposed about the runs of a worker.
+func (pl *Planner) unplan(wk *worker) {
+	for i := len(wk.placed) - 1; i >= 0; i-- {
+		pd := wk.placed[i]
+		pd.ending = false
+		if !pd.planned {
+			continue
+		}
+		if _, _, tk, ok := pl.st.find(pd.task); ok && tk.planned > 0 {
+			tk.planned--
+		}
+		wk.drop(pd)
+	}
+}
+
+func (pl *Planner) note(kind string, job model.JobID, task, worker string, pairs ...string) {
+	fis := make([]Field, 0, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		fis = append(fis, Field{Key: pairs[i], Value: pairs[i+1]})
+	}
+	pl.out = append(pl.out, Note{Kind: kind, Job: job, Task: task, Worker: worker, Fields: fis})
+}
--- /dev/null
+++ b/core/flow/snapshot.go
@@ -0,0 +1,125 @@
+package flow
+
+import (
+	"maps"
+	"slices"
+)
+
+// Snapshot is a copy of the state, with the jobs in the order of submission.
+type Snapshot struct {
+	submitted uint64
+	jobs      []JobRecord
+}
+
+// NewSnapshot returns a snapshot.
+func NewSnapshot(submitted uint64, jobs []JobRecord) Snapshot {
+	return Snapshot{submitted: submitted, jobs: jobs}
+}
+
+// Submitted returns the number of jobs that were ever submitted.
+func (sn Snapshot) Submitted() uint64 { return sn.submitted }
+
+// Jobs returns the jobs.
+func (sn Snapshot) Jobs() []JobRecord { return sn.jobs }
+
+// JobRecord is one job of a snapshot.
+type JobRecord struct {
+	Spec     JobSpec
+	Status   Status
+	Started  bool
+	Sequence uint64
+	Tasks    []TaskRecord
+}
+
+// TaskRecord is one task that differs from a new one.
+type TaskRecord struct {
+	Occurrence, Step, Index int
+	Attempt                 int
+	Failures                int
+	Done                    bool
+	Checkpoint              string
+	Runs                    []RunRecord
+}
+
+// RunRecord is one run that may be on a worker.
+type RunRecord struct {
+	Attempt int
+	Life    Life
+}
+
+// Snapshot returns a copy of the state.
+func (st *State) Snapshot() Snapshot {
+	snap := Snapshot{submitted: st.submitted}
+	for _, jb := range st.inOrder() {
+		snap.jobs = append(snap.jobs, jb.record())
+	}
+	return snap
+}
+
+func (jb *job) record() JobRecord {
+	rec := JobRecord{Spec: jb.spec, Status: jb.status, Started: jb.started, Sequence: jb.sequence}
+	for _, k := range slices.Sorted(maps.Keys(jb.occurrences)) {
+		occ := jb.occurrences[k]
+		for s := range occ.steps {
+			for i := range occ.steps[s].tasks {
+				tk := &occ.steps[s].tasks[i]
+				if tk.attempt == 0 && !tk.done && tk.failures == 0 && tk.checkpoint == "" {
+					continue
+				}
+				tr := TaskRecord{
+					Occurrence: k, Step: s, Index: i, Attempt: tk.attempt, Failures: tk.failures,
+					Done: tk.done, Checkpoint: tk.checkpoint,
+				}
+				for _, ru := range tk.runs {
+					tr.Runs = append(tr.Runs, RunRecord{Attempt: ru.attempt, Life: ru.life})
+				}
+				rec.Tasks = append(rec.Tasks, tr)
+			}
+		}
+	}
+	return rec
+}
+
+// Restore replaces the state.
+func (st *State) Restore(snap Snapshot) {
+	*st = State{submitted: snap.submitted}
+	for i := range snap.jobs {
+		st.restoreJob(&snap.jobs[i])
+	}
+}
+
+func (st *State) restoreJob(rec *JobRecord) {
+	jo, err := NewJob(rec.Spec)
+	if err != nil {
+		// A job passed the same check before it was stored.
+		return
+	}
+	sequence := st.submitted
+	st.submit(jo)
+	st.submitted = sequence
+	jb := st.jobs[jo.ID()]
+	jb.started, jb.sequence = rec.Started, rec.Sequence
+	for i := range rec.Tasks {
+		st.restoreTask(jb, &rec.Tasks[i])
+	}
+	jb.status = rec.Status
+}
+
+func (st *State) restoreTask(jb *job, rec *TaskRecord) {
+	id := NewTaskID(jb.ID(), rec.Occurrence, rec.Step, rec.Index)
+	_, occ, tk, ok := st.find(id)
+	if !ok {
+		return
+	}
+	tk.attempt, tk.failures, tk.checkpoint = rec.Attempt, rec.Failures, rec.Checkpoint
+	for _, rr := range rec.Runs {
+		tk.runs = append(tk.runs, run{attempt: rr.Attempt, life: rr.Life})
+	}
+	if len(tk.runs) > 0 {
+		occ.steps[rec.Step].idle--
+		jb.live += len(tk.runs)
+	}
+	if rec.Done {
+		st.complete(jb, occ, id, rec.Index)
+	}
+}
--- /dev/null
+++ b/core/flow/state.go
@@ -0,0 +1,348 @@
+package flow
+
+import (
+	"slices"
+
+	"guavarail/core/model"
+)
+
+// Status is the state of a job as its caller sees it.
+type Status uint8
+
+// The states of a job.
+const (
+	Queued Status = iota
+	Running
+	Completed
+	GaveUp
+	Cancelled
+)
+
+var statusNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
+
+// String returns the name for logs.
+func (sta Status) String() string { return nameOf(statusNames[:], int(sta)) }
+
+// Final reports whether no further run of the job starts.
+func (sta Status) Final() bool { return sta >= Completed }
+
+// run is one attempt of a task that may be on a worker.
+type run struct {
+	attempt int
+	life    Life
+}
+
+// task is one task of a step.
+type task struct {
+	// runs are the attempts that may be on a worker; more than one only for a
+	// step with Copies.
+	runs []run
+	// attempt is the number of the last run.
+	attempt int
+	// failures counts the runs that failed.
+	failures   int
+	done       bool
+	checkpoint string
+	// planned counts starts that the leader has proposed and that are not
+	// applied yet. It is not replicated.
+	planned int
+}
+
+func (tk *task) waiting() bool { return !tk.done && len(tk.runs) == 0 && tk.planned == 0 }
+
+// find returns the position of a run.
+func (tk *task) find(attempt int) int {
+	return slices.IndexFunc(tk.runs, func(ru run) bool { return ru.attempt == attempt })
+}
+
+// step is one step of an occurrence.
+type step struct {
+	tasks []task
+	// open counts the tasks that are not done.
+	open int
+	// idle counts the tasks that are not done and have no run.
+	idle int
+}
+
+// occurrence is one execution of all steps of a job.
+type occurrence struct {
+	steps []step
+	// open counts the steps with open tasks.
+	open int
+}
+
+func newOccurrence(steps []StepSpec) *occurrence {
+	occ := &occurrence{steps: make([]step, len(steps)), open: len(steps)}
+	for i := range occ.steps {
+		num := steps[i].Tasks
+		occ.steps[i] = step{tasks: make([]task, num), open: num, idle: num}
+	}
+	return occ
+}
+
+// ready reports whether the steps that step pos depends on are complete.
+func (occ *occurrence) ready(spec *StepSpec) bool {
+	for _, dep := range spec.After {
+		if occ.steps[dep].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// job is one submitted job.
+type job struct {
+	Job
+	// occurrences holds those that have begun, by number.
+	occurrences map[int]*occurrence
+	// finished counts the complete occurrences.
+	finished int
+	// started is set once a run of the job was recorded.
+	started bool
+	// live counts the runs that may be on workers.
+	live   int
+	status Status
+	// sequence is the position in the order of submission.
+	sequence uint64
+	// seen is when the leader first saw the job as ended. It is not replicated.
+	seen model.Instant
+}
+
+// times returns the number of occurrences.
+func (jb *job) times() int { return max(1, jb.spec.Times) }
+
+// occurrence returns an occurrence and makes it if it has not begun.
+func (jb *job) occurrence(k int) *occurrence {
+	occ, ok := jb.occurrences[k]
+	if !ok {
+		occ = newOccurrence(jb.spec.Steps)
+		jb.occurrences[k] = occ
+	}
+	return occ
+}
+
+func (jb *job) view() Status {
+	if jb.status == Queued && jb.started {
+		return Running
+	}
+	return jb.status
+}
+
+// State is the replicated state of the jobs of a cell. The zero value is
+// empty and ready to use.
+type State struct {
+	jobs map[model.JobID]*job
+	// submitted numbers jobs in log order.
+	submitted uint64
+}
+
+// Status returns the state of a job, and false for one that is not known.
+func (st *State) Status(id model.JobID) (Status, string, bool) {
+	jb, ok := st.jobs[id]
+	if !ok {
+		return Queued, "", false
+	}
+	return jb.view(), jb.spec.Queue, true
+}
+
+// Pending counts the jobs of a queue that have not started.
+func (st *State) Pending(queue string) int {
+	num := 0
+	for _, jb := range st.jobs {
+		if jb.spec.Queue == queue && jb.status == Queued && !jb.started {
+			num++
+		}
+	}
+	return num
+}
+
+// Len returns the number of known jobs.
+func (st *State) Len() int { return len(st.jobs) }
+
+// inOrder returns the jobs in the order of submission.
+func (st *State) inOrder() []*job {
+	out := make([]*job, 0, len(st.jobs))
+	for _, jb := range st.jobs {
+		out = append(out, jb)
+	}
+	slices.SortFunc(out, func(a, b *job) int {
+		if a.sequence < b.sequence {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// find returns the job, step and task of an identifier. The occurrence is made
+// if it has not begun.
+func (st *State) find(id TaskID) (*job, *occurrence, *task, bool) {
+	jb, ok := st.jobs[id.job]
+	if !ok || id.occurrence >= jb.times() || id.step >= len(jb.spec.Steps) || id.index >= jb.spec.Steps[id.step].Tasks {
+		return nil, nil, nil, false
+	}
+	occ := jb.occurrence(id.occurrence)
+	return jb, occ, &occ.steps[id.step].tasks[id.index], true
+}
+
+// Apply carries out one committed operation.
+func (st *State) Apply(op Op) Verdict {
+	switch op.kind {
+	case OpSubmit:
+		return st.submit(op.job)
+	case OpCancel:
+		return st.cancel(op.id)
+	case OpStart:
+		return st.start(op)
+	case OpEnd:
+		return st.end(op)
+	case OpForget:
+		return st.forget(op.id)
+	}
+	return UnknownJob
+}
+
+func (st *State) submit(jo Job) Verdict {
+	if _, ok := st.jobs[jo.ID()]; ok {
+		return Repeated
+	}
+	if st.jobs == nil {
+		st.jobs = map[model.JobID]*job{}
+	}
+	st.submitted++
+	st.jobs[jo.ID()] = &job{Job: jo, occurrences: map[int]*occurrence{}, sequence: st.submitted}
+	return Accepted
+}
+
+func (st *State) cancel(id model.JobID) Verdict {
+	jb, ok := st.jobs[id]
+	switch {
+	case !ok:
+		return UnknownJob
+	case jb.status.Final():
+		return Repeated
+	}
+	jb.status = Cancelled
+	return Accepted
+}
+
+func (st *State) forget(id model.JobID) Verdict {
+	jb, ok := st.jobs[id]
+	if !ok || !jb.status.Final() || jb.live > 0 {
+		return Stale
+	}
+	delete(st.jobs, id)
+	return Accepted
+}
+
+// start records the next run. The check of the attempt makes a start that was
+// decided on an older state harmless.
+func (st *State) start(op Op) Verdict {
+	jb, occ, tk, ok := st.find(op.task)
+	switch {
+	case !ok:
+		return UnknownJob
+	case jb.status.Final():
+		return Closed
+	case tk.done || op.attempt <= tk.attempt:
+		return Stale
+	case len(tk.runs) > 0 && !jb.spec.Steps[op.task.step].Copies:
+		return Stale
+	}
+	if len(tk.runs) == 0 {
+		occ.steps[op.task.step].idle--
+	}
+	tk.attempt = op.attempt
+	tk.runs = append(tk.runs, run{attempt: op.attempt, life: op.life})
+	jb.started = true
+	jb.live++
+	return Accepted
+}
+
+// end takes a run off its worker and decides what becomes of the task.
+func (st *State) end(op Op) Verdict {
+	jb, occ, tk, ok := st.find(op.task)
+	if !ok {
+		return UnknownJob
+	}
+	pos := tk.find(op.attempt)
+	if pos < 0 {
+		return Stale
+	}
+	spec := &jb.spec.Steps[op.task.step]
+	sp := &occ.steps[op.task.step]
+	tk.runs = slices.Delete(tk.runs, pos, pos+1)
+	jb.live--
+	if !tk.done && len(tk.runs) == 0 {
+		sp.idle++
+	}
+	st.keepCheckpoint(spec, sp, tk, op.checkpoint)
+	switch op.outcome {
+	case Succeeded:
+		if spec.Lasting {
+			break
+		}
+		if spec.Gang {
+			for i := range sp.tasks {
+				st.complete(jb, occ, op.task, i)
+			}
+			break
+		}
+		st.complete(jb, occ, op.task, op.task.index)
+	case Failed:
+		st.fail(jb, spec, sp, tk)
+	}
+	return Accepted
+}
+
+// fail counts a failure. The members of a gang fail together.
+func (st *State) fail(jb *job, spec *StepSpec, sp *step, tk *task) {
+	if spec.Gang {
+		tk = &sp.tasks[0]
+	}
+	tk.failures++
+	if spec.Lasting || tk.done || jb.status.Final() {
+		return
+	}
+	if jb.spec.Attempts > 0 && tk.failures >= jb.spec.Attempts {
+		jb.status = GaveUp
+	}
+}
+
+func (st *State) keepCheckpoint(spec *StepSpec, sp *step, tk *task, checkpoint string) {
+	if checkpoint == "" || !spec.Checkpoints {
+		return
+	}
+	if !spec.Gang {
+		tk.checkpoint = checkpoint
+		return
+	}
+	for i := range sp.tasks {
+		sp.tasks[i].checkpoint = checkpoint
+	}
+}
+
+// complete marks a task as done and closes its step, occurrence and job.
+func (st *State) complete(jb *job, occ *occurrence, id TaskID, index int) {
+	sp := &occ.steps[id.step]
+	tk := &sp.tasks[index]
+	if tk.done {
+		return
+	}
+	tk.done, tk.checkpoint = true, ""
+	if len(tk.runs) == 0 {
+		sp.idle--
+	}
+	sp.open--
+	if sp.open > 0 {
+		return
+	}
+	occ.open--
+	if occ.open > 0 {
+		return
+	}
+	jb.finished++
+	if jb.finished == jb.times() && !jb.status.Final() {
+		jb.status = Completed
+	}
+}
--- /dev/null
+++ b/io/cell/errors.go
@@ -0,0 +1,53 @@
+package cell
+
+import (
+	"github.com/juju/errors"
+
+	"guavarail/core/quorum"
+	"guavarail/io/peer"
+)
+
+// NotReachedError reports that a call did not reach the leader. It was not
+// carried out.
+type NotReachedError struct{ cause error }
+
+// Error describes the failure.
+func (err *NotReachedError) Error() string {
+	if err.cause == nil {
+		return "no leader is known, retry later"
+	}
+	return "the leader was not reached, retry later: " + err.cause.Error()
+}
+
+// Unwrap returns the cause, which may be nil.
+func (err *NotReachedError) Unwrap() error { return err.cause }
+
+// LostReplyError reports that a call may have been carried out.
+type LostReplyError struct{ cause error }
+
+// Error describes the failure.
+func (err *LostReplyError) Error() string {
+	return "the outcome of the call is unknown, send it again: " + err.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (err *LostReplyError) Unwrap() error { return err.cause }
+
+// NoHandlerError reports that no front end serves calls on the leader.
+type NoHandlerError struct{}
+
+// Error describes the failure.
+func (err *NoHandlerError) Error() string { return "no front end serves calls on this vm" }
+
+// notLeader reports whether err says that this VM does not lead, so that
+// nothing was done.
+func notLeader(err error) bool {
+	var nle *quorum.NotLeaderError
+	return errors.As(err, &nle)
+}
+
+// unsent reports whether err says that a request was not sent.
+func unsent(err error) bool {
+	var unr *peer.UnreachableError
+	return errors.As(err, &unr) && !unr.Sent()
+}
--- a/io/config/check.go
+++ b/io/config/check.go
@@ -21,7 +21,7 @@
 	}
 	for _, section := range rdr.idx.order {
 		if rdr.known[section] == nil {
-			rdr.failAt(rdr.idx.sections[section], section, "", "section is not known", "vm, listen, limits or vms.NAME")
+			rdr.failAt(rdr.idx.sections[section], section, "", "section is not known", "vm, listen, limits, cell or vms.NAME")
 		}
 	}
 	seen := map[string]int{}
--- a/io/config/read.go
+++ b/io/config/read.go
@@ -25,6 +25,22 @@
 // Parse validates the content of a settings file. The name is only used to
 // report faults, all of which are in the *FaultsError.
 func Parse(file string, data []byte) (Settings, error) {
+	rdr, err := newReader(file, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	se := rdr.settings()
+	rdr.checkUnknown()
+	rdr.checkTogether(se)
+	if err := rdr.err(); err != nil {
+		return Settings{}, err
+	}
+	se.entries = rdr.entries
+	return se, nil
+}
+
+// newReader returns a reader of the content of a file.
+func newReader(file string, data []byte) (*reader, error) {
 	idx := indexLines(data)
 	ini, err := ini.LoadSources(ini.LoadOptions{
 		// Names of VMs contain no dots, so a section has no parent to
@@ -35,18 +51,18 @@
 		SpaceBeforeInlineComment: true,
 	}, idx.withoutBad(data))
 	if err != nil {
-		return Settings{}, &FileError{file: file, cause: err}
+		return nil, &FileError{file: file, cause: err}
 	}
-	rdr := &reader{file: file, ini: ini, idx: idx, known: map[string][]string{}}
-	se := rdr.settings()
-	rdr.checkUnknown()
-	rdr.checkTogether(se)
-	if len(rdr.faults) > 0 {
-		slices.SortStableFunc(rdr.faults, func(fa, fb Fault) int { return cmp.Compare(fa.line, fb.line) })
-		return Settings{}, &FaultsError{faults: rdr.faults}
+	return &reader{file: file, ini: ini, idx: idx, known: map[string][]string{}}, nil
+}
+
+// err returns the faults in the order of the lines, or nil.
+func (rdr *reader) err() error {
+	if len(rdr.faults) == 0 {
+		return nil
 	}
-	se.entries = rdr.entries
-	return se, nil
+	slices.SortStableFunc(rdr.faults, func(fa, fb Fault) int { return cmp.Compare(fa.line, fb.line) })
+	return &FaultsError{faults: rdr.faults}
 }
 
 // reader collects values and faults.
--- a/io/peer/errors.go
+++ b/io/peer/errors.go
@@ -40,6 +40,13 @@
 // Unwrap returns the cause, which may be nil.
 func (err *UnreachableError) Unwrap() error { return err.cause }
 
+// Sent reports whether the VM may have received the request. Without a link,
+// or with too many requests on it, nothing is sent.
+func (err *UnreachableError) Sent() bool {
+	var bus *BusyError
+	return err.cause != nil && !errors.As(err.cause, &bus)
+}
+
 // TimeoutError reports that the answer did not arrive in time. The VM may have
 // handled the request.
 type TimeoutError struct {
--- a/io/peer/hub.go
+++ b/io/peer/hub.go
@@ -45,7 +45,10 @@
 	Listen string
 	// Peers holds the addresses of the other VMs; an entry for Self is ignored.
 	Peers map[model.VMID]string
-	Mux   *Mux
+	// Open accepts links of VMs that are not in Peers. Messages to such a VM
+	// are sent while its link is up.
+	Open bool
+	Mux  *Mux
 	Log   hclog.Logger
 	// Clock may be nil.
 	Clock Clock
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -31,6 +31,8 @@
 // linkRef addresses the actor of a link.
 type linkRef struct {
 	pid *actor.PID
+	// guest links were opened by VMs that are not in the table of peers.
+	guest bool
 	// transit is the size of the ordered messages in the mailbox of the link.
 	transit atomic.Int64
 }
@@ -102,23 +104,34 @@
 
 func (act *hubActor) setPeers(ctx actor.Context, addrs map[model.VMID]string) {
 	for vm, ref := range act.links {
-		if _, ok := addrs[vm]; !ok {
+		if _, ok := addrs[vm]; !ok && !ref.guest {
 			ctx.Stop(ref.pid)
 			delete(act.links, vm)
 		}
 	}
 	for vm, addr := range addrs {
 		if act.links[vm] == nil {
-			ref := &linkRef{}
-			ref.pid = ctx.Spawn(actor.PropsFromProducer(func() actor.Actor { return newLink(act.hub, vm, &ref.transit) }))
-			act.links[vm] = ref
+			act.spawn(ctx, vm)
 		}
+		act.links[vm].guest = false
 		ctx.Send(act.links[vm].pid, setAddr{addr: addr})
 	}
 }
 
+// spawn starts the actor of a link.
+func (act *hubActor) spawn(ctx actor.Context, vm model.VMID) *linkRef {
+	ref := &linkRef{}
+	ref.pid = ctx.Spawn(actor.PropsFromProducer(func() actor.Actor { return newLink(act.hub, vm, &ref.transit) }))
+	act.links[vm] = ref
+	return ref
+}
+
 func (act *hubActor) accept(ctx actor.Context, msg incoming) {
 	ref := act.links[msg.from]
+	if ref == nil && act.hub.cfg.Open {
+		ref = act.spawn(ctx, msg.from)
+		ref.guest = true
+	}
 	if ref == nil {
 		act.hub.cfg.Log.Warn("link refused", "from", msg.from, "reason", "unknown vm")
 		_ = msg.conn.Close()
--- /dev/null
+++ b/io/wire/cell.go
@@ -0,0 +1,263 @@
+package wire
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"guavarail/core/cell"
+	"guavarail/core/flow"
+	"guavarail/core/model"
+)
+
+// CellDecodeError reports a record or snapshot of a cell that does not decode.
+type CellDecodeError struct {
+	what  string
+	cause error
+}
+
+// Error describes the failure.
+func (err *CellDecodeError) Error() string { return "decode cell " + err.what + ": " + err.cause.Error() }
+
+// Unwrap returns the cause.
+func (err *CellDecodeError) Unwrap() error { return err.cause }
+
+// CellCommands encodes the commands of a cell.
+type CellCommands struct{}
+
+var _ Codec[cell.Command] = CellCommands{}
+
+// Encode returns the bytes of a command.
+func (CellCommands) Encode(cmd cell.Command) ([]byte, error) {
+	msg := &CellCommand{}
+	for _, op := range cmd.Ops() {
+		msg.Ops = append(msg.Ops, cellOpMessage(op))
+	}
+	if doc, ok := cmd.Document(); ok {
+		msg.Document = cellDocumentMessage(doc)
+	}
+	centre, out := cmd.Centre()
+	msg.Centre, msg.Out = string(centre), out
+	return proto.Marshal(msg)
+}
+
+// Decode returns the command in buf.
+func (CellCommands) Decode(buf []byte) (cell.Command, error) {
+	msg := &CellCommand{}
+	if err := proto.Unmarshal(buf, msg); err != nil {
+		return cell.Command{}, &CellDecodeError{what: "command", cause: err}
+	}
+	switch {
+	case msg.GetDocument() != nil:
+		doc, err := cellDocumentValue(msg.GetDocument())
+		if err != nil {
+			return cell.Command{}, &CellDecodeError{what: "document", cause: err}
+		}
+		return cell.Configure(doc), nil
+	case msg.GetCentre() != "":
+		return cell.Evacuate(model.CentreID(msg.GetCentre()), msg.GetOut()), nil
+	}
+	ops := make([]flow.Op, 0, len(msg.GetOps()))
+	for _, om := range msg.GetOps() {
+		op, err := cellOpValue(om)
+		if err != nil {
+			return cell.Command{}, &CellDecodeError{what: "operation", cause: err}
+		}
+		ops = append(ops, op)
+	}
+	return cell.Jobs(ops...), nil
+}
+
+func cellOpMessage(op flow.Op) *CellOp {
+	msg := &CellOp{
+		Kind: uint32(op.Kind()), Id: string(op.ID()), Attempt: int32(op.Attempt()), Worker: string(op.Life().Worker()),
+		Born: op.Life().Born(), Outcome: uint32(op.Outcome()), Checkpoint: op.Checkpoint(),
+	}
+	switch op.Kind() {
+	case flow.OpSubmit:
+		msg.Job = cellJobMessage(op.Job().Spec())
+	case flow.OpStart, flow.OpEnd:
+		tid := op.Task()
+		msg.Task = &CellTask{Occurrence: int32(tid.Occurrence()), Step: int32(tid.Step()), Index: int32(tid.Index())}
+	}
+	return msg
+}
+
+func cellOpValue(msg *CellOp) (flow.Op, error) {
+	tid := flow.NewTaskID(model.JobID(msg.GetId()), int(msg.GetTask().GetOccurrence()), int(msg.GetTask().GetStep()), int(msg.GetTask().GetIndex()))
+	switch flow.OpKind(msg.GetKind()) {
+	case flow.OpSubmit:
+		jo, err := flow.NewJob(cellJobValue(msg.GetJob()))
+		return flow.Submit(jo), err
+	case flow.OpCancel:
+		return flow.Cancel(model.JobID(msg.GetId())), nil
+	case flow.OpStart:
+		return flow.Start(tid, int(msg.GetAttempt()), flow.NewLife(model.WorkerID(msg.GetWorker()), msg.GetBorn())), nil
+	case flow.OpEnd:
+		return flow.End(tid, int(msg.GetAttempt()), flow.Outcome(msg.GetOutcome()), msg.GetCheckpoint()), nil
+	}
+	return flow.Forget(model.JobID(msg.GetId())), nil
+}
+
+func cellJobMessage(spec flow.JobSpec) *CellJob {
+	msg := &CellJob{
+		Id: string(spec.ID), Queue: spec.Queue, Service: string(spec.Service), Body: spec.Body,
+		Priority: int32(spec.Priority), Attempts: int32(spec.Attempts), Factor: spec.Factor, TargetNs: int64(spec.Target),
+		AcceptedMs: spec.Accepted, FirstMs: spec.First, EveryNs: int64(spec.Every), Times: int32(spec.Times),
+	}
+	for i := range spec.Steps {
+		msg.Steps = append(msg.Steps, cellStepMessage(&spec.Steps[i]))
+	}
+	return msg
+}
+
+func cellJobValue(msg *CellJob) flow.JobSpec {
+	spec := flow.JobSpec{
+		ID: model.JobID(msg.GetId()), Queue: msg.GetQueue(), Service: model.ServiceID(msg.GetService()), Body: msg.GetBody(),
+		Priority: int(msg.GetPriority()), Attempts: int(msg.GetAttempts()), Factor: msg.GetFactor(),
+		Target: time.Duration(msg.GetTargetNs()), Accepted: msg.GetAcceptedMs(), First: msg.GetFirstMs(),
+		Every: time.Duration(msg.GetEveryNs()), Times: int(msg.GetTimes()),
+	}
+	for _, st := range msg.GetSteps() {
+		spec.Steps = append(spec.Steps, cellStepValue(st))
+	}
+	return spec
+}
+
+func cellStepMessage(st *flow.StepSpec) *CellStep {
+	msg := &CellStep{
+		Tasks: int32(st.Tasks), MilliCpu: st.Size.MilliCPU(), MemoryMb: st.Size.MemoryMB(), Accelerators: st.Size.Accelerators(),
+		EstimateNs: int64(st.Estimate), Checkpoints: st.Checkpoints, Gang: st.Gang, OneRack: st.OneRack, Label: st.Label,
+		Rack: st.Rack, PerWorker: int32(st.PerWorker), Copies: st.Copies, Lasting: st.Lasting, Filler: st.Filler,
+		Image: st.Image, TailTargetNs: int64(st.TailTarget), Misses: int32(st.Misses),
+	}
+	for _, dep := range st.After {
+		msg.After = append(msg.After, int32(dep))
+	}
+	return msg
+}
+
+func cellStepValue(msg *CellStep) flow.StepSpec {
+	st := flow.StepSpec{
+		Tasks: int(msg.GetTasks()), Size: model.NewResources(msg.GetMilliCpu(), msg.GetMemoryMb(), msg.GetAccelerators()),
+		Estimate: time.Duration(msg.GetEstimateNs()), Checkpoints: msg.GetCheckpoints(), Gang: msg.GetGang(),
+		OneRack: msg.GetOneRack(), Label: msg.GetLabel(), Rack: msg.GetRack(), PerWorker: int(msg.GetPerWorker()),
+		Copies: msg.GetCopies(), Lasting: msg.GetLasting(), Filler: msg.GetFiller(), Image: msg.GetImage(),
+		TailTarget: time.Duration(msg.GetTailTargetNs()), Misses: int(msg.GetMisses()),
+	}
+	for _, dep := range msg.GetAfter() {
+		st.After = append(st.After, int(dep))
+	}
+	return st
+}
+
+func cellDocumentMessage(doc cell.Document) *CellDocument {
+	msg := &CellDocument{Version: doc.Version(), Text: doc.Text()}
+	for _, qu := range doc.Queues() {
+		spec := qu.Spec()
+		msg.Queues = append(msg.Queues, &CellQueue{
+			Name: spec.Name, Host: spec.Host, Prefix: spec.Prefix, Service: string(spec.Service),
+			TimeoutNs: int64(spec.Timeout), Priority: int32(spec.Priority), Attempts: int32(spec.Attempts),
+			Factor: spec.Factor, TargetNs: int64(spec.Target),
+		})
+	}
+	for _, ser := range doc.Services() {
+		msg.Services = append(msg.Services, &CellService{Name: string(ser.Name()), Guarded: ser.Guarded()})
+	}
+	return msg
+}
+
+func cellDocumentValue(msg *CellDocument) (cell.Document, error) {
+	spec := cell.DocumentSpec{Version: msg.GetVersion(), Text: msg.GetText()}
+	for _, qu := range msg.GetQueues() {
+		spec.Queues = append(spec.Queues, cell.NewQueue(cell.QueueSpec{
+			Name: qu.GetName(), Host: qu.GetHost(), Prefix: qu.GetPrefix(), Service: model.ServiceID(qu.GetService()),
+			Timeout: time.Duration(qu.GetTimeoutNs()), Priority: int(qu.GetPriority()), Attempts: int(qu.GetAttempts()),
+			Factor: qu.GetFactor(), Target: time.Duration(qu.GetTargetNs()),
+		}))
+	}
+	for _, ser := range msg.GetServices() {
+		spec.Services = append(spec.Services, cell.NewService(model.ServiceID(ser.GetName()), ser.GetGuarded()))
+	}
+	return cell.NewDocument(spec)
+}
+
+// CellSnapshots encodes the snapshots of a cell.
+type CellSnapshots struct{}
+
+var _ Codec[cell.Snapshot] = CellSnapshots{}
+
+// Encode returns the bytes of a snapshot.
+func (CellSnapshots) Encode(snap cell.Snapshot) ([]byte, error) {
+	msg := &CellSnapshot{Submitted: snap.Jobs().Submitted()}
+	if doc := snap.Document(); doc.Version() > 0 {
+		msg.Document = cellDocumentMessage(doc)
+	}
+	for _, cen := range snap.Out() {
+		msg.Out = append(msg.Out, string(cen))
+	}
+	for _, rec := range snap.Jobs().Jobs() {
+		msg.Jobs = append(msg.Jobs, cellRecordMessage(rec))
+	}
+	return proto.Marshal(msg)
+}
+
+// Decode returns the snapshot in buf.
+func (CellSnapshots) Decode(buf []byte) (cell.Snapshot, error) {
+	msg := &CellSnapshot{}
+	if err := proto.Unmarshal(buf, msg); err != nil {
+		return cell.Snapshot{}, &CellDecodeError{what: "snapshot", cause: err}
+	}
+	var doc cell.Document
+	if msg.GetDocument() != nil {
+		var err error
+		if doc, err = cellDocumentValue(msg.GetDocument()); err != nil {
+			return cell.Snapshot{}, &CellDecodeError{what: "document", cause: err}
+		}
+	}
+	var out []model.CentreID
+	for _, cen := range msg.GetOut() {
+		out = append(out, model.CentreID(cen))
+	}
+	var recs []flow.JobRecord
+	for _, rec := range msg.GetJobs() {
+		recs = append(recs, cellRecordValue(rec))
+	}
+	return cell.NewSnapshot(doc, out, flow.NewSnapshot(msg.GetSubmitted(), recs)), nil
+}
+
+func cellRecordMessage(rec flow.JobRecord) *CellJobRecord {
+	msg := &CellJobRecord{
+		Job: cellJobMessage(rec.Spec), Status: uint32(rec.Status), Started: rec.Started, Sequence: rec.Sequence,
+	}
+	for _, tr := range rec.Tasks {
+		tm := &CellTaskRecord{
+			Task:    &CellTask{Occurrence: int32(tr.Occurrence), Step: int32(tr.Step), Index: int32(tr.Index)},
+			Attempt: int32(tr.Attempt), Failures: int32(tr.Failures), Done: tr.Done, Checkpoint: tr.Checkpoint,
+		}
+		for _, rr := range tr.Runs {
+			tm.Runs = append(tm.Runs, &CellRun{Attempt: int32(rr.Attempt), Worker: string(rr.Life.Worker()), Born: rr.Life.Born()})
+		}
+		msg.Tasks = append(msg.Tasks, tm)
+	}
+	return msg
+}
+
+func cellRecordValue(msg *CellJobRecord) flow.JobRecord {
+	rec := flow.JobRecord{
+		Spec: cellJobValue(msg.GetJob()), Status: flow.Status(msg.GetStatus()), Started: msg.GetStarted(), Sequence: msg.GetSequence(),
+	}
+	for _, tm := range msg.GetTasks() {
+		tr := flow.TaskRecord{
+			Occurrence: int(tm.GetTask().GetOccurrence()), Step: int(tm.GetTask().GetStep()), Index: int(tm.GetTask().GetIndex()),
+			Attempt: int(tm.GetAttempt()), Failures: int(tm.GetFailures()), Done: tm.GetDone(), Checkpoint: tm.GetCheckpoint(),
+		}
+		for _, rr := range tm.GetRuns() {
+			tr.Runs = append(tr.Runs, flow.RunRecord{
+				Attempt: int(rr.GetAttempt()), Life: flow.NewLife(model.WorkerID(rr.GetWorker()), rr.GetBorn()),
+			})
+		}
+		rec.Tasks = append(rec.Tasks, tr)
+	}
+	return rec
+}
