Learn interference by pair of images and place fillers by it

Change: core/flow learns what a filler image adds to the tail of a serving image (normalised least mean squares), keeps serving tasks of one image together, starts fillers only where the expected tail is under 0.8 of the target, and slows or moves only the fillers that disturb.

--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -12,100 +12,150 @@
 	fullPace = 100
 	// paceStep is what a filler gains in one report while the serving tasks
 	// beside it are well under their target, in percent.
-	paceStep = 20
-	// calmShare is the share of the target, in percent, under which a serving
-	// task counts as undisturbed.
-	calmShare = 60
-	// warnShare is the share of the target, in percent, from which fillers
-	// are slowed.
-	warnShare = 85
+	paceStep = 25
+	// leastPace is the pace below which a filler is moved, in percent.
+	leastPace = 20
+	// warnTail is the tail, as a share of the target, from which fillers are
+	// slowed; goalTail is what they are slowed to, and calmTail where they
+	// gain speed again.
+	warnTail = 0.9
+	goalTail = 0.7
+	calmTail = 0.65
+	// alarmTail is the tail from which the next reading is not waited for.
+	alarmTail = 1.5
+	// settleTime is how long a change of pace takes to show in the readings,
+	// which cover half a second.
+	settleTime = 700 * time.Millisecond
+	// harmless is the interference of a pair below which its filler is not
+	// slowed for the serving task.
+	harmless = 1.0
 )
 
-const (
-	// quarantineAfter is the number of different jobs in a row whose tasks
-	// failed on a worker.
-	quarantineAfter = 3
-	// quarantineTime is how long such a worker gets no task the first time.
-	quarantineTime = 4 * time.Second
-	// quarantineMost bounds the doubling of that time.
-	quarantineMost = 60 * time.Second
-)
-
-// health counts the failures of a worker. The zero value is good.
-type health struct {
-	fails int
-	last  model.JobID
-	until model.Instant
-	time  time.Duration
-}
-
-func (he *health) quarantined(now model.Instant) bool { return now.Before(he.until) }
-
-// judge takes note of how a run ended.
-func (pl *Planner) judge(now model.Instant, wk *worker, pd *placed, oc Outcome) {
-	he := &wk.health
-	switch {
-	case oc == Succeeded:
-		he.fails, he.last, he.time = 0, "", 0
-	case oc == Failed && he.last != pd.task.job:
-		he.fails, he.last = he.fails+1, pd.task.job
-		if he.fails < quarantineAfter {
-			return
+// guard learns from the readings of the serving tasks on a worker and sets the
+// pace of the fillers beside them.
+func (pl *Planner) guard(now model.Instant, wk *worker, be *Beat) {
+	if wk.serving == 0 {
+		pl.release(wk)
+		wk.refresh(pl)
+		return
+	}
+	uses := pl.measure(wk, be)
+	worst, image := 0.0, 0
+	for i := range be.Runs {
+		rr := &be.Runs[i]
+		pd := wk.find(rr.Task, rr.Attempt)
+		// A task that is not at work yet has no callers.
+		if pd == nil || !pd.spec.serves() || rr.Percent < fullPace {
+			continue
+		}
+		tail := rr.Reading * float64(time.Millisecond) / float64(pd.spec.TailTarget)
+		num := pl.pairs.number(pd.spec.Image)
+		pl.pairs.learn(num, tail, uses)
+		if tail > worst {
+			worst, image = tail, num
 		}
-		he.time = min(max(quarantineTime, 2*he.time), quarantineMost)
-		// One more failure after the quarantine repeats it.
-		he.until, he.fails = now.Add(he.time), quarantineAfter-1
-		pl.note("workerQuarantined", "", "", wk.life.String(), "ms", strconv.FormatInt(he.time.Milliseconds(), 10))
 	}
+	if wk.fillers > 0 && (now.Sub(wk.pacedAt) >= settleTime || worst >= alarmTail) {
+		pl.pace(now, wk, worst, image)
+	}
+	wk.refresh(pl)
 }
 
-// guard sets the pace of the fillers on a worker by the readings of the
-// serving tasks beside them.
-func (pl *Planner) guard(_ model.Instant, wk *worker, be *Beat) {
-	if wk.fillers == 0 || wk.serving == 0 {
-		pl.release(wk)
-		return
-	}
-	worst := 0
+// measure returns what the fillers on a worker use, by image.
+func (pl *Planner) measure(wk *worker, be *Beat) []imageUse {
+	wk.uses = wk.uses[:0]
+	total := float64(max(1, wk.size.MilliCPU()))
 	for i := range be.Runs {
 		rr := &be.Runs[i]
 		pd := wk.find(rr.Task, rr.Attempt)
-		if pd == nil || pd.spec.TailTarget <= 0 {
+		if pd == nil || !pd.spec.Filler {
 			continue
 		}
-		worst = max(worst, int(rr.Tail*100/pd.spec.TailTarget))
+		wk.uses = addUse(wk.uses, pl.pairs.number(pd.spec.Image), rr.Reading/total)
+	}
+	return wk.uses
+}
+
+// pace slows the fillers that disturb the worst serving task, or lets all gain
+// speed when none is near its target.
+func (pl *Planner) pace(now model.Instant, wk *worker, worst float64, image int) {
+	switch {
+	case worst >= warnTail:
+		pl.slow(now, wk, worst, image)
+	case worst <= calmTail:
+		pl.hasten(now, wk)
+	}
+}
+
+// slow scales down the fillers that are known to disturb the serving image; if
+// none is known to, it scales all.
+func (pl *Planner) slow(now model.Instant, wk *worker, worst float64, image int) {
+	base := pl.pairs.base[image]
+	scale := max(0, min(1, (goalTail-base)/max(worst-base, usedLittle)))
+	known := false
+	for _, pd := range wk.placed {
+		known = known || pd.spec.Filler && pd.pace > 0 && pl.harms(pd, image)
 	}
 	for _, pd := range wk.placed {
-		if pd.spec.Filler {
-			pl.setPace(wk, pd, paceFor(pd.pace, worst), worst)
+		if !pd.spec.Filler || known && !pl.harms(pd, image) {
+			continue
+		}
+		pace := int(float64(pd.pace) * scale)
+		if pace < leastPace {
+			pace = 0
+		}
+		if pl.setPace(wk, pd, pace, worst) {
+			wk.pacedAt = now
+		}
+		if pace == 0 && pd.seen && !pd.evict && pd.cheap() {
+			pd.evict = true
+			pl.note("fillerMoved", pd.task.job, pd.task.String(), wk.life.String(),
+				"tailOfTarget", strconv.FormatFloat(worst, 'f', 2, 64), "percentDone", strconv.Itoa(pd.percent))
 		}
 	}
 }
 
-// paceFor returns the next pace of a filler beside a serving task whose
-// reading is worst percent of its target.
-func paceFor(pace, worst int) int {
-	switch {
-	case worst >= fullPace:
-		return 0
-	case worst >= warnShare:
-		return pace / 2
-	case worst <= calmShare:
-		return min(fullPace, pace+paceStep)
-	}
-	return pace
+// harms reports whether a filler disturbs a serving image.
+func (pl *Planner) harms(pd *placed, serving int) bool {
+	return pl.pairs.harm[pl.pairs.number(pd.spec.Image)][serving] >= harmless
+}
+
+// cheap reports whether little work is lost when the run is stopped.
+func (pd *placed) cheap() bool {
+	const little = 25
+	return pd.spec.Checkpoints || pd.percent < little
+}
+
+// hasten lets slowed fillers work faster as far as the model allows.
+func (pl *Planner) hasten(now model.Instant, wk *worker) {
+	total := float64(max(1, wk.size.MilliCPU()))
+	for _, pd := range wk.placed {
+		if !pd.spec.Filler || pd.pace >= fullPace || pd.evict {
+			continue
+		}
+		pace := min(fullPace, pd.pace+paceStep)
+		gain := float64(pd.spec.Size.MilliCPU()) * float64(pace-pd.pace) / fullPace / total
+		if pl.tailWith(wk, pl.pairs.number(pd.spec.Image), gain) > warnTail {
+			continue
+		}
+		pl.setPace(wk, pd, pace, 0)
+		wk.pacedAt = now
+		wk.refresh(pl)
+	}
 }
 
-func (pl *Planner) setPace(wk *worker, pd *placed, pace, worst int) {
+// setPace changes the pace of a filler and reports whether it did.
+func (pl *Planner) setPace(wk *worker, pd *placed, pace int, worst float64) bool {
 	if pd.pace == pace {
-		return
+		return false
 	}
 	if pace == 0 || pd.pace == 0 {
 		pl.note("fillerPaced", pd.task.job, pd.task.String(), wk.life.String(), "percent", strconv.Itoa(pace),
-			"worstOfTargetPercent", strconv.Itoa(worst))
+			"tailOfTarget", strconv.FormatFloat(worst, 'f', 2, 64))
 	}
 	pd.slowed = pd.slowed || pd.pace < fullPace
 	pd.pace = pace
+	return true
 }
 
 // release lets fillers run freely where nothing is served.
@@ -116,3 +166,50 @@
 		}
 	}
 }
+
+// expected is the tail to expect of a serving image on a worker.
+type expected struct {
+	image int
+	tail  float64
+}
+
+// refresh computes the tails to expect on a worker from what is placed there.
+func (wk *worker) refresh(pl *Planner) {
+	wk.expected = wk.expected[:0]
+	if wk.serving == 0 {
+		return
+	}
+	wk.uses = wk.uses[:0]
+	total := float64(max(1, wk.size.MilliCPU()))
+	for _, pd := range wk.placed {
+		if pd.spec.Filler && !pd.evict {
+			share := float64(pd.spec.Size.MilliCPU()) * float64(pd.pace) / fullPace / total
+			wk.uses = addUse(wk.uses, pl.pairs.number(pd.spec.Image), share)
+		}
+	}
+	for _, pd := range wk.placed {
+		if pd.spec.serves() {
+			wk.expect(pl.pairs.number(pd.spec.Image), pl)
+		}
+	}
+}
+
+// expect adds a serving image once.
+func (wk *worker) expect(image int, pl *Planner) {
+	for _, ex := range wk.expected {
+		if ex.image == image {
+			return
+		}
+	}
+	wk.expected = append(wk.expected, expected{image: image, tail: pl.pairs.tailUnder(image, wk.uses)})
+}
+
+// tailWith returns the highest tail to expect on a worker when a filler image
+// uses a further share of it.
+func (pl *Planner) tailWith(wk *worker, image int, share float64) float64 {
+	most := 0.0
+	for _, ex := range wk.expected {
+		most = max(most, ex.tail+pl.pairs.harm[image][ex.image]*share)
+	}
+	return most
+}
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -80,9 +80,10 @@
 	// Percent is the share of its work that is done; for a lasting task 100
 	// says that it serves.
 	Percent int
-	// Tail is the tail latency of a serving task's callers over the last half
-	// second.
-	Tail time.Duration
+	// Reading is about the last half second: the tail latency of its callers in
+	// milliseconds for a serving task, and the thousandths of a processor in
+	// use for any other.
+	Reading float64
 }
 
 // EndReport is one run that ended on a worker. It is repeated until Number
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -12,11 +12,21 @@
 	// farCost is what a worker away from the data or the rack of a step costs
 	// against the share of processors that stays free, which is 0 to 1.
 	farCost = 4.0
-	// crowdCost is what each serving task on a worker costs a filler or
-	// another serving task.
-	crowdCost = 0.5
-	// sharedCost is what each task of the same lasting step costs.
-	sharedCost = 1.0
+	// otherImage is the cost of each other serving image on a worker.
+	otherImage = 1.0
+	// fillerRoom is the cost of taking a worker without serving tasks, and
+	// fillerBeside that of each filler on it.
+	fillerRoom   = 0.5
+	fillerBeside = 0.05
+	// besideServing is the cost for a filler of a worker with serving tasks.
+	besideServing = 1.0
+	// fillerTail is the highest expected tail, as a share of the target, at
+	// which a filler joins serving tasks.
+	fillerTail = 0.8
+	// fillerSqueeze is the share of its processors that a filler may lack.
+	fillerSqueeze = 0.3
+	// servedLoad is the share of its processors that a serving task uses.
+	servedLoad = 0.6
 )
 
 // wanted is a step of an occurrence with tasks that wait.
@@ -165,6 +175,9 @@
 	pd := newPlaced(wa.job, id, attempt, now)
 	pd.planned, pd.checkpoint = true, tk.checkpoint
 	wk.add(pd)
+	if wa.spec.Filler || wa.spec.serves() {
+		wk.refresh(pl)
+	}
 }
 
 // retract gives back the room of a run that was not proposed.
@@ -179,13 +192,18 @@
 // the worker of another task that should be on the same rack.
 func (pl *Planner) choose(now model.Instant, wa wanted, id TaskID, near *worker) *worker {
 	need := wa.spec.counted()
+	image := pl.pairs.number(wa.spec.Image)
 	var best *worker
 	lowest := 0.0
 	for _, wk := range pl.workers {
 		if !pl.usable(now, wk, wa, id, need) {
 			continue
 		}
-		cost := pl.cost(wk, wa, id, need, near)
+		cost, ok := pl.cost(wk, wa, image, need)
+		if !ok {
+			continue
+		}
+		cost += far(wk, wa.spec, near)
 		if best == nil || cost < lowest || cost == lowest && wk.life.worker < best.life.worker {
 			best, lowest = wk, cost
 		}
@@ -210,24 +228,73 @@
 	return true
 }
 
-// cost compares workers for a task: those near the data first; serving tasks
-// and fillers apart; then the fullest worker, so that large tasks find room.
-// Fillers go where most is left over.
-func (pl *Planner) cost(wk *worker, wa wanted, id TaskID, need model.Resources, near *worker) float64 {
+// far returns the cost of a worker away from the data or the rack of a step.
+func far(wk *worker, spec *StepSpec, near *worker) float64 {
+	cost := 0.0
+	if spec.Rack != "" && spec.Rack != wk.rack {
+		cost += farCost
+	}
+	if near != nil && spec.OneRack && wk.rack != near.rack {
+		cost += farCost
+	}
+	return cost
+}
+
+// cost compares the workers that have room for a task, and reports false for
+// one on which the task would do harm.
+func (pl *Planner) cost(wk *worker, wa wanted, image int, need model.Resources) (float64, bool) {
 	total := float64(max(1, wk.size.MilliCPU()))
 	left := float64(wk.free().MilliCPU()-need.MilliCPU()) / total
-	cost := left
-	if wa.spec.Filler {
-		cost = 1 - (float64(wk.free().MilliCPU()-wk.filling) / total) + crowdCost*float64(wk.serving)
+	switch {
+	case wa.spec.Filler:
+		return pl.fillerCost(wk, wa.spec, image)
+	case wa.spec.serves():
+		return left + pl.servingCost(wk, image), true
+	case wk.serving == 0:
+		// What is free of serving tasks is of most use to fillers.
+		return left + fillerRoom, true
+	}
+	return left, true
+}
+
+// servingCost keeps serving tasks of one image together, and on as few workers
+// as possible, so that fillers find workers where they disturb nothing.
+func (pl *Planner) servingCost(wk *worker, image int) float64 {
+	if wk.serving == 0 {
+		return otherImage + fillerRoom + float64(wk.fillers)
 	}
-	if wa.spec.TailTarget > 0 {
-		cost += crowdCost*float64(wk.fillers+wk.serving) + sharedCost*float64(wk.sameStep(id))
+	cost := 0.0
+	for _, ex := range wk.expected {
+		if ex.image != image {
+			cost += otherImage
+		}
 	}
-	if wa.spec.Rack != "" && wa.spec.Rack != wk.rack {
-		cost += farCost
+	return cost + fillerBeside*float64(wk.fillers)
+}
+
+// fillerCost prefers workers with nothing to disturb and processors to spare.
+// A worker whose serving tasks would miss their target is not used, nor one
+// whose processors are taken.
+func (pl *Planner) fillerCost(wk *worker, spec *StepSpec, image int) (float64, bool) {
+	total := float64(max(1, wk.size.MilliCPU()))
+	need := float64(spec.Size.MilliCPU())
+	spare := wk.spare() - need
+	if spare < -need*fillerSqueeze {
+		return 0, false
 	}
-	if near != nil && wa.spec.OneRack && wk.rack != near.rack {
-		cost += farCost
+	cost := 1 - spare/total
+	if wk.serving == 0 {
+		return cost, true
 	}
-	return cost
+	tail := pl.tailWith(wk, image, need/total)
+	if tail > fillerTail {
+		return 0, false
+	}
+	return cost + besideServing + tail, true
+}
+
+// spare estimates the thousandths of a processor that fillers find unused.
+func (wk *worker) spare() float64 {
+	busy := float64(wk.used.MilliCPU()-wk.served) + servedLoad*float64(wk.served)
+	return float64(wk.size.MilliCPU()) - busy - float64(wk.filling)
 }
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -94,6 +94,7 @@
 	// dirty is set when something changed that could let a task start.
 	dirty bool
 	swept model.Instant
+	pairs pairs
 	out   []Effect
 }
 
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -35,6 +35,8 @@
 	percent    int
 	// pace is the share of its speed at which the run may work, in percent.
 	pace int
+	// evict: the run is to be stopped so that it starts elsewhere.
+	evict bool
 	// slowed: the worker was told a pace below 100 that it may still apply.
 	slowed bool
 }
@@ -59,6 +61,9 @@
 	return sp.Size
 }
 
+// serves reports whether the tasks have callers of their own.
+func (sp *StepSpec) serves() bool { return sp.TailTarget > 0 }
+
 // worker is what the leader knows about one life of a worker.
 type worker struct {
 	life     Life
@@ -90,8 +95,15 @@
 	health health
 	// serving counts the runs with a tail target, fillers the fillers.
 	serving, fillers int
-	// filling is what the fillers ask for, in thousandths of a processor.
-	filling int64
+	// filling is what the fillers ask for, served what the serving tasks ask
+	// for, in thousandths of a processor.
+	filling, served int64
+	// pacedAt is when the pace of a filler was changed last.
+	pacedAt model.Instant
+	// uses and expected are the shares of the fillers and the tails of the
+	// serving images that go with them.
+	uses     []imageUse
+	expected []expected
 }
 
 func (wk *worker) free() model.Resources { return wk.size.Sub(wk.used) }
@@ -103,8 +115,9 @@
 }
 
 func (wk *worker) count(pd *placed, by int) {
-	if pd.spec.TailTarget > 0 {
+	if pd.spec.serves() {
 		wk.serving += by
+		wk.served += int64(by) * pd.spec.Size.MilliCPU()
 	}
 	if pd.spec.Filler {
 		wk.fillers += by
@@ -368,7 +381,7 @@
 
 // unwanted reports whether the run is of no more use.
 func (pl *Planner) unwanted(pd *placed) bool {
-	if pd.job.status.Final() {
+	if pd.evict || pd.job.status.Final() {
 		return true
 	}
 	occ := pd.job.occurrence(pd.task.occurrence)
