--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -85,8 +85,8 @@
 	expired bool
 	placed  []*placed
 	// poll is the report that waits for its answer while polled is set.
-	poll   uint64
-	polled bool
+	poll     uint64
+	polled   bool
 	polledAt model.Instant
 	// ends are the ended runs of the last report, by number.
 	ends []EndReport
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -50,7 +50,7 @@
 	disk quorum.DiskID
 	// state is the replica. It is used on the actor of the group only, like
 	// plan, polls, leading and repair.
-	state *cell.State
+	state   *cell.State
 	plan    *flow.Planner
 	polls   map[uint64]chan<- flow.Answer
 	leading bool
--- a/io/peer/hub.go
+++ b/io/peer/hub.go
@@ -49,7 +49,7 @@
 	// are sent while its link is up.
 	Open bool
 	Mux  *Mux
-	Log   hclog.Logger
+	Log  hclog.Logger
 	// Clock may be nil.
 	Clock Clock
 	// Seed fixes the jitter of the reconnect delays.
--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -17,7 +17,9 @@
 }
 
 // Error describes the failure.
-func (err *CellDecodeError) Error() string { return "decode cell " + err.what + ": " + err.cause.Error() }
+func (err *CellDecodeError) Error() string {
+	return "decode cell " + err.what + ": " + err.cause.Error()
+}
 
 // Unwrap returns the cause.
 func (err *CellDecodeError) Unwrap() error { return err.cause }
