Repeat the orders of an earlier leader instead of ending them

A report that a worker had sent before the change of leader arrived after it; it did not list a run that the earlier leader had ordered meanwhile, and the new leader started the task elsewhere. Ruled out: lost log entries (the start was in the new leader's log). Change: an unlisted run of an earlier leader is ordered again from the same worker until the lease of that time is over.

--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -195,7 +195,7 @@
 	image := pl.pairs.number(wa.spec.Image)
 	var best *worker
 	lowest := 0.0
-	for _, wk := range pl.workers {
+	for _, wk := range pl.workers.list {
 		if !pl.usable(now, wk, wa, id, need) {
 			continue
 		}
@@ -204,7 +204,7 @@
 			continue
 		}
 		cost += far(wk, wa.spec, near)
-		if best == nil || cost < lowest || cost == lowest && wk.life.worker < best.life.worker {
+		if best == nil || cost < lowest {
 			best, lowest = wk, cost
 		}
 	}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -80,7 +82,7 @@
 	wallAt   int64
 	wallRead model.Instant
 	outage   map[model.CentreID]bool
-	workers  map[model.WorkerID]*worker
+	workers  roster
 	// former are earlier lives of workers whose runs may not be over.
 	former []*worker
 	// open are the jobs that have not ended, in the order of submission.
@@ -147,7 +149,6 @@
 func (pl *Planner) takeOver(now model.Instant, term uint64) {
 	pl.stepDown()
 	pl.leading, pl.term, pl.dirty = true, term, true
-	pl.workers = map[model.WorkerID]*worker{}
 	for _, jb := range pl.st.inOrder() {
 		jb.seen = now
 		if jb.status.Final() {
@@ -162,14 +163,17 @@
 
 // adopt places the runs of a job on their workers.
 func (pl *Planner) adopt(now model.Instant, jb *job) {
-	for k, occ := range jb.occurrences {
+	for _, k := range slices.Sorted(maps.Keys(jb.occurrences)) {
+		occ := jb.occurrences[k]
 		for s := range occ.steps {
 			for i := range occ.steps[s].tasks {
 				tk := &occ.steps[s].tasks[i]
 				tk.planned = 0
 				for _, ru := range tk.runs {
 					wk := pl.lifeOf(now, ru.life)
-					wk.add(newPlaced(jb, NewTaskID(jb.ID(), k, s, i), ru.attempt, now).inherit())
+					pd := newPlaced(jb, NewTaskID(jb.ID(), k, s, i), ru.attempt, now).inherit()
+					pd.checkpoint = tk.checkpoint
+					wk.add(pd)
 				}
 			}
 		}
@@ -178,7 +182,7 @@
 
 // stepDown forgets what only the leader knows and lets the reports go.
 func (pl *Planner) stepDown() {
-	for _, wk := range pl.workers {
+	for _, wk := range pl.workers.list {
 		if wk.polled {
 			pl.out = append(pl.out, Answer{Poll: wk.poll, Refused: true})
 		}
@@ -216,7 +220,7 @@
 			pl.queued = nil
 		}
 	}
-	for _, wk := range pl.workers {
+	for _, wk := range pl.workers.list {
 		if wk.polled && pl.due(now, wk) {
 			pl.answer(now, wk)
 		}
@@ -230,13 +234,14 @@
 	pl.swept = now
 	// Occurrences fall due and reports grow old with time alone.
 	pl.dirty = true
-	for _, wk := range pl.workers {
+	for _, wk := range pl.workers.list {
 		pl.withdraw(now, wk)
 		pl.expire(now, wk)
-		if len(wk.placed) == 0 && now.Sub(wk.heard) > forgetWorker {
-			delete(pl.workers, wk.life.worker)
-			pl.note("workerForgotten", "", "", wk.life.String())
-		}
+	}
+	for _, wk := range pl.workers.takeIf(func(wk *worker) bool {
+		return len(wk.placed) == 0 && now.Sub(wk.heard) > forgetWorker
+	}) {
+		pl.note("workerForgotten", "", "", wk.life.String())
 	}
 	kept := pl.former[:0]
 	for _, wk := range pl.former {
@@ -265,7 +270,7 @@
 // withdraw ends starts that a silent worker did not fetch.
 func (pl *Planner) withdraw(now model.Instant, wk *worker) {
 	for _, pd := range wk.placed {
-		if !pd.told && !pd.inherited && now.Sub(pd.since) > fetchWait {
+		if !pd.told && !pd.seen && !pd.inherited && now.Sub(pd.since) > fetchWait {
 			pl.end(pd, NotStarted, pd.checkpoint)
 		}
 	}
@@ -382,7 +387,7 @@
 
 // holder returns the worker that has a run.
 func (pl *Planner) holder(task TaskID, attempt int) (*worker, *placed) {
-	for _, wk := range pl.workers {
+	for _, wk := range pl.workers.list {
 		if pd := wk.find(task, attempt); pd != nil {
 			return wk, pd
 		}
@@ -401,7 +406,7 @@
 	if applied {
 		return
 	}
-	for _, wk := range pl.workers {
+	for _, wk := range pl.workers.list {
 		pl.unplan(wk)
 	}
 	for _, wk := range pl.former {
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -158,7 +158,7 @@
 // lifeOf returns the record of a life. A life that has not reported to this
 // leader may still hold what an earlier one renewed.
 func (pl *Planner) lifeOf(now model.Instant, li Life) *worker {
-	if wk, ok := pl.workers[li.worker]; ok {
+	if wk, ok := pl.workers.get(li.worker); ok {
 		if wk.life == li {
 			return wk
 		}
@@ -172,7 +172,7 @@
 		return old
 	}
 	wk := &worker{life: li, heard: now, lease: pl.bounds.leaseEnd(now)}
-	pl.workers[li.worker] = wk
+	pl.workers.add(wk)
 	return wk
 }
 
@@ -193,7 +193,7 @@
 	}
 	wk.poll, wk.polled, wk.polledAt = be.Poll, true, now
 	pl.learn(now, wk, be)
-	pl.takeRuns(wk, be)
+	pl.takeRuns(now, wk, be)
 	pl.takeEnds(wk, be)
 	pl.guard(now, wk, be)
 	pl.dirty = true
@@ -202,18 +202,18 @@
 // reporter returns the record of the life that reports, and false when the
 // report is older than what is known.
 func (pl *Planner) reporter(now model.Instant, be *Beat) (*worker, bool) {
-	wk, ok := pl.workers[be.Life.worker]
+	wk, ok := pl.workers.get(be.Life.worker)
 	if ok && wk.life != be.Life {
 		if be.Life.born < wk.life.born {
 			return nil, false
 		}
 		pl.replaced(wk, "restarted")
-		delete(pl.workers, be.Life.worker)
+		pl.workers.remove(wk)
 		ok = false
 	}
 	if !ok {
 		wk = &worker{life: be.Life, heard: now, lease: pl.bounds.leaseEnd(now)}
-		pl.workers[be.Life.worker] = wk
+		pl.workers.add(wk)
 	}
 	if wk.known && be.Sequence <= wk.sequence {
 		return nil, false
@@ -226,12 +226,10 @@
 
 // sameAddress ends earlier lives at the address of a new one.
 func (pl *Planner) sameAddress(be *Beat) {
-	for id, wk := range pl.workers {
-		if id == be.Life.worker || wk.address == "" || wk.address != be.Address || wk.life.born >= be.Life.born {
-			continue
-		}
+	for _, wk := range pl.workers.takeIf(func(wk *worker) bool {
+		return wk.life.worker != be.Life.worker && wk.address != "" && wk.address == be.Address && wk.life.born < be.Life.born
+	}) {
 		pl.replaced(wk, "addressReused")
-		delete(pl.workers, id)
 	}
 }
 
@@ -251,8 +249,8 @@
 
 // leave ends the runs of a worker that is about to exit.
 func (pl *Planner) leave(id model.WorkerID) {
-	if wk, ok := pl.workers[id]; ok && pl.leading {
-		delete(pl.workers, id)
+	if wk, ok := pl.workers.get(id); ok && pl.leading {
+		pl.workers.remove(wk)
 		pl.replaced(wk, "left")
 	}
 }
@@ -274,7 +272,7 @@
 }
 
 // takeRuns compares the runs of a report with those of the state.
-func (pl *Planner) takeRuns(wk *worker, be *Beat) {
+func (pl *Planner) takeRuns(now model.Instant, wk *worker, be *Beat) {
 	wk.strays = wk.strays[:0]
 	listed := make(map[*placed]bool, len(be.Runs))
 	for i := range be.Runs {
@@ -285,7 +283,7 @@
 			continue
 		}
 		listed[pd] = true
-		pd.seen, pd.stopping, pd.percent = true, false, rr.Percent
+		pd.seen, pd.stopping, pd.inherited, pd.percent = true, false, false, rr.Percent
 		if rr.Checkpoint != "" {
 			pd.checkpoint = rr.Checkpoint
 		}
@@ -296,18 +294,25 @@
 		}
 	}
 	for _, pd := range wk.placed {
-		if listed[pd] || pd.planned {
-			continue
-		}
-		// The worker took no notice of the order if a later report does not
-		// list the run. A run from before the takeover counts as ordered by
-		// the previous leader.
-		if pd.told && be.Sequence > pd.toldIn || !pd.told && pd.inherited {
-			pl.end(pd, NotStarted, pd.checkpoint)
+		if !listed[pd] && !pd.planned {
+			pl.unlisted(now, pd, be.Sequence)
 		}
 	}
 }
 
+// unlisted deals with a run that a report does not list. The worker took no
+// notice of an order if a later report does not list its run. An order of an
+// earlier leader may be younger than a report that was long on its way, so it
+// is repeated to the same worker until the lease of that time is over.
+func (pl *Planner) unlisted(now model.Instant, pd *placed, sequence uint64) {
+	switch {
+	case pd.inherited && now.Before(pl.bounds.leaseEnd(pd.since)):
+		pd.told = false
+	case pd.inherited || pd.told && sequence > pd.toldIn:
+		pl.end(pd, NotStarted, pd.checkpoint)
+	}
+}
+
 // takeEnds proposes the ends that a report lists.
 func (pl *Planner) takeEnds(wk *worker, be *Beat) {
 	wk.ends = append(wk.ends[:0], be.Ended...)
@@ -421,13 +426,15 @@
 		}
 		pd.stopping = true
 		ans.Stops = append(ans.Stops, StopOrder{Task: pd.task, Attempt: pd.attempt})
-	case pd.told || pd.seen || pd.inherited:
+	case pd.told || pd.seen:
 		if pd.pace < fullPace || pd.slowed {
 			ans.Paces = append(ans.Paces, PaceOrder{Task: pd.task, Attempt: pd.attempt, Percent: pd.pace})
 			pd.slowed = pd.pace < fullPace
 		}
 	case wk.draining || pl.outage[wk.centre]:
-		pl.end(pd, NotStarted, pd.checkpoint)
+		if !pd.inherited {
+			pl.end(pd, NotStarted, pd.checkpoint)
+		}
 	default:
 		pd.told, pd.toldIn = true, wk.sequence
 		ans.Starts = append(ans.Starts, StartOrder{
