Model interference as pressure of a queue

Change: the estimate is of a pressure, 1 less base by tail; fillers are slowed in proportion to it; workers hold serving tasks of one image before they mix.

--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -16,11 +16,11 @@
 	// leastPace is the pace below which a filler is moved, in percent.
 	leastPace = 20
 	// warnTail is the tail, as a share of the target, from which fillers are
-	// slowed; goalTail is what they are slowed to, and calmTail where they
-	// gain speed again.
+	// slowed, and calmTail where they gain speed again.
 	warnTail = 0.9
-	goalTail = 0.7
 	calmTail = 0.65
+	// goalPressure is the pressure that fillers are slowed to.
+	goalPressure = 0.35
 	// alarmTail is the tail from which the next reading is not waited for.
 	alarmTail = 1.5
 	// settleTime is how long a change of pace takes to show in the readings,
@@ -29,6 +29,9 @@
 	// harmless is the interference of a pair below which its filler is not
 	// slowed for the serving task.
 	harmless = 1.0
+	// mostPressure is the highest expected pressure at which a filler may join
+	// serving tasks or gain speed.
+	mostPressure = 0.45
 )
 
 // guard learns from the readings of the serving tasks on a worker and sets the
@@ -90,8 +93,7 @@
 // slow scales down the fillers that are known to disturb the serving image; if
 // none is known to, it scales all.
 func (pl *Planner) slow(now model.Instant, wk *worker, worst float64, image int) {
-	base := pl.pairs.base[image]
-	scale := max(0, min(1, (goalTail-base)/max(worst-base, usedLittle)))
+	scale := min(1, goalPressure/max(usedLittle, pl.pairs.pressureOf(image, worst)))
 	known := false
 	for _, pd := range wk.placed {
 		known = known || pd.spec.Filler && pd.pace > 0 && pl.harms(pd, image)
@@ -135,7 +137,7 @@
 		}
 		pace := min(fullPace, pd.pace+paceStep)
 		gain := float64(pd.spec.Size.MilliCPU()) * float64(pace-pd.pace) / fullPace / total
-		if pl.tailWith(wk, pl.pairs.number(pd.spec.Image), gain) > warnTail {
+		if pl.pressureWith(wk, pl.pairs.number(pd.spec.Image), gain) > mostPressure {
 			continue
 		}
 		pl.setPace(wk, pd, pace, 0)
@@ -167,13 +169,14 @@
 	}
 }
 
-// expected is the tail to expect of a serving image on a worker.
+// expected is the pressure to expect on a serving image on a worker.
 type expected struct {
-	image int
-	tail  float64
+	image    int
+	pressure float64
 }
 
-// refresh computes the tails to expect on a worker from what is placed there.
+// refresh computes the pressures to expect on a worker from what is placed
+// there.
 func (wk *worker) refresh(pl *Planner) {
 	wk.expected = wk.expected[:0]
 	if wk.serving == 0 {
@@ -201,15 +204,15 @@
 			return
 		}
 	}
-	wk.expected = append(wk.expected, expected{image: image, tail: pl.pairs.tailUnder(image, wk.uses)})
+	wk.expected = append(wk.expected, expected{image: image, pressure: pl.pairs.pressure(image, wk.uses)})
 }
 
-// tailWith returns the highest tail to expect on a worker when a filler image
-// uses a further share of it.
-func (pl *Planner) tailWith(wk *worker, image int, share float64) float64 {
+// pressureWith returns the highest pressure to expect on a worker when a filler
+// image uses a further share of it.
+func (pl *Planner) pressureWith(wk *worker, image int, share float64) float64 {
 	most := 0.0
 	for _, ex := range wk.expected {
-		most = max(most, ex.tail+pl.pairs.harm[image][ex.image]*share)
+		most = max(most, ex.pressure+pl.pairs.harm[image][ex.image]*share)
 	}
 	return most
 }
--- a/core/flow/pairs.go
+++ b/core/flow/pairs.go
@@ -4,12 +4,12 @@
 	// basePrior is the tail of a serving task without fillers beside it, as a
 	// share of its target, before any was read.
 	basePrior = 0.4
-	// harmPrior is what a filler that uses the whole worker adds to the tail
-	// of a serving task, as a share of its target, before any was read.
-	harmPrior = 4.0
+	// harmPrior is the pressure that a filler which uses the whole worker puts
+	// on a serving task before any was read. It lets one filler in at a time.
+	harmPrior = 3.0
 	// learnRate weighs a new reading against what was learned. Interference
 	// changes within seconds.
-	learnRate = 0.35
+	learnRate = 0.15
 	// baseRate is the same for readings without fillers.
 	baseRate = 0.05
 	// usedLittle is the share of a worker below which the fillers on it say
@@ -18,15 +18,19 @@
 	// minPower keeps a reading beside small fillers from counting as much as
 	// one beside large ones; it is the square of a share of a worker.
 	minPower = 0.004
+	// fullPressure bounds the pressure that a tail tells.
+	fullPressure = 0.95
 )
 
 // pairs estimates how much fillers of one image disturb serving tasks of
-// another. Interference is specific to the pair of images. The zero value knows
-// nothing.
+// another. Interference is specific to the pair of images. A tail grows like
+// that of a queue: it is the tail without fillers divided by 1 less the
+// pressure, and the pressure is the sum over the fillers of their share of the
+// worker times the harm of the pair. The zero value knows nothing.
 type pairs struct {
 	numbers map[string]int
-	// base has the tail of each image without fillers, harm[filler][serving]
-	// what a filler adds per worker that it uses; both as shares of the target.
+	// base has the tail of each image without fillers as a share of the target,
+	// harm[filler][serving] the pressure of a filler per worker that it uses.
 	base []float64
 	harm [][]float64
 }
@@ -53,24 +57,48 @@
 	return num
 }
 
+// pressureOf returns the pressure that a tail tells.
+func (pa *pairs) pressureOf(serving int, tail float64) float64 {
+	if tail <= pa.base[serving] {
+		return 0
+	}
+	return min(fullPressure, 1-pa.base[serving]/tail)
+}
+
+// tailOf returns the tail that goes with a pressure, as a share of the target.
+func (pa *pairs) tailOf(serving int, pressure float64) float64 {
+	return pa.base[serving] / (1 - min(fullPressure, pressure))
+}
+
 // learn takes in the tail of a serving task beside fillers that use the given
 // shares of their worker, by image. It is a normalised least mean squares step.
 func (pa *pairs) learn(serving int, tail float64, uses []imageUse) {
-	sum, power, all := pa.base[serving], minPower, 0.0
+	power, all := minPower, 0.0
 	for _, us := range uses {
-		sum += pa.harm[us.image][serving] * us.share
 		power += us.share * us.share
 		all += us.share
 	}
-	miss := tail - sum
 	if all < usedLittle {
-		pa.base[serving] += baseRate * miss
+		pa.base[serving] += baseRate * (min(tail, 1) - pa.base[serving])
+		return
+	}
+	read, model := pa.pressureOf(serving, tail), pa.pressure(serving, uses)
+	if read >= fullPressure && model >= fullPressure {
 		return
 	}
 	for _, us := range uses {
 		cell := &pa.harm[us.image][serving]
-		*cell = max(0, *cell+learnRate*miss*us.share/power)
+		*cell = max(0, *cell+learnRate*(read-model)*us.share/power)
+	}
+}
+
+// pressure returns the pressure of fillers on a serving image.
+func (pa *pairs) pressure(serving int, uses []imageUse) float64 {
+	sum := 0.0
+	for _, us := range uses {
+		sum += pa.harm[us.image][serving] * us.share
 	}
+	return sum
 }
 
 // imageUse is the share of a worker that the fillers of one image use.
@@ -89,13 +117,3 @@
 	}
 	return append(uses, imageUse{image: image, share: share})
 }
-
-// tailUnder returns the expected tail of a serving image beside fillers, as a
-// share of its target.
-func (pa *pairs) tailUnder(serving int, uses []imageUse) float64 {
-	sum := pa.base[serving]
-	for _, us := range uses {
-		sum += pa.harm[us.image][serving] * us.share
-	}
-	return sum
-}
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -13,16 +13,13 @@
 	// against the share of processors that stays free, which is 0 to 1.
 	farCost = 4.0
 	// otherImage is the cost of each other serving image on a worker.
-	otherImage = 1.0
+	otherImage = 3.0
 	// fillerRoom is the cost of taking a worker without serving tasks, and
 	// fillerBeside that of each filler on it.
-	fillerRoom   = 0.5
+	fillerRoom   = 1.5
 	fillerBeside = 0.05
 	// besideServing is the cost for a filler of a worker with serving tasks.
-	besideServing = 1.0
-	// fillerTail is the highest expected tail, as a share of the target, at
-	// which a filler joins serving tasks.
-	fillerTail = 0.8
+	besideServing = 0.4
 	// fillerSqueeze is the share of its processors that a filler may lack.
 	fillerSqueeze = 0.3
 	// servedLoad is the share of its processors that a serving task uses.
@@ -261,7 +258,7 @@
 // as possible, so that fillers find workers where they disturb nothing.
 func (pl *Planner) servingCost(wk *worker, image int) float64 {
 	if wk.serving == 0 {
-		return otherImage + fillerRoom + float64(wk.fillers)
+		return fillerRoom + fillerBeside*float64(wk.fillers)
 	}
 	cost := 0.0
 	for _, ex := range wk.expected {
@@ -286,11 +283,11 @@
 	if wk.serving == 0 {
 		return cost, true
 	}
-	tail := pl.tailWith(wk, image, need/total)
-	if tail > fillerTail {
+	pressure := pl.pressureWith(wk, image, need/total)
+	if pressure > mostPressure {
 		return 0, false
 	}
-	return cost + besideServing + tail, true
+	return cost + besideServing + 2*pressure, true
 }
 
 // spare estimates the thousandths of a processor that fillers find unused.
