Limit the pressure on each serving image and start starved jobs

Change: the worst reading of an image is learned, the limit follows from its base, high estimates fade, and a job with nothing running for 1.5 s gets a worker.

--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,8 +20,10 @@
 	// slowed, and calmTail where they gain speed again.
 	warnTail = 0.9
 	calmTail = 0.65
-	// goalPressure is the pressure that fillers are slowed to.
-	goalPressure = 0.35
+	// goalTail is the tail that fillers are slowed to, and mostTail the highest
+	// one to expect at which a filler may join serving tasks or gain speed.
+	goalTail = 0.75
+	mostTail = 0.85
 	// alarmTail is the tail from which the next reading is not waited for.
 	alarmTail = 1.5
 	// settleTime is how long a change of pace takes to show in the readings,
@@ -29,9 +32,6 @@
 	// harmless is the interference of a pair below which its filler is not
 	// slowed for the serving task.
 	harmless = 1.0
-	// mostPressure is the highest expected pressure at which a filler may join
-	// serving tasks or gain speed.
-	mostPressure = 0.45
 )
 
 // guard learns from the readings of the serving tasks on a worker and sets the
@@ -44,6 +44,29 @@
 	}
 	uses := pl.measure(wk, be)
 	worst, image := 0.0, 0
+	for _, re := range pl.worstOf(wk, be) {
+		pl.pairs.learn(re.image, re.tail, uses)
+		if re.tail > worst {
+			worst, image = re.tail, re.image
+		}
+	}
+	if wk.fillers > 0 && (now.Sub(wk.pacedAt) >= settleTime || worst >= alarmTail) {
+		pl.pace(now, wk, worst, image)
+	}
+	wk.refresh(pl)
+}
+
+// reading is the highest tail of the serving tasks of one image on a worker, as
+// a share of the target.
+type reading struct {
+	image int
+	tail  float64
+}
+
+// worstOf returns the highest reading of each serving image. The one task that
+// is over its target counts, not the mean.
+func (pl *Planner) worstOf(wk *worker, be *Beat) []reading {
+	var out []reading
 	for i := range be.Runs {
 		rr := &be.Runs[i]
 		pd := wk.find(rr.Task, rr.Attempt)
@@ -52,16 +75,15 @@
 			continue
 		}
 		tail := rr.Reading * float64(time.Millisecond) / float64(pd.spec.TailTarget)
-		num := pl.pairs.number(pd.spec.Image)
-		pl.pairs.learn(num, tail, uses)
-		if tail > worst {
-			worst, image = tail, num
+		image := pl.pairs.number(pd.spec.Image)
+		pos := slices.IndexFunc(out, func(re reading) bool { return re.image == image })
+		if pos < 0 {
+			out = append(out, reading{image: image, tail: tail})
+			continue
 		}
+		out[pos].tail = max(out[pos].tail, tail)
 	}
-	if wk.fillers > 0 && (now.Sub(wk.pacedAt) >= settleTime || worst >= alarmTail) {
-		pl.pace(now, wk, worst, image)
-	}
-	wk.refresh(pl)
+	return out
 }
 
 // measure returns what the fillers on a worker use, by image.
@@ -93,7 +115,7 @@
 // slow scales down the fillers that are known to disturb the serving image; if
 // none is known to, it scales all.
 func (pl *Planner) slow(now model.Instant, wk *worker, worst float64, image int) {
-	scale := min(1, goalPressure/max(usedLittle, pl.pairs.pressureOf(image, worst)))
+	scale := min(1, pl.pairs.limit(image, goalTail)/max(usedLittle, pl.pairs.pressureOf(image, worst)))
 	known := false
 	for _, pd := range wk.placed {
 		known = known || pd.spec.Filler && pd.pace > 0 && pl.harms(pd, image)
@@ -137,7 +159,7 @@
 		}
 		pace := min(fullPace, pd.pace+paceStep)
 		gain := float64(pd.spec.Size.MilliCPU()) * float64(pace-pd.pace) / fullPace / total
-		if pl.pressureWith(wk, pl.pairs.number(pd.spec.Image), gain) > mostPressure {
+		if pl.over(wk, pl.pairs.number(pd.spec.Image), gain) > 0 {
 			continue
 		}
 		pl.setPace(wk, pd, pace, 0)
@@ -207,12 +229,14 @@
 	wk.expected = append(wk.expected, expected{image: image, pressure: pl.pairs.pressure(image, wk.uses)})
 }
 
-// pressureWith returns the highest pressure to expect on a worker when a filler
-// image uses a further share of it.
-func (pl *Planner) pressureWith(wk *worker, image int, share float64) float64 {
-	most := 0.0
+// over returns by how much the pressure on the worst serving image of a worker
+// would be over its limit when a filler image uses a further share of the
+// worker; it is negative while there is room.
+func (pl *Planner) over(wk *worker, image int, share float64) float64 {
+	most := -1.0
 	for _, ex := range wk.expected {
-		most = max(most, ex.pressure+pl.pairs.harm[image][ex.image]*share)
+		more := pl.pairs.harm[image][ex.image] * share
+		most = max(most, ex.pressure+more-pl.pairs.limit(ex.image, mostTail))
 	}
 	return most
 }
--- a/core/flow/pairs.go
+++ b/core/flow/pairs.go
@@ -18,6 +18,8 @@
 	// minPower keeps a reading beside small fillers from counting as much as
 	// one beside large ones; it is the square of a share of a worker.
 	minPower = 0.004
+	// fadeRate is what an estimate loses in each sweep; half is gone in 14 s.
+	fadeRate = 0.005
 	// fullPressure bounds the pressure that a tail tells.
 	fullPressure = 0.95
 )
@@ -65,9 +67,22 @@
 	return min(fullPressure, 1-pa.base[serving]/tail)
 }
 
-// tailOf returns the tail that goes with a pressure, as a share of the target.
-func (pa *pairs) tailOf(serving int, pressure float64) float64 {
-	return pa.base[serving] / (1 - min(fullPressure, pressure))
+// limit returns the pressure at which the tail reaches the given share of its
+// target.
+func (pa *pairs) limit(serving int, tail float64) float64 {
+	return max(0, 1-pa.base[serving]/tail)
+}
+
+// fade lets high estimates return to the prior, so that a pair that is avoided
+// is tried again.
+func (pa *pairs) fade() {
+	for _, row := range pa.harm {
+		for i := range row {
+			if row[i] > harmPrior {
+				row[i] += fadeRate * (harmPrior - row[i])
+			}
+		}
+	}
 }
 
 // learn takes in the tail of a serving task beside fillers that use the given
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -20,6 +20,9 @@
 	fillerBeside = 0.05
 	// besideServing is the cost for a filler of a worker with serving tasks.
 	besideServing = 0.4
+	// starveTime is how long a job may have nothing running before one of its
+	// fillers starts on the least bad worker. A job is never forgotten.
+	starveTime = 1500 * time.Millisecond
 	// fillerSqueeze is the share of its processors that a filler may lack.
 	fillerSqueeze = 0.3
 	// servedLoad is the share of its processors that a serving task uses.
@@ -36,6 +39,8 @@
 	// slack is the time that is left before the step must start for the job
 	// to meet its objective.
 	slack time.Duration
+	// starved: nothing of the job has run for starveTime.
+	starved bool
 }
 
 // plan starts what can start.
@@ -67,14 +72,20 @@
 			if occ.open == 0 {
 				continue
 			}
-			out = pl.wantedSteps(out, jb, occ, k, wall)
+			out = pl.wantedSteps(now, out, jb, occ, k, wall)
 		}
 	}
 	slices.SortStableFunc(out, order)
 	return out
 }
 
-func (pl *Planner) wantedSteps(out []wanted, jb *job, occ *occurrence, k int, wall int64) []wanted {
+func (pl *Planner) wantedSteps(now model.Instant, out []wanted, jb *job, occ *occurrence, k int, wall int64) []wanted {
+	if jb.live > 0 {
+		jb.idleSince = 0
+	} else if jb.idleSince == 0 {
+		jb.idleSince = now
+	}
+	starved := jb.idleSince > 0 && now.Sub(jb.idleSince) > starveTime
 	for s := range occ.steps {
 		spec := &jb.spec.Steps[s]
 		if occ.steps[s].idle == 0 || !occ.ready(spec) {
@@ -82,7 +93,7 @@
 		}
 		age := time.Duration(wall-jb.due(k)) * time.Millisecond
 		out = append(out, wanted{
-			job: jb, occ: occ, occurrence: k, step: s, spec: spec, slack: jb.Objective() - age - jb.tails[s],
+			job: jb, occ: occ, occurrence: k, step: s, spec: spec, slack: jb.Objective() - age - jb.tails[s], starved: starved,
 		})
 	}
 	return out
@@ -123,6 +134,9 @@
 			return
 		}
 		pl.propose(now, wa, tk, id, tk.attempt+1, wk)
+		// One task ends the wait of a starved job.
+		wa.starved = false
+		wa.job.idleSince = 0
 	}
 }
 
@@ -244,7 +258,7 @@
 	left := float64(wk.free().MilliCPU()-need.MilliCPU()) / total
 	switch {
 	case wa.spec.Filler:
-		return pl.fillerCost(wk, wa.spec, image)
+		return pl.fillerCost(wk, wa, image)
 	case wa.spec.serves():
 		return left + pl.servingCost(wk, image), true
 	case wk.serving == 0:
@@ -272,22 +286,22 @@
 // fillerCost prefers workers with nothing to disturb and processors to spare.
 // A worker whose serving tasks would miss their target is not used, nor one
 // whose processors are taken.
-func (pl *Planner) fillerCost(wk *worker, spec *StepSpec, image int) (float64, bool) {
+func (pl *Planner) fillerCost(wk *worker, wa wanted, image int) (float64, bool) {
 	total := float64(max(1, wk.size.MilliCPU()))
-	need := float64(spec.Size.MilliCPU())
+	need := float64(wa.spec.Size.MilliCPU())
 	spare := wk.spare() - need
-	if spare < -need*fillerSqueeze {
+	if spare < -need*fillerSqueeze && !wa.starved {
 		return 0, false
 	}
 	cost := 1 - spare/total
 	if wk.serving == 0 {
 		return cost, true
 	}
-	pressure := pl.pressureWith(wk, image, need/total)
-	if pressure > mostPressure {
+	over := pl.over(wk, image, need/total)
+	if over > 0 && !wa.starved {
 		return 0, false
 	}
-	return cost + besideServing + 2*pressure, true
+	return cost + besideServing + 2*(1+over), true
 }
 
 // spare estimates the thousandths of a processor that fillers find unused.
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -150,7 +150,7 @@
 	pl.stepDown()
 	pl.leading, pl.term, pl.dirty = true, term, true
 	for _, jb := range pl.st.inOrder() {
-		jb.seen = now
+		jb.seen, jb.idleSince = now, 0
 		if jb.status.Final() {
 			pl.closing = append(pl.closing, jb)
 		} else {
@@ -232,6 +232,7 @@
 		return
 	}
 	pl.swept = now
+	pl.pairs.fade()
 	// Occurrences fall due and reports grow old with time alone.
 	pl.dirty = true
 	for _, wk := range pl.workers.list {
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -106,6 +106,9 @@
 	sequence uint64
 	// seen is when the leader first saw the job as ended. It is not replicated.
 	seen model.Instant
+	// idleSince is since when the job waits with nothing running, 0 while
+	// something runs. It is not replicated.
+	idleSince model.Instant
 }
 
 // times returns the number of occurrences.
