--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -26,7 +26,7 @@
 	// fillerSqueeze is the share of its processors that a filler may lack.
 	fillerSqueeze = 0.3
 	// servedLoad is the share of its processors that a serving task uses.
-	servedLoad = 0.6
+	servedLoad = 0.4
 )
 
 // wanted is a step of an occurrence with tasks that wait.
