--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -142,7 +142,7 @@
 // names are dropped, but for the seeds.
 func (fin *finder) learn(cur *known, wels []*wire.CellWelcome, leader model.VMID, term uint64) {
 	vm := fin.vm
-	next := &known{leader: leader, term: term, at: vm.clock(), members: vm.seeds()}
+	next := &known{leader: leader, term: term, at: vm.clock(), members: slices.Clone(*vm.seeds.Load())}
 	if leader == "" {
 		next.members = append(next.members, cur.members...)
 	}
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -114,7 +114,7 @@
 // that starts for the first time found it; any other empty disk waits to be
 // taken in, because it may have lost what it voted for.
 func (vm *VM) founders() (voters, learners []model.VMID) {
-	sds := vm.seeds()
+	sds := *vm.seeds.Load()
 	if vm.set.Found() && slices.Contains(sds, vm.self) {
 		return sds, nil
 	}
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -32,6 +32,9 @@
 	member *member
 	// known is what this VM knows of the others. It is replaced as a whole.
 	known atomic.Pointer[known]
+	// seeds are the VMs that the seeds of the settings run on. They are
+	// replaced as a whole when the settings are reloaded.
+	seeds atomic.Pointer[[]model.VMID]
 	// lookNow asks for a look at the others at once.
 	lookNow chan struct{}
 	handler atomic.Pointer[Handler]
@@ -83,7 +86,8 @@
 	}
 	vm.rec = rec
 	record.Serve(vm.mux, rec)
-	vm.known.Store(&known{members: vm.seeds()})
+	vm.Reload(vm.set)
+	vm.known.Store(&known{members: *vm.seeds.Load()})
 	vm.serveCalls()
 	hub, stop, err := peer.New(peer.Config{
 		System: sys, Self: vm.self, Listen: vm.set.Listen().Peers().String(), Mux: vm.mux, Open: true,
@@ -104,16 +108,17 @@
 	return vm.keep(startFinder(ctx, vm), nil)
 }
 
-// seeds returns the names of the VMs that the seeds run on: they listen for
-// other VMs on the same port as this one.
-func (vm *VM) seeds() []model.VMID {
+// Reload puts the seeds of changed settings in effect. The VMs that the seeds
+// run on listen for other VMs on the same port as this one.
+func (vm *VM) Reload(set config.Cell) {
 	port := vm.set.Listen().Peers().Port()
 	var out []model.VMID
-	for _, adr := range vm.set.Seeds() {
+	for _, adr := range set.Seeds() {
 		out = append(out, model.VMID(netip.AddrPortFrom(adr.Addr(), port).String()))
 	}
 	slices.Sort(out)
-	return slices.Compact(out)
+	out = slices.Compact(out)
+	vm.seeds.Store(&out)
 }
 
 // setPeers links this VM to the given ones.
--- a/io/cmd/serve/cell.go
+++ b/io/cmd/serve/cell.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -33,7 +36,7 @@
 		return err
 	}
 	log.Info("serving", "callers", set.Listen().Callers(), "api", set.Listen().API(), "peers", set.Listen().Peers())
-	<-ctx.Done()
+	waitReloading(ctx, file, vm, log)
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(stopMargin, set.Grace()-stopMargin))
 	defer cancel()
 	vm.HandOver(drain)
@@ -41,3 +44,35 @@
 	log.Info("stopped")
 	return nil
 }
+
+// waitReloading reads the settings again at each SIGHUP until ctx ends.
+func waitReloading(ctx context.Context, file string, vm *cell.VM, log hclog.Logger) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+			reload(file, vm, log)
+		}
+	}
+}
+
+// reload puts the settings that may change while the VM runs in effect.
+func reload(file string, vm *cell.VM, log hclog.Logger) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		log.Error("settings not reloaded", "error", err)
+		return
+	}
+	set, err := config.ParseCell(file, data)
+	if err != nil {
+		log.Error("settings not reloaded", "error", err)
+		return
+	}
+	vm.Reload(set)
+	log.SetLevel(hclog.LevelFromString(set.LogLevel()))
+	log.Info("settings reloaded", "seeds", set.Seeds())
+}
