Estimate interference by least squares with a prior

Change: normal equations for each serving image, non-negative, with a prior and forgetting; a filler does not count for images that it does not disturb.

--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -44,29 +43,6 @@
 	}
 	uses := pl.measure(wk, be)
 	worst, image := 0.0, 0
-	for _, re := range pl.worstOf(wk, be) {
-		pl.pairs.learn(re.image, re.tail, uses)
-		if re.tail > worst {
-			worst, image = re.tail, re.image
-		}
-	}
-	if wk.fillers > 0 && (now.Sub(wk.pacedAt) >= settleTime || worst >= alarmTail) {
-		pl.pace(now, wk, worst, image)
-	}
-	wk.refresh(pl)
-}
-
-// reading is the highest tail of the serving tasks of one image on a worker, as
-// a share of the target.
-type reading struct {
-	image int
-	tail  float64
-}
-
-// worstOf returns the highest reading of each serving image. The one task that
-// is over its target counts, not the mean.
-func (pl *Planner) worstOf(wk *worker, be *Beat) []reading {
-	var out []reading
 	for i := range be.Runs {
 		rr := &be.Runs[i]
 		pd := wk.find(rr.Task, rr.Attempt)
@@ -75,15 +51,16 @@
 			continue
 		}
 		tail := rr.Reading * float64(time.Millisecond) / float64(pd.spec.TailTarget)
-		image := pl.pairs.number(pd.spec.Image)
-		pos := slices.IndexFunc(out, func(re reading) bool { return re.image == image })
-		if pos < 0 {
-			out = append(out, reading{image: image, tail: tail})
-			continue
+		num := pl.pairs.number(pd.spec.Image)
+		pl.pairs.learn(num, tail, uses)
+		if tail > worst {
+			worst, image = tail, num
 		}
-		out[pos].tail = max(out[pos].tail, tail)
 	}
-	return out
+	if wk.fillers > 0 && (now.Sub(wk.pacedAt) >= settleTime || worst >= alarmTail) {
+		pl.pace(now, wk, worst, image)
+	}
+	wk.refresh(pl)
 }
 
 // measure returns what the fillers on a worker use, by image.
@@ -115,7 +92,7 @@
 // slow scales down the fillers that are known to disturb the serving image; if
 // none is known to, it scales all.
 func (pl *Planner) slow(now model.Instant, wk *worker, worst float64, image int) {
-	scale := min(1, pl.pairs.limit(image, goalTail)/max(usedLittle, pl.pairs.pressureOf(image, worst)))
+	scale := 1 - pl.pairs.excess(image, worst, goalTail)
 	known := false
 	for _, pd := range wk.placed {
 		known = known || pd.spec.Filler && pd.pace > 0 && pl.harms(pd, image)
@@ -141,7 +118,7 @@
 
 // harms reports whether a filler disturbs a serving image.
 func (pl *Planner) harms(pd *placed, serving int) bool {
-	return pl.pairs.harm[pl.pairs.number(pd.spec.Image)][serving] >= harmless
+	return pl.pairs.harm[serving][pl.pairs.number(pd.spec.Image)] >= harmless
 }
 
 // cheap reports whether little work is lost when the run is stopped.
@@ -191,14 +168,13 @@
 	}
 }
 
-// expected is the pressure to expect on a serving image on a worker.
+// expected is the tail to expect of a serving image on a worker.
 type expected struct {
-	image    int
-	pressure float64
+	image int
+	tail  float64
 }
 
-// refresh computes the pressures to expect on a worker from what is placed
-// there.
+// refresh computes the tails to expect on a worker from what is placed there.
 func (wk *worker) refresh(pl *Planner) {
 	wk.expected = wk.expected[:0]
 	if wk.serving == 0 {
@@ -226,17 +202,19 @@
 			return
 		}
 	}
-	wk.expected = append(wk.expected, expected{image: image, pressure: pl.pairs.pressure(image, wk.uses)})
+	wk.expected = append(wk.expected, expected{image: image, tail: pl.pairs.tail(image, wk.uses)})
 }
 
-// over returns by how much the pressure on the worst serving image of a worker
-// would be over its limit when a filler image uses a further share of the
-// worker; it is negative while there is room.
+// over returns by how much the tail of the worst serving image on a worker
+// would be over what it may be when a filler image uses a further share of the
+// worker. It is negative while there is room. A filler does not count for
+// images that it does not disturb.
 func (pl *Planner) over(wk *worker, image int, share float64) float64 {
 	most := -1.0
 	for _, ex := range wk.expected {
-		more := pl.pairs.harm[image][ex.image] * share
-		most = max(most, ex.pressure+more-pl.pairs.limit(ex.image, mostTail))
+		if harm := pl.pairs.harm[ex.image][image]; harm >= harmless {
+			most = max(most, ex.tail+harm*share-mostTail)
+		}
 	}
 	return most
 }
--- a/core/flow/pairs.go
+++ b/core/flow/pairs.go
@@ -4,37 +4,42 @@
 	// basePrior is the tail of a serving task without fillers beside it, as a
 	// share of its target, before any was read.
 	basePrior = 0.4
-	// harmPrior is the pressure that a filler which uses the whole worker puts
-	// on a serving task before any was read. It lets one filler in at a time.
-	harmPrior = 3.0
-	// learnRate weighs a new reading against what was learned. Interference
-	// changes within seconds.
-	learnRate = 0.15
-	// baseRate is the same for readings without fillers.
-	baseRate = 0.05
+	// harmPrior is what a filler that uses the whole worker adds to the tail of
+	// a serving task, as a share of its target, before any was read. It lets
+	// one filler in at a time.
+	harmPrior = 4.0
+	// priorWeight is the weight of the prior, as a sum of squared shares: about
+	// 50 readings beside a filler that uses a tenth of the worker outweigh it.
+	priorWeight = 0.5
+	// keepRate is what is kept of old readings in each solution; half is gone
+	// in 35 s, because interference changes.
+	keepRate = 0.99
+	// rounds of the solution in each step; it starts from the last one.
+	rounds = 3
+	// baseRate weighs a new reading without fillers.
+	baseRate = 0.02
 	// usedLittle is the share of a worker below which the fillers on it say
 	// nothing about their interference.
 	usedLittle = 0.01
-	// minPower keeps a reading beside small fillers from counting as much as
-	// one beside large ones; it is the square of a share of a worker.
-	minPower = 0.004
-	// fadeRate is what an estimate loses in each sweep; half is gone in 14 s.
-	fadeRate = 0.005
-	// fullPressure bounds the pressure that a tail tells.
-	fullPressure = 0.95
+	// mostRead bounds a tail that is learned from, as a share of the target:
+	// tails explode, and by how much says little.
+	mostRead = 3.0
 )
 
-// pairs estimates how much fillers of one image disturb serving tasks of
-// another. Interference is specific to the pair of images. A tail grows like
-// that of a queue: it is the tail without fillers divided by 1 less the
-// pressure, and the pressure is the sum over the fillers of their share of the
-// worker times the harm of the pair. The zero value knows nothing.
+// pairs estimates how much fillers of one image add to the tail of serving
+// tasks of another. Interference is specific to the pair of images. It is a
+// least squares estimate without negative values, with a prior for pairs that
+// were not seen. The zero value knows nothing.
 type pairs struct {
 	numbers map[string]int
-	// base has the tail of each image without fillers as a share of the target,
-	// harm[filler][serving] the pressure of a filler per worker that it uses.
+	// base has the tail of each image without fillers as a share of the target.
 	base []float64
+	// harm[serving][filler] is what a filler adds per worker that it uses.
 	harm [][]float64
+	// power[serving][filler][other] sums the products of the shares of two
+	// fillers, cause[serving][filler] those of a share and the tail it adds.
+	power [][][]float64
+	cause [][]float64
 }
 
 // number returns the index of an image.
@@ -48,74 +53,98 @@
 	num := len(pa.base)
 	pa.numbers[image] = num
 	pa.base = append(pa.base, basePrior)
-	for i := range pa.harm {
+	for i := range num {
 		pa.harm[i] = append(pa.harm[i], harmPrior)
+		pa.cause[i] = append(pa.cause[i], 0)
+		for j := range num {
+			pa.power[i][j] = append(pa.power[i][j], 0)
+		}
+		pa.power[i] = append(pa.power[i], make([]float64, num+1))
 	}
 	row := make([]float64, num+1)
 	for i := range row {
 		row[i] = harmPrior
 	}
 	pa.harm = append(pa.harm, row)
-	return num
-}
-
-// pressureOf returns the pressure that a tail tells.
-func (pa *pairs) pressureOf(serving int, tail float64) float64 {
-	if tail <= pa.base[serving] {
-		return 0
-	}
-	return min(fullPressure, 1-pa.base[serving]/tail)
-}
-
-// limit returns the pressure at which the tail reaches the given share of its
-// target.
-func (pa *pairs) limit(serving int, tail float64) float64 {
-	return max(0, 1-pa.base[serving]/tail)
-}
-
-// fade lets high estimates return to the prior, so that a pair that is avoided
-// is tried again.
-func (pa *pairs) fade() {
-	for _, row := range pa.harm {
-		for i := range row {
-			if row[i] > harmPrior {
-				row[i] += fadeRate * (harmPrior - row[i])
-			}
-		}
+	pa.cause = append(pa.cause, make([]float64, num+1))
+	square := make([][]float64, num+1)
+	for i := range square {
+		square[i] = make([]float64, num+1)
 	}
+	pa.power = append(pa.power, square)
+	return num
 }
 
 // learn takes in the tail of a serving task beside fillers that use the given
-// shares of their worker, by image. It is a normalised least mean squares step.
+// shares of their worker, by image.
 func (pa *pairs) learn(serving int, tail float64, uses []imageUse) {
-	power, all := minPower, 0.0
+	all := 0.0
 	for _, us := range uses {
-		power += us.share * us.share
 		all += us.share
 	}
 	if all < usedLittle {
 		pa.base[serving] += baseRate * (min(tail, 1) - pa.base[serving])
 		return
 	}
-	read, model := pa.pressureOf(serving, tail), pa.pressure(serving, uses)
-	if read >= fullPressure && model >= fullPressure {
-		return
-	}
+	added := min(tail, mostRead) - pa.base[serving]
 	for _, us := range uses {
-		cell := &pa.harm[us.image][serving]
-		*cell = max(0, *cell+learnRate*(read-model)*us.share/power)
+		pa.cause[serving][us.image] += us.share * added
+		for _, other := range uses {
+			pa.power[serving][us.image][other.image] += us.share * other.share
+		}
 	}
 }
 
-// pressure returns the pressure of fillers on a serving image.
-func (pa *pairs) pressure(serving int, uses []imageUse) float64 {
-	sum := 0.0
+// solve brings the estimates up to date with the readings.
+func (pa *pairs) solve() {
+	for serving := range pa.harm {
+		for range rounds {
+			pa.descend(serving)
+		}
+		for i := range pa.cause[serving] {
+			pa.cause[serving][i] *= keepRate
+			for j := range pa.power[serving][i] {
+				pa.power[serving][i][j] *= keepRate
+			}
+		}
+	}
+}
+
+// descend improves the estimate of each filler image with the others fixed.
+func (pa *pairs) descend(serving int) {
+	harm, power := pa.harm[serving], pa.power[serving]
+	for i := range harm {
+		rest := pa.cause[serving][i] + priorWeight*harmPrior
+		for j := range harm {
+			if j != i {
+				rest -= power[i][j] * harm[j]
+			}
+		}
+		harm[i] = max(0, rest/(power[i][i]+priorWeight))
+	}
+}
+
+// tail returns the tail to expect of a serving image beside fillers, as a share
+// of its target.
+func (pa *pairs) tail(serving int, uses []imageUse) float64 {
+	sum := pa.base[serving]
 	for _, us := range uses {
-		sum += pa.harm[us.image][serving] * us.share
+		sum += pa.harm[serving][us.image] * us.share
 	}
 	return sum
 }
 
+// excess returns the share of the use of fillers that must go for a tail to
+// reach a goal. A tail grows like that of a queue: it is the tail without
+// fillers divided by 1 less a pressure that is in proportion to the use.
+func (pa *pairs) excess(serving int, tail, goal float64) float64 {
+	base := pa.base[serving]
+	if tail <= max(base, goal) {
+		return 0
+	}
+	return 1 - max(0, 1-base/goal)/(1-base/tail)
+}
+
 // imageUse is the share of a worker that the fillers of one image use.
 type imageUse struct {
 	image int
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -45,6 +45,8 @@
 	// forgetWorker is the age of the last report after which a worker without
 	// tasks is forgotten.
 	forgetWorker = 15 * time.Second
+	// solveEvery is how often the estimates of interference are computed.
+	solveEvery = 500 * time.Millisecond
 	// sweepEvery is how often leases and old jobs are looked at.
 	sweepEvery = 100 * time.Millisecond
 )
@@ -94,10 +96,11 @@
 	// flying is set while a proposal is under way.
 	flying bool
 	// dirty is set when something changed that could let a task start.
-	dirty bool
-	swept model.Instant
-	pairs pairs
-	out   []Effect
+	dirty  bool
+	swept  model.Instant
+	solved model.Instant
+	pairs  pairs
+	out    []Effect
 }
 
 // NewPlanner returns a planner that reads st, which the caller keeps in step
@@ -232,7 +235,7 @@
 		return
 	}
 	pl.swept = now
-	pl.pairs.fade()
+	pl.solve(now)
 	// Occurrences fall due and reports grow old with time alone.
 	pl.dirty = true
 	for _, wk := range pl.workers.list {
@@ -255,6 +258,18 @@
 	pl.forgetJobs(now)
 }
 
+// solve brings the estimates of interference up to date.
+func (pl *Planner) solve(now model.Instant) {
+	if now.Sub(pl.solved) < solveEvery {
+		return
+	}
+	pl.solved = now
+	pl.pairs.solve()
+	for _, wk := range pl.workers.list {
+		wk.refresh(pl)
+	}
+}
+
 // expire ends the runs of a worker whose lease is over.
 func (pl *Planner) expire(now model.Instant, wk *worker) {
 	if now.Before(wk.lease) || len(wk.placed) == 0 {
