Slow all fillers beside a task that stays over its target

Change: after 1.5 s over the target all fillers on the worker are slowed, after 3 s none works; within a priority the least work goes first, with aging.

--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -28,6 +28,11 @@
 	// settleTime is how long a change of pace takes to show in the readings,
 	// which cover half a second.
 	settleTime = 700 * time.Millisecond
+	// doubtAfter is how long a serving task may be over its target before all
+	// fillers beside it are slowed, whatever the estimate says, and stopAfter
+	// how long before none works on.
+	doubtAfter = 1500 * time.Millisecond
+	stopAfter  = 3 * time.Second
 	// harmless is the interference of a pair below which its filler is not
 	// slowed for the serving task.
 	harmless = 1.0
@@ -57,6 +62,12 @@
 			worst, image = tail, num
 		}
 	}
+	switch {
+	case worst < 1:
+		wk.overSince = 0
+	case wk.overSince == 0:
+		wk.overSince = now
+	}
 	if wk.fillers > 0 && (now.Sub(wk.pacedAt) >= settleTime || worst >= alarmTail) {
 		pl.pace(now, wk, worst, image)
 	}
@@ -93,9 +104,12 @@
 // none is known to, it scales all.
 func (pl *Planner) slow(now model.Instant, wk *worker, worst float64, image int) {
 	scale := 1 - pl.pairs.excess(image, worst, goalTail)
+	if wk.overFor(now) >= stopAfter {
+		scale = 0
+	}
 	known := false
 	for _, pd := range wk.placed {
-		known = known || pd.spec.Filler && pd.pace > 0 && pl.harms(pd, image)
+		known = known || pd.spec.Filler && pd.pace > 0 && pl.harms(pd, image) && wk.overFor(now) < doubtAfter
 	}
 	for _, pd := range wk.placed {
 		if !pd.spec.Filler || known && !pl.harms(pd, image) {
@@ -116,6 +130,15 @@
 	}
 }
 
+// overFor returns how long some serving task on the worker has been over its
+// target.
+func (wk *worker) overFor(now model.Instant) time.Duration {
+	if wk.overSince == 0 {
+		return 0
+	}
+	return now.Sub(wk.overSince)
+}
+
 // harms reports whether a filler disturbs a serving image.
 func (pl *Planner) harms(pd *placed, serving int) bool {
 	return pl.pairs.harm[serving][pl.pairs.number(pd.spec.Image)] >= harmless
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -20,6 +20,8 @@
 	fillerBeside = 0.05
 	// besideServing is the cost for a filler of a worker with serving tasks.
 	besideServing = 0.4
+	// agingWeight is how much faster a job moves up as its time passes.
+	agingWeight = 1.0
 	// starveTime is how long a job may have nothing running before one of its
 	// fillers starts on the least bad worker. A job is never forgotten.
 	starveTime = 1500 * time.Millisecond
@@ -39,6 +41,8 @@
 	// slack is the time that is left before the step must start for the job
 	// to meet its objective.
 	slack time.Duration
+	// rank orders the steps of one priority, the lowest first.
+	rank float64
 	// starved: nothing of the job has run for starveTime.
 	starved bool
 }
@@ -55,8 +59,8 @@
 }
 
 // wants lists the steps with waiting tasks in the order in which they are
-// served: by priority, then lasting tasks, then the least slack; jobs that are
-// too late for their objective come after those that can meet it.
+// served: by priority, then lasting tasks, then jobs that can meet their
+// objective, then by rank.
 func (pl *Planner) wants(now model.Instant) []wanted {
 	wall := pl.wall(now)
 	var out []wanted
@@ -85,6 +89,7 @@
 	} else if jb.idleSince == 0 {
 		jb.idleSince = now
 	}
+	work := occ.workLeft(jb.spec.Steps)
 	starved := jb.idleSince > 0 && now.Sub(jb.idleSince) > starveTime
 	for s := range occ.steps {
 		spec := &jb.spec.Steps[s]
@@ -94,6 +99,7 @@
 		age := time.Duration(wall-jb.due(k)) * time.Millisecond
 		out = append(out, wanted{
 			job: jb, occ: occ, occurrence: k, step: s, spec: spec, slack: jb.Objective() - age - jb.tails[s], starved: starved,
+			rank: rankOf(work, age, jb.Objective()),
 		})
 	}
 	return out
@@ -105,10 +111,30 @@
 		cmp.Compare(wa.job.spec.Priority, wb.job.spec.Priority),
 		before(wa.spec.Lasting, wb.spec.Lasting),
 		before(wa.slack >= 0, wb.slack >= 0),
-		cmp.Compare(wa.slack, wb.slack),
+		cmp.Compare(wa.rank, wb.rank),
 	)
 }
 
+// rankOf orders the steps of one priority: by the work that is left of their
+// job, lowered the more of its time has gone, so that a large job is not passed
+// over for good. When not all jobs can be on time, the least work first lets
+// the most of them be.
+func rankOf(work float64, age, objective time.Duration) float64 {
+	gone := float64(age) / float64(max(objective, time.Millisecond))
+	return work / (1 + agingWeight*max(0, gone))
+}
+
+// workLeft returns the declared processor seconds of the open tasks of an
+// occurrence.
+func (occ *occurrence) workLeft(steps []StepSpec) float64 {
+	sum := 0.0
+	for s := range occ.steps {
+		each := float64(steps[s].Size.MilliCPU()) / 1000 * max(steps[s].Estimate, time.Millisecond).Seconds()
+		sum += float64(occ.steps[s].open) * each
+	}
+	return sum
+}
+
 // before puts true first.
 func before(va, vb bool) int {
 	switch {
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -100,8 +100,11 @@
 	filling, served int64
 	// pacedAt is when the pace of a filler was changed last.
 	pacedAt model.Instant
-	// uses and expected are the shares of the fillers and the tails of the
-	// serving images that go with them.
+	// overSince is since when some serving task is over its target, 0 while
+	// none is.
+	overSince model.Instant
+	// uses and expected are the shares of the fillers and the tails to expect
+	// of the serving images.
 	uses     []imageUse
 	expected []expected
 }
