Add what a worker's tails exceed the estimate by

Change: each worker keeps the excess of its readings over the estimate, which fades with the next reports.

--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -33,6 +33,9 @@
 	// how long before none works on.
 	doubtAfter = 1500 * time.Millisecond
 	stopAfter  = 3 * time.Second
+	// easeRate is what is kept of an excess from one report to the next; half
+	// is gone in about a second and a half.
+	easeRate = 0.93
 	// harmless is the interference of a pair below which its filler is not
 	// slowed for the serving task.
 	harmless = 1.0
@@ -48,6 +51,7 @@
 	}
 	uses := pl.measure(wk, be)
 	worst, image := 0.0, 0
+	wk.ease()
 	for i := range be.Runs {
 		rr := &be.Runs[i]
 		pd := wk.find(rr.Task, rr.Attempt)
@@ -58,6 +62,7 @@
 		tail := rr.Reading * float64(time.Millisecond) / float64(pd.spec.TailTarget)
 		num := pl.pairs.number(pd.spec.Image)
 		pl.pairs.learn(num, tail, uses)
+		wk.surprise(num, tail-pl.pairs.tail(num, uses))
 		if tail > worst {
 			worst, image = tail, num
 		}
@@ -191,6 +196,45 @@
 	}
 }
 
+// excess is by how much the tail of a serving image on a worker was over the
+// estimate lately. Its own load changes from one worker to the next.
+type excess struct {
+	image int
+	tail  float64
+}
+
+// ease lets the excesses on a worker go by with the reports.
+func (wk *worker) ease() {
+	for i := range wk.excesses {
+		wk.excesses[i].tail *= easeRate
+	}
+}
+
+// surprise takes note of a tail that is over the estimate.
+func (wk *worker) surprise(image int, tail float64) {
+	tail = min(tail, mostRead)
+	if tail <= 0 {
+		return
+	}
+	for i := range wk.excesses {
+		if wk.excesses[i].image == image {
+			wk.excesses[i].tail = max(wk.excesses[i].tail, tail)
+			return
+		}
+	}
+	wk.excesses = append(wk.excesses, excess{image: image, tail: tail})
+}
+
+// excess returns the present excess of a serving image.
+func (wk *worker) excess(image int) float64 {
+	for _, ex := range wk.excesses {
+		if ex.image == image {
+			return ex.tail
+		}
+	}
+	return 0
+}
+
 // expected is the tail to expect of a serving image on a worker.
 type expected struct {
 	image int
@@ -225,7 +269,7 @@
 			return
 		}
 	}
-	wk.expected = append(wk.expected, expected{image: image, tail: pl.pairs.tail(image, wk.uses)})
+	wk.expected = append(wk.expected, expected{image: image, tail: pl.pairs.tail(image, wk.uses) + wk.excess(image)})
 }
 
 // over returns by how much the tail of the worst serving image on a worker
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -107,6 +107,7 @@
 	// of the serving images.
 	uses     []imageUse
 	expected []expected
+	excesses []excess
 }
 
 func (wk *worker) free() model.Resources { return wk.size.Sub(wk.used) }
