--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -36,6 +36,8 @@
 	// easeRate is what is kept of an excess from one report to the next; half
 	// is gone in about a second and a half.
 	easeRate = 0.93
+	// readingTime is what a reading covers, with the time until it is reported.
+	readingTime = 700 * time.Millisecond
 	// harmless is the interference of a pair below which its filler is not
 	// slowed for the serving task.
 	harmless = 1.0
@@ -49,7 +51,7 @@
 		wk.refresh(pl)
 		return
 	}
-	uses := pl.measure(wk, be)
+	uses := pl.measure(now, wk, be)
 	worst, image := 0.0, 0
 	wk.ease()
 	for i := range be.Runs {
@@ -79,21 +81,48 @@
 	wk.refresh(pl)
 }
 
-// measure returns what the fillers on a worker use, by image.
-func (pl *Planner) measure(wk *worker, be *Beat) []imageUse {
-	wk.uses = wk.uses[:0]
+// measure returns what the fillers on a worker used in the half second that
+// its readings cover, by image. A filler that has ended since still counts.
+func (pl *Planner) measure(now model.Instant, wk *worker, be *Beat) []imageUse {
 	total := float64(max(1, wk.size.MilliCPU()))
 	for i := range be.Runs {
 		rr := &be.Runs[i]
-		pd := wk.find(rr.Task, rr.Attempt)
-		if pd == nil || !pd.spec.Filler {
-			continue
+		if pd := wk.find(rr.Task, rr.Attempt); pd != nil && pd.spec.Filler {
+			pd.use = rr.Reading / total
+		}
+	}
+	wk.uses = wk.uses[:0]
+	for _, pd := range wk.placed {
+		if pd.use > 0 {
+			wk.uses = addUse(wk.uses, pl.pairs.number(pd.spec.Image), pd.use)
 		}
-		wk.uses = addUse(wk.uses, pl.pairs.number(pd.spec.Image), rr.Reading/total)
 	}
+	kept := wk.echoes[:0]
+	for _, ec := range wk.echoes {
+		if left := ec.until.Sub(now); left > 0 {
+			share := ec.use.share * float64(left) / float64(readingTime)
+			wk.uses = addUse(wk.uses, ec.use.image, share)
+			kept = append(kept, ec)
+		}
+	}
+	wk.echoes = kept
 	return wk.uses
 }
 
+// echo is a filler that ended so short ago that the readings still show it.
+type echo struct {
+	use   imageUse
+	until model.Instant
+}
+
+// fell takes note of the end of a filler.
+func (pl *Planner) fell(now model.Instant, wk *worker, pd *placed) {
+	if pd.use > 0 {
+		use := imageUse{image: pl.pairs.number(pd.spec.Image), share: pd.use}
+		wk.echoes = append(wk.echoes, echo{use: use, until: now.Add(readingTime)})
+	}
+}
+
 // pace slows the fillers that disturb the worst serving task, or lets all gain
 // speed when none is near its target.
 func (pl *Planner) pace(now model.Instant, wk *worker, worst float64, image int) {
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -390,6 +390,7 @@
 		return
 	}
 	wk.drop(pd)
+	pl.fell(now, wk, pd)
 	pl.judge(now, wk, pd, op.outcome)
 	jb := pl.st.jobs[op.id]
 	if op.outcome != Succeeded && op.outcome != Stopped {
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -33,6 +33,8 @@
 	stopping   bool
 	checkpoint string
 	percent    int
+	// use is the share of the worker that a filler used at the last report.
+	use float64
 	// pace is the share of its speed at which the run may work, in percent.
 	pace int
 	// evict: the run is to be stopped so that it starts elsewhere.
@@ -108,6 +110,7 @@
 	uses     []imageUse
 	expected []expected
 	excesses []excess
+	echoes   []echo
 }
 
 func (wk *worker) free() model.Resources { return wk.size.Sub(wk.used) }
