Wait for a change of pace to show before the next

Cause: at tails over 1.5 of the target each report scaled the pace again while the readings still showed the time before, and the filler was moved.

--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -23,8 +23,6 @@
 	// one to expect at which a filler may join serving tasks or gain speed.
 	goalTail = 0.75
 	mostTail = 0.85
-	// alarmTail is the tail from which the next reading is not waited for.
-	alarmTail = 1.5
 	// settleTime is how long a change of pace takes to show in the readings,
 	// which cover half a second.
 	settleTime = 700 * time.Millisecond
@@ -75,7 +73,7 @@
 	case wk.overSince == 0:
 		wk.overSince = now
 	}
-	if wk.fillers > 0 && (now.Sub(wk.pacedAt) >= settleTime || worst >= alarmTail) {
+	if wk.fillers > 0 && now.Sub(wk.pacedAt) >= settleTime {
 		pl.pace(now, wk, worst, image)
 	}
 	wk.refresh(pl)
