--- /dev/null
+++ b/core/cell/document_test.go
@@ -0,0 +1,85 @@
+package cell
+
+import (
+	"testing"
+	"time"
+)
+
+func testQueue(change func(spec *QueueSpec)) Queue {
+	spec := QueueSpec{Name: "q", Host: "a.example", Prefix: "/q/", Service: "desk", Timeout: time.Second}
+	change(&spec)
+	return NewQueue(spec)
+}
+
+func testDocument(t *testing.T, version uint64, queues ...Queue) Document {
+	t.Helper()
+	doc, err := NewDocument(DocumentSpec{
+		Version: version, Text: []byte{byte(version)}, Queues: queues, Services: []Service{NewService("desk", true)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+// Guards against an invalid configuration that is accepted in part.
+func TestDocumentIsCheckedAsAWhole(t *testing.T) {
+	good := testQueue(func(*QueueSpec) {})
+	desk := []Service{NewService("desk", true)}
+	tests := []struct {
+		name string
+		spec DocumentSpec
+	}{
+		{"no version", DocumentSpec{Queues: []Queue{good}, Services: desk}},
+		{"unknown service", DocumentSpec{Version: 1, Queues: []Queue{good}}},
+		{"no timeout", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{testQueue(func(sp *QueueSpec) { sp.Timeout = 0 })}}},
+		{"no host", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{testQueue(func(sp *QueueSpec) { sp.Host = "" })}}},
+		{"same place twice", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{good, testQueue(func(sp *QueueSpec) {
+			sp.Name, sp.Host = "r", "A.example"
+		})}}},
+		{"service twice", DocumentSpec{Version: 1, Queues: []Queue{good}, Services: append(desk, desk...)}},
+	}
+	for _, tt := range tests {
+		if _, err := NewDocument(tt.spec); err == nil {
+			t.Errorf("%s: accepted", tt.name)
+		}
+	}
+}
+
+// Guards against a call that goes to a queue with a shorter prefix.
+func TestLongestPrefixWins(t *testing.T) {
+	doc := testDocument(t, 1, testQueue(func(*QueueSpec) {}), testQueue(func(sp *QueueSpec) { sp.Name, sp.Prefix = "deep", "/q/deep/" }))
+	tests := []struct {
+		host, path, queue, rest string
+	}{
+		{"a.example", "/q/1", "q", "1"},
+		{"A.EXAMPLE", "/q/deep/2", "deep", "2"},
+		{"b.example", "/q/1", "", ""},
+		{"a.example", "/other/1", "", ""},
+	}
+	for _, tt := range tests {
+		qu, rest, ok := doc.Find(tt.host, tt.path)
+		if ok != (tt.queue != "") || qu.Spec().Name != tt.queue || rest != tt.rest {
+			t.Errorf("%s%s: queue %q, rest %q, %v", tt.host, tt.path, qu.Spec().Name, rest, ok)
+		}
+	}
+}
+
+// Guards against a configuration that goes back to an older version, and
+// against other content under the version in effect.
+func TestHighestVersionStays(t *testing.T) {
+	var sta State
+	for _, ver := range []uint64{3, 2, 3, 7, 5} {
+		doc := testDocument(t, ver, testQueue(func(sp *QueueSpec) { sp.Timeout = time.Duration(ver) * time.Second }))
+		before := sta.Document().Version()
+		res := sta.Apply(Configure(doc))
+		if want := max(before, ver); res.Version() != want || sta.Document().Version() != want {
+			t.Fatalf("after version %d: %d in effect, want %d", ver, res.Version(), want)
+		}
+	}
+	other := testDocument(t, 7, testQueue(func(sp *QueueSpec) { sp.Name = "other" }))
+	sta.Apply(Configure(other))
+	if got := sta.Document().Queues()[0].Spec().Name; got != "q" {
+		t.Errorf("queue %q under the version in effect, want q", got)
+	}
+}
--- /dev/null
+++ b/core/cell/repair_test.go
@@ -0,0 +1,78 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+)
+
+func voters(vms ...model.VMID) quorum.Members {
+	var lst []quorum.Member
+	for _, vm := range vms {
+		lst = append(lst, quorum.NewMember(vm, quorum.DiskID("disk-"+vm), true))
+	}
+	return quorum.NewMembers(false, lst...)
+}
+
+func at(dur time.Duration) model.Instant { return model.Instant(dur) }
+
+// announce lets VMs announce themselves with their own disks.
+func announce(re *Repair, now model.Instant, vms ...model.VMID) {
+	for _, vm := range vms {
+		re.Announce(Presence{VM: vm, Disk: quorum.DiskID("disk-" + vm), Heard: now})
+	}
+}
+
+// Guards against an operator's command being needed after a lost disk, a lost
+// VM or a new VM, and against the removal of a voter that is only cut off.
+func TestRepair(t *testing.T) {
+	now := at(20 * time.Second)
+	learner := quorum.NewMembers(false, append(voters("a", "b", "c").List(), quorum.NewMember("d", "disk-d", false))...)
+	tests := []struct {
+		name string
+		mems quorum.Members
+		hear func(re *Repair)
+		kind quorum.ChangeKind
+		vm   model.VMID
+	}{
+		{"all present", voters("a", "b", "c"), func(re *Repair) { announce(re, now, "b", "c") }, 0, ""},
+		{"voter cut off, no other VM", voters("a", "b", "c"), func(re *Repair) { announce(re, now, "b") }, 0, ""},
+		{"emptied disk", voters("a", "b", "c"), func(re *Repair) {
+			announce(re, now, "c")
+			re.Announce(Presence{VM: "b", Disk: "new", Heard: now})
+		}, quorum.Remove, "b"},
+		{"emptied disk was removed", voters("a", "c"), func(re *Repair) {
+			announce(re, now, "c")
+			re.Announce(Presence{VM: "b", Disk: "new", Heard: now})
+		}, quorum.AddLearner, "b"},
+		{"spare VM, all present", voters("a", "b", "c"), func(re *Repair) { announce(re, now, "b", "c", "d") }, 0, ""},
+		{"spare VM, voter lost", voters("a", "b", "c"), func(re *Repair) { announce(re, now, "b", "d") }, quorum.AddLearner, "d"},
+		{"spare VM is learner, voter lost", learner, func(re *Repair) { announce(re, now, "b", "d") }, quorum.Remove, "c"},
+		{"learner and a voter missing", quorum.NewMembers(false, append(voters("a", "b").List(), quorum.NewMember("d", "disk-d", false))...),
+			func(re *Repair) { announce(re, now, "b", "d") }, quorum.Promote, "d"},
+		{"silent learner", learner, func(re *Repair) { announce(re, now, "b", "c") }, quorum.Remove, "d"},
+	}
+	for _, tt := range tests {
+		re := &Repair{Voters: 3}
+		re.Start(at(0))
+		tt.hear(re)
+		chg, ok := re.Next(now, "a", tt.mems)
+		if ok != (tt.vm != "") || ok && (chg.Kind() != tt.kind || chg.VM() != tt.vm) {
+			t.Errorf("%s: change %v of %q, %v; want %v of %q", tt.name, chg.Kind(), chg.VM(), ok, tt.kind, tt.vm)
+		}
+	}
+}
+
+// Guards against a new leader that removes voters before they had the time to
+// announce themselves.
+func TestNewLeaderWaitsForAnnouncements(t *testing.T) {
+	re := &Repair{Voters: 3}
+	re.Start(at(10 * time.Second))
+	now := at(11 * time.Second)
+	announce(re, now, "d")
+	if chg, ok := re.Next(now, "a", voters("a", "b", "c")); ok {
+		t.Errorf("change %v of %s one second after the takeover", chg.Kind(), chg.VM())
+	}
+}
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -149,6 +149,8 @@
 // startTasks places the waiting tasks of a step one by one.
 func (pl *Planner) startTasks(now model.Instant, wa wanted) {
 	sp := &wa.occ.steps[wa.step]
+	started := 0
+	defer func() { pl.noteStarts(now, wa, started) }()
 	for i := range sp.tasks {
 		tk := &sp.tasks[i]
 		if !tk.waiting() {
@@ -157,8 +159,10 @@
 		id := NewTaskID(wa.job.ID(), wa.occurrence, wa.step, i)
 		wk := pl.choose(now, wa, id, nil)
 		if wk == nil {
+			pl.noteWait(now, wa, id)
 			return
 		}
+		started++
 		pl.propose(now, wa, tk, id, tk.attempt+1, wk)
 		// One task ends the wait of a starved job.
 		wa.starved = false
@@ -233,7 +237,7 @@
 	var best *worker
 	lowest := 0.0
 	for _, wk := range pl.workers.list {
-		if !pl.usable(now, wk, wa, id, need) {
+		if pl.refuse(now, wk, &wa, id, need) != noRefusal {
 			continue
 		}
 		cost, ok := pl.cost(wk, wa, image, need)
@@ -248,23 +252,6 @@
 	return best
 }
 
-// usable reports whether a task may be on the worker.
-func (pl *Planner) usable(now model.Instant, wk *worker, wa wanted, id TaskID, need model.Resources) bool {
-	switch {
-	case !wk.known || wk.draining || wk.service != wa.job.spec.Service || pl.outage[wk.centre]:
-		return false
-	case now.Sub(wk.heard) > freshFor || wk.health.quarantined(now):
-		return false
-	case !need.FitsIn(wk.free()) || !wa.spec.Size.FitsIn(wk.size):
-		return false
-	case wa.spec.Label != "" && !slices.Contains(wk.labels, wa.spec.Label):
-		return false
-	case wa.spec.PerWorker > 0 && wk.sameStep(id) >= wa.spec.PerWorker:
-		return false
-	}
-	return true
-}
-
 // far returns the cost of a worker away from the data or the rack of a step.
 func far(wk *worker, spec *StepSpec, near *worker) float64 {
 	cost := 0.0
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -225,7 +225,7 @@
 	}
 	for _, wk := range pl.workers.list {
 		if wk.polled && pl.due(now, wk) {
-			pl.answer(now, wk)
+			pl.answer(wk)
 		}
 	}
 }
@@ -342,10 +342,7 @@
 	op := msg.Op
 	switch op.kind {
 	case OpSubmit:
-		if msg.Verdict == Accepted {
-			pl.open = append(pl.open, pl.st.jobs[op.id])
-			pl.dirty = true
-		}
+		pl.appliedSubmit(msg)
 	case OpCancel:
 		pl.note("jobCancelled", op.id, "", "", "verdict", msg.Verdict.String())
 		pl.dirty = true
@@ -356,6 +353,17 @@
 	}
 }
 
+func (pl *Planner) appliedSubmit(msg Applied) {
+	spec := &msg.Op.job.spec
+	pl.note("jobSubmitted", spec.ID, "", "", "verdict", msg.Verdict.String(), "queue", spec.Queue,
+		"priority", strconv.Itoa(spec.Priority), "steps", strconv.Itoa(len(spec.Steps)),
+		"objectiveMs", strconv.FormatInt(msg.Op.job.Objective().Milliseconds(), 10))
+	if msg.Verdict == Accepted {
+		pl.open = append(pl.open, pl.st.jobs[msg.Op.id])
+		pl.dirty = true
+	}
+}
+
 func (pl *Planner) appliedStart(now model.Instant, msg Applied) {
 	op := msg.Op
 	wk := pl.lifeOf(now, op.life)
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -402,7 +402,7 @@
 
 // answer completes the report of a worker with its orders and renews its
 // lease.
-func (pl *Planner) answer(now model.Instant, wk *worker) {
+func (pl *Planner) answer(wk *worker) {
 	ans := Answer{
 		Poll: wk.poll, Term: pl.term, Hold: pl.bounds.hold(), AckedThrough: wk.ackedThrough(), Again: busyAgain,
 		Stops: slices.Clone(wk.strays),
--- a/core/flow/world_test.go
+++ b/core/flow/world_test.go
@@ -195,7 +195,7 @@
 		case Propose:
 			w.propose(vm, val.Ops)
 		case Answer:
-			w.answer(vm, val)
+			w.answer(val)
 		}
 	}
 }
@@ -307,7 +307,7 @@
 	w.step(vm, msg)
 }
 
-func (w *world) answer(vm *vmSim, ans Answer) {
+func (w *world) answer(ans Answer) {
 	be := w.polls[ans.Poll]
 	delete(w.polls, ans.Poll)
 	if be == nil || w.rng.Float64() < w.lost {
--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -78,6 +78,22 @@
 // *NotReachedError means that nothing was done, a *LostReplyError that it is
 // not known.
 func (vm *VM) Route(ctx context.Context, cal Call) (Reply, error) {
+	start := vm.clock()
+	rep, err := vm.route(ctx, cal)
+	callTime.Add(vm.clock().Sub(start))
+	var los *LostReplyError
+	switch {
+	case err == nil:
+		calls.Add(callServed)
+	case errors.As(err, &los):
+		calls.Add(callLost)
+	default:
+		calls.Add(callRefused)
+	}
+	return rep, err
+}
+
+func (vm *VM) route(ctx context.Context, cal Call) (Reply, error) {
 	var lost error
 	start := vm.clock()
 	for {
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -175,7 +175,9 @@
 
 // step runs on the actor that owns the state and carries out the effects.
 func (mem *member) step(now model.Instant, in flow.Input) {
-	for _, eff := range mem.plan.Step(now, in) {
+	effs := mem.plan.Step(now, in)
+	planTime.Add(mem.vm.clock().Sub(now))
+	for _, eff := range effs {
 		switch val := eff.(type) {
 		case flow.Propose:
 			select {
@@ -196,6 +198,7 @@
 }
 
 func (mem *member) note(no flow.Note) {
+	decisions.Add(no.Kind)
 	fis := make([]event.Field, 0, len(no.Fields))
 	for _, fi := range no.Fields {
 		fis = append(fis, event.NewField(fi.Key, fi.Value))
@@ -222,7 +225,9 @@
 func (mem *member) propose(ctx context.Context, cmd cell.Command) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTime)
 	defer cancel()
+	start := mem.vm.clock()
 	_, err := mem.ref.Propose(ctx, cmd)
+	commitTime.Add(mem.vm.clock().Sub(start))
 	if err != nil {
 		mem.vm.log.Warn("operations not applied", "operations", len(cmd.Ops()), "error", err)
 	}
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -105,6 +105,10 @@
 		vm.member = mem
 	}
 	vm.setPeers(vm.known.Load().members)
+	stop, err = serveVars(vm)
+	if err := vm.keep(stop, err); err != nil {
+		return err
+	}
 	return vm.keep(startFinder(ctx, vm), nil)
 }
 
--- a/io/cmd/serve/cell.go
+++ b/io/cmd/serve/cell.go
@@ -12,6 +12,7 @@
 	"guavarail/io/cell"
 	"guavarail/io/cmd/shell"
 	"guavarail/io/config"
+	"guavarail/io/lines"
 )
 
 // stopMargin is left of the shutdown time for the clean-up.
@@ -23,8 +24,10 @@
 	if err != nil {
 		return err
 	}
+	out, flush := lines.New(env.Streams.Out())
+	defer flush(context.WithoutCancel(ctx))
 	log := hclog.New(&hclog.LoggerOptions{
-		Name: string(set.Name()), Level: hclog.LevelFromString(set.LogLevel()), Output: env.Streams.Out(),
+		Name: string(set.Name()), Level: hclog.LevelFromString(set.LogLevel()), Output: out,
 	})
 	vm, stop, err := cell.New(set, log)
 	if err != nil {
--- /dev/null
+++ b/io/lines/lines.go
@@ -0,0 +1,85 @@
+// Package lines writes log lines without holding up those who log: a writer
+// that stands still costs lines, not time.
+package lines
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"slices"
+	"sync/atomic"
+)
+
+// capacity bounds the lines that wait for the writer.
+const capacity = 4096
+
+// droppedLines counts the lines that were dropped, at /debug/vars.
+var droppedLines = expvar.NewInt("logDroppedLines")
+
+// Writer hands lines to a goroutine that writes them. The zero value drops
+// every line.
+type Writer struct {
+	queue   chan []byte
+	dropped *atomic.Int64
+}
+
+// New returns a writer to out. The clean-up function returns once the lines
+// that wait are written, or when ctx ends.
+func New(out io.Writer) (Writer, func(ctx context.Context)) {
+	wr := Writer{queue: make(chan []byte, capacity), dropped: &atomic.Int64{}}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go wr.run(out, stop, done)
+	return wr, func(ctx context.Context) {
+		close(stop)
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Write queues a copy of one line. It never waits and never fails.
+func (wr Writer) Write(line []byte) (int, error) {
+	select {
+	case wr.queue <- slices.Clone(line):
+	default:
+		if wr.dropped != nil {
+			wr.dropped.Add(1)
+			droppedLines.Add(1)
+		}
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that found no room.
+func (wr Writer) Dropped() int64 {
+	if wr.dropped == nil {
+		return 0
+	}
+	return wr.dropped.Load()
+}
+
+// run writes lines until stop is closed and none waits, and then closes done.
+func (wr Writer) run(out io.Writer, stop <-chan struct{}, done chan<- struct{}) {
+	defer close(done)
+	for {
+		select {
+		case line := <-wr.queue:
+			_, _ = out.Write(line)
+		case <-stop:
+			wr.drain(out)
+			return
+		}
+	}
+}
+
+func (wr Writer) drain(out io.Writer) {
+	for {
+		select {
+		case line := <-wr.queue:
+			_, _ = out.Write(line)
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/wire/cell_test.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"guavarail/core/cell"
+	"guavarail/core/flow"
+	"guavarail/core/model"
+)
+
+func cellJob(t *testing.T) flow.Job {
+	t.Helper()
+	jo, err := flow.NewJob(flow.JobSpec{
+		ID: "5c0e7a21d94b36f8", Queue: "quotes", Service: "orders", Body: "text", Priority: 2, Attempts: 3, Factor: 1.5,
+		Target: time.Second, Accepted: 17, First: 5, Every: time.Second, Times: 2,
+		Steps: []flow.StepSpec{
+			{
+				Tasks: 2, Size: model.NewResources(1500, 2048, 1), Estimate: time.Second, Checkpoints: true, Gang: true, OneRack: true,
+				Label: "b", Rack: "r1", PerWorker: 1, Copies: true, Misses: -1,
+			},
+			{Tasks: 1, Size: model.NewResources(500, 64, 0), After: []int{0}, Lasting: true, Filler: true, Image: "im", TailTarget: time.Millisecond, Misses: 2},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return jo
+}
+
+// Guards against a field that is lost on its way through the log.
+func TestCellCommandsKeepEveryField(t *testing.T) {
+	doc, err := cell.NewDocument(cell.DocumentSpec{
+		Version: 9, Text: []byte(`{"version":9}`), Services: []cell.Service{cell.NewService("orders", true)},
+		Queues: []cell.Queue{cell.NewQueue(cell.QueueSpec{
+			Name: "quotes", Host: "h.example", Prefix: "/q/", Service: "orders", Timeout: time.Second, Priority: 1, Attempts: 2, Factor: 2.5, Target: time.Minute,
+		})},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	task := flow.NewTaskID("5c0e7a21d94b36f8", 1, 0, 1)
+	tests := []cell.Command{
+		cell.Configure(doc), cell.Evacuate("riga-a", true), cell.Evacuate("riga-a", false),
+		cell.Jobs(flow.Submit(cellJob(t)), flow.Cancel("x"), flow.Start(task, 3, flow.NewLife("w", 99)),
+			flow.End(task, 3, flow.Stopped, "point"), flow.Forget("x")),
+	}
+	for i, cmd := range tests {
+		buf, err := CellCommands{}.Encode(cmd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := CellCommands{}.Decode(buf)
+		if err != nil || !reflect.DeepEqual(got, cmd) {
+			t.Errorf("command %d: %+v, %v; want %+v", i, got, err, cmd)
+		}
+	}
+}
+
+// Guards against a state that differs after a restart or on a replica that
+// received a snapshot.
+func TestCellSnapshotsKeepTheState(t *testing.T) {
+	var sta cell.State
+	task := flow.NewTaskID("5c0e7a21d94b36f8", 1, 0, 1)
+	sta.Apply(cell.Evacuate("riga-b", true))
+	sta.Apply(cell.Jobs(flow.Submit(cellJob(t)), flow.Start(task, 1, flow.NewLife("w", 99)), flow.End(task, 1, flow.Failed, "point"),
+		flow.Start(task, 2, flow.NewLife("v", 98))))
+	buf, err := CellSnapshots{}.Encode(sta.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	snap, err := CellSnapshots{}.Decode(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got cell.State
+	got.Restore(snap)
+	if !reflect.DeepEqual(got.Snapshot(), sta.Snapshot()) {
+		t.Errorf("snapshot %+v, want %+v", got.Snapshot(), sta.Snapshot())
+	}
+}
