--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -17,12 +17,12 @@
 	leastPace = 20
 	// warnTail is the tail, as a share of the target, from which fillers are
 	// slowed, and calmTail where they gain speed again.
-	warnTail = 0.9
-	calmTail = 0.65
+	warnTail = 1.0
+	calmTail = 0.75
 	// goalTail is the tail that fillers are slowed to, and mostTail the highest
 	// one to expect at which a filler may join serving tasks or gain speed.
-	goalTail = 0.75
-	mostTail = 0.85
+	goalTail = 0.8
+	mostTail = 0.95
 	// settleTime is how long a change of pace takes to show in the readings,
 	// which cover half a second.
 	settleTime = 700 * time.Millisecond
