Follow the load of each serving job and pace fillers ahead of it

Change: pressure = load of the job + fillers; the load is followed from all its tasks and estimated 0.65 s ahead; fillers get the pace that keeps each serving task under its target, and move only after they stood still for a second.

--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -10,35 +10,27 @@
 const (
 	// fullPace lets a run work without a limit, in percent.
 	fullPace = 100
-	// paceStep is what a filler gains in one report while the serving tasks
-	// beside it are well under their target, in percent.
-	paceStep = 25
-	// leastPace is the pace below which a filler is moved, in percent.
-	leastPace = 20
-	// warnTail is the tail, as a share of the target, from which fillers are
-	// slowed, and calmTail where they gain speed again.
-	warnTail = 1.0
-	calmTail = 0.75
-	// goalTail is the tail that fillers are slowed to, and mostTail the highest
-	// one to expect at which a filler may join serving tasks or gain speed.
-	goalTail = 0.8
-	mostTail = 0.95
-	// settleTime is how long a change of pace takes to show in the readings,
-	// which cover half a second.
-	settleTime = 700 * time.Millisecond
+	// leastPace is the pace below which a filler stands still, in percent, and
+	// paceStep the smallest change of pace worth an order.
+	leastPace = 15
+	paceStep  = 10
+	// goalTail is the tail, as a share of the target, at which the fillers
+	// beside a serving task are held, and joinTail the one up to which another
+	// filler may join.
+	goalTail = 0.85
+	joinTail = 0.75
+	// moveAfter is how long a filler stands still before it is moved.
+	moveAfter = time.Second
 	// doubtAfter is how long a serving task may be over its target before all
 	// fillers beside it are slowed, whatever the estimate says, and stopAfter
 	// how long before none works on.
 	doubtAfter = 1500 * time.Millisecond
 	stopAfter  = 3 * time.Second
-	// easeRate is what is kept of an excess from one report to the next; half
-	// is gone in about a second and a half.
-	easeRate = 0.93
 	// readingTime is what a reading covers, with the time until it is reported.
 	readingTime = 700 * time.Millisecond
-	// harmless is the interference of a pair below which its filler is not
-	// slowed for the serving task.
-	harmless = 1.0
+	// harmless is the harm of a pair below which its filler is not slowed for
+	// the serving task.
+	harmless = 0.3
 )
 
 // guard learns from the readings of the serving tasks on a worker and sets the
@@ -50,8 +42,11 @@
 		return
 	}
 	uses := pl.measure(now, wk, be)
-	worst, image := 0.0, 0
-	wk.ease()
+	all := 0.0
+	for _, us := range uses {
+		all += us.share
+	}
+	worst := 0.0
 	for i := range be.Runs {
 		rr := &be.Runs[i]
 		pd := wk.find(rr.Task, rr.Attempt)
@@ -60,12 +55,13 @@
 			continue
 		}
 		tail := rr.Reading * float64(time.Millisecond) / float64(pd.spec.TailTarget)
-		num := pl.pairs.number(pd.spec.Image)
-		pl.pairs.learn(num, tail, uses)
-		wk.surprise(num, tail-pl.pairs.tail(num, uses))
-		if tail > worst {
-			worst, image = tail, num
+		worst = max(worst, tail)
+		image := pl.pairs.number(pd.spec.Image)
+		pressure := pl.pairs.read(image, tail)
+		if all >= usedLittle {
+			pl.pairs.learn(image, pressure-pd.job.wave.now(), uses)
 		}
+		pd.job.wave.follow(now, max(0, pressure-pl.pairs.pressure(image, uses)), all)
 	}
 	switch {
 	case worst < 1:
@@ -73,10 +69,10 @@
 	case wk.overSince == 0:
 		wk.overSince = now
 	}
-	if wk.fillers > 0 && now.Sub(wk.pacedAt) >= settleTime {
-		pl.pace(now, wk, worst, image)
-	}
 	wk.refresh(pl)
+	if wk.fillers > 0 {
+		pl.pace(now, wk, worst)
+	}
 }
 
 // measure returns what the fillers on a worker used in the half second that
@@ -87,6 +83,9 @@
 		rr := &be.Runs[i]
 		if pd := wk.find(rr.Task, rr.Attempt); pd != nil && pd.spec.Filler {
 			pd.use = rr.Reading / total
+			if pd.pace >= fullPace/2 && now.Sub(pd.since) > readingTime {
+				pd.full = pd.use * fullPace / float64(pd.pace)
+			}
 		}
 	}
 	wk.uses = wk.uses[:0]
@@ -121,40 +120,29 @@
 	}
 }
 
-// pace slows the fillers that disturb the worst serving task, or lets all gain
-// speed when none is near its target.
-func (pl *Planner) pace(now model.Instant, wk *worker, worst float64, image int) {
-	switch {
-	case worst >= warnTail:
-		pl.slow(now, wk, worst, image)
-	case worst <= calmTail:
-		pl.hasten(now, wk)
-	}
-}
-
-// slow scales down the fillers that are known to disturb the serving image; if
-// none is known to, it scales all.
-func (pl *Planner) slow(now model.Instant, wk *worker, worst float64, image int) {
-	scale := 1 - pl.pairs.excess(image, worst, goalTail)
-	if wk.overFor(now) >= stopAfter {
-		scale = 0
+// pace gives each filler the speed at which the serving tasks beside it stay
+// under their target as their loads are about to be. A filler that has to stand
+// still is moved.
+func (pl *Planner) pace(now model.Instant, wk *worker, worst float64) {
+	doubt := fullPace
+	switch over := wk.overFor(now); {
+	case over >= stopAfter:
+		doubt = 0
+	case over >= doubtAfter:
+		doubt = fullPace / 4
 	}
-	known := false
 	for _, pd := range wk.placed {
-		known = known || pd.spec.Filler && pd.pace > 0 && pl.harms(pd, image) && wk.overFor(now) < doubtAfter
-	}
-	for _, pd := range wk.placed {
-		if !pd.spec.Filler || known && !pl.harms(pd, image) {
+		if !pd.spec.Filler || pd.evict {
 			continue
 		}
-		pace := int(float64(pd.pace) * scale)
+		pace := min(doubt, pl.paceOf(wk, pd))
 		if pace < leastPace {
 			pace = 0
 		}
-		if pl.setPace(wk, pd, pace, worst) {
-			wk.pacedAt = now
+		if pace == fullPace || pace == 0 || pace >= pd.pace+paceStep || pace <= pd.pace-paceStep {
+			pl.setPace(now, wk, pd, pace, worst)
 		}
-		if pace == 0 && pd.seen && !pd.evict && pd.cheap() {
+		if pd.pace == 0 && pd.seen && now.Sub(pd.stillSince) >= moveAfter && pd.cheap() {
 			pd.evict = true
 			pl.note("fillerMoved", pd.task.job, pd.task.String(), wk.life.String(),
 				"tailOfTarget", strconv.FormatFloat(worst, 'f', 2, 64), "percentDone", strconv.Itoa(pd.percent))
@@ -162,6 +150,21 @@
 	}
 }
 
+// paceOf returns the pace at which a filler and the others like it leave every
+// serving task on the worker under its target, in percent.
+func (pl *Planner) paceOf(wk *worker, pd *placed) int {
+	share := 1.0
+	image := pl.pairs.number(pd.spec.Image)
+	for _, ex := range wk.expected {
+		if pl.pairs.harm[ex.image][image] < harmless || ex.pressure <= 0 {
+			continue
+		}
+		room := pl.pairs.limit(ex.image, goalTail) - ex.job.wave.ahead()
+		share = min(share, max(0, room)/ex.pressure)
+	}
+	return int(share * fullPace)
+}
+
 // overFor returns how long some serving task on the worker has been over its
 // target.
 func (wk *worker) overFor(now model.Instant) time.Duration {
@@ -171,39 +174,16 @@
 	return now.Sub(wk.overSince)
 }
 
-// harms reports whether a filler disturbs a serving image.
-func (pl *Planner) harms(pd *placed, serving int) bool {
-	return pl.pairs.harm[serving][pl.pairs.number(pd.spec.Image)] >= harmless
-}
-
 // cheap reports whether little work is lost when the run is stopped.
 func (pd *placed) cheap() bool {
 	const little = 25
 	return pd.spec.Checkpoints || pd.percent < little
 }
 
-// hasten lets slowed fillers work faster as far as the model allows.
-func (pl *Planner) hasten(now model.Instant, wk *worker) {
-	total := float64(max(1, wk.size.MilliCPU()))
-	for _, pd := range wk.placed {
-		if !pd.spec.Filler || pd.pace >= fullPace || pd.evict {
-			continue
-		}
-		pace := min(fullPace, pd.pace+paceStep)
-		gain := float64(pd.spec.Size.MilliCPU()) * float64(pace-pd.pace) / fullPace / total
-		if pl.over(wk, pl.pairs.number(pd.spec.Image), gain) > 0 {
-			continue
-		}
-		pl.setPace(wk, pd, pace, 0)
-		wk.pacedAt = now
-		wk.refresh(pl)
-	}
-}
-
-// setPace changes the pace of a filler and reports whether it did.
-func (pl *Planner) setPace(wk *worker, pd *placed, pace int, worst float64) bool {
+// setPace changes the pace of a filler.
+func (pl *Planner) setPace(now model.Instant, wk *worker, pd *placed, pace int, worst float64) {
 	if pd.pace == pace {
-		return false
+		return
 	}
 	if pace == 0 || pd.pace == 0 {
 		pl.note("fillerPaced", pd.task.job, pd.task.String(), wk.life.String(), "percent", strconv.Itoa(pace),
@@ -211,95 +191,66 @@
 	}
 	pd.slowed = pd.slowed || pd.pace < fullPace
 	pd.pace = pace
-	return true
+	pd.stillSince = now
 }
 
 // release lets fillers run freely where nothing is served.
 func (pl *Planner) release(wk *worker) {
 	for _, pd := range wk.placed {
 		if pd.pace < fullPace {
-			pl.setPace(wk, pd, fullPace, 0)
-		}
-	}
-}
-
-// excess is by how much the tail of a serving image on a worker was over the
-// estimate lately. Its own load changes from one worker to the next.
-type excess struct {
-	image int
-	tail  float64
-}
-
-// ease lets the excesses on a worker go by with the reports.
-func (wk *worker) ease() {
-	for i := range wk.excesses {
-		wk.excesses[i].tail *= easeRate
-	}
-}
-
-// surprise takes note of a tail that is over the estimate.
-func (wk *worker) surprise(image int, tail float64) {
-	tail = min(tail, mostRead)
-	if tail <= 0 {
-		return
-	}
-	for i := range wk.excesses {
-		if wk.excesses[i].image == image {
-			wk.excesses[i].tail = max(wk.excesses[i].tail, tail)
-			return
-		}
-	}
-	wk.excesses = append(wk.excesses, excess{image: image, tail: tail})
-}
-
-// excess returns the present excess of a serving image.
-func (wk *worker) excess(image int) float64 {
-	for _, ex := range wk.excesses {
-		if ex.image == image {
-			return ex.tail
+			pl.setPace(0, wk, pd, fullPace, 0)
 		}
 	}
-	return 0
 }
 
-// expected is the tail to expect of a serving image on a worker.
+// expected is what presses on the tasks of one serving job on a worker.
 type expected struct {
+	job   *job
 	image int
-	tail  float64
+	// pressure is that of the fillers at full pace.
+	pressure float64
 }
 
-// refresh computes the tails to expect on a worker from what is placed there.
+// refresh computes the pressures to expect on a worker from what is placed
+// there.
 func (wk *worker) refresh(pl *Planner) {
 	wk.expected = wk.expected[:0]
 	if wk.serving == 0 {
 		return
 	}
 	wk.uses = wk.uses[:0]
-	total := float64(max(1, wk.size.MilliCPU()))
 	for _, pd := range wk.placed {
 		if pd.spec.Filler && !pd.evict {
-			share := float64(pd.spec.Size.MilliCPU()) * float64(pd.pace) / fullPace / total
-			wk.uses = addUse(wk.uses, pl.pairs.number(pd.spec.Image), share)
+			wk.uses = addUse(wk.uses, pl.pairs.number(pd.spec.Image), wk.wholeUse(pd))
 		}
 	}
 	for _, pd := range wk.placed {
 		if pd.spec.serves() {
-			wk.expect(pl.pairs.number(pd.spec.Image), pl)
+			wk.expect(pd.job, pl.pairs.number(pd.spec.Image), pl)
 		}
 	}
 }
 
-// expect adds a serving image once.
-func (wk *worker) expect(image int, pl *Planner) {
+// wholeUse returns the share of a worker that a filler uses at full pace: what
+// it was read to use, and what it asks for before.
+func (wk *worker) wholeUse(pd *placed) float64 {
+	if pd.full > 0 {
+		return pd.full
+	}
+	return float64(pd.spec.Size.MilliCPU()) / float64(max(1, wk.size.MilliCPU()))
+}
+
+// expect adds a serving job once.
+func (wk *worker) expect(jb *job, image int, pl *Planner) {
 	for _, ex := range wk.expected {
-		if ex.image == image {
+		if ex.job == jb {
 			return
 		}
 	}
-	wk.expected = append(wk.expected, expected{image: image, tail: pl.pairs.tail(image, wk.uses) + wk.excess(image)})
+	wk.expected = append(wk.expected, expected{job: jb, image: image, pressure: pl.pairs.pressure(image, wk.uses)})
 }
 
-// over returns by how much the tail of the worst serving image on a worker
+// over returns by how much the pressure on the worst serving job on a worker
 // would be over what it may be when a filler image uses a further share of the
 // worker. It is negative while there is room. A filler does not count for
 // images that it does not disturb.
@@ -307,7 +258,7 @@
 	most := -1.0
 	for _, ex := range wk.expected {
 		if harm := pl.pairs.harm[ex.image][image]; harm >= harmless {
-			most = max(most, ex.tail+harm*share-mostTail)
+			most = max(most, ex.job.wave.ahead()+ex.pressure+harm*share-pl.pairs.limit(ex.image, joinTail))
 		}
 	}
 	return most
--- a/core/flow/pairs.go
+++ b/core/flow/pairs.go
@@ -1,13 +1,15 @@
 package flow
 
 const (
-	// basePrior is the tail of a serving task without fillers beside it, as a
-	// share of its target, before any was read.
-	basePrior = 0.4
-	// harmPrior is what a filler that uses the whole worker adds to the tail of
-	// a serving task, as a share of its target, before any was read. It lets
-	// one filler in at a time.
-	harmPrior = 4.0
+	// floorPrior is the tail of an idle serving task, as a share of its target,
+	// before any was read.
+	floorPrior = 0.2
+	// floorShare is what the lowest reading of an image has above its floor:
+	// tasks are never quite idle.
+	floorShare = 0.8
+	// harmPrior is the pressure of a filler that uses the whole worker on a
+	// serving task, before any was read. It lets one filler in at a time.
+	harmPrior = 1.5
 	// priorWeight is the weight of the prior, as a sum of squared shares: about
 	// 50 readings beside a filler that uses a tenth of the worker outweigh it.
 	priorWeight = 0.5
@@ -16,28 +18,28 @@
 	keepRate = 0.99
 	// rounds of the solution in each step; it starts from the last one.
 	rounds = 3
-	// baseRate weighs a new reading without fillers.
-	baseRate = 0.02
 	// usedLittle is the share of a worker below which the fillers on it say
 	// nothing about their interference.
 	usedLittle = 0.01
-	// mostRead bounds a tail that is learned from, as a share of the target:
-	// tails explode, and by how much says little.
-	mostRead = 3.0
+	// fullPressure bounds the pressure that a tail tells.
+	fullPressure = 0.97
 )
 
-// pairs estimates how much fillers of one image add to the tail of serving
-// tasks of another. Interference is specific to the pair of images. It is a
-// least squares estimate without negative values, with a prior for pairs that
-// were not seen. The zero value knows nothing.
+// pairs estimates how much fillers of one image press on serving tasks of
+// another. A tail is that of a queue: the floor of its image divided by 1 less
+// the pressure. The pressure is the load of the serving job, which all its
+// tasks share, and what the fillers beside a task add: their share of the
+// worker times the harm of the pair of images. The harm is a least squares
+// estimate without negative values, with a prior for pairs that were not seen.
+// The zero value knows nothing.
 type pairs struct {
 	numbers map[string]int
-	// base has the tail of each image without fillers as a share of the target.
-	base []float64
-	// harm[serving][filler] is what a filler adds per worker that it uses.
+	// floor has the tail of each idle image as a share of its target.
+	floor []float64
+	// harm[serving][filler] is the pressure of a filler per worker that it uses.
 	harm [][]float64
 	// power[serving][filler][other] sums the products of the shares of two
-	// fillers, cause[serving][filler] those of a share and the tail it adds.
+	// fillers, cause[serving][filler] those of a share and the pressure.
 	power [][][]float64
 	cause [][]float64
 }
@@ -50,9 +52,9 @@
 	if pa.numbers == nil {
 		pa.numbers = map[string]int{}
 	}
-	num := len(pa.base)
+	num := len(pa.floor)
 	pa.numbers[image] = num
-	pa.base = append(pa.base, basePrior)
+	pa.floor = append(pa.floor, floorPrior)
 	for i := range num {
 		pa.harm[i] = append(pa.harm[i], harmPrior)
 		pa.cause[i] = append(pa.cause[i], 0)
@@ -75,18 +77,24 @@
 	return num
 }
 
-// learn takes in the tail of a serving task beside fillers that use the given
-// shares of their worker, by image.
-func (pa *pairs) learn(serving int, tail float64, uses []imageUse) {
-	all := 0.0
-	for _, us := range uses {
-		all += us.share
-	}
-	if all < usedLittle {
-		pa.base[serving] += baseRate * (min(tail, 1) - pa.base[serving])
-		return
+// read returns the pressure that a tail tells, given as a share of its target.
+func (pa *pairs) read(serving int, tail float64) float64 {
+	if tail <= 0 {
+		return 0
 	}
-	added := min(tail, mostRead) - pa.base[serving]
+	pa.floor[serving] = min(pa.floor[serving], floorShare*tail)
+	return min(fullPressure, 1-pa.floor[serving]/tail)
+}
+
+// limit returns the pressure at which the tail reaches the given share of its
+// target.
+func (pa *pairs) limit(serving int, tail float64) float64 {
+	return max(0, 1-pa.floor[serving]/tail)
+}
+
+// learn takes in the pressure above the load of a serving task beside fillers
+// that use the given shares of their worker, by image.
+func (pa *pairs) learn(serving int, added float64, uses []imageUse) {
 	for _, us := range uses {
 		pa.cause[serving][us.image] += us.share * added
 		for _, other := range uses {
@@ -124,27 +132,15 @@
 	}
 }
 
-// tail returns the tail to expect of a serving image beside fillers, as a share
-// of its target.
-func (pa *pairs) tail(serving int, uses []imageUse) float64 {
-	sum := pa.base[serving]
+// pressure returns what fillers add to the pressure on a serving image.
+func (pa *pairs) pressure(serving int, uses []imageUse) float64 {
+	sum := 0.0
 	for _, us := range uses {
 		sum += pa.harm[serving][us.image] * us.share
 	}
 	return sum
 }
 
-// excess returns the share of the use of fillers that must go for a tail to
-// reach a goal. A tail grows like that of a queue: it is the tail without
-// fillers divided by 1 less a pressure that is in proportion to the use.
-func (pa *pairs) excess(serving int, tail, goal float64) float64 {
-	base := pa.base[serving]
-	if tail <= max(base, goal) {
-		return 0
-	}
-	return 1 - max(0, 1-base/goal)/(1-base/tail)
-}
-
 // imageUse is the share of a worker that the fillers of one image use.
 type imageUse struct {
 	image int
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -109,6 +109,8 @@
 	// idleSince is since when the job waits with nothing running, 0 while
 	// something runs. It is not replicated.
 	idleSince model.Instant
+	// wave is the load of a serving job. It is not replicated.
+	wave wave
 	// notedAt is when a wait of the job was logged last. It is not replicated.
 	notedAt model.Instant
 }
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -35,8 +35,12 @@
 	percent    int
 	// use is the share of the worker that a filler used at the last report.
 	use float64
+	// full is the share at full pace, 0 before it was read.
+	full float64
 	// pace is the share of its speed at which the run may work, in percent.
 	pace int
+	// stillSince is when the pace was changed last.
+	stillSince model.Instant
 	// evict: the run is to be stopped so that it starts elsewhere.
 	evict bool
 	// slowed: the worker was told a pace below 100 that it may still apply.
@@ -100,8 +104,6 @@
 	// filling is what the fillers ask for, served what the serving tasks ask
 	// for, in thousandths of a processor.
 	filling, served int64
-	// pacedAt is when the pace of a filler was changed last.
-	pacedAt model.Instant
 	// overSince is since when some serving task is over its target, 0 while
 	// none is.
 	overSince model.Instant
@@ -109,7 +111,6 @@
 	// of the serving images.
 	uses     []imageUse
 	expected []expected
-	excesses []excess
 	echoes   []echo
 }
 
