--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -17,8 +17,8 @@
 	// goalTail is the tail, as a share of the target, at which the fillers
 	// beside a serving task are held, and joinTail the one up to which another
 	// filler may join.
-	goalTail = 0.85
-	joinTail = 0.75
+	goalTail = 1.0
+	joinTail = 0.95
 	// moveAfter is how long a filler stands still before it is moved.
 	moveAfter = time.Second
 	// doubtAfter is how long a serving task may be over its target before all
