--- a/core/cell/repair_test.go
+++ b/core/cell/repair_test.go
@@ -50,8 +50,10 @@
 		{"spare VM, all present", voters("a", "b", "c"), func(re *Repair) { announce(re, now, "b", "c", "d") }, 0, ""},
 		{"spare VM, voter lost", voters("a", "b", "c"), func(re *Repair) { announce(re, now, "b", "d") }, quorum.AddLearner, "d"},
 		{"spare VM is learner, voter lost", learner, func(re *Repair) { announce(re, now, "b", "d") }, quorum.Remove, "c"},
-		{"learner and a voter missing", quorum.NewMembers(false, append(voters("a", "b").List(), quorum.NewMember("d", "disk-d", false))...),
-			func(re *Repair) { announce(re, now, "b", "d") }, quorum.Promote, "d"},
+		{
+			"learner and a voter missing", quorum.NewMembers(false, append(voters("a", "b").List(), quorum.NewMember("d", "disk-d", false))...),
+			func(re *Repair) { announce(re, now, "b", "d") }, quorum.Promote, "d",
+		},
 		{"silent learner", learner, func(re *Repair) { announce(re, now, "b", "c") }, quorum.Remove, "d"},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/core/flow/answer.go
@@ -0,0 +1,104 @@
+package flow
+
+import (
+	"slices"
+
+	"guavarail/core/model"
+)
+
+func (wk *worker) ackedThrough() uint64 {
+	acked := uint64(0)
+	for i := range wk.ends {
+		er := &wk.ends[i]
+		if wk.find(er.Task, er.Attempt) != nil {
+			break
+		}
+		acked = er.Number
+	}
+	return acked
+}
+
+func (pl *Planner) due(now model.Instant, wk *worker) bool {
+	age := now.Sub(wk.polledAt)
+	if len(wk.ends) > 0 && wk.ackedThrough() < wk.ends[len(wk.ends)-1].Number {
+		return age >= endWait
+	}
+	if len(wk.ends) > 0 || len(wk.strays) > 0 {
+		return age >= busyWait || !pl.flying
+	}
+	waiting, ready := false, false
+	for _, pd := range wk.placed {
+		waiting = waiting || pd.planned
+		ready = ready || !pd.planned && (!pd.told && !pd.seen || pl.mustStop(pd))
+	}
+	if ready {
+		// The starts of one command are applied one by one and go out together.
+		return age >= busyWait || !waiting
+	}
+	if len(wk.placed) == 0 && !wk.draining {
+		return age >= idleWait
+	}
+	return age >= busyWait || !waiting && !pl.flying
+}
+
+func (pl *Planner) mustStop(pd *placed) bool {
+	if pd.ending || pd.stopping || pd.planned {
+		return false
+	}
+	return pl.unwanted(pd)
+}
+
+func (pl *Planner) unwanted(pd *placed) bool {
+	if pd.evict || pd.job.status.Final() {
+		return true
+	}
+	occ := pd.job.occurrence(pd.task.occurrence)
+	return occ.steps[pd.task.step].tasks[pd.task.index].done
+}
+
+func (pl *Planner) answer(wk *worker) {
+	ans := Answer{
+		Poll: wk.poll, Term: pl.term, Hold: pl.bounds.hold(), AckedThrough: wk.ackedThrough(), Again: busyAgain,
+		Stops: slices.Clone(wk.strays),
+	}
+	for _, pd := range wk.placed {
+		pl.order(wk, pd, &ans)
+	}
+	if len(wk.placed) == 0 {
+		ans.Again = idleAgain
+	}
+	wk.polled, wk.expired = false, false
+	// The hold counts from the sending of the report, which was before it
+	// arrived.
+	wk.lease = max(wk.lease, pl.bounds.leaseEnd(wk.polledAt))
+	pl.out = append(pl.out, ans)
+}
+
+func (pl *Planner) order(wk *worker, pd *placed, ans *Answer) {
+	if pd.planned || pd.ending {
+		return
+	}
+	switch {
+	case pl.unwanted(pd):
+		if !pd.told && !pd.seen && !pd.inherited {
+			pl.end(pd, NotStarted, pd.checkpoint)
+			return
+		}
+		pd.stopping = true
+		ans.Stops = append(ans.Stops, StopOrder{Task: pd.task, Attempt: pd.attempt})
+	case pd.told || pd.seen:
+		if pd.pace < fullPace || pd.slowed {
+			ans.Paces = append(ans.Paces, PaceOrder{Task: pd.task, Attempt: pd.attempt, Percent: pd.pace})
+			pd.slowed = pd.pace < fullPace
+		}
+	case wk.draining || pl.outage[wk.centre]:
+		if !pd.inherited {
+			pl.end(pd, NotStarted, pd.checkpoint)
+		}
+	default:
+		pd.told, pd.toldIn = true, wk.sequence
+		ans.Starts = append(ans.Starts, StartOrder{
+			Task: pd.task, Attempt: pd.attempt, Body: pd.job.spec.Body, Checkpoint: pd.checkpoint,
+		})
+	}
+}
--- /dev/null
+++ b/core/flow/apply.go
@@ -0,0 +1,163 @@
+package flow
+
+import (
+	"slices"
+
+	"guavarail/core/model"
+)
+
+func (st *State) Apply(op Op) Verdict {
+	switch op.kind {
+	case OpSubmit:
+		return st.submit(op.job)
+	case OpCancel:
+		return st.cancel(op.id)
+	case OpStart:
+		return st.start(op)
+	case OpEnd:
+		return st.end(op)
+	case OpForget:
+		return st.forget(op.id)
+	}
+	return UnknownJob
+}
+
+func (st *State) submit(jo Job) Verdict {
+	if _, ok := st.jobs[jo.ID()]; ok {
+		return Repeated
+	}
+	if st.jobs == nil {
+		st.jobs = map[model.JobID]*job{}
+	}
+	st.submitted++
+	st.jobs[jo.ID()] = &job{Job: jo, occurrences: map[int]*occurrence{}, sequence: st.submitted}
+	return Accepted
+}
+
+func (st *State) cancel(id model.JobID) Verdict {
+	jb, ok := st.jobs[id]
+	switch {
+	case !ok:
+		return UnknownJob
+	case jb.status.Final():
+		return Repeated
+	}
+	jb.status = Cancelled
+	return Accepted
+}
+
+func (st *State) forget(id model.JobID) Verdict {
+	jb, ok := st.jobs[id]
+	if !ok || !jb.status.Final() || jb.live > 0 {
+		return Stale
+	}
+	delete(st.jobs, id)
+	return Accepted
+}
+
+func (st *State) start(op Op) Verdict {
+	jb, occ, tk, ok := st.find(op.task)
+	switch {
+	case !ok:
+		return UnknownJob
+	case jb.status.Final():
+		return Closed
+	case tk.done || op.attempt <= tk.attempt:
+		return Stale
+	case len(tk.runs) > 0 && !jb.spec.Steps[op.task.step].Copies:
+		return Stale
+	}
+	if len(tk.runs) == 0 {
+		occ.steps[op.task.step].idle--
+	}
+	tk.attempt = op.attempt
+	tk.runs = append(tk.runs, run{attempt: op.attempt, life: op.life})
+	jb.started = true
+	jb.live++
+	return Accepted
+}
+
+func (st *State) end(op Op) Verdict {
+	jb, occ, tk, ok := st.find(op.task)
+	if !ok {
+		return UnknownJob
+	}
+	pos := tk.find(op.attempt)
+	if pos < 0 {
+		return Stale
+	}
+	spec := &jb.spec.Steps[op.task.step]
+	sp := &occ.steps[op.task.step]
+	tk.runs = slices.Delete(tk.runs, pos, pos+1)
+	jb.live--
+	if !tk.done && len(tk.runs) == 0 {
+		sp.idle++
+	}
+	st.keepCheckpoint(spec, sp, tk, op.checkpoint)
+	switch op.outcome {
+	case Succeeded:
+		if spec.Lasting {
+			break
+		}
+		if spec.Gang {
+			for i := range sp.tasks {
+				st.complete(jb, occ, op.task, i)
+			}
+			break
+		}
+		st.complete(jb, occ, op.task, op.task.index)
+	case Failed:
+		st.fail(jb, spec, sp, tk)
+	}
+	return Accepted
+}
+
+func (st *State) fail(jb *job, spec *StepSpec, sp *step, tk *task) {
+	if spec.Gang {
+		tk = &sp.tasks[0]
+	}
+	tk.failures++
+	if spec.Lasting || tk.done || jb.status.Final() {
+		return
+	}
+	if jb.spec.Attempts > 0 && tk.failures >= jb.spec.Attempts {
+		jb.status = GaveUp
+	}
+}
+
+func (st *State) keepCheckpoint(spec *StepSpec, sp *step, tk *task, checkpoint string) {
+	if checkpoint == "" || !spec.Checkpoints {
+		return
+	}
+	if !spec.Gang {
+		tk.checkpoint = checkpoint
+		return
+	}
+	for i := range sp.tasks {
+		sp.tasks[i].checkpoint = checkpoint
+	}
+}
+
+func (st *State) complete(jb *job, occ *occurrence, id TaskID, index int) {
+	sp := &occ.steps[id.step]
+	tk := &sp.tasks[index]
+	if tk.done {
+		return
+	}
+	tk.done, tk.checkpoint = true, ""
+	if len(tk.runs) == 0 {
+		sp.idle--
+	}
+	sp.open--
+	if sp.open > 0 {
+		return
+	}
+	occ.open--
+	if occ.open > 0 {
+		return
+	}
+	jb.finished++
+	if jb.finished == jb.times() && !jb.status.Final() {
+		jb.status = Completed
+	}
+}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -200,16 +200,6 @@
 }
 
 // unplan forgets starts that were proposed.
-func (jb *job) unplan() {
-	for _, occ := range jb.occurrences {
-		for s := range occ.steps {
-			for i := range occ.steps[s].tasks {
-				occ.steps[s].tasks[i].planned = 0
-			}
-		}
-	}
-}
-
 // advance plans, proposes and answers what can be answered.
 func (pl *Planner) advance(now model.Instant) {
 	if !pl.flying {
@@ -230,230 +220,17 @@
 	}
 }
 
-func (pl *Planner) tick(now model.Instant) {
-	if !pl.leads(now) || now.Sub(pl.swept) < sweepEvery {
-		return
-	}
-	pl.swept = now
-	pl.solve(now)
-	// Occurrences fall due and reports grow old with time alone.
-	pl.dirty = true
-	for _, wk := range pl.workers.list {
-		pl.withdraw(now, wk)
-		pl.expire(now, wk)
-	}
-	for _, wk := range pl.workers.takeIf(func(wk *worker) bool {
-		return len(wk.placed) == 0 && now.Sub(wk.heard) > forgetWorker
-	}) {
-		pl.note("workerForgotten", "", "", wk.life.String())
-	}
-	kept := pl.former[:0]
-	for _, wk := range pl.former {
-		pl.expire(now, wk)
-		if len(wk.placed) > 0 {
-			kept = append(kept, wk)
-		}
-	}
-	pl.former = kept
-	pl.forgetJobs(now)
-}
-
 // solve brings the estimates of interference up to date.
-func (pl *Planner) solve(now model.Instant) {
-	if now.Sub(pl.solved) < solveEvery {
-		return
-	}
-	pl.solved = now
-	pl.pairs.solve()
-	for _, wk := range pl.workers.list {
-		wk.refresh(pl)
-	}
-}
-
 // expire ends the runs of a worker whose lease is over.
-func (pl *Planner) expire(now model.Instant, wk *worker) {
-	if now.Before(wk.lease) || len(wk.placed) == 0 {
-		return
-	}
-	if !wk.expired {
-		wk.expired = true
-		pl.note("leaseExpired", "", "", wk.life.String(), "runs", strconv.Itoa(len(wk.placed)),
-			"silentMs", strconv.FormatInt(now.Sub(wk.heard).Milliseconds(), 10))
-	}
-	pl.endAll(wk, Lost)
-}
-
 // withdraw ends starts that a silent worker did not fetch.
-func (pl *Planner) withdraw(now model.Instant, wk *worker) {
-	for _, pd := range wk.placed {
-		if !pd.told && !pd.seen && !pd.inherited && now.Sub(pd.since) > fetchWait {
-			pl.end(pd, NotStarted, pd.checkpoint)
-		}
-	}
-}
-
 // endAll proposes the end of every run on the worker.
-func (pl *Planner) endAll(wk *worker, oc Outcome) {
-	for _, pd := range wk.placed {
-		pl.end(pd, oc, pd.checkpoint)
-	}
-}
-
 // end proposes the end of a run once.
-func (pl *Planner) end(pd *placed, oc Outcome, checkpoint string) {
-	if pd.ending || pd.planned {
-		return
-	}
-	pd.ending = true
-	pl.queued = append(pl.queued, End(pd.task, pd.attempt, oc, checkpoint))
-}
-
 // forgetJobs drops the jobs that ended long ago and moves those that ended
 // since out of the way.
-func (pl *Planner) forgetJobs(now model.Instant) {
-	open := pl.open[:0]
-	for _, jb := range pl.open {
-		if jb.status.Final() {
-			jb.seen = now
-			pl.closing = append(pl.closing, jb)
-			continue
-		}
-		open = append(open, jb)
-	}
-	clear(pl.open[len(open):])
-	pl.open = open
-	closing := pl.closing[:0]
-	for _, jb := range pl.closing {
-		if jb.live == 0 && now.Sub(jb.seen) > pl.bounds.keep() {
-			pl.queued = append(pl.queued, Forget(jb.ID()))
-			continue
-		}
-		closing = append(closing, jb)
-	}
-	clear(pl.closing[len(closing):])
-	pl.closing = closing
-}
-
 // applied follows the state after an operation, whoever proposed it.
-func (pl *Planner) applied(now model.Instant, msg Applied) {
-	if !pl.leading {
-		return
-	}
-	op := msg.Op
-	switch op.kind {
-	case OpSubmit:
-		pl.appliedSubmit(msg)
-	case OpCancel:
-		pl.note("jobCancelled", op.id, "", "", "verdict", msg.Verdict.String())
-		pl.dirty = true
-	case OpStart:
-		pl.appliedStart(now, msg)
-	case OpEnd:
-		pl.appliedEnd(now, msg)
-	}
-}
-
-func (pl *Planner) appliedSubmit(msg Applied) {
-	spec := &msg.Op.job.spec
-	pl.note("jobSubmitted", spec.ID, "", "", "verdict", msg.Verdict.String(), "queue", spec.Queue,
-		"priority", strconv.Itoa(spec.Priority), "steps", strconv.Itoa(len(spec.Steps)),
-		"objectiveMs", strconv.FormatInt(msg.Op.job.Objective().Milliseconds(), 10))
-	if msg.Verdict == Accepted {
-		pl.open = append(pl.open, pl.st.jobs[msg.Op.id])
-		pl.dirty = true
-	}
-}
-
-func (pl *Planner) appliedStart(now model.Instant, msg Applied) {
-	op := msg.Op
-	wk := pl.lifeOf(now, op.life)
-	pd := wk.find(op.task, op.attempt)
-	if pd != nil && pd.planned {
-		pd.planned = false
-		if _, _, tk, ok := pl.st.find(op.task); ok && tk.planned > 0 {
-			tk.planned--
-		}
-	}
-	if msg.Verdict == Accepted {
-		if pd == nil {
-			wk.add(newPlaced(pl.st.jobs[op.id], op.task, op.attempt, now).inherit())
-		}
-		return
-	}
-	if pd != nil {
-		wk.drop(pd)
-	}
-	pl.dirty = true
-	pl.note("startRejected", op.id, op.task.String(), op.life.String(), "verdict", msg.Verdict.String())
-}
-
-func (pl *Planner) appliedEnd(now model.Instant, msg Applied) {
-	op := msg.Op
-	pl.dirty = true
-	if msg.Verdict != Accepted {
-		return
-	}
-	wk, pd := pl.holder(op.task, op.attempt)
-	if pd == nil {
-		return
-	}
-	wk.drop(pd)
-	pl.fell(now, wk, pd)
-	pl.judge(now, wk, pd, op.outcome)
-	jb := pl.st.jobs[op.id]
-	if op.outcome != Succeeded && op.outcome != Stopped {
-		pl.note("runEnded", op.id, op.task.String(), wk.life.String(), "attempt", strconv.Itoa(op.attempt),
-			"outcome", op.outcome.String())
-	}
-	if jb != nil && jb.status.Final() && jb.live == 0 {
-		pl.note("jobEnded", op.id, "", "", "state", jb.status.String())
-	}
-}
-
 // holder returns the worker that has a run.
-func (pl *Planner) holder(task TaskID, attempt int) (*worker, *placed) {
-	for _, wk := range pl.workers.list {
-		if pd := wk.find(task, attempt); pd != nil {
-			return wk, pd
-		}
-	}
-	for _, wk := range pl.former {
-		if pd := wk.find(task, attempt); pd != nil {
-			return wk, pd
-		}
-	}
-	return nil, nil
-}
-
 // settled ends the proposal under way. What was not applied is decided anew.
-func (pl *Planner) settled(applied bool) {
-	pl.flying, pl.dirty = false, true
-	if applied {
-		return
-	}
-	for _, wk := range pl.workers.list {
-		pl.unplan(wk)
-	}
-	for _, wk := range pl.former {
-		pl.unplan(wk)
-	}
-}
-
 // unplan forgets what was proposed about the runs of a worker.
-func (pl *Planner) unplan(wk *worker) {
-	for i := len(wk.placed) - 1; i >= 0; i-- {
-		pd := wk.placed[i]
-		pd.ending = false
-		if !pd.planned {
-			continue
-		}
-		if _, _, tk, ok := pl.st.find(pd.task); ok && tk.planned > 0 {
-			tk.planned--
-		}
-		wk.drop(pd)
-	}
-}
-
 func (pl *Planner) note(kind string, job model.JobID, task, worker string, pairs ...string) {
 	fis := make([]Field, 0, len(pairs)/2)
 	for i := 0; i+1 < len(pairs); i += 2 {
