--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -6,6 +6,8 @@
 	"guavarail/core/model"
 )
 
+// ackedThrough returns the last end that is recorded together with all before
+// it.
 func (wk *worker) ackedThrough() uint64 {
 	acked := uint64(0)
 	for i := range wk.ends {
@@ -18,6 +20,7 @@
 	return acked
 }
 
+// due reports whether the report of the worker should be answered now.
 func (pl *Planner) due(now model.Instant, wk *worker) bool {
 	age := now.Sub(wk.polledAt)
 	if len(wk.ends) > 0 && wk.ackedThrough() < wk.ends[len(wk.ends)-1].Number {
@@ -41,6 +44,7 @@
 	return age >= busyWait || !waiting && !pl.flying
 }
 
+// mustStop reports whether the worker still has to be told to stop a run.
 func (pl *Planner) mustStop(pd *placed) bool {
 	if pd.ending || pd.stopping || pd.planned {
 		return false
@@ -48,6 +52,7 @@
 	return pl.unwanted(pd)
 }
 
+// unwanted reports whether the run is of no more use.
 func (pl *Planner) unwanted(pd *placed) bool {
 	if pd.evict || pd.job.status.Final() {
 		return true
@@ -56,6 +61,8 @@
 	return occ.steps[pd.task.step].tasks[pd.task.index].done
 }
 
+// answer completes the report of a worker with its orders and renews its
+// lease.
 func (pl *Planner) answer(wk *worker) {
 	ans := Answer{
 		Poll: wk.poll, Term: pl.term, Hold: pl.bounds.hold(), AckedThrough: wk.ackedThrough(), Again: busyAgain,
@@ -74,6 +81,7 @@
 	pl.out = append(pl.out, ans)
 }
 
+// order adds what the worker has to be told about one run.
 func (pl *Planner) order(wk *worker, pd *placed, ans *Answer) {
 	if pd.planned || pd.ending {
 		return
--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -6,6 +6,7 @@
 	"guavarail/core/model"
 )
 
+// unplan forgets starts that were proposed.
 func (jb *job) unplan() {
 	for _, occ := range jb.occurrences {
 		for s := range occ.steps {
@@ -16,6 +17,7 @@
 	}
 }
 
+// applied follows the state after an operation, whoever proposed it.
 func (pl *Planner) applied(now model.Instant, msg Applied) {
 	if !pl.leading {
 		return
@@ -91,6 +93,7 @@
 	}
 }
 
+// holder returns the worker that has a run.
 func (pl *Planner) holder(task TaskID, attempt int) (*worker, *placed) {
 	for _, wk := range pl.workers.list {
 		if pd := wk.find(task, attempt); pd != nil {
@@ -105,6 +108,7 @@
 	return nil, nil
 }
 
+// settled ends the proposal under way. What was not applied is decided anew.
 func (pl *Planner) settled(applied bool) {
 	pl.flying, pl.dirty = false, true
 	if applied {
@@ -118,6 +122,7 @@
 	}
 }
 
+// unplan forgets what was proposed about the runs of a worker.
 func (pl *Planner) unplan(wk *worker) {
 	for i := len(wk.placed) - 1; i >= 0; i-- {
 		pd := wk.placed[i]
--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -6,6 +6,7 @@
 	"guavarail/core/model"
 )
 
+// Apply carries out one committed operation.
 func (st *State) Apply(op Op) Verdict {
 	switch op.kind {
 	case OpSubmit:
@@ -55,6 +56,8 @@
 	return Accepted
 }
 
+// start records the next run. The check of the attempt makes a start that was
+// decided on an older state harmless.
 func (st *State) start(op Op) Verdict {
 	jb, occ, tk, ok := st.find(op.task)
 	switch {
@@ -77,6 +80,7 @@
 	return Accepted
 }
 
+// end takes a run off its worker and decides what becomes of the task.
 func (st *State) end(op Op) Verdict {
 	jb, occ, tk, ok := st.find(op.task)
 	if !ok {
@@ -112,6 +116,7 @@
 	return Accepted
 }
 
+// fail counts a failure. The members of a gang fail together.
 func (st *State) fail(jb *job, spec *StepSpec, sp *step, tk *task) {
 	if spec.Gang {
 		tk = &sp.tasks[0]
@@ -138,6 +143,7 @@
 	}
 }
 
+// complete marks a task as done and closes its step, occurrence and job.
 func (st *State) complete(jb *job, occ *occurrence, id TaskID, index int) {
 	sp := &occ.steps[id.step]
 	tk := &sp.tasks[index]
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -199,7 +199,6 @@
 	}
 }
 
-// unplan forgets starts that were proposed.
 // advance plans, proposes and answers what can be answered.
 func (pl *Planner) advance(now model.Instant) {
 	if !pl.flying {
@@ -220,17 +219,6 @@
 	}
 }
 
-// solve brings the estimates of interference up to date.
-// expire ends the runs of a worker whose lease is over.
-// withdraw ends starts that a silent worker did not fetch.
-// endAll proposes the end of every run on the worker.
-// end proposes the end of a run once.
-// forgetJobs drops the jobs that ended long ago and moves those that ended
-// since out of the way.
-// applied follows the state after an operation, whoever proposed it.
-// holder returns the worker that has a run.
-// settled ends the proposal under way. What was not applied is decided anew.
-// unplan forgets what was proposed about the runs of a worker.
 func (pl *Planner) note(kind string, job model.JobID, task, worker string, pairs ...string) {
 	fis := make([]Field, 0, len(pairs)/2)
 	for i := 0; i+1 < len(pairs); i += 2 {
--- a/core/flow/report.go
+++ b/core/flow/report.go
@@ -7,6 +7,8 @@
 	"guavarail/core/model"
 )
 
+// lifeOf returns the record of a life. A life that has not reported to this
+// leader may still hold what an earlier one renewed.
 func (pl *Planner) lifeOf(now model.Instant, li Life) *worker {
 	if wk, ok := pl.workers.get(li.worker); ok {
 		if wk.life == li {
@@ -26,6 +28,7 @@
 	return wk
 }
 
+// beat takes in a report.
 func (pl *Planner) beat(now model.Instant, be *Beat) {
 	if !pl.leads(now) {
 		pl.out = append(pl.out, Answer{Poll: be.Poll, Refused: true})
@@ -49,6 +52,8 @@
 	pl.dirty = true
 }
 
+// reporter returns the record of the life that reports, and false when the
+// report is older than what is known.
 func (pl *Planner) reporter(now model.Instant, be *Beat) (*worker, bool) {
 	wk, ok := pl.workers.get(be.Life.worker)
 	if ok && wk.life != be.Life {
@@ -72,6 +77,7 @@
 	return wk, true
 }
 
+// sameAddress ends earlier lives at the address of a new one.
 func (pl *Planner) sameAddress(be *Beat) {
 	for _, wk := range pl.workers.takeIf(func(wk *worker) bool {
 		return wk.life.worker != be.Life.worker && wk.address != "" && wk.address == be.Address && wk.life.born < be.Life.born
@@ -80,6 +86,7 @@
 	}
 }
 
+// replaced ends the runs of a life that is over.
 func (pl *Planner) replaced(wk *worker, why string) {
 	pl.note("workerGone", "", "", wk.life.String(), "reason", why, "runs", strconv.Itoa(len(wk.placed)))
 	if wk.polled {
@@ -93,6 +100,7 @@
 	}
 }
 
+// leave ends the runs of a worker that is about to exit.
 func (pl *Planner) leave(id model.WorkerID) {
 	if wk, ok := pl.workers.get(id); ok && pl.leading {
 		pl.workers.remove(wk)
@@ -100,6 +108,7 @@
 	}
 }
 
+// learn takes in what the worker says about itself.
 func (pl *Planner) learn(now model.Instant, wk *worker, be *Beat) {
 	if !wk.known {
 		pl.note("workerKnown", "", "", wk.life.String(), "service", string(be.Service), "centre", string(be.Centre),
@@ -115,6 +124,7 @@
 	wk.draining = be.Draining
 }
 
+// takeRuns compares the runs of a report with those of the state.
 func (pl *Planner) takeRuns(now model.Instant, wk *worker, be *Beat) {
 	wk.strays = wk.strays[:0]
 	listed := make(map[*placed]bool, len(be.Runs))
@@ -146,6 +156,10 @@
 	}
 }
 
+// unlisted deals with a run that a report does not list. The worker took no
+// notice of an order if a later report does not list its run. An order of an
+// earlier leader may be younger than a report that was long on its way, so it
+// is repeated to the same worker until the lease of that time is over.
 func (pl *Planner) unlisted(now model.Instant, pd *placed, sequence uint64) {
 	switch {
 	case pd.inherited && now.Before(pl.bounds.leaseEnd(pd.since)):
@@ -155,6 +169,7 @@
 	}
 }
 
+// takeEnds proposes the ends that a report lists.
 func (pl *Planner) takeEnds(wk *worker, be *Beat) {
 	wk.ends = append(wk.ends[:0], be.Ended...)
 	slices.SortFunc(wk.ends, func(a, b EndReport) int {
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -191,10 +191,3 @@
 	occ := jb.occurrence(id.occurrence)
 	return jb, occ, &occ.steps[id.step].tasks[id.index], true
 }
-
-// Apply carries out one committed operation.
-// start records the next run. The check of the attempt makes a start that was
-// decided on an older state harmless.
-// end takes a run off its worker and decides what becomes of the task.
-// fail counts a failure. The members of a gang fail together.
-// complete marks a task as done and closes its step, occurrence and job.
--- a/core/flow/sweep.go
+++ b/core/flow/sweep.go
@@ -34,6 +34,7 @@
 	pl.forgetJobs(now)
 }
 
+// solve brings the estimates of interference up to date.
 func (pl *Planner) solve(now model.Instant) {
 	if now.Sub(pl.solved) < solveEvery {
 		return
@@ -45,6 +46,7 @@
 	}
 }
 
+// expire ends the runs of a worker whose lease is over.
 func (pl *Planner) expire(now model.Instant, wk *worker) {
 	if now.Before(wk.lease) || len(wk.placed) == 0 {
 		return
@@ -57,6 +59,7 @@
 	pl.endAll(wk, Lost)
 }
 
+// withdraw ends starts that a silent worker did not fetch.
 func (pl *Planner) withdraw(now model.Instant, wk *worker) {
 	for _, pd := range wk.placed {
 		if !pd.told && !pd.seen && !pd.inherited && now.Sub(pd.since) > fetchWait {
@@ -65,12 +68,14 @@
 	}
 }
 
+// endAll proposes the end of every run on the worker.
 func (pl *Planner) endAll(wk *worker, oc Outcome) {
 	for _, pd := range wk.placed {
 		pl.end(pd, oc, pd.checkpoint)
 	}
 }
 
+// end proposes the end of a run once.
 func (pl *Planner) end(pd *placed, oc Outcome, checkpoint string) {
 	if pd.ending || pd.planned {
 		return
@@ -79,6 +84,8 @@
 	pl.queued = append(pl.queued, End(pd.task, pd.attempt, oc, checkpoint))
 }
 
+// forgetJobs drops the jobs that ended long ago and moves those that ended
+// since out of the way.
 func (pl *Planner) forgetJobs(now model.Instant) {
 	open := pl.open[:0]
 	for _, jb := range pl.open {
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -163,27 +163,3 @@
 	}
 	return num
 }
-
-// lifeOf returns the record of a life. A life that has not reported to this
-// leader may still hold what an earlier one renewed.
-// beat takes in a report.
-// reporter returns the record of the life that reports, and false when the
-// report is older than what is known.
-// sameAddress ends earlier lives at the address of a new one.
-// replaced ends the runs of a life that is over.
-// leave ends the runs of a worker that is about to exit.
-// learn takes in what the worker says about itself.
-// takeRuns compares the runs of a report with those of the state.
-// unlisted deals with a run that a report does not list. The worker took no
-// notice of an order if a later report does not list its run. An order of an
-// earlier leader may be younger than a report that was long on its way, so it
-// is repeated to the same worker until the lease of that time is over.
-// takeEnds proposes the ends that a report lists.
-// ackedThrough returns the last end that is recorded together with all before
-// it.
-// due reports whether the report of the worker should be answered now.
-// mustStop reports whether the worker still has to be told to stop a run.
-// unwanted reports whether the run is of no more use.
-// answer completes the report of a worker with its orders and renews its
-// lease.
-// order adds what the worker has to be told about one run.
