--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -7,9 +7,9 @@
 	"guavarail/core/model"
 )
 
-// ackedThrough returns the last end that is recorded together with all before
+// acknowledged returns the last end that is recorded together with all before
 // it.
-func (wk *worker) ackedThrough() uint64 {
+func (wk *worker) acknowledged() uint64 {
 	acked := uint64(0)
 	for i := range wk.ends {
 		er := &wk.ends[i]
@@ -24,7 +24,7 @@
 // due reports whether the report of the worker should be answered now.
 func (pl *Planner) due(now model.Instant, wk *worker) bool {
 	age := now.Sub(wk.polledAt)
-	if len(wk.ends) > 0 && wk.ackedThrough() < wk.ends[len(wk.ends)-1].Number {
+	if len(wk.ends) > 0 && wk.acknowledged() < wk.ends[len(wk.ends)-1].Number {
 		return age >= endWait
 	}
 	if len(wk.ends) > 0 || len(wk.strays) > 0 {
@@ -66,7 +66,7 @@
 // lease.
 func (pl *Planner) answer(wk *worker) {
 	ans := Answer{
-		Poll: wk.poll, Term: pl.term, Hold: pl.bounds.hold(), AckedThrough: wk.ackedThrough(), Again: pl.again(),
+		Poll: wk.poll, Term: pl.term, Hold: pl.bounds.hold(), Acknowledged: wk.acknowledged(), Again: pl.again(),
 		Stops: slices.Clone(wk.strays),
 	}
 	for _, pd := range wk.placed {
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -120,8 +120,8 @@
 	// counts from the sending of the report.
 	Term uint64
 	Hold time.Duration
-	// AckedThrough is the last number of an end that need not be repeated.
-	AckedThrough uint64
+	// Acknowledged is the last number of an end that need not be repeated.
+	Acknowledged uint64
 	Starts       []StartOrder
 	Stops        []StopOrder
 	Paces        []PaceOrder
--- a/core/flow/world_test.go
+++ b/core/flow/world_test.go
@@ -333,10 +333,10 @@
 		wk.lease = max(wk.lease, be.sent.Add(ans.Hold))
 	}
 	wk.ended = slices.DeleteFunc(wk.ended, func(er EndReport) bool {
-		if er.Number <= ans.AckedThrough && er.Outcome == Succeeded {
+		if er.Number <= ans.Acknowledged && er.Outcome == Succeeded {
 			w.acked[er.Task] = true
 		}
-		return er.Number <= ans.AckedThrough
+		return er.Number <= ans.Acknowledged
 	})
 	for _, ord := range ans.Stops {
 		wk.floor[ord.Task] = max(wk.floor[ord.Task], ord.Attempt)
