Give up the proposal of an earlier term

Cause: a VM that led, lost the lead and led again while its last proposal had no outcome settled the planner at once, which proposed again, on the actor that the outcome had to come from.

Change: Propose and Settled carry the term; the outcome of an earlier term is ignored. The member passes proposals through a slot in which the last one wins, and cancels the proposal of a term when the term ends.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -109,9 +109,12 @@
 }
 
 // settled ends the proposal under way. What was not applied is decided anew.
-func (pl *Planner) settled(applied bool) {
+func (pl *Planner) settled(msg Settled) {
+	if msg.Term != pl.term {
+		return
+	}
 	pl.flying, pl.dirty = false, true
-	if applied {
+	if msg.Applied {
 		return
 	}
 	for _, wk := range pl.workers.list {
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -38,7 +38,7 @@
 			for _, op := range val.Ops {
 				effs = append(effs, be.pl.Step(be.now, Applied{Op: op, Verdict: be.st.Apply(op)})...)
 			}
-			effs = append(effs, be.pl.Step(be.now, Settled{Applied: true})...)
+			effs = append(effs, be.pl.Step(be.now, Settled{Term: val.Term, Applied: true})...)
 		}
 	}
 	return out
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -39,9 +39,14 @@
 	Verdict Verdict
 }
 
-// Settled reports that the proposal under way was applied, or will certainly
-// not be.
-type Settled struct{ Applied bool }
+// Settled reports that the proposal under way was applied, or that its outcome
+// is not known.
+type Settled struct {
+	// Term is that of the Propose. The proposal of an earlier term may settle
+	// after the next one was made.
+	Term    uint64
+	Applied bool
+}
 
 // Leave reports that a worker ends in an orderly way.
 type Leave struct{ Worker model.WorkerID }
@@ -109,7 +114,11 @@
 type Effect interface{ effect() }
 
 // Propose asks to propose operations in the group, in one entry.
-type Propose struct{ Ops []Op }
+type Propose struct {
+	Ops []Op
+	// Term is the one in which the operations were decided.
+	Term uint64
+}
 
 // Answer completes the report of a worker.
 type Answer struct {
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -127,7 +127,7 @@
 	case Applied:
 		pl.applied(now, msg)
 	case Settled:
-		pl.settled(msg.Applied)
+		pl.settled(msg)
 	case Leave:
 		pl.leave(msg.Worker)
 	case Outage:
@@ -212,7 +212,7 @@
 		}
 		if len(pl.queued) > 0 {
 			pl.flying = true
-			pl.out = append(pl.out, Propose{Ops: pl.queued})
+			pl.out = append(pl.out, Propose{Ops: pl.queued, Term: pl.term})
 			pl.queued = nil
 		}
 	}
--- /dev/null
+++ b/core/flow/term_test.go
@@ -0,0 +1,40 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Guards against a proposal of an earlier term that settles the one under way:
+// a VM that led, lost the lead and leads again decided the same starts over and
+// over (ozolkalns-sched trouble-1, seed 11).
+func TestProposalOfAnEarlierTermSettlesNothing(t *testing.T) {
+	be := newBench(t)
+	be.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
+	be.pl.Step(be.now, SteppedDown{})
+	until := model.Instant(time.Hour)
+	be.pl.Step(be.now, TookOver{Term: 2, LeadUntil: until})
+	proposals := func(in Input) []Propose {
+		var out []Propose
+		for _, eff := range be.pl.Step(be.now, in) {
+			if pro, ok := eff.(Propose); ok {
+				out = append(out, pro)
+			}
+		}
+		return out
+	}
+	first := proposals(Beat{
+		Poll: 1, Life: NewLife("w1", 1), Sequence: 1, Service: "svc", Centre: "a", Address: "w1", Size: model.NewResources(4000, 4000, 0),
+	})
+	if len(first) != 1 || first[0].Term != 2 {
+		t.Fatalf("proposals %+v, want one of term 2", first)
+	}
+	if again := proposals(Settled{Term: 1}); len(again) != 0 {
+		t.Errorf("proposals %+v after an earlier term settled, want none while one is under way", again)
+	}
+	if again := proposals(Settled{Term: 2}); len(again) != 1 {
+		t.Errorf("%d proposals after the proposal of the term failed, want it again", len(again))
+	}
+}
--- a/core/flow/world_test.go
+++ b/core/flow/world_test.go
@@ -213,7 +213,7 @@
 			return
 		}
 		w.commit(ops)
-		w.step(vm, Settled{Applied: true})
+		w.step(vm, Settled{Term: term, Applied: true})
 	})
 }
 
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -43,6 +43,15 @@
 	term   uint64
 }
 
+// proposal is a command that the planner decided in a term.
+type proposal struct {
+	// ctx ends with the term, so that the proposal of an earlier term does not
+	// hold up the next one.
+	ctx  context.Context
+	term uint64
+	cmd  cell.Command
+}
+
 // member is the replica of the state of the cell on this VM.
 type member struct {
 	vm   *VM
@@ -61,7 +70,11 @@
 	standing atomic.Pointer[standing]
 	members  atomic.Pointer[quorum.Members]
 	// proposals has room for the one proposal of the planner.
-	proposals chan cell.Command
+	proposals *latest[proposal]
+	// endTerm gives up the proposal of the present term.
+	endTerm context.CancelFunc
+	// term is the context of the proposals of the present term.
+	term context.Context
 }
 
 // startMember opens the data directory and starts the replica.
@@ -75,11 +88,12 @@
 	}
 	sta := &cell.State{}
 	mem := &member{
-		vm: vm, disk: fls.Disk(), state: sta, polls: map[uint64]chan<- flow.Answer{}, proposals: make(chan cell.Command, 1),
+		vm: vm, disk: fls.Disk(), state: sta, polls: map[uint64]chan<- flow.Answer{}, proposals: newLatest[proposal](),
 		plan:   flow.NewPlanner(sta.Jobs(), flow.Bounds{Hold: vm.set.Hold(), Keep: vm.set.Keep()}),
 		repair: cell.Repair{Voters: vm.set.Voters()},
 	}
 	mem.standing.Store(&standing{})
+	mem.endTerm = func() {}
 	mem.members.Store(&quorum.Members{})
 	voters, learners := vm.founders()
 	ref, stopGroup, err := group.New(group.Config[*cell.State, cell.Command, cell.Result, cell.Snapshot]{
@@ -144,6 +158,7 @@
 func (mem *member) roleChanged(rol quorum.Role) {
 	if !rol.Leading() {
 		mem.leading = false
+		mem.endTerm()
 		mem.step(mem.vm.clock(), flow.SteppedDown{})
 	}
 	mem.publish(rol)
@@ -157,12 +172,13 @@
 }
 
 // tick steps the planner on the actor that owns the state.
-func (mem *member) tick(context.Context) {
+func (mem *member) tick(ctx context.Context) {
 	mem.ref.Do(func(now model.Instant, rol quorum.Role, sta *cell.State) {
 		wall := time.Now().UnixMilli()
 		switch {
 		case rol.Leased() && !mem.leading:
 			mem.leading = true
+			mem.term, mem.endTerm = context.WithCancel(ctx)
 			mem.repair.Start(now)
 			mem.step(now, flow.Outage{Centres: sta.Out()})
 			mem.step(now, flow.TookOver{Term: rol.Term(), LeadUntil: rol.LeasedUntil(), Wall: wall})
@@ -180,12 +196,8 @@
 	for _, eff := range effs {
 		switch val := eff.(type) {
 		case flow.Propose:
-			select {
-			case mem.proposals <- cell.Jobs(val.Ops...):
-			default:
-				// The proposal of an earlier term is still under way.
-				mem.step(now, flow.Settled{})
-			}
+			// One that still waits is of an earlier term.
+			mem.proposals.put(proposal{ctx: mem.term, term: val.Term, cmd: cell.Jobs(val.Ops...)})
 		case flow.Answer:
 			if reply, ok := mem.polls[val.Poll]; ok {
 				delete(mem.polls, val.Poll)
@@ -214,25 +226,25 @@
 		select {
 		case <-ctx.Done():
 			return
-		case cmd := <-mem.proposals:
-			mem.propose(ctx, cmd)
+		case pro := <-mem.proposals.get():
+			mem.propose(pro)
 		}
 	}
 }
 
 // propose has one command decided. After an unknown outcome the planner goes
 // on; what is applied later is found again as a run of an earlier leader.
-func (mem *member) propose(ctx context.Context, cmd cell.Command) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTime)
+func (mem *member) propose(pro proposal) {
+	ctx, cancel := context.WithTimeout(pro.ctx, proposeTime)
 	defer cancel()
 	start := mem.vm.clock()
-	_, err := mem.ref.Propose(ctx, cmd)
+	_, err := mem.ref.Propose(ctx, pro.cmd)
 	commitTime.Add(mem.vm.clock().Sub(start))
 	if err != nil {
-		mem.vm.log.Warn("operations not applied", "operations", len(cmd.Ops()), "error", err)
+		mem.vm.log.Warn("operations not applied", "operations", len(pro.cmd.Ops()), "term", pro.term, "error", err)
 	}
 	mem.ref.Do(func(now model.Instant, _ quorum.Role, _ *cell.State) {
-		mem.step(now, flow.Settled{Applied: err == nil})
+		mem.step(now, flow.Settled{Term: pro.term, Applied: err == nil})
 	})
 }
 
