Let paces take effect and learn harm from tasks of one job

Change: an order of a pace follows the last one after the delay and a margin, and is repeated each second; a new leader orders the paces of the runs that it inherits. Harm is learned from the difference between the readings of two tasks of one job on different workers, whose callers are the same. The use of a filler is scaled to full pace only once its pace has settled.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -64,13 +64,13 @@
 
 // answer completes the report of a worker with its orders and renews its
 // lease.
-func (pl *Planner) answer(wk *worker) {
+func (pl *Planner) answer(now model.Instant, wk *worker) {
 	ans := Answer{
 		Poll: wk.poll, Term: pl.term, Hold: pl.bounds.hold(), Acknowledged: wk.acknowledged(), Again: pl.again(),
 		Stops: slices.Clone(wk.strays),
 	}
 	for _, pd := range wk.placed {
-		pl.order(wk, pd, &ans)
+		pl.order(now, wk, pd, &ans)
 	}
 	if len(wk.placed) == 0 {
 		ans.Again = idleAgain
@@ -87,8 +87,23 @@
 	return min(mostAgain, max(busyAgain, time.Duration(len(pl.workers.list))*againPerWorker))
 }
 
+// mustPace reports whether the worker has to be told the pace of a run. A pace
+// takes effect some time after its order, and a further order begins that time
+// anew, so that orders keep a distance. Each is repeated because answers may be
+// lost.
+func (pl *Planner) mustPace(now model.Instant, pd *placed) bool {
+	since := now.Sub(pd.toldPaceAt)
+	switch {
+	case pd.pace == fullPace && !pd.paced:
+		return false
+	case pd.pace == pd.toldPace:
+		return since >= paceRepeat
+	}
+	return pd.toldPace == unknownPace || !pd.paced || since >= pl.bounds.paceDelay()+paceMargin
+}
+
 // order adds what the worker has to be told about one run.
-func (pl *Planner) order(wk *worker, pd *placed, ans *Answer) {
+func (pl *Planner) order(now model.Instant, wk *worker, pd *placed, ans *Answer) {
 	if pd.planned || pd.ending {
 		return
 	}
@@ -101,9 +116,9 @@
 		pd.stopping = true
 		ans.Stops = append(ans.Stops, StopOrder{Task: pd.task, Attempt: pd.attempt})
 	case pd.told || pd.seen:
-		if pd.pace < fullPace || pd.slowed {
+		if pl.mustPace(now, pd) {
+			pd.paced, pd.toldPace, pd.toldPaceAt = true, pd.pace, now
 			ans.Paces = append(ans.Paces, PaceOrder{Task: pd.task, Attempt: pd.attempt, Percent: pd.pace})
-			pd.slowed = pd.pace < fullPace
 		}
 	case wk.draining || pl.outage[wk.centre]:
 		if !pd.inherited {
--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -8,8 +9,14 @@
 )
 
 const (
-	// fullPace lets a run work without a limit, in percent.
-	fullPace = 100
+	// fullPace lets a run work without a limit, in percent. unknownPace stands
+	// for what an earlier leader ordered.
+	fullPace    = 100
+	unknownPace = -1
+	// paceMargin is added to the delay of a pace for the way of its order, and
+	// paceRepeat is when an order is repeated.
+	paceMargin = 100 * time.Millisecond
+	paceRepeat = time.Second
 	// leastPace is the pace below which a filler stands still, in percent, and
 	// paceStep the smallest change of pace worth an order.
 	leastPace = 15
@@ -28,6 +35,9 @@
 	stopAfter  = 3 * time.Second
 	// readingTime is what a reading covers, with the time until it is reported.
 	readingTime = 700 * time.Millisecond
+	// compareWithin is the age up to which the readings of two tasks are of the
+	// same load.
+	compareWithin = 250 * time.Millisecond
 	// harmless is the harm of a pair below which its filler is not slowed for
 	// the serving task.
 	harmless = 0.3
@@ -58,9 +68,7 @@
 		worst = max(worst, tail)
 		image := pl.pairs.number(pd.spec.Image)
 		pressure := pl.pairs.read(image, tail)
-		if all >= usedLittle {
-			pl.pairs.learn(image, pressure-pd.job.wave.now(), uses)
-		}
+		pl.compare(now, wk, pd, pressure, uses)
 		pd.job.wave.follow(now, max(0, pressure-pl.pairs.pressure(image, uses)), all)
 	}
 	switch {
@@ -75,6 +83,43 @@
 	}
 }
 
+// compare learns from the difference between the readings of two tasks of one
+// job on different workers: their callers are the same, so that what remains is
+// due to the fillers beside them.
+func (pl *Planner) compare(now model.Instant, wk *worker, pd *placed, pressure float64, uses []imageUse) {
+	image := pl.pairs.number(pd.spec.Image)
+	job := pd.job
+	kept := job.readings[:0]
+	for _, re := range job.readings {
+		if re.task != pd.task && now.Sub(re.at) <= compareWithin {
+			kept = append(kept, re)
+		}
+	}
+	job.readings = kept
+	for _, re := range kept {
+		if re.worker == wk.life {
+			continue
+		}
+		pl.diffs = append(pl.diffs[:0], uses...)
+		for _, us := range re.uses {
+			pl.diffs = addUse(pl.diffs, us.image, -us.share)
+		}
+		pl.pairs.learn(image, pressure-re.pressure, pl.diffs)
+	}
+	job.readings = append(job.readings, reading{
+		task: pd.task, worker: wk.life, at: now, pressure: pressure, uses: slices.Clone(uses),
+	})
+}
+
+// reading is the last reading of a serving task.
+type reading struct {
+	task     TaskID
+	worker   Life
+	at       model.Instant
+	pressure float64
+	uses     []imageUse
+}
+
 // measure returns what the fillers on a worker used in the half second that
 // its readings cover, by image. A filler that has ended since still counts.
 func (pl *Planner) measure(now model.Instant, wk *worker, be *Beat) []imageUse {
@@ -83,8 +128,8 @@
 		rr := &be.Runs[i]
 		if pd := wk.find(rr.Task, rr.Attempt); pd != nil && pd.spec.Filler {
 			pd.use = rr.Reading / total
-			if pd.pace >= fullPace/2 && now.Sub(pd.since) > readingTime {
-				pd.full = pd.use * fullPace / float64(pd.pace)
+			if pd.toldPace >= fullPace/2 && now.Sub(max(pd.since, pd.toldPaceAt)) > pl.bounds.paceDelay()+readingTime {
+				pd.full = pd.use * fullPace / float64(pd.toldPace)
 			}
 		}
 	}
@@ -189,7 +234,6 @@
 		pl.note("fillerPaced", pd.task.job, pd.task.String(), wk.life.String(), "percent", strconv.Itoa(pace),
 			"tailOfTarget", strconv.FormatFloat(worst, 'f', 2, 64))
 	}
-	pd.slowed = pd.slowed || pd.pace < fullPace
 	pd.pace = pace
 	pd.stillSince = now
 }
--- a/core/flow/health.go
+++ b/core/flow/health.go
@@ -95,7 +95,7 @@
 	case pd.spec.Lasting:
 		return still >= idleAfter && pd.percent < fullPace
 	case pd.spec.Filler:
-		return still >= fillerStall && pd.pace == fullPace && !pd.slowed && now.Sub(pd.stillSince) >= fillerStall && pd.cheap()
+		return still >= fillerStall && pd.pace == fullPace && pd.toldPace == fullPace && now.Sub(pd.stillSince) >= fillerStall && pd.cheap()
 	}
 	return still >= stallAfter
 }
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -15,6 +15,8 @@
 	Hold time.Duration
 	// Keep is how long an ended job can be asked for.
 	Keep time.Duration
+	// PaceDelay is how long after its order a worker applies a pace.
+	PaceDelay time.Duration
 }
 
 const (
@@ -23,6 +25,8 @@
 	defaultHold = 7500 * time.Millisecond
 	// defaultKeep is how long an ended job is kept for reads.
 	defaultKeep = 2 * time.Minute
+	// defaultPaceDelay is how long after its order a worker applies a pace.
+	defaultPaceDelay = 100 * time.Millisecond
 	// holdMargin covers the drift of a worker's clock, 2%, and the answer's
 	// way through this process.
 	holdMargin  = 50 * time.Millisecond
@@ -69,6 +73,13 @@
 	return bo.Keep
 }
 
+func (bo Bounds) paceDelay() time.Duration {
+	if bo.PaceDelay <= 0 {
+		return defaultPaceDelay
+	}
+	return bo.PaceDelay
+}
+
 // leaseEnd returns when a lease that was renewed at now is over for certain.
 func (bo Bounds) leaseEnd(now model.Instant) model.Instant {
 	hold := bo.hold()
@@ -104,7 +115,9 @@
 	swept  model.Instant
 	solved model.Instant
 	pairs  pairs
-	out    []Effect
+	// diffs is reused by compare.
+	diffs []imageUse
+	out   []Effect
 }
 
 // NewPlanner returns a planner that reads st, which the caller keeps in step
@@ -218,7 +231,7 @@
 	}
 	for _, wk := range pl.workers.list {
 		if wk.polled && pl.due(now, wk) {
-			pl.answer(wk)
+			pl.answer(now, wk)
 		}
 	}
 }
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -111,6 +111,8 @@
 	idleSince model.Instant
 	// wave is the load of a serving job. It is not replicated.
 	wave wave
+	// readings has the last reading of each serving task. It is not replicated.
+	readings []reading
 	// notedAt is when a wait of the job was logged last. It is not replicated.
 	notedAt model.Instant
 }
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -44,18 +44,24 @@
 	stillSince model.Instant
 	// evict: the run is to be stopped so that it starts elsewhere.
 	evict bool
-	// slowed: the worker was told a pace below 100 that it may still apply.
-	slowed bool
+	// paced: the worker may apply a pace of this or an earlier leader. toldPace
+	// is the last that was ordered, at toldPaceAt, or unknownPace.
+	paced      bool
+	toldPace   int
+	toldPaceAt model.Instant
 }
 
 func newPlaced(jb *job, task TaskID, attempt int, now model.Instant) *placed {
 	spec := &jb.spec.Steps[task.step]
-	return &placed{job: jb, spec: spec, task: task, attempt: attempt, size: spec.counted(), since: now, pace: fullPace}
+	return &placed{job: jb, spec: spec, task: task, attempt: attempt, size: spec.counted(), since: now, pace: fullPace, toldPace: fullPace}
 }
 
 // inherit marks a run that an earlier leader recorded.
 func (pd *placed) inherit() *placed {
 	pd.inherited = true
+	if pd.spec.Filler {
+		pd.paced, pd.toldPace = true, unknownPace
+	}
 	return pd
 }
 
