Keep off workers with unknown runs and take bounds from the deployment

Cause: a worker that lists a run which the state does not know got further starts although the room of that run is not known; a worker that does not guard its capacity would take them.

Change: such a worker gets nothing until the run is gone. Tests for rules that had none of their own: service, label, spread, drain, data centre, room, attempts and gangs; the case of the unknown run failed before the change.

--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -27,10 +27,14 @@
 	noLabel
 	tooMany
 	disturbs
+	// strayRuns: the worker still has runs that the state does not know, whose
+	// room is not known either.
+	strayRuns
 )
 
 var refusalNames = [...]string{
 	"none", "notHeard", "otherService", "leaving", "centreOut", "silent", "quarantined", "noRoom", "noLabel", "perWorker", "disturbs",
+	"strayRuns",
 }
 
 // String returns the name for logs.
@@ -49,6 +53,8 @@
 		return centreOut
 	case now.Sub(wk.heard) > freshFor:
 		return silent
+	case len(wk.strays) > 0:
+		return strayRuns
 	case wk.health.quarantined(now) && !wa.spec.Lasting:
 		return quarantined
 	case !need.FitsIn(wk.free()) || !wa.spec.Size.FitsIn(wk.size):
@@ -79,7 +85,7 @@
 		return
 	}
 	wa.job.notedAt = now
-	var counts [disturbs + 1]int
+	var counts [strayRuns + 1]int
 	need := wa.spec.counted()
 	for _, wk := range pl.workers.list {
 		why := pl.refuse(now, wk, &wa, id, need)
--- /dev/null
+++ b/core/flow/rules_test.go
@@ -0,0 +1,130 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Guards against a start on a worker that may not have it: each case differs
+// from one in which the task starts by one fact.
+func TestNothingStartsWhereItMayNot(t *testing.T) {
+	small := StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)}
+	with := func(change func(sp *StepSpec)) StepSpec {
+		sp := small
+		change(&sp)
+		return sp
+	}
+	tests := []struct {
+		name   string
+		step   StepSpec
+		report func(be *Beat)
+		starts int
+	}{
+		{"plain", small, func(*Beat) {}, 1},
+		{"other service", small, func(be *Beat) { be.Service = "other" }, 0},
+		{"draining", small, func(be *Beat) { be.Draining = true }, 0},
+		{"data centre out of service", small, func(be *Beat) { be.Centre = "out" }, 0},
+		{"no processors", with(func(sp *StepSpec) { sp.Size = model.NewResources(5000, 100, 0) }), func(*Beat) {}, 0},
+		{"no memory", with(func(sp *StepSpec) { sp.Size = model.NewResources(1000, 5000, 0) }), func(*Beat) {}, 0},
+		{"label missing", with(func(sp *StepSpec) { sp.Label = "fast" }), func(be *Beat) { be.Labels = []string{"slow"} }, 0},
+		{"label present", with(func(sp *StepSpec) { sp.Label = "fast" }), func(be *Beat) { be.Labels = []string{"fast"} }, 1},
+		{"one on a worker", with(func(sp *StepSpec) { sp.Tasks, sp.PerWorker = 3, 1 }), func(*Beat) {}, 1},
+		{"no bound on a worker", with(func(sp *StepSpec) { sp.Tasks = 3 }), func(*Beat) {}, 3},
+		{"room of an unknown run", small, func(be *Beat) {
+			be.Runs = []RunReport{{Task: NewTaskID("gone", 0, 0, 0), Attempt: 1}}
+		}, 0},
+	}
+	for _, tt := range tests {
+		be := newBench(t)
+		be.step(Outage{Centres: map[model.CentreID]bool{"out": true}})
+		be.submit("job", tt.step)
+		msg := Beat{
+			Poll: 1, Life: NewLife("w1", 1), Sequence: 1, Service: "svc", Centre: "a", Address: "w1", Size: model.NewResources(4000, 4000, 0),
+		}
+		tt.report(&msg)
+		starts := 0
+		answers := be.step(msg)
+		for range 50 {
+			for _, ans := range answers {
+				starts += len(ans.Starts)
+			}
+			be.now = be.now.Add(TickEvery)
+			answers = be.step(Tick{LeadUntil: model.Instant(time.Hour)})
+		}
+		if starts != tt.starts {
+			t.Errorf("%s: %d starts, want %d", tt.name, starts, tt.starts)
+		}
+	}
+}
+
+// Guards against a task that starts after the failures that its queue allows,
+// and against a job that gives up before them or because a worker was lost.
+func TestFailuresEndAJob(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome Outcome
+		runs    int
+		status  Status
+	}{
+		{"failed once less than allowed", Failed, 8, Running},
+		{"failed as often as allowed", Failed, 9, GaveUp},
+		{"lost more often than that", Lost, 12, Running},
+		{"stopped more often than that", Stopped, 12, Running},
+	}
+	for _, tt := range tests {
+		var sta State
+		jo, err := NewJob(JobSpec{ID: "job", Service: "svc", Attempts: 9, Steps: []StepSpec{{Tasks: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sta.Apply(Submit(jo))
+		id := NewTaskID("job", 0, 0, 0)
+		for run := 1; run <= tt.runs; run++ {
+			if ver := sta.Apply(Start(id, run, NewLife("w1", 1))); ver != Accepted {
+				t.Fatalf("%s: start %d is %v", tt.name, run, ver)
+			}
+			sta.Apply(End(id, run, tt.outcome, ""))
+		}
+		if got, _, _ := sta.Status("job"); got != tt.status {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.status)
+		}
+		want := Accepted
+		if tt.status == GaveUp {
+			want = Closed
+		}
+		if ver := sta.Apply(Start(id, tt.runs+1, NewLife("w1", 1))); ver != want {
+			t.Errorf("%s: a further start is %v, want %v", tt.name, ver, want)
+		}
+	}
+}
+
+// Guards against a gang of which only a part starts: its members would wait for
+// the others until they give up.
+func TestGangStartsAsAWhole(t *testing.T) {
+	gang := StepSpec{Tasks: 3, Size: model.NewResources(2000, 100, 0), Gang: true}
+	be := newBench(t)
+	be.submit("gang", gang)
+	if ans := be.report("w1", nil); len(ans.Starts) != 0 {
+		t.Errorf("%d members start on a worker that has room for two of three", len(ans.Starts))
+	}
+	starts := append(be.report("w2", nil).Starts, be.report("w1", nil).Starts...)
+	seen := map[TaskID]int{}
+	for _, ord := range starts {
+		seen[ord.Task] = ord.Attempt
+	}
+	if len(seen) != gang.Tasks {
+		t.Fatalf("starts %+v, want the three members", starts)
+	}
+	for id, attempt := range seen {
+		if attempt != starts[0].Attempt {
+			t.Errorf("member %v has attempt %d, another %d", id, attempt, starts[0].Attempt)
+		}
+	}
+	// The success of one member stands for all.
+	be.step(Applied{Op: End(starts[0].Task, starts[0].Attempt, Succeeded, ""), Verdict: be.st.Apply(End(starts[0].Task, starts[0].Attempt, Succeeded, ""))})
+	if got, _, _ := be.st.Status("gang"); got != Completed {
+		t.Errorf("gang is %v after a member succeeded, want completed", got)
+	}
+}
--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -24,11 +24,13 @@
 	seeds    []netip.AddrPort
 	found    bool
 	losses   int
-	hold     time.Duration
-	keep     time.Duration
-	grace    time.Duration
-	centres  []model.CentreID
-	entries  []Entry
+	// hold is not above what workers grant.
+	hold      time.Duration
+	paceDelay time.Duration
+	keep      time.Duration
+	grace     time.Duration
+	centres   []model.CentreID
+	entries   []Entry
 }
 
 // CellListen holds the addresses that a VM of a cell listens on. Those that are
@@ -82,6 +84,9 @@
 // Hold returns how long the tasks of a worker outlive its last report.
 func (ce Cell) Hold() time.Duration { return ce.hold }
 
+// PaceDelay returns how long after its order a worker applies a pace.
+func (ce Cell) PaceDelay() time.Duration { return ce.paceDelay }
+
 // Keep returns how long an ended job can be asked for.
 func (ce Cell) Keep() time.Duration { return ce.keep }
 
@@ -153,13 +158,16 @@
 	keyCellAPI     = optionalAddressKey("api")
 	keyCellMetrics = optionalAddressKey("metrics")
 
-	keySeeds   = listKey(addressKey("seeds"))
-	keyFound   = flagKey("found")
-	keyLosses  = intKey("losses", 1, 0, 4)
-	keyHold    = intKey("holdMs", 7500, 500, 60_000)
-	keyKeep    = secondsKey("keepSeconds", 2*time.Minute, time.Second, 24*time.Hour)
-	keyGrace   = secondsKey("graceSeconds", 30*time.Second, time.Second, time.Hour)
-	keyCentres = listKey(optionalCentre())
+	keySeeds  = listKey(addressKey("seeds"))
+	keyFound  = flagKey("found")
+	keyLosses = intKey("losses", 1, 0, 4)
+	keyHold   = intKey("holdMs", 7500, 500, 60_000)
+	// keyHoldMost bounds holdMs where workers grant no longer leases.
+	keyHoldMost  = intKey("holdMaxMs", 60_000, 500, 60_000)
+	keyPaceDelay = intKey("paceDelayMs", 100, 1, 10_000)
+	keyKeep      = secondsKey("keepSeconds", 2*time.Minute, time.Second, 24*time.Hour)
+	keyGrace     = secondsKey("graceSeconds", 30*time.Second, time.Second, time.Hour)
+	keyCentres   = listKey(optionalCentre())
 )
 
 func optionalCentre() key[model.CentreID] {
@@ -214,7 +222,9 @@
 	ce.seeds = read(rdr, cellSection, keySeeds)
 	ce.found = read(rdr, cellSection, keyFound)
 	ce.losses = read(rdr, cellSection, keyLosses)
-	ce.hold = time.Duration(read(rdr, cellSection, keyHold)) * time.Millisecond
+	hold, most := read(rdr, cellSection, keyHold), read(rdr, cellSection, keyHoldMost)
+	ce.hold = time.Duration(min(hold, most)) * time.Millisecond
+	ce.paceDelay = time.Duration(read(rdr, cellSection, keyPaceDelay)) * time.Millisecond
 	ce.keep = read(rdr, cellSection, keyKeep)
 	ce.grace = read(rdr, cellSection, keyGrace)
 	ce.centres = read(rdr, cellSection, keyCentres)
