Keep tasks off workers that are far slower than the others

Change: the progress of runs at full pace tells the speed of their worker; one below 0.35 of the median gets no tasks for 3 s, and runs that lose little start elsewhere. If more than a third of the workers are as slow, the declared durations are taken to be wrong.

--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -30,11 +30,13 @@
 	// strayRuns: the worker still has runs that the state does not know, whose
 	// room is not known either.
 	strayRuns
+	// slowWorker: the worker is far slower than the others.
+	slowWorker
 )
 
 var refusalNames = [...]string{
 	"none", "notHeard", "otherService", "leaving", "centreOut", "silent", "quarantined", "noRoom", "noLabel", "perWorker", "disturbs",
-	"strayRuns",
+	"strayRuns", "slow",
 }
 
 // String returns the name for logs.
@@ -55,6 +57,8 @@
 		return silent
 	case len(wk.strays) > 0:
 		return strayRuns
+	case now.Before(wk.slowUntil) && !wa.spec.Lasting:
+		return slowWorker
 	case wk.health.quarantined(now) && !wa.spec.Lasting:
 		return quarantined
 	case !need.FitsIn(wk.free()) || !wa.spec.Size.FitsIn(wk.size):
@@ -85,7 +89,7 @@
 		return
 	}
 	wa.job.notedAt = now
-	var counts [strayRuns + 1]int
+	var counts [slowWorker + 1]int
 	need := wa.spec.counted()
 	for _, wk := range pl.workers.list {
 		why := pl.refuse(now, wk, &wa, id, need)
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -115,6 +115,8 @@
 	swept  model.Instant
 	solved model.Instant
 	pairs  pairs
+	// speeds is reused by findSlow.
+	speeds []float64
 	// diffs is reused by compare.
 	diffs []imageUse
 	out   []Effect
--- a/core/flow/report.go
+++ b/core/flow/report.go
@@ -49,6 +49,7 @@
 	pl.takeEnds(wk, be)
 	pl.guard(now, wk, be)
 	pl.unstick(now, wk)
+	pl.gauge(now, wk)
 	pl.dirty = true
 }
 
--- a/core/flow/sweep.go
+++ b/core/flow/sweep.go
@@ -34,13 +34,14 @@
 	pl.forgetJobs(now)
 }
 
-// solve brings the estimates of interference up to date.
+// solve brings the estimates of interference and of slow workers up to date.
 func (pl *Planner) solve(now model.Instant) {
 	if now.Sub(pl.solved) < solveEvery {
 		return
 	}
 	pl.solved = now
 	pl.pairs.solve()
+	pl.findSlow(now)
 	for _, wk := range pl.workers.list {
 		wk.refresh(pl)
 	}
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -32,6 +32,9 @@
 	stopping   bool
 	checkpoint string
 	percent    int
+	// gauged is the progress at gaugedAt, from which the next one is measured.
+	gauged   int
+	gaugedAt model.Instant
 	// movedAt is when a report last showed progress, or a lasting task at work.
 	movedAt model.Instant
 	// use is the share of the worker that a filler used at the last report.
@@ -106,6 +109,9 @@
 	// strays are runs that the state does not have on this worker.
 	strays []StopOrder
 	health health
+	speed  speed
+	// slowUntil is until when the worker gets no tasks because it is slow.
+	slowUntil model.Instant
 	// serving counts the runs with a tail target, fillers the fillers.
 	serving, fillers int
 	// filling is what the fillers ask for, served what the serving tasks ask
