Take no speed from a worker that was silent

Change: progress is taken over one second at most.

Result: the case "silent" of TestTasksLeaveASlowWorker failed before.

--- a/core/flow/speed.go
+++ b/core/flow/speed.go
@@ -13,6 +13,9 @@
 	// gaugeEvery is the least time over which the progress of a run is taken;
 	// reports have it in whole percent.
 	gaugeEvery = 300 * time.Millisecond
+	// gaugeMost is the longest time over which it is taken. Of the runs of a
+	// worker that was silent for longer, the fast ones have ended unseen.
+	gaugeMost = time.Second
 	// speedTime is the time constant with which earlier progress is forgotten.
 	speedTime = time.Second
 	// speedPrior is the weight, in seconds of work, of the assumption that a
@@ -68,7 +71,7 @@
 		if pd.gaugedAt > 0 && since < gaugeEvery {
 			continue
 		}
-		if pd.gaugedAt > 0 && pd.unhindered(wk) {
+		if pd.gaugedAt > 0 && since <= gaugeMost && pd.unhindered(wk) {
 			work := time.Duration(float64(pd.spec.Estimate) * float64(pd.percent-pd.gauged) / fullPace)
 			wk.speed.add(now, work, since)
 		}
--- a/core/flow/speed_test.go
+++ b/core/flow/speed_test.go
@@ -11,17 +11,20 @@
 // Guards against tasks that stay on a worker which turned slow, and against
 // workers that count as slow because declared durations are wrong everywhere.
 func TestTasksLeaveASlowWorker(t *testing.T) {
-	const workers, rounds, every = 5, 30, 120 * time.Millisecond
+	const workers, rounds, quiet, every = 5, 60, 4, 120 * time.Millisecond
 	tests := []struct {
 		name string
 		// speed is that of the first worker, usual that of the others.
 		speed, usual float64
-		moves        bool
+		// silent is how long the first worker does not report in the middle.
+		silent time.Duration
+		moves  bool
 	}{
-		{"usual speed", 1, 1, false},
-		{"a little slower", 0.6, 1, false},
-		{"far slower", 0.15, 1, true},
-		{"all durations declared too short", 0.2, 0.2, false},
+		{"usual speed", 1, 1, 0, false},
+		{"a little slower", 0.6, 1, 0, false},
+		{"far slower", 0.15, 1, 0, true},
+		{"all durations declared too short", 0.2, 0.2, 0, false},
+		{"silent", 1, 1, 5 * time.Second, false},
 	}
 	for _, tt := range tests {
 		be := newBench(t)
@@ -38,7 +41,7 @@
 			})
 		}
 		moved := false
-		for range rounds {
+		for round := range rounds {
 			be.now = be.now.Add(every)
 			be.step(Tick{LeadUntil: model.Instant(time.Hour)})
 			for i := range workers {
@@ -46,6 +49,9 @@
 				if i == 0 {
 					speed = tt.speed
 				}
+				if i == 0 && time.Duration(round-quiet)*every < tt.silent && round >= quiet {
+					continue
+				}
 				var runs []RunReport
 				for id, ord := range running[name] {
 					done[id] += speed * every.Seconds() / 4 * fullPace
