--- a/core/flow/guard.go
+++ b/core/flow/guard.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -35,9 +34,6 @@
 	stopAfter  = 3 * time.Second
 	// readingTime is what a reading covers, with the time until it is reported.
 	readingTime = 700 * time.Millisecond
-	// compareWithin is the age up to which the readings of two tasks are of the
-	// same load.
-	compareWithin = 250 * time.Millisecond
 	// harmless is the harm of a pair below which its filler is not slowed for
 	// the serving task.
 	harmless = 0.3
@@ -83,43 +79,6 @@
 	}
 }
 
-// compare learns from the difference between the readings of two tasks of one
-// job on different workers: their callers are the same, so that what remains is
-// due to the fillers beside them.
-func (pl *Planner) compare(now model.Instant, wk *worker, pd *placed, pressure float64, uses []imageUse) {
-	image := pl.pairs.number(pd.spec.Image)
-	job := pd.job
-	kept := job.readings[:0]
-	for _, re := range job.readings {
-		if re.task != pd.task && now.Sub(re.at) <= compareWithin {
-			kept = append(kept, re)
-		}
-	}
-	job.readings = kept
-	for _, re := range kept {
-		if re.worker == wk.life {
-			continue
-		}
-		pl.diffs = append(pl.diffs[:0], uses...)
-		for _, us := range re.uses {
-			pl.diffs = addUse(pl.diffs, us.image, -us.share)
-		}
-		pl.pairs.learn(image, pressure-re.pressure, pl.diffs)
-	}
-	job.readings = append(job.readings, reading{
-		task: pd.task, worker: wk.life, at: now, pressure: pressure, uses: slices.Clone(uses),
-	})
-}
-
-// reading is the last reading of a serving task.
-type reading struct {
-	task     TaskID
-	worker   Life
-	at       model.Instant
-	pressure float64
-	uses     []imageUse
-}
-
 // measure returns what the fillers on a worker used in the half second that
 // its readings cover, by image. A filler that has ended since still counts.
 func (pl *Planner) measure(now model.Instant, wk *worker, be *Beat) []imageUse {
--- a/core/flow/speed.go
+++ b/core/flow/speed.go
@@ -64,7 +64,8 @@
 // gauge takes in the progress of the runs on a worker that work at full pace.
 func (pl *Planner) gauge(now model.Instant, wk *worker) {
 	for _, pd := range wk.placed {
-		if !pd.seen || pd.spec.Lasting || pd.spec.Estimate <= 0 || pd.evict {
+		// A run whose end is on its way to the log is not in reports any more.
+		if !pd.seen || pd.ending || pd.evict || pd.spec.Lasting || pd.spec.Estimate <= 0 {
 			continue
 		}
 		since := now.Sub(pd.gaugedAt)
--- a/core/flow/speed_test.go
+++ b/core/flow/speed_test.go
@@ -77,3 +77,23 @@
 		}
 	}
 }
+
+// Guards against ended runs that count as standing still until their end is in
+// the log: workers that came back after a cut with many ends were taken for slow
+// (inc-9cff of vcth-rail, at 40 s).
+func TestEndedRunsTellNoSpeed(t *testing.T) {
+	be := newBench(t)
+	be.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0), Estimate: time.Second})
+	ord := be.report("w1", nil).Starts[0]
+	run := []RunReport{{Task: ord.Task, Attempt: ord.Attempt, Percent: 10}}
+	be.report("w1", run)
+	wk, pd := be.pl.holder(ord.Task, ord.Attempt)
+	pd.ending = true
+	for range 3 {
+		be.now = be.now.Add(gaugeEvery)
+		be.pl.gauge(be.now, wk)
+	}
+	if wk.speed.spent > 0 {
+		t.Errorf("%.1f s of an ended run count for the speed of its worker", wk.speed.spent)
+	}
+}
