--- a/core/flow/pairs.go
+++ b/core/flow/pairs.go
@@ -18,9 +18,6 @@
 	keepRate = 0.99
 	// rounds of the solution in each step; it starts from the last one.
 	rounds = 3
-	// usedLittle is the share of a worker below which the fillers on it say
-	// nothing about their interference.
-	usedLittle = 0.01
 	// fullPressure bounds the pressure that a tail tells.
 	fullPressure = 0.97
 )
@@ -92,8 +89,9 @@
 	return max(0, 1-pa.floor[serving]/tail)
 }
 
-// learn takes in the pressure above the load of a serving task beside fillers
-// that use the given shares of their worker, by image.
+// learn takes in by how much the pressure on one task of a serving image is above
+// that on another, and the shares that fillers use beside the first less those
+// beside the second, by image. The load that both have in common drops out.
 func (pa *pairs) learn(serving int, added float64, uses []imageUse) {
 	for _, us := range uses {
 		pa.cause[serving][us.image] += us.share * added
--- a/io/config/cell_test.go
+++ b/io/config/cell_test.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// Guards against leases that are longer than workers grant: their tasks would
+// start elsewhere later than they could.
+func TestHoldIsCutToWhatWorkersGrant(t *testing.T) {
+	tests := []struct {
+		name, lines string
+		hold        time.Duration
+	}{
+		{"defaults", "", 7500 * time.Millisecond},
+		{"workers grant more", "holdMaxMs = 10000\n", 7500 * time.Millisecond},
+		{"workers grant less", "holdMaxMs = 6000\n", 6 * time.Second},
+		{"set below that", "holdMs = 2000\nholdMaxMs = 6000\n", 2 * time.Second},
+	}
+	for _, tt := range tests {
+		ce, err := ParseCell("cell.ini", []byte(strings.Replace(cellFile, "losses = 2\n", "losses = 2\n"+tt.lines, 1)))
+		if err != nil || ce.Hold() != tt.hold {
+			t.Errorf("%s: hold %v, %v, want %v", tt.name, ce.Hold(), err, tt.hold)
+		}
+	}
+}
+
 // Guards against a faulty file that starts a VM.
 func TestCellFaultsAreReported(t *testing.T) {
 	tests := []struct{ name, from, to, want string }{
