Record what a waiting task lacks and who holds it

An event about a waiting task counted workers without room, not whether they lacked processors or memory nor who held them, so that a task kept out by others could not be told from leaked reservations. tasksWait now has noProcessors, noMemory, roomWithoutLower and roomWithoutOrdinary, and downMs for long-running tasks; capacityUsed sums up, once a second while one of them waits, what each kind of run holds.

No decision is changed.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -84,6 +84,9 @@
 		return
 	}
 	wk.remove(pr)
+	if _, _, tk, ok := pl.st.find(op.task); ok && pr.reported {
+		tk.idleSince = now
+	}
 	pl.recordFillerEnd(now, wk, pr)
 	pl.recordOutcome(now, wk, pr, op.outcome)
 	jb := pl.st.jobs[op.id]
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -90,15 +90,30 @@
 		"slackMs", strconv.FormatInt(rs.slack.Milliseconds(), 10), "starved", strconv.FormatBool(rs.starved))
 }
 
+// longestDown returns the longest time for which a waiting task of the step has
+// had no run, as far as this leader knows.
+func (rs *readyStep) longestDown(now model.Instant) time.Duration {
+	var longest time.Duration
+	sp := &rs.occ.steps[rs.step]
+	for i := range sp.tasks {
+		if tk := &sp.tasks[i]; tk.waiting() {
+			longest = max(longest, now.Sub(tk.idleSince))
+		}
+	}
+	return longest
+}
+
 // recordWait records an event for a task for which no worker is eligible, with
 // the number of workers by reason of rejection, at most once per job and
-// waitEventInterval.
+// waitEventInterval. For workers without room it has what they lack and which
+// runs hold it, and for a long-running task how long it has had no run.
 func (pl *Planner) recordWait(now model.Instant, rs readyStep, id TaskID) {
 	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval {
 		return
 	}
 	rs.job.waitRecordedAt = now
 	var counts [slowWorker + 1]int
+	var short shortage
 	need := rs.spec.reservation()
 	for _, wk := range pl.workers.sorted {
 		why := pl.rejectionFor(now, wk, &rs, id, need)
@@ -107,6 +122,9 @@
 			// processors or make serving tasks miss their target.
 			why = wouldInterfere
 		}
+		if why == noCapacity {
+			short.add(wk, &rs, need)
+		}
 		counts[why]++
 	}
 	pairs := []string{
@@ -119,5 +137,11 @@
 			pairs = append(pairs, rejection(why).String(), strconv.Itoa(num))
 		}
 	}
+	if counts[noCapacity] > 0 {
+		pairs = append(pairs, short.pairs()...)
+	}
+	if rs.spec.LongRunning {
+		pairs = append(pairs, "longRunning", "true", "downMs", strconv.FormatInt(rs.longestDown(now).Milliseconds(), 10))
+	}
 	pl.recordEvent("tasksWait", id.job, id.String(), "", pairs...)
 }
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -15,6 +15,8 @@
 	pl       *Planner
 	now      model.Instant
 	sequence uint64
+	// events are the events that the planner recorded.
+	events []RecordEvent
 }
 
 func newHarness(t *testing.T) *harness {
@@ -34,6 +36,8 @@
 		switch val := eff.(type) {
 		case Answer:
 			out = append(out, val)
+		case RecordEvent:
+			har.events = append(har.events, val)
 		case Propose:
 			for _, op := range val.Ops {
 				effs = append(effs, har.pl.Step(har.now, Applied{Op: op, Verdict: har.st.Apply(op)})...)
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -116,6 +116,7 @@
 		if occ.steps[s].idleTasks == 0 || !occ.ready(spec) {
 			continue
 		}
+		occ.steps[s].markIdle(now)
 		age := time.Duration(wall-jb.due(k)) * time.Millisecond
 		out = append(out, readyStep{
 			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
@@ -125,6 +126,15 @@
 	return out
 }
 
+// markIdle sets idleSince of the waiting tasks that have none.
+func (sp *step) markIdle(now model.Instant) {
+	for i := range sp.tasks {
+		if tk := &sp.tasks[i]; tk.idleSince == 0 && tk.waiting() {
+			tk.idleSince = now
+		}
+	}
+}
+
 // compareSteps orders two steps by which is scheduled first.
 func compareSteps(rs, other readyStep) int {
 	return cmp.Or(
@@ -181,6 +191,9 @@
 		wk := pl.chooseWorker(now, rs, id, nil)
 		if wk == nil {
 			pl.recordWait(now, rs, id)
+			if rs.spec.LongRunning {
+				pl.recordCapacity(now)
+			}
 			return
 		}
 		started++
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -142,6 +142,9 @@
 	speedBuffer []float64
 	// useDiffs is scratch space of learnFromPeers.
 	useDiffs []imageUse
+	// capacityRecordedAt is when the last event about the use of capacity was
+	// recorded.
+	capacityRecordedAt model.Instant
 	// effects collects the effects of the current call of Step.
 	effects []Effect
 }
@@ -219,7 +222,7 @@
 		for s := range occ.steps {
 			for i := range occ.steps[s].tasks {
 				tk := &occ.steps[s].tasks[i]
-				tk.plannedStarts = 0
+				tk.plannedStarts, tk.idleSince = 0, now
 				for _, ru := range tk.runs {
 					wk := pl.ensureWorker(now, ru.incarnation)
 					pr := newPlacedRun(jb, NewTaskID(jb.ID(), k, s, i), ru.attempt, now).markInherited()
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -50,6 +50,10 @@
 	// plannedStarts counts the starts that the leader has decided and that are
 	// not applied yet. It is not replicated.
 	plannedStarts int
+	// idleSince is when the last run of a waiting task ended that a worker had
+	// reported, or else when this leader first found that the task may start; 0
+	// before. It is not replicated.
+	idleSince model.Instant
 }
 
 // waiting reports whether the leader may place the task.
