Add failing tests for a lost long-running task that stays down

Reproduced without the bench on workers of 4 processors: a job of two tasks of 3 processors loses one; (a) short tasks of the same priority take each processor that comes free; (b) runs of lower priority hold processors or, as fillers, memory for a minute.

--- /dev/null
+++ b/core/flow/claim_test.go
@@ -0,0 +1,70 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// maxDown is the time within which a lost long-running task has to run again
+// while some worker has room for it apart from ordinary work.
+const maxDown = 6 * time.Second
+
+// lostTaskCase is a way to fill the capacity that long-running tasks leave.
+type lostTaskCase struct {
+	name string
+	// fill returns the feed that keeps the capacity in use.
+	fill func(clu *cluster) func()
+}
+
+// checkLostTaskRunsAgain loses one of two large long-running tasks of a job while
+// the capacity that they leave is in use, and checks that it runs again in time.
+func checkLostTaskRunsAgain(t *testing.T, tt lostTaskCase, seed uint64) {
+	large := StepSpec{Tasks: 2, Size: model.NewResources(3000, 3000, 0), LongRunning: true, PerWorker: 1}
+	clu := newCluster(t, seed, 5)
+	clu.submitJob("large", 0, 0, large)
+	clu.play(time.Second, func() {})
+	feed := tt.fill(clu)
+	clu.play(3*time.Second, feed)
+	if clu.runs("large") != large.Tasks {
+		t.Fatalf("%s, seed %d: %d long-running tasks at the start", tt.name, seed, clu.runs("large"))
+	}
+	clu.lose(clu.running[NewTaskID("large", 0, 0, 0)])
+	lost := clu.now
+	for clu.runs("large") < large.Tasks && clu.now.Sub(lost) < 2*maxDown {
+		clu.play(TickInterval, feed)
+	}
+	if down := clu.now.Sub(lost); down > maxDown {
+		t.Errorf("%s, seed %d: the lost task is down for %v, want at most %v", tt.name, seed, down, maxDown)
+	}
+}
+
+// Guards against a lost long-running task that stays down because shorter tasks
+// take all capacity that comes free. Its job has other tasks at work.
+func TestLostLongRunningTaskIsNotPassedOver(t *testing.T) {
+	for seed := range uint64(8) {
+		checkLostTaskRunsAgain(t, lostTaskCase{"short tasks of the same priority", func(clu *cluster) func() {
+			return clu.stream(24, 800*time.Millisecond)
+		}}, seed)
+	}
+}
+
+// Guards against a lost long-running task that stays down while runs of lower
+// priority hold what it needs.
+func TestLostLongRunningTaskPreemptsLowerPriority(t *testing.T) {
+	for _, tt := range []lostTaskCase{
+		{"processors", func(clu *cluster) func() {
+			clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(1000, 100, 0)})
+			return func() {}
+		}},
+		{"memory, held by fillers", func(clu *cluster) func() {
+			clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(100, 1000, 0), Filler: true})
+			return func() {}
+		}},
+	} {
+		for seed := range uint64(8) {
+			checkLostTaskRunsAgain(t, tt, seed)
+		}
+	}
+}
