Restart lost long-running tasks before new ones start

Cause: among long-running steps the order was by the declared work of the job, so that new jobs went first.

Change: the tasks of a long-running step that were started before are a step of their own in the order, before first starts of the same priority and by how long they have had no run.

--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -40,13 +41,16 @@
 	}
 }
 
-// Guards against a lost long-running task that stays down because shorter tasks
+// Guards against a lost long-running task that stays down because smaller tasks
 // take all capacity that comes free. Its job has other tasks at work.
 func TestLostLongRunningTaskIsNotPassedOver(t *testing.T) {
-	for seed := range uint64(8) {
-		checkLostTaskRunsAgain(t, lostTaskCase{"short tasks of the same priority", func(clu *cluster) func() {
-			return clu.stream(24, 800*time.Millisecond)
-		}}, seed)
+	for _, tt := range []lostTaskCase{
+		{"short tasks of the same priority", func(clu *cluster) func() { return clu.stream(24, 800*time.Millisecond) }},
+		newLongRunning(1000),
+	} {
+		for seed := range uint64(8) {
+			checkLostTaskRunsAgain(t, tt, seed)
+		}
 	}
 }
 
@@ -68,3 +72,34 @@
 		}
 	}
 }
+
+// newLongRunning returns the case in which other long-running tasks, of the given
+// size, keep coming and are cancelled after a while.
+func newLongRunning(milliCPU int64) lostTaskCase {
+	const waiting = 12
+	id := func(i int) model.JobID { return model.JobID(fmt.Sprint("new", i)) }
+	return lostTaskCase{fmt.Sprint("new long-running tasks of ", milliCPU), func(clu *cluster) func() {
+		step := StepSpec{Tasks: 1, Size: model.NewResources(milliCPU, 100, 0), LongRunning: true}
+		submitted, cancelled := 0, 0
+		return func() {
+			for ; submitted-cancelled < waiting+len(clu.workers); submitted++ {
+				clu.submitJob(id(submitted), 0, 0, step)
+			}
+			for i := range submitted {
+				if clu.runs(id(i)) > 0 && clu.rng.IntN(4) == 0 {
+					clu.cancel(id(i))
+					cancelled++
+					return
+				}
+			}
+		}
+	}}
+}
+
+// Guards against a lost long-running task that stays down because the capacity
+// of cancelled ones goes to tasks that never ran.
+func TestLostLongRunningTaskGoesBeforeNewOnes(t *testing.T) {
+	for seed := range uint64(8) {
+		checkLostTaskRunsAgain(t, newLongRunning(3000), seed)
+	}
+}
--- a/core/flow/cluster_test.go
+++ b/core/flow/cluster_test.go
@@ -70,6 +70,12 @@
 	clu.step(Applied{Op: op, Verdict: clu.st.Apply(op)})
 }
 
+// cancel cancels a job.
+func (clu *cluster) cancel(id model.JobID) {
+	op := Cancel(id)
+	clu.step(Applied{Op: op, Verdict: clu.st.Apply(op)})
+}
+
 // play lets every worker send heartbeats for a time. Before each round, feed may
 // submit jobs.
 func (clu *cluster) play(dur time.Duration, feed func()) {
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -90,23 +90,11 @@
 		"slackMs", strconv.FormatInt(rs.slack.Milliseconds(), 10), "starved", strconv.FormatBool(rs.starved))
 }
 
-// longestDown returns the longest time for which a waiting task of the step has
-// had no run, as far as this leader knows.
-func (rs *readyStep) longestDown(now model.Instant) time.Duration {
-	var longest time.Duration
-	sp := &rs.occ.steps[rs.step]
-	for i := range sp.tasks {
-		if tk := &sp.tasks[i]; tk.waiting() {
-			longest = max(longest, now.Sub(tk.idleSince))
-		}
-	}
-	return longest
-}
-
 // recordWait records an event for a task for which no worker is eligible, with
 // the number of workers by reason of rejection, at most once per job and
 // waitEventInterval. For workers without room it has what they lack and which
-// runs hold it, and for a long-running task how long it has had no run.
+// runs hold it, and for the restart of a long-running task how long
+// it has had no run.
 func (pl *Planner) recordWait(now model.Instant, rs readyStep, id TaskID) {
 	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval {
 		return
@@ -141,7 +129,10 @@
 		pairs = append(pairs, short.pairs()...)
 	}
 	if rs.spec.LongRunning {
-		pairs = append(pairs, "longRunning", "true", "downMs", strconv.FormatInt(rs.longestDown(now).Milliseconds(), 10))
+		pairs = append(pairs, "longRunning", "true")
+	}
+	if rs.restart {
+		pairs = append(pairs, "downMs", strconv.FormatInt(now.Sub(rs.idleSince).Milliseconds(), 10))
 	}
 	pl.recordEvent("tasksWait", id.job, id.String(), "", pairs...)
 }
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -63,6 +63,18 @@
 	rank float64
 	// starved is set if the job has had no run for starvationTime.
 	starved bool
+	// restart selects which waiting tasks of a long-running step are meant: those
+	// that were started before, or those that were not. It is false for any other
+	// step, of which all waiting tasks are meant.
+	restart bool
+	// idleSince is, for a restart, the earliest time since which one of the tasks
+	// has had no run.
+	idleSince model.Instant
+}
+
+// wants reports whether rs is meant to place a task now.
+func (rs *readyStep) wants(tk *task) bool {
+	return tk.waiting() && (!rs.spec.LongRunning || rs.spec.Gang || rs.restart == (tk.attempt > 0))
 }
 
 // plan places the tasks that can start now and adds their starts to pendingOps.
@@ -78,7 +90,8 @@
 
 // readySteps returns the ready steps in scheduling order: by priority, then
 // long-running steps, then jobs that can still meet their objective, then by
-// rank.
+// rank. Of long-running steps, restarts come first, those that have waited
+// longest before the others.
 func (pl *Planner) readySteps(now model.Instant) []readyStep {
 	wall := pl.wall(now)
 	var out []readyStep
@@ -116,23 +129,37 @@
 		if occ.steps[s].idleTasks == 0 || !occ.ready(spec) {
 			continue
 		}
-		occ.steps[s].markIdle(now)
 		age := time.Duration(wall-jb.due(k)) * time.Millisecond
-		out = append(out, readyStep{
+		rs := readyStep{
 			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
 			rank: stepRank(work, age, jb.Objective()),
-		})
+		}
+		if spec.LongRunning && !spec.Gang {
+			out = appendRestart(now, out, rs)
+		}
+		out = append(out, rs)
 	}
 	return out
 }
 
-// markIdle sets idleSince of the waiting tasks that have none.
-func (sp *step) markIdle(now model.Instant) {
+// appendRestart appends the restart of the tasks of a long-running step that have
+// lost their runs, if there are any. rs is the step.
+func appendRestart(now model.Instant, out []readyStep, rs readyStep) []readyStep {
+	rs.restart = true
+	sp := &rs.occ.steps[rs.step]
 	for i := range sp.tasks {
-		if tk := &sp.tasks[i]; tk.idleSince == 0 && tk.waiting() {
+		tk := &sp.tasks[i]
+		if tk.idleSince == 0 && tk.waiting() {
 			tk.idleSince = now
 		}
+		if rs.wants(tk) && (rs.idleSince == 0 || tk.idleSince < rs.idleSince) {
+			rs.idleSince = tk.idleSince
+		}
+	}
+	if rs.idleSince == 0 {
+		return out
 	}
+	return append(out, rs)
 }
 
 // compareSteps orders two steps by which is scheduled first.
@@ -140,6 +167,8 @@
 	return cmp.Or(
 		cmp.Compare(rs.job.spec.Priority, other.job.spec.Priority),
 		trueFirst(rs.spec.LongRunning, other.spec.LongRunning),
+		trueFirst(rs.restart, other.restart),
+		cmp.Compare(rs.idleSince, other.idleSince),
 		trueFirst(rs.slack >= 0, other.slack >= 0),
 		cmp.Compare(rs.rank, other.rank),
 	)
@@ -184,7 +213,7 @@
 	defer func() { pl.recordStarts(now, rs, started) }()
 	for i := range sp.tasks {
 		tk := &sp.tasks[i]
-		if !tk.waiting() {
+		if !rs.wants(tk) {
 			continue
 		}
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
