Claim capacity for lost long-running tasks

Cause: backfill without a reservation. A task of 7 processors comes first in the order, finds no worker, and each smaller task behind it takes what comes free.

Change: a lost long-running task that finds no room claims it on the worker where runs are expected to end soonest, within as long as it has waited itself and 5 s at least; steps behind it do not get what is claimed, unless they end before it is needed. After 3 s it may also claim on a worker of which nobody knows when it has room, on a quarter of the workers at most. Claims are made anew by each plan, so none can be left behind.

TestClaimsHoldUpNothingInVain: beside a task that fits nowhere, short tasks complete at 0.9 of their usual rate or more.

--- /dev/null
+++ b/core/flow/claim.go
@@ -0,0 +1,245 @@
+package flow
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"guavarail/core/model"
+)
+
+const (
+	// minClaimHorizon is how far ahead a claim looks at least. A claim keeps
+	// capacity idle until the runs that hold the rest have ended, so it looks no
+	// further ahead than its task has waited, or this long.
+	minClaimHorizon = 5 * time.Second
+	// openClaimAfter is how long a task has waited before it may claim capacity
+	// on a worker of which it is unknown when it has room, and maxOpenClaims the
+	// fraction of the workers on which there may be such a claim.
+	openClaimAfter = 3 * time.Second
+	maxOpenClaims  = 0.25
+	// stopDelay is the expected time from the decision to stop a run until its
+	// end is recorded.
+	stopDelay = time.Second
+	// backfillMargin is the time that a task needs to be picked up by its worker,
+	// beyond twice its estimate, before it counts as over.
+	backfillMargin = time.Second
+)
+
+// release is capacity that a run is expected to return.
+type release struct {
+	// after is the expected time until then.
+	after time.Duration
+	size  model.Resources
+}
+
+// unknownRoom stands for the time until a worker has room if no run on it is
+// expected to end.
+const unknownRoom = time.Duration(math.MaxInt64)
+
+// claims is the capacity of a worker that the current plan keeps for tasks that
+// found no room. Steps that come later in the scheduling order do not get it.
+// It is made anew by each plan. The zero value keeps nothing.
+type claims struct {
+	// size is the sum of what the claims need.
+	size model.Resources
+	// soonest is the expected time until the first of them has room.
+	soonest time.Duration
+	// releases are the runs that are expected to end by themselves, ordered by
+	// when, and total is the sum of their sizes. They are listed when the first
+	// claim on the worker is considered.
+	releases []release
+	total    model.Resources
+	listed   bool
+}
+
+// reset drops all claims and keeps the buffer.
+func (cl *claims) reset() { *cl = claims{releases: cl.releases[:0]} }
+
+// add records a claim that has room after a time.
+func (cl *claims) add(need model.Resources, after time.Duration) {
+	if cl.size.IsZero() || after < cl.soonest {
+		cl.soonest = after
+	}
+	cl.size = cl.size.Add(need)
+}
+
+// hasRoom reports whether a task of rs fits on the worker beside its runs and
+// claims, or will have ended before the first claim has room.
+func (wk *worker) hasRoom(rs *readyStep, need model.Resources) bool {
+	free := wk.free()
+	switch {
+	case !need.FitsIn(free):
+		return false
+	case wk.claims.size.IsZero() || need.FitsIn(free.Sub(wk.claims.size).Max(model.Resources{})):
+		return true
+	}
+	return rs.spec.Estimate > 0 && !rs.spec.LongRunning && 2*rs.spec.Estimate+backfillMargin <= wk.claims.soonest
+}
+
+// roomAfter returns the expected time until need is free on the worker, beside
+// its claims, because runs have ended. It returns false if the runs that end by
+// themselves hold too little.
+func (pl *Planner) roomAfter(now model.Instant, wk *worker, need model.Resources) (time.Duration, bool) {
+	if !wk.claims.listed {
+		pl.listReleases(now, wk)
+	}
+	free := wk.free().Sub(wk.claims.size)
+	if need.FitsIn(free) {
+		return 0, true
+	}
+	if !need.FitsIn(free.Add(wk.claims.total)) {
+		return 0, false
+	}
+	for _, rel := range wk.claims.releases {
+		free = free.Add(rel.size)
+		if need.FitsIn(free) {
+			return rel.after, true
+		}
+	}
+	return 0, false
+}
+
+// listReleases lists the runs on a worker that will end by themselves or are
+// being stopped.
+func (pl *Planner) listReleases(now model.Instant, wk *worker) {
+	cl := &wk.claims
+	cl.listed, cl.total, cl.releases = true, model.Resources{}, cl.releases[:0]
+	for _, pr := range wk.runs {
+		rel := release{after: stopDelay, size: pr.size}
+		if !pr.ending && (pr.planned || !pl.unwanted(pr)) {
+			if pr.spec.LongRunning {
+				continue
+			}
+			rel.after = pr.remaining(now)
+		}
+		cl.releases = append(cl.releases, rel)
+		cl.total = cl.total.Add(rel.size)
+	}
+	slices.SortStableFunc(cl.releases, func(a, b release) int { return cmp.Compare(a.after, b.after) })
+}
+
+// remaining estimates how much longer a run takes, from its progress or, before
+// the first, from the declared duration. A run past its declared duration is
+// expected to take as long again.
+func (pr *placedRun) remaining(now model.Instant) time.Duration {
+	elapsed := now.Sub(pr.placedAt)
+	switch {
+	case pr.reported && pr.percent > 0:
+		return elapsed * time.Duration(fullPace-min(pr.percent, fullPace)) / time.Duration(pr.percent)
+	case elapsed < pr.spec.Estimate:
+		return pr.spec.Estimate - elapsed
+	}
+	return elapsed
+}
+
+// claimCandidate is a worker on which a step may claim capacity.
+type claimCandidate struct {
+	worker *worker
+	// after is the expected time until the worker has room for a task, or
+	// unknownRoom.
+	after time.Duration
+	// shortage is what a task lacks there, as a fraction of the worker's size in
+	// the scarcest dimension.
+	shortage float64
+	// tasks counts the runs and claims of the step on the worker.
+	tasks int
+}
+
+// claimRoom claims capacity for the waiting tasks of a step, on the workers that
+// are expected to have it soonest, and returns the number of claims. id is one
+// of the tasks.
+func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, id TaskID) int {
+	waiting, need := rs.waitingTasks(), rs.spec.reservation()
+	horizon := max(minClaimHorizon, now.Sub(rs.idleSince))
+	candidates := pl.claimCandidates(now, rs, id)
+	made := 0
+	for again := true; again && made < waiting; {
+		again = false
+		for i := range candidates {
+			can := &candidates[i]
+			if made == waiting || can.after > horizon {
+				break
+			}
+			can.worker.claims.add(need, can.after)
+			can.tasks++
+			made++
+			again = true
+			can.after = pl.nextRoom(now, rs, can)
+		}
+		slices.SortStableFunc(candidates, func(a, b claimCandidate) int { return cmp.Compare(a.after, b.after) })
+	}
+	if made < waiting && now.Sub(rs.idleSince) >= openClaimAfter {
+		made += pl.claimOpen(rs, candidates, waiting-made)
+	}
+	return made
+}
+
+// claimOpen claims capacity for up to num tasks on the workers that lack least,
+// for as long as it takes until runs on them end. Each such claim keeps what is
+// free on its worker, but for tasks that are short.
+func (pl *Planner) claimOpen(rs *readyStep, candidates []claimCandidate, num int) int {
+	slices.SortStableFunc(candidates, func(a, b claimCandidate) int { return cmp.Compare(a.shortage, b.shortage) })
+	made := 0
+	for i := range candidates {
+		can := &candidates[i]
+		if made == num || pl.openClaims >= max(1, int(maxOpenClaims*float64(len(pl.workers.sorted)))) {
+			break
+		}
+		if !can.worker.claims.size.IsZero() {
+			continue
+		}
+		can.worker.claims.add(rs.spec.reservation(), minClaimHorizon)
+		pl.openClaims++
+		made++
+	}
+	return made
+}
+
+// claimCandidates returns the workers on which a step may claim capacity,
+// ordered by when they are expected to have it.
+func (pl *Planner) claimCandidates(now model.Instant, rs *readyStep, id TaskID) []claimCandidate {
+	var out []claimCandidate
+	for _, wk := range pl.workers.sorted {
+		if pl.ineligible(now, wk, rs) != notRejected || !rs.spec.Size.FitsIn(wk.size) {
+			continue
+		}
+		can := claimCandidate{worker: wk, shortage: rs.spec.reservation().Sub(wk.free()).DominantShare(wk.size)}
+		if rs.spec.PerWorker > 0 {
+			can.tasks = wk.runsOfStep(id)
+			if can.tasks >= rs.spec.PerWorker {
+				continue
+			}
+		}
+		can.after = pl.nextRoom(now, rs, &can)
+		out = append(out, can)
+	}
+	slices.SortStableFunc(out, func(a, b claimCandidate) int { return cmp.Compare(a.after, b.after) })
+	return out
+}
+
+// nextRoom returns the expected time until a worker has room for one task of the
+// step beside its claims, or unknownRoom.
+func (pl *Planner) nextRoom(now model.Instant, rs *readyStep, can *claimCandidate) time.Duration {
+	if rs.spec.PerWorker > 0 && can.tasks >= rs.spec.PerWorker {
+		return unknownRoom
+	}
+	after, ok := pl.roomAfter(now, can.worker, rs.spec.reservation())
+	if !ok {
+		return unknownRoom
+	}
+	return after
+}
+
+// waitingTasks counts the waiting tasks that rs is meant to place.
+func (rs *readyStep) waitingTasks() int {
+	num := 0
+	sp := &rs.occ.steps[rs.step]
+	for i := range sp.tasks {
+		if rs.wants(&sp.tasks[i]) {
+			num++
+		}
+	}
+	return num
+}
--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -103,3 +103,36 @@
 		checkLostTaskRunsAgain(t, newLongRunning(3000), seed)
 	}
 }
+
+// Guards against capacity that is kept idle for a task which no worker can run:
+// short tasks would be held up for nothing.
+func TestClaimsHoldUpNothingInVain(t *testing.T) {
+	const played, minShare = 10 * time.Second, 0.9
+	// completed returns how many short tasks complete after a long-running task
+	// of 4 processors lost its worker, while the other workers have 3 to spare.
+	completed := func(seed uint64, cancel bool) int {
+		clu := newCluster(t, seed, 5)
+		clu.submitJob("large", 0, 0, StepSpec{Tasks: 1, Size: model.NewResources(4000, 100, 0), LongRunning: true})
+		clu.play(time.Second, func() {})
+		clu.submitJob("base", 0, 0, StepSpec{Tasks: 4, Size: model.NewResources(1000, 100, 0), LongRunning: true, PerWorker: 1})
+		clu.play(time.Second, func() {})
+		feed := clu.stream(24, 800*time.Millisecond)
+		clu.play(3*time.Second, feed)
+		clu.lose(clu.running[NewTaskID("large", 0, 0, 0)])
+		if cancel {
+			clu.cancel("large")
+		}
+		before := clu.completed
+		clu.play(played, feed)
+		if clu.runs("large") > 0 {
+			t.Fatalf("seed %d: the large task runs", seed)
+		}
+		return clu.completed - before
+	}
+	for seed := range uint64(4) {
+		beside, alone := completed(seed, false), completed(seed, true)
+		if float64(beside) < minShare*float64(alone) {
+			t.Errorf("seed %d: %d short tasks complete in %v beside a task that fits nowhere, %d without it", seed, beside, played, alone)
+		}
+	}
+}
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -50,6 +50,21 @@
 
 // rejectionFor returns why a task may not be placed on a worker, or notRejected.
 func (pl *Planner) rejectionFor(now model.Instant, wk *worker, rs *readyStep, id TaskID, need model.Resources) rejection {
+	why := pl.ineligible(now, wk, rs)
+	switch {
+	case why != notRejected:
+		return why
+	case !rs.spec.Size.FitsIn(wk.size) || !wk.hasRoom(rs, need):
+		return noCapacity
+	case rs.spec.PerWorker > 0 && wk.runsOfStep(id) >= rs.spec.PerWorker:
+		return perWorkerLimit
+	}
+	return notRejected
+}
+
+// ineligible returns why no task of a step may be placed on a worker, whatever
+// capacity is free, or notRejected.
+func (pl *Planner) ineligible(now model.Instant, wk *worker, rs *readyStep) rejection {
 	switch {
 	case !wk.reported:
 		return noHeartbeat
@@ -67,12 +82,8 @@
 		return slowWorker
 	case wk.health.quarantined(now) && !rs.spec.LongRunning:
 		return quarantinedWorker
-	case !need.FitsIn(wk.free()) || !rs.spec.Size.FitsIn(wk.size):
-		return noCapacity
 	case rs.spec.RequiredLabel != "" && !slices.Contains(wk.labels, rs.spec.RequiredLabel):
 		return labelMissing
-	case rs.spec.PerWorker > 0 && wk.runsOfStep(id) >= rs.spec.PerWorker:
-		return perWorkerLimit
 	}
 	return notRejected
 }
@@ -94,8 +105,8 @@
 // the number of workers by reason of rejection, at most once per job and
 // waitEventInterval. For workers without room it has what they lack and which
 // runs hold it, and for the restart of a long-running task how long
-// it has had no run.
-func (pl *Planner) recordWait(now model.Instant, rs readyStep, id TaskID) {
+// it has had no run and for how many tasks capacity is claimed.
+func (pl *Planner) recordWait(now model.Instant, rs readyStep, id TaskID, claimed int) {
 	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval {
 		return
 	}
@@ -132,7 +143,7 @@
 		pairs = append(pairs, "longRunning", "true")
 	}
 	if rs.restart {
-		pairs = append(pairs, "downMs", strconv.FormatInt(now.Sub(rs.idleSince).Milliseconds(), 10))
+		pairs = append(pairs, "downMs", strconv.FormatInt(now.Sub(rs.idleSince).Milliseconds(), 10), "claimed", strconv.Itoa(claimed))
 	}
 	pl.recordEvent("tasksWait", id.job, id.String(), "", pairs...)
 }
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -79,6 +79,10 @@
 
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
+	pl.openClaims = 0
+	for _, wk := range pl.workers.sorted {
+		wk.claims.reset()
+	}
 	for _, rs := range pl.readySteps(now) {
 		if rs.spec.Gang {
 			pl.startGang(now, rs)
@@ -219,10 +223,7 @@
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
 		wk := pl.chooseWorker(now, rs, id, nil)
 		if wk == nil {
-			pl.recordWait(now, rs, id)
-			if rs.spec.LongRunning {
-				pl.recordCapacity(now)
-			}
+			pl.waitForRoom(now, &rs, id)
 			return
 		}
 		started++
@@ -233,6 +234,19 @@
 	}
 }
 
+// waitForRoom handles a task for which no worker is eligible now. A long-running
+// task that has lost its run claims capacity.
+func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
+	claimed := 0
+	if rs.restart {
+		claimed = pl.claimRoom(now, rs, id)
+	}
+	if rs.spec.LongRunning {
+		pl.recordCapacity(now)
+	}
+	pl.recordWait(now, *rs, id, claimed)
+}
+
 // startGang places all tasks of a gang or none. All of them get the same
 // attempt number, higher than any earlier one.
 func (pl *Planner) startGang(now model.Instant, rs readyStep) {
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -142,6 +142,9 @@
 	speedBuffer []float64
 	// useDiffs is scratch space of learnFromPeers.
 	useDiffs []imageUse
+	// openClaims counts the claims of the current plan on workers of which it is
+	// unknown when they have room.
+	openClaims int
 	// capacityRecordedAt is when the last event about the use of capacity was
 	// recorded.
 	capacityRecordedAt model.Instant
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -141,6 +141,8 @@
 	// fillerMilliCPU and servingMilliCPU are the processors that the fillers
 	// and the serving tasks request, in thousandths of a processor.
 	fillerMilliCPU, servingMilliCPU int64
+	// claims is the capacity that the current plan keeps for waiting tasks.
+	claims claims
 	// overTargetSince is the time since which some serving task has exceeded
 	// its target, 0 while none does.
 	overTargetSince model.Instant
--- a/core/model/resources.go
+++ b/core/model/resources.go
@@ -47,6 +47,19 @@
 	return re.milliCPU <= free.milliCPU && re.memoryMB <= free.memoryMB && re.accelerators <= free.accelerators
 }
 
+// DominantShare returns the largest fraction of total that re is in any
+// dimension, 0 if it is negative or zero in all of them. Dimensions in which
+// total is zero do not count.
+func (re Resources) DominantShare(total Resources) float64 {
+	share := 0.0
+	for _, dim := range [][2]int64{{re.milliCPU, total.milliCPU}, {re.memoryMB, total.memoryMB}, {re.accelerators, total.accelerators}} {
+		if dim[1] > 0 {
+			share = max(share, float64(dim[0])/float64(dim[1]))
+		}
+	}
+	return share
+}
+
 // IsZero reports whether every dimension is zero.
 func (re Resources) IsZero() bool { return re == Resources{} }
 
