Preempt lower priority for a lost long-running task

What callers would see: a task that lasts, lost with its worker, stays down for as long as runs of lower priority hold the processors or the memory it needs, a minute and more.

Cause: nothing in core/flow ever stopped a run of lower priority for another task, though priority 0 comes first.

Change: after 2 s without a run, the restart of a long-running task stops runs of lower priority on the worker where that loses the least work, unless a worker will have room within a second anyway. Gangs and long-running tasks are never preempted. runPreempted records it.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -148,15 +148,14 @@
 }
 
 // claimRoom claims capacity for the waiting tasks of a step, on the workers that
-// are expected to have it soonest, and returns the number of claims. id is one
-// of the tasks.
-func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, id TaskID) int {
+// are expected to have it soonest, and returns the number of claims.
+func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, candidates []claimCandidate) int {
 	waiting, need := rs.waitingTasks(), rs.spec.reservation()
 	horizon := max(minClaimHorizon, now.Sub(rs.idleSince))
-	candidates := pl.claimCandidates(now, rs, id)
 	made := 0
 	for again := true; again && made < waiting; {
 		again = false
+		slices.SortStableFunc(candidates, func(a, b claimCandidate) int { return cmp.Compare(a.after, b.after) })
 		for i := range candidates {
 			can := &candidates[i]
 			if made == waiting || can.after > horizon {
@@ -168,7 +167,6 @@
 			again = true
 			can.after = pl.nextRoom(now, rs, can)
 		}
-		slices.SortStableFunc(candidates, func(a, b claimCandidate) int { return cmp.Compare(a.after, b.after) })
 	}
 	if made < waiting && now.Sub(rs.idleSince) >= openClaimAfter {
 		made += pl.claimOpen(rs, candidates, waiting-made)
@@ -197,10 +195,10 @@
 	return made
 }
 
-// claimCandidates returns the workers on which a step may claim capacity,
-// ordered by when they are expected to have it.
+// claimCandidates returns the workers on which a step may claim capacity. id is
+// one of its tasks. The result is valid until the next call.
 func (pl *Planner) claimCandidates(now model.Instant, rs *readyStep, id TaskID) []claimCandidate {
-	var out []claimCandidate
+	out := pl.candidates[:0]
 	for _, wk := range pl.workers.sorted {
 		if pl.ineligible(now, wk, rs) != notRejected || !rs.spec.Size.FitsIn(wk.size) {
 			continue
@@ -215,7 +213,7 @@
 		can.after = pl.nextRoom(now, rs, &can)
 		out = append(out, can)
 	}
-	slices.SortStableFunc(out, func(a, b claimCandidate) int { return cmp.Compare(a.after, b.after) })
+	pl.candidates = out
 	return out
 }
 
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -235,11 +235,13 @@
 }
 
 // waitForRoom handles a task for which no worker is eligible now. A long-running
-// task that has lost its run claims capacity.
+// task that has lost its run claims capacity and may preempt runs for it.
 func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
 	claimed := 0
 	if rs.restart {
-		claimed = pl.claimRoom(now, rs, id)
+		candidates := pl.claimCandidates(now, rs, id)
+		pl.preempt(now, rs, id, candidates)
+		claimed = pl.claimRoom(now, rs, candidates)
 	}
 	if rs.spec.LongRunning {
 		pl.recordCapacity(now)
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -142,6 +142,8 @@
 	speedBuffer []float64
 	// useDiffs is scratch space of learnFromPeers.
 	useDiffs []imageUse
+	// candidates is scratch space of claimCandidates.
+	candidates []claimCandidate
 	// openClaims counts the claims of the current plan on workers of which it is
 	// unknown when they have room.
 	openClaims int
--- /dev/null
+++ b/core/flow/preempt.go
@@ -0,0 +1,99 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"guavarail/core/model"
+)
+
+const (
+	// preemptAfter is how long a long-running task has no run before runs of
+	// lower priority are stopped for it.
+	preemptAfter = 2 * time.Second
+	// checkpointLoss is the work that a run with checkpoints is assumed to lose
+	// when it is stopped.
+	checkpointLoss = time.Second
+)
+
+// preemption is a choice of runs whose stop makes room for a task.
+type preemption struct {
+	worker    *worker
+	candidate *claimCandidate
+	runs      []*placedRun
+	// lost is the work that is lost with the runs, in processor seconds.
+	lost float64
+}
+
+// preempt stops runs of lower priority on one worker for a long-running step
+// that has waited for preemptAfter, unless enough workers will have room soon.
+// Of all workers it chooses the one that loses the least work. The capacity goes
+// to the step through its claims. id is one of the tasks.
+func (pl *Planner) preempt(now model.Instant, rs *readyStep, id TaskID, candidates []claimCandidate) {
+	if now.Sub(rs.idleSince) < preemptAfter {
+		return
+	}
+	soon := 0
+	var best preemption
+	for i := range candidates {
+		can := &candidates[i]
+		if can.after <= stopDelay {
+			soon++
+			continue
+		}
+		pre, ok := pl.preemptionOn(now, can.worker, rs)
+		if ok && (best.worker == nil || pre.lost < best.lost) {
+			best, best.candidate = pre, can
+		}
+	}
+	if soon >= rs.waitingTasks() || best.worker == nil {
+		return
+	}
+	for _, pr := range best.runs {
+		pr.evicting = true
+		pl.recordEvent("runPreempted", pr.task.job, pr.task.String(), best.worker.incarnation.String(), "for", id.String(),
+			"lostSeconds", strconv.FormatFloat(pr.lostWork(now), 'f', 2, 64), "downMs", strconv.FormatInt(now.Sub(rs.idleSince).Milliseconds(), 10))
+	}
+	best.worker.claims.listed = false
+	best.candidate.after = pl.nextRoom(now, rs, best.candidate)
+}
+
+// preemptionOn chooses runs of lower priority on a worker whose stop makes room
+// for a task of a step, those that lose the least work first. It returns false
+// if they hold too little.
+func (pl *Planner) preemptionOn(now model.Instant, wk *worker, rs *readyStep) (preemption, bool) {
+	need := rs.spec.reservation()
+	var lower []*placedRun
+	free := wk.free().Sub(wk.claims.size)
+	for _, pr := range wk.runs {
+		switch {
+		case pr.ending || !pr.planned && pl.unwanted(pr):
+			free = free.Add(pr.size)
+		case pr.job.spec.Priority > rs.job.spec.Priority && !pr.spec.LongRunning && !pr.spec.Gang && !pr.planned:
+			lower = append(lower, pr)
+		}
+	}
+	slices.SortStableFunc(lower, func(a, b *placedRun) int { return cmp.Compare(a.lostWork(now), b.lostWork(now)) })
+	pre := preemption{worker: wk}
+	for _, pr := range lower {
+		if need.FitsIn(free) {
+			break
+		}
+		free = free.Add(pr.size)
+		pre.runs = append(pre.runs, pr)
+		pre.lost += pr.lostWork(now)
+	}
+	return pre, need.FitsIn(free)
+}
+
+// lostWork estimates the work that is lost when the run is stopped, in processor
+// seconds.
+func (pr *placedRun) lostWork(now model.Instant) float64 {
+	lost := now.Sub(pr.placedAt)
+	if pr.spec.Checkpoints {
+		lost = min(lost, checkpointLoss)
+	}
+	return lost.Seconds() * float64(pr.spec.Size.MilliCPU()) / 1000
+}
