Ignore late heartbeats of workers that have exited

What callers would see: tasks placed on a worker that is gone, which start elsewhere more than a second later, and workers listed as silent that do not exist.

Cause: a heartbeat that a partition held up was taken for the first one of a new worker when the leader had dropped the record of its sender, because another worker had its address or it had left.

Change: the leader keeps for a minute which incarnations have exited, and a first heartbeat whose address belongs to a worker that started later and is heard from creates no record.

TestLateHeartbeatOfExitedWorkerIsIgnored failed before in all three cases (4 tasks on workers with room for 2) and passes.

--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -59,7 +59,8 @@
 }
 
 // registerIncarnation returns the record of the incarnation that sent a
-// heartbeat, or false if the heartbeat is outdated. It creates the record of a
+// heartbeat, or false if the heartbeat is outdated: the incarnation has exited
+// or has sent a later one. It creates the record of a
 // new incarnation and ends what that replaces: the earlier incarnation of the
 // worker and, at the first heartbeat, workers of other names that had its
 // address.
@@ -69,10 +70,13 @@
 		if hb.Incarnation.startedAt < wk.incarnation.startedAt {
 			return nil, false
 		}
-		pl.endWorker(wk, "restarted")
+		pl.endWorker(now, wk, "restarted")
 		pl.workers.remove(wk)
 		ok = false
 	}
+	if _, exited := pl.exited[hb.Incarnation]; !ok && (exited || pl.addressTaken(now, hb)) {
+		return nil, false
+	}
 	if !ok {
 		wk = &worker{incarnation: hb.Incarnation, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
 		pl.workers.add(wk)
@@ -81,30 +85,44 @@
 		return nil, false
 	}
 	if !wk.reported {
-		pl.replaceAtAddress(hb)
+		pl.replaceAtAddress(now, hb)
 	}
 	return wk, true
 }
 
+// addressTaken reports whether a worker of another name, which started later and
+// has sent heartbeats until now, has the address of an incarnation, so that the
+// incarnation has exited.
+func (pl *Planner) addressTaken(now model.Instant, hb *Heartbeat) bool {
+	return slices.ContainsFunc(pl.workers.sorted, func(wk *worker) bool {
+		return wk.incarnation.worker != hb.Incarnation.worker && wk.address == hb.Address && wk.incarnation.startedAt > hb.Incarnation.startedAt &&
+			wk.reported && now.Sub(wk.lastHeartbeat) <= maxHeartbeatAge
+	})
+}
+
 // replaceAtAddress ends the workers with other names that had the address of a
 // new incarnation and started before it.
-func (pl *Planner) replaceAtAddress(hb *Heartbeat) {
+func (pl *Planner) replaceAtAddress(now model.Instant, hb *Heartbeat) {
 	for _, wk := range pl.workers.removeFunc(func(wk *worker) bool {
 		return wk.incarnation.worker != hb.Incarnation.worker && wk.address != "" && wk.address == hb.Address && wk.incarnation.startedAt < hb.Incarnation.startedAt
 	}) {
-		pl.endWorker(wk, "addressReused")
+		pl.endWorker(now, wk, "addressReused")
 	}
 }
 
 // endWorker proposes the ends of the runs of an incarnation that has exited,
 // answers its open heartbeat without orders, and adds it to formerWorkers until
 // the ends are applied. The caller removes it from the set of workers.
-func (pl *Planner) endWorker(wk *worker, why string) {
+func (pl *Planner) endWorker(now model.Instant, wk *worker, why string) {
 	pl.recordEvent("workerGone", "", "", wk.incarnation.String(), "reason", why, "runs", strconv.Itoa(len(wk.runs)))
 	if wk.answerPending {
 		wk.answerPending = false
 		pl.effects = append(pl.effects, Answer{HeartbeatID: wk.heartbeatID})
 	}
+	if pl.exited == nil {
+		pl.exited = map[Incarnation]model.Instant{}
+	}
+	pl.exited[wk.incarnation] = now
 	pl.proposeAllEnds(wk, Lost)
 	if len(wk.runs) > 0 {
 		// The past lease end lets expireLease propose the ends that this call
@@ -116,10 +134,10 @@
 
 // leave proposes the ends of the runs of a worker that has announced its exit,
 // and removes the worker.
-func (pl *Planner) leave(id model.WorkerID) {
+func (pl *Planner) leave(now model.Instant, id model.WorkerID) {
 	if wk, ok := pl.workers.get(id); ok && pl.leading {
 		pl.workers.remove(wk)
-		pl.endWorker(wk, "left")
+		pl.endWorker(now, wk, "left")
 	}
 }
 
--- /dev/null
+++ b/core/flow/heartbeat_test.go
@@ -0,0 +1,56 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Guards against a worker that has exited and gets tasks because a late
+// heartbeat of it arrives after it has left or lost its address to another.
+func TestLateHeartbeatOfExitedWorkerIsIgnored(t *testing.T) {
+	tests := []struct {
+		name string
+		// exit ends the worker with a first heartbeat of its successor, or with a
+		// message of its own and the first heartbeat of a worker elsewhere.
+		exit func(har *harness, report func(worker, address string, startedAt int64, sequence uint64) []Answer)
+	}{
+		{"address taken over", func(_ *harness, report func(string, string, int64, uint64) []Answer) {
+			report("new", "10.0.0.1:80", 2, 1)
+		}},
+		{"left", func(har *harness, report func(string, string, int64, uint64) []Answer) {
+			har.step(Leave{Worker: "old"})
+			report("new", "10.0.0.2:80", 1, 1)
+		}},
+		{"address taken over before this VM led", func(har *harness, report func(string, string, int64, uint64) []Answer) {
+			har.step(SteppedDown{})
+			har.step(BecameLeader{Term: 2, LeaseUntil: model.Instant(time.Hour)})
+			report("new", "10.0.0.1:80", 2, 1)
+		}},
+	}
+	for _, tt := range tests {
+		har := newHarness(t)
+		id := uint64(0)
+		report := func(worker, address string, startedAt int64, sequence uint64) []Answer {
+			id++
+			return har.step(Heartbeat{
+				HeartbeatID: id, Incarnation: NewIncarnation(model.WorkerID(worker), startedAt), Sequence: sequence, Service: "svc", Centre: "a",
+				Address: address, Size: model.NewResources(4000, 4000, 0),
+			})
+		}
+		report("old", "10.0.0.1:80", 1, 1)
+		tt.exit(har, report)
+		if late := report("old", "10.0.0.1:80", 1, 2); len(late) != 1 || late[0].LeaseDuration != 0 {
+			t.Errorf("%s: answers %+v to the late heartbeat, want one at once without a lease", tt.name, late)
+		}
+		har.submit("job", StepSpec{Tasks: 4, Size: model.NewResources(2000, 100, 0)})
+		for range 50 {
+			har.now = har.now.Add(TickInterval)
+			har.step(Tick{LeaseUntil: model.Instant(time.Hour)})
+		}
+		if num := len(har.st.jobs["job"].occurrence(0).steps[0].tasks) - har.st.jobs["job"].occurrence(0).steps[0].idleTasks; num > 2 {
+			t.Errorf("%s: %d tasks have runs, want at most two on the worker that is left", tt.name, num)
+		}
+	}
+}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -64,6 +64,9 @@
 	// workerRetention is the age of the last heartbeat after which the leader
 	// drops its record of a worker without tasks.
 	workerRetention = 15 * time.Second
+	// exitRetention is how long the leader ignores late heartbeats of a worker
+	// that has exited.
+	exitRetention = time.Minute
 	// estimateInterval is how often the estimates of interference and of worker
 	// speeds are computed.
 	estimateInterval = 500 * time.Millisecond
@@ -122,6 +125,9 @@
 	// formerWorkers are earlier incarnations of workers that have runs whose
 	// end is not applied yet.
 	formerWorkers []*worker
+	// exited holds when incarnations have exited, for exitRetention, so that their
+	// late heartbeats are not taken for those of new workers.
+	exited map[Incarnation]model.Instant
 	// openJobs are the jobs that had not ended when they were last pruned, in
 	// the order of submission.
 	openJobs []*job
@@ -176,7 +182,7 @@
 	case ProposalEnded:
 		pl.proposalEnded(msg)
 	case Leave:
-		pl.leave(msg.Worker)
+		pl.leave(now, msg.Worker)
 	case Outage:
 		pl.outage, pl.dirty = msg.Centres, true
 	case Heartbeat:
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"strconv"
 
 	"guavarail/core/model"
@@ -27,6 +28,7 @@
 	}) {
 		pl.recordEvent("workerForgotten", "", "", wk.incarnation.String())
 	}
+	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
 	active := pl.formerWorkers[:0]
 	for _, wk := range pl.formerWorkers {
 		pl.expireLease(now, wk)
