Let no waiting step be passed over forever

What callers would see: a job whose task or gang needs more room than its neighbours leave at once waits as long as smaller jobs of the same priority keep coming, accepted and "queued" or "running" without end.

Change: a step that has had waiting tasks for 5 s and started none gets the overdue turn. It goes first in its priority, behind restarts only, and claims room for one task, or for its gang. One step has the turn at a time; it ends with a start or after 6 s, and the next begins a second later at the earliest, so that the rest is held up by one claim at most. A claim now stays at its worker from plan to plan: chosen anew each time, it moved to whichever worker seemed soonest, and the room that had been kept elsewhere was lost. startGang records that a gang waits and starts.

The order of steps is a file of its own.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -40,12 +40,16 @@
 
 // claims is the capacity of a worker that the current plan keeps for tasks that
 // found no room. Steps that come later in the scheduling order do not get it.
-// It is made anew by each plan. The zero value keeps nothing.
+// It is made anew by each plan, at the same worker as before where possible,
+// because the room there has grown meanwhile. The zero value keeps nothing.
 type claims struct {
 	// size is the sum of what the claims need.
 	size model.Resources
 	// soonest is the expected time until the first of them has room.
 	soonest time.Duration
+	// holders are the steps with claims, one for each claim, and former those of
+	// the plan before.
+	holders, former []*step
 	// releases are the runs that are expected to end by themselves, ordered by
 	// when, and total is the sum of their sizes. They are listed when the first
 	// claim on the worker is considered.
@@ -54,15 +58,18 @@
 	listed   bool
 }
 
-// reset drops all claims and keeps the buffer.
-func (cl *claims) reset() { *cl = claims{releases: cl.releases[:0]} }
+// reset drops all claims, remembers their holders and keeps the buffers.
+func (cl *claims) reset() {
+	*cl = claims{releases: cl.releases[:0], former: cl.holders, holders: cl.former[:0]}
+}
 
-// add records a claim that has room after a time.
-func (cl *claims) add(need model.Resources, after time.Duration) {
+// add records a claim of a step that has room after a time.
+func (cl *claims) add(holder *step, need model.Resources, after time.Duration) {
 	if cl.size.IsZero() || after < cl.soonest {
 		cl.soonest = after
 	}
 	cl.size = cl.size.Add(need)
+	cl.holders = append(cl.holders, holder)
 }
 
 // hasRoom reports whether a task of rs fits on the worker beside its runs and
@@ -145,30 +152,45 @@
 	shortage float64
 	// tasks counts the runs and claims of the step on the worker.
 	tasks int
+	// held is set if the step had a claim on the worker in the plan before.
+	held bool
+}
+
+// compareAfter orders two candidates by held, then by when they have room.
+func (can claimCandidate) compareAfter(other claimCandidate) int {
+	return cmp.Or(trueFirst(can.held, other.held), cmp.Compare(can.after, other.after))
 }
 
-// claimRoom claims capacity for the waiting tasks of a step, on the workers that
-// are expected to have it soonest, and returns the number of claims.
-func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, candidates []claimCandidate) int {
-	waiting, need := rs.waitingTasks(), rs.spec.reservation()
-	horizon := max(minClaimHorizon, now.Sub(rs.idleSince))
+// compareShortage orders two candidates by held, then by how little they lack.
+func (can claimCandidate) compareShortage(other claimCandidate) int {
+	return cmp.Or(trueFirst(can.held, other.held), cmp.Compare(can.shortage, other.shortage))
+}
+
+// claimRoom claims capacity for waiting tasks of a step, on the workers that are
+// expected to have it soonest, and returns the number of claims.
+func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, candidates []claimCandidate, waiting int) int {
+	need := rs.spec.reservation()
+	horizon := max(minClaimHorizon, now.Sub(rs.waitingSince))
 	made := 0
 	for again := true; again && made < waiting; {
 		again = false
-		slices.SortStableFunc(candidates, func(a, b claimCandidate) int { return cmp.Compare(a.after, b.after) })
+		slices.SortStableFunc(candidates, claimCandidate.compareAfter)
 		for i := range candidates {
 			can := &candidates[i]
-			if made == waiting || can.after > horizon {
+			if made == waiting {
 				break
 			}
-			can.worker.claims.add(need, can.after)
+			if can.after > horizon {
+				continue
+			}
+			can.worker.claims.add(rs.state(), need, can.after)
 			can.tasks++
 			made++
 			again = true
 			can.after = pl.nextRoom(now, rs, can)
 		}
 	}
-	if made < waiting && now.Sub(rs.idleSince) >= openClaimAfter {
+	if made < waiting && now.Sub(rs.waitingSince) >= openClaimAfter {
 		made += pl.claimOpen(rs, candidates, waiting-made)
 	}
 	return made
@@ -178,7 +200,7 @@
 // for as long as it takes until runs on them end. Each such claim keeps what is
 // free on its worker, but for tasks that are short.
 func (pl *Planner) claimOpen(rs *readyStep, candidates []claimCandidate, num int) int {
-	slices.SortStableFunc(candidates, func(a, b claimCandidate) int { return cmp.Compare(a.shortage, b.shortage) })
+	slices.SortStableFunc(candidates, claimCandidate.compareShortage)
 	made := 0
 	for i := range candidates {
 		can := &candidates[i]
@@ -188,7 +210,7 @@
 		if !can.worker.claims.size.IsZero() {
 			continue
 		}
-		can.worker.claims.add(rs.spec.reservation(), minClaimHorizon)
+		can.worker.claims.add(rs.state(), rs.spec.reservation(), minClaimHorizon)
 		pl.openClaims++
 		made++
 	}
@@ -203,7 +225,7 @@
 		if pl.ineligible(now, wk, rs) != notRejected || !rs.spec.Size.FitsIn(wk.size) {
 			continue
 		}
-		can := claimCandidate{worker: wk, shortage: rs.spec.reservation().Sub(wk.free()).DominantShare(wk.size)}
+		can := claimCandidate{worker: wk, held: slices.Contains(wk.claims.former, rs.state()), shortage: rs.spec.reservation().Sub(wk.free()).DominantShare(wk.size)}
 		if rs.spec.PerWorker > 0 {
 			can.tasks = wk.runsOfStep(id)
 			if can.tasks >= rs.spec.PerWorker {
--- a/core/flow/cluster_test.go
+++ b/core/flow/cluster_test.go
@@ -159,6 +159,17 @@
 	return num
 }
 
+// started returns how many tasks of a job have started.
+func (clu *cluster) started(id model.JobID) int {
+	num := 0
+	for task := range clu.starts {
+		if task.Job() == id {
+			num++
+		}
+	}
+	return num
+}
+
 // stream returns a feed that keeps jobs of small tasks waiting.
 func (clu *cluster) stream(waiting int, duration time.Duration) func() {
 	return func() {
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -143,7 +143,7 @@
 		pairs = append(pairs, "longRunning", "true")
 	}
 	if rs.restart {
-		pairs = append(pairs, "downMs", strconv.FormatInt(now.Sub(rs.idleSince).Milliseconds(), 10), "claimed", strconv.Itoa(claimed))
+		pairs = append(pairs, "downMs", strconv.FormatInt(now.Sub(rs.waitingSince).Milliseconds(), 10), "claimed", strconv.Itoa(claimed))
 	}
 	pl.recordEvent("tasksWait", id.job, id.String(), "", pairs...)
 }
--- /dev/null
+++ b/core/flow/order.go
@@ -0,0 +1,241 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"guavarail/core/model"
+)
+
+const (
+	// agingWeight is the weight of the elapsed fraction of a job's objective in
+	// its rank (see stepRank).
+	agingWeight = 1.0
+	// starvationTime is how long a job may have no run before one of its
+	// fillers may start on a worker that lacks processors or whose serving
+	// tasks would miss their target, so that no job waits forever.
+	starvationTime = 1500 * time.Millisecond
+	// overdueAfter is how long a step may have waiting tasks, and start none,
+	// before it may get the overdue turn.
+	overdueAfter = 5 * time.Second
+	// overdueInterval is the minimum time from the end of an overdue turn to the
+	// next. overdueTimeout ends a turn in which no task could start.
+	overdueInterval = time.Second
+	overdueTimeout  = 6 * time.Second
+)
+
+// readyStep is a step of an occurrence that has waiting tasks and depends only
+// on complete steps.
+type readyStep struct {
+	job             *job
+	occ             *occurrence
+	occurrenceIndex int
+	step            int
+	spec            *StepSpec
+	// slack is the time until the step must start at the latest for the job to
+	// meet its objective; negative if that time has passed.
+	slack time.Duration
+	// rank is the result of stepRank. Steps with a lower rank come first.
+	rank float64
+	// starved is set if the job has had no run for starvationTime.
+	starved bool
+	// restart selects which waiting tasks of a long-running step are meant: those
+	// that were started before, or those that were not. It is false for any other
+	// step, of which all waiting tasks are meant.
+	restart bool
+	// waitingSince is, for a restart, the earliest time since which one of its
+	// tasks has had no run, and otherwise that of the step.
+	waitingSince model.Instant
+	// overdue is set for the step that has the overdue turn.
+	overdue bool
+}
+
+// wants reports whether rs is meant to place a task now.
+func (rs *readyStep) wants(tk *task) bool {
+	return tk.waiting() && (!rs.spec.LongRunning || rs.spec.Gang || rs.restart == (tk.attempt > 0))
+}
+
+// readySteps returns the ready steps in scheduling order: by priority, then
+// restarts of long-running tasks, those that have waited longest before the
+// others, then the overdue step, then long-running steps, then jobs that can
+// still meet their objective, then by rank.
+func (pl *Planner) readySteps(now model.Instant) []readyStep {
+	wall := pl.wall(now)
+	var out []readyStep
+	for _, jb := range pl.openJobs {
+		if jb.status.Final() {
+			continue
+		}
+		for k := range jb.occurrenceCount() {
+			if jb.spec.Repetitions > 0 && jb.due(k) > wall {
+				break
+			}
+			occ := jb.occurrence(k)
+			if occ.openSteps == 0 {
+				continue
+			}
+			out = pl.appendReadySteps(now, out, jb, occ, k, wall)
+		}
+	}
+	pl.turn.choose(now, out)
+	slices.SortStableFunc(out, compareSteps)
+	return out
+}
+
+// appendReadySteps appends the ready steps of occurrence k to out and updates
+// idleSince of the job. wall is the wall clock in milliseconds since 1970.
+func (pl *Planner) appendReadySteps(now model.Instant, out []readyStep, jb *job, occ *occurrence, k int, wall int64) []readyStep {
+	if jb.liveRuns > 0 {
+		jb.idleSince = 0
+	} else if jb.idleSince == 0 {
+		jb.idleSince = now
+	}
+	work := occ.workLeft(jb.spec.Steps)
+	starved := jb.idleSince > 0 && now.Sub(jb.idleSince) > starvationTime
+	for s := range occ.steps {
+		spec := &jb.spec.Steps[s]
+		if occ.steps[s].idleTasks == 0 || !occ.ready(spec) {
+			occ.steps[s].waitingSince = 0
+			continue
+		}
+		if occ.steps[s].waitingSince == 0 {
+			occ.steps[s].waitingSince = now
+		}
+		age := time.Duration(wall-jb.due(k)) * time.Millisecond
+		rs := readyStep{
+			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
+			rank: stepRank(work, age, jb.Objective()), waitingSince: occ.steps[s].waitingSince,
+		}
+		if spec.LongRunning && !spec.Gang {
+			out = appendRestart(now, out, rs)
+		}
+		out = append(out, rs)
+	}
+	return out
+}
+
+// appendRestart appends the restart of the tasks of a long-running step that have
+// lost their runs, if there are any. rs is the step.
+func appendRestart(now model.Instant, out []readyStep, rs readyStep) []readyStep {
+	rs.restart, rs.waitingSince = true, 0
+	sp := &rs.occ.steps[rs.step]
+	for i := range sp.tasks {
+		tk := &sp.tasks[i]
+		if tk.idleSince == 0 && tk.waiting() {
+			tk.idleSince = now
+		}
+		if rs.wants(tk) && (rs.waitingSince == 0 || tk.idleSince < rs.waitingSince) {
+			rs.waitingSince = tk.idleSince
+		}
+	}
+	if rs.waitingSince == 0 {
+		return out
+	}
+	return append(out, rs)
+}
+
+// compareSteps orders two steps by which is scheduled first.
+func compareSteps(rs, other readyStep) int {
+	if rs.restart && other.restart && rs.job.spec.Priority == other.job.spec.Priority {
+		return cmp.Or(cmp.Compare(rs.waitingSince, other.waitingSince), cmp.Compare(rs.rank, other.rank))
+	}
+	return cmp.Or(
+		cmp.Compare(rs.job.spec.Priority, other.job.spec.Priority),
+		trueFirst(rs.restart, other.restart),
+		trueFirst(rs.overdue, other.overdue),
+		trueFirst(rs.spec.LongRunning, other.spec.LongRunning),
+		trueFirst(rs.slack >= 0, other.slack >= 0),
+		cmp.Compare(rs.rank, other.rank),
+	)
+}
+
+// stepRank returns the declared work left, in processor seconds, divided by a
+// factor that grows with the elapsed fraction of the objective, so that a large
+// job is not passed over forever. When not all jobs can be on time, scheduling
+// the least work first gets most of them done on time.
+func stepRank(work float64, age, objective time.Duration) float64 {
+	elapsed := float64(age) / float64(max(objective, time.Millisecond))
+	return work / (1 + agingWeight*max(0, elapsed))
+}
+
+// workLeft returns the declared work of the open tasks of an occurrence, in
+// processor seconds.
+func (occ *occurrence) workLeft(steps []StepSpec) float64 {
+	sum := 0.0
+	for s := range occ.steps {
+		perTask := float64(steps[s].Size.MilliCPU()) / 1000 * max(steps[s].Estimate, time.Millisecond).Seconds()
+		sum += float64(occ.steps[s].openTasks) * perTask
+	}
+	return sum
+}
+
+// trueFirst compares two booleans and orders true before false.
+func trueFirst(va, vb bool) int {
+	switch {
+	case va == vb:
+		return 0
+	case va:
+		return -1
+	}
+	return 1
+}
+
+// overdueTurn lets one step that has waited for overdueAfter go before all others
+// of its priority but restarts, so that no step is passed over forever. The turn
+// ends when a task of the step starts. The zero value is ready to use.
+type overdueTurn struct {
+	// step is the step that has the turn since a time, nil for none.
+	step  *step
+	since model.Instant
+	// next is when the next turn may begin.
+	next model.Instant
+}
+
+// choose marks the step that has the turn as overdue. If none has, the turn goes
+// to the step that has waited longest.
+func (tu *overdueTurn) choose(now model.Instant, steps []readyStep) {
+	if tu.step != nil && tu.over(now, steps) {
+		tu.step, tu.next = nil, now.Add(overdueInterval)
+	}
+	if tu.step == nil && !now.Before(tu.next) {
+		tu.step, tu.since = longestWaiting(now, steps), now
+	}
+	for i := range steps {
+		steps[i].overdue = tu.step != nil && steps[i].state() == tu.step && !steps[i].restart
+	}
+}
+
+// over reports whether the turn has ended: a task of the step has started, the
+// step is no longer ready, or the turn has timed out. After a timeout the step
+// counts as having waited only since then.
+func (tu *overdueTurn) over(now model.Instant, steps []readyStep) bool {
+	ready := slices.ContainsFunc(steps, func(rs readyStep) bool { return rs.state() == tu.step })
+	if !ready || tu.step.waitingSince > tu.since {
+		return true
+	}
+	if now.Sub(tu.since) < overdueTimeout {
+		return false
+	}
+	tu.step.waitingSince = now
+	return true
+}
+
+// longestWaiting returns the step that has waited longest, at least overdueAfter,
+// or nil if there is none.
+func longestWaiting(now model.Instant, steps []readyStep) *step {
+	var found *readyStep
+	for i := range steps {
+		rs := &steps[i]
+		if !rs.restart && now.Sub(rs.waitingSince) >= overdueAfter && (found == nil || rs.waitingSince < found.waitingSince) {
+			found = rs
+		}
+	}
+	if found == nil {
+		return nil
+	}
+	return found.state()
+}
+
+// state returns the state of the step.
+func (rs *readyStep) state() *step { return &rs.occ.steps[rs.step] }
--- /dev/null
+++ b/core/flow/overdue_test.go
@@ -0,0 +1,45 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Guards against a task that no worker gets as long as smaller tasks of the same
+// priority keep coming.
+func TestWaitingTasksAreNotPassedOverForever(t *testing.T) {
+	const maxWait = 15 * time.Second
+	tests := []struct {
+		name string
+		step StepSpec
+		// before is how many tasks of the step have started when the others come.
+		before int
+	}{
+		{"large task", StepSpec{Tasks: 1, Size: model.NewResources(4000, 100, 0)}, 0},
+		{"last task of a step", StepSpec{Tasks: 5, Size: model.NewResources(4000, 100, 0)}, 4},
+		{"gang", StepSpec{Tasks: 4, Size: model.NewResources(3000, 100, 0), Gang: true}, 0},
+		{"large long-running task", StepSpec{Tasks: 1, Size: model.NewResources(4000, 100, 0), LongRunning: true}, 0},
+	}
+	for _, tt := range tests {
+		for seed := range uint64(4) {
+			clu := newCluster(t, seed, 4)
+			feed := clu.stream(24, 800*time.Millisecond)
+			if tt.before == 0 {
+				clu.play(2*time.Second, feed)
+			}
+			clu.submitJob("waits", 0, 3*time.Second, tt.step)
+			if tt.before > 0 {
+				clu.play(time.Second, func() {})
+			}
+			submitted := clu.now
+			for clu.started("waits") < tt.step.Tasks && clu.now.Sub(submitted) < 2*maxWait {
+				clu.play(TickInterval, feed)
+			}
+			if waited := clu.now.Sub(submitted); waited > maxWait {
+				t.Errorf("%s, seed %d: %d of %d tasks started after %v, want all within %v", tt.name, seed, clu.started("waits"), tt.step.Tasks, waited, maxWait)
+			}
+		}
+	}
+}
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -1,12 +1,6 @@
 package flow
 
-import (
-	"cmp"
-	"slices"
-	"time"
-
-	"guavarail/core/model"
-)
+import "guavarail/core/model"
 
 const (
 	// The worker with the lowest cost gets a task. The cost is the fraction of
@@ -30,16 +24,9 @@
 	// besideServingCost is the cost, for a filler, of a worker with serving
 	// tasks.
 	besideServingCost = 0.4
-	// agingWeight is the weight of the elapsed fraction of a job's objective in
-	// its rank (see stepRank).
-	agingWeight = 1.0
 	// quarantineCost is the cost of a quarantined worker for a long-running
 	// task, which must not stay down while any worker has room.
 	quarantineCost = 100.0
-	// starvationTime is how long a job may have no run before one of its
-	// fillers may start on a worker that lacks processors or whose serving
-	// tasks would miss their target, so that no job waits forever.
-	starvationTime = 1500 * time.Millisecond
 	// maxFillerShortage is the fraction of its requested processors that a
 	// worker may lack for a filler.
 	maxFillerShortage = 0.3
@@ -48,35 +35,6 @@
 	servingLoadRatio = 0.4
 )
 
-// readyStep is a step of an occurrence that has waiting tasks and depends only
-// on complete steps.
-type readyStep struct {
-	job             *job
-	occ             *occurrence
-	occurrenceIndex int
-	step            int
-	spec            *StepSpec
-	// slack is the time until the step must start at the latest for the job to
-	// meet its objective; negative if that time has passed.
-	slack time.Duration
-	// rank is the result of stepRank. Steps with a lower rank come first.
-	rank float64
-	// starved is set if the job has had no run for starvationTime.
-	starved bool
-	// restart selects which waiting tasks of a long-running step are meant: those
-	// that were started before, or those that were not. It is false for any other
-	// step, of which all waiting tasks are meant.
-	restart bool
-	// idleSince is, for a restart, the earliest time since which one of the tasks
-	// has had no run.
-	idleSince model.Instant
-}
-
-// wants reports whether rs is meant to place a task now.
-func (rs *readyStep) wants(tk *task) bool {
-	return tk.waiting() && (!rs.spec.LongRunning || rs.spec.Gang || rs.restart == (tk.attempt > 0))
-}
-
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
 	pl.openClaims = 0
@@ -92,123 +50,6 @@
 	}
 }
 
-// readySteps returns the ready steps in scheduling order: by priority, then
-// long-running steps, then jobs that can still meet their objective, then by
-// rank. Of long-running steps, restarts come first, those that have waited
-// longest before the others.
-func (pl *Planner) readySteps(now model.Instant) []readyStep {
-	wall := pl.wall(now)
-	var out []readyStep
-	for _, jb := range pl.openJobs {
-		if jb.status.Final() {
-			continue
-		}
-		for k := range jb.occurrenceCount() {
-			if jb.spec.Repetitions > 0 && jb.due(k) > wall {
-				break
-			}
-			occ := jb.occurrence(k)
-			if occ.openSteps == 0 {
-				continue
-			}
-			out = pl.appendReadySteps(now, out, jb, occ, k, wall)
-		}
-	}
-	slices.SortStableFunc(out, compareSteps)
-	return out
-}
-
-// appendReadySteps appends the ready steps of occurrence k to out and updates
-// idleSince of the job. wall is the wall clock in milliseconds since 1970.
-func (pl *Planner) appendReadySteps(now model.Instant, out []readyStep, jb *job, occ *occurrence, k int, wall int64) []readyStep {
-	if jb.liveRuns > 0 {
-		jb.idleSince = 0
-	} else if jb.idleSince == 0 {
-		jb.idleSince = now
-	}
-	work := occ.workLeft(jb.spec.Steps)
-	starved := jb.idleSince > 0 && now.Sub(jb.idleSince) > starvationTime
-	for s := range occ.steps {
-		spec := &jb.spec.Steps[s]
-		if occ.steps[s].idleTasks == 0 || !occ.ready(spec) {
-			continue
-		}
-		age := time.Duration(wall-jb.due(k)) * time.Millisecond
-		rs := readyStep{
-			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
-			rank: stepRank(work, age, jb.Objective()),
-		}
-		if spec.LongRunning && !spec.Gang {
-			out = appendRestart(now, out, rs)
-		}
-		out = append(out, rs)
-	}
-	return out
-}
-
-// appendRestart appends the restart of the tasks of a long-running step that have
-// lost their runs, if there are any. rs is the step.
-func appendRestart(now model.Instant, out []readyStep, rs readyStep) []readyStep {
-	rs.restart = true
-	sp := &rs.occ.steps[rs.step]
-	for i := range sp.tasks {
-		tk := &sp.tasks[i]
-		if tk.idleSince == 0 && tk.waiting() {
-			tk.idleSince = now
-		}
-		if rs.wants(tk) && (rs.idleSince == 0 || tk.idleSince < rs.idleSince) {
-			rs.idleSince = tk.idleSince
-		}
-	}
-	if rs.idleSince == 0 {
-		return out
-	}
-	return append(out, rs)
-}
-
-// compareSteps orders two steps by which is scheduled first.
-func compareSteps(rs, other readyStep) int {
-	return cmp.Or(
-		cmp.Compare(rs.job.spec.Priority, other.job.spec.Priority),
-		trueFirst(rs.spec.LongRunning, other.spec.LongRunning),
-		trueFirst(rs.restart, other.restart),
-		cmp.Compare(rs.idleSince, other.idleSince),
-		trueFirst(rs.slack >= 0, other.slack >= 0),
-		cmp.Compare(rs.rank, other.rank),
-	)
-}
-
-// stepRank returns the declared work left, in processor seconds, divided by a
-// factor that grows with the elapsed fraction of the objective, so that a large
-// job is not passed over forever. When not all jobs can be on time, scheduling
-// the least work first gets most of them done on time.
-func stepRank(work float64, age, objective time.Duration) float64 {
-	elapsed := float64(age) / float64(max(objective, time.Millisecond))
-	return work / (1 + agingWeight*max(0, elapsed))
-}
-
-// workLeft returns the declared work of the open tasks of an occurrence, in
-// processor seconds.
-func (occ *occurrence) workLeft(steps []StepSpec) float64 {
-	sum := 0.0
-	for s := range occ.steps {
-		perTask := float64(steps[s].Size.MilliCPU()) / 1000 * max(steps[s].Estimate, time.Millisecond).Seconds()
-		sum += float64(occ.steps[s].openTasks) * perTask
-	}
-	return sum
-}
-
-// trueFirst compares two booleans and orders true before false.
-func trueFirst(va, vb bool) int {
-	switch {
-	case va == vb:
-		return 0
-	case va:
-		return -1
-	}
-	return 1
-}
-
 // startTasks places the waiting tasks of a step one by one until no worker is
 // eligible for the next.
 func (pl *Planner) startTasks(now model.Instant, rs readyStep) {
@@ -227,6 +68,7 @@
 			return
 		}
 		started++
+		sp.waitingSince = now
 		pl.proposeStart(now, rs, tk, id, tk.attempt+1, wk)
 		// The placed run ends the starvation of the job.
 		rs.starved = false
@@ -234,14 +76,21 @@
 	}
 }
 
-// waitForRoom handles a task for which no worker is eligible now. A long-running
-// task that has lost its run claims capacity and may preempt runs for it.
+// waitForRoom handles tasks for which no worker is eligible now. Long-running
+// tasks that have lost their runs claim capacity and may preempt runs for it. So
+// does a task of the overdue step, or its whole gang, but it preempts nothing. id
+// is one of the tasks.
 func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
 	claimed := 0
-	if rs.restart {
+	switch {
+	case rs.restart:
 		candidates := pl.claimCandidates(now, rs, id)
 		pl.preempt(now, rs, id, candidates)
-		claimed = pl.claimRoom(now, rs, candidates)
+		claimed = pl.claimRoom(now, rs, candidates, rs.waitingTasks())
+	case rs.overdue && rs.spec.Gang:
+		claimed = pl.claimRoom(now, rs, pl.claimCandidates(now, rs, id), rs.waitingTasks())
+	case rs.overdue:
+		claimed = pl.claimRoom(now, rs, pl.claimCandidates(now, rs, id), 1)
 	}
 	if rs.spec.LongRunning {
 		pl.recordCapacity(now)
@@ -269,6 +118,7 @@
 			for j, reserved := range placed {
 				pl.unreserve(reserved, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, j), attempt, &sp.tasks[j])
 			}
+			pl.waitForRoom(now, &rs, id)
 			return
 		}
 		if first == nil {
@@ -277,6 +127,8 @@
 		placed = append(placed, wk)
 		pl.reserve(now, rs, &sp.tasks[i], id, attempt, wk)
 	}
+	sp.waitingSince = now
+	pl.recordStarts(now, rs, len(placed))
 	for i, wk := range placed {
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
 		pl.pendingOps = append(pl.pendingOps, Start(id, attempt, wk.incarnation))
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -148,6 +148,8 @@
 	speedBuffer []float64
 	// useDiffs is scratch space of learnFromPeers.
 	useDiffs []imageUse
+	// turn is the turn of steps that have waited too long.
+	turn overdueTurn
 	// candidates is scratch space of claimCandidates.
 	candidates []claimCandidate
 	// openClaims counts the claims of the current plan on workers of which it is
@@ -231,6 +233,7 @@
 	for _, k := range slices.Sorted(maps.Keys(jb.occurrences)) {
 		occ := jb.occurrences[k]
 		for s := range occ.steps {
+			occ.steps[s].waitingSince = 0
 			for i := range occ.steps[s].tasks {
 				tk := &occ.steps[s].tasks[i]
 				tk.plannedStarts, tk.idleSince = 0, now
--- a/core/flow/preempt.go
+++ b/core/flow/preempt.go
@@ -32,7 +32,7 @@
 // Of all workers it chooses the one that loses the least work. The capacity goes
 // to the step through its claims. id is one of the tasks.
 func (pl *Planner) preempt(now model.Instant, rs *readyStep, id TaskID, candidates []claimCandidate) {
-	if now.Sub(rs.idleSince) < preemptAfter {
+	if now.Sub(rs.waitingSince) < preemptAfter {
 		return
 	}
 	soon := 0
@@ -54,7 +54,7 @@
 	for _, pr := range best.runs {
 		pr.evicting = true
 		pl.recordEvent("runPreempted", pr.task.job, pr.task.String(), best.worker.incarnation.String(), "for", id.String(),
-			"lostSeconds", strconv.FormatFloat(pr.lostWork(now), 'f', 2, 64), "downMs", strconv.FormatInt(now.Sub(rs.idleSince).Milliseconds(), 10))
+			"lostSeconds", strconv.FormatFloat(pr.lostWork(now), 'f', 2, 64), "downMs", strconv.FormatInt(now.Sub(rs.waitingSince).Milliseconds(), 10))
 	}
 	best.worker.claims.listed = false
 	best.candidate.after = pl.nextRoom(now, rs, best.candidate)
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -71,6 +71,9 @@
 	openTasks int
 	// idleTasks counts the tasks that are not done and have no run.
 	idleTasks int
+	// waitingSince is when this leader last started a task of the step, or first
+	// found the step ready, 0 before. It is not replicated.
+	waitingSince model.Instant
 }
 
 // occurrence is one execution of all steps of a job. A job that does not repeat
