Count a long-running task as restarted only after a run

Cause: a restart was told by the attempt number, which also counts starts that were not carried out.

TestTaskThatNeverRanIsNoRestart failed before the change (started "never" instead of "ran") and passes.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -84,8 +84,8 @@
 		return
 	}
 	wk.remove(pr)
-	if _, _, tk, ok := pl.st.find(op.task); ok && pr.reported {
-		tk.idleSince = now
+	if _, _, tk, ok := pl.st.find(op.task); ok && (pr.reported || op.outcome != NotStarted) {
+		tk.ran, tk.idleSince = true, now
 	}
 	pl.recordFillerEnd(now, wk, pr)
 	pl.recordOutcome(now, wk, pr, op.outcome)
--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -136,3 +136,33 @@
 		}
 	}
 }
+
+// Guards against a task that never ran and goes before lost ones, because an
+// earlier start of it reached no worker.
+func TestTaskThatNeverRanIsNoRestart(t *testing.T) {
+	har := newHarness(t)
+	step := StepSpec{Tasks: 1, Size: model.NewResources(3000, 100, 0), LongRunning: true}
+	har.submit("ran", step)
+	ans := har.heartbeat("w1", nil)
+	har.heartbeat("w1", []RunReport{{Task: ans.Starts[0].Task, Attempt: 1, Percent: fullPace}})
+	har.submit("never", step)
+	ignores := Heartbeat{
+		HeartbeatID: 1 << 40, Incarnation: NewIncarnation("w2", 1), Sequence: 1, Service: "svc", Centre: "a", Address: "w2", Size: model.NewResources(4000, 4000, 0),
+	}
+	har.step(ignores)
+	for range 10 {
+		har.now = har.now.Add(TickInterval)
+		har.step(Tick{LeaseUntil: model.Instant(time.Hour)})
+	}
+	// The worker has not carried out the start and takes no more tasks.
+	ignores.HeartbeatID, ignores.Sequence, ignores.Draining = 1<<41, 2, true
+	har.step(ignores)
+	if tk := har.st.jobs["never"].occurrence(0).steps[0].tasks[0]; tk.attempt != 1 || len(tk.runs) > 0 {
+		t.Fatalf("task %+v, want one start that has ended", tk)
+	}
+	har.now = har.now.Add(time.Second)
+	har.step(Leave{Worker: "w1"})
+	if ans = har.heartbeat("w3", nil); len(ans.Starts) != 1 || ans.Starts[0].Task.Job() != "ran" {
+		t.Errorf("starts %+v, want the task that was lost", ans.Starts)
+	}
+}
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -41,7 +41,7 @@
 	// starved is set if the job has had no run for starvationTime.
 	starved bool
 	// restart selects which waiting tasks of a long-running step are meant: those
-	// that were started before, or those that were not. It is false for any other
+	// that have run before, or those that have not. It is false for any other
 	// step, of which all waiting tasks are meant.
 	restart bool
 	// waitingSince is, for a restart, the earliest time since which one of its
@@ -53,7 +53,7 @@
 
 // wants reports whether rs is meant to place a task now.
 func (rs *readyStep) wants(tk *task) bool {
-	return tk.waiting() && (!rs.spec.LongRunning || rs.spec.Gang || rs.restart == (tk.attempt > 0))
+	return tk.waiting() && (!rs.spec.LongRunning || rs.spec.Gang || rs.restart == tk.ran)
 }
 
 // readySteps returns the ready steps in scheduling order: by priority, then
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -50,9 +50,11 @@
 	// plannedStarts counts the starts that the leader has decided and that are
 	// not applied yet. It is not replicated.
 	plannedStarts int
-	// idleSince is when the last run of a waiting task ended that a worker had
-	// reported, or else when this leader first found that the task may start; 0
-	// before. It is not replicated.
+	// ran is set once a run of the task has ended that was carried out, as far as
+	// this leader knows. It is not replicated.
+	ran bool
+	// idleSince is when the last run ended that was carried out, or else when this
+	// leader first found that the task may start; 0 before. It is not replicated.
 	idleSince model.Instant
 }
 
