Give workers of large cells time to pick up a start

What callers would see: in a cell of more than 450 workers, starts that are withdrawn and made anew while their worker waits for its next heartbeat, as it was told to; tasks start late or never.

Cause: the leader tells a worker with tasks to wait for up to a second, 2 ms for each worker of the cell, but withdrew a start after a second without a heartbeat.

Change: the bound is that delay and 300 ms more, a second at least, so that nothing changes below 350 workers.

TestStartWaitsForTheNextHeartbeat, 601 workers, failed before (attempt 2 instead of 1) and passes.

--- a/core/flow/heartbeat_test.go
+++ b/core/flow/heartbeat_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -54,3 +55,35 @@
 		}
 	}
 }
+
+// Guards against starts in a large cell that are withdrawn before the worker,
+// which is told to wait for up to a second, sends its next heartbeat.
+func TestStartWaitsForTheNextHeartbeat(t *testing.T) {
+	har := newHarness(t)
+	id := uint64(0)
+	report := func(worker string, sequence uint64, runs ...RunReport) {
+		id++
+		har.step(Heartbeat{
+			HeartbeatID: id, Incarnation: NewIncarnation(model.WorkerID(worker), 1), Sequence: sequence, Service: "svc", Centre: "a",
+			Address: worker, Size: model.NewResources(4000, 4000, 0), Runs: runs, Draining: worker != "busy",
+		})
+	}
+	for i := range 600 {
+		report(fmt.Sprint("w", i), 1)
+	}
+	har.submit("first", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
+	har.heartbeat("busy", nil)
+	run := RunReport{Task: NewTaskID("first", 0, 0, 0), Attempt: 1, Percent: 10}
+	ans := har.heartbeat("busy", []RunReport{run})
+	har.submit("second", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
+	const onTheWay = 100 * time.Millisecond
+	for end := har.now.Add(ans.HeartbeatDelay + onTheWay); har.now.Before(end); {
+		har.now = har.now.Add(TickInterval)
+		har.step(Tick{LeaseUntil: model.Instant(time.Hour)})
+	}
+	run.Percent = 30
+	ans = har.heartbeat("busy", []RunReport{run})
+	if len(ans.Starts) != 1 || ans.Starts[0].Attempt != 1 {
+		t.Errorf("starts %+v, want the first attempt of the second job", ans.Starts)
+	}
+}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -57,10 +57,12 @@
 	idleHeartbeatDelay      = 20 * time.Millisecond
 	heartbeatDelayPerWorker = 2 * time.Millisecond
 	maxHeartbeatDelay       = time.Second
-	// startPickupTimeout bounds the time from placing a run until its start
-	// order is sent in the answer to a heartbeat. After that, the leader
-	// proposes the end of the run as NotStarted.
-	startPickupTimeout = time.Second
+	// The time from placing a run until its start order is sent in the answer to a
+	// heartbeat is bounded: by the delay of the worker's next heartbeat and
+	// pickupMargin for its way, and by minPickupTimeout at least. After that, the
+	// leader proposes the end of the run as NotStarted.
+	minPickupTimeout = time.Second
+	pickupMargin     = 300 * time.Millisecond
 	// workerRetention is the age of the last heartbeat after which the leader
 	// drops its record of a worker without tasks.
 	workerRetention = 15 * time.Second
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -67,12 +67,13 @@
 	pl.proposeAllEnds(wk, Lost)
 }
 
-// withdrawUnsentStarts proposes the ends of the runs whose start order could
-// not be sent within startPickupTimeout, because the worker sent no heartbeat
-// whose answer could carry it.
+// withdrawUnsentStarts proposes the ends of the runs whose start order could not
+// be sent in time, because the worker sent no heartbeat whose answer could carry
+// it.
 func (pl *Planner) withdrawUnsentStarts(now model.Instant, wk *worker) {
+	timeout := max(minPickupTimeout, pl.heartbeatDelay()+pickupMargin)
 	for _, pr := range wk.runs {
-		if !pr.startSent && !pr.reported && !pr.inherited && now.Sub(pr.placedAt) > startPickupTimeout {
+		if !pr.startSent && !pr.reported && !pr.inherited && now.Sub(pr.placedAt) > timeout {
 			pl.proposeEnd(pr, NotStarted, pr.checkpoint)
 		}
 	}
