Bound claims and let restarts use what is claimed

Cause: claims also bound other restarts, so that capacity which fits a small lost task was kept for a large one, on each of hundreds of workers; and every waiting step weighed every worker in every plan.

Change: restarts take whatever they fit into; claims bind what comes after them. A plan makes claims for restarts on an eighth of the workers at most, those that have waited longest first, and a step that finds nothing makes one open claim after 3 s instead of one a task.

TestClaimsDoNotHoldUpRestarts failed before (down for a second beside 2 free processors) and passes.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -15,10 +15,11 @@
 	// further ahead than its task has waited, or this long.
 	minClaimHorizon = 5 * time.Second
 	// openClaimAfter is how long a task has waited before it may claim capacity
-	// on a worker of which it is unknown when it has room, and maxOpenClaims the
-	// fraction of the workers on which there may be such a claim.
+	// on a worker of which it is unknown when it has room.
 	openClaimAfter = 3 * time.Second
-	maxOpenClaims  = 0.25
+	// maxClaims is the largest number of claims for restarts in a plan, as a
+	// fraction of the number of workers.
+	maxClaims = 1.0 / 8
 	// stopDelay is the expected time from the decision to stop a run until its
 	// end is recorded.
 	stopDelay = time.Second
@@ -39,7 +40,8 @@
 const unknownRoom = time.Duration(math.MaxInt64)
 
 // claims is the capacity of a worker that the current plan keeps for tasks that
-// found no room. Steps that come later in the scheduling order do not get it.
+// found no room. Steps that come later in the scheduling order do not get it,
+// but for restarts, which take what they fit into.
 // It is made anew by each plan, at the same worker as before where possible,
 // because the room there has grown meanwhile. The zero value keeps nothing.
 type claims struct {
@@ -72,14 +74,14 @@
 	cl.holders = append(cl.holders, holder)
 }
 
-// hasRoom reports whether a task of rs fits on the worker beside its runs and
-// claims, or will have ended before the first claim has room.
+// hasRoom reports whether a task of rs fits on the worker beside its runs and the
+// claims that bind it, or will have ended before the first claim has room.
 func (wk *worker) hasRoom(rs *readyStep, need model.Resources) bool {
 	free := wk.free()
 	switch {
 	case !need.FitsIn(free):
 		return false
-	case wk.claims.size.IsZero() || need.FitsIn(free.Sub(wk.claims.size).Max(model.Resources{})):
+	case rs.restart || wk.claims.size.IsZero() || need.FitsIn(free.Sub(wk.claims.size).Max(model.Resources{})):
 		return true
 	}
 	return rs.spec.Estimate > 0 && !rs.spec.LongRunning && 2*rs.spec.Estimate+backfillMargin <= wk.claims.soonest
@@ -156,65 +158,62 @@
 	held bool
 }
 
-// compareAfter orders two candidates by held, then by when they have room.
-func (can claimCandidate) compareAfter(other claimCandidate) int {
-	return cmp.Or(trueFirst(can.held, other.held), cmp.Compare(can.after, other.after))
-}
-
-// compareShortage orders two candidates by held, then by how little they lack.
-func (can claimCandidate) compareShortage(other claimCandidate) int {
-	return cmp.Or(trueFirst(can.held, other.held), cmp.Compare(can.shortage, other.shortage))
-}
-
-// claimRoom claims capacity for waiting tasks of a step, on the workers that are
-// expected to have it soonest, and returns the number of claims.
-func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, candidates []claimCandidate, waiting int) int {
-	need := rs.spec.reservation()
+// claimRoom claims capacity for up to num tasks of a step, on the workers that
+// are expected to have it soonest, and returns the number of claims. A step that
+// finds none and has waited for openClaimAfter makes an open claim.
+func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, candidates []claimCandidate, num int) int {
 	horizon := max(minClaimHorizon, now.Sub(rs.waitingSince))
+	need := rs.spec.reservation()
 	made := 0
-	for again := true; again && made < waiting; {
+	for again := true; again && made < num; {
 		again = false
-		slices.SortStableFunc(candidates, claimCandidate.compareAfter)
-		for i := range candidates {
-			can := &candidates[i]
-			if made == waiting {
-				break
-			}
-			if can.after > horizon {
-				continue
-			}
+		soon := candidatesWithin(candidates, horizon)
+		for _, can := range soon[:min(len(soon), num-made)] {
 			can.worker.claims.add(rs.state(), need, can.after)
 			can.tasks++
+			can.after = pl.nextRoom(now, rs, can)
 			made++
 			again = true
-			can.after = pl.nextRoom(now, rs, can)
 		}
 	}
-	if made < waiting && now.Sub(rs.waitingSince) >= openClaimAfter {
-		made += pl.claimOpen(rs, candidates, waiting-made)
+	if made == 0 && num > 0 && now.Sub(rs.waitingSince) >= openClaimAfter {
+		made = claimOpen(rs, candidates)
 	}
 	return made
 }
 
-// claimOpen claims capacity for up to num tasks on the workers that lack least,
-// for as long as it takes until runs on them end. Each such claim keeps what is
-// free on its worker, but for tasks that are short.
-func (pl *Planner) claimOpen(rs *readyStep, candidates []claimCandidate, num int) int {
-	slices.SortStableFunc(candidates, claimCandidate.compareShortage)
-	made := 0
+// candidatesWithin returns the candidates that are expected to have room within a
+// time, ordered by when.
+func candidatesWithin(candidates []claimCandidate, horizon time.Duration) []*claimCandidate {
+	var out []*claimCandidate
 	for i := range candidates {
-		can := &candidates[i]
-		if made == num || pl.openClaims >= max(1, int(maxOpenClaims*float64(len(pl.workers.sorted)))) {
-			break
+		if candidates[i].after <= horizon {
+			out = append(out, &candidates[i])
 		}
-		if !can.worker.claims.size.IsZero() {
-			continue
+	}
+	slices.SortStableFunc(out, func(a, b *claimCandidate) int {
+		return cmp.Or(trueFirst(a.held, b.held), cmp.Compare(a.after, b.after))
+	})
+	return out
+}
+
+// claimOpen claims capacity for one task on the worker without claims that lacks
+// least, for as long as it takes until runs on it end, and returns the number of
+// claims. An open claim keeps what is free on its worker, but for tasks that are
+// short.
+func claimOpen(rs *readyStep, candidates []claimCandidate) int {
+	var best *claimCandidate
+	for i := range candidates {
+		can := &candidates[i]
+		if can.worker.claims.size.IsZero() && (best == nil || cmp.Or(trueFirst(can.held, best.held), cmp.Compare(can.shortage, best.shortage)) < 0) {
+			best = can
 		}
-		can.worker.claims.add(rs.state(), rs.spec.reservation(), minClaimHorizon)
-		pl.openClaims++
-		made++
 	}
-	return made
+	if best == nil {
+		return 0
+	}
+	best.worker.claims.add(rs.state(), rs.spec.reservation(), minClaimHorizon)
+	return 1
 }
 
 // claimCandidates returns the workers on which a step may claim capacity. id is
--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -166,3 +166,26 @@
 		t.Errorf("starts %+v, want the task that was lost", ans.Starts)
 	}
 }
+
+// Guards against a lost task that fits and stays down because capacity is kept
+// for another lost task that does not.
+func TestClaimsDoNotHoldUpRestarts(t *testing.T) {
+	clu := newCluster(t, 1, 3)
+	longRunning := func(milliCPU int64) StepSpec {
+		return StepSpec{Tasks: 1, Size: model.NewResources(milliCPU, 100, 0), LongRunning: true}
+	}
+	clu.submitJob("large", 0, 0, longRunning(4000))
+	clu.play(time.Second, func() {})
+	clu.submitJob("small", 0, 0, longRunning(2000))
+	clu.play(time.Second, func() {})
+	busy := clu.running[NewTaskID("small", 0, 0, 0)]
+	clu.submitJob("filled", 0, 4*time.Second, StepSpec{Tasks: 2, Size: model.NewResources(2000, 100, 0)})
+	clu.play(time.Second, func() {})
+	clu.lose(clu.running[NewTaskID("large", 0, 0, 0)])
+	clu.play(200*time.Millisecond, func() {})
+	clu.lose(busy)
+	clu.play(time.Second, func() {})
+	if clu.runs("small") != 1 {
+		t.Errorf("the small task is down for a second beside 2 free processors, claimed for the large one")
+	}
+}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -154,9 +154,8 @@
 	turn overdueTurn
 	// candidates is scratch space of claimCandidates.
 	candidates []claimCandidate
-	// openClaims counts the claims of the current plan on workers of which it is
-	// unknown when they have room.
-	openClaims int
+	// claimsLeft is how many more claims the current plan may make for restarts.
+	claimsLeft int
 	// capacityRecordedAt is when the last event about the use of capacity was
 	// recorded.
 	capacityRecordedAt model.Instant
