Weigh no workers for a task larger than one that found no room

Cause: each waiting step weighs every worker in every plan, though one that needs less has just found none.

Change: a plan remembers which tasks found no room and skips those that need as much or more and may use no further worker.

--- a/core/flow/bench_test.go
+++ b/core/flow/bench_test.go
@@ -49,3 +49,61 @@
 		}
 	}
 }
+
+// BenchmarkPlanOverfull measures a plan in which nothing finds room: 350 workers
+// are full of long-running tasks, tasks of 60 more jobs have lost their workers,
+// and 200 other jobs wait.
+func BenchmarkPlanOverfull(b *testing.B) {
+	const workers, lost, longRunning, ordinary = 450, 100, 160, 200
+	var st State
+	pl := NewPlanner(&st, Config{})
+	now := model.Instant(time.Second)
+	pl.Step(now, BecameLeader{Term: 1, LeaseUntil: model.Instant(time.Hour)})
+	for i := range workers {
+		pl.Step(now, Heartbeat{
+			HeartbeatID: uint64(i + 1), Incarnation: NewIncarnation(model.WorkerID(fmt.Sprint("w", i)), 1), Sequence: 1, Service: "svc", Centre: "a",
+			Address: fmt.Sprint("a", i), Size: model.NewResources(32000, 128000, 0),
+		})
+	}
+	apply := func(ops ...Op) {
+		for _, op := range ops {
+			pl.Step(now, Applied{Op: op, Verdict: st.Apply(op)})
+		}
+	}
+	submit := func(name string, step StepSpec) {
+		jo, err := NewJob(JobSpec{ID: model.JobID(name), Service: "svc", Steps: []StepSpec{step}, ObjectiveFactor: 2, ObjectiveBase: time.Second})
+		if err != nil {
+			b.Fatal(err)
+		}
+		apply(Submit(jo))
+	}
+	next := 0
+	for j := range longRunning {
+		name := fmt.Sprint("long", j)
+		submit(name, StepSpec{Tasks: 14, Size: model.NewResources(6000+int64(j%10)*100, 13000, 0), LongRunning: true})
+		for i := range 14 {
+			apply(Start(NewTaskID(model.JobID(name), 0, 0, i), 1, NewIncarnation(model.WorkerID(fmt.Sprint("w", next%workers)), 1)))
+			next++
+		}
+	}
+	for i := range lost {
+		pl.Step(now, Leave{Worker: model.WorkerID(fmt.Sprint("w", i))})
+	}
+	for j := range longRunning {
+		for i := range 14 {
+			if (j*14+i)%workers < lost {
+				apply(End(NewTaskID(model.JobID(fmt.Sprint("long", j)), 0, 0, i), 1, Lost, ""))
+			}
+		}
+	}
+	for j := range ordinary {
+		submit(fmt.Sprint("short", j), StepSpec{Tasks: 10, Size: model.NewResources(3500+int64(j%20)*200, 7000, 0), Estimate: time.Second})
+	}
+	now = now.Add(time.Second)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		pl.plan(now)
+		pl.effects = nil
+	}
+}
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -38,6 +38,7 @@
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
 	pl.claimsLeft = max(1, int(maxClaims*float64(len(pl.workers.sorted))))
+	pl.misses = pl.misses[:0]
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
 	}
@@ -169,6 +170,9 @@
 // rack is preferred, or nil.
 func (pl *Planner) chooseWorker(now model.Instant, rs readyStep, id TaskID, near *worker) *worker {
 	need := rs.spec.reservation()
+	if pl.missed(&rs, need) {
+		return nil
+	}
 	image := pl.interference.imageIndex(rs.spec.Image)
 	var best *worker
 	lowest := 0.0
@@ -188,6 +192,9 @@
 			best, lowest = wk, cost
 		}
 	}
+	if best == nil {
+		pl.recordMiss(&rs, need)
+	}
 	return best
 }
 
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -154,6 +154,8 @@
 	turn overdueTurn
 	// candidates is scratch space of claimCandidates.
 	candidates []claimCandidate
+	// misses are the tasks for which the current plan found no room.
+	misses []miss
 	// claimsLeft is how many more claims the current plan may make for restarts.
 	claimsLeft int
 	// capacityRecordedAt is when the last event about the use of capacity was
