Search claims only where a smaller restart may find one

Cause: a restart that found nothing to claim counted as a claim, to bound the work of a plan.

Change: the work is bounded by what is known: a restart that needs as much as one which found no worker is not searched for again. Only claims that are made count.

--- a/core/flow/miss.go
+++ b/core/flow/miss.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"guavarail/core/model"
@@ -34,25 +35,39 @@
 	return rs.spec.Estimate >= mi.estimate
 }
 
+// bound reports whether other conditions than room may keep a task of the step
+// from a worker. That it found no room shows nothing for tasks without them.
+func (sp *StepSpec) bound() bool { return sp.PerWorker > 0 || sp.RequiredLabel != "" }
+
+// newMiss returns the miss of a task of rs.
+func newMiss(rs *readyStep, need model.Resources) miss {
+	return miss{service: rs.job.spec.Service, need: need, restart: rs.restart, longRunning: rs.spec.LongRunning, estimate: rs.spec.Estimate}
+}
+
 // missed reports whether an earlier miss of the plan shows that no worker has
 // room for a task of rs.
 func (pl *Planner) missed(rs *readyStep, need model.Resources) bool {
-	for _, mi := range pl.misses {
-		if mi.covers(rs, need) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(pl.misses, func(mi miss) bool { return mi.covers(rs, need) })
 }
 
-// recordMiss records that no worker has room for a task of rs. A task that other
-// conditions than room may have kept out shows nothing for others.
+// recordMiss records that no worker has room for a task of rs, which is not
+// missed.
 func (pl *Planner) recordMiss(rs *readyStep, need model.Resources) {
-	spec := rs.spec
-	if spec.Filler || spec.Gang || spec.PerWorker > 0 || spec.RequiredLabel != "" || pl.missed(rs, need) {
-		return
+	if !rs.spec.Filler && !rs.spec.Gang && !rs.spec.bound() {
+		pl.misses = append(pl.misses, newMiss(rs, need))
+	}
+}
+
+// claimMissed reports whether another restart of the plan, which needs as much or
+// less, found no worker that will have room because runs end by themselves.
+func (pl *Planner) claimMissed(rs *readyStep) bool {
+	return slices.ContainsFunc(pl.claimMisses, func(mi miss) bool { return mi.covers(rs, rs.spec.reservation()) })
+}
+
+// recordClaimMiss records a restart for which no candidate will have room.
+func (pl *Planner) recordClaimMiss(rs *readyStep, candidates []claimCandidate) {
+	finds := slices.ContainsFunc(candidates, func(can claimCandidate) bool { return can.after != unknownRoom })
+	if !finds && !rs.spec.bound() {
+		pl.claimMisses = append(pl.claimMisses, newMiss(rs, rs.spec.reservation()))
 	}
-	pl.misses = append(pl.misses, miss{
-		service: rs.job.spec.Service, need: need, restart: rs.restart, longRunning: spec.LongRunning, estimate: spec.Estimate,
-	})
 }
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -38,7 +38,7 @@
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
 	pl.claimsLeft = max(1, int(maxClaims*float64(len(pl.workers.sorted))))
-	pl.misses = pl.misses[:0]
+	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
 	}
@@ -84,12 +84,12 @@
 func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
 	claimed := 0
 	switch {
-	case rs.restart && pl.claimsLeft > 0:
+	case rs.restart && pl.claimsLeft > 0 && !pl.claimMissed(rs):
 		candidates := pl.claimCandidates(now, rs, id)
 		pl.preempt(now, rs, id, candidates)
+		pl.recordClaimMiss(rs, candidates)
 		claimed = pl.claimRoom(now, rs, candidates, min(rs.waitingTasks(), pl.claimsLeft))
-		// A step that finds nothing to claim counts too, which bounds the work.
-		pl.claimsLeft -= max(1, claimed)
+		pl.claimsLeft -= claimed
 	case rs.overdue && rs.spec.Gang:
 		claimed = pl.claimRoom(now, rs, pl.claimCandidates(now, rs, id), rs.waitingTasks())
 	case rs.overdue:
