core/sched: claim room for tasks that find none

Callers would see a large task wait as long as smaller ones come: each of them took the room that became free (backfill without a reservation). A worker was reserved only after 30 s, for 30 s and as a whole, and what had become free on it by then was given away; with tasks that run longer the large one never started. The batch share had no reservation at all.

Now the job that started no task for the longest time, by priority, claims room at once on the worker that is expected to have it first. Only the need of the task is withheld from the placement index and the batch share; what fits beside it still starts. A job has one claim, a data centre one for 16 workers, one to eight; a claim yields to higher priority, ends when it can't be served, and is compared with other workers after 30 s, doubled each time. As other tasks can't take what becomes free on the worker, the task starts once those at work there have ended. Events workerReserved and reservationEnded report a reservation that lasts for a second.

The oracle of the fuzz test checks the sums over the reservations.

--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -72,7 +72,7 @@
 	case OpRegisterWorker:
 		pl.workerRegistered(op)
 	case OpRemoveWorker:
-		pl.workerRemoved(op)
+		pl.workerRemoved(now, op)
 	case OpStart, OpConfirm, OpEnd, OpCheckpoint, OpEvict, OpResize:
 		pl.attemptChanged(now, op)
 	}
@@ -117,7 +117,7 @@
 	wst := &pl.statuses[idx]
 	for i := range wst.attempts {
 		if la := &wst.attempts[i]; la.ref == re {
-			la.recordedAt, la.orderedAt = stampOf(now), 0
+			la.recordedAt, la.orderedAt, la.stopping = stampOf(now), 0, true
 		}
 	}
 	pl.answerPoll(now, idx, false)
@@ -140,8 +140,11 @@
 	pl.emit("workerKnown", event.Subject{Worker: op.worker}, event.NewField("rack", op.rack))
 }
 
-func (pl *Planner[P]) workerRemoved(op *Op) {
+func (pl *Planner[P]) workerRemoved(now model.Instant, op *Op) {
 	idx := pl.st.workerIndexes[op.worker]
+	if res := pl.statuses[idx].reservation; res != nil {
+		pl.endReservation(now, res, outcomeUnusable)
+	}
 	pl.statuses[idx] = workerStatus{}
 	pl.failures.RemoveWorker(op.worker)
 	pl.guard.ResetWorker(op.worker)
@@ -153,11 +156,12 @@
 // recomputeTotals recomputes the total capacity and the distinct sizes of the
 // registered workers.
 func (pl *Planner[P]) recomputeTotals() {
-	pl.accounts.total, pl.workerSizes = model.Resources{}, nil
+	pl.accounts.total, pl.workerSizes, pl.registeredWorkers = model.Resources{}, nil, 0
 	for _, wk := range pl.st.workers {
 		if !wk.registered {
 			continue
 		}
+		pl.registeredWorkers++
 		pl.accounts.total = pl.accounts.total.Add(wk.size)
 		if !slices.Contains(pl.workerSizes, wk.size) {
 			pl.workerSizes = append(pl.workerSizes, wk.size)
--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -153,6 +153,37 @@
 	}
 }
 
+// BenchmarkWaiting measures whole plans while jobs of all teams wait for room:
+// with their claims made, and when all claims were used since the last plan.
+func BenchmarkWaiting(b *testing.B) {
+	for _, workers := range benchSizes {
+		for _, used := range []bool{false, true} {
+			b.Run(fmt.Sprintf("workers=%d/claimsUsed=%v", workers, used), func(b *testing.B) {
+				st, pl := newFilledPlanner(b, place.BestFit{}, workers, tasksOf(workers))
+				for num := range 450 {
+					jo, err := NewJob(JobSpec{
+						ID: model.JobID(fmt.Sprintf("large-%d", num)), Team: model.TeamID(fmt.Sprintf("team-%d", num)), Tasks: 10,
+						Priority: model.Service, Size: model.NewResources(20000, 100, 0),
+					})
+					if err != nil {
+						b.Fatal(err)
+					}
+					cmd := NewCommand(Submit(jo))
+					pl.Step(benchNow, NewApplied(cmd, st.Apply(cmd)))
+				}
+				for b.Loop() {
+					if used {
+						for len(pl.reservations) > 0 {
+							pl.endReservation(benchNow, pl.reservations[0], outcomeServed)
+						}
+					}
+					pl.plan(benchNow)
+				}
+			})
+		}
+	}
+}
+
 // heapInUse returns the size of the live objects on the heap, in bytes.
 func heapInUse() uint64 {
 	runtime.GC()
--- a/core/sched/evict.go
+++ b/core/sched/evict.go
@@ -16,17 +16,8 @@
 	// attempts, this stays far below the bound of 60 s from submission to start
 	// for tasks within quota.
 	reclaimDelay = 10 * time.Second
-	// largeTaskDelay is how long a task waits, while no set of evictions on one
-	// worker makes room for it, before a worker is reserved without evictions.
-	largeTaskDelay = 30 * time.Second
-	// reservationTime is how long a worker is reserved for a task while
-	// evicted attempts stop.
-	reservationTime = 5 * time.Second
-	// largeTaskReservationTime is how long a worker is reserved without
-	// evictions, while its tasks end by themselves.
-	largeTaskReservationTime = 30 * time.Second
 	// maxTasksPerTick bounds the number of tasks for which one tick evicts
-	// others or reserves a worker.
+	// others.
 	maxTasksPerTick = 16
 )
 
@@ -41,6 +32,12 @@
 // borrowed quota.
 func evictableBorrower(la *liveAttempt) bool { return la.borrowed && evictable(la) }
 
+// graceLeft returns how long the attempt, whose stop was requested, may still
+// take to stop.
+func (la *liveAttempt) graceLeft(now model.Instant) time.Duration {
+	return max(grace(la.task().reason)-la.recordedAt.age(now), 0)
+}
+
 func evictAll(las []*liveAttempt, reason Reason) []Op {
 	ops := make([]Op, 0, len(las))
 	for _, la := range las {
@@ -49,50 +46,6 @@
 	return ops
 }
 
-// expireReservations cancels reservations that have expired or whose job has no
-// waiting task.
-func (pl *Planner[P]) expireReservations(now model.Instant) {
-	for idx := range pl.statuses {
-		wst := &pl.statuses[idx]
-		if wst.reservedFor == nil {
-			continue
-		}
-		if _, ok := wst.reservedFor.peek(); !ok || now >= wst.reservedUntil {
-			pl.cancelReservation(int32(idx))
-			pl.updateIndex(int32(idx))
-		}
-	}
-}
-
-// cancelReservation ends the reservation of a worker. The caller updates the
-// index.
-func (pl *Planner[P]) cancelReservation(idx int32) {
-	wst := &pl.statuses[idx]
-	bl := wst.reservedFor
-	if bl == nil {
-		return
-	}
-	wst.reservedFor = nil
-	for i, other := range bl.reserved {
-		if other == idx {
-			bl.reserved = append(bl.reserved[:i], bl.reserved[i+1:]...)
-			break
-		}
-	}
-}
-
-// useReservation returns a worker that is reserved for the job and now has room
-// for need, and ends its reservation. It returns false if there is none.
-func (pl *Planner[P]) useReservation(bl *backlog, need model.Resources) (int32, bool) {
-	for _, idx := range bl.reserved {
-		if pl.allowsJob(idx, &bl.job.spec) && need.FitsIn(pl.st.workers[idx].free()) {
-			pl.cancelReservation(idx)
-			return idx, true
-		}
-	}
-	return 0, false
-}
-
 // usable reports whether the planner may evict attempts on the worker or
 // reserve it. A worker on probation is not usable: it gets its one task only
 // through the placement index.
@@ -134,26 +87,36 @@
 	}
 }
 
-// needsEvictions reports whether the oldest waiting task of the job without a
-// reserved worker has waited long enough for evictions. The reserved workers
-// are meant for the oldest waiting tasks, so that task is len(bl.reserved)
-// after bl.head.
+// needsEvictions reports whether the oldest waiting task of the job without
+// evictions has waited long enough for them. The reservations with evictions
+// are meant for the oldest waiting tasks, so that task is as many after
+// bl.head.
 func (pl *Planner[P]) needsEvictions(now model.Instant, bl *backlog) bool {
-	if bl.reason != ReasonNoCapacity && bl.reason != ReasonBatchShare {
+	if !bl.reason.lacksRoom() {
+		return false
+	}
+	if _, ok := bl.peek(); !ok {
 		return false
 	}
-	if _, ok := bl.peek(); !ok || bl.head+len(bl.reserved) >= len(bl.waiting) {
+	next := bl.head
+	for _, res := range bl.reservations {
+		if res.evicting {
+			next++
+		}
+	}
+	if next >= len(bl.waiting) {
 		return false
 	}
 	wait := reclaimDelay
 	if bl.job.spec.Priority == model.Urgent {
 		wait = urgentDelay
 	}
-	return now.Sub(bl.waiting[bl.head+len(bl.reserved)].since) >= wait
+	return now.Sub(bl.waiting[next].since) >= wait
 }
 
-// evictFor reserves a worker for one task of the job and returns the evictions
-// that make room for the task. It returns false if no worker was reserved.
+// evictFor reserves room on a worker for one task of the job and returns the
+// evictions that make it. It returns false if no evictions make room. A claim of
+// the job ends.
 func (pl *Planner[P]) evictFor(now model.Instant, bl *backlog) ([]Op, bool) {
 	spec := &bl.job.spec
 	need := pl.commitment(spec)
@@ -161,46 +124,42 @@
 	if spec.Priority == model.Urgent {
 		canEvict, reason = evictable, ReasonUrgent
 	}
-	if !pl.withinQuota(spec.Team, need) {
+	if !pl.withinQuota(bl, need) {
 		return nil, false
 	}
-	// When the batch share is used up, the evictions have to cover the whole
-	// need, however much the worker has free.
-	if idx, las, ok := pl.workerWithFewestEvictions(spec, need, canEvict, bl.reason == ReasonNoCapacity); ok {
-		pl.reserveWorker(idx, bl, now.Add(reservationTime))
-		return evictAll(las, reason), true
+	idx, las, ok := pl.workerWithFewestEvictions(bl, need, canEvict)
+	if !ok {
+		return nil, false
 	}
-	if wt, _ := bl.peek(); now.Sub(wt.since) >= largeTaskDelay && len(bl.reserved) == 0 {
-		if idx, ok := pl.workerWithMostFree(spec, need); ok {
-			pl.reserveWorker(idx, bl, now.Add(largeTaskReservationTime))
-			return nil, true
+	for _, res := range bl.reservations {
+		if !res.evicting && res.workerIndex != idx {
+			pl.endReservation(now, res, outcomeMoved)
+			break
 		}
 	}
-	return nil, false
+	pl.endClaimOn(now, idx)
+	pl.reserve(now, &reservation{
+		bl: bl, workerIndex: idx, rank: rankOf(spec.Priority, false), need: need, evicting: true, until: now.Add(reservationTime),
+	})
+	return evictAll(las, reason), true
 }
 
-// reserveWorker reserves the worker for a task of the job until the given time.
-func (pl *Planner[P]) reserveWorker(idx int32, bl *backlog, until model.Instant) {
-	wst := &pl.statuses[idx]
-	wst.reservedFor, wst.reservedUntil = bl, until
-	bl.reserved = append(bl.reserved, idx)
-	pl.index.Remove(idx)
-}
-
-// workerWithFewestEvictions returns the worker, among those that are unreserved
-// and allowed for the job, on which the fewest evictions make room for need,
-// and the attempts to evict. With useFree, the worker's free resources count
-// towards need.
-func (pl *Planner[P]) workerWithFewestEvictions(spec *JobSpec, need model.Resources, canEvict func(*liveAttempt) bool, useFree bool) (int32, []*liveAttempt, bool) {
+// workerWithFewestEvictions returns the worker on which the fewest evictions
+// make room for need, and the attempts to evict. Workers that are not allowed
+// for the job are left out, and those with a reservation that must not be
+// replaced. The worker's free resources count towards need unless the batch
+// share is used up: then the evictions have to cover the whole need.
+func (pl *Planner[P]) workerWithFewestEvictions(bl *backlog, need model.Resources, canEvict func(*liveAttempt) bool) (int32, []*liveAttempt, bool) {
+	rank := rankOf(bl.job.spec.Priority, false)
 	best, las, found := int32(0), []*liveAttempt(nil), false
 	for i := range pl.statuses {
 		idx := int32(i)
-		if pl.statuses[i].reservedFor != nil || !pl.allowsJob(idx, spec) || !need.FitsIn(pl.st.workers[i].size) {
+		if !pl.mayClaim(bl, idx, rank) || !pl.allowsJob(idx, &bl.job.spec) || !need.FitsIn(pl.st.workers[i].size) {
 			continue
 		}
 		free := model.Resources{}
-		if useFree {
-			free = pl.st.workers[i].free()
+		if bl.reason == ReasonNoCapacity {
+			free = pl.freeRoom(idx)
 		}
 		got, ok := pl.attemptsToEvict(idx, need, free, canEvict)
 		if ok && (!found || len(got) < len(las)) {
@@ -213,22 +172,6 @@
 	return best, las, found
 }
 
-// workerWithMostFree returns the worker with the most free CPU among those that
-// are unreserved, allowed for the job and large enough for need when empty.
-func (pl *Planner[P]) workerWithMostFree(spec *JobSpec, need model.Resources) (int32, bool) {
-	best, found, most := int32(0), false, int64(0)
-	for i, wk := range pl.st.workers {
-		idx := int32(i)
-		if pl.statuses[i].reservedFor != nil || !pl.allowsJob(idx, spec) || !need.FitsIn(wk.size) {
-			continue
-		}
-		if free := wk.free().MilliCPU(); !found || free > most {
-			best, found, most = idx, true, free
-		}
-	}
-	return best, found
-}
-
 // attemptsToEvict returns a small set of attempts on the worker whose end makes
 // room for need: the smallest attempt that suffices alone, else attempts chosen
 // by mostCovering until they suffice. It returns false if no set suffices. free
--- a/core/sched/grow.go
+++ b/core/sched/grow.go
@@ -80,6 +80,11 @@
 // growthThrottleTime; for another attempt, batch attempts are evicted.
 func (pl *Planner[P]) growAttempt(now model.Instant, idx int32, la *liveAttempt) []Op {
 	size, peak := la.task().size.resources(), la.peak.resources()
+	// A running attempt may grow into room that is reserved for a waiting task.
+	if res := pl.statuses[idx].reservation; res != nil {
+		pl.release(res)
+		defer pl.withhold(res)
+	}
 	free := pl.st.workers[idx].free()
 	if pl.index.Listed(idx) {
 		free = pl.index.Free(idx)
--- a/core/sched/oracle_test.go
+++ b/core/sched/oracle_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"guavarail/core/model"
+	"guavarail/core/place"
 )
 
 // fatalReporter is the part of testing.TB that the oracle uses.
@@ -188,6 +190,33 @@
 	if committed != pl.accounts.committed {
 		orc.tb.Fatalf("planner counts commitments of %v, state %v", pl.accounts.committed, committed)
 	}
+	orc.checkReservations(pl)
+}
+
+// checkReservations checks that the sums over the reservations add up, that
+// their number is bounded, and that no room is withheld without one.
+func (orc *oracle) checkReservations(pl *Planner[place.BestFit]) {
+	claims, withheld := 0, [2]int64{}
+	for _, res := range pl.reservations {
+		if pl.statuses[res.workerIndex].reservation != res || !slices.Contains(res.bl.reservations, res) {
+			orc.tb.Fatalf("the reservation on worker %d for %s is not listed", res.workerIndex, res.bl.job.spec.ID)
+		}
+		if !res.evicting {
+			claims++
+		}
+		if int(res.rank) < len(withheld) {
+			withheld[res.rank] += res.withheld.MilliCPU()
+		}
+	}
+	if claims != pl.claims || withheld != pl.withheldBatch || claims > maxClaims {
+		orc.tb.Fatalf("%d claims, counted as %d; they withhold %v, counted as %v", claims, pl.claims, withheld, pl.withheldBatch)
+	}
+	for idx, wk := range pl.st.workers {
+		free := pl.freeRoom(int32(idx))
+		if !pl.inFlight.active && pl.index.Listed(int32(idx)) && free != wk.free() {
+			orc.tb.Fatalf("planner counts %v as free on %s, the state %v", free, wk.id, wk.free())
+		}
+	}
 }
 
 // allFinal reports whether every task is in a final state.
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -75,6 +75,10 @@
 	// overSince is the time since which the usage exceeds a commitment that
 	// cannot grow; 0 while that is not the case.
 	overSince stamp
+	// runTime is the expected run time of the attempt in units of stampUnit, 0
+	// if it is unknown. stopping: its stop was requested.
+	runTime  uint32
+	stopping bool
 	// throttleForGrowth and throttleForService: the attempt must be limited to
 	// its commitment, because its usage exceeds it or because it slows a
 	// service. throttled: the worker reported that it limits the attempt.
@@ -112,10 +116,8 @@
 	// nextExpiry is a time before which no lease on the worker expires; 0 to
 	// check all leases at the next tick.
 	nextExpiry model.Instant
-	// reservedFor is the backlog of the job for which the worker is reserved
-	// until reservedUntil, nil for none.
-	reservedFor   *backlog
-	reservedUntil model.Instant
+	// reservation keeps room on the worker for a waiting task, nil for none.
+	reservation *reservation
 	// services lists the services on the worker whose tail latency was measured
 	// within serviceTimeout.
 	services []measuredService
@@ -160,6 +162,18 @@
 	failures health.Tracker
 	kinds    kindTable
 	guard    guard.Guard
+	// reservations lists the reservations in the order in which they were made.
+	// claims counts those without evictions.
+	reservations []*reservation
+	claims       int
+	// withheldBatch sums the CPU, in milliCPU, that the reservations for batch
+	// tasks withhold, by rank.
+	withheldBatch [2]int64
+	// claimCursor is the index of the worker that the last search for a worker to
+	// claim examined last.
+	claimCursor int32
+	// endings is a buffer of roomWait.
+	endings []ending
 	// batchAttempts counts the live batch attempts.
 	batchAttempts int
 	// charges are the commitments that were added to accounts for the plan
@@ -173,8 +187,10 @@
 	guardEvictions []Op
 	// failOps fail jobs that keep failing, for the next plan.
 	failOps []Op
-	// workerSizes are the distinct sizes of the registered workers.
-	workerSizes []model.Resources
+	// registeredWorkers counts the registered workers, workerSizes are their
+	// distinct sizes.
+	registeredWorkers int
+	workerSizes       []model.Resources
 	// reportOps are operations derived from worker reports and from expired
 	// leases; they come first in the next proposal.
 	reportOps []Op
@@ -265,7 +281,7 @@
 	if !pl.mayStart(now) {
 		return ops, nil
 	}
-	pl.expireReservations(now)
+	pl.updateReservations(now)
 	starts, placements := pl.planStarts(now)
 	ops = append(ops, starts...)
 	return append(ops, pl.planEvictions(now)...), placements
@@ -317,6 +333,7 @@
 	}
 	wst.attempts = append(wst.attempts, liveAttempt{
 		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, leaseFrom: now, recordedAt: stampOf(now), orderedAt: ordered,
+		runTime: pl.expectedRunTime(&re.job.spec), stopping: tk.state == Stopping,
 	})
 	wst.nextExpiry = 0
 	if re.job.spec.Priority == model.Batch {
@@ -331,12 +348,16 @@
 func (pl *Planner[P]) updateIndex(idx int32) {
 	wst, wk := &pl.statuses[idx], pl.st.workers[idx]
 	sta := pl.failures.Standing(wk.id)
-	if !wk.registered || !wst.reporting || wst.shrunk || wst.reservedFor != nil ||
+	if !wk.registered || !wst.reporting || wst.shrunk ||
 		sta == health.Quarantined || sta == health.OnProbation && len(wst.attempts) > 0 {
 		pl.index.Remove(idx)
 		return
 	}
 	pl.index.Set(idx, wk.rack, wk.free())
+	if res := wst.reservation; res != nil {
+		pl.countWithheld(res, -1)
+		pl.withhold(res)
+	}
 }
 
 func (pl *Planner[P]) emit(kind event.Kind, sub event.Subject, fis ...event.Field) {
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"time"
+
 	"guavarail/core/model"
 	"guavarail/core/place"
 )
@@ -26,9 +28,18 @@
 	racks place.Racks
 	// reason is why the oldest task has not been placed.
 	reason Reason
-	// reserved are the indexes of the workers that are reserved for the oldest
-	// waiting tasks.
-	reserved []int32
+	// reservations keep room for the oldest waiting tasks.
+	reservations []*reservation
+	// progressAt is the time at which the job last started a task, or else was
+	// queued first.
+	progressAt model.Instant
+	// claimAfter is the time before which no worker to claim is searched, and
+	// claimRetryIn the interval up to it after a search that found none.
+	claimAfter   model.Instant
+	claimRetryIn time.Duration
+	// renewals counts how often the present claim was compared with other
+	// workers.
+	renewals int
 }
 
 // teamQueue holds the backlogs of one team by priority.
@@ -95,6 +106,9 @@
 // push queues a task that waits since the given time, as the newest of its job.
 func (qu *queue) push(re ref, since model.Instant) {
 	bl := qu.backlog(re.job)
+	if bl.progressAt == 0 {
+		bl.progressAt = since
+	}
 	bl.waiting = append(bl.waiting, waitingTask{index: re.index, since: since})
 	if !bl.queued {
 		bl.queued = true
--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"guavarail/core/event"
 	"guavarail/core/model"
 	"guavarail/core/place"
 )
@@ -73,10 +74,15 @@
 	// duplicate; nextDelay is the delay of the next message.
 	loseNext, duplicateNext int
 	nextDelay               time.Duration
+	// stopTime is how long attempts take to stop on an order, up to its grace; 0
+	// for 300 ms. The attempts of one order stop one after the other within it.
+	stopTime time.Duration
+	// events counts the events by kind.
+	events map[event.Kind]int
 }
 
 func newSimulation(orc *oracle, workers int) *simulation {
-	sim := &simulation{oracle: orc, polls: map[uint64]message{}, preset: model.Preset{}}
+	sim := &simulation{oracle: orc, polls: map[uint64]message{}, events: map[event.Kind]int{}}
 	for range 2 {
 		vm := &replica{}
 		vm.planner = NewPlanner(&vm.state, place.BestFit{})
@@ -152,6 +158,8 @@
 			}
 		case Answer:
 			sim.answer(msg)
+		case RecordEvent:
+			sim.events[msg.ev.Kind()]++
 		}
 	}
 }
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -55,6 +55,8 @@
 	// unplaceable holds, by priority, the sizes for which the policy found no
 	// worker in this round.
 	unplaceable [model.Urgent + 1][]model.Resources
+	// claimant is the job to make a claim for, its bl is nil for none.
+	claimant claimant
 }
 
 // planStarts chooses workers for waiting tasks: first tasks within the quota of
@@ -69,6 +71,7 @@
 		}
 	}
 	pl.startByShare(now, rnd, model.Batch, true)
+	pl.claimRoom(now, rnd)
 	return rnd.ops, rnd.placements
 }
 
@@ -113,25 +116,29 @@
 		bl.reason = pl.startTask(now, rnd, bl, wt, borrow)
 		if bl.reason == NoReason {
 			bl.head++
+			bl.progressAt = now
 			return true
 		}
+		if bl.reason.lacksRoom() {
+			rnd.passOver(now, bl, borrow)
+		}
 	}
 	return false
 }
 
 // startTask chooses a worker for one task and adds the start to the round. It
 // returns why the task cannot start, else NoReason.
-func (pl *Planner[P]) startTask(_ model.Instant, rnd *round, bl *backlog, wt waitingTask, borrow bool) Reason {
+func (pl *Planner[P]) startTask(now model.Instant, rnd *round, bl *backlog, wt waitingTask, borrow bool) Reason {
 	spec := &bl.job.spec
 	need := pl.commitment(spec)
-	if reason := pl.checkLimits(spec, need, borrow); reason != NoReason {
+	if reason := pl.checkLimits(bl, need, borrow); reason != NoReason {
 		return reason
 	}
-	idx, ok := pl.chooseWorker(rnd, bl, need)
+	idx, ok := pl.chooseWorker(now, rnd, bl, need, borrow)
 	if !ok {
 		return ReasonNoCapacity
 	}
-	borrow = borrow && !pl.withinQuota(spec.Team, need)
+	borrow = borrow && !pl.withinQuota(bl, need)
 	tk := &bl.job.tasks[wt.index]
 	id := model.NewTaskID(spec.ID, int(wt.index))
 	rnd.ops = append(rnd.ops, Start(id, tk.attempt+1, pl.st.workers[idx].id, need, tk.newest, borrow))
@@ -143,8 +150,9 @@
 // checkLimits checks the limits that do not depend on a worker, and returns the
 // reason if one is exceeded. borrow lifts the quota; planStarts sets it only
 // for batch tasks, because only batch tasks are evicted to return quota.
-func (pl *Planner[P]) checkLimits(spec *JobSpec, need model.Resources, borrow bool) Reason {
-	if !borrow && !pl.withinQuota(spec.Team, need) {
+func (pl *Planner[P]) checkLimits(bl *backlog, need model.Resources, borrow bool) Reason {
+	spec := &bl.job.spec
+	if !borrow && !pl.withinQuota(bl, need) {
 		return ReasonQuota
 	}
 	total := pl.accounts.total.MilliCPU()
@@ -153,7 +161,7 @@
 		return ReasonAdmission
 	}
 	if spec.Priority == model.Batch &&
-		pl.accounts.batch.MilliCPU()+need.MilliCPU() > total*int64(pl.lastTick.Preset.BatchShare())/100 {
+		pl.accounts.batch.MilliCPU()+pl.withheldShare(bl, rankOf(spec.Priority, borrow))+need.MilliCPU() > total*int64(pl.lastTick.Preset.BatchShare())/100 {
 		return ReasonBatchShare
 	}
 	return NoReason
@@ -162,10 +170,11 @@
 // withinQuota reports whether need fits in the unused quota of the team. A
 // preset without quotas sets no limits; in a preset with quotas, a team without
 // one has a quota of zero.
-func (pl *Planner[P]) withinQuota(id model.TeamID, need model.Resources) bool {
+func (pl *Planner[P]) withinQuota(bl *backlog, need model.Resources) bool {
 	if len(pl.quotas) == 0 {
 		return true
 	}
+	id := bl.team.team
 	lim := pl.quotas[id].Limit()
 	if pl.lastTick.QuotaPercent > 0 {
 		lim = percent(lim, pl.lastTick.QuotaPercent)
@@ -193,15 +202,24 @@
 	return spec.Size
 }
 
-// chooseWorker chooses a worker for a task of the job and returns the worker's
-// index, or false if there is none. A worker reserved for the job comes first;
-// any other is chosen by the policy, and need is reserved on it in the
-// placement index.
-func (pl *Planner[P]) chooseWorker(rnd *round, bl *backlog, need model.Resources) (int32, bool) {
-	pri := bl.job.spec.Priority
-	if idx, ok := pl.useReservation(bl, need); ok {
+// chooseWorker chooses a worker for a task of the job, reserves need on it in
+// the placement index and returns the worker's index, or false if there is
+// none. A worker reserved for the job comes first, then the choice of the
+// policy, then a worker on which another job has a claim that yields.
+func (pl *Planner[P]) chooseWorker(now model.Instant, rnd *round, bl *backlog, need model.Resources, borrow bool) (int32, bool) {
+	if idx, ok := pl.useReservation(now, bl, need); ok {
+		return idx, true
+	}
+	if idx, ok := pl.chooseUnreserved(rnd, bl, need); ok {
 		return idx, true
 	}
+	return pl.overtakeClaim(now, bl, need, rankOf(bl.job.spec.Priority, borrow))
+}
+
+// chooseUnreserved lets the policy choose a worker, without the room that is
+// reserved for other tasks.
+func (pl *Planner[P]) chooseUnreserved(rnd *round, bl *backlog, need model.Resources) (int32, bool) {
+	pri := bl.job.spec.Priority
 	for _, size := range rnd.unplaceable[pri] {
 		if size.FitsIn(need) {
 			return 0, false
--- a/core/sched/values.go
+++ b/core/sched/values.go
@@ -131,6 +131,9 @@
 // String returns the name used in the API.
 func (re Reason) String() string { return nameOf(reasonNames[:], int(re)) }
 
+// lacksRoom reports whether a task waits because others use the workers.
+func (re Reason) lacksRoom() bool { return re == ReasonNoCapacity || re == ReasonBatchShare }
+
 func nameOf(names []string, i int) string {
 	if i < len(names) {
 		return names[i]
--- a/core/sched/worker_test.go
+++ b/core/sched/worker_test.go
@@ -186,7 +186,7 @@
 		wk.highestAttempt[or.task] = max(wk.highestAttempt[or.task], or.attempt)
 		if fa := wk.find(or.task); fa != nil && fa.attempt == or.attempt && fa.stopAt == 0 {
 			wk.checkpoint(fa)
-			fa.stopAt = now.Add(min(or.grace, 300*time.Millisecond))
+			fa.stopAt = now.Add(min(or.grace, wk.stopTime()))
 		}
 	case OrderForget:
 		wk.attempts = slices.DeleteFunc(wk.attempts, func(fa *fakeAttempt) bool {
@@ -200,6 +200,21 @@
 	}
 }
 
+// stopTime returns how long the next attempt takes to stop: simulation.stopTime,
+// a quarter of it earlier for each other attempt that stops already.
+func (wk *fakeWorker) stopTime() time.Duration {
+	if wk.sim.stopTime == 0 {
+		return 300 * time.Millisecond
+	}
+	dur := wk.sim.stopTime
+	for _, fa := range wk.attempts {
+		if fa.stopAt != 0 && fa.state == AttemptRunning {
+			dur -= wk.sim.stopTime / 4
+		}
+	}
+	return dur
+}
+
 func (wk *fakeWorker) start(msg message, or Order) {
 	if or.attempt <= wk.highestAttempt[or.task] {
 		return
