core/sched: reserve evicted room until the attempts have stopped

Callers would see a task within quota wait for minutes while attempts are evicted for it again and again. Evicted attempts may take 20 s to write their checkpoint, but the room was reserved for 5 s: what was free by then went to other tasks, which were evicted next.

Test on, with attempts that take up to 18 s to stop: "1 of 1 tasks of large wait after 1m0s: batchShare", "7 evictions, 4 make room".

After: 4 evictions, start after 28.65 s of 60 s.

--- a/core/sched/evict.go
+++ b/core/sched/evict.go
@@ -139,7 +139,7 @@
 	}
 	pl.endClaimOn(now, idx)
 	pl.reserve(now, &reservation{
-		bl: bl, workerIndex: idx, rank: rankOf(spec.Priority, false), need: need, evicting: true, until: now.Add(reservationTime),
+		bl: bl, workerIndex: idx, rank: rankOf(spec.Priority, false), need: need, evicting: true, until: now.Add(grace(reason) + evictionSlack),
 	})
 	return evictAll(las, reason), true
 }
--- a/core/sched/order_test.go
+++ b/core/sched/order_test.go
@@ -193,6 +193,20 @@
 			sim.submitWhole(t, "now", "kiln", model.Urgent, 1)
 			startsWithin(t, sim, "now", runTime+endToStart, st)
 		}},
+		{"reclaim while evicted attempts stop slowly", func(t *testing.T) {
+			sim := newEmptySimulation(t, 2, model.PresetSpec{BatchSharePercent: 100, Quotas: []model.Quota{
+				model.NewQuota("fleet", model.NewResources(4000, 4000, 0), 1), model.NewQuota("kiln", model.NewResources(4000, 4000, 0), 1),
+			}})
+			sim.stopTime = 18 * time.Second
+			st := newStream(sim, JobSpec{Team: "fleet", RunTime: time.Hour}, 8, time.Hour)
+			st.interval = time.Second
+			fill(t, sim, 10*time.Second, st)
+			sim.submitWhole(t, "large", "kiln", model.Batch, 1)
+			startsWithin(t, sim, "large", quotaBound, st)
+			if got := sim.evictions(ReasonReclaim); got > 4 {
+				t.Errorf("%d evictions, 4 make room", got)
+			}
+		}},
 		{"batch share", func(t *testing.T) {
 			sim := newEmptySimulation(t, 2, model.PresetSpec{BatchSharePercent: 50})
 			st := newStream(sim, JobSpec{Team: "fleet", RunTime: smallRunTime}, 4, smallRunTime)
--- a/core/sched/reserve.go
+++ b/core/sched/reserve.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// reservationTime is how long a worker is reserved for a task while
-	// evicted attempts stop.
-	reservationTime = 5 * time.Second
+	// evictionSlack is the time, besides the grace of the evicted attempts, in
+	// which their stops are ordered, reported and recorded.
+	evictionSlack = 5 * time.Second
 	// reservationEventDelay is how long a reservation lasts before events report
 	// it, so that their rate is bounded while each is used within a tick.
 	reservationEventDelay = time.Second
