core/sched: count slow stops as free only if they end in time

Urgent callers would see starts later than 7.7 s: attempts that stop for another reason may take 20 s, but counted as free room, so that their worker needed the fewest evictions and the urgent task waited for it.

Test on: "1 of 1 tasks of now wait after 7.7s: noCapacity".

Stopping attempts now count only if their grace ends within that of the evictions that are considered: 2 s for urgent work, 20 s otherwise. Where they would have to be waited for, urgent work evicts on another worker.

--- a/core/sched/evict.go
+++ b/core/sched/evict.go
@@ -127,7 +127,7 @@
 	if !pl.withinQuota(bl, need) {
 		return nil, false
 	}
-	idx, las, ok := pl.workerWithFewestEvictions(bl, need, canEvict)
+	idx, las, ok := pl.workerWithFewestEvictions(now, bl, need, canEvict, reason)
 	if !ok {
 		return nil, false
 	}
@@ -149,7 +149,7 @@
 // for the job are left out, and those with a reservation that must not be
 // replaced. The worker's free resources count towards need unless the batch
 // share is used up: then the evictions have to cover the whole need.
-func (pl *Planner[P]) workerWithFewestEvictions(bl *backlog, need model.Resources, canEvict func(*liveAttempt) bool) (int32, []*liveAttempt, bool) {
+func (pl *Planner[P]) workerWithFewestEvictions(now model.Instant, bl *backlog, need model.Resources, canEvict func(*liveAttempt) bool, reason Reason) (int32, []*liveAttempt, bool) {
 	rank := rankOf(bl.job.spec.Priority, false)
 	best, las, found := int32(0), []*liveAttempt(nil), false
 	for i := range pl.statuses {
@@ -161,7 +161,7 @@
 		if bl.reason == ReasonNoCapacity {
 			free = pl.freeRoom(idx)
 		}
-		got, ok := pl.attemptsToEvict(idx, need, free, canEvict)
+		got, ok := pl.attemptsToEvict(now, idx, need, free, canEvict, grace(reason))
 		if ok && (!found || len(got) < len(las)) {
 			best, las, found = idx, got, true
 			if len(got) <= 1 {
@@ -176,15 +176,18 @@
 // room for need: the smallest attempt that suffices alone, else attempts chosen
 // by mostCovering until they suffice. It returns false if no set suffices. free
 // is the part of the worker's free resources to count. Stopping attempts count
-// as free. Attempts with an expired lease are not chosen, because their end is
-// being recorded already.
-func (pl *Planner[P]) attemptsToEvict(idx int32, need, free model.Resources, canEvict func(*liveAttempt) bool) ([]*liveAttempt, bool) {
+// as free if their grace ends within the given time. Attempts with an expired
+// lease are not chosen, because their end is being recorded already.
+func (pl *Planner[P]) attemptsToEvict(now model.Instant, idx int32, need, free model.Resources, canEvict func(*liveAttempt) bool, within time.Duration) ([]*liveAttempt, bool) {
 	wst := &pl.statuses[idx]
 	var cands []*liveAttempt
 	for i := range wst.attempts {
 		la := &wst.attempts[i]
 		switch {
 		case la.task().state == Stopping:
+			if la.graceLeft(now) > within {
+				continue
+			}
 			free = free.Add(la.size.resources())
 		case canEvict(la) && !la.leaseExpired:
 			cands = append(cands, la)
--- a/core/sched/grow.go
+++ b/core/sched/grow.go
@@ -98,7 +98,7 @@
 		}
 	}
 	if la.ref.job.spec.Priority != model.Batch {
-		return pl.evictForGrowth(idx, size.Max(peak).Sub(size))
+		return pl.evictForGrowth(now, idx, size.Max(peak).Sub(size))
 	}
 	switch {
 	case la.overSince == 0:
@@ -111,8 +111,8 @@
 
 // evictForGrowth evicts batch attempts of the worker so that a commitment can
 // grow by more.
-func (pl *Planner[P]) evictForGrowth(idx int32, more model.Resources) []Op {
-	las, ok := pl.attemptsToEvict(idx, more, pl.st.workers[idx].free(), evictable)
+func (pl *Planner[P]) evictForGrowth(now model.Instant, idx int32, more model.Resources) []Op {
+	las, ok := pl.attemptsToEvict(now, idx, more, pl.st.workers[idx].free(), evictable, grace(ReasonGrowth))
 	if !ok {
 		return nil
 	}
--- a/core/sched/order_test.go
+++ b/core/sched/order_test.go
@@ -96,6 +96,12 @@
 	return sim
 }
 
+// workerOf returns the worker of the live attempt of a task.
+func (sim *simulation) workerOf(tid model.TaskID) model.WorkerID {
+	tv, _ := sim.leader.state.Task(tid)
+	return tv.Worker()
+}
+
 // submitWhole submits a job whose tasks need a whole worker each for an hour.
 func (sim *simulation) submitWhole(t *testing.T, id model.JobID, team model.TeamID, pri model.Priority, tasks int) {
 	sim.submit(t, JobSpec{ID: id, Team: team, Priority: pri, Tasks: tasks, Size: wholeWorker, RunTime: time.Hour},
@@ -207,6 +213,20 @@
 				t.Errorf("%d evictions, 4 make room", got)
 			}
 		}},
+		{"urgent while attempts stop slowly for another reason", func(t *testing.T) {
+			sim := newEmptySimulation(t, 2, share)
+			sim.stopTime = 18 * time.Second
+			sim.submitBatch(t, "filler", "fleet", 8, 1000)
+			sim.run(2 * time.Second)
+			sim.submitBatch(t, "next", "fleet", 8, 1000)
+			for i := range 8 {
+				if tid := model.NewTaskID("filler", i); sim.workerOf(tid) == sim.workers[0].id {
+					sim.commit(NewCommand(Evict(tid, 1, ReasonGrowth)))
+				}
+			}
+			sim.submitWhole(t, "now", "kiln", model.Urgent, 1)
+			startsWithin(t, sim, "now", urgentBound)
+		}},
 		{"batch share", func(t *testing.T) {
 			sim := newEmptySimulation(t, 2, model.PresetSpec{BatchSharePercent: 50})
 			st := newStream(sim, JobSpec{Team: "fleet", RunTime: smallRunTime}, 4, smallRunTime)
