core/sched: hold quota for the first job of a team that waits for it

Callers would see a large task of a team wait for quota as long as the team has smaller ones: each took the part of the quota that became free. A batch task could borrow instead, but found no room, and without quota nothing was evicted for it.

Tests on: a service, "1 of 1 tasks of large wait after 41.2s: quota"; a batch task of a team just under its quota, "1 of 1 tasks of large wait after 1m0s: batchShare".

The first job of a team that waits for quota, and can ever have it, now holds its need in the plan; later tasks of the team don't use it. A batch task holds quota only if the last plan found no room for it, because else it borrows. The cost: smaller batch tasks of the team that start meanwhile may be borrowed, so that other teams may reclaim them.

--- a/core/sched/order_test.go
+++ b/core/sched/order_test.go
@@ -227,6 +227,25 @@
 			sim.submitWhole(t, "now", "kiln", model.Urgent, 1)
 			startsWithin(t, sim, "now", urgentBound)
 		}},
+		{"quota of a service", func(t *testing.T) {
+			sim := newEmptySimulation(t, 3, model.PresetSpec{BatchSharePercent: 100, Quotas: []model.Quota{
+				model.NewQuota("kiln", model.NewResources(4000, 4000, 0), 1),
+			}})
+			st := newStream(sim, JobSpec{Team: "kiln", Priority: model.Service, RunTime: smallRunTime}, 4, smallRunTime)
+			fill(t, sim, smallRunTime, st)
+			sim.submitWhole(t, "large", "kiln", model.Service, 1)
+			startsWithin(t, sim, "large", smallRunTime+endToStart, st)
+		}},
+		{"quota of a batch task", func(t *testing.T) {
+			sim := newEmptySimulation(t, 2, model.PresetSpec{BatchSharePercent: 100, Quotas: []model.Quota{
+				model.NewQuota("kiln", model.NewResources(5000, 6000, 0), 1), model.NewQuota("fleet", model.NewResources(2000, 6000, 0), 1),
+			}})
+			st := newStream(sim, JobSpec{Team: "kiln", RunTime: smallRunTime}, 5, smallRunTime)
+			other := newStream(sim, JobSpec{Team: "fleet", RunTime: smallRunTime}, 2, smallRunTime)
+			fill(t, sim, smallRunTime, st, other)
+			sim.submitWhole(t, "large", "kiln", model.Batch, 1)
+			startsWithin(t, sim, "large", quotaBound, st, other)
+		}},
 		{"batch share", func(t *testing.T) {
 			sim := newEmptySimulation(t, 2, model.PresetSpec{BatchSharePercent: 50})
 			st := newStream(sim, JobSpec{Team: "fleet", RunTime: smallRunTime}, 4, smallRunTime)
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -49,6 +49,11 @@
 	// cursor is the index, in the backlogs of the priority being planned, of
 	// the job to try next.
 	cursor int
+	// quotaHolder is the first job in the order that waits for quota in the plan
+	// being made, nil for none. heldQuota is the need of its oldest task, which
+	// later jobs leave free.
+	quotaHolder *backlog
+	heldQuota   model.Resources
 	// share is the weighted dominant share, valid during startByShare.
 	share float64
 }
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -64,6 +64,9 @@
 // with the lowest weighted share comes first.
 func (pl *Planner[P]) planStarts(now model.Instant) ([]Op, []placement) {
 	rnd := &round{}
+	for _, tq := range pl.queue.teamOrder {
+		tq.quotaHolder = nil
+	}
 	for pri := model.Urgent; ; pri-- {
 		pl.startByShare(now, rnd, pri, false)
 		if pri == model.Batch {
@@ -153,6 +156,7 @@
 func (pl *Planner[P]) checkLimits(bl *backlog, need model.Resources, borrow bool) Reason {
 	spec := &bl.job.spec
 	if !borrow && !pl.withinQuota(bl, need) {
+		pl.holdQuota(bl, need)
 		return ReasonQuota
 	}
 	total := pl.accounts.total.MilliCPU()
@@ -167,19 +171,41 @@
 	return NoReason
 }
 
-// withinQuota reports whether need fits in the unused quota of the team. A
-// preset without quotas sets no limits; in a preset with quotas, a team without
-// one has a quota of zero.
+// withinQuota reports whether need fits in the unused quota of the team, without
+// the quota that is held for another job. A preset without quotas sets no
+// limits; in a preset with quotas, a team without one has a quota of zero.
 func (pl *Planner[P]) withinQuota(bl *backlog, need model.Resources) bool {
 	if len(pl.quotas) == 0 {
 		return true
 	}
-	id := bl.team.team
+	tq := bl.team
+	used := pl.accounts.team(tq.team).quotaUsed
+	if tq.quotaHolder != nil && tq.quotaHolder != bl {
+		used = used.Add(tq.heldQuota)
+	}
+	return used.Add(need).FitsIn(pl.quotaLimit(tq.team))
+}
+
+// quotaLimit returns the quota of the team in this data centre.
+func (pl *Planner[P]) quotaLimit(id model.TeamID) model.Resources {
 	lim := pl.quotas[id].Limit()
 	if pl.lastTick.QuotaPercent > 0 {
 		lim = percent(lim, pl.lastTick.QuotaPercent)
 	}
-	return pl.accounts.team(id).quotaUsed.Add(need).FitsIn(lim)
+	return lim
+}
+
+// holdQuota holds quota for a task that waits for it, if it is the first of its
+// team and can ever have it. Otherwise smaller tasks that come later in the
+// order would use each part of the quota that becomes free. A batch task may
+// borrow instead, and needs the quota only if the last plan found no room for it.
+func (pl *Planner[P]) holdQuota(bl *backlog, need model.Resources) {
+	if bl.job.spec.Priority == model.Batch && !bl.reason.lacksRoom() {
+		return
+	}
+	if tq := bl.team; tq.quotaHolder == nil && need.FitsIn(pl.quotaLimit(tq.team)) {
+		tq.quotaHolder, tq.heldQuota = bl, need
+	}
 }
 
 func quotasOf(pre model.Preset) map[model.TeamID]model.Quota {
