Use one dominant share in core/sched and core/flow

The share of a team in core/sched was worked out beside model.Resources.DominantShare, which came with the claims of core/flow. No change of behaviour; go test ./core/sched passes.

--- a/core/sched/accounts.go
+++ b/core/sched/accounts.go
@@ -52,20 +52,7 @@
 // share returns the weighted dominant share of the account: its largest
 // fraction of the capacity in any dimension, divided by the weight.
 func (ta *teamAccounts) share(acc *account, weight int) float64 {
-	sum := acc.quotaUsed.Add(acc.borrowed)
-	dom := max(
-		fraction(sum.MilliCPU(), ta.total.MilliCPU()),
-		fraction(sum.MemoryMB(), ta.total.MemoryMB()),
-		fraction(sum.Accelerators(), ta.total.Accelerators()),
-	)
-	return dom / float64(max(weight, 1))
-}
-
-func fraction(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
+	return acc.quotaUsed.Add(acc.borrowed).DominantShare(ta.total) / float64(max(weight, 1))
 }
 
 // percent returns the given percentage of an amount.
