Commit an entry only once it is on one disk more than may be lost

Cause: a commit needed a majority of the voters that there happen to be. A cell with losses=2 is founded by three seeds, and repair shrinks five voters to three after two emptied disks. With three voters two copies acknowledge, though two disks may be lost.

Change: Config.MinCopies. A commit needs max(majority, min(MinCopies, voters)) disks; a cell sets losses+1. Elections, the lease and the contact of a quorum keep the majority. A commit needs no fewer voters than an election, so each leader still has every committed entry.

A cell must not stop for good because its commit cannot be reached: an entry that a majority has in the leader's term is chosen, each later leader has it, and the next membership change may follow it. So a missing copy can be replaced although nothing is committed meanwhile. The removal of a voter now waits until enough of the others, for a commit without it, have every chosen entry and have replied since the request; a majority of replies was too little.

Nothing that is stored or sent has changed; MinCopies is a rule of the leader.

membersChanged has the fields voters and commitCopies.

--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -39,7 +39,7 @@
 func (n *Node) rejectionReason(chg Change) string {
 	mem, ok := n.members().Find(chg.vm)
 	switch {
-	case n.members().bootstrap || n.commit < n.leaderState.termStart || n.configs[len(n.configs)-1].index > n.commit:
+	case n.members().bootstrap || n.chosenIndex() < n.leaderState.termStart || n.configs[len(n.configs)-1].index > n.chosenIndex():
 		return "the last change is not committed yet, retry later"
 	case n.leaderState.pendingChange != nil:
 		return "another change is under way, retry later"
@@ -77,11 +77,26 @@
 	return reachable >= majority(len(vots))
 }
 
+// copiedWithout reports whether as many voters other than vm as a commit needs
+// under the configuration without vm have every chosen entry on disk and have
+// replied to a message that was sent at or after the given time. The commit index
+// would not do: a new leader does not know yet what earlier ones committed.
+func (n *Node) copiedWithout(vm model.VMID, since model.Instant) bool {
+	mems := n.members().without(vm)
+	copies := 0
+	for _, mem := range mems.voters() {
+		if n.repliedSince(mem.vm, since) && n.matchOf(mem) >= n.chosenIndex() {
+			copies++
+		}
+	}
+	return copies >= n.commitCopies(mems)
+}
+
 // tryPendingChange appends the pending change once the members that it depends
 // on have replied to a message sent after the request; an earlier reply may
 // come from a disk that has been lost since. A promotion depends on the learner,
-// which must also have every committed entry on disk, and the removal of a voter
-// on a majority of the other voters.
+// which must also have every chosen entry on disk, and the removal of a voter on
+// enough of the other voters for a commit without it.
 func (n *Node) tryPendingChange() {
 	pc := n.leaderState.pendingChange
 	if pc == nil || n.state != leader {
@@ -91,10 +106,10 @@
 	switch vm := pc.change.vm; pc.change.kind {
 	case Promote:
 		pr := n.leaderState.peers[vm]
-		ready = pr != nil && pr.disk != "" && pr.match >= n.commit && n.repliedSince(vm, n.leaderState.changeProposedAt)
+		ready = pr != nil && pr.disk != "" && pr.match >= n.chosenIndex() && n.repliedSince(vm, n.leaderState.changeProposedAt)
 	case Remove:
 		mem, _ := n.members().Find(vm)
-		ready = !mem.voter || n.quorumWithout(vm, n.leaderState.changeProposedAt)
+		ready = !mem.voter || n.copiedWithout(vm, n.leaderState.changeProposedAt)
 	}
 	if ready {
 		n.appendChange()
--- a/core/quorum/config.go
+++ b/core/quorum/config.go
@@ -71,6 +71,10 @@
 	// is empty, Self is the only voter.
 	Voters   []model.VMID
 	Learners []model.VMID
+	// MinCopies is the number of voters' disks that must have an entry before it
+	// is committed, in addition to the majority that is always needed. A group
+	// with fewer voters needs all of them. Elections need only a majority.
+	MinCopies int
 	// Seed initializes the random election timeouts. Self is mixed in, so the
 	// replicas may share one seed.
 	Seed uint64
--- a/core/quorum/doc.go
+++ b/core/quorum/doc.go
@@ -20,6 +20,11 @@
 // appends a configuration with their disks. Once each of them has stored it, a
 // majority of the voters is a quorum.
 //
+// Config.MinCopies sets how many voters' disks must have an entry before it is
+// committed, if that is more than a majority. An entry that only a majority has is
+// chosen: every later leader has it, and the next membership change may follow it,
+// but it is neither applied nor acknowledged.
+//
 // A leader holds a lease while a quorum has recently replied to its messages.
 // No other replica can become leader before the lease has expired.
 //
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"strconv"
 
 	"guavarail/core/event"
@@ -36,15 +37,18 @@
 	n.countVotes()
 }
 
-// mayCampaign reports whether the replica is a voter in the latest or in the
-// committed configuration. The latter matters because a removed voter may be
-// the only one whose log contains its uncommitted removal. A replica with
+// mayCampaign reports whether the replica is a voter in the committed or in a later
+// configuration. The earlier ones matter because a removed voter may be the only
+// one whose log contains its uncommitted removal. A replica with
 // diskMismatch does not campaign with a configuration that accepts any disk.
 func (n *Node) mayCampaign() bool {
 	if n.diskMismatch && !n.members().disksKnown() {
 		return false
 	}
-	return n.isVoter() || n.configAt(n.commit).members.isVoter(n.cfg.Self, n.cfg.Disk)
+	committed := n.configAt(n.commit).index
+	return slices.ContainsFunc(n.configs, func(ic indexedConfig) bool {
+		return ic.index >= committed && ic.members.isVoter(n.cfg.Self, n.cfg.Disk)
+	})
 }
 
 // startElection starts a new term in which the replica votes for itself. transfer
--- a/core/quorum/follower.go
+++ b/core/quorum/follower.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"strconv"
+
 	"guavarail/core/event"
 )
 
@@ -169,6 +171,14 @@
 	})
 }
 
+// recordMembers records a committed configuration with the number of voters and of
+// the disks that a commit needs under it.
+func (n *Node) recordMembers(mems Members) {
+	n.recordEvent("membersChanged", n.cfg.Self, event.NewField("members", mems.String()),
+		event.NewField("voters", strconv.Itoa(len(mems.voters()))),
+		event.NewField("commitCopies", strconv.Itoa(n.commitCopies(mems))))
+}
+
 // commitTo commits and applies the entries of the log up to idx.
 func (n *Node) commitTo(idx uint64) {
 	for n.commit < idx {
@@ -180,7 +190,7 @@
 		n.logBytes += ent.size()
 		n.emit(Apply{entry: ent})
 		if ent.kind == EntryMembers {
-			n.recordEvent("membersChanged", n.cfg.Self, event.NewField("members", ent.members.String()))
+			n.recordMembers(ent.members)
 		}
 	}
 	n.maybeTakeSnapshot()
--- a/core/quorum/fuzz_test.go
+++ b/core/quorum/fuzz_test.go
@@ -55,6 +55,21 @@
 	})
 }
 
+// Guards against a command that is acknowledged while fewer disks than
+// Config.MinCopies have it, and against a group that does not recover because the
+// copies of an entry are missing while another member could replace them. The
+// faults are those of TestGroupKeepsAcknowledgedCommands.
+func TestGroupKeepsMinCopies(t *testing.T) {
+	fuzz(t, fuzzDefaults["SEED"], func(rt *rapid.T) {
+		mod := &groupModel{s: newSimWithCopies(
+			rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 5).Draw(rt, "voters"), rapid.IntRange(0, 2).Draw(rt, "learners"),
+			rapid.IntRange(2, 3).Draw(rt, "copies"),
+		)}
+		rt.Repeat(rapid.StateMachineActions(mod))
+		mod.checkRecovery(rt)
+	})
+}
+
 // groupModel holds the actions of the fuzzer, which are its exported methods except
 // Check. rapid sorts them by name before it draws, so a rename that changes the
 // order changes what a seed tests.
@@ -284,5 +299,26 @@
 	if !mems.disksKnown() || mems.bootstrap {
 		return intact == len(mems.voters()) && s.disks == len(s.vms)
 	}
-	return intact >= majority(len(mems.voters())) && s.canLoseDisk("")
+	return intact >= majority(len(mems.voters())) && s.canLoseDisk("") && s.canCommit()
+}
+
+// canCommit reports whether enough voters of every configuration that any VM holds
+// have their disks for minCopies. A later configuration than the committed one may
+// have taken effect with fewer.
+func (s *sim) canCommit() bool {
+	for _, vm := range s.vms {
+		for _, mems := range s.configsOf(s.nodes[vm]) {
+			vots := mems.voters()
+			intact := 0
+			for _, mem := range vots {
+				if mem.disk == "" || mem.disk == s.nodes[mem.vm].disk.id {
+					intact++
+				}
+			}
+			if intact < min(s.minCopies, len(vots)) {
+				return false
+			}
+		}
+	}
+	return true
 }
--- a/core/quorum/leader.go
+++ b/core/quorum/leader.go
@@ -15,6 +15,10 @@
 	// termStart is the index of the entry that the leader appended at the start
 	// of its term.
 	termStart uint64
+	// chosen is the index of the last entry that a majority of the voters was
+	// seen to have on disk in this term. Every later leader has it. It is ahead
+	// of the commit index while fewer than Config.MinCopies disks have the entry.
+	chosen    uint64
 	electedAt model.Instant
 	// lastHeartbeatAt is when the last round of heartbeats was sent, and
 	// heartbeatRounds the number of rounds in this term.
@@ -116,8 +120,8 @@
 	}
 }
 
-// advanceCommit commits the entries that a quorum of voters has on disk and
-// updates diskAcks.
+// advanceCommit commits the entries that enough voters have on disk and updates
+// diskAcks.
 func (n *Node) advanceCommit() {
 	n.commitReplicated()
 	// A voter may acknowledge an entry after its commit, so diskAcks can change
@@ -131,16 +135,19 @@
 	}
 }
 
-// commitReplicated commits up to the latest entry that a quorum has on disk, if
-// it is of the current term. Entries of earlier terms are committed only by a
-// later one of this term.
+// commitReplicated commits up to the latest entry that commitCopies voters have on
+// disk, if it is of the current term. Entries of earlier terms are committed only
+// by a later one of this term. The same holds for chosen and a majority.
 func (n *Node) commitReplicated() {
 	var vals []uint64
 	for _, mem := range n.members().voters() {
 		vals = append(vals, n.matchOf(mem))
 	}
-	idx := quorumValue(vals, n.quorum())
-	if term, ok := n.termAt(idx); idx <= n.commit || !ok || term != n.term {
+	if idx := quorumValue(vals, n.quorum()); n.isCurrentTerm(idx) {
+		n.leaderState.chosen = max(n.leaderState.chosen, idx)
+	}
+	idx := quorumValue(vals, n.commitCopies(n.members()))
+	if idx <= n.commit || !n.isCurrentTerm(idx) {
 		return
 	}
 	n.commitTo(idx)
@@ -153,6 +160,17 @@
 	}
 }
 
+// isCurrentTerm reports whether the entry at idx is in the log and of the current
+// term.
+func (n *Node) isCurrentTerm(idx uint64) bool {
+	term, ok := n.termAt(idx)
+	return ok && term == n.term
+}
+
+// chosenIndex returns the index of the last entry that every later leader is known
+// to have.
+func (n *Node) chosenIndex() uint64 { return max(n.commit, n.leaderState.chosen) }
+
 // finishBootstrap appends a configuration without the bootstrap flag once every
 // voter has the bootstrap configuration on disk. With it, a majority of the
 // voters is a quorum.
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -52,7 +52,8 @@
 	// snap is the latest snapshot in the store.
 	snap Snapshot
 	// configs holds the configurations from that of the snapshot on. It is
-	// never empty after start, and only the last one may be uncommitted.
+	// never empty after start. All but the last one are in the log of every
+	// later leader, although they may be uncommitted.
 	configs []indexedConfig
 	// commit is the index of the last committed entry. Step emits an Apply for
 	// each entry up to it.
@@ -214,11 +215,14 @@
 // members returns the latest configuration, which may be uncommitted.
 func (n *Node) members() Members { return n.configs[len(n.configs)-1].members }
 
-// quorum returns the number of voters that must agree. During bootstrap it is the
-// number of all voters, until each of them has stored the configuration that names
-// their disks. Before that, an emptied disk cannot be distinguished from a new one.
-func (n *Node) quorum() int {
-	mems := n.members()
+// quorum returns the number of voters that must agree in an election.
+func (n *Node) quorum() int { return quorumOf(n.members()) }
+
+// quorumOf returns the number of voters that must agree under a configuration.
+// During bootstrap it is the number of all voters, until each of them has stored
+// the configuration that names their disks. Before that, an emptied disk cannot be
+// distinguished from a new one.
+func quorumOf(mems Members) int {
 	count := len(mems.voters())
 	if !mems.disksKnown() || mems.bootstrap {
 		return count
@@ -226,6 +230,14 @@
 	return majority(count)
 }
 
+// commitCopies returns the number of voters' disks that must have an entry before
+// it is committed under the given configuration. It is at least the quorum, so the
+// entries that an election finds include every committed one.
+func (n *Node) commitCopies(mems Members) int {
+	count := len(mems.voters())
+	return max(quorumOf(mems), min(n.cfg.MinCopies, count))
+}
+
 func (n *Node) isVoter() bool { return n.members().isVoter(n.cfg.Self, n.cfg.Disk) }
 
 func (n *Node) resetElectionDeadline() { n.electionDeadline = n.now.Add(n.rnd.electionTimeout()) }
--- a/core/quorum/oracle_test.go
+++ b/core/quorum/oracle_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 )
 
 // oracle checks a simulated group against a single list of committed entries.
@@ -53,6 +54,29 @@
 	}
 }
 
+// checkCopies checks that an entry that its leader applies was written by as many
+// voters' disks as minCopies, or by all of them if there are fewer. A voter's disk
+// that was lost since counts.
+func (s *sim) checkCopies(nod *simNode, ent Entry) {
+	if nod.node.state != leader || ent.term != nod.node.term {
+		return
+	}
+	vots := nod.node.members().voters()
+	copies := 0
+	for _, mem := range vots {
+		cur := s.nodes[mem.vm].disk
+		holds := cur.snap.index >= ent.index || slices.ContainsFunc(cur.entries, func(have Entry) bool {
+			return have.index == ent.index && have.term == ent.term
+		})
+		if holds || mem.disk != "" && mem.disk != cur.id {
+			copies++
+		}
+	}
+	if copies < min(s.minCopies, len(vots)) {
+		s.oracle.fail("%s commits entry %d with %d copies, want %d of %v", nod.vm, ent.index, copies, s.minCopies, vots)
+	}
+}
+
 // checkInstalled checks that an installed snapshot equals the state after the
 // committed entries that it includes.
 func (ora *oracle) checkInstalled(nod *simNode, snap Snapshot) {
--- a/core/quorum/sim_test.go
+++ b/core/quorum/sim_test.go
@@ -81,6 +81,8 @@
 	oracle oracle
 	// voters are the initial voters.
 	voters []model.VMID
+	// minCopies is Config.MinCopies of every VM.
+	minCopies int
 	// disks is the number of disks created, which exceeds that of the VMs once a
 	// disk has been replaced.
 	disks int
@@ -89,8 +91,12 @@
 }
 
 func newSim(seed uint64, voters, learners int) *sim {
+	return newSimWithCopies(seed, voters, learners, 0)
+}
+
+func newSimWithCopies(seed uint64, voters, learners, minCopies int) *sim {
 	s := &sim{
-		rnd:   rand.New(rand.NewPCG(seed, 1)),
+		rnd: rand.New(rand.NewPCG(seed, 1)), minCopies: minCopies,
 		nodes: map[model.VMID]*simNode{}, blocked: map[[2]model.VMID]bool{},
 	}
 	s.oracle.leaders = map[uint64]string{}
@@ -132,7 +138,7 @@
 	nod.up, nod.paused, nod.syncsUntilCrash, nod.pending = true, false, 0, nil
 	nod.state, nod.applied = slices.Clone(nod.disk.data), nod.disk.snap.index
 	nod.node = NewNode(Config{
-		Self: nod.vm, Disk: nod.disk.id, Voters: s.voters, Learners: s.vms[len(s.voters):], Seed: s.rnd.Uint64(),
+		Self: nod.vm, Disk: nod.disk.id, Voters: s.voters, Learners: s.vms[len(s.voters):], MinCopies: s.minCopies, Seed: s.rnd.Uint64(),
 		SnapshotEntries: 20, ChunkBytes: 40, Stored: nod.disk.storedState(),
 	})
 	s.tick(nod, nod.incarnation)
@@ -215,6 +221,7 @@
 		s.oracle.checkInstalled(nod, val.snap)
 	case Apply:
 		s.oracle.checkApplied(nod, val.entry)
+		s.checkCopies(nod, val.entry)
 	case Accepted:
 		nod.pending = append(nod.pending, val)
 	case Rejected:
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -110,7 +110,7 @@
 	mem.members.Store(&quorum.Members{})
 	voters, learners := vm.bootstrapMembers()
 	ref, stopGroup, err := group.New(group.Config[*cell.State, cell.Command, cell.Result, cell.Snapshot]{
-		Group: groupName, Self: vm.self, Voters: voters, Learners: learners, Replica: sta,
+		Group: groupName, Self: vm.self, Voters: voters, Learners: learners, MinCopies: vm.settings.MinCopies(), Replica: sta,
 		Commands: wire.CellCommands{}, Snapshots: wire.CellSnapshots{}, Store: fls,
 		Sender: vm.hub, Clock: vm.clock, Seed: randomSeed(vm.self), System: vm.sys, OnEvent: vm.rec.Record,
 		OnApply: mem.applied, OnRole: mem.roleChanged,
--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -85,6 +85,10 @@
 // the loss of the configured number of VMs.
 func (ce Cell) Voters() int { return 2*ce.toleratedLosses + 1 }
 
+// MinCopies returns the number of disks that must have a command before it is
+// acknowledged, so that one is left after the loss of the configured number of VMs.
+func (ce Cell) MinCopies() int { return ce.toleratedLosses + 1 }
+
 // LeaseDuration returns how long the runs of a worker may go on after it sent the
 // last heartbeat that was answered.
 func (ce Cell) LeaseDuration() time.Duration { return ce.leaseDuration }
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -36,6 +36,10 @@
 	// all voters.
 	Voters   []model.VMID
 	Learners []model.VMID
+	// MinCopies is the number of voters' disks that must have a command before it
+	// is acknowledged, if that is more than a majority. A group with fewer voters
+	// needs all of them.
+	MinCopies int
 	// Replica is the state machine to which committed commands are applied. The
 	// actor owns it once New is called.
 	Replica M
@@ -135,7 +139,7 @@
 		cfg.Replica.Restore(snap)
 	}
 	node := quorum.NewNode(quorum.Config{
-		Self: cfg.Self, Disk: cfg.Store.Disk(), Voters: cfg.Voters, Learners: cfg.Learners, Seed: cfg.Seed,
+		Self: cfg.Self, Disk: cfg.Store.Disk(), Voters: cfg.Voters, Learners: cfg.Learners, MinCopies: cfg.MinCopies, Seed: cfg.Seed,
 		SnapshotEntries: cfg.SnapshotEntries, SnapshotBytes: cfg.SnapshotBytes, Stored: sv,
 	})
 	return &groupActor[M, C, R, S]{cfg: cfg, node: node, waiters: map[uint64]waiter[R]{}, waitersByIndex: map[uint64][]entryWaiter{}}, nil
