--- a/core/quorum/change.go
+++ b/core/quorum/change.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "guavarail/core/model"
+import (
+	"cmp"
+
+	"guavarail/core/model"
+)
 
 // leadershipTransfer is the state of a transfer. In the zero value no transfer
 // is in progress.
@@ -116,10 +120,10 @@
 	}
 }
 
-// expirePendingChange rejects the pending change after changeTimeout.
+// expirePendingChange rejects the pending change after its timeout.
 func (n *Node) expirePendingChange() {
 	pc := n.leaderState.pendingChange
-	if pc == nil || n.since(n.leaderState.changeProposedAt) < changeTimeout {
+	if pc == nil || n.since(n.leaderState.changeProposedAt) < cmp.Or(pc.timeout, changeTimeout) {
 		return
 	}
 	n.leaderState.pendingChange = nil
--- a/core/quorum/config.go
+++ b/core/quorum/config.go
@@ -51,7 +51,7 @@
 	// snapshotStallTimeout is the time without progress after which a snapshot
 	// transfer no longer prevents a newer snapshot from being taken.
 	snapshotStallTimeout = 10 * time.Second
-	// changeTimeout is the time after which a membership change is rejected if
+	// changeTimeout is the default time after which a membership change is rejected if
 	// the members that it depends on do not reply or catch up, so that other
 	// changes can proceed.
 	changeTimeout = 30 * time.Second
--- a/core/quorum/input.go
+++ b/core/quorum/input.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "guavarail/core/model"
+import (
+	"time"
+
+	"guavarail/core/model"
+)
 
 // Input is an input of Node.Step.
 type Input interface{ input() }
@@ -29,12 +33,22 @@
 type ProposeChange struct {
 	id     uint64
 	change Change
+	// timeout is the time after which the change is rejected if it is not in the
+	// log yet. Zero selects changeTimeout.
+	timeout time.Duration
 }
 
 // NewProposeChange returns an input that proposes chg. Accepted and Rejected
 // carry id.
 func NewProposeChange(id uint64, chg Change) ProposeChange { return ProposeChange{id: id, change: chg} }
 
+// WithTimeout returns a copy that is rejected after timeout if the members that the
+// change depends on do not reply or catch up.
+func (in ProposeChange) WithTimeout(timeout time.Duration) ProposeChange {
+	in.timeout = timeout
+	return in
+}
+
 // Transfer asks the leader to transfer leadership to another voter. RoleChanged
 // reports success, Rejected failure.
 type Transfer struct{ id uint64 }
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -40,9 +40,9 @@
 // roleStatus is the role of this VM in the replication group. It is not modified after
 // it was published.
 type roleStatus struct {
-	// leased means that this VM leads under its lease and its planner has started
-	// the term.
-	leased bool
+	// leading means that this VM leads, and leased that it also holds the lease and
+	// its planner has started the term.
+	leading, leased bool
 	// leader is empty if no leader is known.
 	leader model.VMID
 	term   uint64
@@ -64,7 +64,7 @@
 	ref    groupRef
 	diskID quorum.DiskID
 	// state is the replicated state of the cell. The group's actor owns it, and also
-	// planner, replies, leading, repair, termCtx and cancelTerm.
+	// planner, replies, leading, repair, repairing, termCtx and cancelTerm.
 	state   *cell.State
 	planner *flow.Planner
 	// replies has the channel for the answer to each pending heartbeat, by HeartbeatID.
@@ -72,8 +72,11 @@
 	// leading is true from the first tick under a new leader lease until this VM steps
 	// down.
 	leading bool
-	// repair chooses the membership changes.
-	repair cell.Repair
+	// repair chooses the membership changes. repairing is true from its start in a
+	// term until this VM steps down. It may start before the lease, which needs a
+	// committed entry, and so enough voters.
+	repair    cell.Repair
+	repairing bool
 	// lastHeartbeatID is the HeartbeatID of the newest heartbeat.
 	lastHeartbeatID atomic.Uint64
 	// status and members are the role of this VM and the members of the group, for
@@ -175,7 +178,7 @@
 // role. It runs on the group's actor.
 func (mem *member) roleChanged(rol quorum.Role) {
 	if !rol.Leading() {
-		mem.leading = false
+		mem.leading, mem.repairing = false, false
 		mem.cancelTerm()
 		mem.step(mem.vm.clock(), flow.SteppedDown{})
 	}
@@ -184,22 +187,26 @@
 
 // publish makes the role readable from other goroutines.
 func (mem *member) publish(rol quorum.Role) {
-	next := roleStatus{leased: rol.Leased() && mem.leading, leader: rol.Leader(), term: rol.Term()}
+	next := roleStatus{leading: rol.Leading(), leased: rol.Leased() && mem.leading, leader: rol.Leader(), term: rol.Term()}
 	if *mem.status.Load() != next {
 		mem.status.Store(&next)
 	}
 }
 
 // tick posts a tick of the planner to the group's actor. The first one under a new
-// leader lease starts the term of the planner.
+// leader lease starts the term of the planner, and the first one as leader that of
+// the membership changes.
 func (mem *member) tick(ctx context.Context) {
 	mem.ref.Do(func(now model.Instant, rol quorum.Role, sta *cell.State) {
 		wall := time.Now().UnixMilli()
+		if rol.Leading() && !mem.repairing {
+			mem.repairing = true
+			mem.repair.Start(now)
+		}
 		switch {
 		case rol.Leased() && !mem.leading:
 			mem.leading = true
 			mem.termCtx, mem.cancelTerm = context.WithCancel(ctx)
-			mem.repair.Start(now)
 			mem.step(now, flow.Outage{Centres: sta.Out()})
 			mem.step(now, flow.BecameLeader{Term: rol.Term(), LeaseUntil: rol.LeasedUntil(), Wall: wall})
 		case mem.leading:
@@ -277,7 +284,7 @@
 // VM with a disk also announces itself to the leader as a possible member.
 func (mem *member) answerHello(_ context.Context, _ model.VMID, hel *wire.CellHello) (*wire.CellWelcome, error) {
 	sta := mem.status.Load()
-	if sta.leased && hel.GetDisk() != "" {
+	if sta.leading && hel.GetDisk() != "" {
 		pre := cell.Presence{VM: model.VMID(hel.GetVm()), Disk: quorum.DiskID(hel.GetDisk())}
 		mem.ref.Do(func(now model.Instant, _ quorum.Role, _ *cell.State) {
 			pre.Heard = now
@@ -301,13 +308,13 @@
 		return
 	}
 	mem.members.Store(&mems)
-	if !mem.leased() {
+	if !mem.status.Load().leading {
 		return
 	}
 	chosen := make(chan quorum.Change, 1)
 	mem.ref.Do(func(now model.Instant, rol quorum.Role, _ *cell.State) {
 		defer close(chosen)
-		if !rol.Leased() {
+		if !rol.Leading() || !mem.repairing {
 			return
 		}
 		if chg, ok := mem.repair.Next(now, mem.vm.self, mems); ok {
@@ -332,6 +339,7 @@
 	outcome := "done"
 	if err != nil {
 		outcome = err.Error()
+		mem.ref.Do(func(now model.Instant, _ quorum.Role, _ *cell.State) { mem.repair.Failed(now, chg) })
 	}
 	mem.vm.RecordEvent(event.New("memberChange", event.Subject{VM: chg.VM()},
 		event.NewField("change", changeNames[chg.Kind()]), event.NewField("outcome", outcome)))
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -193,9 +193,16 @@
 
 // ChangeMembers makes one membership change and returns once it is committed and
 // applied. As with Propose, the change may still be applied after an
-// *UnknownError.
+// *UnknownError. A change that waits for members when the deadline of ctx passes is
+// dropped, so that another one can follow.
 func (ref Ref[M, C, R, S]) ChangeMembers(ctx context.Context, chg quorum.Change) error {
-	return ref.request(ctx, func(id uint64) quorum.Input { return quorum.NewProposeChange(id, chg) }, waitApplied)
+	return ref.request(ctx, func(id uint64) quorum.Input {
+		in := quorum.NewProposeChange(id, chg)
+		if end, ok := ctx.Deadline(); ok {
+			in = in.WithTimeout(max(time.Until(end), tickInterval))
+		}
+		return in
+	}, waitApplied)
 }
 
 // TransferLeadership transfers leadership to another voter and returns once
