Test that a vote from a replaced disk does not count

No change was needed. Its new disk has another identity. A candidate counts a vote only from the disk that its own configuration names, and in a group that has not bootstrapped, where disks are unknown, it needs all votes. Once the VM is promoted with its new disk, a candidate whose log has that promotion has taken it from the leader of the term in which the VM voted, or of a later one, and is no longer a candidate in that term.

--- a/core/quorum/regression_test.go
+++ b/core/quorum/regression_test.go
@@ -240,3 +240,23 @@
 	}
 	s.failOnViolation(t)
 }
+
+// Guards against a voter that votes twice in one term, before and after it lost its
+// disk and with it its vote: the vote from the new disk must not count.
+func TestVoteFromAReplacedDiskDoesNotCount(t *testing.T) {
+	s, ldr := newSimWithLeader(t, 9, 3, 0)
+	can, other := s.others(ldr)[0], s.others(ldr)[1]
+	s.blocked[[2]model.VMID{can.vm, ldr.vm}], s.blocked[[2]model.VMID{can.vm, other.vm}] = true, true
+	s.step(can, NewReceive(NewMessage(MessageSpec{Kind: TimeoutNow, From: ldr.vm, Term: can.node.term})))
+	s.run(50 * time.Millisecond)
+	vote := MessageSpec{Kind: VoteReply, From: other.vm, Term: can.node.term, Disk: "emptied"}
+	s.step(can, NewReceive(NewMessage(vote)))
+	if can.node.state != candidate {
+		t.Fatalf("the vote from another disk counts\n%s", s.dump())
+	}
+	vote.Disk = other.disk.id
+	s.step(can, NewReceive(NewMessage(vote)))
+	if can.node.state != leader {
+		t.Fatalf("the vote from the disk in the configuration does not count\n%s", s.dump())
+	}
+}
