Spread the voters of a cell over its data centres

What callers would see: after VMs were replaced, the loss of one data centre stops the cell, though the settings and the platform promise that it goes on.

Cause: Repair chose new voters by name and didn't know data centres, so that a majority of the voters could end up in one.

Evidence: core/cell TestAcknowledgedEntryIsOnMoreDisksThanMayBeLost has VMs in three data centres now and looks at the voters at the end.

Change: a VM tells its data centre in its hello message. Repair takes new voters from the data centre with the fewest, removes a surplus voter from the one with the most, and moves one voter at a time while the loss of a data centre would leave no majority and another one has at least two voters fewer. VMs whose data centre is unknown (of an earlier version) are neither counted nor moved to.

--- a/core/cell/losses_test.go
+++ b/core/cell/losses_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"guavarail/core/model"
 )
 
 // lossRuns returns the number of seeds of a test, which the environment variable
@@ -153,6 +155,23 @@
 	return count
 }
 
+// fullestCentre returns the highest number of voters in one data centre according to
+// the leader, or 0 without one.
+func (s *cellSim) fullestCentre() int {
+	ldr := s.leader()
+	if ldr == nil {
+		return 0
+	}
+	highest, load := 0, map[model.CentreID]int{}
+	for _, vm := range s.vms {
+		if mem, ok := ldr.node.Members().Find(vm.id); ok && mem.Voter() {
+			load[vm.centre]++
+			highest = max(highest, load[vm.centre])
+		}
+	}
+	return highest
+}
+
 // isSpare reports whether vm is no voter.
 func (s *cellSim) isSpare(vm *simVM) bool {
 	ldr := s.leader()
@@ -200,4 +219,7 @@
 	if got := s.voters(); got != 2*s.losses+1 {
 		s.fail("%d voters after the final loss, want %d", got, 2*s.losses+1)
 	}
+	if got := s.fullestCentre(); got > s.losses {
+		s.fail("%d of %d voters are in one data centre after the final loss", got, 2*s.losses+1)
+	}
 }
--- a/core/cell/repair.go
+++ b/core/cell/repair.go
@@ -28,6 +28,8 @@
 // that it is running.
 type Presence struct {
 	VM model.VMID
+	// Centre is the data centre of the VM, or "" if it is unknown.
+	Centre model.CentreID
 	// Disk is the identity of the disk of the VM, which changes when the disk
 	// is replaced or emptied.
 	Disk quorum.DiskID
@@ -41,6 +43,8 @@
 type Repair struct {
 	// Voters is the wanted number of voters.
 	Voters int
+	// Centre is the data centre of this VM.
+	Centre model.CentreID
 	// announced holds the latest announcement of each VM.
 	announced map[model.VMID]Presence
 	// failedPromotions holds the time of the last failed promotion of a VM.
@@ -84,53 +88,86 @@
 	return now.Sub(pre.Heard)
 }
 
+// candidate is a present VM that may become a voter.
+type candidate struct {
+	vm model.VMID
+	// learner is false if the VM is not a member yet.
+	learner bool
+	// centre is "" if it is unknown, and load is its number of intact voters.
+	centre model.CentreID
+	load   int
+}
+
+// change returns the next step by which the VM becomes a voter.
+func (can candidate) change() quorum.Change {
+	if can.learner {
+		return quorum.NewChange(quorum.Promote, can.vm)
+	}
+	return quorum.NewChange(quorum.AddLearner, can.vm)
+}
+
+// compare orders candidates so that voters are spread over the data centres.
+func (can candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(can.load, other.load), -compareBool(can.learner, other.learner), cmp.Compare(can.vm, other.vm))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // census is the state of a group and of the VMs around it at one moment. The lists
 // are in the order in which Repair uses their VMs.
 type census struct {
-	// voters is the number of voters. It includes those in replaced and silent.
+	// voters is the number of voters, including those in replaced and silent.
 	voters int
 	// replaced are the voters that announce another disk than the one in the
 	// configuration, which is lost.
 	replaced []model.VMID
 	// silent are the other voters without an announcement for voterTimeout.
 	silent []model.VMID
-	// intact are the other voters, without this VM.
+	// intact are the other voters, without this VM. The first one is in the data
+	// centre with the most intact voters.
 	intact []model.VMID
-	// learners are the present learners that may be promoted.
-	learners []model.VMID
-	// spares are the present VMs that are not members.
-	spares []model.VMID
+	// load is the number of intact voters, including this VM, of each data centre
+	// that has any. Voters whose data centre is unknown are left out.
+	load map[model.CentreID]int
+	// candidates are the present VMs that may become voters.
+	candidates []candidate
 	// idle are the learners without an announcement for learnerTimeout.
 	idle []model.VMID
 }
 
-// missing returns the number of voters to add to those that are intact.
-func (cen census) missing(wanted int) int {
-	return wanted - (cen.voters - len(cen.replaced) - len(cen.silent))
-}
-
 // Next returns the next membership change, or false if none is needed. A lost
 // voter is removed after its replacement has been promoted, so that a committed
 // entry stays on more disks than may be lost and the loss of other voters can be
 // borne. Only a VM that is its own replacement, as it announces a new disk, is
 // removed before, and only while the other voters can keep enough copies. If the
 // lost voter is back after the promotion, there is one voter too many and another
-// one is removed. self is this VM, which is never removed.
+// one is removed. Voters are spread over the data centres, and one is moved if the
+// loss of a data centre would leave no majority. self is this VM, which is never
+// removed.
 func (re *Repair) Next(now model.Instant, self model.VMID, mems quorum.Members) (quorum.Change, bool) {
 	cen := re.census(now, self, mems)
-	missing := cen.missing(re.Voters)
 	lost := slices.Concat(cen.replaced, cen.silent)
+	missing := re.Voters - (cen.voters - len(lost))
 	switch {
 	case cen.voters > re.Voters && len(lost) > 0:
 		return quorum.NewChange(quorum.Remove, lost[0]), true
-	case missing > len(cen.learners) && len(cen.spares) > 0:
-		return quorum.NewChange(quorum.AddLearner, cen.spares[0]), true
-	case missing > 0 && cen.voters <= re.Voters && len(cen.learners) > 0:
-		return quorum.NewChange(quorum.Promote, cen.learners[0]), true
+	case cen.voters <= re.Voters && missing > 0 && len(cen.candidates) > 0:
+		return cen.candidates[0].change(), true
 	case len(cen.replaced) > 0 && cen.voters > re.minVoters():
 		return quorum.NewChange(quorum.Remove, cen.replaced[0]), true
 	case cen.voters > re.Voters && len(cen.intact) > 0:
-		return quorum.NewChange(quorum.Remove, cen.intact[len(cen.intact)-1]), true
+		return quorum.NewChange(quorum.Remove, cen.intact[0]), true
+	case cen.voters == re.Voters && len(lost) == 0 && re.improvesSpread(cen):
+		return cen.candidates[0].change(), true
 	case len(cen.idle) > 0:
 		return quorum.NewChange(quorum.Remove, cen.idle[0]), true
 	}
@@ -141,43 +178,78 @@
 // majority of the wanted ones, which is one more than the disks that may be lost.
 func (re *Repair) minVoters() int { return re.Voters/2 + 1 }
 
+// improvesSpread reports whether the loss of some data centre would leave no
+// majority, and the first candidate is in one with at least two voters fewer.
+func (re *Repair) improvesSpread(cen census) bool {
+	highest := 0
+	for _, count := range cen.load {
+		highest = max(highest, count)
+	}
+	return highest > re.Voters-re.minVoters() && len(cen.candidates) > 0 && cen.candidates[0].centre != "" && cen.candidates[0].load+2 <= highest
+}
+
+// centre returns the data centre of a VM, or "" if it is unknown.
+func (re *Repair) centre(self, vm model.VMID) model.CentreID {
+	if vm == self {
+		return re.Centre
+	}
+	return re.announced[vm].Centre
+}
+
+// present reports whether a VM announced itself recently.
+func (re *Repair) present(now model.Instant, vm model.VMID) bool {
+	pre, ok := re.announced[vm]
+	return ok && now.Sub(pre.Heard) <= announcementTTL
+}
+
 // census returns the state of the group with the members mems.
 func (re *Repair) census(now model.Instant, self model.VMID, mems quorum.Members) census {
-	var cen census
+	cen := census{load: map[model.CentreID]int{}}
 	for _, mem := range mems.List() {
-		pre, ok := re.announced[mem.VM()]
-		present := ok && now.Sub(pre.Heard) <= announcementTTL
-		silence := re.silence(now, mem.VM())
 		switch {
 		case mem.Voter():
-			cen.voters++
-			if mem.VM() == self {
-				continue
-			}
-			switch {
-			case present && mem.Disk() != "" && pre.Disk != mem.Disk():
-				cen.replaced = append(cen.replaced, mem.VM())
-			case silence > voterTimeout:
-				cen.silent = append(cen.silent, mem.VM())
-			default:
-				cen.intact = append(cen.intact, mem.VM())
-			}
-		case present && re.mayPromote(now, mem.VM()):
-			cen.learners = append(cen.learners, mem.VM())
-		case silence > learnerTimeout:
+			re.addVoter(&cen, now, self, mem)
+		case re.silence(now, mem.VM()) > learnerTimeout:
 			cen.idle = append(cen.idle, mem.VM())
 		}
 	}
-	slices.SortStableFunc(cen.silent, func(a, b model.VMID) int { return cmp.Compare(re.silence(now, b), re.silence(now, a)) })
-	for _, pre := range re.announced {
-		if _, ok := mems.Find(pre.VM); !ok && pre.VM != self && pre.Disk != "" && now.Sub(pre.Heard) <= announcementTTL {
-			cen.spares = append(cen.spares, pre.VM)
+	for vm, pre := range re.announced {
+		mem, ok := mems.Find(vm)
+		if vm == self || pre.Disk == "" || mem.Voter() || !re.present(now, vm) || ok && !re.mayPromote(now, vm) {
+			continue
 		}
+		cen.candidates = append(cen.candidates, candidate{vm: vm, learner: ok, centre: pre.Centre, load: cen.load[pre.Centre]})
 	}
-	slices.Sort(cen.spares)
+	slices.SortFunc(cen.candidates, candidate.compare)
+	slices.SortFunc(cen.silent, func(a, b model.VMID) int {
+		return cmp.Or(cmp.Compare(re.silence(now, b), re.silence(now, a)), cmp.Compare(a, b))
+	})
+	slices.SortFunc(cen.intact, func(a, b model.VMID) int {
+		return cmp.Or(cmp.Compare(cen.load[re.centre(self, b)], cen.load[re.centre(self, a)]), cmp.Compare(b, a))
+	})
 	return cen
 }
 
+// addVoter adds a voter to the census.
+func (re *Repair) addVoter(cen *census, now model.Instant, self model.VMID, mem quorum.Member) {
+	vm := mem.VM()
+	cen.voters++
+	switch {
+	case vm == self:
+	case re.present(now, vm) && mem.Disk() != "" && re.announced[vm].Disk != mem.Disk():
+		cen.replaced = append(cen.replaced, vm)
+		return
+	case re.silence(now, vm) > voterTimeout:
+		cen.silent = append(cen.silent, vm)
+		return
+	default:
+		cen.intact = append(cen.intact, vm)
+	}
+	if centre := re.centre(self, vm); centre != "" {
+		cen.load[centre]++
+	}
+}
+
 // mayPromote reports whether no promotion of vm failed recently.
 func (re *Repair) mayPromote(now model.Instant, vm model.VMID) bool {
 	failedAt, ok := re.failedPromotions[vm]
--- a/core/cell/repair_test.go
+++ b/core/cell/repair_test.go
@@ -94,3 +94,42 @@
 		t.Errorf("change %v of %s one second after this VM became the leader, want none", chg.Kind(), chg.VM())
 	}
 }
+
+// announceIn announces VMs of a data centre with their own disks.
+func announceIn(re *Repair, now model.Instant, centre model.CentreID, vms ...model.VMID) {
+	for _, vm := range vms {
+		re.Announce(Presence{VM: vm, Centre: centre, Disk: quorum.DiskID("disk-" + vm), Heard: now})
+	}
+}
+
+// Guards against a majority of the voters in one data centre, whose loss then stops
+// the cell, and against moves of voters that make no difference.
+func TestVotersAreSpreadOverDataCentres(t *testing.T) {
+	now := at(20 * time.Second)
+	tests := []struct {
+		name string
+		mems quorum.Members
+		// centres holds the present VMs by data centre; this VM, a, is in x.
+		centres map[model.CentreID][]model.VMID
+		kind    quorum.ChangeKind
+		vm      model.VMID
+	}{
+		{"spread", voters("a", "b", "c"), map[model.CentreID][]model.VMID{"x": {"d"}, "y": {"b"}, "z": {"c"}}, 0, ""},
+		{"replacement in the emptiest", voters("a", "b", "c"), map[model.CentreID][]model.VMID{"x": {"d"}, "y": {"b", "e"}, "z": {"f"}}, quorum.AddLearner, "f"},
+		{"majority in one", voters("a", "b", "c"), map[model.CentreID][]model.VMID{"x": {"b", "d"}, "y": {"c"}, "z": {"f"}}, quorum.AddLearner, "f"},
+		{"surplus voter in the fullest", voters("a", "b", "c", "f"), map[model.CentreID][]model.VMID{"x": {"b", "d"}, "y": {"c"}, "z": {"f"}}, quorum.Remove, "b"},
+		{"majority in one, no better VM", voters("a", "b", "c"), map[model.CentreID][]model.VMID{"x": {"b", "d"}, "y": {"c", "e"}}, 0, ""},
+		{"unknown data centres", voters("a", "b", "c"), map[model.CentreID][]model.VMID{"": {"b", "c", "d"}}, 0, ""},
+	}
+	for _, tt := range tests {
+		re := &Repair{Voters: 3, Centre: "x"}
+		re.Start(at(0))
+		for centre, vms := range tt.centres {
+			announceIn(re, now, centre, vms...)
+		}
+		chg, ok := re.Next(now, "a", tt.mems)
+		if ok != (tt.vm != "") || ok && (chg.Kind() != tt.kind || chg.VM() != tt.vm) {
+			t.Errorf("%s: change %v of %q, %v; want %v of %q", tt.name, chg.Kind(), chg.VM(), ok, tt.kind, tt.vm)
+		}
+	}
+}
--- a/core/cell/sim_test.go
+++ b/core/cell/sim_test.go
@@ -62,6 +62,7 @@
 // simVM is one VM with a disk.
 type simVM struct {
 	id     model.VMID
+	centre model.CentreID
 	disk   *simDisk
 	node   *quorum.Node
 	repair Repair
@@ -109,7 +110,7 @@
 func newCellSim(seed uint64, losses, count int) *cellSim {
 	s := &cellSim{rnd: rand.New(rand.NewPCG(seed, 2)), losses: losses, acked: map[uint64]uint64{}, fewest: count}
 	for pos := range count {
-		s.vms = append(s.vms, &simVM{id: model.VMID(rune('a' + pos))})
+		s.vms = append(s.vms, &simVM{id: model.VMID(rune('a' + pos)), centre: model.CentreID(rune('x' + pos%3))})
 	}
 	for _, vm := range s.vms[:3] {
 		s.seeds = append(s.seeds, vm.id)
@@ -161,7 +162,7 @@
 func (s *cellSim) start(vm *simVM, bootstrap bool) {
 	vm.incarnation++
 	vm.up, vm.leading, vm.pending, vm.applied, vm.changeEnd = true, false, nil, nil, 0
-	vm.repair = Repair{Voters: 2*s.losses + 1}
+	vm.repair = Repair{Voters: 2*s.losses + 1, Centre: vm.centre}
 	vm.reachableSince = s.now
 	voters, learners := []model.VMID{"-"}, []model.VMID{vm.id}
 	if bootstrap && slices.Contains(s.seeds, vm.id) {
@@ -301,7 +302,7 @@
 func (s *cellSim) announce(vm *simVM) {
 	for _, ldr := range s.vms {
 		if !vm.dark && !ldr.dark && ldr.up && ldr.leading {
-			ldr.repair.Announce(Presence{VM: vm.id, Disk: vm.disk.id, Heard: s.instant()})
+			ldr.repair.Announce(Presence{VM: vm.id, Centre: vm.centre, Disk: vm.disk.id, Heard: s.instant()})
 		}
 	}
 }
--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -119,7 +119,9 @@
 func (fin *leaderFinder) hello(ctx context.Context, id model.VMID) (*wire.CellWelcome, bool) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	wel, err := peer.Call[*wire.CellWelcome](ctx, fin.vm.hub, id, &wire.CellHello{Vm: string(fin.vm.self), Disk: fin.diskID})
+	wel, err := peer.Call[*wire.CellWelcome](ctx, fin.vm.hub, id, &wire.CellHello{
+		Vm: string(fin.vm.self), Disk: fin.diskID, Centre: string(fin.vm.settings.Centre()),
+	})
 	if err != nil {
 		fin.vm.log.Debug("no answer to a hello message; VM left out of this discovery", "vm", id, "error", err)
 		return nil, false
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -106,7 +106,7 @@
 	mem := &member{
 		vm: vm, diskID: fls.Disk(), state: sta, replies: map[uint64]chan<- flow.Answer{}, proposals: newLatest[proposal](),
 		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay()}),
-		repair:  cell.Repair{Voters: vm.settings.Voters()},
+		repair:  cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
 	}
 	mem.status.Store(&roleStatus{})
 	mem.cancelTerm = func() {}
@@ -285,7 +285,7 @@
 func (mem *member) answerHello(_ context.Context, _ model.VMID, hel *wire.CellHello) (*wire.CellWelcome, error) {
 	sta := mem.status.Load()
 	if sta.leading && hel.GetDisk() != "" {
-		pre := cell.Presence{VM: model.VMID(hel.GetVm()), Disk: quorum.DiskID(hel.GetDisk())}
+		pre := cell.Presence{VM: model.VMID(hel.GetVm()), Centre: model.CentreID(hel.GetCentre()), Disk: quorum.DiskID(hel.GetDisk())}
 		mem.ref.Do(func(now model.Instant, _ quorum.Role, _ *cell.State) {
 			pre.Heard = now
 			mem.repair.Announce(pre)
