Log the copies that a command needs and the voters of each data centre

What an engineer would see: nothing in the log said with how many disks a command is acknowledged, or that a data centre holds most of the voters, and a change that is rejected again and again was logged five times a second.

Change: memberChange has voters, commitCopies and votersByCentre (of the voters that are intact, by their announcements), as membersChanged has the first two on every replica. A failure that repeats is logged once. cellVoters and cellCommitCopies are at the metrics address.

Measured: platform TestCellEndToEnd logs, at the bootstrap and after it,

membersChanged: [...] voters=3 commitCopies=3 membersChanged: [...] voters=3 commitCopies=2

--- a/core/cell/repair.go
+++ b/core/cell/repair.go
@@ -255,3 +255,9 @@
 	failedAt, ok := re.failedPromotions[vm]
 	return !ok || now.Sub(failedAt) > promotionRetry
 }
+
+// VotersByCentre returns the number of intact voters of each data centre whose
+// voters have announced themselves.
+func (re *Repair) VotersByCentre(now model.Instant, self model.VMID, mems quorum.Members) map[model.CentreID]int {
+	return re.census(now, self, mems).load
+}
--- a/core/quorum/follower.go
+++ b/core/quorum/follower.go
@@ -175,7 +175,7 @@
 // the disks that a commit needs under it.
 func (n *Node) recordMembers(mems Members) {
 	n.recordEvent("membersChanged", n.cfg.Self, event.NewField("members", mems.String()),
-		event.NewField("voters", strconv.Itoa(len(mems.voters()))),
+		event.NewField("voters", strconv.Itoa(mems.Voters())),
 		event.NewField("commitCopies", strconv.Itoa(n.commitCopies(mems))))
 }
 
--- a/core/quorum/members.go
+++ b/core/quorum/members.go
@@ -123,6 +123,27 @@
 	return lst
 }
 
+// Voters returns the number of voters.
+func (mems Members) Voters() int { return len(mems.voters()) }
+
+// quorum returns the number of voters that must agree in an election. During
+// bootstrap it is the number of all voters, until each of them has stored the
+// configuration that names their disks. Before that, an emptied disk cannot be
+// distinguished from a new one.
+func (mems Members) quorum() int {
+	if !mems.disksKnown() || mems.bootstrap {
+		return mems.Voters()
+	}
+	return majority(mems.Voters())
+}
+
+// CommitCopies returns the number of voters' disks that must have an entry before
+// it is committed, if Config.MinCopies is minCopies. It is at least the quorum, so
+// that each elected leader has every committed entry.
+func (mems Members) CommitCopies(minCopies int) int {
+	return max(mems.quorum(), min(minCopies, mems.Voters()))
+}
+
 // disksKnown reports whether the configuration contains the disk of every voter.
 func (mems Members) disksKnown() bool {
 	return !slices.ContainsFunc(mems.list, func(mem Member) bool { return mem.voter && mem.disk == "" })
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -216,27 +216,11 @@
 func (n *Node) members() Members { return n.configs[len(n.configs)-1].members }
 
 // quorum returns the number of voters that must agree in an election.
-func (n *Node) quorum() int { return quorumOf(n.members()) }
-
-// quorumOf returns the number of voters that must agree under a configuration.
-// During bootstrap it is the number of all voters, until each of them has stored
-// the configuration that names their disks. Before that, an emptied disk cannot be
-// distinguished from a new one.
-func quorumOf(mems Members) int {
-	count := len(mems.voters())
-	if !mems.disksKnown() || mems.bootstrap {
-		return count
-	}
-	return majority(count)
-}
+func (n *Node) quorum() int { return n.members().quorum() }
 
 // commitCopies returns the number of voters' disks that must have an entry before
-// it is committed under the given configuration. It is at least the quorum, so the
-// entries that an election finds include every committed one.
-func (n *Node) commitCopies(mems Members) int {
-	count := len(mems.voters())
-	return max(quorumOf(mems), min(n.cfg.MinCopies, count))
-}
+// it is committed under the given configuration.
+func (n *Node) commitCopies(mems Members) int { return mems.CommitCopies(n.cfg.MinCopies) }
 
 func (n *Node) isVoter() bool { return n.members().isVoter(n.cfg.Self, n.cfg.Disk) }
 
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -77,6 +76,9 @@
 	// committed entry, and so enough voters.
 	repair    cell.Repair
 	repairing bool
+	// lastOutcome is the last recorded outcome of a membership change. Only the
+	// goroutine of maintainMembers uses it.
+	lastOutcome changeOutcome
 	// lastHeartbeatID is the HeartbeatID of the newest heartbeat.
 	lastHeartbeatID atomic.Uint64
 	// status and members are the role of this VM and the members of the group, for
@@ -111,9 +113,9 @@
 	mem.status.Store(&roleStatus{})
 	mem.cancelTerm = func() {}
 	mem.members.Store(&quorum.Members{})
-	voters, learners := vm.bootstrapMembers()
+	initialVoters, learners := vm.bootstrapMembers()
 	ref, stopGroup, err := group.New(group.Config[*cell.State, cell.Command, cell.Result, cell.Snapshot]{
-		Group: groupName, Self: vm.self, Voters: voters, Learners: learners, MinCopies: vm.settings.MinCopies(), Replica: sta,
+		Group: groupName, Self: vm.self, Voters: initialVoters, Learners: learners, MinCopies: vm.settings.MinCopies(), Replica: sta,
 		Commands: wire.CellCommands{}, Snapshots: wire.CellSnapshots{}, Store: fls,
 		Sender: vm.hub, Clock: vm.clock, Seed: randomSeed(vm.self), System: vm.sys, OnEvent: vm.rec.Record,
 		OnApply: mem.applied, OnRole: mem.roleChanged,
@@ -140,18 +142,6 @@
 	}, nil
 }
 
-// bootstrapMembers returns the member list with which this VM starts on an empty
-// disk. Only the seeds of a cell that starts for the first time are voters. Any
-// other VM with an empty disk waits as a learner until the leader adds it: it may
-// have lost its votes together with the content of its disk.
-func (vm *VM) bootstrapMembers() (voters, learners []model.VMID) {
-	seeds := *vm.seeds.Load()
-	if vm.settings.Bootstrap() && slices.Contains(seeds, vm.self) {
-		return seeds, nil
-	}
-	return []model.VMID{unknownVoter}, []model.VMID{vm.self}
-}
-
 // leased reports whether this VM leads under its lease, as of the last tick or
 // change of role.
 func (mem *member) leased() bool { return mem.status.Load().leased }
@@ -299,51 +289,3 @@
 	}
 	return wel, nil
 }
-
-// maintainMembers publishes the current members. While this VM leads, it also makes
-// the next membership change that cell.Repair chooses, if any.
-func (mem *member) maintainMembers(ctx context.Context) {
-	mems, err := mem.ref.Members(ctx)
-	if err != nil {
-		return
-	}
-	mem.members.Store(&mems)
-	if !mem.status.Load().leading {
-		return
-	}
-	chosen := make(chan quorum.Change, 1)
-	mem.ref.Do(func(now model.Instant, rol quorum.Role, _ *cell.State) {
-		defer close(chosen)
-		if !rol.Leading() || !mem.repairing {
-			return
-		}
-		if chg, ok := mem.repair.Next(now, mem.vm.self, mems); ok {
-			chosen <- chg
-		}
-	})
-	select {
-	case <-ctx.Done():
-	case chg, ok := <-chosen:
-		if ok {
-			mem.changeMember(ctx, chg)
-		}
-	}
-}
-
-// changeMember makes one membership change and records its outcome, which is "done"
-// or the error text, as an event.
-func (mem *member) changeMember(ctx context.Context, chg quorum.Change) {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	err := mem.ref.ChangeMembers(ctx, chg)
-	outcome := "done"
-	if err != nil {
-		outcome = err.Error()
-		mem.ref.Do(func(now model.Instant, _ quorum.Role, _ *cell.State) { mem.repair.Failed(now, chg) })
-	}
-	mem.vm.RecordEvent(event.New("memberChange", event.Subject{VM: chg.VM()},
-		event.NewField("change", changeNames[chg.Kind()]), event.NewField("outcome", outcome)))
-}
-
-// changeNames are the names of membership changes in events.
-var changeNames = [...]string{quorum.AddLearner: "addLearner", quorum.Promote: "promote", quorum.Remove: "remove"}
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -23,6 +23,10 @@
 	callTime = meter.NewHistogram("cellCallMs")
 	// decisions counts the events that the planner records, by kind.
 	decisions = meter.NewCounters("cellDecisions")
+	// voters is the number of voters of the replication group, and commitCopies the
+	// number of their disks that must have a command before it is acknowledged.
+	voters       = expvar.NewInt("cellVoters")
+	commitCopies = expvar.NewInt("cellCommitCopies")
 	// calls counts the calls that this VM routed by outcome.
 	calls = meter.NewCounters("cellCalls")
 )
