--- a/core/cell/repair.go
+++ b/core/cell/repair.go
@@ -19,12 +19,17 @@
 	// learnerTimeout is the time without an announcement after which a learner
 	// is removed.
 	learnerTimeout = 10 * time.Second
+	// promotionRetry is the time for which a learner whose promotion failed is not
+	// promoted again.
+	promotionRetry = 3 * time.Second
 )
 
 // Presence is an announcement with which a VM with a disk reports to the leader
 // that it is running.
 type Presence struct {
 	VM model.VMID
+	// Centre is the data centre of the VM, or "" if it is unknown.
+	Centre model.CentreID
 	// Disk is the identity of the disk of the VM, which changes when the disk
 	// is replaced or emptied.
 	Disk quorum.DiskID
@@ -38,15 +43,32 @@
 type Repair struct {
 	// Voters is the wanted number of voters.
 	Voters int
+	// Centre is the data centre of this VM.
+	Centre model.CentreID
 	// announced holds the latest announcement of each VM.
 	announced map[model.VMID]Presence
+	// failedPromotions holds the time of the last failed promotion of a VM.
+	failedPromotions map[model.VMID]model.Instant
 	// leadingSince is when this VM became the leader and began to receive
 	// announcements.
 	leadingSince model.Instant
 }
 
 // Start drops earlier announcements. Call it when this VM becomes the leader.
-func (re *Repair) Start(now model.Instant) { re.leadingSince, re.announced = now, nil }
+func (re *Repair) Start(now model.Instant) {
+	re.leadingSince, re.announced, re.failedPromotions = now, nil, nil
+}
+
+// Failed records that a change was rejected or did not take effect in time.
+func (re *Repair) Failed(now model.Instant, chg quorum.Change) {
+	if chg.Kind() != quorum.Promote {
+		return
+	}
+	if re.failedPromotions == nil {
+		re.failedPromotions = map[model.VMID]model.Instant{}
+	}
+	re.failedPromotions[chg.VM()] = now
+}
 
 // Announce records an announcement.
 func (re *Repair) Announce(pre Presence) {
@@ -66,86 +88,176 @@
 	return now.Sub(pre.Heard)
 }
 
-// Next returns the next membership change, or false if none is needed. A member
-// that announces another disk than the one in mems is removed at once, since
-// the disk in mems is lost. A voter without announcements may only be
-// partitioned, so it is removed only when a learner is present that can be
-// promoted in its place. self is this VM, which is never removed.
-func (re *Repair) Next(now model.Instant, self model.VMID, mems quorum.Members) (quorum.Change, bool) {
-	lst := mems.List()
-	if chg, ok := re.replacedDisk(now, self, lst); ok {
-		return chg, true
-	}
-	present := re.presentVMs(now, self)
-	voters := 0
-	for _, mem := range lst {
-		if mem.Voter() {
-			voters++
-		}
-	}
-	for _, pre := range present {
-		if _, ok := mems.Find(pre.VM); !ok && (voters < re.Voters || re.lostVoter(now, self, lst) != "") {
-			return quorum.NewChange(quorum.AddLearner, pre.VM), true
-		}
+// candidate is a present VM that may become a voter.
+type candidate struct {
+	vm model.VMID
+	// learner is false if the VM is not a member yet.
+	learner bool
+	// centre is "" if it is unknown, and load is its number of intact voters.
+	centre model.CentreID
+	load   int
+}
+
+// change returns the next step by which the VM becomes a voter.
+func (can candidate) change() quorum.Change {
+	if can.learner {
+		return quorum.NewChange(quorum.Promote, can.vm)
 	}
-	for _, pre := range present {
-		mem, ok := mems.Find(pre.VM)
-		if !ok || mem.Voter() {
-			continue
-		}
-		if voters < re.Voters {
-			return quorum.NewChange(quorum.Promote, pre.VM), true
-		}
-		if lost := re.lostVoter(now, self, lst); lost != "" {
-			return quorum.NewChange(quorum.Remove, lost), true
-		}
+	return quorum.NewChange(quorum.AddLearner, can.vm)
+}
+
+// compare orders candidates so that voters are spread over the data centres.
+func (can candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(can.load, other.load), -compareBool(can.learner, other.learner), cmp.Compare(can.vm, other.vm))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	for _, mem := range lst {
-		if !mem.Voter() && re.silence(now, mem.VM()) > learnerTimeout {
-			return quorum.NewChange(quorum.Remove, mem.VM()), true
-		}
+	return 1
+}
+
+// census is the state of a group and of the VMs around it at one moment. The lists
+// are in the order in which Repair uses their VMs.
+type census struct {
+	// voters is the number of voters, including those in replaced and silent.
+	voters int
+	// replaced are the voters that announce another disk than the one in the
+	// configuration, which is lost.
+	replaced []model.VMID
+	// silent are the other voters without an announcement for voterTimeout.
+	silent []model.VMID
+	// intact are the other voters, without this VM. The first one is in the data
+	// centre with the most intact voters.
+	intact []model.VMID
+	// load is the number of intact voters, including this VM, of each data centre
+	// that has any. Voters whose data centre is unknown are left out.
+	load map[model.CentreID]int
+	// candidates are the present VMs that may become voters.
+	candidates []candidate
+	// idle are the learners without an announcement for learnerTimeout.
+	idle []model.VMID
+}
+
+// Next returns the next membership change, or false if none is needed. A lost
+// voter is removed after its replacement has been promoted, so that a committed
+// entry stays on more disks than may be lost and the loss of other voters can be
+// borne. Only a VM that is its own replacement, as it announces a new disk, is
+// removed before, and only while the other voters can keep enough copies. If the
+// lost voter is back after the promotion, there is one voter too many and another
+// one is removed. Voters are spread over the data centres, and one is moved if the
+// loss of a data centre would leave no majority. self is this VM, which is never
+// removed.
+func (re *Repair) Next(now model.Instant, self model.VMID, mems quorum.Members) (quorum.Change, bool) {
+	cen := re.census(now, self, mems)
+	lost := slices.Concat(cen.replaced, cen.silent)
+	missing := re.Voters - (cen.voters - len(lost))
+	switch {
+	case cen.voters > re.Voters && len(lost) > 0:
+		return quorum.NewChange(quorum.Remove, lost[0]), true
+	case cen.voters <= re.Voters && missing > 0 && len(cen.candidates) > 0:
+		return cen.candidates[0].change(), true
+	case len(cen.replaced) > 0 && cen.voters > re.minVoters():
+		return quorum.NewChange(quorum.Remove, cen.replaced[0]), true
+	case cen.voters > re.Voters && len(cen.intact) > 0:
+		return quorum.NewChange(quorum.Remove, cen.intact[0]), true
+	case cen.voters == re.Voters && len(lost) == 0 && re.improvesSpread(cen):
+		return cen.candidates[0].change(), true
+	case len(cen.idle) > 0:
+		return quorum.NewChange(quorum.Remove, cen.idle[0]), true
 	}
 	return quorum.Change{}, false
 }
 
-// replacedDisk returns the removal of a member that announces another disk than
-// the one in lst, and false if there is none.
-func (re *Repair) replacedDisk(now model.Instant, self model.VMID, lst []quorum.Member) (quorum.Change, bool) {
-	for _, mem := range lst {
-		pre, ok := re.announced[mem.VM()]
-		if mem.VM() == self || !ok || mem.Disk() == "" || pre.Disk == mem.Disk() || now.Sub(pre.Heard) > announcementTTL {
-			continue
-		}
-		return quorum.NewChange(quorum.Remove, mem.VM()), true
+// minVoters returns the number of voters below which no voter is removed: a
+// majority of the wanted ones, which is one more than the disks that may be lost.
+func (re *Repair) minVoters() int { return re.Voters/2 + 1 }
+
+// improvesSpread reports whether the loss of some data centre would leave no
+// majority, and the first candidate is in one with at least two voters fewer.
+func (re *Repair) improvesSpread(cen census) bool {
+	highest := 0
+	for _, count := range cen.load {
+		highest = max(highest, count)
 	}
-	return quorum.Change{}, false
+	return highest > re.Voters-re.minVoters() && len(cen.candidates) > 0 && cen.candidates[0].centre != "" && cen.candidates[0].load+2 <= highest
 }
 
-// presentVMs returns the other VMs that announced themselves recently, ordered
-// by name.
-func (re *Repair) presentVMs(now model.Instant, self model.VMID) []Presence {
-	var out []Presence
-	for _, pre := range re.announced {
-		if pre.VM != self && now.Sub(pre.Heard) <= announcementTTL && pre.Disk != "" {
-			out = append(out, pre)
-		}
+// centre returns the data centre of a VM, or "" if it is unknown.
+func (re *Repair) centre(self, vm model.VMID) model.CentreID {
+	if vm == self {
+		return re.Centre
 	}
-	slices.SortFunc(out, func(a, b Presence) int { return cmp.Compare(a.VM, b.VM) })
-	return out
+	return re.announced[vm].Centre
 }
 
-// lostVoter returns the voter with the longest time without an announcement, if
-// that exceeds voterTimeout, or "".
-func (re *Repair) lostVoter(now model.Instant, self model.VMID, lst []quorum.Member) model.VMID {
-	var lost model.VMID
-	longest := voterTimeout
-	for _, mem := range lst {
-		if !mem.Voter() || mem.VM() == self {
-			continue
+// present reports whether a VM announced itself recently.
+func (re *Repair) present(now model.Instant, vm model.VMID) bool {
+	pre, ok := re.announced[vm]
+	return ok && now.Sub(pre.Heard) <= announcementTTL
+}
+
+// census returns the state of the group with the members mems.
+func (re *Repair) census(now model.Instant, self model.VMID, mems quorum.Members) census {
+	cen := census{load: map[model.CentreID]int{}}
+	for _, mem := range mems.List() {
+		switch {
+		case mem.Voter():
+			re.addVoter(&cen, now, self, mem)
+		case re.silence(now, mem.VM()) > learnerTimeout:
+			cen.idle = append(cen.idle, mem.VM())
 		}
-		if silence := re.silence(now, mem.VM()); silence > longest {
-			lost, longest = mem.VM(), silence
+	}
+	for vm, pre := range re.announced {
+		mem, ok := mems.Find(vm)
+		if vm == self || pre.Disk == "" || mem.Voter() || !re.present(now, vm) || ok && !re.mayPromote(now, vm) {
+			continue
 		}
+		cen.candidates = append(cen.candidates, candidate{vm: vm, learner: ok, centre: pre.Centre, load: cen.load[pre.Centre]})
+	}
+	slices.SortFunc(cen.candidates, candidate.compare)
+	slices.SortFunc(cen.silent, func(a, b model.VMID) int {
+		return cmp.Or(cmp.Compare(re.silence(now, b), re.silence(now, a)), cmp.Compare(a, b))
+	})
+	slices.SortFunc(cen.intact, func(a, b model.VMID) int {
+		return cmp.Or(cmp.Compare(cen.load[re.centre(self, b)], cen.load[re.centre(self, a)]), cmp.Compare(b, a))
+	})
+	return cen
+}
+
+// addVoter adds a voter to the census.
+func (re *Repair) addVoter(cen *census, now model.Instant, self model.VMID, mem quorum.Member) {
+	vm := mem.VM()
+	cen.voters++
+	switch {
+	case vm == self:
+	case re.present(now, vm) && mem.Disk() != "" && re.announced[vm].Disk != mem.Disk():
+		cen.replaced = append(cen.replaced, vm)
+		return
+	case re.silence(now, vm) > voterTimeout:
+		cen.silent = append(cen.silent, vm)
+		return
+	default:
+		cen.intact = append(cen.intact, vm)
 	}
-	return lost
+	if centre := re.centre(self, vm); centre != "" {
+		cen.load[centre]++
+	}
+}
+
+// mayPromote reports whether no promotion of vm failed recently.
+func (re *Repair) mayPromote(now model.Instant, vm model.VMID) bool {
+	failedAt, ok := re.failedPromotions[vm]
+	return !ok || now.Sub(failedAt) > promotionRetry
+}
+
+// VotersByCentre returns the number of intact voters of each data centre whose
+// voters have announced themselves.
+func (re *Repair) VotersByCentre(now model.Instant, self model.VMID, mems quorum.Members) map[model.CentreID]int {
+	return re.census(now, self, mems).load
 }
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -40,9 +39,9 @@
 // roleStatus is the role of this VM in the replication group. It is not modified after
 // it was published.
 type roleStatus struct {
-	// leased means that this VM leads under its lease and its planner has started
-	// the term.
-	leased bool
+	// leading means that this VM leads, and leased that it also holds the lease and
+	// its planner has started the term.
+	leading, leased bool
 	// leader is empty if no leader is known.
 	leader model.VMID
 	term   uint64
@@ -64,7 +63,7 @@
 	ref    groupRef
 	diskID quorum.DiskID
 	// state is the replicated state of the cell. The group's actor owns it, and also
-	// planner, replies, leading, repair, termCtx and cancelTerm.
+	// planner, replies, leading, repair, repairing, termCtx and cancelTerm.
 	state   *cell.State
 	planner *flow.Planner
 	// replies has the channel for the answer to each pending heartbeat, by HeartbeatID.
@@ -72,8 +71,14 @@
 	// leading is true from the first tick under a new leader lease until this VM steps
 	// down.
 	leading bool
-	// repair chooses the membership changes.
-	repair cell.Repair
+	// repair chooses the membership changes. repairing is true from its start in a
+	// term until this VM steps down. It may start before the lease, which needs a
+	// committed entry, and so enough voters.
+	repair    cell.Repair
+	repairing bool
+	// lastOutcome is the last recorded outcome of a membership change. Only the
+	// goroutine of maintainMembers uses it.
+	lastOutcome changeOutcome
 	// lastHeartbeatID is the HeartbeatID of the newest heartbeat.
 	lastHeartbeatID atomic.Uint64
 	// status and members are the role of this VM and the members of the group, for
@@ -103,14 +108,14 @@
 	mem := &member{
 		vm: vm, diskID: fls.Disk(), state: sta, replies: map[uint64]chan<- flow.Answer{}, proposals: newLatest[proposal](),
 		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay()}),
-		repair:  cell.Repair{Voters: vm.settings.Voters()},
+		repair:  cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
 	}
 	mem.status.Store(&roleStatus{})
 	mem.cancelTerm = func() {}
 	mem.members.Store(&quorum.Members{})
-	voters, learners := vm.bootstrapMembers()
+	initialVoters, learners := vm.bootstrapMembers()
 	ref, stopGroup, err := group.New(group.Config[*cell.State, cell.Command, cell.Result, cell.Snapshot]{
-		Group: groupName, Self: vm.self, Voters: voters, Learners: learners, Replica: sta,
+		Group: groupName, Self: vm.self, Voters: initialVoters, Learners: learners, MinCopies: vm.settings.MinCopies(), Replica: sta,
 		Commands: wire.CellCommands{}, Snapshots: wire.CellSnapshots{}, Store: fls,
 		Sender: vm.hub, Clock: vm.clock, Seed: randomSeed(vm.self), System: vm.sys, OnEvent: vm.rec.Record,
 		OnApply: mem.applied, OnRole: mem.roleChanged,
@@ -137,18 +142,6 @@
 	}, nil
 }
 
-// bootstrapMembers returns the member list with which this VM starts on an empty
-// disk. Only the seeds of a cell that starts for the first time are voters. Any
-// other VM with an empty disk waits as a learner until the leader adds it: it may
-// have lost its votes together with the content of its disk.
-func (vm *VM) bootstrapMembers() (voters, learners []model.VMID) {
-	seeds := *vm.seeds.Load()
-	if vm.settings.Bootstrap() && slices.Contains(seeds, vm.self) {
-		return seeds, nil
-	}
-	return []model.VMID{unknownVoter}, []model.VMID{vm.self}
-}
-
 // leased reports whether this VM leads under its lease, as of the last tick or
 // change of role.
 func (mem *member) leased() bool { return mem.status.Load().leased }
@@ -175,7 +168,7 @@
 // role. It runs on the group's actor.
 func (mem *member) roleChanged(rol quorum.Role) {
 	if !rol.Leading() {
-		mem.leading = false
+		mem.leading, mem.repairing = false, false
 		mem.cancelTerm()
 		mem.step(mem.vm.clock(), flow.SteppedDown{})
 	}
@@ -184,22 +177,26 @@
 
 // publish makes the role readable from other goroutines.
 func (mem *member) publish(rol quorum.Role) {
-	next := roleStatus{leased: rol.Leased() && mem.leading, leader: rol.Leader(), term: rol.Term()}
+	next := roleStatus{leading: rol.Leading(), leased: rol.Leased() && mem.leading, leader: rol.Leader(), term: rol.Term()}
 	if *mem.status.Load() != next {
 		mem.status.Store(&next)
 	}
 }
 
 // tick posts a tick of the planner to the group's actor. The first one under a new
-// leader lease starts the term of the planner.
+// leader lease starts the term of the planner, and the first one as leader that of
+// the membership changes.
 func (mem *member) tick(ctx context.Context) {
 	mem.ref.Do(func(now model.Instant, rol quorum.Role, sta *cell.State) {
 		wall := time.Now().UnixMilli()
+		if rol.Leading() && !mem.repairing {
+			mem.repairing = true
+			mem.repair.Start(now)
+		}
 		switch {
 		case rol.Leased() && !mem.leading:
 			mem.leading = true
 			mem.termCtx, mem.cancelTerm = context.WithCancel(ctx)
-			mem.repair.Start(now)
 			mem.step(now, flow.Outage{Centres: sta.Out()})
 			mem.step(now, flow.BecameLeader{Term: rol.Term(), LeaseUntil: rol.LeasedUntil(), Wall: wall})
 		case mem.leading:
@@ -277,8 +274,8 @@
 // VM with a disk also announces itself to the leader as a possible member.
 func (mem *member) answerHello(_ context.Context, _ model.VMID, hel *wire.CellHello) (*wire.CellWelcome, error) {
 	sta := mem.status.Load()
-	if sta.leased && hel.GetDisk() != "" {
-		pre := cell.Presence{VM: model.VMID(hel.GetVm()), Disk: quorum.DiskID(hel.GetDisk())}
+	if sta.leading && hel.GetDisk() != "" {
+		pre := cell.Presence{VM: model.VMID(hel.GetVm()), Centre: model.CentreID(hel.GetCentre()), Disk: quorum.DiskID(hel.GetDisk())}
 		mem.ref.Do(func(now model.Instant, _ quorum.Role, _ *cell.State) {
 			pre.Heard = now
 			mem.repair.Announce(pre)
@@ -292,50 +289,3 @@
 	}
 	return wel, nil
 }
-
-// maintainMembers publishes the current members. While this VM leads, it also makes
-// the next membership change that cell.Repair chooses, if any.
-func (mem *member) maintainMembers(ctx context.Context) {
-	mems, err := mem.ref.Members(ctx)
-	if err != nil {
-		return
-	}
-	mem.members.Store(&mems)
-	if !mem.leased() {
-		return
-	}
-	chosen := make(chan quorum.Change, 1)
-	mem.ref.Do(func(now model.Instant, rol quorum.Role, _ *cell.State) {
-		defer close(chosen)
-		if !rol.Leased() {
-			return
-		}
-		if chg, ok := mem.repair.Next(now, mem.vm.self, mems); ok {
-			chosen <- chg
-		}
-	})
-	select {
-	case <-ctx.Done():
-	case chg, ok := <-chosen:
-		if ok {
-			mem.changeMember(ctx, chg)
-		}
-	}
-}
-
-// changeMember makes one membership change and records its outcome, which is "done"
-// or the error text, as an event.
-func (mem *member) changeMember(ctx context.Context, chg quorum.Change) {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	err := mem.ref.ChangeMembers(ctx, chg)
-	outcome := "done"
-	if err != nil {
-		outcome = err.Error()
-	}
-	mem.vm.RecordEvent(event.New("memberChange", event.Subject{VM: chg.VM()},
-		event.NewField("change", changeNames[chg.Kind()]), event.NewField("outcome", outcome)))
-}
-
-// changeNames are the names of membership changes in events.
-var changeNames = [...]string{quorum.AddLearner: "addLearner", quorum.Promote: "promote", quorum.Remove: "remove"}
