Exclude no live worker for the calls of a dead one

What callers would see: a live worker gets no lease and no task for a minute, and its runs are ended in the state while they go on.

Cause: the announcement of an exit names the worker and not the incarnation, and an incarnation whose address was taken over, by clocks that may be wrong, was kept out like one that had left.

Change: an announcement counts only for a worker that is draining, as one that exits is, and only such a worker is remembered as exited. The runs of any other are ended by its lease.

--- a/core/flow/bench_test.go
+++ b/core/flow/bench_test.go
@@ -94,6 +94,10 @@
 		}
 	}
 	for i := range lost {
+		pl.Step(now, Heartbeat{
+			HeartbeatID: uint64(i + 1), Incarnation: NewIncarnation(model.WorkerID(fmt.Sprint("w", i)), 1), Sequence: 2, Service: "svc", Centre: "a",
+			Address: fmt.Sprint("a", i), Draining: true,
+		})
 		pl.Step(now, Leave{Worker: model.WorkerID(fmt.Sprint("w", i))})
 	}
 	for j := range longRunning {
--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -161,6 +161,7 @@
 		t.Fatalf("task %+v, want one start that has ended", tk)
 	}
 	har.now = har.now.Add(time.Second)
+	har.drain("w1", "w1", 1<<20)
 	har.step(Leave{Worker: "w1"})
 	if ans = har.heartbeat("w3", nil); len(ans.Starts) != 1 || ans.Starts[0].Task.Job() != "ran" {
 		t.Errorf("starts %+v, want the task that was lost", ans.Starts)
--- a/core/flow/cluster_test.go
+++ b/core/flow/cluster_test.go
@@ -145,6 +145,8 @@
 			delete(clu.running, id)
 		}
 	}
+	clu.sequence++
+	clu.drain(name, name, clu.sequence)
 	clu.step(Leave{Worker: model.WorkerID(name)})
 }
 
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -78,6 +78,14 @@
 	return Answer{}
 }
 
+// drain reports that a worker is draining.
+func (har *harness) drain(worker, address string, sequence uint64) {
+	har.step(Heartbeat{
+		HeartbeatID: 1<<41 + sequence, Incarnation: NewIncarnation(model.WorkerID(worker), 1), Sequence: sequence, Service: "svc", Centre: "a",
+		Address: address, Size: model.NewResources(4000, 4000, 0), Draining: true,
+	})
+}
+
 // Guards against a job that waits forever for a worker which accepts tasks and
 // does not work on them, and against a long-running task that is evicted while
 // it is serving.
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -70,7 +70,7 @@
 		if hb.Incarnation.startedAt < wk.incarnation.startedAt {
 			return nil, false
 		}
-		pl.endWorker(now, wk, "restarted")
+		pl.endWorker(wk, "restarted")
 		pl.workers.remove(wk)
 		ok = false
 	}
@@ -85,7 +85,7 @@
 		return nil, false
 	}
 	if !wk.reported {
-		pl.replaceAtAddress(now, hb)
+		pl.replaceAtAddress(hb)
 	}
 	return wk, true
 }
@@ -102,27 +102,23 @@
 
 // replaceAtAddress ends the workers with other names that had the address of a
 // new incarnation and started before it.
-func (pl *Planner) replaceAtAddress(now model.Instant, hb *Heartbeat) {
+func (pl *Planner) replaceAtAddress(hb *Heartbeat) {
 	for _, wk := range pl.workers.removeFunc(func(wk *worker) bool {
 		return wk.incarnation.worker != hb.Incarnation.worker && wk.address != "" && wk.address == hb.Address && wk.incarnation.startedAt < hb.Incarnation.startedAt
 	}) {
-		pl.endWorker(now, wk, "addressReused")
+		pl.endWorker(wk, "addressReused")
 	}
 }
 
 // endWorker proposes the ends of the runs of an incarnation that has exited,
 // answers its open heartbeat without orders, and adds it to formerWorkers until
 // the ends are applied. The caller removes it from the set of workers.
-func (pl *Planner) endWorker(now model.Instant, wk *worker, why string) {
+func (pl *Planner) endWorker(wk *worker, why string) {
 	pl.recordEvent("workerGone", "", "", wk.incarnation.String(), "reason", why, "runs", strconv.Itoa(len(wk.runs)))
 	if wk.answerPending {
 		wk.answerPending = false
 		pl.effects = append(pl.effects, Answer{HeartbeatID: wk.heartbeatID})
 	}
-	if pl.exited == nil {
-		pl.exited = map[Incarnation]model.Instant{}
-	}
-	pl.exited[wk.incarnation] = now
 	pl.proposeAllEnds(wk, Lost)
 	if len(wk.runs) > 0 {
 		// The past lease end lets expireLease propose the ends that this call
@@ -133,12 +129,19 @@
 }
 
 // leave proposes the ends of the runs of a worker that has announced its exit,
-// and removes the worker.
+// and removes the worker. A worker that exits was draining before; otherwise the
+// announcement is a late one of an earlier incarnation, and is ignored.
 func (pl *Planner) leave(now model.Instant, id model.WorkerID) {
-	if wk, ok := pl.workers.get(id); ok && pl.leading {
-		pl.workers.remove(wk)
-		pl.endWorker(now, wk, "left")
+	wk, ok := pl.workers.get(id)
+	if !ok || !pl.leading || !wk.draining {
+		return
 	}
+	pl.workers.remove(wk)
+	pl.endWorker(wk, "left")
+	if pl.exited == nil {
+		pl.exited = map[Incarnation]model.Instant{}
+	}
+	pl.exited[wk.incarnation] = now
 }
 
 // updateWorker copies what a heartbeat reports about the worker itself.
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -51,7 +51,8 @@
 	Applied bool
 }
 
-// Leave reports that a worker is about to exit; its runs count as Lost.
+// Leave reports that a worker, which was draining, is about to exit; its runs
+// count as Lost.
 type Leave struct{ Worker model.WorkerID }
 
 // Outage replaces the set of data centres in which no task may start.
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -127,8 +127,8 @@
 	// formerWorkers are earlier incarnations of workers that have runs whose
 	// end is not applied yet.
 	formerWorkers []*worker
-	// exited holds when incarnations have exited, for exitRetention, so that their
-	// late heartbeats are not taken for those of new workers.
+	// exited holds when incarnations have announced their exit, for exitRetention,
+	// so that their late heartbeats are not taken for those of new workers.
 	exited map[Incarnation]model.Instant
 	// openJobs are the jobs that had not ended when they were last pruned, in
 	// the order of submission.
