Carry the next start in the answer to a reported end

What callers saw: LOST for long-running tasks while, by the leader's record, no worker has room without ordinary work either (roomWithoutOrdinary=0 in each sample of some rows).

Cause: a worker reports the end of a run, the answer goes out once the end is recorded, and the start on what has become free is decided right after that. It waits for the next heartbeat, up to 0.7 s at 350 workers.

Change: the answer to reported ends waits, for 150 ms at most, until starts on the worker that are decided, or may be by the next plan, are recorded.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -30,7 +30,11 @@
 	if len(wk.reportedEnds) > 0 && wk.lastRecordedEnd() < wk.reportedEnds[len(wk.reportedEnds)-1].Number {
 		return age >= endCommitTimeout
 	}
-	if len(wk.reportedEnds) > 0 || len(wk.unknownRuns) > 0 {
+	if len(wk.reportedEnds) > 0 {
+		// What the ends have freed may be given to a new run at once.
+		return age >= refillTimeout || !pl.startsPending(wk)
+	}
+	if len(wk.unknownRuns) > 0 {
 		return age >= busyAnswerDelay || !pl.proposing
 	}
 	// waiting is set if a start on the worker is not applied yet, and ready if
@@ -51,6 +55,12 @@
 	return age >= busyAnswerDelay || !waiting && !pl.proposing
 }
 
+// startsPending reports whether starts on the worker are decided and not applied
+// yet, or may be decided when the proposal in progress has ended.
+func (pl *Planner) startsPending(wk *worker) bool {
+	return pl.proposing || pl.dirty || slices.ContainsFunc(wk.runs, func(pr *placedRun) bool { return pr.planned })
+}
+
 // needsStop reports whether a stop order for the run has yet to be sent.
 func (pl *Planner) needsStop(pr *placedRun) bool {
 	if pr.ending || pr.stopping || pr.planned {
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -44,6 +44,9 @@
 	// endCommitTimeout bounds how long an answer waits until the ends that the
 	// heartbeat reports are applied.
 	endCommitTimeout = 150 * time.Millisecond
+	// refillTimeout bounds how long an answer waits, after reported ends are
+	// applied, for starts on what they have freed.
+	refillTimeout = 150 * time.Millisecond
 	// idleAnswerDelay is how long the answer to a worker without tasks is
 	// delayed so that it can carry new orders. The worker drops an answer that
 	// arrives more than a second after it sent the heartbeat.
