Let a task without an estimate hide no room from short ones

What callers would see: a short task that waits beside a claim though it would have ended before it, as a task without an estimate found no room in the same plan.

Cause: an estimate of 0, unknown, counted as the shortest. Change: it counts as the longest. Two rows of TestMissCoversNoSmallerTask failed before ("short after unknown") or guard the other way, and pass.

--- a/core/flow/miss.go
+++ b/core/flow/miss.go
@@ -32,7 +32,8 @@
 	case mi.longRunning || rs.spec.LongRunning:
 		return mi.longRunning && rs.spec.LongRunning
 	}
-	return rs.spec.Estimate >= mi.estimate
+	// An unknown estimate never lets a task go before a claim.
+	return rs.spec.Estimate == 0 || mi.estimate > 0 && rs.spec.Estimate >= mi.estimate
 }
 
 // newMiss returns the miss of a task of rs.
--- a/core/flow/miss_test.go
+++ b/core/flow/miss_test.go
@@ -24,6 +24,8 @@
 		{"larger", step(2000, false, false, time.Second), step(3000, false, false, time.Second), true},
 		{"smaller", step(2000, false, false, time.Second), step(1000, false, false, time.Second), false},
 		{"shorter", step(2000, false, false, time.Second), step(3000, false, false, time.Millisecond), false},
+		{"short after unknown", step(2000, false, false, 0), step(3000, false, false, time.Millisecond), false},
+		{"unknown after short", step(2000, false, false, time.Millisecond), step(3000, false, false, 0), true},
 		{"long-running after ordinary", step(2000, false, false, 0), step(3000, true, false, 0), false},
 		{"restart after long-running", step(2000, true, false, 0), step(3000, true, true, 0), false},
 		{"short after long-running", step(2000, true, false, 0), step(3000, false, false, time.Second), false},
