Ignore a SIGHUP during the start and the shutdown of a VM of a cell

Cause: reloadUntilDone received SIGHUP only while the VM served, and gave the signal back to the system when the shutdown began. A SIGHUP while the VM started or shut down ended the process at once, and each request that it had read ended without an answer.

Change: the signal is received from before the start until the end of the shutdown. One that arrives during the shutdown has no effect.

The test with the former io/cmd/serve/cell.go:

--- FAIL: TestReloadDuringShutdownCutsNothing (0.05s) cell_test.go:65: answer during the shutdown: <nil>, unexpected EOF, want status 503 cell_test.go:68: the process ended with signal: hangup

--- a/io/cmd/serve/cell.go
+++ b/io/cmd/serve/cell.go
@@ -23,6 +23,11 @@
 // the leadership and waits for the requests in flight. data is the content of the
 // settings file.
 func serveCell(ctx context.Context, env shell.Env, file string, data []byte, attach Attach) error {
+	// A SIGHUP ends a process that does not handle it, so it is handled from before the
+	// start until the end of the shutdown.
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
 	set, err := config.ParseCell(file, data)
 	if err != nil {
 		return err
@@ -42,7 +47,7 @@
 		return err
 	}
 	log.Info("serving", "callers", set.Listen().Callers(), "api", set.Listen().API(), "peers", set.Listen().Peers())
-	reloadUntilDone(ctx, file, vm, log)
+	reloadUntilDone(ctx, hups, file, vm, log)
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(cleanupTime, set.ShutdownTimeout()-cleanupTime))
 	defer cancel()
 	vm.TransferLeadership(drainCtx)
@@ -51,11 +56,8 @@
 	return nil
 }
 
-// reloadUntilDone reloads the settings at each SIGHUP and returns when ctx ends.
-func reloadUntilDone(ctx context.Context, file string, vm *cell.VM, log hclog.Logger) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
+// reloadUntilDone reloads the settings at each signal on hups and returns when ctx ends.
+func reloadUntilDone(ctx context.Context, hups <-chan os.Signal, file string, vm *cell.VM, log hclog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
