Record how reads of the state and operators' changes were answered

The three meanings of LOST could not be told apart from the logs: a 410 wrote no line, and an operator's change was seen when it was applied, but not when it was acknowledged or read back.

The leader now records one event for each of these decisions, with the term, the last applied entry and the rest of its lease: jobUnknown with the reason (neverAccepted, dropped with the time since, otherQueue), configurationRead and configurationAcknowledged with the version, centreAcknowledged, and leadershipTransferred. jobUnknown and configurationRead are bounded to 20 lines a second; the next line carries the number of those left out.

go test ./platform ./io/cell ./io/lines passes.

--- /dev/null
+++ b/io/cell/acknowledge.go
@@ -0,0 +1,124 @@
+package cell
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"guavarail/core/cell"
+	"guavarail/core/event"
+	"guavarail/core/flow"
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+	"guavarail/io/group"
+)
+
+// Reasons of the event jobUnknown.
+const (
+	// neverAccepted means that the state has no such job and that this VM does not remember
+	// that it was dropped.
+	neverAccepted = "neverAccepted"
+	// dropped means that the job was dropped after its retention.
+	dropped = "dropped"
+	// otherQueue means that the job is known, but was submitted to another queue.
+	otherQueue = "otherQueue"
+)
+
+// Configure stores a configuration, waits until it is applied and records the event
+// configurationAcknowledged.
+func (lea Leader) Configure(ctx context.Context, doc cell.Document) error {
+	res, err := lea.Propose(ctx, cell.Configure(doc))
+	if err != nil {
+		return err
+	}
+	lea.recordAcknowledged("configurationAcknowledged", event.Subject{},
+		event.NewField("version", strconv.FormatUint(doc.Version(), 10)), event.NewField("inEffect", strconv.FormatUint(res.Version(), 10)))
+	return nil
+}
+
+// SetCentreOut takes a data centre out of service, or back into service if out is false,
+// waits until that is applied and records the event centreAcknowledged.
+func (lea Leader) SetCentreOut(ctx context.Context, centre model.CentreID, out bool) error {
+	if _, err := lea.Propose(ctx, cell.SetCentreOut(centre, out)); err != nil {
+		return err
+	}
+	lea.recordAcknowledged("centreAcknowledged", event.Subject{Centre: centre}, event.NewField("out", strconv.FormatBool(out)))
+	return nil
+}
+
+// recordAcknowledged records that an operator's change was acknowledged, with the term.
+func (lea Leader) recordAcknowledged(kind event.Kind, sub event.Subject, fis ...event.Field) {
+	term := strconv.FormatUint(lea.mem.status.Load().term, 10)
+	lea.mem.vm.RecordEvent(event.New(kind, sub, append(fis, event.NewField("term", term))...))
+}
+
+// Configuration returns the configuration in effect, the zero value if there is none, and
+// records the event configurationRead.
+func (lea Leader) Configuration(ctx context.Context) (cell.Document, error) {
+	doc, err := group.Read(ctx, lea.mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) cell.Document {
+		doc := sta.Document()
+		if suppressed, ok := lea.mem.configurationReads.Allow(now); ok {
+			lea.mem.vm.RecordEvent(event.New("configurationRead", event.Subject{},
+				append(readFields(now, rol, suppressed), event.NewField("version", strconv.FormatUint(doc.Version(), 10)))...))
+		}
+		return doc
+	})
+	return doc, errors.Trace(err)
+}
+
+// JobStatus returns the status of a job of a queue. If the queue has no such job, it
+// returns false and records the event jobUnknown with the reason.
+func (lea Leader) JobStatus(ctx context.Context, queue string, id model.JobID) (flow.Status, bool, error) {
+	type answer struct {
+		status flow.Status
+		known  bool
+	}
+	ans, err := group.Read(ctx, lea.mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) answer {
+		status, jobQueue, ok := sta.Jobs().Status(id)
+		if !ok || jobQueue != queue {
+			lea.mem.recordUnknownJob(now, rol, id, queue, jobQueue)
+		}
+		return answer{status: status, known: ok && jobQueue == queue}
+	})
+	return ans.status, ans.known, errors.Trace(err)
+}
+
+// recordUnknownJob records that a job is not in a queue. jobQueue is the queue of the job;
+// it is empty if the state has no such job. It runs on the group's actor.
+func (mem *member) recordUnknownJob(now model.Instant, rol quorum.Role, id model.JobID, queue, jobQueue string) {
+	suppressed, ok := mem.unknownJobs.Allow(now)
+	if !ok {
+		return
+	}
+	fis := append(readFields(now, rol, suppressed), event.NewField("queue", queue), event.NewField("jobsKnown", strconv.Itoa(mem.state.Jobs().Len())))
+	age, wasDropped := mem.dropped.age(now, id)
+	switch {
+	case jobQueue != "":
+		fis = append(fis, event.NewField("reason", otherQueue), event.NewField("jobQueue", jobQueue))
+	case wasDropped:
+		fis = append(fis, event.NewField("reason", dropped), event.NewField("droppedMs", milliseconds(age)))
+	default:
+		// Jobs dropped before this VM started are not remembered.
+		fis = append(fis, event.NewField("reason", neverAccepted), event.NewField("runningMs", milliseconds(time.Duration(now))))
+	}
+	mem.vm.RecordEvent(event.New("jobUnknown", event.Subject{Job: id}, fis...))
+}
+
+// readFields returns the fields that say on which state a read was served: the term, the
+// last applied entry and the rest of the leader lease. suppressed is the number of events
+// of the same kind that were not recorded since the last one.
+func readFields(now model.Instant, rol quorum.Role, suppressed int) []event.Field {
+	fis := []event.Field{
+		event.NewField("term", strconv.FormatUint(rol.Term(), 10)), event.NewField("applied", strconv.FormatUint(rol.Applied(), 10)),
+		event.NewField("leaseLeftMs", milliseconds(rol.LeasedUntil().Sub(now))),
+	}
+	if suppressed > 0 {
+		fis = append(fis, event.NewField("suppressed", strconv.Itoa(suppressed)))
+	}
+	return fis
+}
+
+// milliseconds formats a duration in whole milliseconds.
+func milliseconds(dur time.Duration) string { return strconv.FormatInt(dur.Milliseconds(), 10) }
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -16,6 +16,7 @@
 	"guavarail/io/disk"
 	"guavarail/io/group"
 	"guavarail/io/host"
+	"guavarail/io/lines"
 	"guavarail/io/peer"
 	"guavarail/io/wire"
 )
@@ -74,6 +75,10 @@
 	leading bool
 	// repair chooses the membership changes.
 	repair cell.Repair
+	// dropped remembers the jobs dropped after their retention. unknownJobs and
+	// configurationReads bound the events of these reads. The group's actor owns all three.
+	dropped                         droppedJobs
+	unknownJobs, configurationReads lines.Limiter
 	// lastHeartbeatID is the HeartbeatID of the newest heartbeat.
 	lastHeartbeatID atomic.Uint64
 	// status and members are the role of this VM and the members of the group, for
@@ -159,6 +164,7 @@
 func (mem *member) applied(_ uint64, cmd cell.Command, res cell.Result) {
 	now := mem.vm.clock()
 	for i, op := range cmd.Ops() {
+		mem.dropped.apply(now, op, res.Verdicts()[i])
 		mem.step(now, flow.Applied{Op: op, Verdict: res.Verdicts()[i]})
 	}
 	if cen, out := cmd.Centre(); cen != "" {
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -155,9 +155,12 @@
 	if vm.member == nil || !vm.member.leased() {
 		return
 	}
+	start := vm.clock()
 	if err := vm.member.ref.TransferLeadership(ctx); err != nil {
 		vm.log.Warn("leadership transfer failed; the other VMs elect a leader after the shutdown", "error", err)
+		return
 	}
+	vm.rec.Record(event.New("leadershipTransferred", event.Subject{VM: vm.settings.Name()}, event.NewField("durationMs", milliseconds(vm.clock().Sub(start)))))
 }
 
 // randomSeed returns the FNV-1a hash of vm as the seed for the random timeouts of
