Claim room for a gang as a whole or not at all

Cause: the claims of a gang were kept though some of its tasks found none. Change: they are dropped then. An open claim, which is made only once for each size in a plan, no longer uses up the claims of others.

TestGangThatFitsNowhereHoldsUpNothing failed before (0.9 of the usual rate wanted) and passes.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -74,6 +74,19 @@
 	cl.holders = append(cl.holders, holder)
 }
 
+// drop drops the claims of a step in this plan. need is the size of each.
+func (cl *claims) drop(holder *step, need model.Resources) {
+	kept := cl.holders[:0]
+	for _, other := range cl.holders {
+		if other == holder {
+			cl.size = cl.size.Sub(need)
+			continue
+		}
+		kept = append(kept, other)
+	}
+	cl.holders = kept
+}
+
 // hasRoom reports whether a task of rs fits on the worker beside its runs and the
 // claims that bind it, or will have ended before the first claim has room.
 func (wk *worker) hasRoom(rs *readyStep, need model.Resources) bool {
@@ -176,10 +189,28 @@
 	if claimed == 0 || open {
 		pl.recordClaimMiss(now, rs, otherConditions)
 	}
-	pl.claimsLeft -= claimed
+	// Open claims are bounded by the misses that they record.
+	if !open {
+		pl.claimsLeft -= claimed
+	}
 	return claimed
 }
 
+// claimForGang claims capacity for all waiting tasks of a gang, or none, and
+// returns the number of claims. id is one of the tasks.
+func (pl *Planner) claimForGang(now model.Instant, rs *readyStep, id TaskID) int {
+	candidates, _ := pl.claimCandidates(now, rs, id)
+	num := rs.waitingTasks()
+	made, open := pl.claimRoom(now, rs, candidates, num)
+	if made == num && !open {
+		return made
+	}
+	for _, wk := range pl.workers.sorted {
+		wk.claims.drop(rs.state(), rs.spec.reservation())
+	}
+	return 0
+}
+
 // claimRoom claims capacity for up to num tasks of a step, on the workers that
 // are expected to have it soonest, and returns the number of claims. A step that
 // finds none and has waited for openClaimAfter makes an open claim; open is then
--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -190,3 +190,27 @@
 		t.Errorf("the small task is down for a second beside 2 free processors, claimed for the large one")
 	}
 }
+
+// Guards against capacity that is kept for a part of a gang which the workers
+// cannot hold as a whole.
+func TestGangThatFitsNowhereHoldsUpNothing(t *testing.T) {
+	const played, minShare = 30 * time.Second, 0.9
+	completed := func(gangs int) int {
+		clu := newCluster(t, 1, 4)
+		feed := clu.stream(24, 800*time.Millisecond)
+		clu.play(3*time.Second, feed)
+		for i := range gangs {
+			clu.submitJob(model.JobID(fmt.Sprint("gang", i)), 0, time.Second, StepSpec{Tasks: 10, Size: model.NewResources(3000, 100, 0), Gang: true})
+		}
+		clu.play(6*time.Second, feed)
+		before := clu.completed
+		clu.play(played, feed)
+		return clu.completed - before
+	}
+	alone := completed(0)
+	for _, gangs := range []int{1, 2} {
+		if beside := completed(gangs); float64(beside) < minShare*float64(alone) {
+			t.Errorf("%d short tasks complete in %v beside %d gangs that fit nowhere, %d without", beside, played, gangs, alone)
+		}
+	}
+}
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -87,8 +87,7 @@
 	case rs.restart:
 		claimed = pl.claimForRestart(now, rs, id)
 	case rs.overdue && rs.spec.Gang:
-		candidates, _ := pl.claimCandidates(now, rs, id)
-		claimed, _ = pl.claimRoom(now, rs, candidates, rs.waitingTasks())
+		claimed = pl.claimForGang(now, rs, id)
 	case rs.overdue:
 		candidates, _ := pl.claimCandidates(now, rs, id)
 		claimed, _ = pl.claimRoom(now, rs, candidates, 1)
