Keep room for long-running tasks that are about to be lost

Change: a long-running task that has not run yet starts only if the room that the workers have for such tasks, apart from other work, also holds those that wait for a restart and those on draining or silent workers. startHeldBack records it.

TestNewLongRunningTasksLeaveRoomForEndangeredOnes failed before (both new tasks start on the only other worker) and passes.

--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -214,3 +214,43 @@
 		}
 	}
 }
+
+// Guards against new long-running tasks that take the last room for those of a
+// draining worker, which are lost a little later.
+func TestNewLongRunningTasksLeaveRoomForEndangeredOnes(t *testing.T) {
+	step := func(tasks int) StepSpec {
+		return StepSpec{Tasks: tasks, Size: model.NewResources(2000, 100, 0), LongRunning: true}
+	}
+	har := newHarness(t)
+	har.submit("old", step(2))
+	ans := har.heartbeat("w1", nil)
+	var runs []RunReport
+	for _, ord := range ans.Starts {
+		runs = append(runs, RunReport{Task: ord.Task, Attempt: 1, Percent: fullPace})
+	}
+	har.heartbeat("w1", runs)
+	har.step(Heartbeat{
+		HeartbeatID: 1 << 40, Incarnation: NewIncarnation("w1", 1), Sequence: 1 << 20, Service: "svc", Centre: "a", Address: "w1",
+		Size: model.NewResources(4000, 4000, 0), Runs: runs, Draining: true,
+	})
+	har.submit("new", step(3))
+	if ans = har.heartbeat("w2", nil); len(ans.Starts) != 0 {
+		t.Fatalf("starts %+v on the worker that has room for the two tasks of the draining one only", ans.Starts)
+	}
+	har.heartbeat("w3", nil)
+	if idle := har.st.jobs["new"].occurrence(0).steps[0].idleTasks; idle == 3 {
+		t.Fatal("no new task starts beside the room for the endangered ones")
+	}
+	har.step(Leave{Worker: "w1"})
+	restarted := 0
+	for _, worker := range []string{"w2", "w3"} {
+		for _, ord := range har.heartbeat(worker, nil).Starts {
+			if ord.Task.Job() == "old" {
+				restarted++
+			}
+		}
+	}
+	if restarted != 2 {
+		t.Errorf("%d tasks of the worker that left run again, want 2", restarted)
+	}
+}
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -147,3 +147,17 @@
 	}
 	pl.recordEvent("tasksWait", id.job, id.String(), "", pairs...)
 }
+
+// recordHeldBack records an event for a new long-running task that would take the
+// room which endangered ones need, at most once per job and waitEventInterval.
+func (pl *Planner) recordHeldBack(now model.Instant, rs *readyStep, id TaskID) {
+	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval {
+		return
+	}
+	rs.job.waitRecordedAt = now
+	ro := pl.roomOf(rs.job.spec.Service)
+	pl.recordEvent("startHeldBack", id.job, id.String(), "", "waiting", strconv.Itoa(rs.waitingTasks()),
+		"milliCpu", strconv.FormatInt(rs.spec.Size.MilliCPU(), 10), "memoryMb", strconv.FormatInt(rs.spec.Size.MemoryMB(), 10),
+		"roomMilliCpu", strconv.FormatInt(ro.room.MilliCPU(), 10), "roomMemoryMb", strconv.FormatInt(ro.room.MemoryMB(), 10),
+		"endangeredMilliCpu", strconv.FormatInt(ro.endangered.MilliCPU(), 10), "endangeredMemoryMb", strconv.FormatInt(ro.endangered.MemoryMB(), 10))
+}
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -42,7 +42,9 @@
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
 	}
-	for _, rs := range pl.readySteps(now) {
+	steps := pl.readySteps(now)
+	pl.measureRoom(now, steps)
+	for _, rs := range steps {
 		if rs.spec.Gang {
 			pl.startGang(now, rs)
 			continue
@@ -63,11 +65,18 @@
 			continue
 		}
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
+		if rs.spec.LongRunning && !rs.restart && !pl.leavesRoom(&rs) {
+			pl.recordHeldBack(now, &rs, id)
+			return
+		}
 		wk := pl.chooseWorker(now, rs, id, nil)
 		if wk == nil {
 			pl.waitForRoom(now, &rs, id)
 			return
 		}
+		if rs.spec.LongRunning {
+			pl.takeRoom(&rs)
+		}
 		started++
 		sp.waitingSince = now
 		pl.proposeStart(now, rs, tk, id, tk.attempt+1, wk)
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -153,6 +153,8 @@
 	speedBuffer []float64
 	// useDiffs is scratch space of learnFromPeers.
 	useDiffs []imageUse
+	// rooms is the capacity for long-running tasks in the current plan.
+	rooms map[model.ServiceID]*longRunningRoom
 	// turn is the turn of steps that have waited too long.
 	turn overdueTurn
 	// candidates is scratch space of claimCandidates.
--- /dev/null
+++ b/core/flow/reserve.go
@@ -0,0 +1,65 @@
+package flow
+
+import "guavarail/core/model"
+
+// longRunningRoom is the capacity for long-running tasks in the current plan.
+type longRunningRoom struct {
+	// room is what the workers that may get tasks have besides long-running runs.
+	// Other runs end by themselves and don't count.
+	room model.Resources
+	// endangered is what long-running tasks will need again: those that wait for
+	// a restart, and those on workers that are draining or silent.
+	endangered model.Resources
+}
+
+// measureRoom sums up the capacity for long-running tasks of each service. steps
+// are the ready steps.
+func (pl *Planner) measureRoom(now model.Instant, steps []readyStep) {
+	pl.rooms = map[model.ServiceID]*longRunningRoom{}
+	for _, wk := range pl.workers.sorted {
+		if !wk.reported || pl.outage[wk.centre] {
+			continue
+		}
+		ro := pl.roomOf(wk.service)
+		if wk.draining || now.Sub(wk.lastHeartbeat) > maxHeartbeatAge {
+			ro.endangered = ro.endangered.Add(wk.longRunning)
+			continue
+		}
+		ro.room = ro.room.Add(wk.size.Sub(wk.longRunning))
+	}
+	for i := range steps {
+		rs := &steps[i]
+		if !rs.restart {
+			continue
+		}
+		ro := pl.roomOf(rs.job.spec.Service)
+		for range rs.waitingTasks() {
+			ro.endangered = ro.endangered.Add(rs.spec.reservation())
+		}
+	}
+}
+
+func (pl *Planner) roomOf(service model.ServiceID) *longRunningRoom {
+	ro, ok := pl.rooms[service]
+	if !ok {
+		ro = &longRunningRoom{}
+		pl.rooms[service] = ro
+	}
+	return ro
+}
+
+// leavesRoom reports whether the first start of a long-running task leaves room
+// for the endangered ones.
+func (pl *Planner) leavesRoom(rs *readyStep) bool {
+	ro := pl.roomOf(rs.job.spec.Service)
+	return ro.endangered.IsZero() || rs.spec.reservation().Add(ro.endangered).FitsIn(ro.room)
+}
+
+// takeRoom records a planned start of a long-running task.
+func (pl *Planner) takeRoom(rs *readyStep) {
+	ro := pl.roomOf(rs.job.spec.Service)
+	ro.room = ro.room.Sub(rs.spec.reservation())
+	if rs.restart {
+		ro.endangered = ro.endangered.Sub(rs.spec.reservation())
+	}
+}
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -141,6 +141,8 @@
 	// fillerMilliCPU and servingMilliCPU are the processors that the fillers
 	// and the serving tasks request, in thousandths of a processor.
 	fillerMilliCPU, servingMilliCPU int64
+	// longRunning is the sum of the reservations of long-running tasks.
+	longRunning model.Resources
 	// claims is the capacity that the current plan keeps for waiting tasks.
 	claims claims
 	// overTargetSince is the time since which some serving task has exceeded
@@ -161,6 +163,9 @@
 func (wk *worker) add(pr *placedRun) {
 	wk.runs = append(wk.runs, pr)
 	wk.reserved = wk.reserved.Add(pr.size)
+	if pr.spec.LongRunning {
+		wk.longRunning = wk.longRunning.Add(pr.size)
+	}
 	wk.countRun(pr, 1)
 }
 
@@ -183,6 +188,9 @@
 	}
 	wk.runs = slices.Delete(wk.runs, pos, pos+1)
 	wk.reserved = wk.reserved.Sub(pr.size)
+	if pr.spec.LongRunning {
+		wk.longRunning = wk.longRunning.Sub(pr.size)
+	}
 	wk.countRun(pr, -1)
 }
 
