Count open claims like others

Change: open claims use up the claims of a plan again, of which there are four at least, so that a small cell has more than one.

Claim candidates and Config move to files of their own, unchanged. Tests of core/flow pass.

--- /dev/null
+++ b/core/flow/candidate.go
@@ -0,0 +1,80 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// claimCandidate is a worker on which a step may claim capacity.
+type claimCandidate struct {
+	worker *worker
+	// after is the expected time until the worker has room for a task, or
+	// unknownRoom.
+	after time.Duration
+	// shortage is what a task lacks there, as a fraction of the worker's size in
+	// the scarcest dimension.
+	shortage float64
+	// tasks counts the runs and claims of the step on the worker.
+	tasks int
+	// held is set if the step had a claim on the worker in the plan before.
+	held bool
+}
+
+// claimCandidates returns the workers on which a step may claim capacity, and
+// whether other conditions than room keep the step from some worker. id is one of
+// its tasks. The result is valid until the next call.
+func (pl *Planner) claimCandidates(now model.Instant, rs *readyStep, id TaskID) (out []claimCandidate, otherConditions bool) {
+	out = pl.candidates[:0]
+	for _, wk := range pl.workers.sorted {
+		why := pl.ineligible(now, wk, rs)
+		if why == labelMissing {
+			otherConditions = true
+		}
+		if why != notRejected || !rs.spec.Size.FitsIn(wk.size) {
+			continue
+		}
+		can := claimCandidate{worker: wk, held: slices.Contains(wk.claims.former, rs.state()), shortage: rs.spec.reservation().Sub(wk.free()).DominantShare(wk.size)}
+		if rs.spec.PerWorker > 0 {
+			can.tasks = wk.runsOfStep(id)
+			if can.tasks >= rs.spec.PerWorker {
+				otherConditions = true
+				continue
+			}
+		}
+		can.after = pl.nextRoom(now, rs, &can)
+		out = append(out, can)
+	}
+	pl.candidates = out
+	return out, otherConditions
+}
+
+// nextRoom returns the expected time until a worker has room for one task of the
+// step beside its claims, or unknownRoom.
+func (pl *Planner) nextRoom(now model.Instant, rs *readyStep, can *claimCandidate) time.Duration {
+	if rs.spec.PerWorker > 0 && can.tasks >= rs.spec.PerWorker {
+		return unknownRoom
+	}
+	after, ok := pl.roomAfter(now, can.worker, rs.spec.reservation())
+	if !ok {
+		return unknownRoom
+	}
+	return after
+}
+
+// candidatesWithin returns the candidates that are expected to have room within a
+// time, ordered by when.
+func candidatesWithin(candidates []claimCandidate, horizon time.Duration) []*claimCandidate {
+	var out []*claimCandidate
+	for i := range candidates {
+		if candidates[i].after <= horizon {
+			out = append(out, &candidates[i])
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *claimCandidate) int {
+		return cmp.Or(trueFirst(a.held, b.held), cmp.Compare(a.after, b.after))
+	})
+	return out
+}
--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -17,9 +17,10 @@
 	// openClaimAfter is how long a task has waited before it may claim capacity
 	// on a worker of which it is unknown when it has room.
 	openClaimAfter = 3 * time.Second
-	// maxClaims is the largest number of claims for restarts in a plan, as a
-	// fraction of the number of workers.
-	maxClaims = 1.0 / 8
+	// A plan makes claims for restarts on at most one worker in claimDivisor, but
+	// on minClaims in any case.
+	claimDivisor = 8
+	minClaims    = 4
 	// stopDelay is the expected time from the decision to stop a run until its
 	// end is recorded.
 	stopDelay = time.Second
@@ -156,21 +157,6 @@
 	return elapsed
 }
 
-// claimCandidate is a worker on which a step may claim capacity.
-type claimCandidate struct {
-	worker *worker
-	// after is the expected time until the worker has room for a task, or
-	// unknownRoom.
-	after time.Duration
-	// shortage is what a task lacks there, as a fraction of the worker's size in
-	// the scarcest dimension.
-	shortage float64
-	// tasks counts the runs and claims of the step on the worker.
-	tasks int
-	// held is set if the step had a claim on the worker in the plan before.
-	held bool
-}
-
 // claimHorizon returns how far ahead a claim for rs looks.
 func (rs *readyStep) claimHorizon(now model.Instant) time.Duration {
 	return max(minClaimHorizon, now.Sub(rs.waitingSince))
@@ -189,10 +175,7 @@
 	if claimed == 0 || open {
 		pl.recordClaimMiss(now, rs, otherConditions)
 	}
-	// Open claims are bounded by the misses that they record.
-	if !open {
-		pl.claimsLeft -= claimed
-	}
+	pl.claimsLeft -= claimed
 	return claimed
 }
 
@@ -235,21 +218,6 @@
 	return made, open
 }
 
-// candidatesWithin returns the candidates that are expected to have room within a
-// time, ordered by when.
-func candidatesWithin(candidates []claimCandidate, horizon time.Duration) []*claimCandidate {
-	var out []*claimCandidate
-	for i := range candidates {
-		if candidates[i].after <= horizon {
-			out = append(out, &candidates[i])
-		}
-	}
-	slices.SortStableFunc(out, func(a, b *claimCandidate) int {
-		return cmp.Or(trueFirst(a.held, b.held), cmp.Compare(a.after, b.after))
-	})
-	return out
-}
-
 // claimOpen claims capacity for one task on the worker without claims that lacks
 // least, for as long as it takes until runs on it end, and returns the number of
 // claims. An open claim keeps what is free on its worker, but for tasks that are
@@ -269,47 +237,6 @@
 	return 1
 }
 
-// claimCandidates returns the workers on which a step may claim capacity, and
-// whether other conditions than room keep the step from some worker. id is one of
-// its tasks. The result is valid until the next call.
-func (pl *Planner) claimCandidates(now model.Instant, rs *readyStep, id TaskID) (out []claimCandidate, otherConditions bool) {
-	out = pl.candidates[:0]
-	for _, wk := range pl.workers.sorted {
-		why := pl.ineligible(now, wk, rs)
-		if why == labelMissing {
-			otherConditions = true
-		}
-		if why != notRejected || !rs.spec.Size.FitsIn(wk.size) {
-			continue
-		}
-		can := claimCandidate{worker: wk, held: slices.Contains(wk.claims.former, rs.state()), shortage: rs.spec.reservation().Sub(wk.free()).DominantShare(wk.size)}
-		if rs.spec.PerWorker > 0 {
-			can.tasks = wk.runsOfStep(id)
-			if can.tasks >= rs.spec.PerWorker {
-				otherConditions = true
-				continue
-			}
-		}
-		can.after = pl.nextRoom(now, rs, &can)
-		out = append(out, can)
-	}
-	pl.candidates = out
-	return out, otherConditions
-}
-
-// nextRoom returns the expected time until a worker has room for one task of the
-// step beside its claims, or unknownRoom.
-func (pl *Planner) nextRoom(now model.Instant, rs *readyStep, can *claimCandidate) time.Duration {
-	if rs.spec.PerWorker > 0 && can.tasks >= rs.spec.PerWorker {
-		return unknownRoom
-	}
-	after, ok := pl.roomAfter(now, can.worker, rs.spec.reservation())
-	if !ok {
-		return unknownRoom
-	}
-	return after
-}
-
 // waitingTasks counts the waiting tasks that rs is meant to place.
 func (rs *readyStep) waitingTasks() int {
 	num := 0
--- /dev/null
+++ b/core/flow/config.go
@@ -0,0 +1,47 @@
+package flow
+
+import (
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Config holds the durations that a deployment sets. Zero values select the
+// defaults.
+type Config struct {
+	// LeaseDuration is how long the runs of a worker may go on after the worker
+	// sent the last heartbeat that was answered.
+	LeaseDuration time.Duration
+	// JobRetention is how long the status of an ended job can be read.
+	JobRetention time.Duration
+	// PaceDelay is the time from a pace order until the worker applies it.
+	PaceDelay time.Duration
+}
+
+func (cfg Config) leaseDuration() time.Duration {
+	if cfg.LeaseDuration <= 0 {
+		return defaultLease
+	}
+	return cfg.LeaseDuration
+}
+
+func (cfg Config) jobRetention() time.Duration {
+	if cfg.JobRetention <= 0 {
+		return defaultJobRetention
+	}
+	return cfg.JobRetention
+}
+
+func (cfg Config) paceDelay() time.Duration {
+	if cfg.PaceDelay <= 0 {
+		return defaultPaceDelay
+	}
+	return cfg.PaceDelay
+}
+
+// leaseEnd returns when a lease that was renewed at now has certainly ended on
+// the worker.
+func (cfg Config) leaseEnd(now model.Instant) model.Instant {
+	lease := cfg.leaseDuration()
+	return now.Add(lease + lease/leaseDriftDivisor + leaseMargin)
+}
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -37,7 +37,7 @@
 
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
-	pl.claimsLeft = max(1, int(maxClaims*float64(len(pl.workers.sorted))))
+	pl.claimsLeft = max(minClaims, len(pl.workers.sorted)/claimDivisor)
 	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
