Record the emptiest worker as the workers see it

The events had only what the leader reserves, so that a start on its way and a run that the worker has looked alike, and the suspicion of the postmortem (starts on their way) could not be checked.

Change: capacityUsed names the worker whose reported runs leave the most processors unused, how much that is, and the age of its oldest start that no heartbeat has listed.

--- a/core/flow/capacity.go
+++ b/core/flow/capacity.go
@@ -23,13 +23,27 @@
 	// ending sums up the runs whose end is not applied yet, and unreported those
 	// that no heartbeat has listed.
 	ending, unreported model.Resources
+	// emptiest is the worker whose reported runs leave the most processors unused,
+	// unused what they leave, and oldestStart when the first of the runs was placed
+	// there that no heartbeat has listed, 0 if there is none.
+	emptiest    Incarnation
+	unused      model.Resources
+	oldestStart model.Instant
 }
 
 // add adds the runs of a worker.
 func (cu *capacityUse) add(wk *worker) {
 	cu.workers++
 	cu.total = cu.total.Add(wk.size)
+	unused := wk.size
+	oldest := model.Instant(0)
 	for _, pr := range wk.runs {
+		if pr.reported && !pr.ending {
+			unused = unused.Sub(pr.size)
+		}
+		if !pr.reported && (oldest == 0 || pr.placedAt < oldest) {
+			oldest = pr.placedAt
+		}
 		sum := &cu.ordinary
 		switch {
 		case pr.ending:
@@ -43,6 +57,9 @@
 		}
 		*sum = sum.Add(pr.size)
 	}
+	if unused.MilliCPU() > cu.unused.MilliCPU() {
+		cu.emptiest, cu.unused, cu.oldestStart = wk.incarnation, unused, oldest
+	}
 }
 
 // free returns what no run reserves.
@@ -79,7 +96,11 @@
 	} {
 		pairs = append(pairs, part.name+"MilliCpu", strconv.FormatInt(part.sum.MilliCPU(), 10), part.name+"MemoryMb", strconv.FormatInt(part.sum.MemoryMB(), 10))
 	}
-	pl.recordEvent("capacityUsed", "", "", "", pairs...)
+	pairs = append(pairs, "unusedMilliCpu", strconv.FormatInt(use.unused.MilliCPU(), 10), "unusedMemoryMb", strconv.FormatInt(use.unused.MemoryMB(), 10))
+	if use.oldestStart > 0 {
+		pairs = append(pairs, "startAgeMs", strconv.FormatInt(now.Sub(use.oldestStart).Milliseconds(), 10))
+	}
+	pl.recordEvent("capacityUsed", "", "", use.emptiest.String(), pairs...)
 }
 
 // shortage counts the workers that have no room for a task, by what they lack
--- a/core/flow/capacity_test.go
+++ b/core/flow/capacity_test.go
@@ -50,3 +50,28 @@
 		}
 	}
 }
+
+// Guards against an event about the use of capacity that does not tell a start on
+// its way from a run that the worker has: the room on the worker itself.
+func TestCapacityEventNamesTheEmptiestWorker(t *testing.T) {
+	har := newHarness(t)
+	har.submit("first", StepSpec{Tasks: 1, Size: model.NewResources(3000, 100, 0)})
+	har.heartbeat("w1", nil)
+	har.submit("waits", StepSpec{Tasks: 1, Size: model.NewResources(2000, 2000, 0), LongRunning: true})
+	var found []RecordEvent
+	for _, rec := range har.events {
+		if rec.Kind == "capacityUsed" {
+			found = append(found, rec)
+		}
+	}
+	if len(found) == 0 {
+		t.Fatal("no event about the use of capacity")
+	}
+	fields := map[string]string{}
+	for _, fi := range found[0].Fields {
+		fields[fi.Key] = fi.Value
+	}
+	if found[0].Worker == "" || fields["unusedMilliCpu"] != "4000" || fields["unreportedMilliCpu"] != "3000" || fields["startAgeMs"] == "" {
+		t.Errorf("worker %q has %v, want all 4000 milli processors unused and a start on its way", found[0].Worker, fields)
+	}
+}
