Sync what a restarted replica reads before it acknowledges it

What callers would see: after the processes of a cell were killed and the machines lost power shortly after, a configuration or a job that was acknowledged is gone, or a voter votes twice in a term; or a VM doesn't start ("the identity is missing beside other files", "a record is damaged") and counts as lost beside those that may be lost.

Cause: three names or contents were taken as durable because they could be read. 1. The log: a process that is killed between the write and the sync of a frame leaves it in the file. The next process read it, counted it as durable and acknowledged its entries, or repeated its vote, without a write of its own. A loss of power then takes it. With a further frame behind it, the log counted as damaged. 2. The directory of a group, created by Open, was never synced in its parent, so a loss of power might take the whole of it. 3. After a kill between the renaming of a file and the sync of the directory, the next process used the name. The log file could outlast the identity.

Change: Open syncs the parent of the directory, the directory once it has read the identity and once it has read the log, and the log itself, before it returns. These are three syncs more per start.

--- a/io/disk/filelog.go
+++ b/io/disk/filelog.go
@@ -25,7 +25,9 @@
 func (fl *fileLog) path() string { return filepath.Join(fl.dir, logName) }
 
 // load opens the file for appending, reads the log and truncates a torn last frame, which
-// is one that a crash left incomplete.
+// is one that a crash left incomplete. What it returns is durable: the last process may
+// have ended between the write and the sync of a frame, or between the renaming of a file
+// and the sync of the directory.
 func (fl *fileLog) load() (recoveredLog, error) {
 	var rec recoveredLog
 	file, err := fl.fs.Append(fl.path())
@@ -41,13 +43,19 @@
 	for len(rest) > 0 {
 		payload, next, ok := readFrame(rest)
 		if !ok {
-			return rec, fl.truncateTorn(buf, rest)
+			if err := fl.truncateTorn(buf, rest); err != nil {
+				return rec, err
+			}
+			break
 		}
 		if err := addBatch(&rec, payload); err != nil {
 			return rec, &CorruptError{file: fl.path(), offset: int64(len(buf) - len(rest)), reason: err.Error()}
 		}
 		rest = next
 	}
+	if err := fl.file.Sync(); err != nil {
+		return rec, fileError("sync", fl.path(), err)
+	}
 	return rec, fileError("sync", fl.dir, fl.fs.SyncDir(fl.dir))
 }
 
@@ -60,10 +68,7 @@
 		return &CorruptError{file: fl.path(), offset: offset, reason: "a record is damaged"}
 	}
 	fl.logger.Warn("log truncated at a torn last frame", "file", fl.path(), "offset", offset, "bytes", len(rest))
-	if err := fl.file.Truncate(offset); err != nil {
-		return fileError("truncate", fl.path(), err)
-	}
-	return fileError("sync", fl.path(), fl.file.Sync())
+	return fileError("truncate", fl.path(), fl.file.Truncate(offset))
 }
 
 // addBatch applies the records of one frame to rec.
--- a/io/disk/files.go
+++ b/io/disk/files.go
@@ -54,10 +54,11 @@
 	snaps *fileSnapshots
 }
 
-// Open locks and reads a data directory; an empty or missing one is initialized. Its
-// error is a *LockedError, *OwnerError, *CorruptError, *GapError or *FileError. The
-// clean-up function closes the files and unlocks the directory. It must be called after
-// the actors that own the store have ended.
+// Open locks and reads a data directory; an empty or missing one is initialized. What it
+// reads is durable, provided that the parent of the directory is. Its error is a
+// *LockedError, *OwnerError, *CorruptError, *GapError or *FileError. The clean-up function
+// closes the files and unlocks the directory. It must be called after the actors that own
+// the store have ended.
 func Open(cfg Config) (*Files, func(), error) {
 	none := func() {}
 	if cfg.FS == nil {
@@ -69,6 +70,9 @@
 	if err := cfg.FS.MkdirAll(cfg.Dir); err != nil {
 		return nil, none, fileError("create", cfg.Dir, err)
 	}
+	if err := cfg.FS.SyncDir(filepath.Dir(cfg.Dir)); err != nil {
+		return nil, none, fileError("sync", filepath.Dir(cfg.Dir), err)
+	}
 	lock, err := cfg.FS.Lock(filepath.Join(cfg.Dir, lockName))
 	if err != nil {
 		return nil, none, &LockedError{dir: cfg.Dir, cause: err}
@@ -182,7 +186,9 @@
 		return mismatch("group", owner.GetGroup(), fls.cfg.Group)
 	}
 	fls.disk = quorum.DiskID(owner.GetDisk())
-	return nil
+	// The last process may have ended before this sync. Other files must not outlast the
+	// identity.
+	return fileError("sync", fls.cfg.Dir, fls.cfg.FS.SyncDir(fls.cfg.Dir))
 }
 
 // Disk implements Store. It returns the identity in the owner file.
