--- a/io/host/host.go
+++ b/io/host/host.go
@@ -12,16 +12,6 @@
 	"guavarail/core/model"
 )
 
-// Clock returns the local monotonic time. Its zero is not related to that of
-// another process.
-type Clock func() model.Instant
-
-// NewClock returns a clock that reads zero at the time of the call.
-func NewClock() Clock {
-	start := time.Now()
-	return func() model.Instant { return model.Instant(time.Since(start)) }
-}
-
 // EffectHandler executes one effect. It runs on the actor's goroutine and must
 // not block.
 type EffectHandler[E any] func(eff E)
