Replace lost voters of fleet and data centre groups before removing them

What callers would see: after operators replaced two of five lost voters, a preset, job or claim that was acknowledged is gone with two further disks. After an operator replaced a VM whose new disk was up already, the group of a data centre counts the old disk for good, and the next loss leaves no majority.

Cause: 1. core/repair removed a VM that should not be a member or must not vote at once, so that five voters became four and three while their replacements were dark. 2. A voter with a new disk was removed only if the leader of the group looked while the fleet state had it as a learner. The leader of the fleet group promotes it within a second. After that nothing showed the leader of another group, or one whose removal had failed, that the configuration has the old disk. 3. A promotion waited 35 s for a learner that doesn't catch up, was always the next one again, and kept both groups from all other changes.

Change: the order of changes of core/cell Repair is core/voting now, and both use it, with its retries of promotions. A plan counts the voters that a group is to have from all VMs with a disk, also those that wait for their promotion. A voter is replaced in place only while no other one is missing. With at most one voter too few, a majority of them has one disk more than half of the wanted voters, rounded down: so these groups need no least number of copies, which would have to follow the fleet state and may stop a group that operators made smaller. Node.ReplacedVoters lists the voters that answer from another disk; they are replaced if the fleet state has let that disk vote. A change takes 3 s at most.

A VM that was added with a disk and never comes up counts as missing: until it is up or removed, no voter is replaced in place. Other replacements go on.

TestSuccessorVotesBeforeTheOldVoterLeaves wanted the removal before the promotion for a removed VM, which was the fault and against its own first line; it now wants the promotion first. The check on the number of voters at the end of the simulations counts only voters with the disk that the configuration names.

--- a/core/cell/losses_test.go
+++ b/core/cell/losses_test.go
@@ -33,10 +33,16 @@
 			s.disturb()
 		}
 		s.finalLoss()
-		t.Logf("seed %d: %d VMs, losses %d, %d acknowledged, fewest copies %d", seed, len(s.vms), losses, len(s.acked), s.fewest)
-		if len(s.errs) > 0 {
-			t.Errorf("seed %d, losses %d: %d violations, first: %s\n%s", seed, losses, len(s.errs), s.errs[0], s.describe())
-		}
+		s.report(t, seed)
+	}
+}
+
+// report fails the test if there are violations.
+func (s *cellSim) report(t *testing.T, seed uint64) {
+	t.Helper()
+	t.Logf("seed %d: %d VMs, losses %d, %d acknowledged, fewest copies %d", seed, len(s.vms), s.losses, len(s.acked), s.fewest)
+	if len(s.errs) > 0 {
+		t.Errorf("seed %d, losses %d: %d violations, first: %s\n%s", seed, s.losses, len(s.errs), s.errs[0], s.describe())
 	}
 }
 
@@ -140,7 +146,8 @@
 	}
 }
 
-// voters returns the number of voters according to the leader, or 0 without one.
+// voters returns the number of voters that have the disk with which they may vote,
+// according to the leader, or 0 without one.
 func (s *cellSim) voters() int {
 	ldr := s.leader()
 	if ldr == nil {
@@ -148,7 +155,7 @@
 	}
 	count := 0
 	for _, mem := range ldr.node.Members().List() {
-		if mem.Voter() {
+		if mem.Voter() && mem.Disk() == s.find(mem.VM()).disk.id {
 			count++
 		}
 	}
@@ -212,14 +219,14 @@
 		}
 	}
 	before := len(s.acked)
-	s.propose(10 * time.Second)
+	s.propose(s.settleTime)
 	if len(s.acked) == before {
 		s.fail("no command is acknowledged after the final loss")
 	}
 	if got := s.voters(); got != 2*s.losses+1 {
 		s.fail("%d voters after the final loss, want %d", got, 2*s.losses+1)
 	}
-	if got := s.fullestCentre(); got > s.losses {
+	if got := s.fullestCentre(); s.minCopies > 0 && got > s.losses {
 		s.fail("%d of %d voters are in one data centre after the final loss", got, 2*s.losses+1)
 	}
 }
--- a/core/cell/repair.go
+++ b/core/cell/repair.go
@@ -7,6 +7,7 @@
 
 	"guavarail/core/model"
 	"guavarail/core/quorum"
+	"guavarail/core/voting"
 )
 
 const (
@@ -19,9 +20,6 @@
 	// learnerTimeout is the time without an announcement after which a learner
 	// is removed.
 	learnerTimeout = 10 * time.Second
-	// promotionRetry is the time for which a learner whose promotion failed is not
-	// promoted again.
-	promotionRetry = 3 * time.Second
 )
 
 // Presence is an announcement with which a VM with a disk reports to the leader
@@ -47,8 +45,8 @@
 	Centre model.CentreID
 	// announced holds the latest announcement of each VM.
 	announced map[model.VMID]Presence
-	// failedPromotions holds the time of the last failed promotion of a VM.
-	failedPromotions map[model.VMID]model.Instant
+	// retries holds back promotions that failed.
+	retries voting.Retries
 	// leadingSince is when this VM became the leader and began to receive
 	// announcements.
 	leadingSince model.Instant
@@ -56,19 +54,11 @@
 
 // Start drops earlier announcements. Call it when this VM becomes the leader.
 func (re *Repair) Start(now model.Instant) {
-	re.leadingSince, re.announced, re.failedPromotions = now, nil, nil
+	re.leadingSince, re.announced, re.retries = now, nil, voting.Retries{}
 }
 
 // Failed records that a change was rejected or did not take effect in time.
-func (re *Repair) Failed(now model.Instant, chg quorum.Change) {
-	if chg.Kind() != quorum.Promote {
-		return
-	}
-	if re.failedPromotions == nil {
-		re.failedPromotions = map[model.VMID]model.Instant{}
-	}
-	re.failedPromotions[chg.VM()] = now
-}
+func (re *Repair) Failed(now model.Instant, chg quorum.Change) { re.retries.Failed(now, chg) }
 
 // Announce records an announcement.
 func (re *Repair) Announce(pre Presence) {
@@ -144,34 +134,20 @@
 	idle []model.VMID
 }
 
-// Next returns the next membership change, or false if none is needed. A lost
-// voter is removed after its replacement has been promoted, so that a committed
-// entry stays on more disks than may be lost and the loss of other voters can be
-// borne. Only a VM that is its own replacement, as it announces a new disk, is
-// removed before, and only while the other voters can keep enough copies. If the
-// lost voter is back after the promotion, there is one voter too many and another
-// one is removed. Voters are spread over the data centres, and one is moved if the
-// loss of a data centre would leave no majority. self is this VM, which is never
-// removed.
+// Next returns the next membership change, or false if none is needed. Lost voters are
+// replaced as voting.Census describes. Voters are spread over the data centres, and one
+// is moved if the loss of a data centre would leave no majority. self is this VM, which
+// is never removed.
 func (re *Repair) Next(now model.Instant, self model.VMID, mems quorum.Members) (quorum.Change, bool) {
 	cen := re.census(now, self, mems)
-	lost := slices.Concat(cen.replaced, cen.silent)
-	missing := re.Voters - (cen.voters - len(lost))
-	switch {
-	case cen.voters > re.Voters && len(lost) > 0:
-		return quorum.NewChange(quorum.Remove, lost[0]), true
-	case cen.voters <= re.Voters && missing > 0 && len(cen.candidates) > 0:
-		return cen.candidates[0].change(), true
-	case len(cen.replaced) > 0 && cen.voters > re.minVoters():
-		return quorum.NewChange(quorum.Remove, cen.replaced[0]), true
-	case cen.voters > re.Voters && len(cen.intact) > 0:
-		return quorum.NewChange(quorum.Remove, cen.intact[0]), true
-	case cen.voters == re.Voters && len(lost) == 0 && re.improvesSpread(cen):
-		return cen.candidates[0].change(), true
-	case len(cen.idle) > 0:
-		return quorum.NewChange(quorum.Remove, cen.idle[0]), true
+	var steps []quorum.Change
+	for _, can := range cen.candidates {
+		steps = append(steps, can.change())
 	}
-	return quorum.Change{}, false
+	return voting.Census{
+		Wanted: re.Voters, Min: re.minVoters(), Voters: cen.voters, Replaced: cen.replaced, Lost: cen.silent,
+		Surplus: cen.intact, Candidates: steps, Move: re.improvesSpread(cen), Idle: cen.idle,
+	}.Next()
 }
 
 // minVoters returns the number of voters below which no voter is removed: a
@@ -215,7 +191,7 @@
 	}
 	for vm, pre := range re.announced {
 		mem, ok := mems.Find(vm)
-		if vm == self || pre.Disk == "" || mem.Voter() || !re.present(now, vm) || ok && !re.mayPromote(now, vm) {
+		if vm == self || pre.Disk == "" || mem.Voter() || !re.present(now, vm) || ok && !re.retries.MayPromote(now, vm) {
 			continue
 		}
 		cen.candidates = append(cen.candidates, candidate{vm: vm, learner: ok, centre: pre.Centre, load: cen.load[pre.Centre]})
@@ -250,12 +226,6 @@
 	}
 }
 
-// mayPromote reports whether no promotion of vm failed recently.
-func (re *Repair) mayPromote(now model.Instant, vm model.VMID) bool {
-	failedAt, ok := re.failedPromotions[vm]
-	return !ok || now.Sub(failedAt) > promotionRetry
-}
-
 // VotersByCentre returns the number of intact voters of each data centre whose
 // voters have announced themselves.
 func (re *Repair) VotersByCentre(now model.Instant, self model.VMID, mems quorum.Members) map[model.CentreID]int {
--- a/core/cell/sim_test.go
+++ b/core/cell/sim_test.go
@@ -65,7 +65,7 @@
 	centre model.CentreID
 	disk   *simDisk
 	node   *quorum.Node
-	repair Repair
+	repair planner
 	// leading is set while repair has announcements of the current term.
 	leading bool
 	up      bool
@@ -87,6 +87,14 @@
 	reachableSince time.Duration
 }
 
+// planner chooses the membership changes of a leader.
+type planner interface {
+	Start(now model.Instant)
+	Announce(pre Presence)
+	Next(now model.Instant, self model.VMID, mems quorum.Members) (quorum.Change, bool)
+	Failed(now model.Instant, chg quorum.Change)
+}
+
 // cellSim simulates the VMs with a disk of a cell, whose members Repair chooses.
 type cellSim struct {
 	rnd    *rand.Rand
@@ -96,6 +104,14 @@
 	vms    []*simVM
 	seeds  []model.VMID
 	losses int
+	// minCopies is Config.MinCopies of every VM.
+	minCopies int
+	// newPlanner returns the planner of a VM that starts.
+	newPlanner func(vm *simVM) planner
+	// settleTime is the time in which all lost voters are replaced.
+	settleTime time.Duration
+	// onWipe is called for a VM that lost its disk. It may be nil.
+	onWipe func(vm *simVM)
 	disks  int
 	lastID uint64
 	// acked holds the term of each acknowledged entry by index.
@@ -108,20 +124,34 @@
 
 // newCellSim starts a cell of count VMs, which the first three bootstrap.
 func newCellSim(seed uint64, losses, count int) *cellSim {
+	s := newGroupSim(seed, losses, count, 3, 3)
+	s.minCopies, s.settleTime = losses+1, 10*time.Second
+	s.newPlanner = func(vm *simVM) planner { return &Repair{Voters: 2*losses + 1, Centre: vm.centre} }
+	s.startAll()
+	return s
+}
+
+// newGroupSim returns a group of count VMs in several data centres, of which the first
+// ones are the initial voters. They are not started.
+func newGroupSim(seed uint64, losses, count, seeds, centres int) *cellSim {
 	s := &cellSim{rnd: rand.New(rand.NewPCG(seed, 2)), losses: losses, acked: map[uint64]uint64{}, fewest: count}
 	for pos := range count {
-		s.vms = append(s.vms, &simVM{id: model.VMID(rune('a' + pos)), centre: model.CentreID(rune('x' + pos%3))})
+		s.vms = append(s.vms, &simVM{id: model.VMID(rune('a' + pos)), centre: model.CentreID(rune('p' + pos%centres))})
 	}
-	for _, vm := range s.vms[:3] {
+	for _, vm := range s.vms[:seeds] {
 		s.seeds = append(s.seeds, vm.id)
 	}
+	return s
+}
+
+// startAll starts the VMs.
+func (s *cellSim) startAll() {
 	for _, vm := range s.vms {
 		vm.disk = s.newDisk()
 		s.after(s.upTo(300*time.Millisecond), func() { s.start(vm, true) })
 		s.every(vm, helloInterval, s.announce)
 		s.every(vm, repairInterval, s.maintain)
 	}
-	return s
 }
 
 func (s *cellSim) upTo(d time.Duration) time.Duration { return time.Duration(s.rnd.Int64N(int64(d))) }
@@ -162,14 +192,14 @@
 func (s *cellSim) start(vm *simVM, bootstrap bool) {
 	vm.incarnation++
 	vm.up, vm.leading, vm.pending, vm.applied, vm.changeEnd = true, false, nil, nil, 0
-	vm.repair = Repair{Voters: 2*s.losses + 1, Centre: vm.centre}
+	vm.repair = s.newPlanner(vm)
 	vm.reachableSince = s.now
 	voters, learners := []model.VMID{"-"}, []model.VMID{vm.id}
 	if bootstrap && slices.Contains(s.seeds, vm.id) {
 		voters, learners = s.seeds, nil
 	}
 	vm.node = quorum.NewNode(quorum.Config{
-		Self: vm.id, Disk: vm.disk.id, Voters: voters, Learners: learners, MinCopies: s.losses + 1, Seed: s.rnd.Uint64(),
+		Self: vm.id, Disk: vm.disk.id, Voters: voters, Learners: learners, MinCopies: s.minCopies, Seed: s.rnd.Uint64(),
 		SnapshotEntries: 1 << 40, SnapshotBytes: 1 << 40,
 		Stored: quorum.NewStoredState(vm.disk.hard, quorum.Snapshot{}, slices.Clone(vm.disk.ents)),
 	})
@@ -193,6 +223,9 @@
 func (s *cellSim) wipe(vm *simVM) {
 	s.crash(vm)
 	vm.disk, vm.wiped = s.newDisk(), true
+	if s.onWipe != nil {
+		s.onWipe(vm)
+	}
 }
 
 // setDark cuts a VM off or connects it again.
@@ -235,12 +268,20 @@
 	vm.leading = vm.leading && vm.node.Role(s.instant()).Leading()
 }
 
-func (s *cellSim) send(from *simVM, msg quorum.Message) {
-	pos := slices.IndexFunc(s.vms, func(vm *simVM) bool { return vm.id == msg.To() })
+// find returns the VM with the given name, or nil.
+func (s *cellSim) find(id model.VMID) *simVM {
+	pos := slices.IndexFunc(s.vms, func(vm *simVM) bool { return vm.id == id })
 	if pos < 0 {
+		return nil
+	}
+	return s.vms[pos]
+}
+
+func (s *cellSim) send(from *simVM, msg quorum.Message) {
+	to := s.find(msg.To())
+	if to == nil {
 		return
 	}
-	to := s.vms[pos]
 	s.after(500*time.Microsecond+s.upTo(time.Millisecond)+to.delay, func() {
 		if !from.dark && !to.dark {
 			s.step(to, quorum.NewReceive(msg))
--- a/core/fleet/vm.go
+++ b/core/fleet/vm.go
@@ -95,10 +95,17 @@
 // FleetVoters returns the VMs selected to vote in the fleet group: of each data
 // centre the most senior VM with the role Voter, and of these the seven most
 // senior.
-func (st *State) FleetVoters() []VM {
+func (st *State) FleetVoters() []VM { return selectFleetVoters(st.vmsWithVoterRole()) }
+
+// FleetSize returns the number of voters that the fleet group has once all VMs with a
+// disk have the role Voter.
+func (st *State) FleetSize() int { return len(selectFleetVoters(st.vmsWithDisk())) }
+
+// selectFleetVoters returns the voters of the fleet group among the given VMs.
+func selectFleetVoters(vms []VM) []VM {
 	seen := map[model.CentreID]bool{}
 	var out []VM
-	for _, vm := range st.vmsWithVoterRole() {
+	for _, vm := range vms {
 		if !seen[vm.Centre()] && len(out) < maxFleetVoters {
 			seen[vm.Centre()] = true
 			out = append(out, vm)
@@ -116,8 +123,19 @@
 // there are exactly two, a third is borrowed: the most senior VM with the role Voter
 // of the next data centre in cyclic order of names that has one.
 func (st *State) CentreVoters(centre model.CentreID) []VM {
+	return selectCentreVoters(centre, st.vmsWithVoterRole())
+}
+
+// CentreSize returns the number of voters that the group of a data centre has once all
+// VMs with a disk have the role Voter.
+func (st *State) CentreSize(centre model.CentreID) int {
+	return len(selectCentreVoters(centre, st.vmsWithDisk()))
+}
+
+// selectCentreVoters returns the voters of the group of a data centre among all given
+// VMs.
+func selectCentreVoters(centre model.CentreID, all []VM) []VM {
 	var own []VM
-	all := st.vmsWithVoterRole()
 	for _, vm := range all {
 		if vm.Centre() == centre && len(own) < maxCentreVoters {
 			own = append(own, vm)
@@ -149,9 +167,19 @@
 
 // vmsWithVoterRole returns the VMs with the role Voter, most senior first.
 func (st *State) vmsWithVoterRole() []VM {
+	return st.vmsBySeniority(func(vm VM) bool { return vm.Role() == Voter })
+}
+
+// vmsWithDisk returns the VMs with a disk, most senior first.
+func (st *State) vmsWithDisk() []VM {
+	return st.vmsBySeniority(func(vm VM) bool { return vm.spec.Disk })
+}
+
+// vmsBySeniority returns the VMs for which match is true, most senior first.
+func (st *State) vmsBySeniority(match func(vm VM) bool) []VM {
 	var out []VM
 	for _, vm := range st.vms {
-		if vm.Role() == Voter {
+		if match(vm) {
 			out = append(out, vm)
 		}
 	}
--- a/core/quorum/progress.go
+++ b/core/quorum/progress.go
@@ -8,6 +8,9 @@
 	// disk is the disk that the member's last accepted reply came from, or ""
 	// before the first.
 	disk DiskID
+	// otherDisk is the disk that the member's last reply came from if it is not the one
+	// in the configuration, or "".
+	otherDisk DiskID
 	// match is the index of the last entry known to be on the member's disk.
 	match uint64
 	// next is the index of the next entry to send. It is above match.
@@ -99,6 +102,18 @@
 	}
 }
 
+// ReplacedVoters returns the voters whose VMs have answered this leader from another
+// disk than the one in the configuration. The list is empty on other replicas.
+func (n *Node) ReplacedVoters() []model.VMID {
+	var lst []model.VMID
+	for _, mem := range n.members().voters() {
+		if pr := n.leaderState.peers[mem.vm]; n.state == leader && pr != nil && pr.otherDisk != "" && pr.otherDisk != mem.disk {
+			lst = append(lst, mem.vm)
+		}
+	}
+	return lst
+}
+
 // recordReply records a reply to a message that was sent at the given time. A
 // send time in the future was not taken from this VM's clock and must not extend
 // the lease.
@@ -114,7 +129,9 @@
 		return false
 	}
 	mem, _ := n.members().Find(pr.vm)
+	pr.otherDisk = ""
 	if mem.disk != "" && mem.disk != spec.Disk {
+		pr.otherDisk = spec.Disk
 		n.recordUnknownDisk(spec)
 		return false
 	}
--- a/core/repair/repair_test.go
+++ b/core/repair/repair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"guavarail/core/fleet"
@@ -38,11 +39,12 @@
 
 // reconcile applies changes until the members match the goal. It returns the
 // changes as text and the members.
-func reconcile(t *testing.T, goa Goal, mems quorum.Members) (string, quorum.Members) {
+func reconcile(t *testing.T, goa Goal, mems quorum.Members, replaced ...model.VMID) (string, quorum.Members) {
 	t.Helper()
 	var log string
+	var pln Plan
 	for range 20 {
-		chg, ok := Next(goa, mems)
+		chg, ok := pln.Next(0, goa, mems, replaced)
 		if !ok {
 			return log, mems
 		}
@@ -56,6 +58,7 @@
 			lst = append(lst, quorum.NewMember(chg.VM(), "", chg.Kind() == quorum.Promote))
 		}
 		mems = quorum.NewMembers(false, lst...)
+		replaced = slices.DeleteFunc(replaced, func(vmi model.VMID) bool { return vmi == chg.VM() })
 		log += fmt.Sprintf("%s %s;", [...]string{"add", "promote", "remove"}[chg.Kind()], chg.VM())
 	}
 	t.Fatalf("goal not reached after 20 changes: %s", log)
@@ -103,7 +106,53 @@
 	}
 	apply(t, sta, fleet.NewRemoveVM("a-1"))
 	mems = members([]string{"a-1", "b-1", "c-1"}, []string{"a-2"})
-	if log, _ = reconcile(t, FleetGoal(sta), mems); log != "remove a-1;promote a-2;" {
-		t.Errorf("changes %q for a removed VM, want its removal before the promotion of a-2", log)
+	if log, _ = reconcile(t, FleetGoal(sta), mems); log != "promote a-2;remove a-1;" {
+		t.Errorf("changes %q for a removed VM, want the promotion of a-2 before its removal", log)
+	}
+}
+
+// Guards against a group that shrinks below what bears its losses while the VMs that
+// are to replace its lost voters are not there yet.
+func TestLostVotersStayUntilReplacementsVote(t *testing.T) {
+	sta := newFleet(t)
+	apply(t, sta, fleet.NewReplaceVM("b-1", testVM("b-2")))
+	apply(t, sta, fleet.NewReplaceVM("c-1", testVM("c-1")))
+	mems := members([]string{"a-1", "b-1", "c-1"}, []string{"a-2"})
+	log, mems := reconcile(t, FleetGoal(sta), mems)
+	if log != "remove c-1;add b-2;add c-1;" {
+		t.Errorf("changes %q, want c-1 removed for its own sake and b-1 kept", log)
+	}
+	apply(t, sta, fleet.NewPromote("b-2", "new"))
+	if log, _ = reconcile(t, FleetGoal(sta), mems); log != "promote b-2;" {
+		t.Errorf("changes %q after the promotion of b-2, want b-1 kept until c-1 votes", log)
+	}
+	apply(t, sta, fleet.NewPromote("c-1", "new"))
+	if log, _ = reconcile(t, FleetGoal(sta), mems); log != "promote b-2;promote c-1;remove b-1;" {
+		t.Errorf("changes %q after both promotions", log)
+	}
+}
+
+// Guards against a voter that counts with its old disk for good, because the new one
+// was promoted in the fleet before the leader of the group saw the replacement.
+func TestPromotedDiskIsReplacedInTheGroup(t *testing.T) {
+	sta := newFleet(t)
+	apply(t, sta, fleet.NewReplaceVM("b-1", testVM("b-1")))
+	apply(t, sta, fleet.NewPromote("b-1", "new"))
+	mems := members([]string{"a-1", "b-1", "c-1"}, []string{"a-2"})
+	if log, _ := reconcile(t, FleetGoal(sta), mems, "b-1"); log != "remove b-1;add b-1;promote b-1;" {
+		t.Errorf("changes %q", log)
+	}
+}
+
+// Guards against a learner that never catches up and keeps the group from all other
+// changes.
+func TestFailedPromotionGivesWay(t *testing.T) {
+	sta := newFleet(t)
+	mems := members([]string{"c-1"}, []string{"a-1", "b-1", "a-2"})
+	var pln Plan
+	first, _ := pln.Next(0, FleetGoal(sta), mems, nil)
+	pln.Failed(0, first)
+	if next, ok := pln.Next(1, FleetGoal(sta), mems, nil); !ok || next == first {
+		t.Errorf("change of %q after a failed promotion of %q, %v", next.VM(), first.VM(), ok)
 	}
 }
--- a/io/group/actor.go
+++ b/io/group/actor.go
@@ -44,8 +44,8 @@
 		fail func(err error)
 	}
 
-	// members requests the members of the group.
-	members struct{ reply chan<- result[quorum.Members] }
+	// inspect runs a function that reads the node.
+	inspect func(nod *quorum.Node)
 )
 
 // waitCondition is the condition that completes a request.
@@ -116,8 +116,8 @@
 	case read[M]:
 		act.pendingReads = append(act.pendingReads, msg)
 		act.serveReads()
-	case members:
-		msg.reply <- result[quorum.Members]{val: act.node.Members()}
+	case inspect:
+		msg(act.node)
 	case disk.StoredChunk:
 		act.receivedSnapshot = msg.Data()
 		act.step(msg.Stored())
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -238,11 +238,23 @@
 
 // Members returns the members according to the log of this replica.
 func (ref Ref[M, C, R, S]) Members(ctx context.Context) (quorum.Members, error) {
+	return inspectNode(ctx, ref, (*quorum.Node).Members)
+}
+
+// ReplacedVoters returns the voters whose VMs have answered this leader from another
+// disk than the one in the configuration, or none if this replica does not lead.
+func (ref Ref[M, C, R, S]) ReplacedVoters(ctx context.Context) ([]model.VMID, error) {
+	return inspectNode(ctx, ref, (*quorum.Node).ReplacedVoters)
+}
+
+// inspectNode returns the result of fn, which runs on the actor.
+func inspectNode[T any, M quorum.Replica[C, R, S], C, R, S any](ctx context.Context, ref Ref[M, C, R, S], fn func(nod *quorum.Node) T) (T, error) {
 	if ref.pid == nil {
-		return quorum.Members{}, &StoppedError{}
+		var zero T
+		return zero, &StoppedError{}
 	}
-	return sendAndWait(ctx, ref.done, errors.Trace, func(reply chan<- result[quorum.Members]) {
-		ref.sys.Root.Send(ref.pid, members{reply: reply})
+	return sendAndWait(ctx, ref.done, errors.Trace, func(reply chan<- result[T]) {
+		ref.sys.Root.Send(ref.pid, inspect(func(nod *quorum.Node) { reply <- result[T]{val: fn(nod)} }))
 	})
 }
 
