Restart lost long-running gangs as a whole

Cause: a restart was a matter of single tasks only. A long-running gang that had lost its runs stayed a long-running step like one that never ran: behind short tasks until its overdue turn, and for good behind work of lower priority.

Change: a gang of long-running tasks is a restart once one of its members has run. It goes before first starts, ordered by the time it has been down. If it finds no room it claims places for all its members, or none: where there is room within stopDelay, then, after preemptAfter, where stopping runs of lower priority makes room, then within the horizon. Runs are stopped only if no member waits for anything else. The bound on the claims of a plan holds, but the first claims may exceed it, or a gang larger than the bound would never claim. New long-running gangs leave room for endangered tasks, as single ones do. A gang whose members waited in vain for each other counts as down since before.

The record of a restart that found nothing to claim says now for how many tasks at once and whether it could preempt: it kept a restart of lower priority that was down for longer from preempting.

TestNothingIsPreemptedForAPartOfAGang passed before (nothing was preempted for gangs) and guards the new code.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -84,7 +84,7 @@
 		return
 	}
 	wk.remove(pr)
-	if _, _, tk, ok := pl.st.find(op.task); ok && (pr.reported || op.outcome != NotStarted) {
+	if _, _, tk, ok := pl.st.find(op.task); ok && op.outcome != GangIncomplete && (pr.reported || op.outcome != NotStarted) {
 		tk.ran, tk.idleSince = true, now
 	}
 	pl.recordFillerEnd(now, wk, pr)
--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -179,21 +179,6 @@
 	return claimed
 }
 
-// claimForGang claims capacity for all waiting tasks of a gang, or none, and
-// returns the number of claims. id is one of the tasks.
-func (pl *Planner) claimForGang(now model.Instant, rs *readyStep, id TaskID) int {
-	candidates, _ := pl.claimCandidates(now, rs, id)
-	num := rs.waitingTasks()
-	made, open := pl.claimRoom(now, rs, candidates, num)
-	if made == num && !open {
-		return made
-	}
-	for _, wk := range pl.workers.sorted {
-		wk.claims.drop(rs.state(), rs.spec.reservation())
-	}
-	return 0
-}
-
 // claimRoom claims capacity for up to num tasks of a step, on the workers that
 // are expected to have it soonest, and returns the number of claims. A step that
 // finds none and has waited for openClaimAfter makes an open claim; open is then
--- /dev/null
+++ b/core/flow/gang_test.go
@@ -0,0 +1,86 @@
+package flow
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// breakGang ends the runs of a job that are left, as workers do when a member of
+// a gang ends.
+func (clu *cluster) breakGang(id model.JobID) {
+	for _, wk := range clu.workers {
+		wk.runs = slices.DeleteFunc(wk.runs, func(ru clusterRun) bool {
+			broken := ru.order.Task.Job() == id
+			if broken {
+				clu.end(wk, ru, GangBroken)
+			}
+			return broken
+		})
+	}
+}
+
+// newBusyCluster returns a cluster whose workers each have a small long-running
+// task, so that they pick up starts soon.
+func newBusyCluster(t *testing.T, seed uint64, workers int) *cluster {
+	clu := newCluster(t, seed, workers)
+	clu.submitJob("base", 0, 0, StepSpec{Tasks: workers, Size: model.NewResources(100, 100, 0), LongRunning: true, PerWorker: 1})
+	clu.play(4*time.Second, func() {})
+	return clu
+}
+
+// Guards against a lost long-running gang that stays down because other work
+// holds or takes the room that it needs as a whole.
+func TestLostLongRunningGangRunsAgain(t *testing.T) {
+	gang := StepSpec{Tasks: 3, Size: model.NewResources(3000, 100, 0), LongRunning: true, Gang: true}
+	tests := []lostTaskCase{
+		{"short tasks of the same priority", func(clu *cluster) func() { return clu.stream(24, 800*time.Millisecond) }},
+		{"lower priority", func(clu *cluster) func() {
+			clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(1000, 100, 0)})
+			return func() {}
+		}},
+		newLongRunning(3000),
+	}
+	for _, tt := range tests {
+		for seed := range uint64(4) {
+			clu := newBusyCluster(t, seed, 5)
+			clu.submitJob("gang", 0, 0, gang)
+			clu.play(time.Second, func() {})
+			feed := tt.fill(clu)
+			clu.play(3*time.Second, feed)
+			if clu.runs("gang") != gang.Tasks {
+				t.Fatalf("%s, seed %d: %d members at the start", tt.name, seed, clu.runs("gang"))
+			}
+			clu.lose(clu.running[NewTaskID("gang", 0, 0, 0)])
+			clu.breakGang("gang")
+			lost := clu.now
+			for clu.runs("gang") < gang.Tasks && clu.now.Sub(lost) < 2*maxDown {
+				clu.play(TickInterval, feed)
+			}
+			if down := clu.now.Sub(lost); down > maxDown {
+				t.Errorf("%s, seed %d: the lost gang is down for %v, want at most %v", tt.name, seed, down, maxDown)
+			}
+		}
+	}
+}
+
+// Guards against work that is stopped for a part of a gang which cannot run as a
+// whole.
+func TestNothingIsPreemptedForAPartOfAGang(t *testing.T) {
+	clu := newBusyCluster(t, 1, 5)
+	clu.submitJob("gang", 0, 0, StepSpec{Tasks: 3, Size: model.NewResources(3000, 100, 0), LongRunning: true, Gang: true})
+	clu.play(time.Second, func() {})
+	clu.submitJob("other", 0, 0, StepSpec{Tasks: 2, Size: model.NewResources(3000, 100, 0), LongRunning: true})
+	clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(1000, 100, 0)})
+	clu.play(time.Second, func() {})
+	clu.lose(clu.running[NewTaskID("gang", 0, 0, 0)])
+	clu.breakGang("gang")
+	clu.play(time.Second, func() {})
+	before := clu.runs("lower")
+	clu.play(2*maxDown, func() {})
+	if clu.runs("gang") != 0 || clu.runs("lower") != before {
+		t.Errorf("%d members and %d tasks of lower priority run, want 0 and %d", clu.runs("gang"), clu.runs("lower"), before)
+	}
+}
--- a/core/flow/miss.go
+++ b/core/flow/miss.go
@@ -56,24 +56,40 @@
 	}
 }
 
-// claimMiss records a restart for which no worker is expected to have room within
-// a time.
+// claimMiss records a restart for which the workers are not expected to have room
+// within a time.
 type claimMiss struct {
 	miss
 	horizon time.Duration
+	// tasks is how many tasks needed room at the same time.
+	tasks int
+	// preempts is set if runs of lower priority could have been stopped for it.
+	preempts bool
 }
 
 // claimMissed reports whether another restart of the plan, which needs as much or
-// less and looks as far ahead or further, found nothing to claim.
+// less, looks as far ahead or further and could preempt as much, found nothing to
+// claim.
 func (pl *Planner) claimMissed(now model.Instant, rs *readyStep) bool {
 	return slices.ContainsFunc(pl.claimMisses, func(cm claimMiss) bool {
-		return rs.claimHorizon(now) <= cm.horizon && cm.covers(rs, rs.spec.reservation())
+		return rs.claimHorizon(now) <= cm.horizon && cm.tasks <= rs.tasksAtOnce() && (cm.preempts || !rs.mayPreempt(now)) &&
+			cm.covers(rs, rs.spec.reservation())
 	})
 }
 
+// tasksAtOnce returns how many tasks of a restart have to start at the same time.
+func (rs *readyStep) tasksAtOnce() int {
+	if rs.spec.Gang {
+		return rs.waitingTasks()
+	}
+	return 1
+}
+
 // recordClaimMiss records that a restart found nothing to claim.
 func (pl *Planner) recordClaimMiss(now model.Instant, rs *readyStep, otherConditions bool) {
 	if !otherConditions {
-		pl.claimMisses = append(pl.claimMisses, claimMiss{miss: newMiss(rs, rs.spec.reservation()), horizon: rs.claimHorizon(now)})
+		pl.claimMisses = append(pl.claimMisses, claimMiss{
+			miss: newMiss(rs, rs.spec.reservation()), horizon: rs.claimHorizon(now), tasks: rs.tasksAtOnce(), preempts: rs.mayPreempt(now),
+		})
 	}
 }
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -41,8 +41,9 @@
 	// starved is set if the job has had no run for starvationTime.
 	starved bool
 	// restart selects which waiting tasks of a long-running step are meant: those
-	// that have run before, or those that have not. It is false for any other
-	// step, of which all waiting tasks are meant.
+	// that have run before, or those that have not. All waiting tasks of a gang
+	// are meant; it is a restart if one of them has run before. restart is false
+	// for any other step, of which all waiting tasks are meant.
 	restart bool
 	// waitingSince is, for a restart, the earliest time since which one of its
 	// tasks has had no run, and otherwise that of the step.
@@ -107,32 +108,40 @@
 			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
 			rank: stepRank(work, age, jb.Objective()), waitingSince: occ.steps[s].waitingSince,
 		}
-		if spec.LongRunning && !spec.Gang {
-			out = appendRestart(now, out, rs)
+		restart := rs
+		if spec.LongRunning && restart.markRestart(now) {
+			out = append(out, restart)
+			if spec.Gang {
+				continue
+			}
 		}
 		out = append(out, rs)
 	}
 	return out
 }
 
-// appendRestart appends the restart of the tasks of a long-running step that have
-// lost their runs, if there are any. rs is the step.
-func appendRestart(now model.Instant, out []readyStep, rs readyStep) []readyStep {
-	rs.restart, rs.waitingSince = true, 0
-	sp := &rs.occ.steps[rs.step]
+// markRestart makes rs, a long-running step, the restart of its tasks that have
+// lost their runs. It returns false if there are none.
+func (rs *readyStep) markRestart(now model.Instant) bool {
+	since := model.Instant(0)
+	sp := rs.state()
 	for i := range sp.tasks {
 		tk := &sp.tasks[i]
-		if tk.idleSince == 0 && tk.waiting() {
+		if !tk.waiting() {
+			continue
+		}
+		if tk.idleSince == 0 {
 			tk.idleSince = now
 		}
-		if rs.wants(tk) && (rs.waitingSince == 0 || tk.idleSince < rs.waitingSince) {
-			rs.waitingSince = tk.idleSince
+		if tk.ran && (since == 0 || tk.idleSince < since) {
+			since = tk.idleSince
 		}
 	}
-	if rs.waitingSince == 0 {
-		return out
+	if since == 0 {
+		return false
 	}
-	return append(out, rs)
+	rs.restart, rs.waitingSince = true, since
+	return true
 }
 
 // compareSteps orders two steps by which is scheduled first.
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -37,7 +37,7 @@
 
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
-	pl.claimsLeft = max(minClaims, len(pl.workers.sorted)/claimDivisor)
+	pl.claimsLeft = pl.maxClaims()
 	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
@@ -65,7 +65,7 @@
 			continue
 		}
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
-		if rs.spec.LongRunning && !rs.restart && !pl.leavesRoom(&rs) {
+		if !pl.leavesRoom(&rs, 1) {
 			pl.recordHeldBack(now, &rs, id)
 			return
 		}
@@ -74,9 +74,7 @@
 			pl.waitForRoom(now, &rs, id)
 			return
 		}
-		if rs.spec.LongRunning {
-			pl.takeRoom(&rs)
-		}
+		pl.takeRoom(&rs, 1)
 		started++
 		sp.waitingSince = now
 		pl.proposeStart(now, rs, tk, id, tk.attempt+1, wk)
@@ -88,15 +86,15 @@
 
 // waitForRoom handles tasks for which no worker is eligible now. Long-running
 // tasks that have lost their runs claim capacity and may preempt runs for it. So
-// does a task of the overdue step, or its whole gang, but it preempts nothing. id
-// is one of the tasks.
+// does a task of the overdue step, but it preempts nothing. A gang does so as a
+// whole. id is one of the tasks.
 func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
 	claimed := 0
 	switch {
+	case rs.spec.Gang && (rs.restart || rs.overdue):
+		claimed = pl.claimForGang(now, rs, id)
 	case rs.restart:
 		claimed = pl.claimForRestart(now, rs, id)
-	case rs.overdue && rs.spec.Gang:
-		claimed = pl.claimForGang(now, rs, id)
 	case rs.overdue:
 		candidates, _ := pl.claimCandidates(now, rs, id)
 		claimed, _ = pl.claimRoom(now, rs, candidates, 1)
@@ -118,6 +116,10 @@
 		}
 		attempt = max(attempt, sp.tasks[i].attempt+1)
 	}
+	if !pl.leavesRoom(&rs, len(sp.tasks)) {
+		pl.recordHeldBack(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
+		return
+	}
 	var first *worker
 	placed := make([]*worker, 0, len(sp.tasks))
 	for i := range sp.tasks {
@@ -137,6 +139,7 @@
 		pl.reserve(now, rs, &sp.tasks[i], id, attempt, wk)
 	}
 	sp.waitingSince = now
+	pl.takeRoom(&rs, len(placed))
 	pl.recordStarts(now, rs, len(placed))
 	for i, wk := range placed {
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
--- a/core/flow/preempt.go
+++ b/core/flow/preempt.go
@@ -32,7 +32,7 @@
 // Of all workers it chooses the one that loses the least work. The capacity goes
 // to the step through its claims. id is one of the tasks.
 func (pl *Planner) preempt(now model.Instant, rs *readyStep, id TaskID, candidates []claimCandidate) {
-	if now.Sub(rs.waitingSince) < preemptAfter {
+	if !rs.mayPreempt(now) {
 		return
 	}
 	soon := 0
@@ -51,13 +51,33 @@
 	if soon >= rs.waitingTasks() || best.worker == nil {
 		return
 	}
-	for _, pr := range best.runs {
-		pr.evicting = true
-		pl.recordEvent("runPreempted", pr.task.job, pr.task.String(), best.worker.incarnation.String(), "for", id.String(),
+	best.mark(true)
+	pl.recordPreemption(now, rs, id, best)
+	best.candidate.after = pl.nextRoom(now, rs, best.candidate)
+}
+
+// mayPreempt reports whether runs of lower priority may be stopped for rs.
+func (rs *readyStep) mayPreempt(now model.Instant) bool {
+	return rs.restart && now.Sub(rs.waitingSince) >= preemptAfter
+}
+
+// mark sets whether the runs of the preemption are to be stopped.
+func (pre *preemption) mark(evicting bool) {
+	for _, pr := range pre.runs {
+		pr.evicting = evicting
+	}
+	if len(pre.runs) > 0 {
+		pre.worker.claims.listed = false
+	}
+}
+
+// recordPreemption records an event for each run that is stopped. id is a task
+// for which it is stopped.
+func (pl *Planner) recordPreemption(now model.Instant, rs *readyStep, id TaskID, pre preemption) {
+	for _, pr := range pre.runs {
+		pl.recordEvent("runPreempted", pr.task.job, pr.task.String(), pre.worker.incarnation.String(), "for", id.String(),
 			"lostSeconds", strconv.FormatFloat(pr.lostWork(now), 'f', 2, 64), "downMs", strconv.FormatInt(now.Sub(rs.waitingSince).Milliseconds(), 10))
 	}
-	best.worker.claims.listed = false
-	best.candidate.after = pl.nextRoom(now, rs, best.candidate)
 }
 
 // preemptionOn chooses runs of lower priority on a worker whose stop makes room
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -33,9 +33,7 @@
 			continue
 		}
 		ro := pl.roomOf(rs.job.spec.Service)
-		for range rs.waitingTasks() {
-			ro.endangered = ro.endangered.Add(rs.spec.reservation())
-		}
+		ro.endangered = ro.endangered.Add(sumOf(rs.spec.reservation(), rs.waitingTasks()))
 	}
 }
 
@@ -48,18 +46,34 @@
 	return ro
 }
 
-// leavesRoom reports whether the first start of a long-running task leaves room
-// for the endangered ones.
-func (pl *Planner) leavesRoom(rs *readyStep) bool {
+// leavesRoom reports whether the first starts of num tasks of a long-running step
+// leave room for the endangered ones. Other starts don't take it for long.
+func (pl *Planner) leavesRoom(rs *readyStep, num int) bool {
+	if !rs.spec.LongRunning || rs.restart {
+		return true
+	}
 	ro := pl.roomOf(rs.job.spec.Service)
-	return ro.endangered.IsZero() || rs.spec.reservation().Add(ro.endangered).FitsIn(ro.room)
+	return ro.endangered.IsZero() || sumOf(rs.spec.reservation(), num).Add(ro.endangered).FitsIn(ro.room)
 }
 
-// takeRoom records a planned start of a long-running task.
-func (pl *Planner) takeRoom(rs *readyStep) {
+// takeRoom records the planned starts of num tasks.
+func (pl *Planner) takeRoom(rs *readyStep, num int) {
+	if !rs.spec.LongRunning {
+		return
+	}
 	ro := pl.roomOf(rs.job.spec.Service)
-	ro.room = ro.room.Sub(rs.spec.reservation())
+	need := sumOf(rs.spec.reservation(), num)
+	ro.room = ro.room.Sub(need)
 	if rs.restart {
-		ro.endangered = ro.endangered.Sub(rs.spec.reservation())
+		ro.endangered = ro.endangered.Sub(need)
+	}
+}
+
+// sumOf returns num times size.
+func sumOf(size model.Resources, num int) model.Resources {
+	var sum model.Resources
+	for range num {
+		sum = sum.Add(size)
 	}
+	return sum
 }
