Keep waiting times through a change of the leader

Cause: since when a task has had no run, a step has waited and a job has been idle was known to the leader only, and started anew with each. With a change every 2 s nothing was preempted (after 2 s), no open claim was made (3 s) and no step was overdue (5 s).

Change: every VM records these times when it applies the operation, whether it leads or not, by its own monotonic clock. A new leader goes on with them. A task of which a VM has seen no end counts as waiting from its election, as before.

The harness of the tests applies operations on a second VM now; no check changed.

--- a/core/flow/answer_test.go
+++ b/core/flow/answer_test.go
@@ -33,7 +33,7 @@
 			case Propose:
 				har.now = har.now.Add(commitTime)
 				for _, op := range val.Ops {
-					next = append(next, har.pl.Step(har.now, Applied{Op: op, Verdict: har.st.Apply(op)})...)
+					next = append(next, har.pl.Step(har.now, har.commit(op))...)
 				}
 				next = append(next, har.pl.Step(har.now, ProposalEnded{Term: val.Term, Applied: true})...)
 			}
--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -17,9 +17,10 @@
 	}
 }
 
-// applied updates the leader's records after an operation was applied to the
-// state, whichever leader proposed it.
+// applied updates the waiting times and the leader's records after an operation
+// was applied to the state, whichever leader proposed it.
 func (pl *Planner) applied(now model.Instant, msg Applied) {
+	pl.trackWaits(now, msg)
 	if !pl.leading {
 		return
 	}
@@ -84,7 +85,8 @@
 		return
 	}
 	wk.remove(pr)
-	if _, _, tk, ok := pl.st.find(op.task); ok && op.outcome != GangIncomplete && (pr.reported || op.outcome != NotStarted) {
+	if _, _, tk, ok := pl.st.find(op.task); ok && pr.reported && op.outcome == NotStarted {
+		// The worker had the run and has lost it.
 		tk.ran, tk.idleSince = true, now
 	}
 	pl.recordFillerEnd(now, wk, pr)
--- a/core/flow/cluster_test.go
+++ b/core/flow/cluster_test.go
@@ -66,14 +66,12 @@
 		clu.t.Fatal(err)
 	}
 	clu.durations[id] = duration
-	op := Submit(jo)
-	clu.step(Applied{Op: op, Verdict: clu.st.Apply(op)})
+	clu.step(clu.commit(Submit(jo)))
 }
 
 // cancel cancels a job.
 func (clu *cluster) cancel(id model.JobID) {
-	op := Cancel(id)
-	clu.step(Applied{Op: op, Verdict: clu.st.Apply(op)})
+	clu.step(clu.commit(Cancel(id)))
 }
 
 // play lets every worker send heartbeats for a time. Before each round, feed may
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -8,11 +8,17 @@
 	"guavarail/core/model"
 )
 
-// harness steps one planner that leads, and applies its proposals at once.
+// harness steps one planner that leads, and applies its proposals at once, also
+// on a VM that may lead next.
 type harness struct {
 	t        *testing.T
-	st       State
+	st       *State
 	pl       *Planner
+	follower struct {
+		st *State
+		pl *Planner
+	}
+	term     uint64
 	now      model.Instant
 	sequence uint64
 	// events are the events that the planner recorded.
@@ -20,12 +26,34 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	har := &harness{t: t, now: model.Instant(time.Second)}
-	har.pl = NewPlanner(&har.st, Config{})
-	har.step(BecameLeader{Term: 1, LeaseUntil: model.Instant(time.Hour)})
+	har := &harness{t: t, now: model.Instant(time.Second), st: &State{}}
+	har.pl = NewPlanner(har.st, Config{})
+	har.follower.st = &State{}
+	har.follower.pl = NewPlanner(har.follower.st, Config{})
+	har.lead()
 	return har
 }
 
+// lead makes the planner the leader.
+func (har *harness) lead() {
+	har.term++
+	har.step(BecameLeader{Term: har.term, LeaseUntil: model.Instant(time.Hour), Wall: time.Duration(har.now).Milliseconds()})
+}
+
+// changeLeader makes the follower the leader, and the leader the follower.
+func (har *harness) changeLeader() {
+	har.step(SteppedDown{})
+	har.st, har.follower.st = har.follower.st, har.st
+	har.pl, har.follower.pl = har.follower.pl, har.pl
+	har.lead()
+}
+
+// commit applies an operation on both VMs, and returns the input for the leader.
+func (har *harness) commit(op Op) Applied {
+	har.follower.pl.Step(har.now, Applied{Op: op, Verdict: har.follower.st.Apply(op)})
+	return Applied{Op: op, Verdict: har.st.Apply(op)}
+}
+
 // step steps the planner, commits what it proposes and returns the answers.
 func (har *harness) step(in Input) []Answer {
 	var out []Answer
@@ -40,7 +68,7 @@
 			har.events = append(har.events, val)
 		case Propose:
 			for _, op := range val.Ops {
-				effs = append(effs, har.pl.Step(har.now, Applied{Op: op, Verdict: har.st.Apply(op)})...)
+				effs = append(effs, har.pl.Step(har.now, har.commit(op))...)
 			}
 			effs = append(effs, har.pl.Step(har.now, ProposalEnded{Term: val.Term, Applied: true})...)
 		}
@@ -53,8 +81,7 @@
 	if err != nil {
 		har.t.Fatal(err)
 	}
-	op := Submit(jo)
-	har.step(Applied{Op: op, Verdict: har.st.Apply(op)})
+	har.step(har.commit(Submit(jo)))
 }
 
 // heartbeat sends a heartbeat of a worker with 4 processors and 4000 MB of
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -96,13 +96,9 @@
 	starved := jb.idleSince > 0 && now.Sub(jb.idleSince) > starvationTime
 	for s := range occ.steps {
 		spec := &jb.spec.Steps[s]
-		if occ.steps[s].idleTasks == 0 || !occ.ready(spec) {
-			occ.steps[s].waitingSince = 0
+		if !occ.steps[s].trackWait(now, occ.ready(spec)) {
 			continue
 		}
-		if occ.steps[s].waitingSince == 0 {
-			occ.steps[s].waitingSince = now
-		}
 		age := time.Duration(wall-jb.due(k)) * time.Millisecond
 		rs := readyStep{
 			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -187,7 +187,7 @@
 	pl.stepDown()
 	pl.leading, pl.term, pl.dirty = true, term, true
 	for _, jb := range pl.st.bySubmission() {
-		jb.endSeenAt, jb.idleSince = now, 0
+		jb.endSeenAt = now
 		if jb.status.Final() {
 			pl.endedJobs = append(pl.endedJobs, jb)
 		} else {
@@ -199,16 +199,19 @@
 }
 
 // restoreRuns adds the runs of a job to the records of their workers and resets
-// its planned starts.
+// its planned starts. A task of which this VM has not seen an end counts as
+// waiting from now, and as having run if it was started.
 func (pl *Planner) restoreRuns(now model.Instant, jb *job) {
 	for _, k := range slices.Sorted(maps.Keys(jb.occurrences)) {
 		occ := jb.occurrences[k]
 		for s := range occ.steps {
-			occ.steps[s].waitingSince = 0
 			for i := range occ.steps[s].tasks {
 				tk := &occ.steps[s].tasks[i]
-				tk.plannedStarts, tk.idleSince = 0, now
-				tk.ran = tk.attempt > 0 && len(tk.runs) == 0
+				tk.plannedStarts = 0
+				if tk.idleSince == 0 {
+					tk.idleSince = now
+				}
+				tk.ran = tk.ran || tk.attempt > 0 && len(tk.runs) == 0
 				for _, ru := range tk.runs {
 					wk := pl.ensureWorker(now, ru.incarnation)
 					pr := newPlacedRun(jb, NewTaskID(jb.ID(), k, s, i), ru.attempt, now).markInherited()
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -51,10 +51,11 @@
 	// not applied yet. It is not replicated.
 	plannedStarts int
 	// ran is set once a run of the task has ended that was carried out, as far as
-	// this leader knows. It is not replicated.
+	// this VM knows. It is not replicated.
 	ran bool
-	// idleSince is when the last run ended that was carried out, or else when this
-	// leader first found that the task may start; 0 before. It is not replicated.
+	// idleSince is when this VM applied the end of the last run that was carried
+	// out, or else when it first found, as the leader, that the task may start; 0
+	// before. It is not replicated.
 	idleSince model.Instant
 }
 
@@ -73,8 +74,9 @@
 	openTasks int
 	// idleTasks counts the tasks that are not done and have no run.
 	idleTasks int
-	// waitingSince is when this leader last started a task of the step, or first
-	// found the step ready, 0 before. It is not replicated.
+	// waitingSince is when this VM last started a task of the step or applied the
+	// start of one, or first found the step ready with idle tasks; 0 while it is
+	// not. It is not replicated.
 	waitingSince model.Instant
 }
 
@@ -124,7 +126,8 @@
 	// retention counts from then. It is not replicated.
 	endSeenAt model.Instant
 	// idleSince is the time since which a due occurrence has had open steps
-	// while the job had no run, 0 otherwise. It is not replicated.
+	// while the job had no run, as far as this VM knows, 0 otherwise. It is not
+	// replicated.
 	idleSince model.Instant
 	// load forecasts the load of a serving job. It is not replicated.
 	load loadForecast
