Keep preempted room for the restart that it was made for

Cause: room for which runs were stopped was protected by the claims of a plan only, which begin at the place of the restart in the order. With three priorities the tasks of the highest came before it in the next plan and took the room, so that work was stopped and the restart stayed down. Other restarts, which no claim binds, could take it too.

Change: a preemption keeps the room for its step from plan to plan, until a task of the step starts, the room cannot be had any more, or 5 s have passed. It binds every task but restarts of a higher priority. A gang for which runs are stopped keeps all its places. Kept room counts towards the bound on the claims of a plan.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -42,7 +42,7 @@
 
 // claims is the capacity of a worker that the current plan keeps for tasks that
 // found no room. Steps that come later in the scheduling order do not get it,
-// but for restarts, which take what they fit into.
+// but for restarts, which take what they fit into beside kept room.
 // It is made anew by each plan, at the same worker as before where possible,
 // because the room there has grown meanwhile. The zero value keeps nothing.
 type claims struct {
@@ -59,6 +59,8 @@
 	releases []release
 	total    model.Resources
 	listed   bool
+	// kept is the part of the claims that is kept from plan to plan.
+	kept []keptRoom
 }
 
 // reset drops all claims, remembers their holders and keeps the buffers.
@@ -95,7 +97,9 @@
 	switch {
 	case !need.FitsIn(free):
 		return false
-	case rs.restart || wk.claims.size.IsZero() || need.FitsIn(free.Sub(wk.claims.size).Max(model.Resources{})):
+	case rs.restart:
+		return len(wk.claims.kept) == 0 || need.FitsIn(wk.freeFor(rs))
+	case wk.claims.size.IsZero() || need.FitsIn(free.Sub(wk.claims.size).Max(model.Resources{})):
 		return true
 	}
 	return rs.spec.Estimate > 0 && !rs.spec.LongRunning && 2*rs.spec.Estimate+backfillMargin <= wk.claims.soonest
@@ -166,17 +170,20 @@
 // for it, unless the plan has no claims left or is known to find none. It returns
 // the number of claims. id is one of the tasks.
 func (pl *Planner) claimForRestart(now model.Instant, rs *readyStep, id TaskID) int {
-	if pl.claimsLeft == 0 || pl.claimMissed(now, rs) {
-		return 0
+	kept := pl.keptFor(rs)
+	num := min(rs.waitingTasks()-kept, pl.claimsLeft)
+	if num <= 0 || pl.claimMissed(now, rs) {
+		return kept
 	}
 	candidates, otherConditions := pl.claimCandidates(now, rs, id)
-	pl.preempt(now, rs, id, candidates)
-	claimed, open := pl.claimRoom(now, rs, candidates, min(rs.waitingTasks(), pl.claimsLeft))
-	if claimed == 0 || open {
+	made := pl.preempt(now, rs, id, candidates, rs.waitingTasks()-kept)
+	claimed, open := pl.claimRoom(now, rs, candidates, num-made)
+	made += claimed
+	if made == 0 || open {
 		pl.recordClaimMiss(now, rs, otherConditions)
 	}
-	pl.claimsLeft -= claimed
-	return claimed
+	pl.claimsLeft -= made
+	return kept + made
 }
 
 // claimRoom claims capacity for up to num tasks of a step, on the workers that
--- a/core/flow/gang.go
+++ b/core/flow/gang.go
@@ -24,6 +24,9 @@
 // finds no place, nothing is claimed or preempted. id is one of the tasks.
 func (pl *Planner) claimForGang(now model.Instant, rs *readyStep, id TaskID) int {
 	num := rs.waitingTasks()
+	if kept := pl.keptFor(rs); kept > 0 {
+		return kept
+	}
 	if rs.restart && (!pl.mayClaim(num) || pl.claimMissed(now, rs)) {
 		return 0
 	}
@@ -116,9 +119,11 @@
 	}
 }
 
-// settle makes the claims last until the last place has room, and preempts the
-// runs if nothing but their stops is waited for. Otherwise it spares them.
+// settle makes the claims last until the last place has room. If nothing but the
+// stops of runs is waited for, it preempts them and keeps all places; otherwise it
+// spares the runs.
 func (pl *Planner) settle(now model.Instant, rs *readyStep, gc *gangClaim, id TaskID) {
+	preempts := slices.ContainsFunc(gc.places, func(pre preemption) bool { return len(pre.runs) > 0 })
 	for _, pre := range gc.places {
 		pre.worker.claims.soonest = min(pre.worker.claims.soonest, gc.latest)
 		if gc.latest > stopDelay {
@@ -126,5 +131,8 @@
 			continue
 		}
 		pl.recordPreemption(now, rs, id, pre)
+		if preempts {
+			pl.keep(now, rs, pre.worker)
+		}
 	}
 }
--- a/core/flow/miss.go
+++ b/core/flow/miss.go
@@ -42,9 +42,9 @@
 }
 
 // missed reports whether an earlier miss of the plan shows that no worker has
-// room for a task of rs.
+// room for a task of rs. It shows nothing for a step for which room is kept.
 func (pl *Planner) missed(rs *readyStep, need model.Resources) bool {
-	return slices.ContainsFunc(pl.misses, func(mi miss) bool { return mi.covers(rs, need) })
+	return pl.keptFor(rs) == 0 && slices.ContainsFunc(pl.misses, func(mi miss) bool { return mi.covers(rs, need) })
 }
 
 // recordMiss records that no worker has room for a task of rs, which is not
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -42,6 +42,7 @@
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
 	}
+	pl.renewKept(now)
 	steps := pl.readySteps(now)
 	pl.measureRoom(now, steps)
 	for _, rs := range steps {
@@ -78,6 +79,7 @@
 		started++
 		sp.waitingSince = now
 		pl.proposeStart(now, rs, tk, id, tk.attempt+1, wk)
+		pl.releaseKept(&rs, wk)
 		// The placed run ends the starvation of the job.
 		rs.starved = false
 		rs.job.idleSince = 0
@@ -142,6 +144,7 @@
 	pl.takeRoom(&rs, len(placed))
 	pl.recordStarts(now, rs, len(placed))
 	for i, wk := range placed {
+		pl.releaseKept(&rs, wk)
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
 		pl.pendingOps = append(pl.pendingOps, Start(id, attempt, wk.incarnation))
 	}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -124,6 +124,9 @@
 	// claimMisses are the restarts for which the current plan found nothing to
 	// claim.
 	claimMisses []claimMiss
+	// kept is room that is kept for restarts for which runs were stopped, in the
+	// order in which they were.
+	kept []keptRoom
 	// claimsLeft is how many more claims the current plan may make for restarts.
 	claimsLeft int
 	// capacityRecordedAt is when the last event about the use of capacity was
--- a/core/flow/preempt.go
+++ b/core/flow/preempt.go
@@ -28,12 +28,13 @@
 }
 
 // preempt stops runs of lower priority on one worker for a long-running step
-// that has waited for preemptAfter, unless enough workers will have room soon.
-// Of all workers it chooses the one that loses the least work. The capacity goes
-// to the step through its claims. id is one of the tasks.
-func (pl *Planner) preempt(now model.Instant, rs *readyStep, id TaskID, candidates []claimCandidate) {
+// that has waited for preemptAfter, unless enough workers for num tasks will have
+// room soon. Of all workers it chooses the one that loses the least work. The room
+// is claimed and kept for the step. preempt returns the number of claims, 0 or 1.
+// id is one of the tasks.
+func (pl *Planner) preempt(now model.Instant, rs *readyStep, id TaskID, candidates []claimCandidate, num int) int {
 	if !rs.mayPreempt(now) {
-		return
+		return 0
 	}
 	soon := 0
 	var best preemption
@@ -48,12 +49,16 @@
 			best, best.candidate = pre, can
 		}
 	}
-	if soon >= rs.waitingTasks() || best.worker == nil {
-		return
+	if soon >= num || best.worker == nil {
+		return 0
 	}
 	best.mark(true)
 	pl.recordPreemption(now, rs, id, best)
+	best.worker.claims.add(rs.state(), rs.spec.reservation(), stopDelay)
+	pl.keep(now, rs, best.worker)
+	best.candidate.tasks++
 	best.candidate.after = pl.nextRoom(now, rs, best.candidate)
+	return 1
 }
 
 // mayPreempt reports whether runs of lower priority may be stopped for rs.
