--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -17,9 +17,10 @@
 	}
 }
 
-// applied updates the leader's records after an operation was applied to the
-// state, whichever leader proposed it.
+// applied updates the waiting times and the leader's records after an operation
+// was applied to the state, whichever leader proposed it.
 func (pl *Planner) applied(now model.Instant, msg Applied) {
+	pl.trackWaits(now, msg)
 	if !pl.leading {
 		return
 	}
@@ -85,8 +86,15 @@
 		return
 	}
 	pl.removeRun(wk, pr)
-	if _, _, tk, ok := pl.st.find(op.task); ok && (pr.reported || op.outcome != NotStarted) {
-		tk.ran, tk.idleSince = true, now
+	if _, _, tk, ok := pl.st.find(op.task); ok {
+		switch {
+		case pr.reported && op.outcome == NotStarted:
+			// The worker had the run and has lost it.
+			tk.ran, tk.idleSince = true, now
+		case op.outcome == Lost:
+			// The worker may have exited right after its last heartbeat.
+			tk.idleSince = min(now, wk.lastHeartbeat)
+		}
 	}
 	pl.recordFillerEnd(now, wk, pr)
 	pl.recordOutcome(now, wk, pr, op.outcome)
