Let no priority hold up a restart for good

Callers saw an accepted service with tasks missing while workers had room, which the users count as lost whatever its priority.

A restart that has waited for urgentAfter, 3 s, now goes before the steps of all priorities. It stops nothing of higher or equal priority: it takes or claims the next capacity that comes free. Among urgent restarts priority counts as before.

--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -15,6 +15,8 @@
 // lostTaskCase is a way to fill the capacity that long-running tasks leave.
 type lostTaskCase struct {
 	name string
+	// priority is that of the job that loses a task.
+	priority int
 	// fill returns the feed that keeps the capacity in use.
 	fill func(clu *cluster) func()
 }
@@ -24,7 +26,7 @@
 func checkLostTaskRunsAgain(t *testing.T, tt lostTaskCase, seed uint64) {
 	large := StepSpec{Tasks: 2, Size: model.NewResources(3000, 3000, 0), LongRunning: true, PerWorker: 1}
 	clu := newCluster(t, seed, 5)
-	clu.submitJob("large", 0, 0, large)
+	clu.submitJob("large", tt.priority, 0, large)
 	clu.play(time.Second, func() {})
 	feed := tt.fill(clu)
 	clu.play(3*time.Second, feed)
@@ -45,7 +47,7 @@
 // take all capacity that comes free. Its job has other tasks at work.
 func TestLostLongRunningTaskIsNotPassedOver(t *testing.T) {
 	for _, tt := range []lostTaskCase{
-		{"short tasks of the same priority", func(clu *cluster) func() { return clu.stream(24, 800*time.Millisecond) }},
+		{"short tasks of the same priority", 0, func(clu *cluster) func() { return clu.stream(24, 800*time.Millisecond) }},
 		newLongRunning(1000),
 	} {
 		for seed := range uint64(8) {
@@ -58,11 +60,11 @@
 // priority hold what it needs.
 func TestLostLongRunningTaskPreemptsLowerPriority(t *testing.T) {
 	for _, tt := range []lostTaskCase{
-		{"processors", func(clu *cluster) func() {
+		{"processors", 0, func(clu *cluster) func() {
 			clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(1000, 100, 0)})
 			return func() {}
 		}},
-		{"memory, held by fillers", func(clu *cluster) func() {
+		{"memory, held by fillers", 0, func(clu *cluster) func() {
 			clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(100, 1000, 0), Filler: true})
 			return func() {}
 		}},
@@ -73,12 +75,22 @@
 	}
 }
 
+// Guards against a lost long-running task that stays down as long as there is
+// work of higher priority.
+func TestLostLongRunningTaskIsNotHeldUpByHigherPriority(t *testing.T) {
+	for seed := range uint64(8) {
+		checkLostTaskRunsAgain(t, lostTaskCase{"short tasks of higher priority", 2, func(clu *cluster) func() {
+			return clu.stream(24, 800*time.Millisecond)
+		}}, seed)
+	}
+}
+
 // newLongRunning returns the case in which other long-running tasks, of the given
 // size, keep coming and are cancelled after a while.
 func newLongRunning(milliCPU int64) lostTaskCase {
 	const waiting = 12
 	id := func(i int) model.JobID { return model.JobID(fmt.Sprint("new", i)) }
-	return lostTaskCase{fmt.Sprint("new long-running tasks of ", milliCPU), func(clu *cluster) func() {
+	return lostTaskCase{fmt.Sprint("new long-running tasks of ", milliCPU), 0, func(clu *cluster) func() {
 		step := StepSpec{Tasks: 1, Size: model.NewResources(milliCPU, 100, 0), LongRunning: true}
 		submitted, cancelled := 0, 0
 		return func() {
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -16,6 +16,9 @@
 	// fillers may start on a worker that lacks processors or whose serving
 	// tasks would miss their target, so that no job waits forever.
 	starvationTime = 1500 * time.Millisecond
+	// urgentAfter is how long a long-running task has no run before its restart
+	// goes before steps of all priorities.
+	urgentAfter = 3 * time.Second
 	// overdueAfter is how long a step may have waiting tasks, and start none,
 	// before it may get the overdue turn.
 	overdueAfter = 5 * time.Second
@@ -49,6 +52,8 @@
 	waitingSince model.Instant
 	// overdue is set for the step that has the overdue turn.
 	overdue bool
+	// urgent is set for a restart that has waited for urgentAfter.
+	urgent bool
 }
 
 // wants reports whether rs is meant to place a task now.
@@ -56,10 +61,10 @@
 	return tk.waiting() && (!rs.spec.LongRunning || rs.spec.Gang || rs.restart == tk.ran)
 }
 
-// readySteps returns the ready steps in scheduling order: by priority, then
-// restarts of long-running tasks, those that have waited longest before the
-// others, then the overdue step, then long-running steps, then jobs that can
-// still meet their objective, then by rank.
+// readySteps returns the ready steps in scheduling order: urgent restarts, then
+// by priority, then restarts of long-running tasks, those that have waited
+// longest before the others, then the overdue step, then long-running steps,
+// then jobs that can still meet their objective, then by rank.
 func (pl *Planner) readySteps(now model.Instant) []readyStep {
 	wall := pl.wall(now)
 	var out []readyStep
@@ -132,6 +137,7 @@
 	if rs.waitingSince == 0 {
 		return out
 	}
+	rs.urgent = now.Sub(rs.waitingSince) >= urgentAfter
 	return append(out, rs)
 }
 
@@ -141,6 +147,7 @@
 		return cmp.Or(cmp.Compare(rs.waitingSince, other.waitingSince), cmp.Compare(rs.rank, other.rank))
 	}
 	return cmp.Or(
+		trueFirst(rs.urgent, other.urgent),
 		cmp.Compare(rs.job.spec.Priority, other.job.spec.Priority),
 		trueFirst(rs.restart, other.restart),
 		trueFirst(rs.overdue, other.overdue),
