--- a/core/flow/gang_test.go
+++ b/core/flow/gang_test.go
@@ -36,8 +36,8 @@
 func TestLostLongRunningGangRunsAgain(t *testing.T) {
 	gang := StepSpec{Tasks: 3, Size: model.NewResources(3000, 100, 0), LongRunning: true, Gang: true}
 	tests := []lostTaskCase{
-		{"short tasks of the same priority", func(clu *cluster) func() { return clu.stream(24, 800*time.Millisecond) }},
-		{"lower priority", func(clu *cluster) func() {
+		{"short tasks of the same priority", 0, func(clu *cluster) func() { return clu.stream(24, 800*time.Millisecond) }},
+		{"lower priority", 0, func(clu *cluster) func() {
 			clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(1000, 100, 0)})
 			return func() {}
 		}},
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -53,8 +53,8 @@
 	// ran is set once a run of the task has ended that was carried out, as far as
 	// this VM knows. It is not replicated.
 	ran bool
-	// idleSince is when this VM applied the end of the last run that was carried
-	// out, or else when it first found, as the leader, that the task may start; 0
+	// idleSince is when the last run that was carried out ended, at the earliest, or
+	// else when this VM first found, as the leader, that the task may start; 0
 	// before. It is not replicated.
 	idleSince model.Instant
 }
--- a/core/flow/waits_test.go
+++ b/core/flow/waits_test.go
@@ -24,7 +24,7 @@
 // is ever preempted or claimed for a task that waits.
 func TestWaitingTimesOutlastTheLeader(t *testing.T) {
 	const leads = 1900 * time.Millisecond
-	lower := lostTaskCase{"lower priority, change of the leader", func(clu *cluster) func() {
+	lower := lostTaskCase{"lower priority, change of the leader", 0, func(clu *cluster) func() {
 		clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(1000, 100, 0)})
 		return clu.leaderChanges(leads, func() {})
 	}}
