Give freed capacity away in the proposal that records the end

Callers saw: a lost long-running task stays down while some worker has room for it; the room is on its way to another task.

Cause: a run that a worker has reported as ended kept its reservation until its end was applied, so that the next start was decided, and proposed, only after that: two and a half proposals from the report to the order.

Change: a reported end frees its reservation at once, and starts that take its place follow it in the same proposal; the log keeps the order. An answer to ends is due when a plan has been made since the heartbeat and no start on the worker is undecided.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -73,9 +73,9 @@
 }
 
 // startsPending reports whether starts on the worker are decided and not applied
-// yet, or may be decided when the proposal in progress has ended.
+// yet, or no plan has been made since the heartbeat arrived.
 func (pl *Planner) startsPending(wk *worker) bool {
-	return pl.proposing || pl.dirty || slices.ContainsFunc(wk.runs, func(pr *placedRun) bool { return pr.planned })
+	return pl.plans == wk.plansBefore || slices.ContainsFunc(wk.runs, func(pr *placedRun) bool { return pr.planned })
 }
 
 // needsStop reports whether a stop order for the run has yet to be sent.
@@ -106,8 +106,12 @@
 	for _, pr := range wk.runs {
 		pl.addOrder(now, wk, pr, &ans)
 	}
-	if len(wk.runs) == 0 {
+	switch {
+	case len(wk.runs) == 0:
 		ans.HeartbeatDelay = idleHeartbeatDelay
+	case slices.ContainsFunc(wk.runs, func(pr *placedRun) bool { return pr.planned }):
+		// Starts are decided that this answer cannot carry yet.
+		ans.HeartbeatDelay = min(ans.HeartbeatDelay, busyHeartbeatDelay)
 	}
 	wk.answerPending, wk.expired = false, false
 	// The worker counts its lease from when it sent the heartbeat, which is
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -217,8 +217,10 @@
 	}
 }
 
-// proposeReportedEnds proposes the ends that a heartbeat reports.
+// proposeReportedEnds proposes the ends that a heartbeat reports and frees what
+// the runs have reserved.
 func (pl *Planner) proposeReportedEnds(wk *worker, hb *Heartbeat) {
+	wk.plansBefore = pl.plans
 	wk.reportedEnds = append(wk.reportedEnds[:0], hb.Ended...)
 	slices.SortFunc(wk.reportedEnds, func(a, b EndReport) int {
 		switch {
@@ -237,6 +239,10 @@
 				checkpoint = pr.checkpoint
 			}
 			pl.proposeEnd(pr, er.Outcome, checkpoint)
+			if pr.ending {
+				// The starts that take its place are in the log behind the end.
+				wk.release(pr)
+			}
 		}
 	}
 }
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -118,6 +118,8 @@
 	// proposing is set from a Propose effect until its ProposalEnded; there is
 	// at most one proposal at a time.
 	proposing bool
+	// plans counts the plans that this leader has made.
+	plans uint64
 	// dirty is set when something changed that may allow a task to start.
 	dirty        bool
 	sweptAt      model.Instant
@@ -263,6 +265,7 @@
 	if !pl.proposing {
 		if pl.dirty {
 			pl.dirty, pl.recheckAnswers = false, true
+			pl.plans++
 			pl.plan(now)
 		}
 		if len(pl.pendingOps) > 0 {
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -12,7 +12,8 @@
 	spec    *StepSpec
 	task    TaskID
 	attempt int
-	// size is what the run reserves of the worker.
+	// size is what the run reserves of the worker: nothing once the worker has
+	// reported its end.
 	size model.Resources
 	// placedAt is when this leader placed the run or recorded it as inherited.
 	placedAt model.Instant
@@ -128,8 +129,10 @@
 	// listedOpen is set while the worker is in Planner.openHeartbeats.
 	listedOpen         bool
 	answerPendingSince model.Instant
-	// reportedEnds are the ended runs in the last heartbeat, ordered by Number.
+	// reportedEnds are the ended runs in the last heartbeat, ordered by Number, and
+	// plansBefore is how many plans this leader had made before it arrived.
 	reportedEnds []EndReport
+	plansBefore  uint64
 	// unknownRuns are the runs in the last heartbeat that have no record in runs.
 	// What they reserve is unknown, and the next answer orders to stop them.
 	unknownRuns []StopOrder
@@ -189,11 +192,17 @@
 		return
 	}
 	wk.runs = slices.Delete(wk.runs, pos, pos+1)
+	wk.release(pr)
+	wk.countRun(pr, -1)
+}
+
+// release frees what a run reserves, because the worker has reported its end.
+func (wk *worker) release(pr *placedRun) {
 	wk.reserved = wk.reserved.Sub(pr.size)
 	if pr.spec.LongRunning {
 		wk.longRunning = wk.longRunning.Sub(pr.size)
 	}
-	wk.countRun(pr, -1)
+	pr.size = model.Resources{}
 }
 
 // find returns the record of a run on the worker, or nil.
