Expire no lease while heartbeats of the worker wait unread

Cause: the leader was behind its inputs. A new leader of term 10 took over at 54.4 s and expired, at 62.3 s, the leases of hundreds of workers of which it had read no heartbeat (silentMs=7948 for all): ticks carried the time at which they were handled, and the heartbeats of those 8 s waited in the queue behind them. In the same state orders went out in answers that the workers drop, which ended runs as notStarted by the thousand.

Change: a tick carries when it was queued, and so until when all heartbeats have been handled. Leases, silence and the pick-up of starts are judged by that time. A heartbeat carries when it arrived; an answer that would come too late carries no start.

Evidence: with the times of handling in place of those of queueing both new tests fail ("the run is lost while a heartbeat of its worker waits", "answer to a heartbeat of a second before carries a start"). The case silent of TestClaimsAreMadeOnEligibleWorkers now ticks after its wait, as the owner does; its check is the same.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -166,7 +166,7 @@
 		if !pr.inherited {
 			pl.proposeEnd(pr, NotStarted, pr.checkpoint)
 		}
-	default:
+	case now.Sub(wk.answerPendingSince) <= maxAnswerAge:
 		pr.startSent, pr.startSequence = true, wk.sequence
 		ans.Starts = append(ans.Starts, StartOrder{
 			Task: pr.task, Attempt: pr.attempt, Body: pr.job.spec.Body, Checkpoint: pr.checkpoint,
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -74,7 +74,7 @@
 		return drainingWorker
 	case pl.outage[wk.centre]:
 		return centreOut
-	case now.Sub(wk.lastHeartbeat) > maxHeartbeatAge:
+	case pl.silence(wk) > maxHeartbeatAge:
 		return staleHeartbeat
 	case len(wk.unknownRuns) > 0:
 		return hasUnknownRuns
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -34,6 +34,7 @@
 // heartbeat when the answer is due. If this VM does not hold the leader lease,
 // the answer is Refused at once.
 func (pl *Planner) handleHeartbeat(now model.Instant, hb *Heartbeat) {
+	pl.heardUntil = max(pl.heardUntil, timeOr(hb.Arrived, now))
 	if !pl.hasLeaderLease(now) {
 		pl.effects = append(pl.effects, Answer{HeartbeatID: hb.HeartbeatID, Refused: true})
 		return
@@ -48,7 +49,7 @@
 	if wk.answerPending {
 		pl.effects = append(pl.effects, Answer{HeartbeatID: wk.heartbeatID})
 	}
-	wk.heartbeatID, wk.answerPending, wk.answerPendingSince = hb.HeartbeatID, true, now
+	wk.heartbeatID, wk.answerPending, wk.answerPendingSince = hb.HeartbeatID, true, timeOr(hb.Arrived, now)
 	if !wk.listedOpen {
 		wk.listedOpen = true
 		pl.openHeartbeats = append(pl.openHeartbeats, wk)
@@ -79,7 +80,7 @@
 		pl.workers.remove(wk)
 		ok = false
 	}
-	if _, exited := pl.exited[hb.Incarnation]; !ok && (exited || pl.addressTaken(now, hb)) {
+	if _, exited := pl.exited[hb.Incarnation]; !ok && (exited || pl.addressTaken(hb)) {
 		return nil, false
 	}
 	if !ok {
@@ -98,10 +99,10 @@
 // addressTaken reports whether a worker of another name, which started later and
 // has sent heartbeats until now, has the address of an incarnation, so that the
 // incarnation has exited.
-func (pl *Planner) addressTaken(now model.Instant, hb *Heartbeat) bool {
+func (pl *Planner) addressTaken(hb *Heartbeat) bool {
 	return slices.ContainsFunc(pl.workers.sorted, func(wk *worker) bool {
 		return wk.incarnation.worker != hb.Incarnation.worker && wk.address == hb.Address && wk.incarnation.startedAt > hb.Incarnation.startedAt &&
-			wk.reported && now.Sub(wk.lastHeartbeat) <= maxHeartbeatAge
+			wk.reported && pl.silence(wk) <= maxHeartbeatAge
 	})
 }
 
--- a/core/flow/heartbeat_test.go
+++ b/core/flow/heartbeat_test.go
@@ -116,3 +116,48 @@
 		t.Errorf("starts %+v, want the first attempt of the second job", ans.Starts)
 	}
 }
+
+// Guards against runs that start twice because the leader was too busy to read the
+// heartbeats that renewed their lease.
+func TestLeaseOutlastsUnreadHeartbeats(t *testing.T) {
+	har := newHarness(t)
+	har.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
+	run := har.heartbeat("w1", nil).Starts[0]
+	runs := []RunReport{{Task: run.Task, Attempt: run.Attempt, Percent: 10}}
+	har.heartbeat("w1", runs)
+	heard := har.now
+	har.now = har.now.Add(2 * Config{}.leaseEnd(0).Sub(0))
+	tick := Tick{LeaseUntil: model.Instant(time.Hour), Posted: heard.Add(TickInterval)}
+	har.step(tick)
+	har.heartbeat("w1", runs)
+	if wk, pr := har.pl.findRun(run.Task, run.Attempt); wk == nil || pr.ending {
+		t.Error("the run is lost while a heartbeat of its worker waits")
+	}
+	har.now = har.now.Add(2 * Config{}.leaseEnd(0).Sub(0))
+	tick.Posted = har.now
+	har.step(tick)
+	if wk, _ := har.pl.findRun(run.Task, run.Attempt); wk != nil {
+		t.Error("the run is not lost after the lease has expired without a heartbeat")
+	}
+}
+
+// Guards against start orders that a worker never receives, because they are in an
+// answer that it drops as too late.
+func TestLateAnswerCarriesNoStart(t *testing.T) {
+	har := newHarness(t)
+	har.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
+	har.now = har.now.Add(2 * time.Second)
+	har.sequence++
+	late := Heartbeat{
+		HeartbeatID: har.sequence, Incarnation: NewIncarnation("w1", 1), Sequence: har.sequence, Service: "svc", Centre: "a", Address: "w1",
+		Size: model.NewResources(4000, 4000, 0), Arrived: har.now.Add(-time.Second),
+	}
+	for _, ans := range har.step(late) {
+		if len(ans.Starts) > 0 {
+			t.Errorf("answer %+v to a heartbeat of a second before carries a start", ans)
+		}
+	}
+	if ans := har.heartbeat("w1", nil); len(ans.Starts) != 1 {
+		t.Errorf("answer %+v to the next heartbeat, want one start", ans)
+	}
+}
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -19,6 +19,9 @@
 	LeaseUntil model.Instant
 	// Wall is the wall clock in milliseconds since 1970.
 	Wall int64
+	// Posted is when the owner queued the tick: heartbeats that were queued before
+	// have been handled. 0 means now.
+	Posted model.Instant
 }
 
 // BecameLeader reports that this VM has become the leader of the cell.
@@ -63,6 +66,8 @@
 type Heartbeat struct {
 	// HeartbeatID identifies the heartbeat in its Answer.
 	HeartbeatID uint64
+	// Arrived is when the owner received the heartbeat; 0 means now.
+	Arrived     model.Instant
 	Incarnation Incarnation
 	// Sequence increases with each heartbeat of an incarnation.
 	Sequence uint64
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -44,7 +44,7 @@
 	}
 	pl.renewKept(now)
 	steps := pl.readySteps(now)
-	pl.measureRoom(now, steps)
+	pl.measureRoom(steps)
 	for _, rs := range steps {
 		if rs.spec.Gang {
 			pl.startGang(now, rs)
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -57,6 +57,10 @@
 	// answerCheckInterval is how often all open heartbeats are checked for answers
 	// that have become due with time.
 	answerCheckInterval = 10 * time.Millisecond
+	// maxAnswerAge is the age of a heartbeat up to which its answer carries starts.
+	// The worker drops an answer that arrives more than a second after it sent the
+	// heartbeat.
+	maxAnswerAge = 900 * time.Millisecond
 	// workerRetention is the age of the last heartbeat after which the leader
 	// drops its record of a worker without tasks.
 	workerRetention = 15 * time.Second
@@ -84,6 +88,9 @@
 	// leaseUntil is the end of the leader lease. The planner makes decisions
 	// only before it, since another VM may lead afterwards.
 	leaseUntil model.Instant
+	// heardUntil is the time until which all heartbeats that arrived have been
+	// handled. It is behind now if inputs wait in the queue of the owner.
+	heardUntil model.Instant
 	// wallMs is the wall clock at wallReadAt, in milliseconds since 1970.
 	wallMs     int64
 	wallReadAt model.Instant
@@ -163,6 +170,7 @@
 	switch msg := in.(type) {
 	case Tick:
 		pl.leaseUntil, pl.wallMs, pl.wallReadAt = msg.LeaseUntil, msg.Wall, now
+		pl.heardUntil = max(pl.heardUntil, timeOr(msg.Posted, now))
 		pl.tick(now)
 	case BecameLeader:
 		pl.leaseUntil, pl.wallMs, pl.wallReadAt = msg.LeaseUntil, msg.Wall, now
@@ -188,6 +196,18 @@
 	return out
 }
 
+// timeOr returns at, or now if at is 0.
+func timeOr(at, now model.Instant) model.Instant {
+	if at == 0 {
+		return now
+	}
+	return at
+}
+
+// silence returns how long no heartbeat of the worker has arrived, as far as all
+// heartbeats have been handled.
+func (pl *Planner) silence(wk *worker) time.Duration { return pl.heardUntil.Sub(wk.lastHeartbeat) }
+
 // hasLeaderLease reports whether this VM leads and its leader lease has not
 // ended.
 func (pl *Planner) hasLeaderLease(now model.Instant) bool {
--- a/core/flow/preempt_test.go
+++ b/core/flow/preempt_test.go
@@ -67,6 +67,7 @@
 		tt.change(&hb)
 		har.step(hb)
 		har.now = har.now.Add(tt.wait)
+		har.step(Tick{LeaseUntil: model.Instant(time.Hour)})
 		jo, err := NewJob(JobSpec{ID: "job", Service: "svc", Steps: []StepSpec{
 			{Tasks: 1, Size: model.NewResources(4000, 100, 0), LongRunning: true, RequiredLabel: "fast"},
 		}})
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -14,14 +14,14 @@
 
 // measureRoom sums up the capacity for long-running tasks of each service. steps
 // are the ready steps.
-func (pl *Planner) measureRoom(now model.Instant, steps []readyStep) {
+func (pl *Planner) measureRoom(steps []readyStep) {
 	pl.rooms = map[model.ServiceID]*longRunningRoom{}
 	for _, wk := range pl.workers.sorted {
 		if !wk.reported || pl.outage[wk.centre] {
 			continue
 		}
 		ro := pl.roomOf(wk.service)
-		if wk.draining || now.Sub(wk.lastHeartbeat) > maxHeartbeatAge {
+		if wk.draining || pl.silence(wk) > maxHeartbeatAge {
 			ro.endangered = ro.endangered.Add(wk.longRunning)
 			continue
 		}
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -20,18 +20,18 @@
 	// other input.
 	pl.dirty = true
 	for _, wk := range pl.workers.sorted {
-		pl.withdrawUnsentStarts(now, wk)
-		pl.expireLease(now, wk)
+		pl.withdrawUnsentStarts(wk)
+		pl.expireLease(wk)
 	}
 	for _, wk := range pl.workers.removeFunc(func(wk *worker) bool {
-		return len(wk.runs) == 0 && now.Sub(wk.lastHeartbeat) > workerRetention
+		return len(wk.runs) == 0 && pl.silence(wk) > workerRetention
 	}) {
 		pl.recordEvent("workerForgotten", "", "", wk.incarnation.String())
 	}
 	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
 	active := pl.formerWorkers[:0]
 	for _, wk := range pl.formerWorkers {
-		pl.expireLease(now, wk)
+		pl.expireLease(wk)
 		if len(wk.runs) > 0 {
 			active = append(active, wk)
 		}
@@ -53,16 +53,16 @@
 	}
 }
 
-// expireLease proposes the ends of all runs of a worker if its lease has
-// expired.
-func (pl *Planner) expireLease(now model.Instant, wk *worker) {
-	if now.Before(wk.leaseEnd) || len(wk.runs) == 0 {
+// expireLease proposes the ends of all runs of a worker if its lease has expired
+// and no heartbeat that renews it waits in the queue.
+func (pl *Planner) expireLease(wk *worker) {
+	if pl.heardUntil.Before(wk.leaseEnd) || len(wk.runs) == 0 {
 		return
 	}
 	if !wk.expired {
 		wk.expired = true
 		pl.recordEvent("leaseExpired", "", "", wk.incarnation.String(), "runs", strconv.Itoa(len(wk.runs)),
-			"silentMs", strconv.FormatInt(now.Sub(wk.lastHeartbeat).Milliseconds(), 10))
+			"silentMs", strconv.FormatInt(pl.silence(wk).Milliseconds(), 10))
 	}
 	pl.proposeAllEnds(wk, Lost)
 }
@@ -70,10 +70,10 @@
 // withdrawUnsentStarts proposes the ends of the runs whose start order could not
 // be sent in time, because the worker sent no heartbeat whose answer could carry
 // it.
-func (pl *Planner) withdrawUnsentStarts(now model.Instant, wk *worker) {
+func (pl *Planner) withdrawUnsentStarts(wk *worker) {
 	timeout := max(minPickupTimeout, pl.heartbeatDelay()+pickupMargin)
 	for _, pr := range wk.runs {
-		if !pr.startSent && !pr.reported && !pr.inherited && now.Sub(pr.placedAt) > timeout {
+		if !pr.startSent && !pr.reported && !pr.inherited && pl.heardUntil.Sub(pr.placedAt) > timeout {
 			pl.proposeEnd(pr, NotStarted, pr.checkpoint)
 		}
 	}
--- a/io/cell/leader.go
+++ b/io/cell/leader.go
@@ -43,13 +43,14 @@
 func (lea Leader) Heartbeat(ctx context.Context, hb flow.Heartbeat) (flow.Answer, error) {
 	reply := make(chan flow.Answer, 1)
 	hb.HeartbeatID = lea.mem.lastHeartbeatID.Add(1)
+	hb.Arrived = lea.mem.vm.clock()
 	lea.mem.ref.Do(func(now model.Instant, rol quorum.Role, _ *cell.State) {
 		if !rol.Leased() || !lea.mem.leading {
 			reply <- flow.Answer{Refused: true}
 			return
 		}
 		lea.mem.replies[hb.HeartbeatID] = reply
-		lea.mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: time.Now().UnixMilli()})
+		lea.mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: time.Now().UnixMilli(), Posted: hb.Arrived})
 		lea.mem.step(now, hb)
 	})
 	select {
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -193,6 +193,7 @@
 // leader lease starts the term of the planner, and the first one as leader that of
 // the membership changes.
 func (mem *member) tick(ctx context.Context) {
+	posted := mem.vm.clock()
 	mem.ref.Do(func(now model.Instant, rol quorum.Role, sta *cell.State) {
 		wall := time.Now().UnixMilli()
 		if rol.Leading() && !mem.repairing {
@@ -206,7 +207,7 @@
 			mem.step(now, flow.Outage{Centres: sta.Out()})
 			mem.step(now, flow.BecameLeader{Term: rol.Term(), LeaseUntil: rol.LeasedUntil(), Wall: wall})
 		case mem.leading:
-			mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: wall})
+			mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: wall, Posted: posted})
 		}
 		mem.publish(rol)
 	})
