Let steps that cannot use the overdue turn hold up no other

Cause: one step at a time had the overdue turn, for up to 6 s and 1 s more, also if it could claim nothing. Beside ten such steps another waited 71 s.

Change: a step that makes no claim in a plan loses its turn at once. There is one turn at a time for 64 workers, so a cell of 324 workers has five, and one late turn for a step that expects room after more than 6 s or at an unknown time; it lasts as long as its step has waited, but 6 s at least, since tasks of 20 s free no worker in 6 s. Steps without a turn are asked in the order in which they have waited since their last. A turn that kept capacity is given on after 1 s, as before, and its step waits 5 s for the next. A failed turn does not shorten how far ahead the step looks any more. A plan asks no step that needs as much as one that it has asked in vain.

--- a/core/flow/candidate.go
+++ b/core/flow/candidate.go
@@ -64,6 +64,16 @@
 	return after
 }
 
+// soonest returns the shortest expected time until one of the candidates has room.
+// candidates is not empty.
+func soonest(candidates []claimCandidate) time.Duration {
+	after := candidates[0].after
+	for i := range candidates {
+		after = min(after, candidates[i].after)
+	}
+	return after
+}
+
 // candidatesWithin returns the candidates that are expected to have room within a
 // time, ordered by when.
 func candidatesWithin(candidates []claimCandidate, horizon time.Duration) []*claimCandidate {
--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -186,6 +186,23 @@
 	return kept + made
 }
 
+// claimForOverdue claims capacity for one task of an overdue step, and returns the
+// number of claims, 0 or 1. id is one of the tasks.
+func (pl *Planner) claimForOverdue(now model.Instant, rs *readyStep, id TaskID) int {
+	if slices.ContainsFunc(pl.turnMisses, func(mi miss) bool { return mi.covers(rs, rs.spec.reservation()) }) {
+		return 0
+	}
+	candidates, otherConditions := pl.claimCandidates(now, rs, id)
+	if len(candidates) > 0 && pl.turns.mayClaim(now, rs, soonest(candidates)) {
+		made, _ := pl.claimRoom(now, rs, candidates, 1)
+		return made
+	}
+	if !otherConditions {
+		pl.turnMisses = append(pl.turnMisses, newMiss(rs, rs.spec.reservation()))
+	}
+	return 0
+}
+
 // claimRoom claims capacity for up to num tasks of a step, on the workers that
 // are expected to have it soonest, and returns the number of claims. A step that
 // finds none and has waited for openClaimAfter makes an open claim; open is then
--- a/core/flow/gang.go
+++ b/core/flow/gang.go
@@ -44,6 +44,10 @@
 		}
 		return 0
 	}
+	if !rs.restart && !pl.turns.mayClaim(now, rs, gc.latest) {
+		gc.drop(rs)
+		return 0
+	}
 	pl.settle(now, rs, gc, id)
 	if rs.restart {
 		pl.claimsLeft = max(0, pl.claimsLeft-num)
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -16,13 +16,6 @@
 	// fillers may start on a worker that lacks processors or whose serving
 	// tasks would miss their target, so that no job waits forever.
 	starvationTime = 1500 * time.Millisecond
-	// overdueAfter is how long a step may have waiting tasks, and start none,
-	// before it may get the overdue turn.
-	overdueAfter = 5 * time.Second
-	// overdueInterval is the minimum time from the end of an overdue turn to the
-	// next. overdueTimeout ends a turn in which no task could start.
-	overdueInterval = time.Second
-	overdueTimeout  = 6 * time.Second
 )
 
 // readyStep is a step of an occurrence that has waiting tasks and depends only
@@ -48,7 +41,7 @@
 	// waitingSince is, for a restart, the earliest time since which one of its
 	// tasks has had no run, and otherwise that of the step.
 	waitingSince model.Instant
-	// overdue is set for the step that has the overdue turn.
+	// overdue is set for a step that has an overdue turn.
 	overdue bool
 }
 
@@ -59,7 +52,7 @@
 
 // readySteps returns the ready steps in scheduling order: by priority, then
 // restarts of long-running tasks, those that have waited longest before the
-// others, then the overdue step, then long-running steps, then jobs that can
+// others, then overdue steps, then long-running steps, then jobs that can
 // still meet their objective, then by rank.
 func (pl *Planner) readySteps(now model.Instant) []readyStep {
 	wall := pl.wall(now)
@@ -79,7 +72,7 @@
 			out = pl.appendReadySteps(now, out, jb, occ, k, wall)
 		}
 	}
-	pl.turn.choose(now, out)
+	pl.turns.choose(now, out, max(1, len(pl.workers.sorted)/turnDivisor))
 	slices.SortStableFunc(out, compareSteps)
 	return out
 }
@@ -104,6 +97,9 @@
 			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
 			rank: stepRank(work, age, jb.Objective()), waitingSince: occ.steps[s].waitingSince,
 		}
+		if own := occ.steps[s].turn; own != nil {
+			own.ready, rs.overdue = true, true
+		}
 		restart := rs
 		if spec.LongRunning && restart.markRestart(now) {
 			out = append(out, restart)
@@ -136,7 +132,7 @@
 	if since == 0 {
 		return false
 	}
-	rs.restart, rs.waitingSince = true, since
+	rs.restart, rs.overdue, rs.waitingSince = true, false, since
 	return true
 }
 
@@ -186,61 +182,5 @@
 	return 1
 }
 
-// overdueTurn lets one step that has waited for overdueAfter go before all others
-// of its priority but restarts, so that no step is passed over forever. The turn
-// ends when a task of the step starts. The zero value is ready to use.
-type overdueTurn struct {
-	// step is the step that has the turn since a time, nil for none.
-	step  *step
-	since model.Instant
-	// next is when the next turn may begin.
-	next model.Instant
-}
-
-// choose marks the step that has the turn as overdue. If none has, the turn goes
-// to the step that has waited longest.
-func (tu *overdueTurn) choose(now model.Instant, steps []readyStep) {
-	if tu.step != nil && tu.over(now, steps) {
-		tu.step, tu.next = nil, now.Add(overdueInterval)
-	}
-	if tu.step == nil && !now.Before(tu.next) {
-		tu.step, tu.since = longestWaiting(now, steps), now
-	}
-	for i := range steps {
-		steps[i].overdue = tu.step != nil && steps[i].state() == tu.step && !steps[i].restart
-	}
-}
-
-// over reports whether the turn has ended: a task of the step has started, the
-// step is no longer ready, or the turn has timed out. After a timeout the step
-// counts as having waited only since then.
-func (tu *overdueTurn) over(now model.Instant, steps []readyStep) bool {
-	ready := slices.ContainsFunc(steps, func(rs readyStep) bool { return rs.state() == tu.step })
-	if !ready || tu.step.waitingSince > tu.since {
-		return true
-	}
-	if now.Sub(tu.since) < overdueTimeout {
-		return false
-	}
-	tu.step.waitingSince = now
-	return true
-}
-
-// longestWaiting returns the step that has waited longest, at least overdueAfter,
-// or nil if there is none.
-func longestWaiting(now model.Instant, steps []readyStep) *step {
-	var found *readyStep
-	for i := range steps {
-		rs := &steps[i]
-		if !rs.restart && now.Sub(rs.waitingSince) >= overdueAfter && (found == nil || rs.waitingSince < found.waitingSince) {
-			found = rs
-		}
-	}
-	if found == nil {
-		return nil
-	}
-	return found.state()
-}
-
 // state returns the state of the step.
 func (rs *readyStep) state() *step { return &rs.occ.steps[rs.step] }
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -38,7 +38,7 @@
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
 	pl.claimsLeft = pl.maxClaims()
-	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
+	pl.misses, pl.claimMisses, pl.turnMisses = pl.misses[:0], pl.claimMisses[:0], pl.turnMisses[:0]
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
 	}
@@ -88,7 +88,7 @@
 
 // waitForRoom handles tasks for which no worker is eligible now. Long-running
 // tasks that have lost their runs claim capacity and may preempt runs for it. So
-// does a task of the overdue step, but it preempts nothing. A gang does so as a
+// does a task of an overdue step, but it preempts nothing. A gang does so as a
 // whole. id is one of the tasks.
 func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
 	claimed := 0
@@ -98,8 +98,7 @@
 	case rs.restart:
 		claimed = pl.claimForRestart(now, rs, id)
 	case rs.overdue:
-		candidates, _ := pl.claimCandidates(now, rs, id)
-		claimed, _ = pl.claimRoom(now, rs, candidates, 1)
+		claimed = pl.claimForOverdue(now, rs, id)
 	}
 	if rs.spec.LongRunning {
 		pl.recordCapacity(now)
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -115,8 +115,8 @@
 	useDiffs []imageUse
 	// rooms is the capacity for long-running tasks in the current plan.
 	rooms map[model.ServiceID]*longRunningRoom
-	// turn is the turn of steps that have waited too long.
-	turn overdueTurn
+	// turns are the turns of steps that have waited too long.
+	turns overdueTurns
 	// candidates is scratch space of claimCandidates.
 	candidates []claimCandidate
 	// misses are the tasks for which the current plan found no room.
@@ -124,6 +124,9 @@
 	// claimMisses are the restarts for which the current plan found nothing to
 	// claim.
 	claimMisses []claimMiss
+	// turnMisses are the overdue tasks for which the current plan found no claim that
+	// they may make.
+	turnMisses []miss
 	// kept is room that is kept for restarts for which runs were stopped, in the
 	// order in which they were.
 	kept []keptRoom
@@ -208,6 +211,7 @@
 	for _, k := range slices.Sorted(maps.Keys(jb.occurrences)) {
 		occ := jb.occurrences[k]
 		for s := range occ.steps {
+			occ.steps[s].turn, occ.steps[s].nextTurn = nil, 0
 			for i := range occ.steps[s].tasks {
 				tk := &occ.steps[s].tasks[i]
 				tk.plannedStarts = 0
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -78,6 +78,10 @@
 	// start of one, or first found the step ready with idle tasks; 0 while it is
 	// not. It is not replicated.
 	waitingSince model.Instant
+	// turn is the overdue turn of the step, nil for none, and nextTurn is when it
+	// may get the next one. They are not replicated.
+	turn     *overdueTurn
+	nextTurn model.Instant
 }
 
 // occurrence is one execution of all steps of a job. A job that does not repeat
--- /dev/null
+++ b/core/flow/turn.go
@@ -0,0 +1,147 @@
+package flow
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"guavarail/core/model"
+)
+
+const (
+	// overdueAfter is how long a step may have waiting tasks, and start none,
+	// before it may get an overdue turn. After a turn in which it kept capacity for
+	// nothing, it waits as long for the next.
+	overdueAfter = 5 * time.Second
+	// There is one overdue turn at a time for turnDivisor workers, and one more for
+	// a step that is not expected to have room within overdueTimeout.
+	turnDivisor = 64
+	// overdueTimeout ends a turn in which no task could start.
+	overdueTimeout = 6 * time.Second
+	// overdueInterval is how long a turn that kept capacity, or was used, is not
+	// given to the next step.
+	overdueInterval = time.Second
+)
+
+// overdueTurn lets a step go before all others of its priority but restarts, and
+// claim capacity, until one of its tasks starts.
+type overdueTurn struct {
+	step  *step
+	since model.Instant
+	// until is when the turn times out.
+	until model.Instant
+	// ready is set by each plan if the step is ready.
+	ready bool
+	// claims is set if the step has made a claim in the current plan.
+	claims bool
+}
+
+// overdueTurns gives turns to steps that have waited for overdueAfter, so that no
+// step is passed over forever. A step that cannot claim capacity, or not soon,
+// loses its turn at once and holds up no other. The zero value is ready to use.
+type overdueTurns struct {
+	turns []*overdueTurn
+	// late is the turn, one of turns, of a step that may claim capacity which is
+	// expected to be free after more than overdueTimeout, or at an unknown time.
+	// It is nil for none.
+	late *overdueTurn
+	// pauses holds when turns that have ended may be given to other steps. The
+	// late turn may be given after latePause.
+	pauses    []model.Instant
+	latePause model.Instant
+}
+
+// choose ends turns, gives others to the steps that have waited longest, and
+// updates which steps are overdue. num is how many may have a turn, besides the
+// late turn.
+func (tu *overdueTurns) choose(now model.Instant, steps []readyStep, num int) {
+	if tu.end(now) {
+		for i := range steps {
+			steps[i].overdue = steps[i].overdue && steps[i].state().turn != nil
+		}
+	}
+	tu.pauses = slices.DeleteFunc(tu.pauses, func(until model.Instant) bool { return !now.Before(until) })
+	num -= len(tu.turns) + len(tu.pauses)
+	if tu.late != nil {
+		num++
+	}
+	if num > 0 {
+		tu.give(now, overdueSteps(now, steps), num)
+	}
+}
+
+// end ends the turns of steps that are no longer ready, that have started a task
+// or made no claim since the plan before, and those that have timed out. It reports
+// whether any has ended.
+func (tu *overdueTurns) end(now model.Instant) bool {
+	num := len(tu.turns)
+	tu.turns = slices.DeleteFunc(tu.turns, func(own *overdueTurn) bool {
+		started := own.step.waitingSince >= own.since
+		over := started || !own.ready || !own.claims || !now.Before(own.until)
+		used := started || own.claims
+		own.ready, own.claims = false, false
+		if over {
+			tu.endTurn(now, own, used)
+		}
+		return over
+	})
+	return len(tu.turns) < num
+}
+
+// endTurn takes the turn from its step. used is set if the turn has kept capacity
+// or started a task.
+func (tu *overdueTurns) endTurn(now model.Instant, own *overdueTurn, used bool) {
+	own.step.turn, own.step.nextTurn = nil, now
+	if used {
+		own.step.nextTurn = now.Add(overdueAfter)
+	}
+	switch {
+	case tu.late == own:
+		tu.late, tu.latePause = nil, now.Add(overdueInterval)
+	case used:
+		tu.pauses = append(tu.pauses, now.Add(overdueInterval))
+	}
+}
+
+// give gives turns to the first num of the steps.
+func (tu *overdueTurns) give(now model.Instant, overdue []*readyStep, num int) {
+	for _, rs := range overdue[:min(num, len(overdue))] {
+		own := &overdueTurn{step: rs.state(), since: now, until: now.Add(overdueTimeout)}
+		rs.state().turn, rs.overdue = own, true
+		tu.turns = append(tu.turns, own)
+	}
+}
+
+// overdueSteps returns the steps without a turn that may get one. Those that have
+// waited longest come first, but a step that has had a turn counts as waiting since
+// it might get the next.
+func overdueSteps(now model.Instant, steps []readyStep) []*readyStep {
+	var out []*readyStep
+	for i := range steps {
+		rs := &steps[i]
+		if !rs.restart && now.Sub(rs.waitingSince) >= overdueAfter && rs.state().turn == nil && !now.Before(rs.state().nextTurn) {
+			out = append(out, rs)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *readyStep) int { return cmp.Compare(a.turnOrder(), b.turnOrder()) })
+	return out
+}
+
+// turnOrder returns the time by which overdue steps are ordered.
+func (rs *readyStep) turnOrder() model.Instant { return max(rs.waitingSince, rs.state().nextTurn) }
+
+// mayClaim reports whether an overdue step may claim capacity that is expected to
+// be free after a time. If that is late, the turn becomes the late turn, or the
+// step may not. The late turn lasts as long as the step has waited, so that it
+// can await room for which it has to look that far ahead.
+func (tu *overdueTurns) mayClaim(now model.Instant, rs *readyStep, after time.Duration) bool {
+	own := rs.state().turn
+	if after > overdueTimeout && tu.late != own {
+		if tu.late != nil || now.Before(tu.latePause) {
+			return false
+		}
+		tu.late, own.until = own, own.since.Add(max(overdueTimeout, now.Sub(rs.waitingSince)))
+	}
+	own.claims = true
+	return true
+}
