End starts that are applied after their worker has exited

What callers see: a task that never starts again. Its worker left, or its address was reused, in the moments in which the start was committed; the task then counts as planned for good, beside empty workers.

Cause: endWorker moves the record with the planned run to formerWorkers. When the start is applied, ensureWorker finds no current worker of that name and makes a second record without looking there. The planned run of the first record is never resolved, so that plannedStarts stays 1 and task.waiting() false.

Fix: ensureWorker looks in formerWorkers first.

--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -21,6 +21,9 @@
 	term     uint64
 	now      model.Instant
 	sequence uint64
+	// While holding is set, proposals are added to held instead of being applied.
+	holding bool
+	held    []Propose
 	// events are the events that the planner recorded.
 	events []RecordEvent
 }
@@ -67,6 +70,10 @@
 		case RecordEvent:
 			har.events = append(har.events, val)
 		case Propose:
+			if har.holding {
+				har.held = append(har.held, val)
+				continue
+			}
 			for _, op := range val.Ops {
 				effs = append(effs, har.pl.Step(har.now, har.commit(op))...)
 			}
@@ -76,6 +83,18 @@
 	return out
 }
 
+// applyHeld applies the proposals that were held, and holds no more.
+func (har *harness) applyHeld() {
+	held := har.held
+	har.holding, har.held = false, nil
+	for _, pro := range held {
+		for _, op := range pro.Ops {
+			har.step(har.commit(op))
+		}
+		har.step(ProposalEnded{Term: pro.Term, Applied: true})
+	}
+}
+
 func (har *harness) submit(id string, step StepSpec) {
 	jo, err := NewJob(JobSpec{ID: model.JobID(id), Service: "svc", Steps: []StepSpec{step}, MaxFailures: 9, ObjectiveFactor: 2, ObjectiveBase: time.Second})
 	if err != nil {
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -7,29 +7,33 @@
 	"guavarail/core/model"
 )
 
-// ensureWorker returns the record of an incarnation and creates it if needed.
-// If the current record of the worker is that of another incarnation, the new
-// record is added to formerWorkers. The lease of a new record counts as renewed
-// now, because an earlier leader may have renewed it.
+// ensureWorker returns the record of an incarnation, which may be one that has
+// exited, and creates it if needed. If the current record of the worker is that
+// of another incarnation, the new record is added to formerWorkers. The lease of
+// a new record counts as renewed now, because an earlier leader may have renewed
+// it.
 func (pl *Planner) ensureWorker(now model.Instant, inc Incarnation) *worker {
-	if wk, ok := pl.workers.get(inc.worker); ok {
-		if wk.incarnation == inc {
-			return wk
-		}
-		for _, former := range pl.formerWorkers {
-			if former.incarnation == inc {
-				return former
-			}
-		}
-		former := &worker{incarnation: inc, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
-		pl.formerWorkers = append(pl.formerWorkers, former)
-		return former
+	current, ok := pl.workers.get(inc.worker)
+	if ok && current.incarnation == inc {
+		return current
+	}
+	if pos := pl.findFormer(inc); pos >= 0 {
+		return pl.formerWorkers[pos]
 	}
 	wk := &worker{incarnation: inc, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
+	if ok {
+		pl.formerWorkers = append(pl.formerWorkers, wk)
+		return wk
+	}
 	pl.workers.add(wk)
 	return wk
 }
 
+// findFormer returns the index of an incarnation in formerWorkers, or -1.
+func (pl *Planner) findFormer(inc Incarnation) int {
+	return slices.IndexFunc(pl.formerWorkers, func(wk *worker) bool { return wk.incarnation == inc })
+}
+
 // handleHeartbeat updates the records of the worker; advance answers the
 // heartbeat when the answer is due. If this VM does not hold the leader lease,
 // the answer is Refused at once.
--- /dev/null
+++ b/core/flow/records_test.go
@@ -0,0 +1,52 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// longRunningStep is a step of one small long-running task.
+var longRunningStep = StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0), LongRunning: true}
+
+// startsWithin reports whether a worker without runs gets a start within a time.
+func (har *harness) startsWithin(worker string, limit time.Duration) bool {
+	for end := har.now.Add(limit); har.now.Before(end); har.now = har.now.Add(100 * time.Millisecond) {
+		if len(har.heartbeat(worker, nil).Starts) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a task that never starts again because its worker exited while
+// its start was not applied yet.
+func TestStartAppliedAfterItsWorkerExitedIsEnded(t *testing.T) {
+	tests := []struct {
+		name string
+		exit func(har *harness)
+	}{
+		{"address reused", func(har *harness) {
+			har.step(Heartbeat{
+				HeartbeatID: 1 << 40, Incarnation: NewIncarnation("new", 2), Sequence: 1, Service: "svc", Centre: "a", Address: "old",
+				Size: model.NewResources(4000, 4000, 0), Draining: true,
+			})
+		}},
+		{"left", func(har *harness) {
+			har.drain("old", "old", 1<<20)
+			har.step(Leave{Worker: "old"})
+		}},
+	}
+	for _, tt := range tests {
+		har := newHarness(t)
+		har.heartbeat("old", nil)
+		har.holding = true
+		har.submit("job", longRunningStep)
+		tt.exit(har)
+		har.applyHeld()
+		if !har.startsWithin("other", maxDown) {
+			t.Errorf("%s: the task doesn't start on another worker within %v", tt.name, maxDown)
+		}
+	}
+}
