Keep the run of a start that is committed twice

What callers see: a long-running task without a run for good, or a job whose success was acknowledged to the worker and never recorded. Its start was in a proposal with an unknown outcome, was planned again, and both were committed.

Cause: the second start is rejected as Stale, and appliedStart then drops the record of the run that the first one has started. The worker is told to stop it as unknown. Its end finds no record, is acknowledged and never proposed, so that the state keeps the run.

Fix: a rejected start leaves the record alone if the state has exactly that run on that incarnation. An end is acknowledged only if the state doesn't have the run.

Evidence, before the fix (found in review):

--- FAIL: TestStartCommittedTwiceKeepsItsRun starts [], want the task stops [{Task:job.0.0.0 Attempt:1}], want none the success is acknowledged and the job is running

After it the test passes.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -9,11 +9,11 @@
 
 // lastRecordedEnd returns the highest EndReport.Number up to which all ends in
 // the last heartbeat have been applied to the state, 0 if there is none.
-func (wk *worker) lastRecordedEnd() uint64 {
+func (pl *Planner) lastRecordedEnd(wk *worker) uint64 {
 	acked := uint64(0)
 	for i := range wk.reportedEnds {
 		er := &wk.reportedEnds[i]
-		if wk.find(er.Task, er.Attempt) != nil {
+		if wk.find(er.Task, er.Attempt) != nil || pl.st.hasRun(er.Task, er.Attempt, wk.incarnation) {
 			break
 		}
 		acked = er.Number
@@ -44,7 +44,7 @@
 // busyAnswerDelay, idleAnswerDelay and endCommitTimeout.
 func (pl *Planner) answerDue(now model.Instant, wk *worker) bool {
 	age := now.Sub(wk.answerPendingSince)
-	if len(wk.reportedEnds) > 0 && wk.lastRecordedEnd() < wk.reportedEnds[len(wk.reportedEnds)-1].Number {
+	if len(wk.reportedEnds) > 0 && pl.lastRecordedEnd(wk) < wk.reportedEnds[len(wk.reportedEnds)-1].Number {
 		return age >= endCommitTimeout
 	}
 	if len(wk.reportedEnds) > 0 {
@@ -100,7 +100,7 @@
 // its lease.
 func (pl *Planner) answer(now model.Instant, wk *worker) {
 	ans := Answer{
-		HeartbeatID: wk.heartbeatID, Term: pl.term, LeaseDuration: pl.config.leaseDuration(), Acknowledged: wk.lastRecordedEnd(), HeartbeatDelay: pl.heartbeatDelay(),
+		HeartbeatID: wk.heartbeatID, Term: pl.term, LeaseDuration: pl.config.leaseDuration(), Acknowledged: pl.lastRecordedEnd(wk), HeartbeatDelay: pl.heartbeatDelay(),
 		Stops: slices.Clone(wk.unknownRuns),
 	}
 	for _, pr := range wk.runs {
--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -64,11 +64,13 @@
 		// A start without a record was proposed by an earlier leader, or by this
 		// one in a proposal that ended with an unknown outcome.
 		if pr == nil {
-			pl.addRun(wk, newPlacedRun(pl.st.jobs[op.id], op.task, op.attempt, now).markInherited())
+			pl.inheritRun(now, wk, op.task, op.attempt)
 		}
 		return
 	}
-	if pr != nil {
+	// A start that was proposed twice is rejected the second time, and its run goes
+	// on.
+	if pr != nil && !pl.st.hasRun(op.task, op.attempt, op.incarnation) {
 		pl.removeRun(wk, pr)
 	}
 	pl.dirty = true
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -91,8 +91,8 @@
 		for _, op := range pro.Ops {
 			har.step(har.commit(op))
 		}
-		har.step(ProposalEnded{Term: pro.Term, Applied: true})
 	}
+	har.step(ProposalEnded{Term: har.term, Applied: true})
 }
 
 func (har *harness) submit(id string, step StepSpec) {
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -177,7 +177,7 @@
 	listed := make(map[*placedRun]bool, len(hb.Runs))
 	for i := range hb.Runs {
 		rr := &hb.Runs[i]
-		pr := wk.find(rr.Task, rr.Attempt)
+		pr := pl.ensureRun(now, wk, rr.Task, rr.Attempt)
 		if pr == nil {
 			wk.unknownRuns = append(wk.unknownRuns, StopOrder{Task: rr.Task, Attempt: rr.Attempt})
 			continue
@@ -195,7 +195,7 @@
 	}
 	// For runs that have ended, proposeReportedEnds proposes the ends.
 	for i := range hb.Ended {
-		if pr := wk.find(hb.Ended[i].Task, hb.Ended[i].Attempt); pr != nil {
+		if pr := pl.ensureRun(now, wk, hb.Ended[i].Task, hb.Ended[i].Attempt); pr != nil {
 			listed[pr] = true
 		}
 	}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -230,10 +230,7 @@
 				}
 				tk.ran = tk.ran || tk.attempt > 0 && len(tk.runs) == 0
 				for _, ru := range tk.runs {
-					wk := pl.ensureWorker(now, ru.incarnation)
-					pr := newPlacedRun(jb, NewTaskID(jb.ID(), k, s, i), ru.attempt, now).markInherited()
-					pr.checkpoint = tk.checkpoint
-					pl.addRun(wk, pr)
+					pl.inheritRun(now, pl.ensureWorker(now, ru.incarnation), NewTaskID(jb.ID(), k, s, i), ru.attempt)
 				}
 			}
 		}
--- a/core/flow/records_test.go
+++ b/core/flow/records_test.go
@@ -50,3 +50,29 @@
 		}
 	}
 }
+
+// Guards against a run that is stopped, and whose success is acknowledged and not
+// recorded, because its start was proposed twice and rejected the second time.
+func TestStartCommittedTwiceKeepsItsRun(t *testing.T) {
+	har := newHarness(t)
+	har.heartbeat("w", nil)
+	har.holding = true
+	har.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
+	har.heartbeat("w", nil)
+	har.step(ProposalEnded{Term: har.term})
+	if len(har.held) != 2 {
+		t.Fatalf("%d proposals, want the start twice", len(har.held))
+	}
+	har.applyHeld()
+	id := NewTaskID("job", 0, 0, 0)
+	if ans := har.heartbeat("w", nil); len(ans.Starts) != 1 {
+		t.Errorf("starts %+v, want the task", ans.Starts)
+	}
+	if ans := har.heartbeat("w", []RunReport{{Task: id, Attempt: 1, Percent: 10}}); len(ans.Stops) > 0 {
+		t.Errorf("stops %+v, want none", ans.Stops)
+	}
+	ans := har.heartbeat("w", nil, EndReport{Number: 1, Task: id, Attempt: 1, Outcome: Succeeded})
+	if status, _, _ := har.st.Status("job"); ans.Acknowledged == 1 && status != Completed {
+		t.Errorf("the success is acknowledged and the job is %v", status)
+	}
+}
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -207,6 +207,20 @@
 	return out
 }
 
+// hasRun reports whether a run of a task may still be on the incarnation of a
+// worker.
+func (st *State) hasRun(id TaskID, attempt int, inc Incarnation) bool {
+	jb, ok := st.jobs[id.job]
+	if !ok {
+		return false
+	}
+	occ, ok := jb.occurrences[id.occurrence]
+	if !ok || id.step >= len(occ.steps) || id.index >= len(occ.steps[id.step].tasks) {
+		return false
+	}
+	return slices.Contains(occ.steps[id.step].tasks[id.index].runs, run{attempt: attempt, incarnation: inc})
+}
+
 // find resolves a task identifier, and returns false if the state does not
 // contain the job or the job has no such task. It creates the occurrence on
 // first access.
