Keep a worker's runs when a new leader also finds runs of its predecessor

What callers see: after a change of the leader a sound worker is told to stop its runs, and ends that it reports are acknowledged without being recorded. The state had runs of two incarnations of the worker.

Cause: restoreRuns makes the incarnation that it meets first the current one, and puts the other into formerWorkers. If that is the one which is alive, its first heartbeat replaces the earlier incarnation with an empty record, beside the one with its runs.

Fix: registerIncarnation takes the record of the incarnation from formerWorkers, with its runs, and makes it the current one.

--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -34,6 +34,18 @@
 	return slices.IndexFunc(pl.formerWorkers, func(wk *worker) bool { return wk.incarnation == inc })
 }
 
+// takeFormer removes the record of an incarnation, with its runs, from
+// formerWorkers and returns it, or a new one if there is none.
+func (pl *Planner) takeFormer(inc Incarnation) *worker {
+	pos := pl.findFormer(inc)
+	if pos < 0 {
+		return &worker{incarnation: inc}
+	}
+	wk := pl.formerWorkers[pos]
+	pl.formerWorkers = slices.Delete(pl.formerWorkers, pos, pos+1)
+	return wk
+}
+
 // handleHeartbeat updates the records of the worker; advance answers the
 // heartbeat when the answer is due. If this VM does not hold the leader lease,
 // the answer is Refused at once.
@@ -87,7 +99,8 @@
 		return nil, false
 	}
 	if !ok {
-		wk = &worker{incarnation: hb.Incarnation, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
+		wk = pl.takeFormer(hb.Incarnation)
+		wk.lastHeartbeat, wk.leaseEnd = now, pl.config.leaseEnd(now)
 		pl.workers.add(wk)
 	}
 	if wk.reported && hb.Sequence <= wk.sequence {
--- a/core/flow/records_test.go
+++ b/core/flow/records_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,43 @@
 		t.Errorf("the success is acknowledged and the job is %v", status)
 	}
 }
+
+// Guards against a sound worker whose runs are stopped, and whose ends are
+// acknowledged and not recorded, because the state has runs of an earlier
+// incarnation as well when a new leader takes over.
+func TestNewLeaderKeepsRunsBesideThoseOfAnEarlierIncarnation(t *testing.T) {
+	earlier, current := NewIncarnation("w", 0), NewIncarnation("w", 1)
+	for _, incs := range [][3]Incarnation{{earlier, current, current}, {current, earlier, current}, {current, current, earlier}} {
+		har := newHarness(t)
+		var runs []RunReport
+		var ended []EndReport
+		for i, inc := range incs {
+			har.submit(fmt.Sprint("job", i), longRunningStep)
+			id := NewTaskID(model.JobID(fmt.Sprint("job", i)), 0, 0, 0)
+			har.step(har.commit(Start(id, 1, inc)))
+			switch {
+			case inc == earlier:
+			case runs == nil:
+				runs = append(runs, RunReport{Task: id, Attempt: 1, Percent: fullPace})
+			default:
+				ended = append(ended, EndReport{Number: 1, Task: id, Attempt: 1, Outcome: Failed})
+			}
+		}
+		har.changeLeader()
+		ans := har.heartbeat("w", runs, ended...)
+		if len(ans.Stops) > 0 {
+			t.Errorf("incarnations %v: stops %+v, want none", incs, ans.Stops)
+		}
+		if ended := ended[0]; ans.Acknowledged != 1 || har.st.hasRun(ended.Task, 1, current) {
+			t.Errorf("incarnations %v: end acknowledged up to %d, want 1, and recorded", incs, ans.Acknowledged)
+		}
+		if live := har.pl.placed[runID{task: runs[0].Task, attempt: 1}]; live == nil || live.incarnation != current {
+			t.Errorf("incarnations %v: the leader has no record of the run", incs)
+		}
+		for _, eve := range har.events {
+			if eve.Kind == "recordRepaired" {
+				t.Errorf("incarnations %v: event %+v, want the records of the new leader to be complete", incs, eve)
+			}
+		}
+	}
+}
