--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -7,29 +7,45 @@
 	"guavarail/core/model"
 )
 
-// ensureWorker returns the record of an incarnation and creates it if needed.
-// If the current record of the worker is that of another incarnation, the new
-// record is added to formerWorkers. The lease of a new record counts as renewed
-// now, because an earlier leader may have renewed it.
+// ensureWorker returns the record of an incarnation, which may be one that has
+// exited, and creates it if needed. If the current record of the worker is that
+// of another incarnation, the new record is added to formerWorkers. The lease of
+// a new record counts as renewed now, because an earlier leader may have renewed
+// it.
 func (pl *Planner) ensureWorker(now model.Instant, inc Incarnation) *worker {
-	if wk, ok := pl.workers.get(inc.worker); ok {
-		if wk.incarnation == inc {
-			return wk
-		}
-		for _, former := range pl.formerWorkers {
-			if former.incarnation == inc {
-				return former
-			}
-		}
-		former := &worker{incarnation: inc, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
-		pl.formerWorkers = append(pl.formerWorkers, former)
-		return former
+	current, ok := pl.workers.get(inc.worker)
+	if ok && current.incarnation == inc {
+		return current
+	}
+	if pos := pl.findFormer(inc); pos >= 0 {
+		return pl.formerWorkers[pos]
 	}
 	wk := &worker{incarnation: inc, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
+	if ok {
+		pl.formerWorkers = append(pl.formerWorkers, wk)
+		return wk
+	}
 	pl.workers.add(wk)
 	return wk
 }
 
+// findFormer returns the index of an incarnation in formerWorkers, or -1.
+func (pl *Planner) findFormer(inc Incarnation) int {
+	return slices.IndexFunc(pl.formerWorkers, func(wk *worker) bool { return wk.incarnation == inc })
+}
+
+// takeFormer removes the record of an incarnation, with its runs, from
+// formerWorkers and returns it, or a new one if there is none.
+func (pl *Planner) takeFormer(inc Incarnation) *worker {
+	pos := pl.findFormer(inc)
+	if pos < 0 {
+		return &worker{incarnation: inc}
+	}
+	wk := pl.formerWorkers[pos]
+	pl.formerWorkers = slices.Delete(pl.formerWorkers, pos, pos+1)
+	return wk
+}
+
 // handleHeartbeat updates the records of the worker; advance answers the
 // heartbeat when the answer is due. If this VM does not hold the leader lease,
 // the answer is Refused at once.
@@ -84,7 +100,8 @@
 		return nil, false
 	}
 	if !ok {
-		wk = &worker{incarnation: hb.Incarnation, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
+		wk = pl.takeFormer(hb.Incarnation)
+		wk.lastHeartbeat, wk.leaseEnd = now, pl.config.leaseEnd(now)
 		pl.workers.add(wk)
 	}
 	if wk.reported && hb.Sequence <= wk.sequence {
@@ -174,7 +191,7 @@
 	listed := make(map[*placedRun]bool, len(hb.Runs))
 	for i := range hb.Runs {
 		rr := &hb.Runs[i]
-		pr := wk.find(rr.Task, rr.Attempt)
+		pr := pl.ensureRun(now, wk, rr.Task, rr.Attempt)
 		if pr == nil {
 			wk.unknownRuns = append(wk.unknownRuns, StopOrder{Task: rr.Task, Attempt: rr.Attempt})
 			continue
@@ -192,7 +209,7 @@
 	}
 	// For runs that have ended, proposeReportedEnds proposes the ends.
 	for i := range hb.Ended {
-		if pr := wk.find(hb.Ended[i].Task, hb.Ended[i].Attempt); pr != nil {
+		if pr := pl.ensureRun(now, wk, hb.Ended[i].Task, hb.Ended[i].Attempt); pr != nil {
 			listed[pr] = true
 		}
 	}
--- /dev/null
+++ b/core/flow/records_test.go
@@ -0,0 +1,119 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// longRunningStep is a step of one small long-running task.
+var longRunningStep = StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0), LongRunning: true}
+
+// startsWithin reports whether a worker without runs gets a start within a time.
+func (har *harness) startsWithin(worker string, limit time.Duration) bool {
+	for end := har.now.Add(limit); har.now.Before(end); har.now = har.now.Add(100 * time.Millisecond) {
+		if len(har.heartbeat(worker, nil).Starts) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a task that never starts again because its worker exited while
+// its start was not applied yet.
+func TestStartAppliedAfterItsWorkerExitedIsEnded(t *testing.T) {
+	tests := []struct {
+		name string
+		exit func(har *harness)
+	}{
+		{"address reused", func(har *harness) {
+			har.step(Heartbeat{
+				HeartbeatID: 1 << 40, Incarnation: NewIncarnation("new", 2), Sequence: 1, Service: "svc", Centre: "a", Address: "old",
+				Size: model.NewResources(4000, 4000, 0), Draining: true,
+			})
+		}},
+		{"left", func(har *harness) {
+			har.drain("old", "old", 1<<20)
+			har.step(Leave{Worker: "old"})
+		}},
+	}
+	for _, tt := range tests {
+		har := newHarness(t)
+		har.heartbeat("old", nil)
+		har.holding = true
+		har.submit("job", longRunningStep)
+		tt.exit(har)
+		har.applyHeld()
+		if !har.startsWithin("other", maxDown) {
+			t.Errorf("%s: the task doesn't start on another worker within %v", tt.name, maxDown)
+		}
+	}
+}
+
+// Guards against a run that is stopped, and whose success is acknowledged and not
+// recorded, because its start was proposed twice and rejected the second time.
+func TestStartCommittedTwiceKeepsItsRun(t *testing.T) {
+	har := newHarness(t)
+	har.heartbeat("w", nil)
+	har.holding = true
+	har.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
+	har.heartbeat("w", nil)
+	har.step(ProposalEnded{Term: har.term})
+	if len(har.held) != 2 {
+		t.Fatalf("%d proposals, want the start twice", len(har.held))
+	}
+	har.applyHeld()
+	id := NewTaskID("job", 0, 0, 0)
+	if ans := har.heartbeat("w", nil); len(ans.Starts) != 1 {
+		t.Errorf("starts %+v, want the task", ans.Starts)
+	}
+	if ans := har.heartbeat("w", []RunReport{{Task: id, Attempt: 1, Percent: 10}}); len(ans.Stops) > 0 {
+		t.Errorf("stops %+v, want none", ans.Stops)
+	}
+	ans := har.heartbeat("w", nil, EndReport{Number: 1, Task: id, Attempt: 1, Outcome: Succeeded})
+	if status, _, _ := har.st.Status("job"); ans.Acknowledged == 1 && status != Completed {
+		t.Errorf("the success is acknowledged and the job is %v", status)
+	}
+}
+
+// Guards against a sound worker whose runs are stopped, and whose ends are
+// acknowledged and not recorded, because the state has runs of an earlier
+// incarnation as well when a new leader takes over.
+func TestNewLeaderKeepsRunsBesideThoseOfAnEarlierIncarnation(t *testing.T) {
+	earlier, current := NewIncarnation("w", 0), NewIncarnation("w", 1)
+	for _, incs := range [][3]Incarnation{{earlier, current, current}, {current, earlier, current}, {current, current, earlier}} {
+		har := newHarness(t)
+		var runs []RunReport
+		var ended []EndReport
+		for i, inc := range incs {
+			har.submit(fmt.Sprint("job", i), longRunningStep)
+			id := NewTaskID(model.JobID(fmt.Sprint("job", i)), 0, 0, 0)
+			har.step(har.commit(Start(id, 1, inc)))
+			switch {
+			case inc == earlier:
+			case runs == nil:
+				runs = append(runs, RunReport{Task: id, Attempt: 1, Percent: fullPace})
+			default:
+				ended = append(ended, EndReport{Number: 1, Task: id, Attempt: 1, Outcome: Failed})
+			}
+		}
+		har.changeLeader()
+		ans := har.heartbeat("w", runs, ended...)
+		if len(ans.Stops) > 0 {
+			t.Errorf("incarnations %v: stops %+v, want none", incs, ans.Stops)
+		}
+		if ended := ended[0]; ans.Acknowledged != 1 || har.st.hasRun(ended.Task, 1, current) {
+			t.Errorf("incarnations %v: end acknowledged up to %d, want 1, and recorded", incs, ans.Acknowledged)
+		}
+		if live := har.pl.placed[runID{task: runs[0].Task, attempt: 1}]; live == nil || live.incarnation != current {
+			t.Errorf("incarnations %v: the leader has no record of the run", incs)
+		}
+		for _, eve := range har.events {
+			if eve.Kind == "recordRepaired" {
+				t.Errorf("incarnations %v: event %+v, want the records of the new leader to be complete", incs, eve)
+			}
+		}
+	}
+}
