Compare the leader's records with the state and repair them

What callers see: a task that never starts again, or a run that never ends, until the leader changes.

The leader's records of runs and of planned starts are kept in step with the replicated state by each input that changes one of them, and nothing ever compares the two. One input that is handled wrongly makes a difference that lasts.

- a run in the state without a record gets one, as inherited;
- a run whose index names another worker is indexed again;
- a planned start without a record is taken back;
- a record without a run in the state is dropped;
- a planned start or end that is in no proposal may be proposed again.

Each repair is one event recordRepaired with the reason, which is logged, and counted with the other decisions of the planner.

Evidence: TestRecordsAreBroughtInLineWithTheState plants each difference; none is repaired without checkRecords.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -136,12 +136,16 @@
 	for i := len(wk.runs) - 1; i >= 0; i-- {
 		pr := wk.runs[i]
 		pr.ending = false
-		if !pr.planned {
-			continue
+		if pr.planned {
+			pl.discardPlanned(wk, pr)
 		}
-		if _, _, tk, ok := pl.st.find(pr.task); ok && tk.plannedStarts > 0 {
-			tk.plannedStarts--
-		}
-		pl.removeRun(wk, pr)
 	}
 }
+
+// discardPlanned removes a run whose start is not applied yet.
+func (pl *Planner) discardPlanned(wk *worker, pr *placedRun) {
+	if _, _, tk, ok := pl.st.find(pr.task); ok && tk.plannedStarts > 0 {
+		tk.plannedStarts--
+	}
+	pl.removeRun(wk, pr)
+}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -143,6 +143,8 @@
 	kept []keptRoom
 	// claimsLeft is how many more claims the current plan may make for restarts.
 	claimsLeft int
+	// check is how far the records are compared with the state.
+	check recordCheck
 	// capacityRecordedAt is when the last event about the use of capacity was
 	// recorded.
 	capacityRecordedAt model.Instant
--- a/core/flow/records_test.go
+++ b/core/flow/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,83 @@
 		}
 	}
 }
+
+// Guards against a difference between the leader's records and the state that
+// lasts: the task would never start again, or its run never end.
+func TestRecordsAreBroughtInLineWithTheState(t *testing.T) {
+	id := NewTaskID("job", 0, 0, 0)
+	tests := []struct {
+		why string
+		// plant makes the records differ. wk is the worker of the run.
+		plant func(har *harness, wk *worker, tk *task)
+	}{
+		{"runWithoutRecord", func(har *harness, wk *worker, _ *task) { har.pl.removeRun(wk, wk.runs[0]) }},
+		{"runWithoutRecord", func(har *harness, wk *worker, _ *task) { har.pl.workers.remove(wk) }},
+		{"runOfAnotherWorker", func(har *harness, _ *worker, _ *task) { clear(har.pl.placed) }},
+		{"recordWithoutRun", func(har *harness, _ *worker, _ *task) { har.st.Apply(End(id, 1, Lost, "")) }},
+		{"endWithoutProposal", func(_ *harness, wk *worker, _ *task) { wk.runs[0].ending = true }},
+		{"plannedStartWithoutRecord", func(har *harness, wk *worker, tk *task) {
+			har.step(har.commit(End(id, 1, Lost, "")))
+			har.pl.discardPlanned(wk, wk.runs[0])
+			tk.plannedStarts = 1
+		}},
+		{"startWithoutProposal", func(har *harness, wk *worker, _ *task) {
+			har.holding = true
+			har.step(har.commit(End(id, 1, Lost, "")))
+			har.holding, har.held, har.pl.proposing = false, nil, false
+			wk.runs[0].planned = true
+		}},
+	}
+	for _, tt := range tests {
+		har := newHarness(t)
+		har.submit("job", longRunningStep)
+		har.heartbeat("w", nil)
+		wk, _ := har.pl.workers.get("w")
+		tt.plant(har, wk, &har.st.jobs["job"].occurrence(0).steps[0].tasks[0])
+		for range int(2*recordCheckPeriod/sweepInterval) + 1 {
+			har.now = har.now.Add(sweepInterval)
+			har.step(Tick{LeaseUntil: model.Instant(time.Hour)})
+		}
+		repairs := 0
+		for _, eve := range har.events {
+			if eve.Kind == "recordRepaired" && eve.Fields[0].Value == tt.why {
+				repairs++
+			}
+		}
+		if repairs != 1 {
+			t.Errorf("%s: %d repairs recorded, want 1", tt.why, repairs)
+		}
+		har.checkRecordsMatch(tt.why)
+		if !har.startsWithin("w", 2*defaultLease) {
+			t.Errorf("%s: the task doesn't start again", tt.why)
+		}
+	}
+}
+
+// checkRecordsMatch compares all of the leader's records with the state.
+func (har *harness) checkRecordsMatch(name string) {
+	planned, recorded := map[TaskID]int{}, 0
+	for _, wk := range slices.Concat(har.pl.workers.sorted, har.pl.formerWorkers) {
+		for _, pr := range wk.runs {
+			if pr.planned {
+				planned[pr.task]++
+				continue
+			}
+			recorded++
+			if !har.st.hasRun(pr.task, pr.attempt, wk.incarnation) {
+				har.t.Errorf("%s: record of %v on %v without a run", name, pr.task, wk.incarnation)
+			}
+		}
+	}
+	for id, jb := range har.st.jobs {
+		recorded -= jb.liveRuns
+		for i, tk := range jb.occurrence(0).steps[0].tasks {
+			if task := NewTaskID(id, 0, 0, i); tk.plannedStarts != planned[task] {
+				har.t.Errorf("%s: %d planned starts of %v, want %d", name, tk.plannedStarts, task, planned[task])
+			}
+		}
+	}
+	if recorded != 0 {
+		har.t.Errorf("%s: %d records too many", name, recorded)
+	}
+}
--- a/core/flow/sim_test.go
+++ b/core/flow/sim_test.go
@@ -235,6 +235,9 @@
 		case Answer:
 			sim.answer(val)
 		case RecordEvent:
+			if val.Kind == "recordRepaired" {
+				sim.violations = append(sim.violations, fmt.Sprintf("at %v: record of %s on %s repaired: %v", time.Duration(sim.now), val.Task, val.Worker, val.Fields))
+			}
 			if sim.observer != nil {
 				sim.observer.recorded(val)
 			}
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -8,8 +8,8 @@
 )
 
 // tick does the periodic work of the leader, at most once per sweepInterval: it
-// updates estimates, proposes the ends of runs and drops records of workers and
-// jobs.
+// updates estimates, compares records with the state, proposes the ends of runs and
+// drops records of workers and jobs.
 func (pl *Planner) tick(now model.Instant) {
 	if !pl.hasLeaderLease(now) || now.Sub(pl.sweptAt) < sweepInterval {
 		return
@@ -19,6 +19,9 @@
 	// Occurrences become due, and heartbeats exceed maxHeartbeatAge, without any
 	// other input.
 	pl.dirty = true
+	if len(pl.pendingOps) == 0 {
+		pl.checkRecords(now)
+	}
 	for _, wk := range pl.workers.sorted {
 		pl.withdrawUnsentStarts(now, wk)
 		pl.expireLease(now, wk)
