Index the workers with room in each plan

Cause: the choice of a worker for a task looked at every worker, most of which have no room in a full cell, and each look checks ten conditions.

Change: each plan indexes the workers that may get tasks in a tree of maxima of what is free on them, adjusted with each planned run. The choice visits the workers with room only, in the same order. Whether a missing label keeps a step from a worker, which a miss must know, is asked only when no worker is found.

--- a/core/flow/candidate.go
+++ b/core/flow/candidate.go
@@ -28,7 +28,7 @@
 // its tasks. The result is valid until the next call.
 func (pl *Planner) claimCandidates(now model.Instant, rs *readyStep, id TaskID) (out []claimCandidate, otherConditions bool) {
 	out = pl.candidates[:0]
-	for _, wk := range pl.workers.sorted {
+	for _, wk := range pl.room.workers {
 		why := pl.ineligible(now, wk, rs)
 		if why == labelMissing {
 			otherConditions = true
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -65,11 +65,19 @@
 // ineligible returns why no task of a step may be placed on a worker, whatever
 // capacity is free, or notRejected.
 func (pl *Planner) ineligible(now model.Instant, wk *worker, rs *readyStep) rejection {
+	why := pl.unavailable(now, wk)
+	if why == noHeartbeat || why != notRejected && wk.service == rs.job.spec.Service {
+		return why
+	}
+	return wk.unsuitable(now, rs)
+}
+
+// unavailable returns why no task of any step may be placed on a worker, or
+// notRejected.
+func (pl *Planner) unavailable(now model.Instant, wk *worker) rejection {
 	switch {
 	case !wk.reported:
 		return noHeartbeat
-	case wk.service != rs.job.spec.Service:
-		return otherService
 	case wk.draining:
 		return drainingWorker
 	case pl.outage[wk.centre]:
@@ -78,6 +86,16 @@
 		return staleHeartbeat
 	case len(wk.unknownRuns) > 0:
 		return hasUnknownRuns
+	}
+	return notRejected
+}
+
+// unsuitable returns why no task of a step may be placed on a worker that may get
+// tasks, or notRejected.
+func (wk *worker) unsuitable(now model.Instant, rs *readyStep) rejection {
+	switch {
+	case wk.service != rs.job.spec.Service:
+		return otherService
 	case now.Before(wk.slowUntil) && !rs.spec.LongRunning:
 		return slowWorker
 	case wk.health.quarantined(now) && !rs.spec.LongRunning:
--- a/core/flow/miss.go
+++ b/core/flow/miss.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// lacksLabel reports whether a missing label keeps a task of rs from some worker.
+func (pl *Planner) lacksLabel(now model.Instant, rs *readyStep) bool {
+	return rs.spec.RequiredLabel != "" && slices.ContainsFunc(pl.room.workers, func(wk *worker) bool {
+		return pl.ineligible(now, wk, rs) == labelMissing
+	})
+}
+
 // claimMiss records a restart for which no worker is expected to have room within
 // a time.
 type claimMiss struct {
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -39,9 +39,7 @@
 func (pl *Planner) plan(now model.Instant) {
 	pl.claimsLeft = max(minClaims, len(pl.workers.sorted)/claimDivisor)
 	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
-	for _, wk := range pl.workers.sorted {
-		wk.claims.reset()
-	}
+	pl.indexRoom(now)
 	steps := pl.readySteps(now)
 	pl.measureRoom(now, steps)
 	for _, rs := range steps {
@@ -53,6 +51,19 @@
 	}
 }
 
+// indexRoom drops the claims of the plan before and indexes the workers that may
+// get tasks.
+func (pl *Planner) indexRoom(now model.Instant) {
+	pl.room.reset()
+	for _, wk := range pl.workers.sorted {
+		wk.claims.reset()
+		if pl.unavailable(now, wk) == notRejected {
+			pl.room.add(wk)
+		}
+	}
+	pl.room.build()
+}
+
 // startTasks places the waiting tasks of a step one by one until no worker is
 // eligible for the next.
 func (pl *Planner) startTasks(now model.Instant, rs readyStep) {
@@ -158,6 +169,7 @@
 	pr := newPlacedRun(rs.job, id, attempt, now)
 	pr.planned, pr.checkpoint = true, tk.checkpoint
 	wk.add(pr)
+	pl.room.update(wk)
 	if rs.spec.Filler || rs.spec.serves() {
 		wk.updateServingJobs(pl)
 	}
@@ -167,6 +179,7 @@
 func (pl *Planner) unreserve(wk *worker, id TaskID, attempt int, tk *task) {
 	if pr := wk.find(id, attempt); pr != nil {
 		wk.remove(pr)
+		pl.room.update(wk)
 		tk.plannedStarts--
 	}
 }
@@ -183,13 +196,11 @@
 	var best *worker
 	lowest := 0.0
 	otherConditions := false
-	for _, wk := range pl.workers.sorted {
-		switch pl.rejectionFor(now, wk, &rs, id, need) {
-		case notRejected:
-		case perWorkerLimit, labelMissing:
-			otherConditions = true
-			continue
-		default:
+	for pos := pl.room.next(0, need); pos >= 0; pos = pl.room.next(pos+1, need) {
+		wk := pl.room.workers[pos]
+		why := pl.rejectionFor(now, wk, &rs, id, need)
+		otherConditions = otherConditions || why == perWorkerLimit
+		if why != notRejected {
 			continue
 		}
 		cost, ok := pl.placementCost(wk, rs, image, need)
@@ -205,7 +216,7 @@
 		}
 	}
 	if best == nil {
-		pl.recordMiss(&rs, need, otherConditions)
+		pl.recordMiss(&rs, need, otherConditions || pl.lacksLabel(now, &rs))
 	}
 	return best
 }
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -115,6 +115,9 @@
 	useDiffs []imageUse
 	// rooms is the capacity for long-running tasks in the current plan.
 	rooms map[model.ServiceID]*longRunningRoom
+	// room finds the workers with room for a task in the current plan. Changes of
+	// what is free outside plan are not in it.
+	room roomIndex
 	// turn is the turn of steps that have waited too long.
 	turn overdueTurn
 	// candidates is scratch space of claimCandidates.
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -143,6 +143,8 @@
 	fillerMilliCPU, servingMilliCPU int64
 	// longRunning is the sum of the reservations of long-running tasks.
 	longRunning model.Resources
+	// indexed is the position of the worker in Planner.room, if that holds it.
+	indexed int
 	// claims is the capacity that the current plan keeps for waiting tasks.
 	claims claims
 	// overTargetSince is the time since which some serving task has exceeded
