List the runs that end only where they may make room

Cause: a claim listed and ordered all runs of each worker to learn when a task has room, although on most workers long-running tasks hold so much that it never has. For each run that read its job, the map of its occurrences and its task. With 350 workers it took half of a plan.

Change: the sum of what will be released is worked out first, from the totals of the worker and its long-running runs; the list follows only where the sum suffices. A run keeps a pointer to the state of its task.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -72,11 +72,7 @@
 // unwanted reports whether the run is no longer needed: it is being evicted,
 // its job has ended, or its task is done.
 func (pl *Planner) unwanted(pr *placedRun) bool {
-	if pr.evicting || pr.job.status.Final() {
-		return true
-	}
-	occ := pr.job.occurrence(pr.task.occurrence)
-	return occ.steps[pr.task.step].tasks[pr.task.index].done
+	return pr.evicting || pr.job.status.Final() || pr.state.done
 }
 
 // answer replies to the open heartbeat of a worker with its orders and renews
--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -53,12 +53,14 @@
 	// holders are the steps with claims, one for each claim, and former those of
 	// the plan before.
 	holders, former []*step
-	// releases are the runs that are expected to end by themselves, ordered by
-	// when, and total is the sum of their sizes. They are listed when the first
-	// claim on the worker is considered.
+	// total is the sum of the sizes of the runs that are expected to end by
+	// themselves. It is valid if listed is set.
+	total  model.Resources
+	listed bool
+	// releases are these runs, ordered by when they end. They are valid if
+	// ordered is set as well.
 	releases []release
-	total    model.Resources
-	listed   bool
+	ordered  bool
 }
 
 // reset drops all claims, remembers their holders and keeps the buffers.
@@ -105,16 +107,19 @@
 // its claims, because runs have ended. It returns false if the runs that end by
 // themselves hold too little.
 func (pl *Planner) roomAfter(now model.Instant, wk *worker, need model.Resources) (time.Duration, bool) {
-	if !wk.claims.listed {
-		pl.listReleases(now, wk)
-	}
 	free := wk.free().Sub(wk.claims.size)
 	if need.FitsIn(free) {
 		return 0, true
 	}
+	if !wk.claims.listed {
+		pl.sumReleases(wk)
+	}
 	if !need.FitsIn(free.Add(wk.claims.total)) {
 		return 0, false
 	}
+	if !wk.claims.ordered {
+		pl.listReleases(now, wk)
+	}
 	for _, rel := range wk.claims.releases {
 		free = free.Add(rel.size)
 		if need.FitsIn(free) {
@@ -124,25 +129,38 @@
 	return 0, false
 }
 
-// listReleases lists the runs on a worker that will end by themselves or are
-// being stopped.
+// sumReleases sums up the runs on a worker that will end by themselves or are
+// being stopped. Only long-running ones may be neither.
+func (pl *Planner) sumReleases(wk *worker) {
+	cl := &wk.claims
+	cl.listed, cl.ordered, cl.total = true, false, wk.reserved.Sub(wk.longRunning)
+	for _, pr := range wk.longRuns {
+		if pl.isStopping(pr) {
+			cl.total = cl.total.Add(pr.size)
+		}
+	}
+}
+
+// listReleases lists the runs whose sizes sumReleases sums up.
 func (pl *Planner) listReleases(now model.Instant, wk *worker) {
 	cl := &wk.claims
-	cl.listed, cl.total, cl.releases = true, model.Resources{}, cl.releases[:0]
+	cl.ordered, cl.releases = true, cl.releases[:0]
 	for _, pr := range wk.runs {
-		rel := release{after: stopDelay, size: pr.size}
-		if !pr.ending && (pr.planned || !pl.unwanted(pr)) {
-			if pr.spec.LongRunning {
-				continue
-			}
-			rel.after = pr.remaining(now)
+		switch {
+		case pl.isStopping(pr):
+			cl.releases = append(cl.releases, release{after: stopDelay, size: pr.size})
+		case !pr.spec.LongRunning:
+			cl.releases = append(cl.releases, release{after: pr.remaining(now), size: pr.size})
 		}
-		cl.releases = append(cl.releases, rel)
-		cl.total = cl.total.Add(rel.size)
 	}
 	slices.SortStableFunc(cl.releases, func(a, b release) int { return cmp.Compare(a.after, b.after) })
 }
 
+// isStopping reports whether the end of the run is decided.
+func (pl *Planner) isStopping(pr *placedRun) bool {
+	return pr.ending || !pr.planned && pl.unwanted(pr)
+}
+
 // remaining estimates how much longer a run takes, from its progress or, before
 // the first, from the declared duration. A run past its declared duration is
 // expected to take as long again.
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -8,9 +8,11 @@
 
 // placedRun is the leader's record of a run on a worker.
 type placedRun struct {
-	job     *job
-	spec    *StepSpec
-	task    TaskID
+	job  *job
+	spec *StepSpec
+	task TaskID
+	// state is the state of task in job.
+	state   *task
 	attempt int
 	// size is what the run reserves of the worker.
 	size model.Resources
@@ -68,9 +70,12 @@
 	sentPaceAt  model.Instant
 }
 
-func newPlacedRun(jb *job, task TaskID, attempt int, now model.Instant) *placedRun {
-	spec := &jb.spec.Steps[task.step]
-	return &placedRun{job: jb, spec: spec, task: task, attempt: attempt, size: spec.reservation(), placedAt: now, pace: fullPace, sentPace: fullPace}
+func newPlacedRun(jb *job, id TaskID, attempt int, now model.Instant) *placedRun {
+	spec := &jb.spec.Steps[id.step]
+	return &placedRun{
+		job: jb, spec: spec, task: id, state: &jb.occurrence(id.occurrence).steps[id.step].tasks[id.index], attempt: attempt,
+		size: spec.reservation(), placedAt: now, pace: fullPace, sentPace: fullPace,
+	}
 }
 
 // markInherited marks a run whose start was applied without a record of it here.
@@ -120,6 +125,8 @@
 	// the next answer renews the lease.
 	expired bool
 	runs    []*placedRun
+	// longRuns are the runs of long-running tasks, in the order of runs.
+	longRuns []*placedRun
 	// answerPending is set while a heartbeat is open, that is, not answered yet.
 	// heartbeatID identifies that heartbeat, which arrived at
 	// answerPendingSince.
@@ -166,6 +173,7 @@
 	wk.runs = append(wk.runs, pr)
 	wk.reserved = wk.reserved.Add(pr.size)
 	if pr.spec.LongRunning {
+		wk.longRuns = append(wk.longRuns, pr)
 		wk.longRunning = wk.longRunning.Add(pr.size)
 	}
 	wk.countRun(pr, 1)
@@ -191,6 +199,7 @@
 	wk.runs = slices.Delete(wk.runs, pos, pos+1)
 	wk.reserved = wk.reserved.Sub(pr.size)
 	if pr.spec.LongRunning {
+		wk.longRuns = slices.DeleteFunc(wk.longRuns, func(other *placedRun) bool { return other == pr })
 		wk.longRunning = wk.longRunning.Sub(pr.size)
 	}
 	wk.countRun(pr, -1)
