Check the workers once in a plan and skip what no step needs

Cause: each plan resets the claims of all workers and sums up the room for long-running tasks, even if nothing was claimed and no long-running task waits, and the index is one pass more. Each choice checked again what the index has checked.

Change: claims are reset only where there are any, the room is summed up only for plans with long-running steps and without a map access for each worker, and a choice checks what the index leaves open.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -65,6 +65,9 @@
 
 // reset drops all claims, remembers their holders and keeps the buffers.
 func (cl *claims) reset() {
+	if len(cl.holders) == 0 && len(cl.former) == 0 && !cl.listed {
+		return
+	}
 	*cl = claims{releases: cl.releases[:0], former: cl.holders, holders: cl.former[:0]}
 }
 
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -50,10 +50,16 @@
 
 // rejectionFor returns why a task may not be placed on a worker, or notRejected.
 func (pl *Planner) rejectionFor(now model.Instant, wk *worker, rs *readyStep, id TaskID, need model.Resources) rejection {
-	why := pl.ineligible(now, wk, rs)
-	switch {
-	case why != notRejected:
+	if why := pl.ineligible(now, wk, rs); why != notRejected {
 		return why
+	}
+	return wk.noCapacityFor(rs, id, need)
+}
+
+// noCapacityFor returns why a task of a step for which a worker is eligible may
+// not be placed there, or notRejected.
+func (wk *worker) noCapacityFor(rs *readyStep, id TaskID, need model.Resources) rejection {
+	switch {
 	case !rs.spec.Size.FitsIn(wk.size) || !wk.hasRoom(rs, need):
 		return noCapacity
 	case rs.spec.PerWorker > 0 && wk.runsOfStep(id) >= rs.spec.PerWorker:
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -198,9 +198,11 @@
 	otherConditions := false
 	for pos := pl.room.next(0, need); pos >= 0; pos = pl.room.next(pos+1, need) {
 		wk := pl.room.workers[pos]
-		why := pl.rejectionFor(now, wk, &rs, id, need)
-		otherConditions = otherConditions || why == perWorkerLimit
-		if why != notRejected {
+		if wk.unsuitable(now, &rs) != notRejected {
+			continue
+		}
+		if why := wk.noCapacityFor(&rs, id, need); why != notRejected {
+			otherConditions = otherConditions || why == perWorkerLimit
 			continue
 		}
 		cost, ok := pl.placementCost(wk, rs, image, need)
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -1,6 +1,10 @@
 package flow
 
-import "guavarail/core/model"
+import (
+	"slices"
+
+	"guavarail/core/model"
+)
 
 // longRunningRoom is the capacity for long-running tasks in the current plan.
 type longRunningRoom struct {
@@ -12,15 +16,22 @@
 	endangered model.Resources
 }
 
-// measureRoom sums up the capacity for long-running tasks of each service. steps
-// are the ready steps.
+// measureRoom sums up the capacity for long-running tasks of each service, if any
+// of the ready steps has such tasks.
 func (pl *Planner) measureRoom(now model.Instant, steps []readyStep) {
 	pl.rooms = map[model.ServiceID]*longRunningRoom{}
+	if !slices.ContainsFunc(steps, func(rs readyStep) bool { return rs.spec.LongRunning }) {
+		return
+	}
+	var service model.ServiceID
+	ro := pl.roomOf(service)
 	for _, wk := range pl.workers.sorted {
 		if !wk.reported || pl.outage[wk.centre] {
 			continue
 		}
-		ro := pl.roomOf(wk.service)
+		if wk.service != service {
+			service, ro = wk.service, pl.roomOf(wk.service)
+		}
 		if wk.draining || now.Sub(wk.lastHeartbeat) > maxHeartbeatAge {
 			ro.endangered = ro.endangered.Add(wk.longRunning)
 			continue
