Find the record of a run through its task

Cause: each applied end looked for the record of its run on all workers, 7,000 records of 350 workers, 44 us each time.

Change: a task keeps the leaders records of its runs. Where it has several, the search decides as before. Runs on one worker are told apart by their numbers first.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -101,6 +101,15 @@
 
 // findRun returns the records of a run and of its worker, or nil for both.
 func (pl *Planner) findRun(task TaskID, attempt int) (*worker, *placedRun) {
+	if _, _, tk, ok := pl.st.find(task); ok && len(tk.placed) == 1 && tk.placed[0].attempt == attempt {
+		return tk.placed[0].worker, tk.placed[0]
+	}
+	return pl.searchRun(task, attempt)
+}
+
+// searchRun is findRun by a look at every worker. If two incarnations have a
+// record of the same attempt, it returns that of the first.
+func (pl *Planner) searchRun(task TaskID, attempt int) (*worker, *placedRun) {
 	for _, wk := range pl.workers.sorted {
 		if pr := wk.find(task, attempt); pr != nil {
 			return wk, pr
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -210,7 +210,7 @@
 			occ.steps[s].waitingSince = 0
 			for i := range occ.steps[s].tasks {
 				tk := &occ.steps[s].tasks[i]
-				tk.plannedStarts, tk.idleSince = 0, now
+				tk.placed, tk.plannedStarts, tk.idleSince = nil, 0, now
 				tk.ran = tk.attempt > 0 && len(tk.runs) == 0
 				for _, ru := range tk.runs {
 					wk := pl.ensureWorker(now, ru.incarnation)
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -47,6 +47,8 @@
 	done     bool
 	// checkpoint is where the next run resumes, "" for the beginning.
 	checkpoint string
+	// placed are the leader's records of runs of the task. It is not replicated.
+	placed []*placedRun
 	// plannedStarts counts the starts that the leader has decided and that are
 	// not applied yet. It is not replicated.
 	plannedStarts int
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -12,7 +12,9 @@
 	spec *StepSpec
 	task TaskID
 	// state is the state of task in job.
-	state   *task
+	state *task
+	// worker is the worker that the run was added to.
+	worker  *worker
 	attempt int
 	// size is what the run reserves of the worker.
 	size model.Resources
@@ -171,6 +173,8 @@
 
 func (wk *worker) add(pr *placedRun) {
 	wk.runs = append(wk.runs, pr)
+	pr.worker = wk
+	pr.state.placed = append(pr.state.placed, pr)
 	wk.reserved = wk.reserved.Add(pr.size)
 	if pr.spec.LongRunning {
 		wk.longRuns = append(wk.longRuns, pr)
@@ -197,6 +201,7 @@
 		return
 	}
 	wk.runs = slices.Delete(wk.runs, pos, pos+1)
+	pr.state.placed = slices.DeleteFunc(pr.state.placed, func(other *placedRun) bool { return other == pr })
 	wk.reserved = wk.reserved.Sub(pr.size)
 	if pr.spec.LongRunning {
 		wk.longRuns = slices.DeleteFunc(wk.longRuns, func(other *placedRun) bool { return other == pr })
@@ -208,7 +213,8 @@
 // find returns the record of a run on the worker, or nil.
 func (wk *worker) find(task TaskID, attempt int) *placedRun {
 	for _, pr := range wk.runs {
-		if pr.attempt == attempt && pr.task == task {
+		// Most runs differ in the numbers, which are compared faster than names.
+		if pr.attempt == attempt && pr.task.index == task.index && pr.task == task {
 			return pr
 		}
 	}
