Rule out workers before the choice of runs to preempt

Cause: for each restart the choice of runs to stop looked at all runs of all workers, on most of which all that may be stopped is too little.

Change: what a worker has beside its long-running tasks is compared first. The added test compares the choice with that of a look at each run on random workers.

--- a/core/flow/preempt.go
+++ b/core/flow/preempt.go
@@ -66,6 +66,9 @@
 func (pl *Planner) preemptionOn(now model.Instant, wk *worker, rs *readyStep) (preemption, bool) {
 	need := rs.spec.reservation()
 	free := wk.free().Sub(wk.claims.size)
+	if !need.FitsIn(free.Add(wk.stoppable())) {
+		return preemption{}, false
+	}
 	held := model.Resources{}
 	for _, pr := range wk.runs {
 		switch {
--- a/core/flow/release_test.go
+++ b/core/flow/release_test.go
@@ -71,6 +71,60 @@
 	}
 }
 
+// exhaustivePreemption returns the runs that preemptionOn should choose, and
+// whether they make room.
+func exhaustivePreemption(now model.Instant, wk *worker, rs *readyStep) (stopped []*placedRun, ok bool) {
+	need := rs.spec.reservation()
+	free := wk.free().Sub(wk.claims.size)
+	var lower []*placedRun
+	for _, pr := range wk.runs {
+		switch {
+		case pr.preemptable(rs):
+			lower = append(lower, pr)
+		case pr.ending || pr.evicting:
+			free = free.Add(pr.size)
+		}
+	}
+	slices.SortStableFunc(lower, func(a, b *placedRun) int { return cmp.Compare(a.lostWork(now), b.lostWork(now)) })
+	for _, pr := range lower {
+		if need.FitsIn(free) {
+			break
+		}
+		free = free.Add(pr.size)
+		stopped = append(stopped, pr)
+	}
+	return stopped, need.FitsIn(free)
+}
+
+// TestPreemptionLooksAtEachRun guards against sums that rule out a worker on which
+// the stop of runs makes room.
+func TestPreemptionLooksAtEachRun(t *testing.T) {
+	rooms, none := 0, 0
+	for seed := range uint64(300) {
+		rc := newRandomCell(t, seed)
+		rc.pl.indexRoom(rc.now)
+		rc.claimSomewhere()
+		for _, wk := range rc.pl.workers.sorted {
+			for i := range rc.steps {
+				rs := &rc.steps[i]
+				stopped, want := exhaustivePreemption(rc.now, wk, rs)
+				pre, got := rc.pl.preemptionOn(rc.now, wk, rs)
+				if got != want || got && !slices.Equal(pre.runs, stopped) {
+					t.Fatalf("seed %d: worker %s, step of %s: got %d runs %t, want %d %t", seed, wk.incarnation, rs.job.ID(), len(pre.runs), got, len(stopped), want)
+				}
+				if got {
+					rooms++
+				} else {
+					none++
+				}
+			}
+		}
+	}
+	if rooms < 10_000 || none < 10_000 {
+		t.Errorf("got %d workers where a stop makes room and %d without, want 10000 of each", rooms, none)
+	}
+}
+
 // changeRuns removes runs, cancels a job and completes tasks.
 func (rc *randomCell) changeRuns() {
 	rs := &rc.steps[rc.rng.IntN(len(rc.steps))]
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -171,6 +171,18 @@
 // free returns what no run has reserved.
 func (wk *worker) free() model.Resources { return wk.size.Sub(wk.reserved) }
 
+// stoppable returns what the runs on the worker reserve that are not long-running
+// or are being stopped already.
+func (wk *worker) stoppable() model.Resources {
+	sum := wk.reserved.Sub(wk.longRunning)
+	for _, pr := range wk.longRuns {
+		if pr.ending || pr.evicting {
+			sum = sum.Add(pr.size)
+		}
+	}
+	return sum
+}
+
 func (wk *worker) add(pr *placedRun) {
 	wk.runs = append(wk.runs, pr)
 	pr.worker = wk
