--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -39,9 +39,7 @@
 func (pl *Planner) plan(now model.Instant) {
 	pl.claimsLeft = pl.maxClaims()
 	pl.misses, pl.claimMisses, pl.turnMisses = pl.misses[:0], pl.claimMisses[:0], pl.turnMisses[:0]
-	for _, wk := range pl.workers.sorted {
-		wk.claims.reset()
-	}
+	pl.indexRoom()
 	pl.renewKept(now)
 	steps := pl.readySteps(now)
 	pl.measureRoom(steps)
@@ -54,6 +52,19 @@
 	}
 }
 
+// indexRoom drops the claims of the plan before and indexes the workers that may
+// get tasks.
+func (pl *Planner) indexRoom() {
+	pl.room.reset()
+	for _, wk := range pl.workers.sorted {
+		wk.claims.reset()
+		if pl.unavailable(wk) == notRejected {
+			pl.room.add(wk)
+		}
+	}
+	pl.room.build()
+}
+
 // startTasks places the waiting tasks of a step one by one until no worker is
 // eligible for the next.
 func (pl *Planner) startTasks(now model.Instant, rs readyStep) {
@@ -163,6 +174,7 @@
 	pr := newPlacedRun(rs.job, id, attempt, now)
 	pr.planned, pr.checkpoint = true, tk.checkpoint
 	pl.addRun(wk, pr)
+	pl.room.update(wk)
 	if rs.spec.Filler || rs.spec.serves() {
 		wk.updateServingJobs(pl)
 	}
@@ -172,6 +184,7 @@
 func (pl *Planner) unreserve(wk *worker, id TaskID, attempt int, tk *task) {
 	if pr := wk.find(id, attempt); pr != nil {
 		pl.removeRun(wk, pr)
+		pl.room.update(wk)
 		tk.plannedStarts--
 	}
 }
@@ -188,13 +201,13 @@
 	var best *worker
 	lowest := 0.0
 	otherConditions := false
-	for _, wk := range pl.workers.sorted {
-		switch pl.rejectionFor(now, wk, &rs, id, need) {
-		case notRejected:
-		case perWorkerLimit, labelMissing:
-			otherConditions = true
+	for pos := pl.room.next(0, need); pos >= 0; pos = pl.room.next(pos+1, need) {
+		wk := pl.room.workers[pos]
+		if wk.unsuitable(now, &rs) != notRejected {
 			continue
-		default:
+		}
+		if why := wk.noCapacityFor(&rs, id, need); why != notRejected {
+			otherConditions = otherConditions || why == perWorkerLimit
 			continue
 		}
 		cost, ok := pl.placementCost(wk, rs, image, need)
@@ -210,7 +223,7 @@
 		}
 	}
 	if best == nil {
-		pl.recordMiss(&rs, need, otherConditions)
+		pl.recordMiss(&rs, need, otherConditions || pl.lacksLabel(now, &rs))
 	}
 	return best
 }
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -138,6 +138,11 @@
 	useDiffs []imageUse
 	// rooms is the capacity for long-running tasks in the current plan.
 	rooms map[model.ServiceID]*longRunningRoom
+	// room finds the workers with room for a task in the current plan. Changes of
+	// what is free outside plan are not in it.
+	room roomIndex
+	// sorter is scratch space of readySteps.
+	sorter stepSorter
 	// turns are the turns of steps that have waited too long.
 	turns overdueTurns
 	// candidates is scratch space of claimCandidates.
@@ -229,7 +234,7 @@
 // have renewed it until its own leader lease ended.
 func (pl *Planner) becomeLeader(now model.Instant, term uint64) {
 	pl.stepDown()
-	pl.leading, pl.term, pl.dirty, pl.placed = true, term, true, map[runID]*worker{}
+	pl.leading, pl.term, pl.dirty = true, term, true
 	for _, jb := range pl.st.bySubmission() {
 		jb.endSeenAt = now
 		if jb.status.Final() {
--- a/core/flow/runindex.go
+++ b/core/flow/runindex.go
@@ -9,6 +9,9 @@
 // addRun adds a run to the records of a worker.
 func (pl *Planner) addRun(wk *worker, pr *placedRun) {
 	wk.add(pr)
+	if pl.placed == nil {
+		pl.placed = map[runID]*worker{}
+	}
 	pl.placed[runID{task: pr.task, attempt: pr.attempt}] = wk
 }
 
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -8,9 +8,11 @@
 
 // placedRun is the leader's record of a run on a worker.
 type placedRun struct {
-	job     *job
-	spec    *StepSpec
-	task    TaskID
+	job  *job
+	spec *StepSpec
+	task TaskID
+	// state is the state of task in job.
+	state   *task
 	attempt int
 	// size is what the run reserves of the worker: nothing once the worker has
 	// reported its end.
@@ -69,9 +71,12 @@
 	sentPaceAt  model.Instant
 }
 
-func newPlacedRun(jb *job, task TaskID, attempt int, now model.Instant) *placedRun {
-	spec := &jb.spec.Steps[task.step]
-	return &placedRun{job: jb, spec: spec, task: task, attempt: attempt, size: spec.reservation(), placedAt: now, pace: fullPace, sentPace: fullPace}
+func newPlacedRun(jb *job, id TaskID, attempt int, now model.Instant) *placedRun {
+	spec := &jb.spec.Steps[id.step]
+	return &placedRun{
+		job: jb, spec: spec, task: id, state: &jb.occurrence(id.occurrence).steps[id.step].tasks[id.index], attempt: attempt,
+		size: spec.reservation(), placedAt: now, pace: fullPace, sentPace: fullPace,
+	}
 }
 
 // markInherited marks a run whose start was applied without a record of it here.
@@ -121,6 +126,8 @@
 	// the next answer renews the lease.
 	expired bool
 	runs    []*placedRun
+	// longRuns are the runs of long-running tasks, in the order of runs.
+	longRuns []*placedRun
 	// answerPending is set while a heartbeat is open, that is, not answered yet.
 	// heartbeatID identifies that heartbeat, which arrived at
 	// answerPendingSince.
@@ -148,6 +155,8 @@
 	fillerMilliCPU, servingMilliCPU int64
 	// longRunning is the sum of the reservations of long-running tasks.
 	longRunning model.Resources
+	// indexed is the position of the worker in Planner.room, if that holds it.
+	indexed int
 	// claims is the capacity that the current plan keeps for waiting tasks.
 	claims claims
 	// overTargetSince is the time since which some serving task has exceeded
@@ -165,10 +174,23 @@
 // free returns what no run has reserved.
 func (wk *worker) free() model.Resources { return wk.size.Sub(wk.reserved) }
 
+// stoppable returns what the runs on the worker reserve that are not long-running
+// or are being stopped already.
+func (wk *worker) stoppable() model.Resources {
+	sum := wk.reserved.Sub(wk.longRunning)
+	for _, pr := range wk.longRuns {
+		if pr.ending || pr.evicting {
+			sum = sum.Add(pr.size)
+		}
+	}
+	return sum
+}
+
 func (wk *worker) add(pr *placedRun) {
 	wk.runs = append(wk.runs, pr)
 	wk.reserved = wk.reserved.Add(pr.size)
 	if pr.spec.LongRunning {
+		wk.longRuns = append(wk.longRuns, pr)
 		wk.longRunning = wk.longRunning.Add(pr.size)
 	}
 	wk.countRun(pr, 1)
@@ -200,6 +222,7 @@
 func (wk *worker) release(pr *placedRun) {
 	wk.reserved = wk.reserved.Sub(pr.size)
 	if pr.spec.LongRunning {
+		wk.longRuns = slices.DeleteFunc(wk.longRuns, func(other *placedRun) bool { return other == pr })
 		wk.longRunning = wk.longRunning.Sub(pr.size)
 	}
 	pr.size = model.Resources{}
@@ -208,7 +231,8 @@
 // find returns the record of a run on the worker, or nil.
 func (wk *worker) find(task TaskID, attempt int) *placedRun {
 	for _, pr := range wk.runs {
-		if pr.attempt == attempt && pr.task == task {
+		// Most runs differ in the numbers, which are compared faster than names.
+		if pr.attempt == attempt && pr.task.index == task.index && pr.task == task {
 			return pr
 		}
 	}
