Start a replica again after its disk refused writes

What callers would see: a disk that refuses writes for some seconds takes its VM out of the cell until the process ends. With three voters, one lost disk later leaves one voter that counts of two intact ones: no leader, and no answer about anything that was accepted. With five voters the same after two lost disks.

Cause: after a failed write a replica stops voting and acknowledging until it is restarted, which nothing did. The VM still announced its disk to the leader, so Repair took the voter for an intact one and no present VM replaced it.

Change: a VM leaves out its disk in hello messages while its replica has failed or is stopped, so that another VM takes the voter's place. After a failed write or sync it opens the data directory again twice a second and starts the member anew in the same process; other failures (a stale disk, a conflict) stay until an operator acts. The log is written anew then, since after a failed sync what can be read need not be on disk. Until the start a VM routes calls like one without a disk.

--- a/io/cell/acknowledge.go
+++ b/io/cell/acknowledge.go
@@ -50,17 +50,23 @@
 
 // recordAcknowledged records that an operator's change was acknowledged, with the term.
 func (lea Leader) recordAcknowledged(kind event.Kind, sub event.Subject, fis ...event.Field) {
-	term := strconv.FormatUint(lea.mem.status.Load().term, 10)
-	lea.mem.vm.RecordEvent(event.New(kind, sub, append(fis, event.NewField("term", term))...))
+	if mem, err := lea.member(); err == nil {
+		fis = append(fis, event.NewField("term", strconv.FormatUint(mem.status.Load().term, 10)))
+	}
+	lea.vm.RecordEvent(event.New(kind, sub, fis...))
 }
 
 // Configuration returns the configuration in effect, the zero value if there is none, and
 // records the event configurationRead.
 func (lea Leader) Configuration(ctx context.Context) (cell.Document, error) {
-	doc, err := group.Read(ctx, lea.mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) cell.Document {
+	mem, err := lea.member()
+	if err != nil {
+		return cell.Document{}, err
+	}
+	doc, err := group.Read(ctx, mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) cell.Document {
 		doc := sta.Document()
-		if suppressed, ok := lea.mem.configurationReads.Allow(now); ok {
-			lea.mem.vm.RecordEvent(event.New("configurationRead", event.Subject{},
+		if suppressed, ok := mem.configurationReads.Allow(now); ok {
+			lea.vm.RecordEvent(event.New("configurationRead", event.Subject{},
 				append(readFields(now, rol, suppressed), event.NewField("version", strconv.FormatUint(doc.Version(), 10)))...))
 		}
 		return doc
@@ -75,10 +81,15 @@
 		status flow.Status
 		known  bool
 	}
-	ans, err := group.Read(ctx, lea.mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) answer {
+	mem, err := lea.member()
+	if err != nil {
+		var none flow.Status
+		return none, false, err
+	}
+	ans, err := group.Read(ctx, mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) answer {
 		status, jobQueue, ok := sta.Jobs().Status(id)
 		if !ok || jobQueue != queue {
-			lea.mem.recordUnknownJob(now, rol, id, queue, jobQueue)
+			mem.recordUnknownJob(now, rol, id, queue, jobQueue)
 		}
 		return answer{status: status, known: ok && jobQueue == queue}
 	})
--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -56,7 +56,7 @@
 // *NoHandlerError.
 func (vm *VM) handle(ctx context.Context, cal Call) (Reply, error) {
 	han := vm.handler.Load()
-	if han == nil || vm.member == nil {
+	if han == nil || vm.member.Load() == nil {
 		return Reply{}, errors.Trace(&NoHandlerError{})
 	}
 	return (*han)(ctx, cal)
@@ -66,7 +66,7 @@
 // reply means that this VM does not lead and that the call had no effect.
 func (vm *VM) serveCalls() {
 	peer.HandleRequest(vm.mux, func(ctx context.Context, _ model.VMID, que *wire.CellCall) (*wire.CellReply, error) {
-		if vm.member == nil || !vm.member.leased() {
+		if !vm.leased() {
 			return &wire.CellReply{Refused: true}, nil
 		}
 		rep, err := vm.handle(ctx, Call{Method: que.GetMethod(), Host: que.GetHost(), Path: que.GetPath(), Body: que.GetBody()})
@@ -133,7 +133,7 @@
 // findLeader returns the VM to which calls are sent: this VM if it leads under its
 // lease, or else the discovered leader. It returns false if neither exists.
 func (vm *VM) findLeader() (model.VMID, bool) {
-	if vm.member != nil && vm.member.leased() {
+	if vm.leased() {
 		return vm.self, true
 	}
 	cur := vm.discovered.Load()
--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -42,17 +42,12 @@
 // goroutine.
 type leaderFinder struct {
 	vm *VM
-	// diskID is the ID of this VM's disk; empty if it has none.
-	diskID string
 }
 
 // startFinder starts the goroutine that discovers the leader. The returned
 // function stops it.
 func startFinder(ctx context.Context, vm *VM) func() {
 	fin := &leaderFinder{vm: vm}
-	if vm.member != nil {
-		fin.diskID = string(vm.member.diskID)
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go fin.run(ctx, done)
@@ -120,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	wel, err := peer.Call[*wire.CellWelcome](ctx, fin.vm.hub, id, &wire.CellHello{
-		Vm: string(fin.vm.self), Disk: fin.diskID, Centre: string(fin.vm.settings.Centre()),
+		Vm: string(fin.vm.self), Disk: string(fin.vm.workingDisk()), Centre: string(fin.vm.settings.Centre()),
 	})
 	if err != nil {
 		fin.vm.log.Debug("no answer to a hello message; VM left out of this discovery", "vm", id, "error", err)
--- a/io/cell/leader.go
+++ b/io/cell/leader.go
@@ -19,38 +19,63 @@
 
 // Leader has the operations on the state of the cell. On a VM that does not lead,
 // every operation returns a *quorum.NotLeaderError and has no effect.
-type Leader struct{ mem *member }
+type Leader struct{ vm *VM }
 
 // AsLeader returns the operations that only the leader carries out, and false on a
 // VM without a disk. The VM need not lead when AsLeader is called.
-func (vm *VM) AsLeader() (Leader, bool) { return Leader{mem: vm.member}, vm.member != nil }
+func (vm *VM) AsLeader() (Leader, bool) {
+	_, ok := vm.settings.DataDir()
+	return Leader{vm: vm}, ok
+}
+
+// member returns the member of this VM, or a *quorum.NotLeaderError if there is none.
+func (lea Leader) member() (*member, error) {
+	mem := lea.vm.member.Load()
+	if mem == nil {
+		return nil, errors.Trace(newNotLeaderError())
+	}
+	return mem, nil
+}
 
 // View reads the state under the leader lease. fn runs on the goroutine that owns
 // the state and must not keep a reference to it.
 func View[T any](ctx context.Context, lea Leader, fn func(sta *cell.State) T) (T, error) {
-	val, err := group.Read(ctx, lea.mem.ref, func(_ model.Instant, _ quorum.Role, sta *cell.State) T { return fn(sta) })
+	mem, err := lea.member()
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	val, err := group.Read(ctx, mem.ref, func(_ model.Instant, _ quorum.Role, sta *cell.State) T { return fn(sta) })
 	return val, errors.Trace(err)
 }
 
 // Propose proposes a command and waits until it is applied.
 func (lea Leader) Propose(ctx context.Context, cmd cell.Command) (cell.Result, error) {
-	res, err := lea.mem.ref.Propose(ctx, cmd)
+	mem, err := lea.member()
+	if err != nil {
+		return cell.Result{}, err
+	}
+	res, err := mem.ref.Propose(ctx, cmd)
 	return res, errors.Trace(err)
 }
 
 // Heartbeat passes the heartbeat of a worker to the planner and waits until the
 // planner answers it or ctx ends. It sets hb.HeartbeatID, which identifies the answer.
 func (lea Leader) Heartbeat(ctx context.Context, hb flow.Heartbeat) (flow.Answer, error) {
+	mem, err := lea.member()
+	if err != nil {
+		return flow.Answer{}, err
+	}
 	reply := make(chan flow.Answer, 1)
-	hb.HeartbeatID = lea.mem.lastHeartbeatID.Add(1)
-	lea.mem.ref.Do(func(now model.Instant, rol quorum.Role, _ *cell.State) {
-		if !rol.Leased() || !lea.mem.leading {
+	hb.HeartbeatID = mem.lastHeartbeatID.Add(1)
+	mem.ref.Do(func(now model.Instant, rol quorum.Role, _ *cell.State) {
+		if !rol.Leased() || !mem.leading {
 			reply <- flow.Answer{Refused: true}
 			return
 		}
-		lea.mem.replies[hb.HeartbeatID] = reply
-		lea.mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: time.Now().UnixMilli()})
-		lea.mem.step(now, hb)
+		mem.replies[hb.HeartbeatID] = reply
+		mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: time.Now().UnixMilli()})
+		mem.step(now, hb)
 	})
 	select {
 	case ans := <-reply:
@@ -59,15 +84,19 @@
 		}
 		return ans, nil
 	case <-ctx.Done():
-		lea.mem.ref.Do(func(model.Instant, quorum.Role, *cell.State) { delete(lea.mem.replies, hb.HeartbeatID) })
+		mem.ref.Do(func(model.Instant, quorum.Role, *cell.State) { delete(mem.replies, hb.HeartbeatID) })
 		return flow.Answer{}, errors.Trace(ctx.Err())
 	}
 }
 
 // Leave informs the planner that a worker is about to exit.
 func (lea Leader) Leave(ctx context.Context, worker model.WorkerID) error {
-	_, err := View(ctx, lea, func(*cell.State) bool {
-		lea.mem.step(lea.mem.vm.clock(), flow.Leave{Worker: worker})
+	mem, err := lea.member()
+	if err != nil {
+		return err
+	}
+	_, err = View(ctx, lea, func(*cell.State) bool {
+		mem.step(lea.vm.clock(), flow.Leave{Worker: worker})
 		return true
 	})
 	return errors.Trace(err)
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -63,6 +63,9 @@
 	vm     *VM
 	ref    groupRef
 	diskID quorum.DiskID
+	// failed is closed when the replica has stopped voting and acknowledging until it is
+	// started again.
+	failed chan struct{}
 	// state is the replicated state of the cell. The group's actor owns it, and also
 	// planner, replies, leading, repair, repairing, termCtx and cancelTerm.
 	state   *cell.State
@@ -99,19 +102,20 @@
 	termCtx context.Context
 }
 
-// startMember opens the data directory of vm and starts its member. The returned
-// function stops the member and closes the directory.
-func startMember(ctx context.Context, vm *VM) (*member, func(), error) {
+// startMember opens the data directory of vm and starts its member. rewrite is set after
+// the directory failed. The returned function stops the member and closes the directory.
+func startMember(ctx context.Context, vm *VM, rewrite bool) (*member, func(), error) {
 	dir, _ := vm.settings.DataDir()
 	fls, closeFiles, err := disk.Open(disk.Config{
 		Dir: filepath.Join(dir, groupName), VM: vm.self, Group: groupName, Logger: vm.log.Named("disk"),
+		FS: vm.fs, Rewrite: rewrite,
 	})
 	if err != nil {
 		return nil, closeFiles, err
 	}
 	sta := &cell.State{}
 	mem := &member{
-		vm: vm, diskID: fls.Disk(), state: sta, replies: map[uint64]chan<- flow.Answer{}, proposals: newLatest[proposal](),
+		vm: vm, diskID: fls.Disk(), failed: make(chan struct{}), state: sta, replies: map[uint64]chan<- flow.Answer{}, proposals: newLatest[proposal](),
 		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay()}),
 		repair:  cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
 	}
@@ -178,9 +182,22 @@
 		mem.cancelTerm()
 		mem.step(mem.vm.clock(), flow.SteppedDown{})
 	}
+	if rol.Failed() && !mem.hasFailed() {
+		close(mem.failed)
+	}
 	mem.publish(rol)
 }
 
+// hasFailed reports whether the replica has stopped voting and acknowledging.
+func (mem *member) hasFailed() bool {
+	select {
+	case <-mem.failed:
+		return true
+	default:
+		return false
+	}
+}
+
 // publish makes the role readable from other goroutines.
 func (mem *member) publish(rol quorum.Role) {
 	next := roleStatus{leading: rol.Leading(), leased: rol.Leased() && mem.leading, leader: rol.Leader(), term: rol.Term()}
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -13,6 +13,7 @@
 	"guavarail/core/event"
 	"guavarail/core/model"
 	"guavarail/io/config"
+	"guavarail/io/disk"
 	"guavarail/io/host"
 	"guavarail/io/peer"
 	"guavarail/io/record"
@@ -29,8 +30,11 @@
 	mux      *peer.Mux
 	hub      *peer.Hub
 	rec      *record.Recorder
-	// member is this VM's member of the replication group; nil without a disk.
-	member *member
+	// fs is the file system of the data directory.
+	fs disk.FS
+	// member is this VM's member of the replication group. It holds nil without a disk,
+	// and while the member of a disk that failed is not started again.
+	member atomic.Pointer[member]
 	// discovered is the result of the latest discovery. It is replaced as a whole.
 	discovered atomic.Pointer[discovery]
 	// seeds are the VMs at the seed addresses of the settings. They are replaced
@@ -47,8 +51,12 @@
 
 // New starts a VM. The clean-up function stops it at once; call TransferLeadership
 // first for a planned shutdown.
-func New(set config.Cell, log hclog.Logger) (*VM, func(), error) {
+func New(set config.Cell, log hclog.Logger) (*VM, func(), error) { return newVM(set, log, disk.OS{}) }
+
+// newVM starts a VM with a data directory in the given file system.
+func newVM(set config.Cell, log hclog.Logger, fs disk.FS) (*VM, func(), error) {
 	vm := &VM{
+		fs:   fs,
 		self: model.VMID(set.Listen().Peers().String()), settings: set, log: log, clock: host.NewClock(),
 		mux: &peer.Mux{}, discoverNow: make(chan struct{}, 1),
 	}
@@ -101,11 +109,10 @@
 		return err
 	}
 	if _, ok := vm.settings.DataDir(); ok {
-		mem, stop, err := startMember(ctx, vm)
+		stop, err := keepMember(ctx, vm)
 		if err := vm.addCleanup(stop, err); err != nil {
 			return err
 		}
-		vm.member = mem
 	}
 	vm.setPeers(vm.discovered.Load().members)
 	stop, err = serveVars(vm)
@@ -152,11 +159,12 @@
 // vmDraining and, if this VM leads, transfers the leadership to another VM.
 func (vm *VM) TransferLeadership(ctx context.Context) {
 	vm.rec.Record(event.New("vmDraining", event.Subject{VM: vm.settings.Name(), Centre: vm.settings.Centre()}))
-	if vm.member == nil || !vm.member.leased() {
+	mem := vm.member.Load()
+	if mem == nil || !mem.leased() {
 		return
 	}
 	start := vm.clock()
-	if err := vm.member.ref.TransferLeadership(ctx); err != nil {
+	if err := mem.ref.TransferLeadership(ctx); err != nil {
 		vm.log.Warn("leadership transfer failed; the other VMs elect a leader after the shutdown", "error", err)
 		return
 	}
--- a/io/disk/files.go
+++ b/io/disk/files.go
@@ -35,6 +35,9 @@
 	// another VM or group is rejected.
 	VM    model.VMID
 	Group string
+	// Rewrite makes Open write the log again. It is set after a failed write or sync, when
+	// what can be read is not known to be on disk, even after another sync.
+	Rewrite bool
 	// FS is the file system; nil means that of the operating system.
 	FS FS
 	// Logger logs that Open removed the end of the log, which was incomplete after a
@@ -109,7 +112,7 @@
 		return err
 	}
 	fls.saved, err = rec.withSnapshot(snap)
-	if err != nil || len(fls.saved.Entries()) == len(rec.entries) {
+	if err != nil || !fls.cfg.Rewrite && len(fls.saved.Entries()) == len(rec.entries) {
 		return err
 	}
 	// A crash between storing the snapshot and replacing the log leaves entries that the
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -247,6 +247,16 @@
 	return inspectNode(ctx, ref, (*quorum.Node).ReplacedVoters)
 }
 
+// Err returns the error because of which this replica has stopped voting and
+// acknowledging, or nil.
+func (ref Ref[M, C, R, S]) Err(ctx context.Context) error {
+	cause, err := inspectNode(ctx, ref, (*quorum.Node).Err)
+	if err != nil {
+		return err
+	}
+	return cause
+}
+
 // inspectNode returns the result of fn, which runs on the actor.
 func inspectNode[T any, M quorum.Replica[C, R, S], C, R, S any](ctx context.Context, ref Ref[M, C, R, S], fn func(nod *quorum.Node) T) (T, error) {
 	if ref.pid == nil {
