Leave claims for lost tasks behind those that find no room

Cause: a plan makes claims for an eighth of the workers, but at least four, in the order in which tasks were lost. Lost tasks for which no worker is expected to have room make open claims, which counted in full: four of them in a small cell, each a little smaller than the one before, so that none shows that the next is in vain, left no claim for a fifth, which short tasks then passed over.

Change: at most half of the claims of a plan are open. An overdue step, which has no such bound, is not concerned.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -21,6 +21,8 @@
 	// on minClaims in any case.
 	claimDivisor = 8
 	minClaims    = 4
+	// At most one in openDivisor of these claims is open.
+	openDivisor = 2
 	// stopDelay is the expected time from the decision to stop a run until its
 	// end is recorded.
 	stopDelay = time.Second
@@ -205,8 +207,8 @@
 
 // claimRoom claims capacity for up to num tasks of a step, on the workers that
 // are expected to have it soonest, and returns the number of claims. A step that
-// finds none and has waited for openClaimAfter makes an open claim; open is then
-// true.
+// finds none and has waited for openClaimAfter makes an open claim, of which a plan
+// may make few for restarts; open is then true.
 func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, candidates []claimCandidate, num int) (made int, open bool) {
 	need := rs.spec.reservation()
 	for again := true; again && made < num; {
@@ -220,11 +222,14 @@
 			again = true
 		}
 	}
-	if made == 0 && num > 0 && now.Sub(rs.waitingSince) >= openClaimAfter {
-		made = claimOpen(rs, candidates)
-		open = true
+	if made > 0 || num <= 0 || now.Sub(rs.waitingSince) < openClaimAfter || rs.restart && pl.openLeft == 0 {
+		return made, false
 	}
-	return made, open
+	made = claimOpen(rs, candidates)
+	if rs.restart {
+		pl.openLeft -= made
+	}
+	return made, true
 }
 
 // claimOpen claims capacity for one task on the worker without claims that lacks
--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -254,3 +254,40 @@
 		t.Errorf("%d tasks of the worker that left run again, want 2", restarted)
 	}
 }
+
+// Guards against a lost task that gets no claim because larger ones, for which no
+// worker is expected to have room, use up those of a plan.
+func TestOpenClaimsLeaveClaimsForOthers(t *testing.T) {
+	for seed := range uint64(4) {
+		clu := newCluster(t, seed, 10)
+		longRunning := func(milliCPU int64, tasks int) StepSpec {
+			return StepSpec{Tasks: tasks, Size: model.NewResources(milliCPU, 100, 0), LongRunning: true, PerWorker: 1}
+		}
+		for i := range minClaims {
+			clu.submitJob(model.JobID(fmt.Sprint("large", i)), 0, 0, longRunning(4000-int64(i)*10, 1))
+		}
+		clu.play(4*time.Second, func() {})
+		clu.submitJob("base", 0, 0, longRunning(500, 6))
+		clu.play(4*time.Second, func() {})
+		clu.submitJob("small", 0, 0, longRunning(3400, 1))
+		clu.play(time.Second, func() {})
+		if clu.runs("small") != 1 || clu.runs("base") != 6 {
+			t.Fatalf("seed %d: running %v", seed, clu.running)
+		}
+		feed := clu.stream(36, 800*time.Millisecond)
+		clu.play(3*time.Second, feed)
+		for i := range minClaims {
+			clu.lose(clu.running[NewTaskID(model.JobID(fmt.Sprint("large", i)), 0, 0, 0)])
+			clu.play(100*time.Millisecond, feed)
+		}
+		clu.play(4*time.Second, feed)
+		clu.lose(clu.running[NewTaskID("small", 0, 0, 0)])
+		lost := clu.now
+		for clu.runs("small") == 0 && clu.now.Sub(lost) < 4*maxDown {
+			clu.play(TickInterval, feed)
+		}
+		if down := clu.now.Sub(lost); down > maxDown {
+			t.Errorf("seed %d: the small task is down for %v, want at most %v", seed, down, maxDown)
+		}
+	}
+}
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -38,6 +38,7 @@
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
 	pl.claimsLeft = pl.maxClaims()
+	pl.openLeft = pl.claimsLeft / openDivisor
 	pl.misses, pl.claimMisses, pl.turnMisses = pl.misses[:0], pl.claimMisses[:0], pl.turnMisses[:0]
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -132,6 +132,8 @@
 	kept []keptRoom
 	// claimsLeft is how many more claims the current plan may make for restarts.
 	claimsLeft int
+	// openLeft is how many of these claims may be open.
+	openLeft int
 	// capacityRecordedAt is when the last event about the use of capacity was
 	// recorded.
 	capacityRecordedAt model.Instant
