Count on no stop that a worker doesn't carry out

Cause: a run that is to be stopped was expected to be over within a second, however long that had been so. If a worker that hangs didn't carry out the stops of a preemption, the lost task waited for it for good, and nothing was stopped for it elsewhere.

Change: a stop that has taken more than 5 s is expected to take as long again, so that claims and preemptions look at other workers. The room is kept for 5 s as before.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -29,6 +29,9 @@
 	// backfillMargin is the time that a task needs to be picked up by its worker,
 	// beyond twice its estimate, before it counts as over.
 	backfillMargin = time.Second
+	// maxStopTime is how long the stop of a run may take. A stop that has taken
+	// longer is expected to take as long again.
+	maxStopTime = 5 * time.Second
 )
 
 // release is capacity that a run is expected to return.
@@ -137,10 +140,13 @@
 	cl.listed, cl.total, cl.releases = true, model.Resources{}, cl.releases[:0]
 	for _, pr := range wk.runs {
 		rel := release{after: stopDelay, size: pr.size}
-		if !pr.ending && (pr.planned || !pl.unwanted(pr)) {
-			if pr.spec.LongRunning {
-				continue
-			}
+		switch {
+		case pr.ending:
+		case !pr.planned && pl.unwanted(pr):
+			rel.after = pr.stopAfter(now)
+		case pr.spec.LongRunning:
+			continue
+		default:
 			rel.after = pr.remaining(now)
 		}
 		cl.releases = append(cl.releases, rel)
@@ -149,6 +155,23 @@
 	slices.SortStableFunc(cl.releases, func(a, b release) int { return cmp.Compare(a.after, b.after) })
 }
 
+// leaving reports whether the run has ended or is being evicted, so that what it
+// holds is expected to be free within stopDelay.
+func (pr *placedRun) leaving(now model.Instant) bool {
+	return pr.ending || pr.evicting && pr.stopAfter(now) <= stopDelay
+}
+
+// stopAfter estimates how much longer the stop of an unwanted run takes.
+func (pr *placedRun) stopAfter(now model.Instant) time.Duration {
+	if pr.unwantedSince == 0 {
+		pr.unwantedSince = now
+	}
+	if since := now.Sub(pr.unwantedSince); since > maxStopTime {
+		return since
+	}
+	return stopDelay
+}
+
 // remaining estimates how much longer a run takes, from its progress or, before
 // the first, from the declared duration. A run past its declared duration is
 // expected to take as long again.
--- a/core/flow/cluster_test.go
+++ b/core/flow/cluster_test.go
@@ -26,6 +26,8 @@
 	// completed counts the runs that succeeded.
 	completed int
 	submitted int
+	// hangs is how many workers hang when they get a stop order.
+	hangs int
 }
 
 // clusterWorker is one worker of a cluster.
@@ -34,6 +36,8 @@
 	runs    []clusterRun
 	ended   []EndReport
 	lastEnd uint64
+	// hung is set if the worker carries out no stop orders.
+	hung bool
 }
 
 // clusterRun is one run on a worker of a cluster. A run with duration 0 goes on
@@ -107,7 +111,14 @@
 	}
 	ans := clu.heartbeat(wk.name, runs, wk.ended...)
 	wk.ended = slices.DeleteFunc(wk.ended, func(er EndReport) bool { return er.Number <= ans.Acknowledged })
+	if len(ans.Stops) > 0 && clu.hangs > 0 && !wk.hung {
+		clu.hangs--
+		wk.hung = true
+	}
 	for _, ord := range ans.Stops {
+		if wk.hung {
+			break
+		}
 		wk.runs = slices.DeleteFunc(wk.runs, func(ru clusterRun) bool {
 			stopped := ru.order.Task == ord.Task && ru.order.Attempt == ord.Attempt
 			if stopped {
--- a/core/flow/kept.go
+++ b/core/flow/kept.go
@@ -2,14 +2,13 @@
 
 import (
 	"slices"
-	"time"
 
 	"guavarail/core/model"
 )
 
 // keptRoomTimeout bounds how long room is kept for a task for which runs were
 // stopped, so that it doesn't stay idle if the task cannot use it.
-const keptRoomTimeout = 5 * time.Second
+const keptRoomTimeout = maxStopTime
 
 // keptRoom is room on a worker for one task of a restart for which runs were
 // stopped there. Unlike other claims it lasts from plan to plan, and binds all
@@ -67,7 +66,7 @@
 	}
 	free := wk.free()
 	for _, pr := range wk.runs {
-		if pr.ending || pr.evicting {
+		if pr.leaving(now) {
 			free = free.Add(pr.size)
 		}
 	}
--- a/core/flow/preempt.go
+++ b/core/flow/preempt.go
@@ -69,7 +69,7 @@
 // mark sets whether the runs of the preemption are to be stopped.
 func (pre *preemption) mark(evicting bool) {
 	for _, pr := range pre.runs {
-		pr.evicting = evicting
+		pr.evicting, pr.unwantedSince = evicting, 0
 	}
 	if len(pre.runs) > 0 {
 		pre.worker.claims.listed = false
@@ -96,7 +96,7 @@
 		switch {
 		case pr.preemptable(rs):
 			held = held.Add(pr.size)
-		case pr.ending || pr.evicting:
+		case pr.leaving(now):
 			free = free.Add(pr.size)
 		}
 	}
--- a/core/flow/preempt_test.go
+++ b/core/flow/preempt_test.go
@@ -82,3 +82,25 @@
 		}
 	}
 }
+
+// Guards against a lost task that waits for good for a worker which doesn't carry
+// out the stop orders of a preemption.
+func TestPreemptionOnAWorkerThatHangsIsRepeatedElsewhere(t *testing.T) {
+	const maxDown = 12 * time.Second
+	for seed := range uint64(4) {
+		clu := newCluster(t, seed, 4)
+		clu.hangs = 1
+		clu.submitJob("lost", 0, 0, StepSpec{Tasks: 1, Size: model.NewResources(3000, 100, 0), LongRunning: true})
+		clu.play(time.Second, func() {})
+		clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(1000, 100, 0)})
+		clu.play(3*time.Second, func() {})
+		clu.lose(clu.running[NewTaskID("lost", 0, 0, 0)])
+		lost := clu.now
+		for clu.runs("lost") == 0 && clu.now.Sub(lost) < 2*maxDown {
+			clu.play(TickInterval, func() {})
+		}
+		if down := clu.now.Sub(lost); down > maxDown || clu.hangs > 0 {
+			t.Errorf("seed %d: down for %v, want at most %v, and %d workers still to hang", seed, down, maxDown, clu.hangs)
+		}
+	}
+}
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -60,6 +60,9 @@
 	// evicting is set once the run is to be stopped so that its task can start
 	// on another worker.
 	evicting bool
+	// unwantedSince is when the plan first counted on the stop of the run, 0
+	// before.
+	unwantedSince model.Instant
 	// paceLimited is set once this leader, or possibly an earlier one, has sent
 	// a pace order for the run. sentPace is the pace in the last order, which
 	// was sent at sentPaceAt, or unknownPace.
