--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -21,12 +21,17 @@
 	// on minClaims in any case.
 	claimDivisor = 8
 	minClaims    = 4
+	// At most one in openDivisor of these claims is open.
+	openDivisor = 2
 	// stopDelay is the expected time from the decision to stop a run until its
 	// end is recorded.
 	stopDelay = time.Second
 	// backfillMargin is the time that a task needs to be picked up by its worker,
 	// beyond twice its estimate, before it counts as over.
 	backfillMargin = time.Second
+	// maxStopTime is how long the stop of a run may take. A stop that has taken
+	// longer is expected to take as long again.
+	maxStopTime = 5 * time.Second
 )
 
 // release is capacity that a run is expected to return.
@@ -154,8 +159,10 @@
 	cl.ordered, cl.releases = true, cl.releases[:0]
 	for _, pr := range wk.runs {
 		switch {
-		case pl.isStopping(pr):
+		case pr.ending:
 			cl.releases = append(cl.releases, release{after: stopDelay, size: pr.size})
+		case pl.isStopping(pr):
+			cl.releases = append(cl.releases, release{after: pr.stopAfter(now), size: pr.size})
 		case !pr.spec.LongRunning:
 			cl.releases = append(cl.releases, release{after: pr.remaining(now), size: pr.size})
 		}
@@ -168,6 +175,23 @@
 	return pr.ending || !pr.planned && pl.unwanted(pr)
 }
 
+// leaving reports whether the run has ended or is being evicted, so that what it
+// holds is expected to be free within stopDelay.
+func (pr *placedRun) leaving(now model.Instant) bool {
+	return pr.ending || pr.evicting && pr.stopAfter(now) <= stopDelay
+}
+
+// stopAfter estimates how much longer the stop of an unwanted run takes.
+func (pr *placedRun) stopAfter(now model.Instant) time.Duration {
+	if pr.unwantedSince == 0 {
+		pr.unwantedSince = now
+	}
+	if since := now.Sub(pr.unwantedSince); since > maxStopTime {
+		return since
+	}
+	return stopDelay
+}
+
 // remaining estimates how much longer a run takes, from its progress or, before
 // the first, from the declared duration. A run past its declared duration is
 // expected to take as long again.
@@ -226,8 +250,8 @@
 
 // claimRoom claims capacity for up to num tasks of a step, on the workers that
 // are expected to have it soonest, and returns the number of claims. A step that
-// finds none and has waited for openClaimAfter makes an open claim; open is then
-// true.
+// finds none and has waited for openClaimAfter makes an open claim, of which a plan
+// may make few for restarts; open is then true.
 func (pl *Planner) claimRoom(now model.Instant, rs *readyStep, candidates []claimCandidate, num int) (made int, open bool) {
 	need := rs.spec.reservation()
 	for again := true; again && made < num; {
@@ -241,11 +265,14 @@
 			again = true
 		}
 	}
-	if made == 0 && num > 0 && now.Sub(rs.waitingSince) >= openClaimAfter {
-		made = claimOpen(rs, candidates)
-		open = true
+	if made > 0 || num <= 0 || now.Sub(rs.waitingSince) < openClaimAfter || rs.restart && pl.openLeft == 0 {
+		return made, false
+	}
+	made = claimOpen(rs, candidates)
+	if rs.restart {
+		pl.openLeft -= made
 	}
-	return made, open
+	return made, true
 }
 
 // claimOpen claims capacity for one task on the worker without claims that lacks
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -163,6 +163,8 @@
 	claimsLeft int
 	// check is how far the records are compared with the state.
 	check recordCheck
+	// openLeft is how many of these claims may be open.
+	openLeft int
 	// capacityRecordedAt is when the last event about the use of capacity was
 	// recorded.
 	capacityRecordedAt model.Instant
