Count a task with a later attempt as one that ran before

What callers see: a long-running task that has run before is treated as one that never did, behind all restarts, once its present run ends without having been carried out.

Cause: whether a task ran is not replicated. restoreRuns works it out for tasks without a run, and leaves it for those whose next start is under way.

Fix: a task whose attempt is higher than 1 has had a run that ended, whether it has one now or not.

--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -219,7 +219,7 @@
 
 // restoreRuns adds the runs of a job to the records of their workers and resets
 // its planned starts. A task of which this VM has not seen an end counts as
-// waiting from now, and as having run if it was started.
+// waiting from now, and as having run if a run was started that has ended.
 func (pl *Planner) restoreRuns(now model.Instant, jb *job) {
 	for _, k := range slices.Sorted(maps.Keys(jb.occurrences)) {
 		occ := jb.occurrences[k]
@@ -230,7 +230,7 @@
 				if tk.idleSince == 0 {
 					tk.idleSince = now
 				}
-				tk.ran = tk.ran || tk.attempt > 0 && len(tk.runs) == 0
+				tk.ran = tk.ran || tk.attempt > 1 || tk.attempt > 0 && len(tk.runs) == 0
 				for _, ru := range tk.runs {
 					pl.inheritRun(now, pl.ensureWorker(now, ru.incarnation), NewTaskID(jb.ID(), k, s, i), ru.attempt)
 				}
--- a/core/flow/records_test.go
+++ b/core/flow/records_test.go
@@ -198,3 +198,22 @@
 		har.t.Errorf("%s: %d records too many", name, recorded)
 	}
 }
+
+// Guards against a task with a run that counts as one that never ran, and is
+// passed over once that run is lost, because this VM took the state from a
+// snapshot.
+func TestRestartIsKnownAfterASnapshot(t *testing.T) {
+	har := newHarness(t)
+	har.submit("job", longRunningStep)
+	id := NewTaskID("job", 0, 0, 0)
+	for attempt := range 2 {
+		har.st.Apply(Start(id, attempt+1, NewIncarnation("w", 1)))
+		har.st.Apply(End(id, attempt+1, Failed, ""))
+	}
+	har.st.Apply(Start(id, 3, NewIncarnation("w", 1)))
+	har.follower.st.Restore(har.st.Snapshot())
+	har.changeLeader()
+	if _, _, tk, _ := har.st.find(id); !tk.ran {
+		t.Error("the task counts as one that never ran")
+	}
+}
