Accept the exit of exactly the incarnation that announces it

What callers see: the runs of a worker that has left stay until its lease has expired, over 6 s, if the leader changed just before it left.

Cause: the new leader has not heard a heartbeat of the worker and doesn't know that it is draining, so that it takes the call for a late one of an earlier incarnation. The call carries the start of its incarnation (born), which platform ignored.

Fix: platform passes the start on, and the planner accepts the exit of exactly the incarnation that it has, whether or not it was seen draining. An exit of another incarnation is ignored also while the worker drains. Without a start the old condition holds.

Evidence, with the old condition (found in review):

--- FAIL: TestExitJustAfterAChangeOfLeaderIsTakenNoteOf the task doesn't start on another worker within 6s

After the fix it passes. TestLateCallsDoNotExcludeALiveWorker has the exit of an earlier incarnation besides that of an unknown one.

--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -151,11 +151,13 @@
 }
 
 // leave proposes the ends of the runs of a worker that has announced its exit,
-// and removes the worker. A worker that exits was draining before; otherwise the
-// announcement is a late one of an earlier incarnation, and is ignored.
-func (pl *Planner) leave(now model.Instant, id model.WorkerID) {
-	wk, ok := pl.workers.get(id)
-	if !ok || !pl.leading || !wk.draining {
+// and removes the worker. The announcement of another incarnation is ignored. If
+// it doesn't tell which incarnation exits, it is ignored unless the worker is
+// draining: a worker that exits was draining before, though perhaps under an
+// earlier leader.
+func (pl *Planner) leave(now model.Instant, msg Leave) {
+	wk, ok := pl.workers.get(msg.Worker)
+	if !ok || !pl.leading || !msg.isOf(wk) {
 		return
 	}
 	pl.workers.remove(wk)
@@ -166,6 +168,14 @@
 	pl.exited[wk.incarnation] = now
 }
 
+// isOf reports whether it is the incarnation of wk that is about to exit.
+func (msg Leave) isOf(wk *worker) bool {
+	if msg.StartedAt == 0 {
+		return wk.draining
+	}
+	return msg.StartedAt == wk.incarnation.startedAt
+}
+
 // updateWorker copies what a heartbeat reports about the worker itself.
 func (pl *Planner) updateWorker(now model.Instant, wk *worker, hb *Heartbeat) {
 	if !wk.reported {
--- a/core/flow/heartbeat_test.go
+++ b/core/flow/heartbeat_test.go
@@ -65,7 +65,8 @@
 		name string
 		late Input
 	}{
-		{"exit of an earlier incarnation", Leave{Worker: "live"}},
+		{"exit of an unknown incarnation", Leave{Worker: "live"}},
+		{"exit of an earlier incarnation", Leave{Worker: "live", StartedAt: -1}},
 		{"heartbeat of a worker whose clock was ahead", Heartbeat{
 			HeartbeatID: 1 << 40, Incarnation: NewIncarnation("dead", 5000), Sequence: 9, Service: "svc", Centre: "a", Address: "live",
 			Size: model.NewResources(4000, 4000, 0),
@@ -85,6 +86,20 @@
 	}
 }
 
+// Guards against the runs of a worker that stay until its lease has expired,
+// because the leader changed after it had begun to drain and before it exited.
+func TestExitJustAfterAChangeOfLeaderIsTakenNoteOf(t *testing.T) {
+	har := newHarness(t)
+	har.submit("job", longRunningStep)
+	har.heartbeat("old", nil)
+	har.heartbeat("old", []RunReport{{Task: NewTaskID("job", 0, 0, 0), Attempt: 1, Percent: fullPace}})
+	har.changeLeader()
+	har.step(Leave{Worker: "old", StartedAt: 1})
+	if !har.startsWithin("other", maxDown) {
+		t.Errorf("the task doesn't start on another worker within %v", maxDown)
+	}
+}
+
 // Guards against starts in a large cell that are withdrawn before the worker,
 // which is told to wait for up to a second, sends its next heartbeat.
 func TestStartWaitsForTheNextHeartbeat(t *testing.T) {
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -51,9 +51,14 @@
 	Applied bool
 }
 
-// Leave reports that a worker, which was draining, is about to exit; its runs
-// count as Lost.
-type Leave struct{ Worker model.WorkerID }
+// Leave reports that an incarnation of a worker, which was draining, is about to
+// exit; its runs count as Lost.
+type Leave struct {
+	Worker model.WorkerID
+	// StartedAt is the start time of the incarnation on the worker's clock, in
+	// milliseconds since 1970; 0 if it is unknown.
+	StartedAt int64
+}
 
 // Outage replaces the set of data centres in which no task may start.
 type Outage struct{ Centres map[model.CentreID]bool }
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -174,7 +174,7 @@
 	case ProposalEnded:
 		pl.proposalEnded(msg)
 	case Leave:
-		pl.leave(now, msg.Worker)
+		pl.leave(now, msg)
 	case Outage:
 		pl.outage, pl.dirty, pl.recheckAnswers = msg.Centres, true, true
 	case Heartbeat:
--- a/io/cell/leader.go
+++ b/io/cell/leader.go
@@ -65,9 +65,9 @@
 }
 
 // Leave informs the planner that a worker is about to exit.
-func (lea Leader) Leave(ctx context.Context, worker model.WorkerID) error {
+func (lea Leader) Leave(ctx context.Context, msg flow.Leave) error {
 	_, err := View(ctx, lea, func(*cell.State) bool {
-		lea.mem.step(lea.mem.vm.clock(), flow.Leave{Worker: worker})
+		lea.mem.step(lea.mem.vm.clock(), msg)
 		return true
 	})
 	return errors.Trace(err)
