--- a/io/cell/leader.go
+++ b/io/cell/leader.go
@@ -91,13 +91,13 @@
 }
 
 // Leave informs the planner that a worker is about to exit.
-func (lea Leader) Leave(ctx context.Context, worker model.WorkerID) error {
+func (lea Leader) Leave(ctx context.Context, msg flow.Leave) error {
 	mem, err := lea.member()
 	if err != nil {
 		return err
 	}
 	_, err = View(ctx, lea, func(*cell.State) bool {
-		mem.step(lea.vm.clock(), flow.Leave{Worker: worker})
+		mem.step(lea.vm.clock(), msg)
 		return true
 	})
 	return errors.Trace(err)
