--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -12,9 +12,8 @@
 const (
 	// defaultLease is longer than a change of the leader or a short outage
 	// takes. The tasks of a worker that sends no heartbeats start on other
-	// workers about this long after its last one, or after a change of the
-	// leader since, which must be less than 7 s.
-	defaultLease        = 6500 * time.Millisecond
+	// workers about this long after its last one.
+	defaultLease        = 7500 * time.Millisecond
 	defaultJobRetention = 2 * time.Minute
 	defaultPaceDelay    = 100 * time.Millisecond
 	// The leader counts a lease as longer than the worker does: by leaseMargin,
--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -178,7 +178,7 @@
 	// "losses" is the number of VMs that may be lost at the same time.
 	keyToleratedLosses = intKey("losses", 1, 0, 4)
 	// "holdMs" is the lease duration of workers, in milliseconds.
-	keyLeaseMs = intKey("holdMs", 6500, 500, 60_000)
+	keyLeaseMs = intKey("holdMs", 7500, 500, 60_000)
 	// "holdMaxMs" is the longest lease duration that the workers support, in
 	// milliseconds. It bounds holdMs.
 	keyMaxLeaseMs  = intKey("holdMaxMs", 60_000, 500, 60_000)
