Count the silence of a lost worker as time without a run

When a worker falls silent, its tasks count as lost once its lease has expired, 7.7 s after its last heartbeat. The time that they had been down began only then, so that preemption began 2 s later, an open claim and the urgent turn 3 s later, when the tasks had been down for 10.7 s and callers had missed them beside room that went to other work. The down time of a run that was lost now begins with the last heartbeat of its worker, the earliest time at which it may have ended.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -86,6 +86,10 @@
 	wk.remove(pr)
 	if _, _, tk, ok := pl.st.find(op.task); ok && (pr.reported || op.outcome != NotStarted) {
 		tk.ran, tk.idleSince = true, now
+		if op.outcome == Lost {
+			// The worker may have exited right after its last heartbeat.
+			tk.idleSince = min(now, wk.lastHeartbeat)
+		}
 	}
 	pl.recordFillerEnd(now, wk, pr)
 	pl.recordOutcome(now, wk, pr, op.outcome)
--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -85,6 +85,24 @@
 	}
 }
 
+// Guards against a long-running task that stays down for longer after the lease of
+// its silent worker has expired, as if it had run until then.
+func TestTimeOfSilenceCountsAsDownTime(t *testing.T) {
+	lease := Config{}.leaseEnd(0).Sub(0)
+	for seed := range uint64(8) {
+		clu := newCluster(t, seed, 5)
+		clu.submitJob("large", 1, 0, StepSpec{Tasks: 2, Size: model.NewResources(3000, 3000, 0), LongRunning: true, PerWorker: 1})
+		clu.play(time.Second, func() {})
+		clu.submitJob("lower", 2, time.Minute, StepSpec{Tasks: 40, Size: model.NewResources(1000, 100, 0)})
+		clu.play(time.Second, func() {})
+		clu.disconnect(clu.running[NewTaskID("large", 0, 0, 0)])
+		clu.play(lease+time.Second, func() {})
+		if clu.runs("large") != 2 {
+			t.Errorf("seed %d: %d of 2 tasks run a second after the lease of a silent worker has expired", seed, clu.runs("large"))
+		}
+	}
+}
+
 // newLongRunning returns the case in which other long-running tasks, of the given
 // size, keep coming and are cancelled after a while.
 func newLongRunning(milliCPU int64) lostTaskCase {
--- a/core/flow/cluster_test.go
+++ b/core/flow/cluster_test.go
@@ -139,15 +139,20 @@
 
 // lose makes a worker leave for good, with everything that runs on it.
 func (clu *cluster) lose(name string) {
+	clu.disconnect(name)
+	clu.sequence++
+	clu.drain(name, name, clu.sequence)
+	clu.step(Leave{Worker: model.WorkerID(name)})
+}
+
+// disconnect makes a worker exit without a word, with everything that runs on it.
+func (clu *cluster) disconnect(name string) {
 	clu.workers = slices.DeleteFunc(clu.workers, func(wk *clusterWorker) bool { return wk.name == name })
 	for id, worker := range clu.running {
 		if worker == name {
 			delete(clu.running, id)
 		}
 	}
-	clu.sequence++
-	clu.drain(name, name, clu.sequence)
-	clu.step(Leave{Worker: model.WorkerID(name)})
 }
 
 // runs reports how many tasks of a job run now.
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -53,8 +53,9 @@
 	// ran is set once a run of the task has ended that was carried out, as far as
 	// this leader knows. It is not replicated.
 	ran bool
-	// idleSince is when the last run ended that was carried out, or else when this
-	// leader first found that the task may start; 0 before. It is not replicated.
+	// idleSince is when the last run ended that was carried out, at the earliest,
+	// or else when this leader first found that the task may start; 0 before. It is
+	// not replicated.
 	idleSince model.Instant
 }
 
