Lose a fifth of the workers in some runs of the fuzzer

In one simulation of three the faults begin with the loss of a fifth to a third of the workers for good, and long-running tasks fail sooner, so that more of them wait while the workers that are left are full.

--- a/core/flow/simfault_test.go
+++ b/core/flow/simfault_test.go
@@ -22,9 +22,25 @@
 	note func(format string, args ...any)
 }
 
-// start schedules series of faults from a time on.
+// start schedules series of faults from a time on. In one simulation of three a
+// fifth to a third of the workers is lost for good first.
 func (fa *simFaults) start(from model.Instant) {
-	fa.sim.at(from, func() { fa.series(1 + fa.sim.rng.IntN(7)) })
+	sim := fa.sim
+	sim.at(from, func() {
+		if sim.rng.IntN(3) == 0 {
+			fa.loseMany(0.2 + 0.15*sim.rng.Float64())
+		}
+		fa.series(1 + sim.rng.IntN(7))
+	})
+}
+
+// loseMany removes a share of the workers, within some seconds.
+func (fa *simFaults) loseMany(share float64) {
+	sim := fa.sim
+	lose := []func(wk *workerSim){fa.remove, fa.drain}[sim.rng.IntN(2)]
+	for _, pos := range sim.rng.Perm(len(sim.workers))[:int(share*float64(len(sim.workers)))] {
+		sim.at(sim.after(6000), func() { lose(sim.workers[pos]) })
+	}
 }
 
 // series injects a number of faults and, after a calm time, begins again.
--- a/core/flow/simload_test.go
+++ b/core/flow/simload_test.go
@@ -61,7 +61,7 @@
 	}
 	rng := sim.rng
 	ld.longRunningShare, ld.ordinaryShare = 0.6+0.55*rng.Float64(), 0.05+0.6*rng.Float64()
-	ld.lifetime, ld.taskLifetime = sim.between(8*time.Second, 60*time.Second), sim.between(15*time.Second, 90*time.Second)
+	ld.lifetime, ld.taskLifetime = sim.between(8*time.Second, 60*time.Second), sim.between(8*time.Second, 90*time.Second)
 	sim.chooseRun = ld.chooseRun
 	return ld
 }
--- a/core/flow/simwatch_test.go
+++ b/core/flow/simwatch_test.go
@@ -198,6 +198,10 @@
 	case tk.plannedStarts > 0:
 		return "start planned"
 	case len(tk.runs) == 0:
+		*lines = append(*lines, fmt.Sprintf("the leader knows since %v", time.Duration(tk.idleSince)))
+		if wa.sim.now.Sub(tk.idleSince) < watchSpan {
+			return "own end known late"
+		}
 		return ""
 	}
 	wk, pr := pl.findRun(id, tk.attempt)
