Let late heartbeats renew no lease

A heartbeat may arrive seconds late, after its worker has crashed.

Heartbeats now carry the worker's steady clock (clockMs on the platform). The time between two arrivals, less that between the two sendings on a clock that may be slow by as much as a lease allows for, is how much later than the fastest one a heartbeat arrived at least. If that is more than the time for which a worker waits, the answer goes out at once without a lease, as to an outdated heartbeat, and the worker counts as silent since the heartbeat was sent. What it says of runs and ends is still used. A wrong estimate costs a renewal and never lets a lease last longer than the leader counts.

TestLateHeartbeatRenewsNoLease: with the estimate taken out, both late cases renew the lease by 7.5 s.

--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"guavarail/core/model"
 )
@@ -49,7 +50,12 @@
 		pl.effects = append(pl.effects, Answer{HeartbeatID: wk.heartbeatID})
 	}
 	wk.heartbeatID, wk.answerPending, wk.answerPendingSince = hb.HeartbeatID, true, now
-	pl.updateWorker(now, wk, hb)
+	sentAt := now
+	if late := wk.fastest.lateness(now, hb.Clock); late > callTimeout {
+		sentAt = now.Add(-late)
+		pl.answerLate(wk, late)
+	}
+	pl.updateWorker(sentAt, wk, hb)
 	pl.reconcileRuns(now, wk, hb)
 	pl.proposeReportedEnds(wk, hb)
 	pl.controlPaces(now, wk, hb)
@@ -58,6 +64,14 @@
 	pl.dirty = true
 }
 
+// answerLate answers the open heartbeat, which is late, at once and without a
+// lease, since the worker no longer waits for the answer and may have exited.
+func (pl *Planner) answerLate(wk *worker, late time.Duration) {
+	wk.answerPending = false
+	pl.effects = append(pl.effects, Answer{HeartbeatID: wk.heartbeatID})
+	pl.recordEvent("heartbeatLate", "", "", wk.incarnation.String(), "lateMs", strconv.FormatInt(late.Milliseconds(), 10))
+}
+
 // registerIncarnation returns the record of the incarnation that sent a
 // heartbeat, or false if the heartbeat is outdated: the incarnation has exited
 // or has sent a later one. It creates the record of a
@@ -144,8 +158,9 @@
 	pl.exited[wk.incarnation] = now
 }
 
-// updateWorker copies what a heartbeat reports about the worker itself.
-func (pl *Planner) updateWorker(now model.Instant, wk *worker, hb *Heartbeat) {
+// updateWorker copies what a heartbeat, sent at sentAt, reports about the worker
+// itself.
+func (pl *Planner) updateWorker(sentAt model.Instant, wk *worker, hb *Heartbeat) {
 	if !wk.reported {
 		pl.recordEvent("workerKnown", "", "", wk.incarnation.String(), "service", string(hb.Service), "centre", string(hb.Centre),
 			"address", hb.Address, "milliCpu", strconv.FormatInt(hb.Size.MilliCPU(), 10))
@@ -154,7 +169,7 @@
 		pl.recordEvent("workerDraining", "", "", wk.incarnation.String(), "remainingMs", strconv.FormatInt(hb.Remaining.Milliseconds(), 10),
 			"runs", strconv.Itoa(len(wk.runs)))
 	}
-	wk.reported, wk.sequence, wk.lastHeartbeat = true, hb.Sequence, now
+	wk.reported, wk.sequence, wk.lastHeartbeat = true, hb.Sequence, max(wk.lastHeartbeat, sentAt)
 	wk.service, wk.centre, wk.address = hb.Service, hb.Centre, hb.Address
 	wk.size, wk.labels, wk.rack = hb.Size, hb.Labels, hb.Rack
 	wk.draining = hb.Draining
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -66,8 +66,11 @@
 	Incarnation Incarnation
 	// Sequence increases with each heartbeat of an incarnation.
 	Sequence uint64
-	Service  model.ServiceID
-	Centre   model.CentreID
+	// Clock is the worker's steady clock when it sent the heartbeat, 0 if unknown.
+	// It begins anew with each incarnation.
+	Clock   time.Duration
+	Service model.ServiceID
+	Centre  model.CentreID
 	// Address is the network address of the worker. A new incarnation replaces
 	// workers of other names that had the address and started earlier.
 	Address string
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -111,8 +111,11 @@
 	// reported is set by the first heartbeat to this leader.
 	reported bool
 	// sequence is the Sequence of the last heartbeat.
-	sequence      uint64
+	sequence uint64
+	// lastHeartbeat is when the last heartbeat arrived, or was sent if it was late.
 	lastHeartbeat model.Instant
+	// fastest is what the lateness of a heartbeat is measured by.
+	fastest fastestHeartbeat
 	// leaseEnd is when all runs of the worker have certainly ended unless the
 	// lease is renewed.
 	leaseEnd model.Instant
