Fuzz labels, data centres and outages

The workers of the fuzzer have a label by their kind and a data centre each, and a steady clock that is slow by up to 2%; one long-running job in five requires a label, and a data centre may be out of service for 3 to 12 s. A violation whose end a leader has known for less than the watched span is told apart, as the others whose end it didn't know.

--- a/core/flow/idle_test.go
+++ b/core/flow/idle_test.go
@@ -60,7 +60,9 @@
 	sizes := []model.Resources{model.NewResources(32_000, 125_000, 0), model.NewResources(32_000, 125_000, 0), model.NewResources(24_000, 64_000, 0), model.NewResources(48_000, 192_000, 0)}
 	workers := 12 + sim.rng.IntN(29)
 	for i := range workers {
-		wk := sim.addWorker(fmt.Sprintf("w%02d", i), fmt.Sprint("10.0.0.", i, ":80"), sizes[sim.rng.IntN(len(sizes))])
+		kind := sim.rng.IntN(len(sizes))
+		wk := sim.addWorker(fmt.Sprintf("w%02d", i), fmt.Sprint("10.0.0.", i, ":80"), sizes[kind])
+		wk.centre, wk.labels = []model.CentreID{"a", "b", "c"}[i%3], []string{fmt.Sprint("kind", kind)}
 		wk.rack, wk.leaseStretch = fmt.Sprint("r", i%racks), 0.02*sim.rng.Float64()
 	}
 	if sim.rng.IntN(3) > 0 {
--- a/core/flow/sim_test.go
+++ b/core/flow/sim_test.go
@@ -42,7 +42,9 @@
 	liveAttempts map[TaskID]map[*workerSim]int
 	// acknowledged is the set of tasks whose success was acknowledged.
 	acknowledged map[TaskID]bool
-	violations   []string
+	// outage is the set of data centres that are out of service.
+	outage     map[model.CentreID]bool
+	violations []string
 	// lateShare is the fraction of heartbeats that arrive up to 5 s late,
 	// lostShare that of answers that never arrive, and repeatedShare that of
 	// heartbeats that arrive twice.
--- a/core/flow/simfault_test.go
+++ b/core/flow/simfault_test.go
@@ -62,7 +62,7 @@
 func (fa *simFaults) inject() {
 	sim := fa.sim
 	wk := sim.workers[sim.rng.IntN(len(sim.workers))]
-	switch sim.rng.IntN(12) {
+	switch sim.rng.IntN(13) {
 	case 0, 1:
 		fa.crash(wk)
 	case 2:
@@ -83,6 +83,8 @@
 		fa.changeLeader()
 	case 11:
 		fa.degrade(wk)
+	case 12:
+		fa.evacuate(wk.centre)
 	}
 }
 
@@ -208,3 +210,24 @@
 	*[]*model.Instant{&wk.failingUntil, &wk.hangingUntil, &wk.slowUntil}[kind] = until
 	fa.note("%s %s for %v", wk.name, []string{"fails", "hangs", "is slow"}[kind], until.Sub(sim.now))
 }
+
+// evacuate takes a data centre out of service for some seconds, in which no task
+// may start there.
+func (fa *simFaults) evacuate(centre model.CentreID) {
+	sim := fa.sim
+	if len(sim.outage) > 0 {
+		return
+	}
+	dur := sim.between(3*time.Second, 12*time.Second)
+	fa.disrupt(sim.now, "centre %s is out for %v", centre, dur)
+	sim.setOutage(map[model.CentreID]bool{centre: true})
+	sim.at(sim.now.Add(dur), func() { sim.setOutage(nil) })
+}
+
+// setOutage replaces the set of data centres that are out of service.
+func (sim *simulation) setOutage(centres map[model.CentreID]bool) {
+	sim.outage = centres
+	for _, vm := range sim.vms {
+		sim.step(vm, Outage{Centres: centres})
+	}
+}
--- a/core/flow/simload_test.go
+++ b/core/flow/simload_test.go
@@ -121,6 +121,9 @@
 		if sim.rng.IntN(5) == 0 {
 			step.PerWorker = 1 + sim.rng.IntN(3)
 		}
+		if sim.rng.IntN(5) == 0 {
+			step.RequiredLabel = sim.workers[sim.rng.IntN(len(sim.workers))].labels[0]
+		}
 		jb := ld.submit("long", sim.rng.IntN(3), 0, step)
 		sim.at(sim.now.Add(ld.exponential(ld.lifetime)), func() { ld.cancel(jb) })
 	}
@@ -240,7 +243,12 @@
 	var out []*workerSim
 	need := spec.reservation()
 	for _, wk := range sim.workers {
-		if !wk.sound(sim.now) || spec.PerWorker > 0 && wk.runsOf(id) >= spec.PerWorker {
+		switch {
+		case !wk.sound(sim.now) || sim.outage[wk.centre]:
+			continue
+		case spec.PerWorker > 0 && wk.runsOf(id) >= spec.PerWorker:
+			continue
+		case spec.RequiredLabel != "" && !slices.Contains(wk.labels, spec.RequiredLabel):
 			continue
 		}
 		free := wk.free()
--- a/core/flow/simwatch_test.go
+++ b/core/flow/simwatch_test.go
@@ -33,9 +33,11 @@
 	sim *simulation
 	ld  *simLoad
 	fa  *simFaults
-	// lastEnd holds when the last run of a task ended, and lastStart when the last
-	// run of a job started.
+	// lastEnd holds when the last run of a task ended, endKnown when a leader
+	// recorded an end of it, by its name, and lastStart when the last run of a job
+	// started.
 	lastEnd   map[TaskID]model.Instant
+	endKnown  map[string]model.Instant
 	lastStart map[model.JobID]model.Instant
 	// idle and idleJobs hold in which of the last looks a task or job was idle, the
 	// last look in the lowest bit.
@@ -50,7 +52,7 @@
 
 func newIdleWatch(sim *simulation, ld *simLoad, fa *simFaults, finishedAt model.Instant) *idleWatch {
 	wa := &idleWatch{
-		sim: sim, ld: ld, fa: fa, lastEnd: map[TaskID]model.Instant{}, lastStart: map[model.JobID]model.Instant{}, idle: map[TaskID]uint8{},
+		sim: sim, ld: ld, fa: fa, lastEnd: map[TaskID]model.Instant{}, endKnown: map[string]model.Instant{}, lastStart: map[model.JobID]model.Instant{}, idle: map[TaskID]uint8{},
 		idleJobs: map[model.JobID]uint8{}, finishedAt: finishedAt, classes: map[string]int{},
 	}
 	sim.observer = wa
@@ -63,6 +65,9 @@
 func (wa *idleWatch) ended(id TaskID) { wa.lastEnd[id] = wa.sim.now }
 
 func (wa *idleWatch) recorded(ev RecordEvent) {
+	if ev.Kind == "runEnded" {
+		wa.endKnown[ev.Task] = wa.sim.now
+	}
 	wa.note("%s %s %s %s %v", ev.Kind, ev.Job, ev.Task, ev.Worker, ev.Fields)
 }
 
@@ -191,17 +196,16 @@
 // taskClass returns what the leader knows of a task that is not waiting, or "".
 func (wa *idleWatch) taskClass(id TaskID, lines *[]string) string {
 	pl, st := wa.sim.leader.pl, &wa.sim.leader.st
+	*lines = append(*lines, fmt.Sprintf("its end is known since %v", time.Duration(wa.endKnown[id.String()])))
 	_, _, tk, ok := st.find(id)
 	switch {
 	case !ok:
 		return "unknown"
+	case wa.endKnown[id.String()] > wa.lastEnd[id] && wa.sim.now.Sub(wa.endKnown[id.String()]) < watchSpan:
+		return "own end known late"
 	case tk.plannedStarts > 0:
 		return "start planned"
 	case len(tk.runs) == 0:
-		*lines = append(*lines, fmt.Sprintf("the leader knows since %v", time.Duration(tk.idleSince)))
-		if wa.sim.now.Sub(tk.idleSince) < watchSpan {
-			return "own end known late"
-		}
 		return ""
 	}
 	wk, pr := pl.findRun(id, tk.attempt)
--- a/core/flow/simworker_test.go
+++ b/core/flow/simworker_test.go
@@ -38,8 +38,11 @@
 // a real one does.
 type workerSim struct {
 	name, address, rack string
+	centre              model.CentreID
+	labels              []string
 	size                model.Resources
 	startedAt           int64
+	bootedAt            model.Instant
 	up                  bool
 	draining            bool
 	sequence            uint64
@@ -47,7 +50,7 @@
 	term uint64
 	// leaseEnd is the end of the lease of all runs.
 	leaseEnd model.Instant
-	// leaseStretch is what the worker's slow clock adds to a lease, as a fraction.
+	// leaseStretch is the fraction by which the worker's clock is slow.
 	leaseStretch float64
 	runs         map[TaskID]*runSim
 	// highestAttempt is, for each task, the highest attempt that was ordered to
@@ -86,7 +89,7 @@
 
 // addWorker adds a worker and boots it.
 func (sim *simulation) addWorker(name, address string, size model.Resources) *workerSim {
-	wk := &workerSim{name: name, address: address, size: size}
+	wk := &workerSim{name: name, address: address, centre: "a", size: size}
 	sim.workers = append(sim.workers, wk)
 	sim.boot(wk)
 	sim.scheduleHeartbeat(wk, sim.after(100))
@@ -95,7 +98,7 @@
 
 // boot starts a new incarnation of a worker, without runs.
 func (sim *simulation) boot(wk *workerSim) {
-	wk.startedAt = sim.wall() + 1
+	wk.startedAt, wk.bootedAt = sim.wall()+1, sim.now
 	wk.up, wk.draining, wk.sequence, wk.term, wk.ended = true, false, 0, 0, nil
 	wk.lastEnd, wk.reportedEnd, wk.lapsedEnd = 0, 0, 0
 	wk.runs, wk.highestAttempt, wk.pending = map[TaskID]*runSim{}, map[TaskID]int{}, nil
@@ -237,8 +240,8 @@
 // report returns the heartbeat that describes the worker.
 func (wk *workerSim) report(now model.Instant) Heartbeat {
 	msg := Heartbeat{
-		Incarnation: NewIncarnation(model.WorkerID(wk.name), wk.startedAt), Sequence: wk.sequence, Service: "svc", Centre: "a",
-		Address: wk.address, Rack: wk.rack, Size: wk.size, Draining: wk.draining, Ended: slices.Clone(wk.ended),
+		Incarnation: NewIncarnation(model.WorkerID(wk.name), wk.startedAt), Sequence: wk.sequence, Clock: wk.clock(now), Service: "svc", Centre: wk.centre,
+		Address: wk.address, Rack: wk.rack, Labels: wk.labels, Size: wk.size, Draining: wk.draining, Ended: slices.Clone(wk.ended),
 	}
 	for _, id := range wk.tasks() {
 		ru := wk.runs[id]
@@ -247,6 +250,11 @@
 	return msg
 }
 
+// clock returns the worker's steady clock.
+func (wk *workerSim) clock(now model.Instant) time.Duration {
+	return time.Millisecond + time.Duration(float64(now.Sub(wk.bootedAt))/(1+wk.leaseStretch))
+}
+
 // percent returns the progress of the run.
 func (ru *runSim) percent(now model.Instant) int {
 	elapsed := now.Sub(ru.startedAt)
