--- a/core/flow/idle_test.go
+++ b/core/flow/idle_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,9 +42,7 @@
 			classes[class] += num
 		}
 		if *traceSim && len(sim.violations) > 0 {
-			for _, line := range wa.trace {
-				fmt.Println(line)
-			}
+			t.Log(strings.Join(wa.trace, "\n"))
 		}
 	}
 	for _, class := range slices.Sorted(maps.Keys(classes)) {
