--- a/core/flow/idle_test.go
+++ b/core/flow/idle_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,9 +42,7 @@
 			classes[class] += num
 		}
 		if *traceSim && len(sim.violations) > 0 {
-			for _, line := range wa.trace {
-				fmt.Println(line)
-			}
+			t.Log(strings.Join(wa.trace, "\n"))
 		}
 	}
 	for _, class := range slices.Sorted(maps.Keys(classes)) {
@@ -60,7 +59,9 @@
 	sizes := []model.Resources{model.NewResources(32_000, 125_000, 0), model.NewResources(32_000, 125_000, 0), model.NewResources(24_000, 64_000, 0), model.NewResources(48_000, 192_000, 0)}
 	workers := 12 + sim.rng.IntN(29)
 	for i := range workers {
-		wk := sim.addWorker(fmt.Sprintf("w%02d", i), fmt.Sprint("10.0.0.", i, ":80"), sizes[sim.rng.IntN(len(sizes))])
+		kind := sim.rng.IntN(len(sizes))
+		wk := sim.addWorker(fmt.Sprintf("w%02d", i), fmt.Sprint("10.0.0.", i, ":80"), sizes[kind])
+		wk.centre, wk.labels = []model.CentreID{"a", "b", "c"}[i%3], []string{fmt.Sprint("kind", kind)}
 		wk.rack, wk.leaseStretch = fmt.Sprint("r", i%racks), 0.02*sim.rng.Float64()
 	}
 	if sim.rng.IntN(3) > 0 {
