Avoid workers that don't carry out their start orders

What callers see: a task without a run, while a worker that reports and carries out no start gets the order for it again and again, and another worker has room.

Cause: an order that is ignored or refused ends as NotStarted, which counts for nothing, so that the next plan makes the same choice.

Fix: such an order counts for the health of the worker. For 0.5 s, which doubles up to 8 s until the worker carries out a start, it is treated as one in quarantine: ordinary tasks don't go there, long-running tasks only if no other worker has room. The first pause is short because a lost answer looks the same. Orders of one answer count once; runs that were ordered to stop and starts that were never sent don't count.

Evidence, before the fix:

--- FAIL: TestWorkerThatIgnoresOrdersIsAvoided ignores: no start on the sound worker for 30.24s, 42 on the other refuses: no start on the sound worker for 30.24s, 42 on the other

After it the test passes, also for the long-running task whose only room is on such a worker, which is still ordered there.

--- a/core/flow/health.go
+++ b/core/flow/health.go
@@ -18,6 +18,11 @@
 	// until a run succeeds. A worker that runs only long-running tasks never
 	// has a success.
 	maxQuarantine = 8 * time.Second
+	// minOrderPause is how long a worker is avoided that didn't carry out a start
+	// order, as it may have lost the answer. The duration doubles, up to
+	// maxOrderPause, until the worker carries one out.
+	minOrderPause = 500 * time.Millisecond
+	maxOrderPause = 8 * time.Second
 	// stallTimeout is how long a run may show no progress before it is evicted.
 	// fillerStallTimeout is the same for a filler at full pace, which may get
 	// few processors.
@@ -36,9 +41,31 @@
 	quarantinedUntil model.Instant
 	// quarantine is the duration of the last quarantine, 0 after a success.
 	quarantine time.Duration
+	// pausedUntil is the end of the last pause for start orders that were not
+	// carried out, and pause its duration, 0 after one was carried out.
+	pausedUntil model.Instant
+	pause       time.Duration
 }
 
-func (he *health) quarantined(now model.Instant) bool { return now.Before(he.quarantinedUntil) }
+// quarantined reports whether the worker gets long-running tasks only, and those
+// only if no other worker has room.
+func (he *health) quarantined(now model.Instant) bool {
+	return now.Before(he.quarantinedUntil) || now.Before(he.pausedUntil)
+}
+
+// recordIgnoredOrder counts a start order that the worker didn't carry out, and
+// reports whether a pause begins. Orders of one answer count once.
+func (he *health) recordIgnoredOrder(now model.Instant) bool {
+	if now.Before(he.pausedUntil) {
+		return false
+	}
+	he.pause = min(max(minOrderPause, 2*he.pause), maxOrderPause)
+	he.pausedUntil = now.Add(he.pause)
+	return true
+}
+
+// recordStart notes that the worker has carried out a start order.
+func (he *health) recordStart() { he.pausedUntil, he.pause = 0, 0 }
 
 // recordFailure counts a failure of a job, and reports whether it puts the
 // worker in quarantine. Consecutive failures of one job count once.
@@ -62,11 +89,18 @@
 	switch {
 	case oc == Succeeded:
 		he.failures, he.lastJob, he.quarantine = 0, "", 0
+		he.recordStart()
 	case oc == Failed:
 		pl.countFailure(now, wk, pr)
+	case oc == NotStarted && pr.ignored() && he.recordIgnoredOrder(now):
+		pl.recordEvent("workerIgnoresOrders", "", "", wk.incarnation.String(), "ms", strconv.FormatInt(he.pause.Milliseconds(), 10))
 	}
 }
 
+// ignored reports whether the worker got the start order of a run that no heartbeat
+// has listed, and no order to stop it.
+func (pr *placedRun) ignored() bool { return pr.startSent && !pr.reported && !pr.stopping }
+
 // countFailure counts a failed or stalled run as a failure of its worker.
 func (pl *Planner) countFailure(now model.Instant, wk *worker, pr *placedRun) {
 	if wk.health.recordFailure(now, pr.task.job) {
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -211,3 +211,46 @@
 		t.Errorf("starts %+v on the only worker, want the long-running task", ans.Starts)
 	}
 }
+
+// Guards against a task that gets no run because a worker that doesn't carry out
+// its orders gets them again and again, and against one that is no longer ordered
+// where no other worker has room.
+func TestWorkerThatIgnoresOrdersIsAvoided(t *testing.T) {
+	tests := []struct {
+		name           string
+		refuses, alone bool
+	}{{"ignores", false, false}, {"refuses", true, false}, {"ignores, the only one", false, true}, {"refuses, the only one", true, true}}
+	for _, tt := range tests {
+		har := newHarness(t)
+		// Tasks gather on the worker that is fuller.
+		har.submit("base", StepSpec{Tasks: 1, Size: model.NewResources(2000, 100, 0), LongRunning: true})
+		har.heartbeat("bad", nil)
+		base := []RunReport{{Task: NewTaskID("base", 0, 0, 0), Attempt: 1, Percent: fullPace}}
+		har.heartbeat("bad", base)
+		if !tt.alone {
+			har.heartbeat("sound", nil)
+		}
+		har.submit("job", longRunningStep)
+		began := har.now
+		orders, ended := 0, []EndReport(nil)
+		for har.now.Sub(began) < 30*time.Second {
+			for _, ord := range har.heartbeat("bad", base, ended...).Starts {
+				orders++
+				if tt.refuses {
+					ended = []EndReport{{Number: uint64(orders), Task: ord.Task, Attempt: ord.Attempt, Outcome: NotStarted}}
+				}
+			}
+			if !tt.alone && len(har.heartbeat("sound", nil).Starts) > 0 {
+				break
+			}
+			har.now = har.now.Add(TickInterval)
+		}
+		down := har.now.Sub(began)
+		if !tt.alone && down > maxDown {
+			t.Errorf("%s: no start on the sound worker for %v, %d on the other", tt.name, down, orders)
+		}
+		if tt.alone && orders < 10 {
+			t.Errorf("%s: %d orders, want at least 10", tt.name, orders)
+		}
+	}
+}
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -206,6 +206,9 @@
 			continue
 		}
 		listed[pr] = true
+		if !pr.reported && pr.startSent {
+			wk.health.recordStart()
+		}
 		// A long-running task at 100 percent is serving, which counts as progress.
 		if !pr.reported || rr.Percent != pr.percent || pr.spec.LongRunning && rr.Percent >= fullPace {
 			pr.progressedAt = now
