Withdraw the start of a gang as a whole

What callers see: members of a gang that hold their workers for nothing, until they give up waiting for the others.

Cause: a start that couldn't be sent in time, was not carried out, or whose worker drains meanwhile, is withdrawn alone.

Fix: with one member the others of the same attempt are withdrawn: those that were ordered are stopped, and the others don't start.

Evidence, before the fix (found in review):

--- FAIL: TestGangIsWithdrawnAsAWhole the member waits for the other, which is not ordered, for 2s

After it the test passes.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -160,7 +160,7 @@
 		// An inherited run may be on the worker already; if no heartbeat lists
 		// it, handleUnlistedRun proposes its end.
 		if !pr.inherited {
-			pl.proposeEnd(pr, NotStarted, pr.checkpoint)
+			pl.withdraw(pr)
 		}
 	default:
 		pr.startSent, pr.startSequence = true, wk.sequence
--- a/core/flow/gang_test.go
+++ b/core/flow/gang_test.go
@@ -84,3 +84,25 @@
 		t.Errorf("%d members and %d tasks of lower priority run, want 0 and %d", clu.runs("gang"), clu.runs("lower"), before)
 	}
 }
+
+// Guards against members of a gang that wait for one whose start was withdrawn.
+func TestGangIsWithdrawnAsAWhole(t *testing.T) {
+	har := newHarness(t)
+	har.heartbeat("late", nil)
+	har.heartbeat("w", nil)
+	har.submit("gang", StepSpec{Tasks: 2, Size: model.NewResources(3000, 100, 0), Gang: true, LongRunning: true})
+	ans := har.heartbeat("w", nil)
+	if len(ans.Starts) != 1 {
+		t.Fatalf("starts %+v, want one member", ans.Starts)
+	}
+	run := RunReport{Task: ans.Starts[0].Task, Attempt: 1}
+	ordered := har.now
+	for len(ans.Stops) == 0 && har.now.Sub(ordered) < 2*minPickupTimeout {
+		har.now = har.now.Add(sweepInterval)
+		har.step(Tick{LeaseUntil: model.Instant(time.Hour)})
+		ans = har.heartbeat("w", []RunReport{run})
+	}
+	if len(ans.Stops) != 1 {
+		t.Errorf("the member waits for the other, which is not ordered, for %v", har.now.Sub(ordered))
+	}
+}
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -243,7 +243,7 @@
 	case pr.inherited && now.Before(pl.config.leaseEnd(pr.placedAt)):
 		pr.startSent = false
 	case pr.inherited || pr.startSent && sequence > pr.startSequence:
-		pl.proposeEnd(pr, NotStarted, pr.checkpoint)
+		pl.withdraw(pr)
 	}
 }
 
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -77,7 +77,22 @@
 	timeout := max(minPickupTimeout, pl.heartbeatDelay()+pickupMargin)
 	for _, pr := range wk.runs {
 		if !pr.startSent && !pr.reported && !pr.inherited && now.Sub(pr.placedAt) > timeout {
-			pl.proposeEnd(pr, NotStarted, pr.checkpoint)
+			pl.withdraw(pr)
+		}
+	}
+}
+
+// withdraw proposes the end of a run that its worker has not started. The other
+// members of a gang, which would wait for it, are stopped.
+func (pl *Planner) withdraw(pr *placedRun) {
+	pl.proposeEnd(pr, NotStarted, pr.checkpoint)
+	if !pr.spec.Gang {
+		return
+	}
+	id := pr.task
+	for id.index = range pr.spec.Tasks {
+		if _, other := pl.findRun(id, pr.attempt); other != nil && other != pr {
+			other.evicting = true
 		}
 	}
 }
