--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -222,6 +222,9 @@
 			continue
 		}
 		listed[pr] = true
+		if !pr.reported && pr.startSent {
+			wk.health.recordStart()
+		}
 		// A long-running task at 100 percent is serving, which counts as progress.
 		if !pr.reported || rr.Percent != pr.percent || pr.spec.LongRunning && rr.Percent >= fullPace {
 			pr.progressedAt = now
@@ -256,7 +259,7 @@
 	case pr.inherited && now.Before(pl.config.leaseEnd(pr.placedAt)):
 		pr.startSent = false
 	case pr.inherited || pr.startSent && sequence > pr.startSequence:
-		pl.proposeEnd(pr, NotStarted, pr.checkpoint)
+		pl.withdraw(pr)
 	}
 }
 
