Let overdue turns last until the awaited runs have ended

With several turns at a time a small overdue task went before a large one by its rank and took what the large one had claimed in the plan before.

Change: among overdue steps the oldest turn goes first. A step that expects room after more than 3 s needs the late turn, which lasts twice as long as expected. It may take that turn from a step of which it is unknown when it has room.

--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -41,8 +41,9 @@
 	// waitingSince is, for a restart, the earliest time since which one of its
 	// tasks has had no run, and otherwise that of the step.
 	waitingSince model.Instant
-	// overdue is set for a step that has an overdue turn.
-	overdue bool
+	// overdue is set for a step that has an overdue turn, since turnSince.
+	overdue   bool
+	turnSince model.Instant
 }
 
 // wants reports whether rs is meant to place a task now.
@@ -52,7 +53,7 @@
 
 // readySteps returns the ready steps in scheduling order: by priority, then
 // restarts of long-running tasks, those that have waited longest before the
-// others, then overdue steps, then long-running steps, then jobs that can
+// others, then overdue steps, those with the oldest turns first, then long-running steps, then jobs that can
 // still meet their objective, then by rank.
 func (pl *Planner) readySteps(now model.Instant) []readyStep {
 	wall := pl.wall(now)
@@ -98,7 +99,7 @@
 			rank: stepRank(work, age, jb.Objective()), waitingSince: occ.steps[s].waitingSince,
 		}
 		if own := occ.steps[s].turn; own != nil {
-			own.ready, rs.overdue = true, true
+			own.ready, rs.overdue, rs.turnSince = true, true, own.since
 		}
 		restart := rs
 		if spec.LongRunning && restart.markRestart(now) {
@@ -141,6 +142,9 @@
 	if rs.restart && other.restart && rs.job.spec.Priority == other.job.spec.Priority {
 		return cmp.Or(cmp.Compare(rs.waitingSince, other.waitingSince), cmp.Compare(rs.rank, other.rank))
 	}
+	if rs.overdue && other.overdue && rs.job.spec.Priority == other.job.spec.Priority {
+		return cmp.Or(cmp.Compare(rs.turnSince, other.turnSince), cmp.Compare(rs.waitingSince, other.waitingSince))
+	}
 	return cmp.Or(
 		cmp.Compare(rs.job.spec.Priority, other.job.spec.Priority),
 		trueFirst(rs.restart, other.restart),
--- a/core/flow/overdue_test.go
+++ b/core/flow/overdue_test.go
@@ -77,3 +77,28 @@
 		}
 	}
 }
+
+// Guards against overdue turns that end, or let smaller overdue tasks go first,
+// before the runs on the claimed worker have ended.
+func TestOverdueTurnAwaitsLongRuns(t *testing.T) {
+	const duration, maxWait = 10 * time.Second, 30 * time.Second
+	for _, stuck := range []int{0, 10} {
+		for seed := range uint64(4) {
+			clu := newBusyCluster(t, seed, 4)
+			feed := clu.stream(24, duration)
+			clu.play(duration, feed)
+			for i := range stuck {
+				clu.submitJob(model.JobID(fmt.Sprint("stuck", i)), 0, time.Second, StepSpec{Tasks: 1, Size: model.NewResources(4000, 100, 0)})
+			}
+			clu.play(time.Second, feed)
+			clu.submitJob("waits", 0, 3*time.Second, StepSpec{Tasks: 1, Size: model.NewResources(3000, 100, 0)})
+			submitted := clu.now
+			for clu.started("waits") == 0 && clu.now.Sub(submitted) < 6*maxWait {
+				clu.play(TickInterval, feed)
+			}
+			if waited := clu.now.Sub(submitted); waited > maxWait {
+				t.Errorf("%d stuck steps, seed %d: started after %v, want within %v", stuck, seed, waited, maxWait)
+			}
+		}
+	}
+}
--- a/core/flow/turn.go
+++ b/core/flow/turn.go
@@ -14,9 +14,11 @@
 	// nothing, it waits as long for the next.
 	overdueAfter = 5 * time.Second
 	// There is one overdue turn at a time for turnDivisor workers, and one more for
-	// a step that is not expected to have room within overdueTimeout.
-	turnDivisor = 64
-	// overdueTimeout ends a turn in which no task could start.
+	// a step that is not expected to have room within maxTurnHorizon.
+	turnDivisor    = 64
+	maxTurnHorizon = overdueTimeout / 2
+	// overdueTimeout ends a turn in which no task could start. The late turn may
+	// last longer.
 	overdueTimeout = 6 * time.Second
 	// overdueInterval is how long a turn that kept capacity, or was used, is not
 	// given to the next step.
@@ -32,8 +34,9 @@
 	until model.Instant
 	// ready is set by each plan if the step is ready.
 	ready bool
-	// claims is set if the step has made a claim in the current plan.
-	claims bool
+	// claims is set if the step has made a claim in the current plan, and unknown
+	// if it is unknown when what it claims is free.
+	claims, unknown bool
 }
 
 // overdueTurns gives turns to steps that have waited for overdueAfter, so that no
@@ -42,7 +45,7 @@
 type overdueTurns struct {
 	turns []*overdueTurn
 	// late is the turn, one of turns, of a step that may claim capacity which is
-	// expected to be free after more than overdueTimeout, or at an unknown time.
+	// expected to be free after more than maxTurnHorizon, or at an unknown time.
 	// It is nil for none.
 	late *overdueTurn
 	// pauses holds when turns that have ended may be given to other steps. The
@@ -107,7 +110,7 @@
 func (tu *overdueTurns) give(now model.Instant, overdue []*readyStep, num int) {
 	for _, rs := range overdue[:min(num, len(overdue))] {
 		own := &overdueTurn{step: rs.state(), since: now, until: now.Add(overdueTimeout)}
-		rs.state().turn, rs.overdue = own, true
+		rs.state().turn, rs.overdue, rs.turnSince = own, true, now
 		tu.turns = append(tu.turns, own)
 	}
 }
@@ -132,16 +135,33 @@
 
 // mayClaim reports whether an overdue step may claim capacity that is expected to
 // be free after a time. If that is late, the turn becomes the late turn, or the
-// step may not. The late turn lasts as long as the step has waited, so that it
-// can await room for which it has to look that far ahead.
+// step may not. The late turn lasts as long as the step has waited, and twice as
+// long as expected, since a turn that ends before has kept capacity in vain.
 func (tu *overdueTurns) mayClaim(now model.Instant, rs *readyStep, after time.Duration) bool {
 	own := rs.state().turn
-	if after > overdueTimeout && tu.late != own {
-		if tu.late != nil || now.Before(tu.latePause) {
+	if after > maxTurnHorizon && tu.late != own {
+		if !tu.lateTurnFree(now, after) {
 			return false
 		}
 		tu.late, own.until = own, own.since.Add(max(overdueTimeout, now.Sub(rs.waitingSince)))
+		if after != unknownRoom {
+			own.until = max(own.until, now.Add(2*after))
+		}
 	}
-	own.claims = true
+	own.claims, own.unknown = true, after == unknownRoom
 	return true
 }
+
+// lateTurnFree reports whether a step may get the late turn for capacity that is
+// expected to be free after a time. If that is known, it may take the turn of a
+// step for which it is unknown, which then ends.
+func (tu *overdueTurns) lateTurnFree(now model.Instant, after time.Duration) bool {
+	switch {
+	case tu.late == nil:
+		return !now.Before(tu.latePause)
+	case tu.late.unknown && after != unknownRoom:
+		tu.late.claims = false
+		return true
+	}
+	return false
+}
