Give each priority overdue turns of its own

Cause: a step of lower priority could hold an overdue turn for 6 s while tasks of a higher priority took the room that it had claimed, since claims don't bind what comes before. Beside ten such steps a task of the higher priority waited 44 s.

Change: each priority has its own turns. Claims of a lower priority bind none of a higher one, so the capacity that a step can lose to turns is bounded as before by those of its own priority and the higher ones.

--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -214,16 +214,17 @@
 // claimForOverdue claims capacity for one task of an overdue step, and returns the
 // number of claims, 0 or 1. id is one of the tasks.
 func (pl *Planner) claimForOverdue(now model.Instant, rs *readyStep, id TaskID) int {
-	if slices.ContainsFunc(pl.turnMisses, func(mi miss) bool { return mi.covers(rs, rs.spec.reservation()) }) {
+	tu := pl.turnsOf(rs)
+	if slices.ContainsFunc(tu.misses, func(mi miss) bool { return mi.covers(rs, rs.spec.reservation()) }) {
 		return 0
 	}
 	candidates, otherConditions := pl.claimCandidates(now, rs, id)
-	if len(candidates) > 0 && pl.turns.mayClaim(now, rs, soonest(candidates)) {
+	if len(candidates) > 0 && tu.mayClaim(now, rs, soonest(candidates)) {
 		made, _ := pl.claimRoom(now, rs, candidates, 1)
 		return made
 	}
 	if !otherConditions {
-		pl.turnMisses = append(pl.turnMisses, newMiss(rs, rs.spec.reservation()))
+		tu.misses = append(tu.misses, newMiss(rs, rs.spec.reservation()))
 	}
 	return 0
 }
--- a/core/flow/gang.go
+++ b/core/flow/gang.go
@@ -44,7 +44,7 @@
 		}
 		return 0
 	}
-	if !rs.restart && !pl.turns.mayClaim(now, rs, gc.latest) {
+	if !rs.restart && !pl.turnsOf(rs).mayClaim(now, rs, gc.latest) {
 		gc.drop(rs)
 		return 0
 	}
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -73,7 +73,7 @@
 			out = pl.appendReadySteps(now, out, jb, occ, k, wall)
 		}
 	}
-	pl.turns.choose(now, out, max(1, len(pl.workers.sorted)/turnDivisor))
+	pl.chooseTurns(now, out)
 	slices.SortStableFunc(out, compareSteps)
 	return out
 }
--- a/core/flow/overdue_test.go
+++ b/core/flow/overdue_test.go
@@ -50,20 +50,22 @@
 func TestStuckStepsDoNotHoldUpOverdueOnes(t *testing.T) {
 	const stuck, maxWait = 10, 15 * time.Second
 	tests := []struct {
-		name string
-		step StepSpec
+		name     string
+		priority int
+		step     StepSpec
 	}{
-		{"larger than any worker", StepSpec{Tasks: 1, Size: model.NewResources(5000, 100, 0)}},
-		{"no room beside long-running tasks", StepSpec{Tasks: 1, Size: model.NewResources(4000, 100, 0)}},
-		{"gang for which no workers are left", StepSpec{Tasks: 5, Size: model.NewResources(3000, 100, 0), Gang: true}},
-		{"label missing", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0), RequiredLabel: "none"}},
+		{"lower priority", 2, StepSpec{Tasks: 1, Size: model.NewResources(3000, 100, 0)}},
+		{"larger than any worker", 0, StepSpec{Tasks: 1, Size: model.NewResources(5000, 100, 0)}},
+		{"no room beside long-running tasks", 0, StepSpec{Tasks: 1, Size: model.NewResources(4000, 100, 0)}},
+		{"gang for which no workers are left", 0, StepSpec{Tasks: 5, Size: model.NewResources(3000, 100, 0), Gang: true}},
+		{"label missing", 0, StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0), RequiredLabel: "none"}},
 	}
 	for _, tt := range tests {
 		for seed := range uint64(4) {
 			clu := newBusyCluster(t, seed, 4)
 			feed := clu.stream(24, 800*time.Millisecond)
 			for i := range stuck {
-				clu.submitJob(model.JobID(fmt.Sprint("stuck", i)), 0, time.Second, tt.step)
+				clu.submitJob(model.JobID(fmt.Sprint("stuck", i)), tt.priority, time.Second, tt.step)
 			}
 			clu.play(4*time.Second, feed)
 			clu.submitJob("waits", 0, 3*time.Second, StepSpec{Tasks: 1, Size: model.NewResources(3000, 100, 0)})
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -39,7 +39,7 @@
 func (pl *Planner) plan(now model.Instant) {
 	pl.claimsLeft = pl.maxClaims()
 	pl.openLeft = pl.claimsLeft / openDivisor
-	pl.misses, pl.claimMisses, pl.turnMisses = pl.misses[:0], pl.claimMisses[:0], pl.turnMisses[:0]
+	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
 	for _, wk := range pl.workers.sorted {
 		wk.claims.reset()
 	}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -115,8 +115,8 @@
 	useDiffs []imageUse
 	// rooms is the capacity for long-running tasks in the current plan.
 	rooms map[model.ServiceID]*longRunningRoom
-	// turns are the turns of steps that have waited too long.
-	turns overdueTurns
+	// turns are the turns of steps that have waited too long, by priority.
+	turns map[int]*overdueTurns
 	// candidates is scratch space of claimCandidates.
 	candidates []claimCandidate
 	// misses are the tasks for which the current plan found no room.
@@ -124,9 +124,6 @@
 	// claimMisses are the restarts for which the current plan found nothing to
 	// claim.
 	claimMisses []claimMiss
-	// turnMisses are the overdue tasks for which the current plan found no claim that
-	// they may make.
-	turnMisses []miss
 	// kept is room that is kept for restarts for which runs were stopped, in the
 	// order in which they were.
 	kept []keptRoom
--- a/core/flow/turn.go
+++ b/core/flow/turn.go
@@ -13,8 +13,8 @@
 	// before it may get an overdue turn. After a turn in which it kept capacity for
 	// nothing, it waits as long for the next.
 	overdueAfter = 5 * time.Second
-	// There is one overdue turn at a time for turnDivisor workers, and one more for
-	// a step that is not expected to have room within maxTurnHorizon.
+	// Each priority has one overdue turn at a time for turnDivisor workers, and one
+	// more for a step that is not expected to have room within maxTurnHorizon.
 	turnDivisor    = 64
 	maxTurnHorizon = overdueTimeout / 2
 	// overdueTimeout ends a turn in which no task could start. The late turn may
@@ -39,8 +39,8 @@
 	claims, unknown bool
 }
 
-// overdueTurns gives turns to steps that have waited for overdueAfter, so that no
-// step is passed over forever. A step that cannot claim capacity, or not soon,
+// overdueTurns gives turns to the steps of a priority that have waited for
+// overdueAfter, so that none is passed over forever. A step that cannot claim capacity, or not soon,
 // loses its turn at once and holds up no other. The zero value is ready to use.
 type overdueTurns struct {
 	turns []*overdueTurn
@@ -52,12 +52,41 @@
 	// late turn may be given after latePause.
 	pauses    []model.Instant
 	latePause model.Instant
+	// misses are the overdue tasks for which the current plan found no claim that
+	// they may make.
+	misses []miss
+}
+
+// chooseTurns updates the turns of all priorities.
+func (pl *Planner) chooseTurns(now model.Instant, steps []readyStep) {
+	for i := range steps {
+		pl.turnsOf(&steps[i])
+	}
+	num := max(1, len(pl.workers.sorted)/turnDivisor)
+	for priority, tu := range pl.turns {
+		tu.choose(now, steps, priority, num)
+	}
+}
+
+// turnsOf returns the turns of the priority of a step.
+func (pl *Planner) turnsOf(rs *readyStep) *overdueTurns {
+	priority := rs.job.spec.Priority
+	tu, ok := pl.turns[priority]
+	if !ok {
+		if pl.turns == nil {
+			pl.turns = map[int]*overdueTurns{}
+		}
+		tu = &overdueTurns{}
+		pl.turns[priority] = tu
+	}
+	return tu
 }
 
 // choose ends turns, gives others to the steps that have waited longest, and
 // updates which steps are overdue. num is how many may have a turn, besides the
 // late turn.
-func (tu *overdueTurns) choose(now model.Instant, steps []readyStep, num int) {
+func (tu *overdueTurns) choose(now model.Instant, steps []readyStep, priority, num int) {
+	tu.misses = tu.misses[:0]
 	if tu.end(now) {
 		for i := range steps {
 			steps[i].overdue = steps[i].overdue && steps[i].state().turn != nil
@@ -69,7 +98,7 @@
 		num++
 	}
 	if num > 0 {
-		tu.give(now, overdueSteps(now, steps), num)
+		tu.give(now, overdueSteps(now, steps, priority), num)
 	}
 }
 
@@ -115,14 +144,14 @@
 	}
 }
 
-// overdueSteps returns the steps without a turn that may get one. Those that have
+// overdueSteps returns the steps of a priority without a turn that may get one. Those that have
 // waited longest come first, but a step that has had a turn counts as waiting since
 // it might get the next.
-func overdueSteps(now model.Instant, steps []readyStep) []*readyStep {
+func overdueSteps(now model.Instant, steps []readyStep, priority int) []*readyStep {
 	var out []*readyStep
 	for i := range steps {
 		rs := &steps[i]
-		if !rs.restart && now.Sub(rs.waitingSince) >= overdueAfter && rs.state().turn == nil && !now.Before(rs.state().nextTurn) {
+		if rs.job.spec.Priority == priority && !rs.restart && now.Sub(rs.waitingSince) >= overdueAfter && rs.state().turn == nil && !now.Before(rs.state().nextTurn) {
 			out = append(out, rs)
 		}
 	}
