--- a/core/flow/idle_test.go
+++ b/core/flow/idle_test.go
@@ -31,10 +31,21 @@
 // an accepted job that gets lost, and a worker over its capacity, while workers,
 // leaders and links fail in series and long-running work asks for nearly all of
 // the capacity or more.
-func TestNoAcceptedWorkStaysIdle(t *testing.T) {
+func TestNoAcceptedWorkStaysIdle(t *testing.T) { checkNoWorkStaysIdle(t, Config{}) }
+
+// As TestNoAcceptedWorkStaysIdle, with workers that support leases of 6 s only. A
+// new leader waits no longer than that for the tasks of silent workers.
+func TestNoAcceptedWorkStaysIdleWithShortLeases(t *testing.T) {
+	checkNoWorkStaysIdle(t, Config{LeaseDuration: 6 * time.Second})
+}
+
+func checkNoWorkStaysIdle(t *testing.T, config Config) {
 	classes := map[string]int{}
 	for seed := *firstIdleSeed; seed < *firstIdleSeed+*idleSeeds; seed++ {
 		sim := newSimulation(t, seed, 3, 0)
+		for _, vm := range sim.vms {
+			vm.pl.config = config
+		}
 		wa := newIdleScenario(sim)
 		sim.run(model.Instant(idleTraffic + idleFinish + idleWatched))
 		sim.reportViolations(seed)
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -43,8 +43,9 @@
 	// waitingSince is, for a restart, the earliest time since which one of its
 	// tasks has had no run, and otherwise that of the step.
 	waitingSince model.Instant
-	// overdue is set for a step that has an overdue turn.
-	overdue bool
+	// overdue is set for a step that has an overdue turn, since turnSince.
+	overdue   bool
+	turnSince model.Instant
 	// urgent is set for a restart that has waited for urgentAfter.
 	urgent bool
 }
@@ -56,9 +57,9 @@
 
 // readySteps returns the ready steps in scheduling order: urgent restarts, then
 // by priority, then restarts of long-running tasks, those that have waited
-// longest before the others, then overdue steps, then long-running steps, then
-// jobs that can still meet their objective, then by rank. The result is valid
-// until the next call.
+// longest before the others, then overdue steps, those with the oldest turns
+// first, then long-running steps, then jobs that can still meet their objective,
+// then by rank. The result is valid until the next call.
 func (pl *Planner) readySteps(now model.Instant) []readyStep {
 	wall := pl.wall(now)
 	out := pl.sorter.collected[:0]
@@ -77,7 +78,7 @@
 			out = pl.appendReadySteps(now, out, jb, occ, k, wall)
 		}
 	}
-	pl.turns.choose(now, out, max(1, len(pl.workers.sorted)/turnDivisor))
+	pl.chooseTurns(now, out)
 	pl.sorter.collected = out
 	return pl.sorter.sort()
 }
@@ -103,7 +104,7 @@
 			rank: stepRank(work, age, jb.Objective()), waitingSince: occ.steps[s].waitingSince,
 		}
 		if own := occ.steps[s].turn; own != nil {
-			own.ready, rs.overdue = true, true
+			own.ready, rs.overdue, rs.turnSince = true, true, own.since
 		}
 		restart := rs
 		if spec.LongRunning && restart.markRestart(now) {
@@ -147,6 +148,9 @@
 	if rs.restart && other.restart && rs.job.spec.Priority == other.job.spec.Priority {
 		return cmp.Or(cmp.Compare(rs.waitingSince, other.waitingSince), cmp.Compare(rs.rank, other.rank))
 	}
+	if rs.overdue && other.overdue && rs.job.spec.Priority == other.job.spec.Priority {
+		return cmp.Or(cmp.Compare(rs.turnSince, other.turnSince), cmp.Compare(rs.waitingSince, other.waitingSince))
+	}
 	return cmp.Or(
 		trueFirst(rs.urgent, other.urgent),
 		cmp.Compare(rs.job.spec.Priority, other.job.spec.Priority),
