Let the simulated cell lose a disk four seconds after the last one is back

The platform's settings have catchUpS = 4: a machine that is back for that long no longer counts as lost, and another one may be. The simulation waited 6 s, so it allowed a repair more time than there is. No change of the code was needed.

--- a/core/cell/sim_test.go
+++ b/core/cell/sim_test.go
@@ -20,7 +20,7 @@
 	changeTimeout = 3 * time.Second
 	// catchUpTime is the time for which a VM that lost its disk must be up and
 	// reachable before it no longer counts as lost.
-	catchUpTime = 6 * time.Second
+	catchUpTime = 4 * time.Second
 )
 
 // simTimer is a function that runs at a simulated time. seq orders timers with the
