--- a/io/cell/keep.go
+++ b/io/cell/keep.go
@@ -11,8 +11,12 @@
 	"guavarail/io/host"
 )
 
-// restartPause is the pause before each attempt to start a member whose disk failed.
-const restartPause = 500 * time.Millisecond
+// restartPause is the pause before the first attempt to start a member whose disk
+// failed. It doubles with each attempt up to maxRestartPause.
+const (
+	restartPause    = 500 * time.Millisecond
+	maxRestartPause = 4 * time.Second
+)
 
 // keepMember starts the member of vm and starts it again each time its disk has failed:
 // a disk may refuse writes for some seconds only, and a replica whose write failed no
@@ -49,14 +53,17 @@
 
 // retryStart starts the member once the disk works. It returns nil if ctx ends first.
 func (vm *VM) retryStart(ctx context.Context) (*member, func()) {
-	for host.Pause(ctx, restartPause); ctx.Err() == nil; host.Pause(ctx, restartPause) {
+	for pause := restartPause; ; pause = min(2*pause, maxRestartPause) {
+		host.Pause(ctx, pause)
+		if ctx.Err() != nil {
+			return nil, nil
+		}
 		mem, stop, err := startMember(ctx, vm, true)
 		if err == nil {
 			return mem, stop
 		}
 		vm.log.Warn("member not started after its disk failed; it will be tried again", "error", err)
 	}
-	return nil, nil
 }
 
 // awaitDiskFailure returns true once the disk of the member has failed, and false if ctx
