Index the spare processors of workers for fillers

Cause: fillers reserve memory only, of which workers have plenty, so that the index led the choice for a filler to all workers, to find on each that spare processors are missing.

Change: the index holds the spare processors as well. The condition is computed as at the choice itself, so that both round alike.

--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -185,8 +185,8 @@
 }
 
 // chooseWorker returns the worker with the lowest cost for a task, or nil if
-// none is eligible. near is the worker of the first task of the gang, whose
-// rack is preferred, or nil.
+// none is eligible, of those that indexRoom has indexed. near is the worker of
+// the first task of the gang, whose rack is preferred, or nil.
 func (pl *Planner) chooseWorker(now model.Instant, rs readyStep, id TaskID, near *worker) *worker {
 	need := rs.spec.reservation()
 	if pl.missed(&rs, need) {
@@ -196,7 +196,8 @@
 	var best *worker
 	lowest := 0.0
 	otherConditions := false
-	for pos := pl.room.next(0, need); pos >= 0; pos = pl.room.next(pos+1, need) {
+	search := rs.roomNeeded(need)
+	for pos := pl.room.next(0, search); pos >= 0; pos = pl.room.next(pos+1, search) {
 		wk := pl.room.workers[pos]
 		if wk.unsuitable(now, &rs) != notRejected {
 			continue
@@ -292,6 +293,15 @@
 	return cost + besideServingCost + 2*(1+over), true
 }
 
+// roomNeeded returns the least room of a worker that may get a task of rs. need is
+// what the task reserves.
+func (rs *readyStep) roomNeeded(need model.Resources) roomNeed {
+	if rs.spec.Filler && !rs.starved {
+		return roomNeed{free: need, fillerMilliCPU: float64(rs.spec.Size.MilliCPU())}
+	}
+	return roomNeed{free: need}
+}
+
 // spareMilliCPU estimates the processors that are left for further fillers, in
 // thousandths of a processor: all, less what the fillers request, what the
 // serving tasks are assumed to use, and what the other tasks reserve.
--- a/core/flow/roomindex_test.go
+++ b/core/flow/roomindex_test.go
@@ -201,11 +201,13 @@
 			}
 			need := model.NewResources(rng.Int64N(60), rng.Int64N(60), rng.Int64N(2))
 			var got, want []int
-			for pos := ri.next(0, need); pos >= 0; pos = ri.next(pos+1, need) {
+			filler := float64(rng.IntN(100) * rng.IntN(2))
+			search := roomNeed{free: need, fillerMilliCPU: filler}
+			for pos := ri.next(0, search); pos >= 0; pos = ri.next(pos+1, search) {
 				got = append(got, pos)
 			}
 			for pos, wk := range ri.workers {
-				if need.FitsIn(wk.free()) {
+				if need.FitsIn(wk.free()) && (filler == 0 || wk.spareMilliCPU()-filler >= -filler*maxFillerShortage) {
 					want = append(want, pos)
 				}
 			}
