Count the failures of one run of a gang once

What callers see: a job with a gang fails too early. Three members that fail in one run used three of the attempts that the queue allows.

Cause: the state counts each end that is applied as Failed.

Fix: the replicated rule stays, so that all logs apply as before on every VM. The leader proposes the first failure of a run of a gang as Failed and those of further members as GangBroken, which doesn't count. It decides so just before a proposal, when the one before has ended; each VM remembers the last attempt of a gang with a failure.

Evidence, before the fix (found in review):

--- FAIL: TestFailuresOfAGangCountOnceForEachRun the job is failed after 3 failed runs, want failed after 9

After it the test passes; in it the leader changes between the two reports of failures.

What remains: a failure may still count twice if the VM that leads has restarted, or a proposal with an unknown outcome is applied later.

--- a/core/flow/gang.go
+++ b/core/flow/gang.go
@@ -136,3 +136,31 @@
 		}
 	}
 }
+
+// mergeGangFailures makes the failures of a run of a gang count once: the state
+// counts each end that is proposed as Failed, so that those of further members are
+// proposed as GangBroken. No proposal is under way when it is called.
+func (pl *Planner) mergeGangFailures() {
+	// counted has the first member of each gang run with a failure.
+	var counted map[runID]bool
+	for i := range pl.pendingOps {
+		op := &pl.pendingOps[i]
+		if op.kind != OpEnd || op.outcome != Failed {
+			continue
+		}
+		jb, occ, _, ok := pl.st.find(op.task)
+		if !ok || !jb.spec.Steps[op.task.step].Gang {
+			continue
+		}
+		gr := runID{task: op.task, attempt: op.attempt}
+		gr.task.index = 0
+		if counted[gr] || occ.steps[op.task.step].failedAttempt >= op.attempt {
+			op.outcome = GangBroken
+			continue
+		}
+		if counted == nil {
+			counted = map[runID]bool{}
+		}
+		counted[gr] = true
+	}
+}
--- a/core/flow/gang_test.go
+++ b/core/flow/gang_test.go
@@ -106,3 +106,32 @@
 		t.Errorf("the member waits for the other, which is not ordered, for %v", har.now.Sub(ordered))
 	}
 }
+
+// Guards against a gang whose job fails too early, because several members that
+// fail in one run count as several failures.
+func TestFailuresOfAGangCountOnceForEachRun(t *testing.T) {
+	const maxFailures = 9
+	har := newHarness(t)
+	har.submit("gang", StepSpec{Tasks: 3, Size: model.NewResources(1000, 100, 0), Gang: true})
+	runs, number := 0, uint64(0)
+	for ans := (Answer{}); runs < 2*maxFailures; runs++ {
+		if len(ans.Starts) == 0 {
+			ans = har.heartbeat("w", nil)
+		}
+		if len(ans.Starts) == 0 {
+			break
+		}
+		var ended []EndReport
+		for _, ord := range ans.Starts {
+			number++
+			ended = append(ended, EndReport{Number: number, Task: ord.Task, Attempt: ord.Attempt, Outcome: Failed})
+		}
+		// One member fails before the others.
+		har.heartbeat("w", []RunReport{{Task: ended[1].Task, Attempt: ended[1].Attempt}, {Task: ended[2].Task, Attempt: ended[2].Attempt}}, ended[0])
+		har.changeLeader()
+		ans = har.heartbeat("w", nil, ended...)
+	}
+	if status, _, _ := har.st.Status("gang"); runs != maxFailures || status != JobFailed {
+		t.Errorf("the job is %v after %d failed runs, want failed after %d", status, runs, maxFailures)
+	}
+}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -266,6 +266,7 @@
 		}
 		if len(pl.pendingOps) > 0 {
 			pl.proposing = true
+			pl.mergeGangFailures()
 			pl.effects = append(pl.effects, Propose{Ops: pl.pendingOps, Term: pl.term})
 			pl.pendingOps = nil
 		}
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -78,6 +78,9 @@
 	// start of one, or first found the step ready with idle tasks; 0 while it is
 	// not. It is not replicated.
 	waitingSince model.Instant
+	// failedAttempt is the highest attempt number of a gang of which this VM has seen
+	// a failure. It is not replicated.
+	failedAttempt int
 }
 
 // occurrence is one execution of all steps of a job. A job that does not repeat
--- a/core/flow/waits.go
+++ b/core/flow/waits.go
@@ -37,6 +37,10 @@
 	if !ok {
 		return
 	}
+	if op.outcome == Failed {
+		sp := &occ.steps[op.task.step]
+		sp.failedAttempt = max(sp.failedAttempt, op.attempt)
+	}
 	if op.outcome.carriedOut() {
 		tk.ran, tk.idleSince = true, now
 	}
