Count only placeable tasks among those that need room again

What callers see: no new long-running task starts, beside workers with room, while lost ones wait that no worker can run: their label is nowhere, or they are larger than any worker.

Cause: the room for endangered tasks is a sum over the whole service, and counts tasks that can't use any of it.

Fix: a lost task, or one on a worker that drains or is silent, counts only if some worker could hold it without the runs that are not long-running. The answer is remembered by size and label for the plan.

Evidence, before the fix (found in review):

--- FAIL: TestUnplaceableRestartsHoldBackNoNewTasks label that no worker has, its worker has left: true: the new task doesn't start within 6s on an empty worker label that no worker has, its worker has left: false: the new task doesn't start within 6s on an empty worker larger than any worker, its worker has left: true: the new task doesn't start within 6s on an empty worker larger than any worker, its worker has left: false: the new task doesn't start within 6s on an empty worker

After it the test passes.

--- a/core/flow/claim_test.go
+++ b/core/flow/claim_test.go
@@ -284,3 +284,39 @@
 		t.Errorf("%d tasks of the worker that left run again, want 2", restarted)
 	}
 }
+
+// Guards against new long-running tasks that don't start because lost ones, which
+// no worker can hold, count as needing the room.
+func TestUnplaceableRestartsHoldBackNoNewTasks(t *testing.T) {
+	tests := []struct {
+		name   string
+		worker model.Resources
+		lost   StepSpec
+	}{
+		{"label that no worker has", model.NewResources(4000, 4000, 0), StepSpec{
+			Tasks: 1, Size: model.NewResources(3500, 100, 0), LongRunning: true, RequiredLabel: "big",
+		}},
+		{"larger than any worker", model.NewResources(8000, 8000, 0), StepSpec{Tasks: 1, Size: model.NewResources(6000, 100, 0), LongRunning: true}},
+	}
+	for _, tt := range tests {
+		for _, left := range []bool{true, false} {
+			har := newHarness(t)
+			hb := Heartbeat{
+				HeartbeatID: 1 << 40, Incarnation: NewIncarnation("old", 1), Sequence: 1, Service: "svc", Centre: "a", Address: "old",
+				Size: tt.worker, Labels: []string{"big"},
+			}
+			har.step(hb)
+			har.submit("lost", tt.lost)
+			hb.Sequence, hb.Draining = 2, true
+			hb.Runs = []RunReport{{Task: NewTaskID("lost", 0, 0, 0), Attempt: 1, Percent: fullPace}}
+			har.step(hb)
+			if left {
+				har.step(Leave{Worker: "old"})
+			}
+			har.submit("new", longRunningStep)
+			if !har.startsWithin("other", maxDown) {
+				t.Errorf("%s, its worker has left: %v: the new task doesn't start within %v on an empty worker", tt.name, left, maxDown)
+			}
+		}
+	}
+}
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -1,6 +1,10 @@
 package flow
 
-import "guavarail/core/model"
+import (
+	"slices"
+
+	"guavarail/core/model"
+)
 
 // longRunningRoom is the capacity for long-running tasks in the current plan.
 type longRunningRoom struct {
@@ -8,8 +12,41 @@
 	// Other runs end by themselves and don't count.
 	room model.Resources
 	// endangered is what long-running tasks will need again: those that wait for
-	// a restart, and those on workers that are draining or silent.
+	// a restart, and those on workers that are draining or silent. Tasks that no
+	// worker can hold don't count.
 	endangered model.Resources
+	// holdable has the results of canHold.
+	holdable map[taskNeed]bool
+}
+
+// taskNeed is what a task needs of a worker.
+type taskNeed struct {
+	size  model.Resources
+	label string
+}
+
+// staying reports whether long-running tasks may be placed on a worker, and are
+// not expected to lose their runs there.
+func (wk *worker) staying(now model.Instant) bool {
+	return !wk.draining && now.Sub(wk.lastHeartbeat) <= maxHeartbeatAge
+}
+
+// canHold reports whether some worker would have room for a task of a step without
+// the runs that are not long-running.
+func (pl *Planner) canHold(now model.Instant, service model.ServiceID, spec *StepSpec) bool {
+	ro := pl.roomOf(service)
+	tn := taskNeed{size: spec.reservation(), label: spec.RequiredLabel}
+	if ok, known := ro.holdable[tn]; known {
+		return ok
+	}
+	if ro.holdable == nil {
+		ro.holdable = map[taskNeed]bool{}
+	}
+	ro.holdable[tn] = slices.ContainsFunc(pl.workers.sorted, func(wk *worker) bool {
+		return wk.service == service && wk.staying(now) && !pl.outage[wk.centre] && tn.size.FitsIn(wk.size.Sub(wk.longRunning)) &&
+			(tn.label == "" || slices.Contains(wk.labels, tn.label))
+	})
+	return ro.holdable[tn]
 }
 
 // measureRoom sums up the capacity for long-running tasks of each service. steps
@@ -21,19 +58,22 @@
 			continue
 		}
 		ro := pl.roomOf(wk.service)
-		if wk.draining || now.Sub(wk.lastHeartbeat) > maxHeartbeatAge {
-			ro.endangered = ro.endangered.Add(wk.longRunning)
+		if wk.staying(now) {
+			ro.room = ro.room.Add(wk.size.Sub(wk.longRunning))
 			continue
 		}
-		ro.room = ro.room.Add(wk.size.Sub(wk.longRunning))
+		for _, pr := range wk.runs {
+			if pr.spec.LongRunning && pl.canHold(now, wk.service, pr.spec) {
+				ro.endangered = ro.endangered.Add(pr.size)
+			}
+		}
 	}
 	for i := range steps {
 		rs := &steps[i]
-		if !rs.restart {
-			continue
+		if rs.restart && pl.canHold(now, rs.job.spec.Service, rs.spec) {
+			ro := pl.roomOf(rs.job.spec.Service)
+			ro.endangered = ro.endangered.Add(sumOf(rs.spec.reservation(), rs.waitingTasks()))
 		}
-		ro := pl.roomOf(rs.job.spec.Service)
-		ro.endangered = ro.endangered.Add(sumOf(rs.spec.reservation(), rs.waitingTasks()))
 	}
 }
 
