Answer for an accepted job after its route was renamed

What callers see: 410 for a job that was accepted, to GET and DELETE, once a configuration gives its route another name with the same host and prefix.

Cause: the name of the queue that accepted the job is compared with that of the queue that now has the host and prefix.

Fix: a job is found by its id, whichever queue accepted it.

Evidence, before the fix (found in review):

--- FAIL: TestJobIsKnownAfterItsRouteWasRenamed GET: status 410 , want 200 DELETE: status 410 , want 200

After it the test passes.

What remains: the number of pending jobs is still counted by the name of the queue, so that jobs accepted under the old name are left out.

--- a/io/cell/acknowledge.go
+++ b/io/cell/acknowledge.go
@@ -22,8 +22,6 @@
 	neverAccepted = "neverAccepted"
 	// dropped means that the job was dropped after its retention.
 	dropped = "dropped"
-	// otherQueue means that the job is known, but was submitted to another queue.
-	otherQueue = "otherQueue"
 )
 
 // Configure stores a configuration, waits until it is applied and records the event
@@ -68,38 +66,35 @@
 	return doc, errors.Trace(err)
 }
 
-// JobStatus returns the status of a job of a queue. If the queue has no such job, it
-// returns false and records the event jobUnknown with the reason.
+// JobStatus returns the status of a job that is asked for at a queue, whichever queue
+// accepted it, because a configuration may have renamed the queue since. If there is no
+// such job, it returns false and records the event jobUnknown with the reason.
 func (lea Leader) JobStatus(ctx context.Context, queue string, id model.JobID) (flow.Status, bool, error) {
 	type answer struct {
 		status flow.Status
 		known  bool
 	}
 	ans, err := group.Read(ctx, lea.mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) answer {
-		status, jobQueue, ok := sta.Jobs().Status(id)
-		if !ok || jobQueue != queue {
-			lea.mem.recordUnknownJob(now, rol, id, queue, jobQueue)
+		status, _, ok := sta.Jobs().Status(id)
+		if !ok {
+			lea.mem.recordUnknownJob(now, rol, id, queue)
 		}
-		return answer{status: status, known: ok && jobQueue == queue}
+		return answer{status: status, known: ok}
 	})
 	return ans.status, ans.known, errors.Trace(err)
 }
 
-// recordUnknownJob records that a job is not in a queue. jobQueue is the queue of the job;
-// it is empty if the state has no such job. It runs on the group's actor.
-func (mem *member) recordUnknownJob(now model.Instant, rol quorum.Role, id model.JobID, queue, jobQueue string) {
+// recordUnknownJob records that the state has no such job as is asked for at a queue. It
+// runs on the group's actor.
+func (mem *member) recordUnknownJob(now model.Instant, rol quorum.Role, id model.JobID, queue string) {
 	suppressed, ok := mem.unknownJobs.Allow(now)
 	if !ok {
 		return
 	}
 	fis := append(readFields(now, rol, suppressed), event.NewField("queue", queue), event.NewField("jobsKnown", strconv.Itoa(mem.state.Jobs().Len())))
-	age, wasDropped := mem.dropped.age(now, id)
-	switch {
-	case jobQueue != "":
-		fis = append(fis, event.NewField("reason", otherQueue), event.NewField("jobQueue", jobQueue))
-	case wasDropped:
+	if age, ok := mem.dropped.age(now, id); ok {
 		fis = append(fis, event.NewField("reason", dropped), event.NewField("droppedMs", milliseconds(age)))
-	default:
+	} else {
 		// Jobs dropped before this VM started are not remembered.
 		fis = append(fis, event.NewField("reason", neverAccepted), event.NewField("runningMs", milliseconds(time.Duration(now))))
 	}
