--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -12,8 +12,41 @@
 	// Other runs end by themselves and don't count.
 	room model.Resources
 	// endangered is what long-running tasks will need again: those that wait for
-	// a restart, and those on workers that are draining or silent.
+	// a restart, and those on workers that are draining or silent. Tasks that no
+	// worker can hold don't count.
 	endangered model.Resources
+	// holdable has the results of canHold.
+	holdable map[taskNeed]bool
+}
+
+// taskNeed is what a task needs of a worker.
+type taskNeed struct {
+	size  model.Resources
+	label string
+}
+
+// staying reports whether long-running tasks may be placed on a worker, and are
+// not expected to lose their runs there.
+func (pl *Planner) staying(wk *worker) bool {
+	return !wk.draining && pl.silence(wk) <= maxHeartbeatAge
+}
+
+// canHold reports whether some worker may run a task of a step and is large enough
+// for it.
+func (pl *Planner) canHold(service model.ServiceID, spec *StepSpec) bool {
+	ro := pl.roomOf(service)
+	tn := taskNeed{size: spec.reservation(), label: spec.RequiredLabel}
+	if ok, known := ro.holdable[tn]; known {
+		return ok
+	}
+	if ro.holdable == nil {
+		ro.holdable = map[taskNeed]bool{}
+	}
+	ro.holdable[tn] = slices.ContainsFunc(pl.workers.sorted, func(wk *worker) bool {
+		return wk.service == service && pl.staying(wk) && !pl.outage[wk.centre] && tn.size.FitsIn(wk.size) &&
+			(tn.label == "" || slices.Contains(wk.labels, tn.label))
+	})
+	return ro.holdable[tn]
 }
 
 // measureRoom sums up the capacity for long-running tasks of each service, if any
@@ -32,19 +65,22 @@
 		if wk.service != service {
 			service, ro = wk.service, pl.roomOf(wk.service)
 		}
-		if wk.draining || pl.silence(wk) > maxHeartbeatAge {
-			ro.endangered = ro.endangered.Add(wk.longRunning)
+		if pl.staying(wk) {
+			ro.room = ro.room.Add(wk.size.Sub(wk.longRunning))
 			continue
 		}
-		ro.room = ro.room.Add(wk.size.Sub(wk.longRunning))
+		for _, pr := range wk.runs {
+			if pr.spec.LongRunning && pl.canHold(wk.service, pr.spec) {
+				ro.endangered = ro.endangered.Add(pr.size)
+			}
+		}
 	}
 	for i := range steps {
 		rs := &steps[i]
-		if !rs.restart {
-			continue
+		if rs.restart && pl.canHold(rs.job.spec.Service, rs.spec) {
+			ro := pl.roomOf(rs.job.spec.Service)
+			ro.endangered = ro.endangered.Add(sumOf(rs.spec.reservation(), rs.waitingTasks()))
 		}
-		ro := pl.roomOf(rs.job.spec.Service)
-		ro.endangered = ro.endangered.Add(sumOf(rs.spec.reservation(), rs.waitingTasks()))
 	}
 }
 
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -82,6 +82,9 @@
 	// may get the next one. They are not replicated.
 	turn     *overdueTurn
 	nextTurn model.Instant
+	// failedAttempt is the highest attempt number of a gang of which this VM has seen
+	// a failure. It is not replicated.
+	failedAttempt int
 }
 
 // occurrence is one execution of all steps of a job. A job that does not repeat
