Split large files of core/slots, core/route, core/trace, io/node and io/fake/worker

The sessions and messages of core/slots, the estimates of a service, the checks of the replay, the events of the fake worker and what a node publishes have files of their own.

--- a/core/route/request.go
+++ b/core/route/request.go
@@ -287,49 +287,9 @@
 	}
 }
 
-func orDefault(dur, def time.Duration) time.Duration {
-	if dur == 0 {
-		return def
-	}
-	return dur
-}
-
 func yesNo(val bool) string {
 	if val {
 		return "yes"
 	}
 	return "no"
 }
-
-// anyAlive reports whether any server of the service is alive, also if it has no
-// free slot.
-func (sv *service[K]) anyAlive(now model.Instant) bool {
-	if len(sv.available) > 0 && sv.available[0].alive(now) {
-		return true
-	}
-	for _, se := range sv.servers {
-		if se.alive(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// tooLate reports whether req can no longer meet its deadline. It assumes that
-// req takes half the mean slot time, since most requests are shorter than the
-// mean. While no request of the service holds a slot, the mean may be out of
-// date: then only a request past its deadline is too late, and the next one that
-// runs gives a new sample.
-func (sv *service[K]) tooLate(now model.Instant, req *request[K]) bool {
-	need := time.Duration(0)
-	if sv.inUse > 0 {
-		need = time.Duration(sv.slotTime.decayed(now, 0) / 2)
-	}
-	return !now.Add(need).Before(req.deadline)
-}
-
-// quantum returns the slot time that a caller gets in one round of the queue:
-// the mean slot time of the service, 1 ms without samples.
-func (sv *service[K]) quantum(now model.Instant) time.Duration {
-	return time.Duration(sv.slotTime.decayed(now, float64(time.Millisecond)))
-}
