Record how long the leader delays answers and starts

The room of an ended run is empty until the worker has the next start, and callers lose work when that takes long while long-running tasks wait.

The event leaderDelays has, for each second, the number, the mean and the maximum of these times.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -99,6 +99,7 @@
 		HeartbeatID: wk.heartbeatID, Term: pl.term, LeaseDuration: pl.config.leaseDuration(), Acknowledged: pl.lastRecordedEnd(wk), HeartbeatDelay: pl.heartbeatDelay(),
 		Stops: slices.Clone(wk.unknownRuns),
 	}
+	pl.delays.answered(now, wk, ans.Acknowledged)
 	for _, pr := range wk.runs {
 		pl.addOrder(now, wk, pr, &ans)
 	}
@@ -164,6 +165,7 @@
 		}
 	case now.Sub(wk.answerPendingSince) <= maxAnswerAge:
 		pr.startSent, pr.startSequence = true, wk.sequence
+		pl.delays.starts.add(now.Sub(pr.placedAt))
 		ans.Starts = append(ans.Starts, StartOrder{
 			Task: pr.task, Attempt: pr.attempt, Body: pr.job.spec.Body, Checkpoint: pr.checkpoint,
 		})
--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -114,10 +114,11 @@
 // unknown, it discards the records of its operations, so that they can be
 // planned again. An operation that is applied later is handled like one of
 // another leader.
-func (pl *Planner) proposalEnded(msg ProposalEnded) {
+func (pl *Planner) proposalEnded(now model.Instant, msg ProposalEnded) {
 	if msg.Term != pl.term {
 		return
 	}
+	pl.delays.commits.add(now.Sub(pl.delays.proposedAt))
 	pl.proposing, pl.dirty, pl.recheckAnswers = false, true, true
 	if msg.Applied {
 		return
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -56,6 +56,7 @@
 		pl.effects = append(pl.effects, Answer{HeartbeatID: hb.HeartbeatID, Refused: true})
 		return
 	}
+	pl.delays.queued.add(now.Sub(timeOr(hb.Arrived, now)))
 	wk, ok := pl.registerIncarnation(now, hb)
 	if !ok {
 		// The heartbeat is from an earlier incarnation or arrived after a later
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -161,6 +161,8 @@
 	// capacityRecordedAt is when the last event about the use of capacity was
 	// recorded.
 	capacityRecordedAt model.Instant
+	// delays are those of this leader since the last event about them.
+	delays delays
 	// effects collects the effects of the current call of Step.
 	effects []Effect
 }
@@ -186,7 +188,7 @@
 	case Applied:
 		pl.applied(now, msg)
 	case ProposalEnded:
-		pl.proposalEnded(msg)
+		pl.proposalEnded(now, msg)
 	case Leave:
 		pl.leave(now, msg)
 	case Outage:
@@ -235,7 +237,7 @@
 			pl.plan(now)
 		}
 		if len(pl.pendingOps) > 0 {
-			pl.proposing = true
+			pl.proposing, pl.delays.proposedAt = true, now
 			pl.mergeGangFailures()
 			pl.effects = append(pl.effects, Propose{Ops: pl.pendingOps, Term: pl.term})
 			pl.pendingOps = nil
--- a/core/flow/term.go
+++ b/core/flow/term.go
@@ -14,6 +14,7 @@
 func (pl *Planner) becomeLeader(now model.Instant, term uint64) {
 	pl.stepDown()
 	pl.leading, pl.term, pl.dirty = true, term, true
+	pl.delays.recordedAt = now
 	for _, jb := range pl.st.bySubmission() {
 		jb.endSeenAt = now
 		if jb.status.Final() {
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -15,6 +15,7 @@
 		return
 	}
 	pl.sweptAt = now
+	pl.recordDelays(now)
 	pl.updateEstimates(now)
 	// Occurrences become due, and heartbeats exceed maxHeartbeatAge, without any
 	// other input.
