Let operations of later versions change nothing

A VM that reads an operation of a kind it does not know took it for OpForget of the job that the operation names. An ended job would be dropped on that VM and kept on the others, and the replicas differ.

An unknown kind is now the zero operation, which State.Apply answers with UnknownJob. Seen by reading; TestUnknownCellOperationChangesNothing failed before: the state had no job, want one.

--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -88,7 +88,7 @@
 }
 
 // cellOpFromProto returns the operation that msg encodes. A kind that is unknown to this
-// version is decoded as flow.Forget.
+// version is decoded as the zero operation, which changes nothing.
 func cellOpFromProto(msg *CellOp) (flow.Op, error) {
 	tid := flow.NewTaskID(model.JobID(msg.GetId()), int(msg.GetTask().GetOccurrence()), int(msg.GetTask().GetStep()), int(msg.GetTask().GetIndex()))
 	switch flow.OpKind(msg.GetKind()) {
@@ -101,8 +101,10 @@
 		return flow.Start(tid, int(msg.GetAttempt()), flow.NewIncarnation(model.WorkerID(msg.GetWorker()), msg.GetBorn())), nil
 	case flow.OpEnd:
 		return flow.End(tid, int(msg.GetAttempt()), flow.Outcome(msg.GetOutcome()), msg.GetCheckpoint()), nil
+	case flow.OpForget:
+		return flow.Forget(model.JobID(msg.GetId())), nil
 	}
-	return flow.Forget(model.JobID(msg.GetId())), nil
+	return flow.Op{}, nil
 }
 
 func cellJobToProto(spec flow.JobSpec) *CellJob {
--- a/io/wire/cell_test.go
+++ b/io/wire/cell_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"guavarail/core/cell"
 	"guavarail/core/flow"
 	"guavarail/core/model"
@@ -82,3 +84,22 @@
 		t.Errorf("snapshot %+v, want %+v", got.Snapshot(), sta.Snapshot())
 	}
 }
+
+// Guards against an operation of a later version that drops the job it names.
+func TestUnknownCellOperationChangesNothing(t *testing.T) {
+	var sta cell.State
+	sta.Apply(cell.Jobs(flow.Submit(newCellJob(t)), flow.Cancel("5c0e7a21d94b36f8")))
+	before := sta.Snapshot()
+	buf, err := proto.Marshal(&CellCommand{Ops: []*CellOp{{Kind: 99, Id: "5c0e7a21d94b36f8"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd, err := CellCommands{}.Decode(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sta.Apply(cmd)
+	if got := sta.Snapshot(); !reflect.DeepEqual(got, before) {
+		t.Errorf("state %+v, want %+v", got, before)
+	}
+}
