Tell a leader the term of the last lease before its own

What a former leader has recorded in the log is worth nothing to the next one if another leader has held the lease between. Role.PreviousTerm is the last term whose leader may have held it: that of the last entry before the term, since a lease needs a committed entry of its term, which every later leader has.

The oracle of the simulated group checks it for every lease of all its tests.

--- a/core/quorum/leader.go
+++ b/core/quorum/leader.go
@@ -15,6 +15,9 @@
 	// termStart is the index of the entry that the leader appended at the start
 	// of its term.
 	termStart uint64
+	// previousTerm is the term of the entry before termStart, 0 for none. No leader
+	// of a later one has held the lease, because it would have committed an entry.
+	previousTerm uint64
 	// chosen is the index of the last entry that a majority of the voters was
 	// seen to have on disk in this term. Every later leader has it. It is ahead
 	// of the commit index while fewer than Config.MinCopies disks have the entry.
@@ -41,7 +44,7 @@
 // bootstrap configuration, and otherwise an empty entry.
 func (n *Node) becomeLeader() {
 	n.state, n.leader = leader, n.cfg.Self
-	n.leaderState = leaderState{peers: map[model.VMID]*progress{}, termStart: n.log.last() + 1, electedAt: n.now}
+	n.leaderState = leaderState{peers: map[model.VMID]*progress{}, termStart: n.log.last() + 1, previousTerm: n.lastTerm(), electedAt: n.now}
 	n.recordEvent("leaderElected", n.cfg.Self, event.NewField("term", strconv.FormatUint(n.term, 10)))
 	if mems := n.members(); !mems.disksKnown() {
 		n.appendEntry(NewMembersEntry(n.log.last()+1, n.term, n.bootstrapMembers(mems)))
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -272,7 +272,7 @@
 	last, ok := n.termAt(n.commit)
 	ro.appliedCurrentTerm = ok && last == n.term && n.leader != ""
 	if n.state == leader {
-		ro.leading = true
+		ro.leading, ro.previousTerm = true, n.leaderState.previousTerm
 		if ro.leased = n.leased(now); ro.leased {
 			ro.leasedUntil = n.lastQuorumContact(now).Add(LeaseDuration)
 		}
--- a/core/quorum/oracle_test.go
+++ b/core/quorum/oracle_test.go
@@ -16,6 +16,9 @@
 	lastAcked uint64
 	// leaders holds the VM and incarnation that led in each term.
 	leaders map[uint64]string
+	// leaseTerm is the last term in which a VM held the lease, and leaseTermBefore
+	// the one before it; 0 for none.
+	leaseTerm, leaseTermBefore uint64
 	// errs describes the violations found.
 	errs []string
 }
@@ -115,8 +118,8 @@
 	ora.leaders[role.Term()] = name
 }
 
-// checkLease checks that at most one VM holds the lease, and that its state has
-// every acknowledged command.
+// checkLease checks that at most one VM holds the lease, that its state has every
+// acknowledged command, and that it knows the term of the last lease before.
 func (ora *oracle) checkLease(s *sim) {
 	holder := ""
 	for _, vm := range s.vms {
@@ -132,6 +135,12 @@
 			ora.fail("%s and %s hold the lease in term %d", holder, vm, role.Term())
 		}
 		holder = string(vm)
+		if role.Term() > ora.leaseTerm {
+			ora.leaseTerm, ora.leaseTermBefore = role.Term(), ora.leaseTerm
+		}
+		if role.Term() == ora.leaseTerm && (role.PreviousTerm() < ora.leaseTermBefore || role.PreviousTerm() >= role.Term()) {
+			ora.fail("%s leads term %d after term %d, but the lease was held in term %d before", vm, role.Term(), role.PreviousTerm(), ora.leaseTermBefore)
+		}
 		if role.Applied() < ora.lastAcked {
 			ora.fail("%s holds the lease with entry %d applied, but entry %d is acknowledged", vm, role.Applied(), ora.lastAcked)
 		}
--- a/core/quorum/role.go
+++ b/core/quorum/role.go
@@ -12,7 +12,9 @@
 	appliedCurrentTerm bool
 	failed             bool
 	term               uint64
-	leader             model.VMID
+	// previousTerm is zero unless leading.
+	previousTerm uint64
+	leader       model.VMID
 	// applied is the index of the last applied entry.
 	applied uint64
 	// leasedUntil is zero unless leased.
@@ -44,6 +46,10 @@
 // Term returns the current term of the replica.
 func (ro Role) Term() uint64 { return ro.term }
 
+// PreviousTerm returns the last term, before that of this replica, whose leader
+// may have held the lease; 0 for none. It is only valid while Leading is true.
+func (ro Role) PreviousTerm() uint64 { return ro.previousTerm }
+
 // Leader returns the leader of the current term, or "" if it is unknown.
 func (ro Role) Leader() model.VMID { return ro.leader }
 
