Add marks of silent workers to the replicated state

A new leader does not know since when a worker has been silent. OpSilence marks an incarnation that has runs, with the time that its lease may last at most after the mark was decided and the term of the leader that decided it; OpHeard removes the mark. Each VM dates a mark by its own clock when it gets it, so that what it knows of the end of the lease is too late at worst. The state counts the runs of each incarnation, and a mark goes with the last run, so that there are never more marks than workers with runs.

Nothing proposes them yet.

--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -20,6 +20,10 @@
 		return st.end(op)
 	case OpForget:
 		return st.forget(op.id)
+	case OpSilence:
+		return st.markSilent(op)
+	case OpHeard:
+		return st.markHeard(op.incarnation)
 	}
 	return UnknownJob
 }
@@ -80,6 +84,7 @@
 	}
 	tk.attempt = op.attempt
 	tk.runs = append(tk.runs, run{attempt: op.attempt, incarnation: op.incarnation})
+	st.countRun(op.incarnation, 1)
 	jb.started = true
 	jb.liveRuns++
 	return Accepted
@@ -98,6 +103,7 @@
 	}
 	spec := &jb.spec.Steps[op.task.step]
 	sp := &occ.steps[op.task.step]
+	st.countRun(tk.runs[pos].incarnation, -1)
 	tk.runs = slices.Delete(tk.runs, pos, pos+1)
 	jb.liveRuns--
 	if !tk.done && len(tk.runs) == 0 {
--- a/core/flow/op.go
+++ b/core/flow/op.go
@@ -1,6 +1,10 @@
 package flow
 
-import "guavarail/core/model"
+import (
+	"time"
+
+	"guavarail/core/model"
+)
 
 // Outcome is how a run ended. The zero value is not an outcome.
 type Outcome uint8
@@ -49,6 +53,10 @@
 	OpEnd
 	// OpForget drops a job that ended longer ago than Config.JobRetention.
 	OpForget
+	// OpSilence marks an incarnation of a worker as silent, and OpHeard removes the
+	// mark.
+	OpSilence
+	OpHeard
 )
 
 // Op is one operation on the replicated state. Only the fields of its kind are
@@ -62,6 +70,8 @@
 	incarnation Incarnation
 	outcome     Outcome
 	checkpoint  string
+	term        uint64
+	leaseLeft   time.Duration
 }
 
 // Submit returns the operation that adds a job.
@@ -85,6 +95,19 @@
 	return Op{kind: OpEnd, id: task.job, task: task, attempt: attempt, outcome: oc, checkpoint: checkpoint}
 }
 
+// Silence returns the operation that marks an incarnation as silent. The leader of
+// the term has granted it no lease since it decided the operation, and an earlier
+// lease ends within leaseLeft after that.
+func Silence(inc Incarnation, term uint64, leaseLeft time.Duration) Op {
+	return Op{kind: OpSilence, incarnation: inc, term: term, leaseLeft: leaseLeft}
+}
+
+// Heard returns the operation, decided by the leader of the term, that removes the
+// mark of a silent incarnation. The leader grants leases once it has applied it.
+func Heard(inc Incarnation, term uint64) Op {
+	return Op{kind: OpHeard, incarnation: inc, term: term}
+}
+
 // Kind returns what the operation does.
 func (op Op) Kind() OpKind { return op.kind }
 
@@ -100,7 +123,7 @@
 // Attempt returns the attempt number of a Start or End, from 1.
 func (op Op) Attempt() int { return op.attempt }
 
-// Incarnation returns the incarnation of the worker of a Start.
+// Incarnation returns the incarnation of the worker of a Start, Silence or Heard.
 func (op Op) Incarnation() Incarnation { return op.incarnation }
 
 // Outcome returns the outcome of an End.
@@ -109,6 +132,13 @@
 // Checkpoint returns the checkpoint of an End.
 func (op Op) Checkpoint() string { return op.checkpoint }
 
+// Term returns the term of a Silence or Heard.
+func (op Op) Term() uint64 { return op.term }
+
+// LeaseLeft returns how long the lease may last, at most, after a Silence was
+// decided.
+func (op Op) LeaseLeft() time.Duration { return op.leaseLeft }
+
 // Verdict is the result of applying an operation.
 type Verdict uint8
 
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -9,11 +9,13 @@
 type Snapshot struct {
 	submitted uint64
 	jobs      []JobRecord
+	silences  []SilenceRecord
 }
 
-// NewSnapshot returns a snapshot; jobs are in the order of submission.
-func NewSnapshot(submitted uint64, jobs []JobRecord) Snapshot {
-	return Snapshot{submitted: submitted, jobs: jobs}
+// NewSnapshot returns a snapshot; jobs are in the order of submission, and silences
+// in that of the names of the incarnations.
+func NewSnapshot(submitted uint64, jobs []JobRecord, silences []SilenceRecord) Snapshot {
+	return Snapshot{submitted: submitted, jobs: jobs, silences: silences}
 }
 
 // Submitted returns the number of jobs that were ever submitted.
@@ -22,6 +24,9 @@
 // Jobs returns the jobs in the order of submission.
 func (sn Snapshot) Jobs() []JobRecord { return sn.jobs }
 
+// Silences returns the marks of silent incarnations, ordered by name.
+func (sn Snapshot) Silences() []SilenceRecord { return sn.silences }
+
 // JobRecord is one job of a snapshot.
 type JobRecord struct {
 	Spec    JobSpec
@@ -52,7 +57,7 @@
 
 // Snapshot returns a copy of the state.
 func (st *State) Snapshot() Snapshot {
-	snap := Snapshot{submitted: st.submitted}
+	snap := Snapshot{submitted: st.submitted, silences: st.silences()}
 	for _, jb := range st.bySubmission() {
 		snap.jobs = append(snap.jobs, jb.record())
 	}
@@ -89,6 +94,9 @@
 	for i := range snap.jobs {
 		st.restoreJob(&snap.jobs[i])
 	}
+	for _, rec := range snap.silences {
+		st.restoreSilence(rec)
+	}
 }
 
 func (st *State) restoreJob(rec *JobRecord) {
@@ -118,6 +126,7 @@
 	tk.attempt, tk.failures, tk.checkpoint = rec.Attempt, rec.Failures, rec.Checkpoint
 	for _, rr := range rec.Runs {
 		tk.runs = append(tk.runs, run{attempt: rr.Attempt, incarnation: rr.Incarnation})
+		st.countRun(rr.Incarnation, 1)
 	}
 	if len(tk.runs) > 0 {
 		occ.steps[rec.Step].idleTasks--
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -173,6 +173,10 @@
 	jobs map[model.JobID]*job
 	// submitted counts the jobs submitted so far and numbers them in log order.
 	submitted uint64
+	// hosts holds the incarnations of workers that have runs.
+	hosts map[Incarnation]*host
+	// undated is set if a mark of a host may have no leaseEnd. It is not replicated.
+	undated bool
 }
 
 // Status returns the status and the queue of a job, and false if the job was
--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -76,6 +76,7 @@
 	msg := &CellOp{
 		Kind: uint32(op.Kind()), Id: string(op.ID()), Attempt: int32(op.Attempt()), Worker: string(op.Incarnation().Worker()),
 		Born: op.Incarnation().StartedAt(), Outcome: uint32(op.Outcome()), Checkpoint: op.Checkpoint(),
+		Term: op.Term(), LeaseLeftNs: int64(op.LeaseLeft()),
 	}
 	switch op.Kind() {
 	case flow.OpSubmit:
@@ -91,6 +92,7 @@
 // version is decoded as the zero operation, which changes nothing.
 func cellOpFromProto(msg *CellOp) (flow.Op, error) {
 	tid := flow.NewTaskID(model.JobID(msg.GetId()), int(msg.GetTask().GetOccurrence()), int(msg.GetTask().GetStep()), int(msg.GetTask().GetIndex()))
+	inc := flow.NewIncarnation(model.WorkerID(msg.GetWorker()), msg.GetBorn())
 	switch flow.OpKind(msg.GetKind()) {
 	case flow.OpSubmit:
 		jo, err := flow.NewJob(cellJobFromProto(msg.GetJob()))
@@ -98,11 +100,15 @@
 	case flow.OpCancel:
 		return flow.Cancel(model.JobID(msg.GetId())), nil
 	case flow.OpStart:
-		return flow.Start(tid, int(msg.GetAttempt()), flow.NewIncarnation(model.WorkerID(msg.GetWorker()), msg.GetBorn())), nil
+		return flow.Start(tid, int(msg.GetAttempt()), inc), nil
 	case flow.OpEnd:
 		return flow.End(tid, int(msg.GetAttempt()), flow.Outcome(msg.GetOutcome()), msg.GetCheckpoint()), nil
 	case flow.OpForget:
 		return flow.Forget(model.JobID(msg.GetId())), nil
+	case flow.OpSilence:
+		return flow.Silence(inc, msg.GetTerm(), time.Duration(msg.GetLeaseLeftNs())), nil
+	case flow.OpHeard:
+		return flow.Heard(inc, msg.GetTerm()), nil
 	}
 	return flow.Op{}, nil
 }
@@ -207,6 +213,11 @@
 	for _, rec := range snap.Jobs().Jobs() {
 		msg.Jobs = append(msg.Jobs, cellJobRecordToProto(rec))
 	}
+	for _, rec := range snap.Jobs().Silences() {
+		msg.Silences = append(msg.Silences, &CellSilence{
+			Worker: string(rec.Incarnation.Worker()), Born: rec.Incarnation.StartedAt(), Term: rec.Term, LeaseLeftNs: int64(rec.LeaseLeft),
+		})
+	}
 	return proto.Marshal(msg)
 }
 
@@ -231,7 +242,13 @@
 	for _, rec := range msg.GetJobs() {
 		recs = append(recs, cellJobRecordFromProto(rec))
 	}
-	return cell.NewSnapshot(doc, out, flow.NewSnapshot(msg.GetSubmitted(), recs)), nil
+	var silences []flow.SilenceRecord
+	for _, sm := range msg.GetSilences() {
+		silences = append(silences, flow.SilenceRecord{
+			Incarnation: flow.NewIncarnation(model.WorkerID(sm.GetWorker()), sm.GetBorn()), Term: sm.GetTerm(), LeaseLeft: time.Duration(sm.GetLeaseLeftNs()),
+		})
+	}
+	return cell.NewSnapshot(doc, out, flow.NewSnapshot(msg.GetSubmitted(), recs, silences)), nil
 }
 
 func cellJobRecordToProto(rec flow.JobRecord) *CellJobRecord {
--- a/io/wire/cell_test.go
+++ b/io/wire/cell_test.go
@@ -48,7 +48,7 @@
 	tests := []cell.Command{
 		cell.Configure(doc), cell.SetCentreOut("riga-a", true), cell.SetCentreOut("riga-a", false),
 		cell.Jobs(flow.Submit(newCellJob(t)), flow.Cancel("x"), flow.Start(task, 3, flow.NewIncarnation("w", 99)),
-			flow.End(task, 3, flow.Stopped, "point"), flow.Forget("x")),
+			flow.End(task, 3, flow.Stopped, "point"), flow.Forget("x"), flow.Silence(flow.NewIncarnation("w", 99), 7, time.Second), flow.Heard(flow.NewIncarnation("w", 99), 8)),
 	}
 	for i, cmd := range tests {
 		buf, err := CellCommands{}.Encode(cmd)
@@ -69,7 +69,10 @@
 	task := flow.NewTaskID("5c0e7a21d94b36f8", 1, 0, 1)
 	sta.Apply(cell.SetCentreOut("riga-b", true))
 	sta.Apply(cell.Jobs(flow.Submit(newCellJob(t)), flow.Start(task, 1, flow.NewIncarnation("w", 99)), flow.End(task, 1, flow.Failed, "point"),
-		flow.Start(task, 2, flow.NewIncarnation("v", 98))))
+		flow.Start(task, 2, flow.NewIncarnation("v", 98)), flow.Silence(flow.NewIncarnation("v", 98), 7, time.Second)))
+	if len(sta.Snapshot().Jobs().Silences()) != 1 {
+		t.Fatal("the snapshot has no silent worker")
+	}
 	buf, err := CellSnapshots{}.Encode(sta.Snapshot())
 	if err != nil {
 		t.Fatal(err)
