Let followers apply the log as they do in a cell in the simulation of core/flow

Followers applied the log at their election only, and never restarted. In a cell they apply it as the commit index advances, a little later than the leader, and a former leader has often restarted. What a VM learned by its own clock before it became leader was unknown in the simulation.

No check has changed.

--- a/core/flow/once_test.go
+++ b/core/flow/once_test.go
@@ -39,7 +39,7 @@
 		if t.Failed() {
 			return
 		}
-		sim.applyLog(sim.vms[0])
+		sim.applyLog(sim.vms[0], len(sim.log))
 		for id, jb := range sim.vms[0].st.jobs {
 			if jb.status != Completed {
 				t.Fatalf("seed %d: job %s is %v after %d starts, want completed", seed, id, jb.status, sim.starts)
--- a/core/flow/sim_test.go
+++ b/core/flow/sim_test.go
@@ -19,8 +19,10 @@
 // two workers at once, or starts after its success was acknowledged, or brings a
 // worker over its capacity.
 type simulation struct {
-	t         *testing.T
-	rng       *rand.Rand
+	t   *testing.T
+	rng *rand.Rand
+	// lag chooses what concerns VMs that do not lead.
+	lag       *rand.Rand
 	now       model.Instant
 	queue     simQueue
 	lastOrder uint64
@@ -106,7 +108,10 @@
 	st State
 	pl *Planner
 	// applied is the number of log entries applied to st.
-	applied    int
+	applied int
+	// lagsUntil is the end of a time in which the VM, unless it leads, applies
+	// nothing.
+	lagsUntil  model.Instant
 	leading    bool
 	leaseUntil model.Instant
 	term       uint64
@@ -116,7 +121,7 @@
 // whose runs one in twenty fails.
 func newSimulation(t *testing.T, seed uint64, vms, workers int) *simulation {
 	sim := &simulation{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), openHeartbeats: map[uint64]*heartbeatSim{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), lag: rand.New(rand.NewPCG(seed, 2)), openHeartbeats: map[uint64]*heartbeatSim{},
 		liveAttempts: map[TaskID]map[*workerSim]int{}, acknowledged: map[TaskID]bool{}, specs: map[model.JobID][]StepSpec{},
 		maxCommit: 15 * time.Millisecond,
 	}
@@ -189,7 +194,7 @@
 
 // elect makes a VM the leader. The lease of the previous leader must be over.
 func (sim *simulation) elect(vm *vmSim) {
-	sim.applyLog(vm)
+	sim.applyLog(vm, len(sim.log))
 	sim.term++
 	vm.leading, vm.term, vm.leaseUntil, sim.leader = true, sim.term, sim.now.Add(simLeaderLease), vm
 	sim.step(vm, BecameLeader{Term: sim.term, LeaseUntil: vm.leaseUntil, Wall: sim.wall()})
@@ -204,13 +209,36 @@
 	next := sim.vms[sim.rng.IntN(len(sim.vms))]
 	sim.at(sim.now.Add(gap), func() {
 		sim.step(former, SteppedDown{})
+		if sim.lag.IntN(2) == 0 {
+			sim.restart(former)
+		}
 		sim.elect(next)
 	})
 }
 
-// applyLog applies the log entries that a VM has not applied yet.
-func (sim *simulation) applyLog(vm *vmSim) {
-	for vm.applied < len(sim.log) {
+// restart restarts a VM that does not lead. It continues from a snapshot.
+func (sim *simulation) restart(vm *vmSim) {
+	snap := vm.st.Snapshot()
+	vm.st = State{}
+	vm.st.Restore(snap)
+	vm.pl = NewPlanner(&vm.st, vm.pl.config)
+	sim.step(vm, Outage{Centres: sim.outage})
+}
+
+// replicate lets a VM that does not lead apply the log after a delay, which is seldom
+// long.
+func (sim *simulation) replicate(vm *vmSim) {
+	if sim.lag.IntN(500) == 0 {
+		vm.lagsUntil = sim.now.Add(time.Duration(sim.lag.Int64N(int64(5 * time.Second))))
+	}
+	end := len(sim.log)
+	at := max(vm.lagsUntil, sim.now.Add(time.Duration(sim.lag.Int64N(int64(200*time.Millisecond)))))
+	sim.at(at, func() { sim.applyLog(vm, end) })
+}
+
+// applyLog applies the log entries up to end that a VM has not applied yet.
+func (sim *simulation) applyLog(vm *vmSim, end int) {
+	for vm.applied < end {
 		ops := sim.log[vm.applied]
 		vm.applied++
 		for _, op := range ops {
@@ -224,8 +252,10 @@
 	sim.log = append(sim.log, ops)
 	for _, vm := range sim.vms {
 		if vm.leading {
-			sim.applyLog(vm)
+			sim.applyLog(vm, len(sim.log))
+			continue
 		}
+		sim.replicate(vm)
 	}
 }
 
