Send no start order for a run that may have ended

What callers would see: a task runs on two workers at once.

Cause: the start order of a run could not be sent in time, and the leader proposed its end. The outcome of that proposal was unknown, and the leader took back what it had noted of it. The next answer to the worker carried the order. Then the end was applied after all, and the task started elsewhere.

A run whose end may be applied at any time now gets no start order; the end is proposed again. TestRunThatMayHaveEndedIsNotStarted failed before: "start orders [{Task:job.0.0.0 Attempt:1 ...}]".

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -165,6 +165,8 @@
 			pr.paceLimited, pr.sentPace, pr.sentPaceAt = true, pr.pace, now
 			ans.Paces = append(ans.Paces, PaceOrder{Task: pr.task, Attempt: pr.attempt, Percent: pr.pace})
 		}
+	case pr.mayHaveEnded:
+		pl.withdraw(pr)
 	case wk.draining || pl.outage[wk.centre]:
 		// An inherited run may be on the worker already; if no heartbeat lists
 		// it, handleUnlistedRun proposes its end.
--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -139,7 +139,7 @@
 	wk.heardProposed = false
 	for i := len(wk.runs) - 1; i >= 0; i-- {
 		pr := wk.runs[i]
-		pr.ending = false
+		pr.ending, pr.mayHaveEnded = false, pr.mayHaveEnded || pr.ending
 		if pr.planned {
 			pl.discardPlanned(wk, pr)
 		}
--- a/core/flow/records_test.go
+++ b/core/flow/records_test.go
@@ -217,3 +217,25 @@
 		t.Error("the task counts as one that never ran")
 	}
 }
+
+// Guards against a task that runs twice: the end of its run, whose start order was not
+// sent in time, was proposed with an unknown outcome and is applied after the order was
+// sent all the same.
+func TestRunThatMayHaveEndedIsNotStarted(t *testing.T) {
+	har := newHarness(t)
+	har.heartbeat("w1", nil)
+	har.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
+	har.holding = true
+	har.wait(1100 * time.Millisecond)
+	if len(har.held) != 1 || har.held[0].Ops[0].Kind() != OpEnd {
+		t.Fatalf("proposals %+v, want the end of the run", har.held)
+	}
+	har.step(ProposalEnded{Term: har.term})
+	if ans := har.heartbeat("w1", nil); len(ans.Starts) > 0 {
+		t.Errorf("start orders %+v", ans.Starts)
+	}
+	har.applyHeld()
+	if ans := har.heartbeat("w1", nil); len(ans.Starts) != 1 || ans.Starts[0].Attempt != 2 {
+		t.Errorf("start orders %+v, want attempt 2", ans.Starts)
+	}
+}
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -25,6 +25,9 @@
 	// ending is set from the decision to end the run in the state until its end
 	// is applied.
 	ending bool
+	// mayHaveEnded is set if the end was proposed and the outcome of that is unknown.
+	// The end may be applied at any time, so no start order is sent any more.
+	mayHaveEnded bool
 	// startSent is set once the start order was sent, in the answer to the
 	// heartbeat whose Sequence is startSequence.
 	startSent     bool
