Tell a new leader when the leases of earlier leaders had ended

A new leader knew only that they had ended when it was elected, 1 to 2 s after the former leader failed, and later if votes were split. A lease needs a quorum, of which at least one voter has also voted for the new leader. Each voter now says in its reply for how long no leader has relied on it: since the last message of a leader, or since it led or started itself. The latest of these times, with the drift of clocks, and the duration of a lease bound the end of every earlier lease: Role.FormerLeaseEnd. The field is 0 from earlier versions, which gives the time of the vote.

The oracle of the simulated group compares it with the leases that it has seen, for every lease of all its tests. TestFormerLeaseEndsAfterEveryLease plays the cases in which one voter is in both quorums.

--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -16,6 +16,10 @@
 	// seq is the number of the write of the replica's own vote, which counts
 	// only once it is on disk.
 	seq uint64
+	// lastContact is the last time at which a voter that granted its vote can have
+	// received a message that a leader relies on for its lease, or led itself. A
+	// lease needs a quorum, which has one of these voters.
+	lastContact model.Instant
 	// transfer is set if TimeoutNow caused the election.
 	transfer bool
 }
@@ -56,7 +60,7 @@
 func (n *Node) startElection(transfer bool) {
 	n.newTerm(n.term + 1)
 	n.state, n.vote = candidate, n.cfg.Self
-	n.campaign = campaign{granted: map[model.VMID]DiskID{}, seq: n.seq + 1, transfer: transfer}
+	n.campaign = campaign{granted: map[model.VMID]DiskID{}, seq: n.seq + 1, transfer: transfer, lastContact: n.lastContact()}
 	n.resetElectionDeadline()
 	n.requestVotes(Vote, n.term)
 }
@@ -94,12 +98,16 @@
 		n.recordEvent("leadershipLost", n.cfg.Self, event.NewField("term", strconv.FormatUint(n.term, 10)))
 		n.rejectPendingChange()
 		n.leaderState = leaderState{}
-		n.leader = ""
+		n.leader, n.ledUntil = "", n.now
 		n.resetElectionDeadline()
 	}
 	n.state = follower
 }
 
+// lastContact returns the last time at which a leader may have relied on this replica
+// for its lease: that of its last message, or when this replica led or started.
+func (n *Node) lastContact() model.Instant { return max(n.lastLeaderContact, n.ledUntil) }
+
 // countVotes starts an election once a quorum has granted its pre-votes, and
 // makes the replica leader once a quorum has granted its votes. Votes from
 // another disk than the one in the configuration do not count.
@@ -153,7 +161,7 @@
 		n.dirtyHardState = n.dirtyHardState || n.vote == ""
 		n.vote, n.state = spec.From, follower
 		n.resetElectionDeadline()
-		reply.Reject = false
+		reply.Reject, reply.SinceContact = false, n.since(n.lastContact())
 	}
 	n.sendAfterSync(reply)
 }
@@ -193,6 +201,7 @@
 	vote := n.state == candidate && spec.Kind == VoteReply && spec.Term == n.term
 	if preVote || vote {
 		n.campaign.granted[spec.From] = spec.Disk
+		n.campaign.lastContact = max(n.campaign.lastContact, n.now.Add(-model.LessDrift(spec.SinceContact)))
 		n.countVotes()
 	}
 }
--- a/core/quorum/leader.go
+++ b/core/quorum/leader.go
@@ -18,6 +18,8 @@
 	// previousTerm is the term of the entry before termStart, 0 for none. No leader
 	// of a later one has held the lease, because it would have committed an entry.
 	previousTerm uint64
+	// formerLeaseEnd is when the leases of all earlier terms had ended.
+	formerLeaseEnd model.Instant
 	// chosen is the index of the last entry that a majority of the voters was
 	// seen to have on disk in this term. Every later leader has it. It is ahead
 	// of the commit index while fewer than Config.MinCopies disks have the entry.
@@ -45,6 +47,7 @@
 func (n *Node) becomeLeader() {
 	n.state, n.leader = leader, n.cfg.Self
 	n.leaderState = leaderState{peers: map[model.VMID]*progress{}, termStart: n.log.last() + 1, previousTerm: n.lastTerm(), electedAt: n.now}
+	n.leaderState.formerLeaseEnd = min(n.now, n.campaign.lastContact.Add(model.WithDrift(LeaseDuration)))
 	n.recordEvent("leaderElected", n.cfg.Self, event.NewField("term", strconv.FormatUint(n.term, 10)))
 	if mems := n.members(); !mems.disksKnown() {
 		n.appendEntry(NewMembersEntry(n.log.last()+1, n.term, n.bootstrapMembers(mems)))
--- a/core/quorum/lease_test.go
+++ b/core/quorum/lease_test.go
@@ -83,3 +83,29 @@
 	}
 	s.failOnViolation(t)
 }
+
+// Guards against a leader that counts an earlier lease as ended too early, because it
+// or one of its voters was not in touch with the former leader, or was that leader. The
+// oracle checks the time.
+func TestFormerLeaseEndsAfterEveryLease(t *testing.T) {
+	for seed := range uint64(20) {
+		s, ldr := newSimWithLeader(t, seed, 3, 0)
+		cut, other := s.others(ldr)[0], s.others(ldr)[1]
+		s.isolate(cut)
+		s.run(700 * time.Millisecond)
+		if seed%2 == 0 {
+			clear(s.blocked)
+			s.isolate(ldr)
+		} else {
+			s.isolate(other)
+			s.run(2500 * time.Millisecond)
+			clear(s.blocked)
+			s.isolate(other)
+		}
+		s.run(6 * time.Second)
+		if next := s.leader(); next == nil {
+			t.Errorf("seed %d: no leader", seed)
+		}
+		s.failOnViolation(t)
+	}
+}
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "guavarail/core/model"
+import (
+	"time"
+
+	"guavarail/core/model"
+)
 
 // MessageKind is the type of a message between replicas.
 type MessageKind uint8
@@ -73,6 +77,9 @@
 	// Reject is set in replies if the vote is rejected, the entries do not follow
 	// the receiver's log, or the request has an earlier term or another ToDisk.
 	Reject bool
+	// SinceContact is, in a VoteReply that grants the vote, how long no leader has
+	// relied on the voter for its lease; 0 from replicas of earlier versions.
+	SinceContact time.Duration
 	// Transfer is set in a Vote that TimeoutNow caused.
 	Transfer bool
 	// Acked is the index of the last committed entry that the receiver's disk is
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -67,6 +67,8 @@
 	lastLeaderContact model.Instant
 	// hadLeaderContact reports whether lastLeaderContact is set.
 	hadLeaderContact bool
+	// ledUntil is when this replica stepped down from its last leadership, or started.
+	ledUntil model.Instant
 	// electionDeadline is when a voter without a leader starts an election.
 	electionDeadline model.Instant
 	// matchIndex is the index of the last entry that is known to match the
@@ -196,6 +198,7 @@
 	// restart, and that leader may still rely on it for its lease. The restart
 	// therefore counts as contact with a leader.
 	n.lastLeaderContact, n.hadLeaderContact = n.now, n.term > 0 || n.log.last() > 0
+	n.ledUntil = n.now
 	n.resetElectionDeadline()
 	if n.soleVoterSinceBootstrap() {
 		// No other VM was ever a voter, so none can hold a lease.
@@ -272,7 +275,7 @@
 	last, ok := n.termAt(n.commit)
 	ro.appliedCurrentTerm = ok && last == n.term && n.leader != ""
 	if n.state == leader {
-		ro.leading, ro.previousTerm = true, n.leaderState.previousTerm
+		ro.leading, ro.previousTerm, ro.formerLeaseEnd = true, n.leaderState.previousTerm, n.leaderState.formerLeaseEnd
 		if ro.leased = n.leased(now); ro.leased {
 			ro.leasedUntil = n.lastQuorumContact(now).Add(LeaseDuration)
 		}
--- a/core/quorum/oracle_test.go
+++ b/core/quorum/oracle_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"slices"
+	"time"
 )
 
 // oracle checks a simulated group against a single list of committed entries.
@@ -19,6 +20,9 @@
 	// leaseTerm is the last term in which a VM held the lease, and leaseTermBefore
 	// the one before it; 0 for none.
 	leaseTerm, leaseTermBefore uint64
+	// leasedAt is when a VM was last seen to hold the lease in leaseTerm, and
+	// leasedBefore the same for leaseTermBefore.
+	leasedAt, leasedBefore time.Duration
 	// errs describes the violations found.
 	errs []string
 }
@@ -119,7 +123,8 @@
 }
 
 // checkLease checks that at most one VM holds the lease, that its state has every
-// acknowledged command, and that it knows the term of the last lease before.
+// acknowledged command, and that it knows the term of the last lease before and that
+// it has ended.
 func (ora *oracle) checkLease(s *sim) {
 	holder := ""
 	for _, vm := range s.vms {
@@ -136,7 +141,11 @@
 		}
 		holder = string(vm)
 		if role.Term() > ora.leaseTerm {
-			ora.leaseTerm, ora.leaseTermBefore = role.Term(), ora.leaseTerm
+			ora.leaseTerm, ora.leaseTermBefore, ora.leasedBefore = role.Term(), ora.leaseTerm, ora.leasedAt
+		}
+		ora.leasedAt = s.now
+		if end := nod.timeAt(ora.leasedBefore); ora.leaseTermBefore > 0 && role.FormerLeaseEnd().Before(end) {
+			ora.fail("%s counts the lease of term %d as ended %v before it has", vm, ora.leaseTermBefore, end.Sub(role.FormerLeaseEnd()))
 		}
 		if role.Term() == ora.leaseTerm && (role.PreviousTerm() < ora.leaseTermBefore || role.PreviousTerm() >= role.Term()) {
 			ora.fail("%s leads term %d after term %d, but the lease was held in term %d before", vm, role.Term(), role.PreviousTerm(), ora.leaseTermBefore)
--- a/core/quorum/role.go
+++ b/core/quorum/role.go
@@ -14,7 +14,9 @@
 	term               uint64
 	// previousTerm is zero unless leading.
 	previousTerm uint64
-	leader       model.VMID
+	// formerLeaseEnd is zero unless leading.
+	formerLeaseEnd model.Instant
+	leader         model.VMID
 	// applied is the index of the last applied entry.
 	applied uint64
 	// leasedUntil is zero unless leased.
@@ -50,6 +52,11 @@
 // may have held the lease; 0 for none. It is only valid while Leading is true.
 func (ro Role) PreviousTerm() uint64 { return ro.previousTerm }
 
+// FormerLeaseEnd returns a time at which the leader leases of all earlier terms had
+// ended, at the latest when this replica was elected. It is only valid while Leading
+// is true.
+func (ro Role) FormerLeaseEnd() model.Instant { return ro.formerLeaseEnd }
+
 // Leader returns the leader of the current term, or "" if it is unknown.
 func (ro Role) Leader() model.VMID { return ro.leader }
 
--- a/core/quorum/sim_test.go
+++ b/core/quorum/sim_test.go
@@ -123,7 +123,12 @@
 
 // localTime returns the time on the clock of a VM.
 func (s *sim) localTime(nod *simNode) model.Instant {
-	return model.Instant(nod.offset + time.Duration(float64(s.now)*nod.rate))
+	return nod.timeAt(s.now)
+}
+
+// timeAt returns the time on the clock of the VM at a simulated time.
+func (nod *simNode) timeAt(at time.Duration) model.Instant {
+	return model.Instant(nod.offset + time.Duration(float64(at)*nod.rate))
 }
 
 // after runs a function after the given simulated time.
--- a/io/wire/quorum.go
+++ b/io/wire/quorum.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -15,7 +17,7 @@
 	out := &QuorumMessage{
 		Group: group, Kind: uint32(spec.Kind), Term: spec.Term, Disk: string(spec.Disk), ToDisk: string(spec.ToDisk),
 		Index: spec.Index, LogTerm: spec.LogTerm, Commit: spec.Commit, Entries: quorumEntriesToProto(spec.Entries),
-		Sent: int64(spec.Sent), Reject: spec.Reject, Transfer: spec.Transfer, Acked: spec.Acked,
+		Sent: int64(spec.Sent), Reject: spec.Reject, Transfer: spec.Transfer, Acked: spec.Acked, SinceContactNs: int64(spec.SinceContact),
 		Offset: spec.Offset, Data: spec.Data,
 	}
 	for _, ack := range spec.Acks {
@@ -35,7 +37,7 @@
 		Disk: quorum.DiskID(msg.GetDisk()), ToDisk: quorum.DiskID(msg.GetToDisk()),
 		Index: msg.GetIndex(), LogTerm: msg.GetLogTerm(), Commit: msg.GetCommit(),
 		Entries: quorumEntriesFromProto(msg.GetEntries()), Sent: model.Instant(msg.GetSent()),
-		Reject: msg.GetReject(), Transfer: msg.GetTransfer(), Acked: msg.GetAcked(),
+		Reject: msg.GetReject(), Transfer: msg.GetTransfer(), Acked: msg.GetAcked(), SinceContact: time.Duration(msg.GetSinceContactNs()),
 		Snapshot: quorumSnapshotFromProto(msg.GetSnapshot()), Offset: msg.GetOffset(), Data: msg.GetData(),
 	}
 	for _, ack := range msg.GetAcks() {
--- a/io/wire/quorum_test.go
+++ b/io/wire/quorum_test.go
@@ -16,7 +16,7 @@
 	spec := quorum.MessageSpec{
 		Kind: quorum.Append, From: "a", To: "b", Term: 1, Disk: "d1", ToDisk: "d2", Index: 2, LogTerm: 3, Commit: 4,
 		Entries: []quorum.Entry{quorum.NewEntry(5, 1, quorum.EntryCommand, []byte("x")), quorum.NewMembersEntry(6, 1, mems)},
-		Sent:    -7, Reject: true, Transfer: true, Acked: 8, Acks: []quorum.Ack{quorum.NewAck("d2", 9)},
+		Sent:    -7, Reject: true, SinceContact: 13, Transfer: true, Acked: 8, Acks: []quorum.Ack{quorum.NewAck("d2", 9)},
 		Snapshot: quorum.NewSnapshot(10, 1, mems, 6).WithSize(11), Offset: 12, Data: []byte("y"),
 	}
 	for pos, val := 0, reflect.ValueOf(spec); pos < val.NumField(); pos++ {
