Count leases of an earlier leader from the end of its own lease

What callers saw: after a change of the leader, a task of a worker that died less than 2 s before it, unmarked, was down for a lease from the takeover, 10 s and more. Nobody has granted a lease between the end of the former leader's lease and the takeover, which are up to 1.7 s apart. The new leader now counts the leases of workers without a mark from there.

TestLeaderTakesOverMarks has the case.

--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -18,9 +18,11 @@
 		st *State
 		pl *Planner
 	}
-	term     uint64
-	now      model.Instant
-	sequence uint64
+	term uint64
+	// formerLeaseEnd is that of the next BecameLeader.
+	formerLeaseEnd model.Instant
+	now            model.Instant
+	sequence       uint64
 	// While holding is set, proposals are added to held instead of being applied.
 	holding bool
 	held    []Propose
@@ -40,7 +42,7 @@
 // lead makes the planner the leader.
 func (har *harness) lead() {
 	har.term++
-	har.step(BecameLeader{Term: har.term, PreviousTerm: har.term - 1, LeaseUntil: model.Instant(time.Hour), Wall: time.Duration(har.now).Milliseconds()})
+	har.step(BecameLeader{Term: har.term, PreviousTerm: har.term - 1, FormerLeaseEnd: har.formerLeaseEnd, LeaseUntil: model.Instant(time.Hour), Wall: time.Duration(har.now).Milliseconds()})
 }
 
 // changeLeader makes the follower the leader, and the leader the follower.
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -32,6 +32,9 @@
 	// PreviousTerm is the last term, before Term, whose leader may have held the
 	// leader lease, 0 if it is unknown.
 	PreviousTerm uint64
+	// FormerLeaseEnd is when the leader leases of earlier terms had ended, 0 if it is
+	// unknown. Nobody has granted a worker a lease from then until now.
+	FormerLeaseEnd model.Instant
 	// LeaseUntil and Wall are as in Tick.
 	LeaseUntil model.Instant
 	Wall       int64
--- a/core/flow/silence.go
+++ b/core/flow/silence.go
@@ -34,16 +34,20 @@
 	return ho.silentTerm > 0 && ho.leaseEnd > 0 && (ho.silentTerm == pl.previousTerm || ho.silentTerm == pl.term)
 }
 
-// renewMarks proposes the marks of an earlier leader that are valid again, so that
-// the next leader finds them valid, and returns their number.
-func (pl *Planner) renewMarks(now model.Instant) int {
+// inheritLeases sets the ends of the leases of all workers at the start of a term.
+// Earlier leaders may have renewed them until granted, unless the worker is marked as
+// silent. The valid marks are proposed again, so that the next leader finds them valid;
+// their number is returned.
+func (pl *Planner) inheritLeases(now, granted model.Instant) int {
 	num := 0
 	for _, workers := range [][]*worker{pl.workers.sorted, pl.formerWorkers} {
 		for _, wk := range workers {
-			if wk.silent {
-				num++
-				pl.proposeSilence(now, wk, "inherited", "true")
+			if !wk.silent {
+				wk.leaseEnd = pl.config.leaseEnd(granted)
+				continue
 			}
+			num++
+			pl.proposeSilence(now, wk, "inherited", "true")
 		}
 	}
 	return num
--- a/core/flow/silence_test.go
+++ b/core/flow/silence_test.go
@@ -74,6 +74,10 @@
 		{"a leader between", func(har *harness) { har.term++ }, 3, 7700 * time.Millisecond},
 		{"restarted VM", func(har *harness) { har.follower.st.Restore(har.follower.st.Snapshot()) }, 2, 5800 * time.Millisecond},
 		{"heard before", func(har *harness) { har.step(har.commit(Heard(NewIncarnation("w1", 1), 1))) }, 2, 7700 * time.Millisecond},
+		{"heard before, leader lease ended 2 s ago", func(har *harness) {
+			har.step(har.commit(Heard(NewIncarnation("w1", 1), 1)))
+			har.formerLeaseEnd = har.now.Add(-2 * time.Second)
+		}, 2, 5700 * time.Millisecond},
 		{"runs again after its last run ended", func(har *harness) {
 			task := NewTaskID("job", 0, 0, 0)
 			har.step(har.commit(End(task, 1, Lost, "")))
--- a/core/flow/sim_test.go
+++ b/core/flow/sim_test.go
@@ -39,6 +39,8 @@
 	specs map[model.JobID][]StepSpec
 	// leader is nil while a failed leader has no successor.
 	leader *vmSim
+	// formerLeaseEnd is when the lease of the leader that failed last ends.
+	formerLeaseEnd model.Instant
 	// liveAttempts holds, for each task, the workers that run it and the number
 	// of the attempt there.
 	liveAttempts map[TaskID]map[*workerSim]int
--- a/core/flow/simlog_test.go
+++ b/core/flow/simlog_test.go
@@ -9,7 +9,7 @@
 	sim.applyLog(vm, len(sim.log))
 	sim.term++
 	vm.leading, vm.term, vm.leaseUntil, sim.leader = true, sim.term, sim.now.Add(simLeaderLease), vm
-	sim.step(vm, BecameLeader{Term: sim.term, PreviousTerm: sim.term - 1, LeaseUntil: vm.leaseUntil, Wall: sim.wall()})
+	sim.step(vm, BecameLeader{Term: sim.term, PreviousTerm: sim.term - 1, FormerLeaseEnd: sim.formerLeaseEnd, LeaseUntil: vm.leaseUntil, Wall: sim.wall()})
 }
 
 // failOver makes the leader fail and elects a VM, possibly the same, after a
@@ -18,6 +18,7 @@
 	former := sim.leader
 	former.leading = false
 	sim.leader = nil
+	sim.formerLeaseEnd = sim.now.Add(simLeaderLease)
 	next := sim.vms[sim.rng.IntN(len(sim.vms))]
 	sim.at(sim.now.Add(gap), func() {
 		sim.step(former, SteppedDown{})
--- a/core/flow/term.go
+++ b/core/flow/term.go
@@ -9,8 +9,8 @@
 )
 
 // becomeLeader rebuilds the leader's records from the replicated state. The
-// lease of every worker that is not marked as silent counts as renewed now, because
-// the previous leader may have renewed it until its own leader lease ended.
+// lease of every worker that is not marked as silent counts as renewed when the lease
+// of the previous leader ended, because that may have renewed it until then.
 func (pl *Planner) becomeLeader(now model.Instant, msg BecameLeader) {
 	pl.stepDown()
 	pl.leading, pl.term, pl.previousTerm, pl.dirty = true, msg.Term, msg.PreviousTerm, true
@@ -24,7 +24,7 @@
 		}
 		pl.restoreRuns(now, jb)
 	}
-	silent := pl.renewMarks(now)
+	silent := pl.inheritLeases(now, min(now, timeOr(msg.FormerLeaseEnd, now)))
 	pl.recordEvent("leadershipTaken", "", "", "", "term", strconv.FormatUint(msg.Term, 10), "jobs", strconv.Itoa(len(pl.openJobs)),
 		"silentWorkers", strconv.Itoa(silent))
 }
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -222,7 +222,7 @@
 			mem.leading = true
 			mem.termCtx, mem.cancelTerm = context.WithCancel(ctx)
 			mem.step(now, flow.Outage{Centres: sta.Out()})
-			mem.step(now, flow.BecameLeader{Term: rol.Term(), PreviousTerm: rol.PreviousTerm(), LeaseUntil: rol.LeasedUntil(), Wall: wall})
+			mem.step(now, flow.BecameLeader{Term: rol.Term(), PreviousTerm: rol.PreviousTerm(), FormerLeaseEnd: rol.FormerLeaseEnd(), LeaseUntil: rol.LeasedUntil(), Wall: wall})
 		case mem.leading:
 			mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: wall, Posted: posted})
 		}
