--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -29,6 +29,12 @@
 	// Term increases with each leader. Workers use it as a fencing token: they
 	// ignore orders with a lower term than the highest they have seen.
 	Term uint64
+	// PreviousTerm is the last term, before Term, whose leader may have held the
+	// leader lease, 0 if it is unknown.
+	PreviousTerm uint64
+	// FormerLeaseEnd is when the leader leases of earlier terms had ended, 0 if it is
+	// unknown. Nobody has granted a worker a lease from then until now.
+	FormerLeaseEnd model.Instant
 	// LeaseUntil and Wall are as in Tick.
 	LeaseUntil model.Instant
 	Wall       int64
--- a/core/flow/sim_test.go
+++ b/core/flow/sim_test.go
@@ -19,8 +19,10 @@
 // two workers at once, or starts after its success was acknowledged, or brings a
 // worker over its capacity.
 type simulation struct {
-	t         *testing.T
-	rng       *rand.Rand
+	t   *testing.T
+	rng *rand.Rand
+	// lag chooses what concerns VMs that do not lead.
+	lag       *rand.Rand
 	now       model.Instant
 	queue     simQueue
 	lastOrder uint64
@@ -37,6 +39,8 @@
 	specs map[model.JobID][]StepSpec
 	// leader is nil while a failed leader has no successor.
 	leader *vmSim
+	// formerLeaseEnd is when the lease of the leader that failed last ends.
+	formerLeaseEnd model.Instant
 	// liveAttempts holds, for each task, the workers that run it and the number
 	// of the attempt there.
 	liveAttempts map[TaskID]map[*workerSim]int
@@ -51,6 +55,12 @@
 	lateShare, lostShare, repeatedShare float64
 	// minCommit and maxCommit bound the time from a proposal to its commit.
 	minCommit, maxCommit time.Duration
+	// unknownShare is the fraction of proposals whose outcome stays unknown to the
+	// leader: half of them are committed up to 2 s later, the others never.
+	unknownShare float64
+	// lastCommit is when the last proposal is committed. Later ones are not committed
+	// before.
+	lastCommit model.Instant
 	// minStop and maxStop bound the time from a stop order to the end of the run.
 	minStop, maxStop time.Duration
 	// chooseRun chooses the duration and the outcome of a run. Runs with duration
@@ -106,7 +116,10 @@
 	st State
 	pl *Planner
 	// applied is the number of log entries applied to st.
-	applied    int
+	applied int
+	// lagsUntil is the end of a time in which the VM, unless it leads, applies
+	// nothing.
+	lagsUntil  model.Instant
 	leading    bool
 	leaseUntil model.Instant
 	term       uint64
@@ -116,7 +129,7 @@
 // whose runs one in twenty fails.
 func newSimulation(t *testing.T, seed uint64, vms, workers int) *simulation {
 	sim := &simulation{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), openHeartbeats: map[uint64]*heartbeatSim{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), lag: rand.New(rand.NewPCG(seed, 2)), openHeartbeats: map[uint64]*heartbeatSim{},
 		liveAttempts: map[TaskID]map[*workerSim]int{}, acknowledged: map[TaskID]bool{}, specs: map[model.JobID][]StepSpec{},
 		maxCommit: 15 * time.Millisecond,
 	}
@@ -187,48 +200,6 @@
 	sim.at(sim.now.Add(TickInterval), sim.tick)
 }
 
-// elect makes a VM the leader. The lease of the previous leader must be over.
-func (sim *simulation) elect(vm *vmSim) {
-	sim.applyLog(vm)
-	sim.term++
-	vm.leading, vm.term, vm.leaseUntil, sim.leader = true, sim.term, sim.now.Add(simLeaderLease), vm
-	sim.step(vm, BecameLeader{Term: sim.term, LeaseUntil: vm.leaseUntil, Wall: sim.wall()})
-}
-
-// failOver makes the leader fail and elects a VM, possibly the same, after a
-// time. The current proposal of the failed leader may be lost.
-func (sim *simulation) failOver(gap time.Duration) {
-	former := sim.leader
-	former.leading = false
-	sim.leader = nil
-	next := sim.vms[sim.rng.IntN(len(sim.vms))]
-	sim.at(sim.now.Add(gap), func() {
-		sim.step(former, SteppedDown{})
-		sim.elect(next)
-	})
-}
-
-// applyLog applies the log entries that a VM has not applied yet.
-func (sim *simulation) applyLog(vm *vmSim) {
-	for vm.applied < len(sim.log) {
-		ops := sim.log[vm.applied]
-		vm.applied++
-		for _, op := range ops {
-			verdict := vm.st.Apply(op)
-			sim.step(vm, Applied{Op: op, Verdict: verdict})
-		}
-	}
-}
-
-func (sim *simulation) commit(ops []Op) {
-	sim.log = append(sim.log, ops)
-	for _, vm := range sim.vms {
-		if vm.leading {
-			sim.applyLog(vm)
-		}
-	}
-}
-
 func (sim *simulation) step(vm *vmSim, in Input) {
 	for _, eff := range vm.pl.Step(sim.now, in) {
 		switch val := eff.(type) {
@@ -247,25 +218,6 @@
 	}
 }
 
-// propose commits operations after a delay.
-func (sim *simulation) propose(vm *vmSim, ops []Op) {
-	term := vm.term
-	sim.at(sim.now.Add(sim.between(sim.minCommit, sim.maxCommit)), func() {
-		// A failed leader may have replicated its last proposal: while there is
-		// no leader, half of these are committed.
-		committed := vm.leading && vm.term == term
-		if !committed && sim.leader == nil && sim.rng.IntN(2) == 0 {
-			sim.log = append(sim.log, ops)
-			return
-		}
-		if !committed {
-			return
-		}
-		sim.commit(ops)
-		sim.step(vm, ProposalEnded{Term: term, Applied: true})
-	})
-}
-
 // receive delivers a heartbeat to the leader, to which the other VMs forward
 // it.
 func (sim *simulation) receive(hb *heartbeatSim, msg Heartbeat) {
--- a/core/quorum/role.go
+++ b/core/quorum/role.go
@@ -12,7 +12,11 @@
 	appliedCurrentTerm bool
 	failed             bool
 	term               uint64
-	leader             model.VMID
+	// previousTerm is zero unless leading.
+	previousTerm uint64
+	// formerLeaseEnd is zero unless leading.
+	formerLeaseEnd model.Instant
+	leader         model.VMID
 	// applied is the index of the last applied entry.
 	applied uint64
 	// leasedUntil is zero unless leased.
@@ -44,6 +48,15 @@
 // Term returns the current term of the replica.
 func (ro Role) Term() uint64 { return ro.term }
 
+// PreviousTerm returns the last term, before that of this replica, whose leader
+// may have held the lease; 0 for none. It is only valid while Leading is true.
+func (ro Role) PreviousTerm() uint64 { return ro.previousTerm }
+
+// FormerLeaseEnd returns a time at which the leader leases of all earlier terms had
+// ended, at the latest when this replica was elected. It is only valid while Leading
+// is true.
+func (ro Role) FormerLeaseEnd() model.Instant { return ro.formerLeaseEnd }
+
 // Leader returns the leader of the current term, or "" if it is unknown.
 func (ro Role) Leader() model.VMID { return ro.leader }
 
