Count no silence of workers while the leader holds no lease

Cause: a leader that loses its lease without losing its term refuses heartbeats, and went on to count the time as silence of the workers.

TestRefusedHeartbeatsCountAsNoSilence failed before ("the job is running after its run has succeeded").

--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -203,7 +203,7 @@
 		pl.recordEvent("workerDraining", "", "", wk.incarnation.String(), "remainingMs", strconv.FormatInt(hb.Remaining.Milliseconds(), 10),
 			"runs", strconv.Itoa(len(wk.runs)))
 	}
-	wk.reported, wk.sequence, wk.lastHeartbeat = true, hb.Sequence, max(wk.lastHeartbeat, sentAt)
+	wk.reported, wk.sequence, wk.lastHeartbeat, wk.excused = true, hb.Sequence, max(wk.lastHeartbeat, sentAt), 0
 	wk.service, wk.centre, wk.address = hb.Service, hb.Centre, hb.Address
 	wk.size, wk.labels, wk.rack = hb.Size, hb.Labels, hb.Rack
 	wk.draining = hb.Draining
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -88,6 +88,8 @@
 	// leaseUntil is the end of the leader lease. The planner makes decisions
 	// only before it, since another VM may lead afterwards.
 	leaseUntil model.Instant
+	// heldUntil is the latest end of a leader lease that this VM has held in the term.
+	heldUntil model.Instant
 	// heardUntil is the time until which all heartbeats that arrived have been
 	// handled. It is behind now if inputs wait in the queue of the owner.
 	heardUntil model.Instant
@@ -180,12 +182,13 @@
 func (pl *Planner) Step(now model.Instant, in Input) []Effect {
 	switch msg := in.(type) {
 	case Tick:
-		pl.leaseUntil, pl.wallMs, pl.wallReadAt = msg.LeaseUntil, msg.Wall, now
+		pl.renewLeaderLease(now, msg.LeaseUntil)
+		pl.wallMs, pl.wallReadAt = msg.Wall, now
 		pl.heardUntil = max(pl.heardUntil, timeOr(msg.Posted, now))
 		pl.tick(now)
 	case BecameLeader:
-		pl.leaseUntil, pl.wallMs, pl.wallReadAt = msg.LeaseUntil, msg.Wall, now
 		pl.becomeLeader(now, msg)
+		pl.leaseUntil, pl.heldUntil = msg.LeaseUntil, msg.LeaseUntil
 	case SteppedDown:
 		pl.stepDown()
 	case Applied:
--- a/core/flow/silence.go
+++ b/core/flow/silence.go
@@ -57,7 +57,7 @@
 // some time.
 func (pl *Planner) checkSilence(now model.Instant, wk *worker) {
 	limit := max(minSilence, callTimeout+pl.heartbeatDelay()+pickupMargin)
-	if wk.silent || pl.silence(wk) <= limit || !now.Before(wk.leaseEnd) || pl.st.hosts[wk.incarnation] == nil {
+	if wk.silent || pl.silence(wk)-wk.excused <= limit || !now.Before(wk.leaseEnd) || pl.st.hosts[wk.incarnation] == nil {
 		return
 	}
 	wk.silent = true
--- a/core/flow/term.go
+++ b/core/flow/term.go
@@ -13,6 +13,7 @@
 // of the previous leader ended, because that may have renewed it until then.
 func (pl *Planner) becomeLeader(now model.Instant, msg BecameLeader) {
 	pl.stepDown()
+	pl.wallMs, pl.wallReadAt = msg.Wall, now
 	pl.leading, pl.term, pl.previousTerm, pl.dirty = true, msg.Term, msg.PreviousTerm, true
 	pl.st.dateMarks(now)
 	pl.delays.recordedAt = now
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"guavarail/core/model"
 )
@@ -126,6 +127,9 @@
 	sequence uint64
 	// lastHeartbeat is when the last heartbeat arrived, or was sent if it was late.
 	lastHeartbeat model.Instant
+	// excused is how much of the time since lastHeartbeat this leader has refused all
+	// heartbeats.
+	excused time.Duration
 	// fastest is what the lateness of a heartbeat is measured by.
 	fastest fastestHeartbeat
 	// leaseEnd is when all runs of the worker have certainly ended unless the
