Bound the time of a plan

The leader lost its lease during its own plans, refused heartbeats, gave up the starts that nobody had picked up, and had more to plan in the next one.

A plan now weighs 60,000 workers at most; the next one goes on where it ended, with the steps that may claim room before that, because claims last for one plan. TestLongPlanIsContinuedInTheNext fails without the bound ("247475 workers are weighed for 497 starts in one plan, want at most 60400") and without the continuation ("4 tasks started, want 501").

--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -4,6 +4,7 @@
 
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
+	pl.bound.begin()
 	pl.claimsLeft = pl.maxClaims()
 	pl.openLeft = pl.claimsLeft / openDivisor
 	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
@@ -11,12 +12,21 @@
 	pl.renewKept(now)
 	steps := pl.readySteps(now)
 	pl.measureRoom(steps)
-	for _, rs := range steps {
-		if rs.spec.Gang {
+	for i := range steps {
+		rs := steps[i]
+		switch {
+		case pl.bound.skips(i, &rs):
+		case rs.spec.Gang:
 			pl.startGang(now, rs)
-			continue
+		default:
+			pl.startTasks(now, rs)
+		}
+		if pl.bound.reached() {
+			// The next plan continues here.
+			pl.bound.end(i)
+			pl.dirty = true
+			return
 		}
-		pl.startTasks(now, rs)
 	}
 }
 
@@ -44,6 +54,9 @@
 		if !rs.wants(tk) {
 			continue
 		}
+		if pl.bound.reached() {
+			return
+		}
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
 		if !pl.leavesRoom(&rs, 1) {
 			pl.recordHeldBack(now, &rs, id)
@@ -171,6 +184,7 @@
 	otherConditions := false
 	search := rs.roomNeeded(need)
 	for pos := pl.room.next(0, search); pos >= 0; pos = pl.room.next(pos+1, search) {
+		pl.bound.weighed++
 		wk := pl.room.workers[pos]
 		if wk.unsuitable(now, &rs) != notRejected {
 			continue
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -143,6 +143,8 @@
 	// room finds the workers with room for a task in the current plan. Changes of
 	// what is free outside plan are not in it.
 	room roomIndex
+	// bound ends plans that take too long.
+	bound planBound
 	// sorter is scratch space of readySteps.
 	sorter stepSorter
 	// turns are the turns of steps that have waited too long, by priority.
