Keep the silence of workers through changes of the leader in core/sched

A task of a dead worker stayed down for as long as the leader changed more often than a task lease lasts: each new leader counted every lease anew, because no record said that the worker had been silent before.

The leader now marks a worker with attempts that has sent no report for 3 s in the replicated state. While the mark stands, no lease on the worker is renewed and no start order goes to it, so that a lease there began before any VM learned of the mark. Each VM notes by its own clock when it learned of it, and counts the leases from then when it becomes the leader. The leader removes the mark when the worker reports again.

--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -73,6 +73,8 @@
 		pl.workerRegistered(op)
 	case OpRemoveWorker:
 		pl.workerRemoved(now, op)
+	case OpMarkSilent, OpClearSilent:
+		pl.silenceChanged(op)
 	case OpStart, OpConfirm, OpEnd, OpCheckpoint, OpEvict, OpResize:
 		pl.attemptChanged(now, op)
 	}
@@ -226,18 +228,6 @@
 	}
 }
 
-func (pl *Planner[P]) attemptResized(re ref, idx int32, size model.Resources) {
-	wst := &pl.statuses[idx]
-	for i := range wst.attempts {
-		if la := &wst.attempts[i]; la.ref == re {
-			pl.accounts.sub(re.job.spec, la.size.resources(), la.borrowed)
-			la.size, la.overSince, la.throttleForGrowth = pack(size), 0, false
-			pl.accounts.add(re.job.spec, size, la.borrowed)
-		}
-	}
-	pl.updateIndex(idx)
-}
-
 // attemptEnded removes the attempt from the leader-only state and requeues its
 // task if another attempt is needed. The state may have deleted the job already
 // if its last task ended in this command.
--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -120,7 +120,7 @@
 }
 
 func (st *State) removeWorker(op *Op) Verdict {
-	wk, _, ok := st.worker(op.worker)
+	wk, idx, ok := st.worker(op.worker)
 	if !ok {
 		return UnknownWorker
 	}
@@ -128,6 +128,7 @@
 		return InUse
 	}
 	wk.registered, wk.refs = false, nil
+	delete(st.silent, idx)
 	return Accepted
 }
 
@@ -149,6 +150,9 @@
 	if !ok {
 		return UnknownWorker
 	}
+	if st.isSilent(idx) {
+		return SilentWorker
+	}
 	if !packable(op.size) || !op.size.FitsIn(wk.free()) {
 		return DoesNotFit
 	}
--- a/core/sched/command.go
+++ b/core/sched/command.go
@@ -29,6 +29,10 @@
 	OpResize
 	// OpFail closes a job that cannot run; its tasks become Failed.
 	OpFail
+	// OpMarkSilent marks a worker that sends no reports.
+	OpMarkSilent
+	// OpClearSilent removes the mark of a worker that reports again.
+	OpClearSilent
 )
 
 // Op is one operation of a command. Only the fields of its kind are set.
@@ -63,6 +67,12 @@
 // RemoveWorker removes a worker without live attempts.
 func RemoveWorker(id model.WorkerID) Op { return Op{kind: OpRemoveWorker, worker: id} }
 
+// MarkSilent marks a worker that sends no reports; see the comment in silence.go.
+func MarkSilent(id model.WorkerID) Op { return Op{kind: OpMarkSilent, worker: id} }
+
+// ClearSilent removes the mark of a worker that reports again.
+func ClearSilent(id model.WorkerID) Op { return Op{kind: OpClearSilent, worker: id} }
+
 // Start records that attempt att of the task may start on a worker with a
 // commitment of the given size. The attempt resumes from checkpoint cp, which
 // must be the task's newest one; it is zero for a start from the beginning.
@@ -191,10 +201,12 @@
 	Conflict
 	// InUse: the worker still has live attempts.
 	InUse
+	// SilentWorker: the worker is marked as silent.
+	SilentWorker
 )
 
 var verdictNames = [...]string{
-	"accepted", "repeated", "unknownJob", "unknownWorker", "staleAttempt", "doesNotFit", "closed", "conflict", "inUse",
+	"accepted", "repeated", "unknownJob", "unknownWorker", "staleAttempt", "doesNotFit", "closed", "conflict", "inUse", "silentWorker",
 }
 
 // String returns the name used in the API.
--- a/core/sched/grow.go
+++ b/core/sched/grow.go
@@ -137,3 +137,17 @@
 }
 
 func seconds(dur time.Duration) string { return strconv.Itoa(int(dur / time.Second)) }
+
+// attemptResized updates the leader-only state after the commitment of an attempt
+// was changed.
+func (pl *Planner[P]) attemptResized(re ref, idx int32, size model.Resources) {
+	wst := &pl.statuses[idx]
+	for i := range wst.attempts {
+		if la := &wst.attempts[i]; la.ref == re {
+			pl.accounts.sub(re.job.spec, la.size.resources(), la.borrowed)
+			la.size, la.overSince, la.throttleForGrowth = pack(size), 0, false
+			pl.accounts.add(re.job.spec, size, la.borrowed)
+		}
+	}
+	pl.updateIndex(idx)
+}
--- a/core/sched/leader.go
+++ b/core/sched/leader.go
@@ -5,11 +5,12 @@
 	"guavarail/core/model"
 )
 
-// becomeLeader rebuilds all leader-only state from the replicated state. Every
-// task lease counts as renewed now, because the previous leader may have
-// renewed it until its own leader lease ended.
+// becomeLeader rebuilds all leader-only state from the replicated state. A task
+// lease counts as renewed now, because the previous leader may have renewed it
+// until its own leader lease ended, except on a worker that is marked as silent.
 func (pl *Planner[P]) becomeLeader(now model.Instant) {
 	pl.stepDown()
+	pl.noteSilence(now)
 	pl.leading, pl.outSince, pl.leadingSince = true, now, now
 	pl.recomputeTotals()
 	for idx, wk := range pl.st.workers {
@@ -37,7 +38,7 @@
 	for _, pol := range pl.unregistered {
 		pl.effects = append(pl.effects, Answer{worker: pol.worker, poll: pol.id, tag: pl.tag})
 	}
-	*pl = Planner[P]{st: pl.st, policy: pl.policy, lastTick: pl.lastTick, serial: pl.serial, tag: pl.tag, effects: pl.effects}
+	*pl = Planner[P]{st: pl.st, policy: pl.policy, lastTick: pl.lastTick, serial: pl.serial, tag: pl.tag, silences: pl.silences, effects: pl.effects}
 }
 
 // expireLeases removes workers whose reports are overdue from the index and
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -158,7 +158,10 @@
 	accounts     teamAccounts
 	// quotas are those of the active preset for the whole fleet; QuotaPercent
 	// gives the part of this data centre.
-	quotas   map[model.TeamID]model.Quota
+	quotas map[model.TeamID]model.Quota
+	// silences has a note for each mark in the State that this VM has seen, by
+	// the index of the worker. It is kept while the VM is not the leader.
+	silences map[int32]silenceNote
 	failures health.Tracker
 	kinds    kindTable
 	guard    guard.Guard
@@ -249,6 +252,7 @@
 		pl.outSince = now
 	}
 	pl.lastTick = spec
+	pl.noteSilence(now)
 	if !pl.leading {
 		return
 	}
@@ -265,7 +269,7 @@
 	}
 	pl.quotas = quotasOf(spec.Preset)
 	ops, placements := pl.plan(now)
-	ops = append(pl.reportOps, ops...)
+	ops = append(append(pl.reportOps, pl.planSilence(now)...), ops...)
 	pl.reportOps = nil
 	pl.propose(ops, placements)
 }
@@ -322,8 +326,8 @@
 	return &pl.statuses[idx]
 }
 
-// addAttempt adds a live attempt to the leader-only state. Its lease, and the
-// checkpoint interval of a running attempt, count from now.
+// addAttempt adds a live attempt to the leader-only state. Its lease counts
+// from leasedSince, the checkpoint interval of a running attempt from now.
 func (pl *Planner[P]) addAttempt(now model.Instant, idx int32, re ref) {
 	tk := re.task()
 	wst := pl.ensureStatus(idx)
@@ -332,7 +336,7 @@
 		ordered = stampOf(now)
 	}
 	wst.attempts = append(wst.attempts, liveAttempt{
-		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, leaseFrom: now, recordedAt: stampOf(now), orderedAt: ordered,
+		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, leaseFrom: pl.leasedSince(now, idx), recordedAt: stampOf(now), orderedAt: ordered,
 		runTime: pl.expectedRunTime(&re.job.spec), stopping: tk.state == Stopping,
 	})
 	wst.nextExpiry = 0
@@ -348,7 +352,7 @@
 func (pl *Planner[P]) updateIndex(idx int32) {
 	wst, wk := &pl.statuses[idx], pl.st.workers[idx]
 	sta := pl.failures.Standing(wk.id)
-	if !wk.registered || !wst.reporting || wst.shrunk ||
+	if !wk.registered || !wst.reporting || wst.shrunk || pl.st.isSilent(idx) ||
 		sta == health.Quarantined || sta == health.OnProbation && len(wst.attempts) > 0 {
 		pl.index.Remove(idx)
 		return
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -189,7 +189,7 @@
 	}
 	an := Answer{worker: wst.poll.worker, poll: wst.poll.id, tag: pl.tag}
 	if pl.holdsLeaderLease(now) {
-		an.orders = pl.orders(now, wst)
+		an.orders = pl.orders(now, idx)
 		sendUnrecorded := len(wst.unrecordedOrders) > 0 && (force || now.Sub(wst.unrecordedOrdersSentAt) >= orderRetryInterval || wst.unrecordedOrdersSentAt == 0)
 		if sendUnrecorded {
 			wst.unrecordedOrdersSentAt = now
@@ -199,8 +199,9 @@
 		if len(an.orders) == 0 && !force {
 			return
 		}
+		mayLease := !pl.st.isSilent(idx)
 		for i := range wst.attempts {
-			if la := &wst.attempts[i]; la.reportedRunning && !la.leaseExpired {
+			if la := &wst.attempts[i]; mayLease && la.reportedRunning && !la.leaseExpired {
 				an.leases = append(an.leases, Lease{task: la.ref.id(), attempt: la.attempt})
 			}
 		}
@@ -213,8 +214,9 @@
 
 // orders derives the orders for a worker from the state, so that lost answers
 // and leader changes need no separate bookkeeping.
-func (pl *Planner[P]) orders(now model.Instant, wst *workerStatus) []Order {
+func (pl *Planner[P]) orders(now model.Instant, idx int32) []Order {
 	var out []Order
+	wst, mayStart := &pl.statuses[idx], pl.mayStart(now) && !pl.st.isSilent(idx)
 	for i := range wst.attempts {
 		la := &wst.attempts[i]
 		if la.leaseExpired || la.recordPending || (la.orderedAt != 0 && la.orderedAt.age(now) < orderRetryInterval) {
@@ -222,7 +224,7 @@
 		}
 		tk, spec := la.task(), &la.ref.job.spec
 		switch {
-		case tk.state == Starting && !la.reportedRunning && !la.mayHaveRun && pl.mayStart(now):
+		case tk.state == Starting && !la.reportedRunning && !la.mayHaveRun && mayStart:
 			out = append(out, Order{
 				kind: OrderStart, task: la.ref.id(), attempt: la.attempt, taskKind: spec.Kind,
 				priority: spec.Priority, size: tk.size.resources(), resume: tk.newest, fallback: tk.previous,
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -39,6 +39,7 @@
 	rack       string
 	size       model.Resources
 	registered bool
+	silent     bool
 }
 
 // NewWorkerRecord returns the record of a worker. registered is false for a
@@ -47,6 +48,13 @@
 	return WorkerRecord{id: id, rack: rack, size: size, registered: registered}
 }
 
+// WithSilent returns a copy of the record of a worker that is marked as silent
+// or is not.
+func (wr WorkerRecord) WithSilent(silent bool) WorkerRecord {
+	wr.silent = silent
+	return wr
+}
+
 // ID returns the worker's name.
 func (wr WorkerRecord) ID() model.WorkerID { return wr.id }
 
@@ -59,6 +67,9 @@
 // Registered reports whether the worker is registered.
 func (wr WorkerRecord) Registered() bool { return wr.registered }
 
+// Silent reports whether the worker is marked as silent.
+func (wr WorkerRecord) Silent() bool { return wr.silent }
+
 // JobRecord is a job in a snapshot.
 type JobRecord struct {
 	spec           JobSpec
@@ -133,8 +144,9 @@
 // Snapshot returns a copy that later commands do not change.
 func (st *State) Snapshot() Snapshot {
 	sn := Snapshot{submitted: st.submitted, completed: st.completed}
-	for _, wk := range st.workers {
-		sn.workers = append(sn.workers, WorkerRecord{id: wk.id, rack: wk.rack, size: wk.size, registered: wk.registered})
+	for idx, wk := range st.workers {
+		rec := NewWorkerRecord(wk.id, wk.rack, wk.size, wk.registered)
+		sn.workers = append(sn.workers, rec.WithSilent(st.isSilent(int32(idx))))
 	}
 	for _, jb := range st.inOrder() {
 		rec := JobRecord{spec: jb.spec, sequence: jb.sequence, done: jb.done, closeReason: jb.closeReason}
@@ -161,11 +173,14 @@
 func (st *State) Restore(sn Snapshot) {
 	*st = State{
 		jobs: make(map[model.JobID]*job, len(sn.jobs)), workerIndexes: make(map[model.WorkerID]int32, len(sn.workers)),
-		submitted: sn.submitted, completed: sn.completed,
+		submitted: sn.submitted, completed: sn.completed, silentMarks: st.silentMarks,
 	}
 	for i, wr := range sn.workers {
 		st.workerIndexes[wr.id] = int32(i)
 		st.workers = append(st.workers, &worker{id: wr.id, rack: wr.rack, size: wr.size, registered: wr.registered})
+		if wr.silent {
+			st.addSilent(int32(i))
+		}
 	}
 	var completed []*job
 	for _, rec := range sn.jobs {
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -124,6 +124,11 @@
 	// of each name in workers.
 	workers       []*worker
 	workerIndexes map[model.WorkerID]int32
+	// silent has the serial number of the mark of each worker that is marked as
+	// silent, by the worker's index. silentMarks is the last serial number. The
+	// numbers tell marks on this replica apart and are not replicated.
+	silent      map[int32]uint64
+	silentMarks uint64
 	// submitted and completed count jobs; they give each job its position in
 	// the orders of submission and completion.
 	submitted, completed uint64
@@ -155,6 +160,10 @@
 		return st.registerWorker(op)
 	case OpRemoveWorker:
 		return st.removeWorker(op)
+	case OpMarkSilent:
+		return st.markSilent(op)
+	case OpClearSilent:
+		return st.clearSilent(op)
 	case OpStart:
 		return st.start(op)
 	case OpConfirm, OpEnd, OpCheckpoint, OpEvict, OpResize:
--- a/core/sched/state_test.go
+++ b/core/sched/state_test.go
@@ -28,6 +28,8 @@
 		{"start from a checkpoint that is not the newest", Start(second, 2, "two", size, NewCheckpoint(1, 1), false), StaleAttempt},
 		{"start beyond the size", Start(second, 2, "one", size, none, false), DoesNotFit},
 		{"start on an unknown worker", Start(second, 2, "three", size, none, false), UnknownWorker},
+		{"start on a silent worker", Start(second, 2, "four", size, none, false), SilentWorker},
+		{"mark of an unknown worker", MarkSilent("three"), UnknownWorker},
 		{"growth beyond the size", Resize(first, 2, model.NewResources(6, 1, 0)), DoesNotFit},
 		{"end of an older attempt", End(first, 1, "one", Lost), StaleAttempt},
 		{"end of a waiting task", End(second, 1, "one", Succeeded), StaleAttempt},
@@ -41,6 +43,7 @@
 			var st State
 			st.Apply(NewCommand(
 				Submit(jo), RegisterWorker("one", "rack", model.NewResources(5, 5, 0)), RegisterWorker("two", "rack", model.NewResources(5, 5, 0)),
+				RegisterWorker("four", "rack", model.NewResources(5, 5, 0)), MarkSilent("four"),
 				Start(first, 1, "one", size, none, false), End(first, 1, "one", Errored), Start(first, 2, "one", size, none, false),
 				Start(second, 1, "two", size, none, false), End(second, 1, "two", Lost),
 			))
--- a/io/wire/sched.go
+++ b/io/wire/sched.go
@@ -111,6 +111,10 @@
 		return sched.RegisterWorker(wid, msg.GetRack(), size), nil
 	case sched.OpRemoveWorker:
 		return sched.RemoveWorker(wid), nil
+	case sched.OpMarkSilent:
+		return sched.MarkSilent(wid), nil
+	case sched.OpClearSilent:
+		return sched.ClearSilent(wid), nil
 	case sched.OpStart:
 		return sched.Start(task, att, wid, size, cp, msg.GetBorrowed()), nil
 	case sched.OpConfirm:
--- a/io/wire/sched_test.go
+++ b/io/wire/sched_test.go
@@ -23,6 +23,7 @@
 	}
 	all := []sched.Op{
 		sched.Submit(jo), sched.RegisterWorker(wid, "rack", model.NewResources(4000, 4000, 1)), sched.RemoveWorker(wid),
+		sched.MarkSilent(wid), sched.ClearSilent(wid),
 		sched.Start(task, att, wid, size, sched.Checkpoint{}, true), sched.Start(task, att, wid, size, cp, false),
 		sched.Confirm(task, att, cp), sched.End(task, att, wid, sched.Lost), sched.End(task, att, wid, sched.Succeeded),
 		sched.RecordCheckpoint(task, cp), sched.Evict(task, att, sched.ReasonUrgent), sched.Resize(task, att, size),
--- a/io/wire/schedsnap.go
+++ b/io/wire/schedsnap.go
@@ -29,7 +29,7 @@
 	msg := &SchedSnapshot{Submitted: sn.Submitted(), Completed: sn.Completed()}
 	for _, wr := range sn.Workers() {
 		msg.Workers = append(msg.Workers, &SchedWorker{
-			Id: string(wr.ID()), Rack: wr.Rack(), Size: resourcesToProto(wr.Size()), Known: wr.Registered(),
+			Id: string(wr.ID()), Rack: wr.Rack(), Size: resourcesToProto(wr.Size()), Known: wr.Registered(), Silent: wr.Silent(),
 		})
 	}
 	for _, jr := range sn.Jobs() {
@@ -46,7 +46,8 @@
 func SchedSnapshotFromProto(msg *SchedSnapshot) (sched.Snapshot, error) {
 	wrs := make([]sched.WorkerRecord, len(msg.GetWorkers()))
 	for i, wm := range msg.GetWorkers() {
-		wrs[i] = sched.NewWorkerRecord(model.WorkerID(wm.GetId()), wm.GetRack(), resourcesFromProto(wm.GetSize()), wm.GetKnown())
+		rec := sched.NewWorkerRecord(model.WorkerID(wm.GetId()), wm.GetRack(), resourcesFromProto(wm.GetSize()), wm.GetKnown())
+		wrs[i] = rec.WithSilent(wm.GetSilent())
 	}
 	jrs := make([]sched.JobRecord, len(msg.GetJobs()))
 	for i, jm := range msg.GetJobs() {
