Restart lost service tasks before new ones start in core/sched

A task of a service that had lost its worker waited behind all services of its team that had never run: its job was queued anew, as the last.

Jobs with restarts of a service now come before the others of their team and priority, those that have waited longest first, and restarts before the other tasks of their job. The order of teams is as before.

--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -20,8 +20,9 @@
 type backlog struct {
 	job  *job
 	team *teamQueue
-	// waiting holds the waiting tasks, oldest first. Entries before head were
-	// removed; entries from head on whose task no longer waits are skipped.
+	// waiting holds the waiting tasks, restarts first, then oldest first. Entries
+	// before head were removed; entries from head on whose task no longer waits are
+	// skipped.
 	waiting []waitingTask
 	head    int
 	// queued: the backlog is listed in team.backlogs.
@@ -114,13 +115,21 @@
 	return bl
 }
 
-// push queues a task that waits since the given time, as the newest of its job.
+// push queues a task that waits since the given time, as the newest of its job, a
+// restart before the others.
 func (qu *queue) push(re ref, since model.Instant) {
 	bl := qu.backlog(re.job)
 	if bl.progressAt == 0 {
 		bl.progressAt = since
 	}
-	bl.waiting = append(bl.waiting, waitingTask{index: re.index, since: since})
+	pos := len(bl.waiting)
+	if re.isRestart() {
+		first := slices.IndexFunc(bl.waiting[bl.head:], func(wt waitingTask) bool { return !ref{job: bl.job, index: wt.index}.isRestart() })
+		if first >= 0 {
+			pos = bl.head + first
+		}
+	}
+	bl.waiting = slices.Insert(bl.waiting, pos, waitingTask{index: re.index, since: since})
 	if !bl.queued {
 		bl.queued = true
 		pri := re.job.spec.Priority
@@ -159,8 +168,31 @@
 	return waitingTask{}, false
 }
 
+// restartSince returns since when the first waiting task has waited if it is a
+// restart, else false.
+func (bl *backlog) restartSince() (model.Instant, bool) {
+	wt, ok := bl.peek()
+	return wt.since, ok && ref{job: bl.job, index: wt.index}.isRestart()
+}
+
+// compareBacklogs orders jobs with restarts before others, those that have waited
+// longest first.
+func compareBacklogs(one, two *backlog) int {
+	oneSince, oneRestarts := one.restartSince()
+	twoSince, twoRestarts := two.restartSince()
+	switch {
+	case oneRestarts && twoRestarts:
+		return cmp.Compare(oneSince, twoSince)
+	case oneRestarts:
+		return -1
+	case twoRestarts:
+		return 1
+	}
+	return 0
+}
+
 // compact removes the backlogs of one priority without waiting tasks and
-// returns the others.
+// returns the others, in the order in which their tasks start.
 func (tq *teamQueue) compact(pri model.Priority) []*backlog {
 	remaining := tq.backlogs[pri][:0]
 	for _, bl := range tq.backlogs[pri] {
@@ -171,6 +203,9 @@
 		bl.queued = false
 	}
 	clear(tq.backlogs[pri][len(remaining):])
+	if pri == model.Service {
+		slices.SortStableFunc(remaining, compareBacklogs)
+	}
 	tq.backlogs[pri] = remaining
 	return remaining
 }
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -89,6 +89,12 @@
 
 func (re ref) task() *task { return &re.job.tasks[re.index] }
 
+// isRestart reports whether the next attempt of the task replaces one of a service,
+// which its callers miss until then.
+func (re ref) isRestart() bool {
+	return re.job.spec.Priority == model.Service && re.task().attempt > 0
+}
+
 func (re ref) id() model.TaskID { return model.NewTaskID(re.job.spec.ID, int(re.index)) }
 
 // worker is one worker VM.
