Let jobs that cannot start hold up no other of their team in core/sched

A plan tries at most 64 jobs of a team and priority, to bound its cost, and these were always the first ones. A task that came behind 64 jobs without room was never tried, even if there was room for it, until one of them started.

Half of the jobs that are tried are the first in the order, and the others take turns.

TestManyStuckJobsHoldUpNoOther before, for batch and service: "the task waits: queued".

--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -49,9 +49,12 @@
 type teamQueue struct {
 	team     model.TeamID
 	backlogs [model.Urgent + 1][]*backlog
-	// cursor is the index, in the backlogs of the priority being planned, of
-	// the job to try next.
+	// cursor is the number of jobs that were tried in the call of startByShare
+	// being made.
 	cursor int
+	// turn is, by priority, the index at which the part of the backlogs begins that
+	// gets its turn in the plan being made, see tried.
+	turn [model.Urgent + 1]int
 	// quotaHolder is the first job in the order that waits for quota in the plan
 	// being made, nil for none. heldQuota is the need of its oldest task, which
 	// later jobs leave free.
@@ -191,6 +194,28 @@
 	return 0
 }
 
+// tried returns the job that is tried as number num, from 0, in a call of
+// startByShare: the first jobsInOrder of the order, and then those whose turn it
+// is among the others.
+func (tq *teamQueue) tried(pri model.Priority, num int) *backlog {
+	jobs := tq.backlogs[pri]
+	if num < jobsInOrder {
+		return jobs[num]
+	}
+	others := jobs[jobsInOrder:]
+	return others[(tq.turn[pri]+num-jobsInOrder)%len(others)]
+}
+
+// nextTurn gives the turn to the jobs after those that the plan has tried.
+func (tq *teamQueue) nextTurn() {
+	for pri, jobs := range tq.backlogs {
+		tq.turn[pri] += maxJobsPerTeam - jobsInOrder
+		if len(jobs) <= maxJobsPerTeam || tq.turn[pri] >= len(jobs)-jobsInOrder {
+			tq.turn[pri] = 0
+		}
+	}
+}
+
 // compact removes the backlogs of one priority without waiting tasks and
 // returns the others, in the order in which their tasks start.
 func (tq *teamQueue) compact(pri model.Priority) []*backlog {
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -13,8 +13,11 @@
 	// at the peak of 5,800 a second.
 	maxStarts = 4096
 	// maxJobsPerTeam bounds how many jobs of one team are tried in a call of
-	// startByShare, so that jobs that cannot start do not prolong it.
+	// startByShare, so that jobs that cannot start do not prolong it. jobsInOrder
+	// of them are the first in the order; the others take turns, so that jobs that
+	// cannot start hold up none that can.
 	maxJobsPerTeam = 64
+	jobsInOrder    = maxJobsPerTeam / 2
 )
 
 // placement is a task that the proposal in flight starts on a worker.
@@ -74,6 +77,9 @@
 		}
 	}
 	pl.startByShare(now, rnd, model.Batch, true)
+	for _, tq := range pl.queue.teamOrder {
+		tq.nextTurn()
+	}
 	pl.claimRoom(now, rnd)
 	return rnd.ops, rnd.placements
 }
@@ -109,9 +115,8 @@
 // startNext starts a task of the first job of the team that can start one, and
 // reports whether there was one.
 func (pl *Planner[P]) startNext(now model.Instant, rnd *round, tq *teamQueue, pri model.Priority, borrow bool) bool {
-	jobs := tq.backlogs[pri]
-	for ; tq.cursor < min(len(jobs), maxJobsPerTeam); tq.cursor++ {
-		bl := jobs[tq.cursor]
+	for ; tq.cursor < min(len(tq.backlogs[pri]), maxJobsPerTeam); tq.cursor++ {
+		bl := tq.tried(pri, tq.cursor)
 		wt, ok := bl.peek()
 		if !ok {
 			continue
