Answer the requests that are read ahead before an HTTP server stops

A client that sent its next request while the handler of the one before, already answered, had not returned yet lost the connection without an answer if the server was stopped then. Package http reads one byte ahead during a handler; this byte marked the connection as in use, and the end of the handler then marked it as waiting for a request again, so that the shutdown ended it.

The connection now remembers that a byte was read ahead.

--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -73,6 +73,9 @@
 	mu sync.Mutex
 	// awaiting is true while no byte of the next request has been read.
 	awaiting bool
+	// ahead is set when a byte of the next request has been read before the present
+	// one has ended: package http reads one byte to learn that a client is gone.
+	ahead bool
 	// expired is set when the listener is closed.
 	expired bool
 }
@@ -82,7 +85,7 @@
 	num, err := con.Conn.Read(buf)
 	if num > 0 {
 		con.mu.Lock()
-		con.awaiting = false
+		con.awaiting, con.ahead = false, len(buf) == 1
 		con.mu.Unlock()
 	}
 	return num, err
@@ -132,6 +135,6 @@
 		return
 	}
 	con.mu.Lock()
-	con.awaiting = true
+	con.awaiting, con.ahead = !con.ahead, false
 	con.mu.Unlock()
 }
