Keep the times of stop requests through changes of the leader in core/sched

The lease of an attempt whose worker ignores stop orders is renewed for 30 s at most, counted from the stop request, and then expires. Each new leader counted from its own start, so that a cancelled attempt ran on for as long as the leader changed more often.

Every VM now records when it applied a stop request, as it does for the end of an attempt.

TestStopRequestsOutlastTheLeader before: "the attempt runs for 4m2s after its job was cancelled, want at most 1m0.5s".

--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -8,10 +8,10 @@
 	"guavarail/core/model"
 )
 
-// handleApplied updates the waiting times and the leader-only state after the
+// handleApplied updates the times of changes and the leader-only state after the
 // group applied a command.
 func (pl *Planner[P]) handleApplied(now model.Instant, cmd Command, res Result) {
-	pl.trackWaits(now, cmd, res)
+	pl.trackChanges(now, cmd, res)
 	if !pl.leading {
 		return
 	}
--- a/core/sched/planner.go
+++ b/core/sched/planner.go
@@ -331,12 +331,15 @@
 func (pl *Planner[P]) addAttempt(now model.Instant, idx int32, re ref) {
 	tk := re.task()
 	wst := pl.ensureStatus(idx)
-	ordered := stamp(0)
-	if tk.state == Running {
+	ordered, recorded := stamp(0), stampOf(now)
+	switch tk.state {
+	case Running:
 		ordered = stampOf(now)
+	case Stopping:
+		recorded = stampOf(tk.since(now))
 	}
 	wst.attempts = append(wst.attempts, liveAttempt{
-		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, leaseFrom: pl.leasedSince(now, idx), recordedAt: stampOf(now), orderedAt: ordered,
+		ref: re, attempt: tk.attempt, size: tk.size, borrowed: tk.borrowed, leaseFrom: pl.leasedSince(now, idx), recordedAt: recorded, orderedAt: ordered,
 		runTime: pl.expectedRunTime(&re.job.spec), stopping: tk.state == Stopping,
 	})
 	wst.nextExpiry = 0
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -88,7 +88,7 @@
 	var waiting []waitingTask
 	for i := range jb.tasks {
 		if tk := &jb.tasks[i]; tk.state == Waiting {
-			waiting = append(waiting, waitingTask{index: int32(i), since: tk.waitsSince(now)})
+			waiting = append(waiting, waitingTask{index: int32(i), since: tk.since(now)})
 		}
 	}
 	slices.SortStableFunc(waiting, func(one, two waitingTask) int { return cmp.Compare(one.since, two.since) })
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -20,10 +20,10 @@
 	// while the task is live, else 0.
 	workerNumber int32
 	attempt      model.Attempt
-	// waitingSince is when this VM applied the submission of the task or the end
-	// of its last attempt, 0 if that was before a restart or a snapshot. It is not
-	// replicated.
-	waitingSince stamp
+	// changedAt is when this VM applied the submission of the task, the end of its
+	// last attempt or the request to stop the live one, whichever was last; 0 if
+	// that was before a restart or a snapshot. It is not replicated.
+	changedAt stamp
 	// newest is the checkpoint that the next attempt resumes from, previous
 	// the one to fall back to. newest is never before previous.
 	newest, previous Checkpoint
--- a/core/sched/waits_test.go
+++ b/core/sched/waits_test.go
@@ -41,3 +41,26 @@
 		}
 	}
 }
+
+// Guards against an attempt that runs on, although its stop was requested, as long
+// as the leader changes more often than the lease of a stopping attempt is renewed.
+func TestStopRequestsOutlastTheLeader(t *testing.T) {
+	const interval = 20 * time.Second
+	bound := stopRenewalTime + model.WithDrift(TaskLease) + interval
+	sim := newSimulation(newOracle(t), 3)
+	sim.run(3 * time.Second)
+	sim.submitBatch(t, "cancelled", "kiln", 1, 1000)
+	sim.run(2 * time.Second)
+	sim.liveWorker("cancelled").stubborn = true
+	sim.commit(NewCommand(Cancel("cancelled")))
+	begin, next := sim.now, sim.now.Add(interval)
+	for sim.liveWorker("cancelled") != nil && sim.now.Sub(begin) < 4*bound {
+		if sim.advance(); sim.now >= next {
+			sim.changeLeader()
+			next = sim.now.Add(interval - time.Second)
+		}
+	}
+	if took := sim.now.Sub(begin); took > bound {
+		t.Errorf("the attempt runs for %v after its job was cancelled, want at most %v", took, bound)
+	}
+}
--- a/core/sched/worker_test.go
+++ b/core/sched/worker_test.go
@@ -37,6 +37,8 @@
 	faulty bool
 	// frozen: the worker does nothing, but keeps its attempts.
 	frozen bool
+	// stubborn: the worker carries out no stop order.
+	stubborn bool
 	// incarnation counts the restarts.
 	incarnation int
 	// tag is that of the last answer.
@@ -184,7 +186,7 @@
 		wk.start(msg, or)
 	case OrderStop:
 		wk.highestAttempt[or.task] = max(wk.highestAttempt[or.task], or.attempt)
-		if fa := wk.find(or.task); fa != nil && fa.attempt == or.attempt && fa.stopAt == 0 {
+		if fa := wk.find(or.task); fa != nil && fa.attempt == or.attempt && fa.stopAt == 0 && !wk.stubborn {
 			wk.checkpoint(fa)
 			fa.stopAt = now.Add(min(or.grace, wk.stopTime()))
 		}
