Find the ends of jobs in a command of core/sched in linear time

After the loss of many workers the leader stood still for seconds: for each end in a command it searched the rest of the command for another one of the same job, and the ends of all lost attempts are in one command.

The last end of each job is now looked up in a map that is made once for each command.

--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -35,8 +35,9 @@
 // emitJobsEnded emits one event for each job whose last task ended in the
 // command, also when several of its tasks ended in it.
 func (pl *Planner[P]) emitJobsEnded(cmd Command, res Result) {
+	last := lastEnds(cmd)
 	for i := range min(len(cmd.ops), len(res.verdicts)) {
-		if cmd.ops[i].kind != OpEnd || res.verdicts[i] != Accepted || !isLastEndOfJob(cmd, i) {
+		if cmd.ops[i].kind != OpEnd || res.verdicts[i] != Accepted || last[cmd.ops[i].task.Job()] != i {
 			continue
 		}
 		if jb, ok := pl.st.jobs[cmd.ops[i].task.Job()]; ok && jb.open == 0 {
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -71,15 +71,15 @@
 	pl.failures.RemoveJob(jb.spec.ID)
 }
 
-// isLastEndOfJob reports whether no OpEnd after operation i, which is an OpEnd,
-// is for a task of the same job. It does not check whether the job has ended.
-func isLastEndOfJob(cmd Command, i int) bool {
-	for _, op := range cmd.ops[i+1:] {
-		if op.kind == OpEnd && op.task.Job() == cmd.ops[i].task.Job() {
-			return false
+// lastEnds returns the index of the last OpEnd for each job in the command.
+func lastEnds(cmd Command) map[model.JobID]int {
+	last := map[model.JobID]int{}
+	for i := range cmd.ops {
+		if cmd.ops[i].kind == OpEnd {
+			last[cmd.ops[i].task.Job()] = i
 		}
 	}
-	return true
+	return last
 }
 
 // planCleanup returns the operations that fail jobs that keep failing or fit on
