--- a/core/sched/applied.go
+++ b/core/sched/applied.go
@@ -8,9 +8,10 @@
 	"guavarail/core/model"
 )
 
-// handleApplied updates the leader-only state after the group applied a
-// command.
+// handleApplied updates the times of changes and the leader-only state after the
+// group applied a command.
 func (pl *Planner[P]) handleApplied(now model.Instant, cmd Command, res Result) {
+	pl.trackChanges(now, cmd, res)
 	if !pl.leading {
 		return
 	}
@@ -34,8 +35,9 @@
 // emitJobsEnded emits one event for each job whose last task ended in the
 // command, also when several of its tasks ended in it.
 func (pl *Planner[P]) emitJobsEnded(cmd Command, res Result) {
+	last := lastEnds(cmd)
 	for i := range min(len(cmd.ops), len(res.verdicts)) {
-		if cmd.ops[i].kind != OpEnd || res.verdicts[i] != Accepted || !isLastEndOfJob(cmd, i) {
+		if cmd.ops[i].kind != OpEnd || res.verdicts[i] != Accepted || last[cmd.ops[i].task.Job()] != i {
 			continue
 		}
 		if jb, ok := pl.st.jobs[cmd.ops[i].task.Job()]; ok && jb.open == 0 {
@@ -73,6 +75,8 @@
 		pl.workerRegistered(op)
 	case OpRemoveWorker:
 		pl.workerRemoved(now, op)
+	case OpMarkSilent, OpClearSilent:
+		pl.silenceChanged(op)
 	case OpStart, OpConfirm, OpEnd, OpCheckpoint, OpEvict, OpResize:
 		pl.attemptChanged(now, op)
 	}
@@ -226,18 +230,6 @@
 	}
 }
 
-func (pl *Planner[P]) attemptResized(re ref, idx int32, size model.Resources) {
-	wst := &pl.statuses[idx]
-	for i := range wst.attempts {
-		if la := &wst.attempts[i]; la.ref == re {
-			pl.accounts.sub(re.job.spec, la.size.resources(), la.borrowed)
-			la.size, la.overSince, la.throttleForGrowth = pack(size), 0, false
-			pl.accounts.add(re.job.spec, size, la.borrowed)
-		}
-	}
-	pl.updateIndex(idx)
-}
-
 // attemptEnded removes the attempt from the leader-only state and requeues its
 // task if another attempt is needed. The state may have deleted the job already
 // if its last task ended in this command.
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"guavarail/core/model"
@@ -18,8 +20,9 @@
 type backlog struct {
 	job  *job
 	team *teamQueue
-	// waiting holds the waiting tasks, oldest first. Entries before head were
-	// removed; entries from head on whose task no longer waits are skipped.
+	// waiting holds the waiting tasks, restarts first, then oldest first. Entries
+	// before head were removed; entries from head on whose task no longer waits are
+	// skipped.
 	waiting []waitingTask
 	head    int
 	// queued: the backlog is listed in team.backlogs.
@@ -46,9 +49,12 @@
 type teamQueue struct {
 	team     model.TeamID
 	backlogs [model.Urgent + 1][]*backlog
-	// cursor is the index, in the backlogs of the priority being planned, of
-	// the job to try next.
+	// cursor is the number of jobs that were tried in the call of startByShare
+	// being made.
 	cursor int
+	// turn is, by priority, the index at which the part of the backlogs begins that
+	// gets its turn in the plan being made, see tried.
+	turn [model.Urgent + 1]int
 	// quotaHolder is the first job in the order that waits for quota in the plan
 	// being made, nil for none. heldQuota is the need of its oldest task, which
 	// later jobs leave free.
@@ -67,24 +73,28 @@
 	teamOrder []*teamQueue
 }
 
-// rebuild fills the queue from the state. The waiting time of all tasks counts
-// from now.
+// rebuild fills the queue from the state.
 func (qu *queue) rebuild(st *State, now model.Instant) {
 	for _, jb := range st.inOrder() {
 		qu.submit(jb, now)
 	}
 }
 
-// submit queues the waiting tasks of a job.
+// submit queues the waiting tasks of a job, the oldest first.
 func (qu *queue) submit(jb *job, now model.Instant) {
 	if jb.open == 0 || jb.closeReason != NoReason {
 		return
 	}
+	var waiting []waitingTask
 	for i := range jb.tasks {
-		if jb.tasks[i].state == Waiting {
-			qu.push(ref{job: jb, index: int32(i)}, now)
+		if tk := &jb.tasks[i]; tk.state == Waiting {
+			waiting = append(waiting, waitingTask{index: int32(i), since: tk.since(now)})
 		}
 	}
+	slices.SortStableFunc(waiting, func(one, two waitingTask) int { return cmp.Compare(one.since, two.since) })
+	for _, wt := range waiting {
+		qu.push(ref{job: jb, index: wt.index}, wt.since)
+	}
 }
 
 // backlog returns the backlog of a job, and adds an empty one if there is none.
@@ -108,13 +118,21 @@
 	return bl
 }
 
-// push queues a task that waits since the given time, as the newest of its job.
+// push queues a task that waits since the given time, as the newest of its job, a
+// restart before the others.
 func (qu *queue) push(re ref, since model.Instant) {
 	bl := qu.backlog(re.job)
 	if bl.progressAt == 0 {
 		bl.progressAt = since
 	}
-	bl.waiting = append(bl.waiting, waitingTask{index: re.index, since: since})
+	pos := len(bl.waiting)
+	if re.isRestart() {
+		first := slices.IndexFunc(bl.waiting[bl.head:], func(wt waitingTask) bool { return !ref{job: bl.job, index: wt.index}.isRestart() })
+		if first >= 0 {
+			pos = bl.head + first
+		}
+	}
+	bl.waiting = slices.Insert(bl.waiting, pos, waitingTask{index: re.index, since: since})
 	if !bl.queued {
 		bl.queued = true
 		pri := re.job.spec.Priority
@@ -153,8 +171,53 @@
 	return waitingTask{}, false
 }
 
+// restartSince returns since when the first waiting task has waited if it is a
+// restart, else false.
+func (bl *backlog) restartSince() (model.Instant, bool) {
+	wt, ok := bl.peek()
+	return wt.since, ok && ref{job: bl.job, index: wt.index}.isRestart()
+}
+
+// compareBacklogs orders jobs with restarts before others, those that have waited
+// longest first.
+func compareBacklogs(one, two *backlog) int {
+	oneSince, oneRestarts := one.restartSince()
+	twoSince, twoRestarts := two.restartSince()
+	switch {
+	case oneRestarts && twoRestarts:
+		return cmp.Compare(oneSince, twoSince)
+	case oneRestarts:
+		return -1
+	case twoRestarts:
+		return 1
+	}
+	return 0
+}
+
+// tried returns the job that is tried as number num, from 0, in a call of
+// startByShare: the first jobsInOrder of the order, and then those whose turn it
+// is among the others.
+func (tq *teamQueue) tried(pri model.Priority, num int) *backlog {
+	jobs := tq.backlogs[pri]
+	if num < jobsInOrder {
+		return jobs[num]
+	}
+	others := jobs[jobsInOrder:]
+	return others[(tq.turn[pri]+num-jobsInOrder)%len(others)]
+}
+
+// nextTurn gives the turn to the jobs after those that the plan has tried.
+func (tq *teamQueue) nextTurn() {
+	for pri, jobs := range tq.backlogs {
+		tq.turn[pri] += maxJobsPerTeam - jobsInOrder
+		if len(jobs) <= maxJobsPerTeam || tq.turn[pri] >= len(jobs)-jobsInOrder {
+			tq.turn[pri] = 0
+		}
+	}
+}
+
 // compact removes the backlogs of one priority without waiting tasks and
-// returns the others.
+// returns the others, in the order in which their tasks start.
 func (tq *teamQueue) compact(pri model.Priority) []*backlog {
 	remaining := tq.backlogs[pri][:0]
 	for _, bl := range tq.backlogs[pri] {
@@ -165,6 +228,9 @@
 		bl.queued = false
 	}
 	clear(tq.backlogs[pri][len(remaining):])
+	if pri == model.Service {
+		slices.SortStableFunc(remaining, compareBacklogs)
+	}
 	tq.backlogs[pri] = remaining
 	return remaining
 }
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -20,6 +20,10 @@
 	// while the task is live, else 0.
 	workerNumber int32
 	attempt      model.Attempt
+	// changedAt is when this VM applied the submission of the task, the end of its
+	// last attempt or the request to stop the live one, whichever was last; 0 if
+	// that was before a restart or a snapshot. It is not replicated.
+	changedAt stamp
 	// newest is the checkpoint that the next attempt resumes from, previous
 	// the one to fall back to. newest is never before previous.
 	newest, previous Checkpoint
@@ -85,6 +89,12 @@
 
 func (re ref) task() *task { return &re.job.tasks[re.index] }
 
+// isRestart reports whether the next attempt of the task replaces one of a service,
+// which its callers miss until then.
+func (re ref) isRestart() bool {
+	return re.job.spec.Priority == model.Service && re.task().attempt > 0
+}
+
 func (re ref) id() model.TaskID { return model.NewTaskID(re.job.spec.ID, int(re.index)) }
 
 // worker is one worker VM.
@@ -124,6 +134,11 @@
 	// of each name in workers.
 	workers       []*worker
 	workerIndexes map[model.WorkerID]int32
+	// silent has the serial number of the mark of each worker that is marked as
+	// silent, by the worker's index. silentMarks is the last serial number. The
+	// numbers tell marks on this replica apart and are not replicated.
+	silent      map[int32]uint64
+	silentMarks uint64
 	// submitted and completed count jobs; they give each job its position in
 	// the orders of submission and completion.
 	submitted, completed uint64
@@ -155,6 +170,10 @@
 		return st.registerWorker(op)
 	case OpRemoveWorker:
 		return st.removeWorker(op)
+	case OpMarkSilent:
+		return st.markSilent(op)
+	case OpClearSilent:
+		return st.clearSilent(op)
 	case OpStart:
 		return st.start(op)
 	case OpConfirm, OpEnd, OpCheckpoint, OpEvict, OpResize:
