Expire the streams of a link before their session is shut down

Cause: a Read or Write of a yamux stream that waits selects on the shutdown channel of its session and tries again while that is closed and the stream is not. Session.Close closes the channel first and the streams last, after it has waited for its reading goroutine. The waiting tasks keep the core that the closing goroutine needs; with one core it gets it only by preemption, and never where the process's clock stands still meanwhile.

Each stream in use is in a set of its link. The set expires them by deadlines that have passed before yamux sees that the connection failed, before the link closes the session, and when yamux closes the connection by itself after malformed data. yamux's timeout for opening streams is off: it shut the session down without a warning, and pings find such a VM earlier.

The test holds the closing of the connection up for 500 ms on one core.

--- /dev/null
+++ b/io/busy/doc.go
@@ -0,0 +1,2 @@
+// Package busy watches the processor time of the process.
+package busy
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -7,7 +7,6 @@
 	"net"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 
 	"guavarail/core/model"
@@ -66,9 +65,9 @@
 // reset makes next return the delay of a first attempt.
 func (bac *backoff) reset() { bac.step = 0 }
 
-// dialResult is the result of a dial attempt; ymx is nil if it failed.
+// dialResult is the result of a dial attempt; conn is nil if it failed.
 type dialResult struct {
-	ymx *yamux.Session
+	conn *muxConn
 }
 
 // dialAttempt is one attempt to open a session, run by its own goroutine.
@@ -89,17 +88,17 @@
 // run waits for delay, dials, sends the result on att.result and posts dialDone.
 func (att *dialAttempt) run(ctx context.Context, hub *Hub, peer model.VMID, addr string, delay time.Duration, post func(msg any)) {
 	host.Pause(ctx, delay)
-	ymx, err := dial(ctx, hub, peer, addr)
+	mc, err := dial(ctx, hub, peer, addr)
 	if err != nil && ctx.Err() == nil {
 		hub.cfg.Log.Debug("dial failed", "peer", peer, "address", addr, "error", err)
 	}
-	att.result <- dialResult{ymx: ymx}
+	att.result <- dialResult{conn: mc}
 	post(dialDone{att: att})
 }
 
 // dial opens a session and waits until the other VM answers a ping, because the
 // kernel accepts connections for a suspended process too.
-func dial(ctx context.Context, hub *Hub, peer model.VMID, addr string) (*yamux.Session, error) {
+func dial(ctx context.Context, hub *Hub, peer model.VMID, addr string) (*muxConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -111,14 +110,13 @@
 		_ = conn.Close()
 		return nil, errors.Trace(err)
 	}
-	ymx, err := yamux.Client(countedConn{Conn: conn, vars: hub.vars}, yamuxConfig())
+	mc, err := newMuxConn(conn, true, hub.vars)
 	if err != nil {
-		_ = conn.Close()
 		return nil, errors.Trace(err)
 	}
-	if _, err := ymx.Ping(); err != nil {
-		_ = ymx.Close()
+	if err := mc.ping(); err != nil {
+		mc.close()
 		return nil, errors.Trace(err)
 	}
-	return ymx, nil
+	return mc, nil
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
-	"github.com/hashicorp/yamux"
 
 	"guavarail/core/model"
 )
@@ -178,12 +177,9 @@
 		_ = conn.Close()
 		return
 	}
-	ymx, err := yamux.Server(countedConn{Conn: conn, vars: li.hub.vars}, yamuxConfig())
-	if err != nil {
-		_ = conn.Close()
-		return
+	if mc, err := newMuxConn(conn, false, li.hub.vars); err == nil {
+		li.setSession(mc, false)
 	}
-	li.setSession(ymx, false)
 }
 
 // replaces reports whether a new session replaces the current one; dialled says whether
@@ -205,18 +201,18 @@
 	}
 	li.att = nil
 	att.cancel()
-	if res := <-att.result; res.ymx != nil {
-		li.setSession(res.ymx, true)
+	if res := <-att.result; res.conn != nil {
+		li.setSession(res.conn, true)
 		return
 	}
 	li.redial()
 }
 
-// setSession makes ymx the session of the link and closes the previous one.
-func (li *link) setSession(ymx *yamux.Session, dialled bool) {
+// setSession starts the session of the link on mc and closes the previous one.
+func (li *link) setSession(mc *muxConn, dialled bool) {
 	li.closeSession()
 	li.stopDial()
-	li.ses = startSession(li, ymx, dialled)
+	li.ses = startSession(li, mc, dialled)
 	if li.wasLinked {
 		li.hub.vars.reconnects.Add(1)
 	}
@@ -261,8 +257,8 @@
 		return
 	}
 	li.att.cancel()
-	if res := <-li.att.result; res.ymx != nil {
-		_ = res.ymx.Close()
+	if res := <-li.att.result; res.conn != nil {
+		res.conn.close()
 	}
 	li.att = nil
 }
--- a/io/peer/request.go
+++ b/io/peer/request.go
@@ -6,7 +6,6 @@
 	"io"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -74,12 +73,12 @@
 	if left <= 0 {
 		return nil, errors.Trace(context.DeadlineExceeded)
 	}
-	str, err := ses.ymx.OpenStream()
+	str, err := ses.conn.open()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	defer func() { _ = str.Close() }()
-	defer context.AfterFunc(req.ctx, func() { _ = str.SetDeadline(time.Now()) })()
+	defer str.close()
+	defer context.AfterFunc(req.ctx, str.expire)()
 	buf := make([]byte, 0, 1+timeoutSize+len(req.fr.buf))
 	buf = binary.BigEndian.AppendUint32(append(buf, requestStream), uint32(left.Milliseconds()))
 	ses.hub.vars.sent(req.fr)
@@ -90,7 +89,7 @@
 }
 
 // read reads one frame and rejects it if it is not from the peer to this VM.
-func (ses *session) read(str *yamux.Stream) (*wire.Envelope, error) {
+func (ses *session) read(str *stream) (*wire.Envelope, error) {
 	env, size, err := readFrame(str, MaxFrame)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -108,7 +107,7 @@
 func (ses *session) serve(ctx context.Context) error {
 	defer waitForAll(ses.streamSem)
 	for {
-		str, err := ses.ymx.AcceptStreamWithContext(ctx)
+		str, err := ses.conn.accept(ctx)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -116,7 +115,7 @@
 		case ses.streamSem <- struct{}{}:
 			go ses.serveStream(ctx, str)
 		default:
-			_ = str.Close()
+			str.close()
 		}
 	}
 }
@@ -124,9 +123,9 @@
 // serveStream serves one stream and then releases ses.streamSem. A request that fails, or
 // whose caller abandons it before it is sent completely, ends only its own stream; a
 // failure of the ordered stream, or a stream of an unknown kind, ends the session.
-func (ses *session) serveStream(ctx context.Context, str *yamux.Stream) {
+func (ses *session) serveStream(ctx context.Context, str *stream) {
 	defer func() { <-ses.streamSem }()
-	defer func() { _ = str.Close() }()
+	defer str.close()
 	var kind [1]byte
 	if _, err := io.ReadFull(str, kind[:]); err != nil {
 		return
@@ -148,7 +147,7 @@
 
 // serveOrdered passes the ordered messages to their handlers, one at a time. A message
 // without a handler or that cannot be decoded is dropped.
-func (ses *session) serveOrdered(ctx context.Context, str *yamux.Stream) error {
+func (ses *session) serveOrdered(ctx context.Context, str *stream) error {
 	for {
 		env, err := ses.read(str)
 		if err != nil {
@@ -166,7 +165,7 @@
 
 // serveRequest answers one request. If the answer does not fit in a frame, it answers
 // with a FrameSizeError.
-func (ses *session) serveRequest(ctx context.Context, str *yamux.Stream) error {
+func (ses *session) serveRequest(ctx context.Context, str *stream) error {
 	var head [timeoutSize]byte
 	if _, err := io.ReadFull(str, head[:]); err != nil {
 		return errors.Trace(err)
@@ -185,7 +184,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_ = str.SetWriteDeadline(time.Now().Add(streamTimeout))
+	defer time.AfterFunc(streamTimeout, str.expire).Stop()
 	ses.hub.vars.sent(fr)
 	ses.requestPing()
 	// A failed write is ignored: the caller may have abandoned the request, and a
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -21,18 +21,18 @@
 	// idlePingInterval is long because the traffic of idle pings grows with the number
 	// of VMs.
 	idlePingInterval = 15 * time.Second
-	// streamTimeout bounds opening a stream, closing it and writing an answer.
+	// streamTimeout bounds closing a stream and writing an answer.
 	streamTimeout = 10 * time.Second
 	// sessionGoroutines is the number of goroutines of a session, without those of
 	// requests and streams.
 	sessionGoroutines = 3
 )
 
-// session is a yamux session with its goroutines. The actor of its link owns it.
+// session is a multiplexed connection with its goroutines. The actor of its link owns it.
 type session struct {
 	hub  *Hub
 	peer model.VMID
-	ymx  *yamux.Session
+	conn *muxConn
 	// post sends a message to the actor of the link.
 	post     func(msg any)
 	openedAt time.Time
@@ -64,16 +64,18 @@
 	// traffic. yamux bounds the wait for their answers by ConnectionWriteTimeout.
 	cfg.EnableKeepAlive = false
 	cfg.ConnectionWriteTimeout = pingTimeout
-	cfg.StreamOpenTimeout = streamTimeout
+	// Pings detect a VM that does not answer. yamux would shut the session down by itself
+	// after this timeout, before its streams can be expired; see streamSet.
+	cfg.StreamOpenTimeout = 0
 	cfg.StreamCloseTimeout = streamTimeout
 	cfg.LogOutput = io.Discard
 	return cfg
 }
 
 // startSession starts the goroutines of a session.
-func startSession(li *link, ymx *yamux.Session, dialled bool) *session {
+func startSession(li *link, mc *muxConn, dialled bool) *session {
 	ses := &session{
-		hub: li.hub, peer: li.peer, ymx: ymx, post: li.post, openedAt: time.Now(), dialled: dialled,
+		hub: li.hub, peer: li.peer, conn: mc, post: li.post, openedAt: time.Now(), dialled: dialled,
 		batches: make(chan []frame, 1), pingRequests: make(chan struct{}, 1),
 		requestSem: make(chan struct{}, maxRequests), streamSem: make(chan struct{}, maxStreams),
 		ended: make(chan struct{}, sessionGoroutines),
@@ -97,7 +99,7 @@
 // directions.
 func (ses *session) close() {
 	ses.cancel()
-	_ = ses.ymx.Close()
+	ses.conn.close()
 	for range sessionGoroutines {
 		<-ses.ended
 	}
@@ -107,7 +109,7 @@
 // write writes each batch to the ordered stream and then posts batchWritten. It opens the
 // stream for the first batch.
 func (ses *session) write(ctx context.Context) error {
-	var str *yamux.Stream
+	var str *stream
 	for {
 		var bat []frame
 		select {
@@ -117,7 +119,7 @@
 		}
 		var buf []byte
 		if str == nil {
-			opened, err := ses.ymx.OpenStream()
+			opened, err := ses.conn.open()
 			if err != nil {
 				return errors.Trace(err)
 			}
@@ -160,7 +162,7 @@
 			case <-idle.C:
 			}
 		}
-		if _, err := ses.ymx.Ping(); err != nil {
+		if err := ses.conn.ping(); err != nil {
 			if ctx.Err() == nil {
 				ses.hub.vars.deadLinks.Add(1)
 			}
