Log the goroutine of a process that holds the processor

A process that spun said nothing: callers saw timeouts, and its cause was found with perf from outside.

A watch samples processor time and work, which are requests and frames, once a second. core/spin decides: three seconds in a row with 5% of a core or more and 5 ms or more for each unit of work are reported, at most once a minute. The line has the functions of the goroutine that ran or could run in most of five samples 20 ms apart. Three variables are at the metrics address.

The test finds a spinning goroutine with one processor and with all, five times with -race.

--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -12,9 +12,11 @@
 
 	"guavarail/core/event"
 	"guavarail/core/model"
+	"guavarail/io/busy"
 	"guavarail/io/config"
 	"guavarail/io/disk"
 	"guavarail/io/host"
+	"guavarail/io/httpd"
 	"guavarail/io/peer"
 	"guavarail/io/record"
 )
@@ -115,6 +117,7 @@
 		}
 	}
 	vm.setPeers(vm.discovered.Load().members)
+	_ = vm.addCleanup(busy.Start(ctx, busy.Config{Work: vm.work, Log: vm.log}), nil)
 	stop, err = serveVars(vm)
 	if err := vm.addCleanup(stop, err); err != nil {
 		return err
@@ -122,6 +125,9 @@
 	return vm.addCleanup(startFinder(ctx, vm), nil)
 }
 
+// work returns the number of requests and frames that this VM has handled.
+func (vm *VM) work() int64 { return httpd.Requests() + vm.hub.Vars().Frames() }
+
 // Reload applies the seeds of changed settings; it ignores all other changes. The
 // VMs at the IP addresses of the seeds must listen for other VMs on the same port as
 // this one.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -172,6 +172,9 @@
 	srv.ref.Send(route.NewLeave(id, incarnation))
 }
 
+// Requests returns the number of requests of callers that have arrived.
+func (srv *Server) Requests() int64 { return int64(srv.goroutines.requestCount.Load()) }
+
 // SetCredits sets the number of slots of a worker that this VM may use while its
 // lease is valid. The version grows with each change and is reported by OnUsage.
 func (srv *Server) SetCredits(wo model.WorkerID, limit int, version uint64) {
--- a/io/httpd/handler.go
+++ b/io/httpd/handler.go
@@ -19,6 +19,9 @@
 	requestUnanswered = "unanswered"
 )
 
+// Requests returns the number of requests of all servers of the process that have ended.
+func Requests() int64 { return requests.Sum() }
+
 // handler returns a handler that runs han and counts its requests. While the server shuts
 // down, its responses end their connections.
 func (srv *server) handler(han http.Handler) http.Handler {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -53,5 +53,16 @@
 // already published.
 func NewCounters(name string) Counters { return Counters{counts: expvar.NewMap(name)} }
 
+// Sum returns the sum of all counters.
+func (cos Counters) Sum() int64 {
+	var sum int64
+	cos.counts.Do(func(val expvar.KeyValue) {
+		if num, ok := val.Value.(*expvar.Int); ok {
+			sum += num.Value()
+		}
+	})
+	return sum
+}
+
 // Add adds 1 to the counter with the given name.
 func (cos Counters) Add(name string) { cos.counts.Add(name, 1) }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -256,7 +256,9 @@
 	nod.fwd.serve(mux)
 	_ = nod.addCleanup(startRepair(ctx, nod), nil)
 	_ = nod.addCleanup(nod.fleet.startRefresh(ctx), nil)
-	return nod.addCleanup(startHTTP(nod.settings.Listen().API().String(), admin.Handler(por, mux), nod.log))
+	api := &countedHandler{Handler: admin.Handler(por, mux)}
+	_ = nod.addCleanup(startWatch(ctx, nod, api), nil)
+	return nod.addCleanup(startHTTP(nod.settings.Listen().API().String(), api, nod.log))
 }
 
 // openStore opens the store of a group: a subdirectory of the data directory,
--- a/io/peer/vars.go
+++ b/io/peer/vars.go
@@ -78,6 +78,9 @@
 // OpenLinks returns the number of links with a session.
 func (va *Vars) OpenLinks() int64 { return va.openLinks.Value() }
 
+// Frames returns the number of frames sent and received.
+func (va *Vars) Frames() int64 { return va.sentFrames.Value() + va.receivedFrames.Value() }
+
 // SocketBytes returns the bytes sent and received on all sockets.
 func (va *Vars) SocketBytes() (sent, received int64) {
 	return va.socketSentBytes.Value(), va.socketReceivedBytes.Value()
