Keep a VM running when the reader of its log ends

Callers would see their connections cut and, with many VMs behind one log collector, a whole data centre end at once: the runtime ends a process that writes to a standard output whose reader is gone (SIGPIPE), and a VM writes lines all the time. The command serve now ignores the signal; the write then fails, as lines do that can't be written. Other commands still end, as a pipe expects of them.

--- a/io/cmd/serve/serve.go
+++ b/io/cmd/serve/serve.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -33,6 +35,9 @@
 // Run runs the VM until ctx ends, and then shuts it down: it transfers the leadership
 // and waits for the requests in flight.
 func Run(ctx context.Context, env shell.Env, opt Options, attach Attach) error {
+	// Without this, the first line after the end of the log's reader ends the process.
+	signal.Ignore(syscall.SIGPIPE)
+	defer signal.Reset(syscall.SIGPIPE)
 	data, err := os.ReadFile(opt.Settings)
 	if err == nil && config.IsCell(data) {
 		return serveCell(ctx, env, opt.Settings, data, attach)
