--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -41,9 +41,9 @@
 // streamSet holds the streams of one session that are in use. The zero value is empty.
 //
 // A Read or Write that waits in yamux polls from the shutdown of the session until the
-// session has closed its connection, so all streams must be expired before. yamux shuts
-// a session down on goroutines of its own that no task can delay; therefore a mutex
-// guards the set, and no task owns it.
+// session has closed its connection and then its streams, so all streams must be expired
+// before. yamux shuts a session down on goroutines of its own that no task can delay;
+// therefore a mutex guards the set, and no task owns it.
 type streamSet struct {
 	// mu guards all fields.
 	mu sync.Mutex
@@ -138,8 +138,8 @@
 	streams *streamSet
 }
 
-// newMuxConn starts a yamux session on a connection, which dialled says whether this VM
-// dialled. If it fails, the connection is closed.
+// newMuxConn starts a yamux session on a connection; dialled says whether this VM dialled
+// it. If it fails, it closes the connection.
 func newMuxConn(conn net.Conn, dialled bool, vars *Vars) (*muxConn, error) {
 	open := yamux.Server
 	if dialled {
