Handle quorum messages before queued heartbeats

Callers saw: with 1,100 workers that send one heartbeat a second to a leader on a whole core, no heartbeat, commit or read was answered any more, and the leader did not recover. With 350 workers at 16 a second each a commit took 0.28 s.

Cause: all inputs of the leader waited in the one mailbox of the group's actor. A commit passes it four times (proposal, flush, synced, end of the proposal), and the replies of the voters wait there too: if the queue is older than the lease of 0.8 s, the leader loses it though all voters answer.

Change: core/admit has a queue whose lanes take turns. Heartbeats and ticks wait in it, and the actor takes one item whenever it has handled all other messages. A heartbeat and a tick tell the planner until when all heartbeats have been read, so that no lease expires while one waits.

--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -51,7 +51,7 @@
 // heartbeat when the answer is due. If this VM does not hold the leader lease,
 // the answer is Refused at once.
 func (pl *Planner) handleHeartbeat(now model.Instant, hb *Heartbeat) {
-	pl.heardUntil = max(pl.heardUntil, timeOr(hb.Arrived, now))
+	pl.heardUntil = max(pl.heardUntil, timeOr(hb.ReadUntil, timeOr(hb.Arrived, now)))
 	if !pl.hasLeaderLease(now) {
 		pl.effects = append(pl.effects, Answer{HeartbeatID: hb.HeartbeatID, Refused: true})
 		return
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -19,8 +19,8 @@
 	LeaseUntil model.Instant
 	// Wall is the wall clock in milliseconds since 1970.
 	Wall int64
-	// Posted is when the owner queued the tick: heartbeats that were queued before
-	// have been handled. 0 means now.
+	// Posted is a time before which no heartbeat arrived that still waits to be
+	// handled; 0 means now.
 	Posted model.Instant
 }
 
@@ -72,7 +72,10 @@
 	// HeartbeatID identifies the heartbeat in its Answer.
 	HeartbeatID uint64
 	// Arrived is when the owner received the heartbeat; 0 means now.
-	Arrived     model.Instant
+	Arrived model.Instant
+	// ReadUntil is a time before which no heartbeat arrived that still waits to be
+	// handled; 0 means Arrived.
+	ReadUntil   model.Instant
 	Incarnation Incarnation
 	// Sequence increases with each heartbeat of an incarnation.
 	Sequence uint64
--- a/io/cell/keep_test.go
+++ b/io/cell/keep_test.go
@@ -43,7 +43,7 @@
 }
 
 // startCell starts a cell of one VM.
-func startCell(t *testing.T, fs disk.FS) *VM {
+func startCell(t testing.TB, fs disk.FS) *VM {
 	t.Helper()
 	var ports [2]int
 	for pos := range ports {
@@ -77,7 +77,7 @@
 }
 
 // configure proposes a configuration until it is acknowledged.
-func configure(t *testing.T, lea Leader, version uint64) {
+func configure(t testing.TB, lea Leader, version uint64) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/io/cell/leader.go
+++ b/io/cell/leader.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/juju/errors"
 
 	"guavarail/core/cell"
-	"guavarail/core/flow"
 	"guavarail/core/model"
 	"guavarail/core/quorum"
 	"guavarail/io/group"
@@ -58,47 +56,3 @@
 	res, err := mem.ref.Propose(ctx, cmd)
 	return res, errors.Trace(err)
 }
-
-// Heartbeat passes the heartbeat of a worker to the planner and waits until the
-// planner answers it or ctx ends. It sets hb.HeartbeatID, which identifies the answer.
-func (lea Leader) Heartbeat(ctx context.Context, hb flow.Heartbeat) (flow.Answer, error) {
-	mem, err := lea.member()
-	if err != nil {
-		return flow.Answer{}, err
-	}
-	reply := make(chan flow.Answer, 1)
-	hb.HeartbeatID = mem.lastHeartbeatID.Add(1)
-	hb.Arrived = mem.vm.clock()
-	mem.ref.Do(func(now model.Instant, rol quorum.Role, _ *cell.State) {
-		if !rol.Leased() || !mem.leading {
-			reply <- flow.Answer{Refused: true}
-			return
-		}
-		mem.replies[hb.HeartbeatID] = reply
-		mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: time.Now().UnixMilli(), Posted: hb.Arrived})
-		mem.step(now, hb)
-	})
-	select {
-	case ans := <-reply:
-		if ans.Refused {
-			return ans, errors.Trace(newNotLeaderError())
-		}
-		return ans, nil
-	case <-ctx.Done():
-		mem.ref.Do(func(model.Instant, quorum.Role, *cell.State) { delete(mem.replies, hb.HeartbeatID) })
-		return flow.Answer{}, errors.Trace(ctx.Err())
-	}
-}
-
-// Leave informs the planner that a worker is about to exit.
-func (lea Leader) Leave(ctx context.Context, msg flow.Leave) error {
-	mem, err := lea.member()
-	if err != nil {
-		return err
-	}
-	_, err = View(ctx, lea, func(*cell.State) bool {
-		mem.step(lea.vm.clock(), msg)
-		return true
-	})
-	return errors.Trace(err)
-}
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"guavarail/core/admit"
 	"guavarail/core/cell"
 	"guavarail/core/event"
 	"guavarail/core/flow"
@@ -29,8 +30,6 @@
 	// membersInterval is the time between two checks whether the replication group
 	// needs a membership change.
 	membersInterval = 200 * time.Millisecond
-	// proposeTimeout bounds the wait until a proposal of the planner is applied.
-	proposeTimeout = 5 * time.Second
 	// changeTimeout bounds a membership change.
 	changeTimeout = 3 * time.Second
 )
@@ -48,15 +47,6 @@
 	term   uint64
 }
 
-// proposal is a command that the planner issued in a term.
-type proposal struct {
-	// ctx ends with the term, so that the proposal of an earlier term does not
-	// delay the next one.
-	ctx  context.Context
-	term uint64
-	cmd  cell.Command
-}
-
 // member is this VM's member of the replication group, which replicates the state
 // of the cell.
 type member struct {
@@ -71,7 +61,7 @@
 	state   *cell.State
 	planner *flow.Planner
 	// replies has the channel for the answer to each pending heartbeat, by HeartbeatID.
-	replies map[uint64]chan<- flow.Answer
+	replies map[uint64]chan<- result[flow.Answer]
 	// leading is true from the first tick under a new leader lease until this VM steps
 	// down.
 	leading bool
@@ -115,7 +105,7 @@
 	}
 	sta := &cell.State{}
 	mem := &member{
-		vm: vm, diskID: fls.Disk(), failed: make(chan struct{}), state: sta, replies: map[uint64]chan<- flow.Answer{}, proposals: newLatest[proposal](),
+		vm: vm, diskID: fls.Disk(), failed: make(chan struct{}), state: sta, replies: map[uint64]chan<- result[flow.Answer]{}, proposals: newLatest[proposal](),
 		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay()}),
 		repair:  cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
 	}
@@ -208,26 +198,35 @@
 
 // tick posts a tick of the planner to the group's actor. The first one under a new
 // leader lease starts the term of the planner, and the first one as leader that of
-// the membership changes.
+// the membership changes. A tick that waits is replaced by the next.
 func (mem *member) tick(ctx context.Context) {
 	posted := mem.vm.clock()
-	mem.ref.Do(func(now model.Instant, rol quorum.Role, sta *cell.State) {
-		wall := time.Now().UnixMilli()
-		if rol.Leading() && !mem.repairing {
-			mem.repairing = true
-			mem.repair.Start(now)
-		}
-		switch {
-		case rol.Leased() && !mem.leading:
-			mem.leading = true
-			mem.termCtx, mem.cancelTerm = context.WithCancel(ctx)
-			mem.step(now, flow.Outage{Centres: sta.Out()})
-			mem.step(now, flow.BecameLeader{Term: rol.Term(), LeaseUntil: rol.LeasedUntil(), Wall: wall})
-		case mem.leading:
-			mem.step(now, flow.Tick{LeaseUntil: rol.LeasedUntil(), Wall: wall, Posted: posted})
-		}
-		mem.publish(rol)
-	})
+	run := func(tur group.Turn, sta *cell.State) { mem.runTick(ctx, posted, tur, sta) }
+	it := admit.NewItem[string](admit.Control, posted, group.NewWork(run, func(error) {}))
+	mem.ref.Enqueue(it.WithKey("tick", uint64(posted)))
+}
+
+// runTick handles a tick that was posted at the given time.
+func (mem *member) runTick(ctx context.Context, posted model.Instant, tur group.Turn, sta *cell.State) {
+	now, rol := tur.Now(), tur.Role()
+	if rol.Leading() && !mem.repairing {
+		mem.repairing = true
+		mem.repair.Start(now)
+	}
+	tic := mem.planTick(tur)
+	switch {
+	case rol.Leased() && !mem.leading:
+		mem.leading = true
+		mem.termCtx, mem.cancelTerm = context.WithCancel(ctx)
+		mem.step(now, flow.Outage{Centres: sta.Out()})
+		mem.step(now, flow.BecameLeader{Term: rol.Term(), LeaseUntil: rol.LeasedUntil(), Wall: tic.Wall})
+	case mem.leading:
+		// Heartbeats that arrived after the tick was posted may still be on their way to
+		// the queue.
+		tic.Posted = min(tic.Posted, posted)
+		mem.step(now, tic)
+	}
+	mem.publish(rol)
 }
 
 // step passes an input to the planner and carries out the effects in order. It runs on
@@ -244,7 +243,7 @@
 		case flow.Answer:
 			if reply, ok := mem.replies[val.HeartbeatID]; ok {
 				delete(mem.replies, val.HeartbeatID)
-				reply <- val
+				reply <- newAnswer(val)
 			}
 		case flow.RecordEvent:
 			mem.recordEvent(val)
@@ -262,38 +261,6 @@
 	mem.vm.RecordEvent(event.New(event.Kind(rec.Kind), event.Subject{Job: rec.Job, Task: rec.Task, Worker: model.WorkerID(rec.Worker)}, fis...))
 }
 
-// runProposals proposes the planner's commands until ctx ends and then closes
-// done.
-func (mem *member) runProposals(ctx context.Context, done chan<- struct{}) {
-	defer close(done)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case pro := <-mem.proposals.receive():
-			mem.propose(pro)
-		}
-	}
-}
-
-// propose proposes one command, waits for its outcome and reports the end of the
-// proposal to the planner. The planner continues after an unknown outcome; if the
-// command is applied later, its runs are treated like those that an earlier leader
-// started.
-func (mem *member) propose(pro proposal) {
-	ctx, cancel := context.WithTimeout(pro.ctx, proposeTimeout)
-	defer cancel()
-	start := mem.vm.clock()
-	_, err := mem.ref.Propose(ctx, pro.cmd)
-	commitTime.Add(mem.vm.clock().Sub(start))
-	if err != nil {
-		mem.vm.log.Warn("proposal of the planner failed or its outcome is unknown", "operations", len(pro.cmd.Ops()), "term", pro.term, "error", err)
-	}
-	mem.ref.Do(func(now model.Instant, _ quorum.Role, _ *cell.State) {
-		mem.step(now, flow.ProposalEnded{Term: pro.term, Applied: err == nil})
-	})
-}
-
 // answerHello answers a VM that is discovering the leader. By its hello message, a
 // VM with a disk also announces itself to the leader as a possible member.
 func (mem *member) answerHello(_ context.Context, _ model.VMID, hel *wire.CellHello) (*wire.CellWelcome, error) {
--- a/io/group/actor.go
+++ b/io/group/actor.go
@@ -1,11 +1,11 @@
 package group
 
 import (
-	"context"
 	"slices"
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"guavarail/core/admit"
 	"guavarail/core/model"
 	"guavarail/core/quorum"
 	"guavarail/io/disk"
@@ -37,13 +37,6 @@
 	// do is a function that the actor runs regardless of the replica's role.
 	do[M any] func(now model.Instant, role quorum.Role, mac M)
 
-	// read runs a function once the replica holds the leader lease, or fails.
-	read[M any] struct {
-		ctx  context.Context
-		run  func(now model.Instant, role quorum.Role, mac M)
-		fail func(err error)
-	}
-
 	// inspect runs a function that reads the node.
 	inspect func(nod *quorum.Node)
 )
@@ -87,6 +80,10 @@
 	queuedProposals []quorum.Proposal
 	// pendingReads are the reads that wait for the leader lease.
 	pendingReads []read[M]
+	// queue holds the work that waits until all other messages have been handled.
+	// workScheduled is set while a nextWork is on its way.
+	queue         admit.Queue[string, Work[M]]
+	workScheduled bool
 	// receivedSnapshot is the data of the snapshot that the node is about to
 	// install, nil otherwise.
 	receivedSnapshot []byte
@@ -118,6 +115,10 @@
 		act.serveReads()
 	case inspect:
 		msg(act.node)
+	case Item[M]:
+		act.enqueue(ctx, msg)
+	case nextWork:
+		act.work(ctx)
 	case disk.StoredChunk:
 		act.receivedSnapshot = msg.Data()
 		act.step(msg.Stored())
@@ -127,6 +128,8 @@
 	case *actor.Restarting:
 		act.fatalErr = &PanicError{group: act.cfg.Group}
 		act.step(quorum.NewHalt(act.fatalErr))
+		act.workScheduled = false
+		act.scheduleWork(ctx)
 	case *actor.Stopping:
 		act.stop()
 	}
@@ -283,31 +286,10 @@
 	}
 }
 
-// serveReads runs the pending reads if this replica holds the leader lease, and
-// rejects them if it does not lead. While it leads without the lease, reads stay
-// pending until their context ends.
-func (act *groupActor[M, C, R, S]) serveReads() {
-	if len(act.pendingReads) == 0 {
-		return
-	}
-	now := act.cfg.Clock()
-	role := act.node.Role(now)
-	var stillPending []read[M]
-	for _, rd := range act.pendingReads {
-		switch {
-		case role.Leased():
-			rd.run(now, role, act.cfg.Replica)
-		case !role.Leading():
-			rd.fail(quorum.NewNotLeaderError(role.Leader()))
-		case rd.ctx.Err() == nil:
-			stillPending = append(stillPending, rd)
-		}
-	}
-	act.pendingReads = stillPending
-}
-
-// stop reports an unknown outcome to all callers that still wait.
+// stop reports an unknown outcome to all callers that still wait, and drops the queued
+// work.
 func (act *groupActor[M, C, R, S]) stop() {
+	act.dropQueue()
 	err := &UnknownError{group: act.cfg.Group, cause: &StoppedError{}}
 	for id := range act.waiters {
 		act.answer(id, result[R]{err: err})
--- a/io/group/errors.go
+++ b/io/group/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"guavarail/core/quorum"
 )
@@ -33,6 +34,21 @@
 // Error describes the failure.
 func (err *StoppedError) Error() string { return "the replica is stopped" }
 
+// BusyError reports that queued work was dropped and had no effect: a newer item of the
+// same sender covers it, or its turn would come too late.
+type BusyError struct {
+	group string
+	wait  time.Duration
+}
+
+// Wait returns how long work that is queued now is expected to wait.
+func (err *BusyError) Wait() time.Duration { return err.wait }
+
+// Error describes the failure.
+func (err *BusyError) Error() string {
+	return "group " + err.group + " did not handle the input, which waited in its queue; retry later"
+}
+
 // SpawnError reports that an actor could not be started.
 type SpawnError struct {
 	name  string
