Replace a waiting heartbeat by the next one of its worker

Callers saw: a leader that once has more than a second of heartbeats in its queue answers none of them in time, for ever. A worker gives an answer up after a second and sends the next heartbeat, and the leader handled both in full: with 1,100 workers 1,118 heartbeats a second arrived and none was answered.

Change: the next heartbeat of an incarnation takes the place in the queue of the one that waits, whose caller gets a BusyError. It lists all runs and all ends that are not acknowledged, so it covers the older one. The place is kept, so workers are served in turn, each with a heartbeat that it still waits for, and no more heartbeats wait than there are incarnations. A heartbeat whose caller has gone is still handled when its turn comes: what it reports holds.

--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -4,9 +4,14 @@
 	"github.com/juju/errors"
 
 	"guavarail/core/quorum"
+	"guavarail/io/group"
 	"guavarail/io/peer"
 )
 
+// BusyError reports that the leader did not handle a call, which had no effect: its turn
+// would come too late, or a later heartbeat of the worker took its place.
+type BusyError = group.BusyError
+
 // NotReachedError reports that a call did not reach the leader and was therefore
 // not carried out.
 type NotReachedError struct{ cause error }
--- a/io/cell/heartbeat.go
+++ b/io/cell/heartbeat.go
@@ -30,7 +30,9 @@
 
 // Heartbeat passes the heartbeat of a worker to the planner and waits until the
 // planner answers it or ctx ends. It sets hb.HeartbeatID, which identifies the answer.
-// After ctx has ended the heartbeat is still handled, because what it reports holds.
+// While it waits for its turn, a later heartbeat of the same incarnation takes its place,
+// and it returns a *BusyError. After ctx has ended the heartbeat is still handled, because
+// what it reports holds.
 func (lea Leader) Heartbeat(ctx context.Context, hb flow.Heartbeat) (flow.Answer, error) {
 	mem, err := lea.member()
 	if err != nil {
@@ -50,7 +52,7 @@
 		mem.step(tur.Now(), hb)
 	}
 	drop := func(why error) { reply <- result[flow.Answer]{err: why} }
-	mem.ref.Enqueue(admit.NewItem[string](admit.Reports, hb.Arrived, group.NewWork(run, drop)))
+	mem.ref.Enqueue(admit.NewItem[string](admit.Reports, hb.Arrived, group.NewWork(run, drop)).WithKey(hb.Incarnation.String(), hb.Sequence))
 	select {
 	case res := <-reply:
 		return res.val, errors.Trace(res.err)
--- /dev/null
+++ b/io/cell/heartbeat_test.go
@@ -0,0 +1,39 @@
+package cell
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"guavarail/core/cell"
+	"guavarail/core/flow"
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+	"guavarail/io/disk"
+)
+
+// Guards against a busy leader that handles heartbeats whose workers have sent a newer one.
+func TestBusyLeaderHandlesTheNewestHeartbeat(t *testing.T) {
+	vm := startCell(t, disk.OS{})
+	lea, _ := vm.AsLeader()
+	configure(t, lea, 1)
+	gate, handled := make(chan struct{}), make(chan error, 2)
+	vm.member.Load().ref.Do(func(model.Instant, quorum.Role, *cell.State) { <-gate })
+	for seq := range uint64(2) {
+		go func() {
+			_, err := lea.Heartbeat(t.Context(), flow.Heartbeat{Incarnation: flow.NewIncarnation("w", 1), Sequence: 1 + seq, Service: "svc", Address: "w"})
+			handled <- err
+		}()
+	}
+	var busy *BusyError
+	// The gate opens when both heartbeats have surely been sent.
+	time.Sleep(50 * time.Millisecond)
+	close(gate)
+	errs := []error{<-handled, <-handled}
+	if errs[0] == nil {
+		errs[0], errs[1] = errs[1], errs[0]
+	}
+	if !errors.As(errs[0], &busy) || errs[1] != nil {
+		t.Errorf("outcomes %v, want a BusyError for one heartbeat only", errs)
+	}
+}
