Reject calls whose turn comes too late as not carried out

Callers saw: a submitter whose job the busy leader had not looked at waited to the end of its time and got 504, "the outcome is unknown". With a queue of 5.8 s (1,100 workers) no call was answered in time.

Cause: the read that begins each call waited behind all heartbeats, and its deadline was not looked at before its turn.

Change: these reads wait in a lane of their own, which takes turns with the heartbeats. One that would come later than its caller allows, by the number of reads before it and the time that each has taken, is rejected at once. It is the first step of each call of this kind, before anything is proposed, so the front end answers 503 with a Retry-After.

Evidence, before: TestBusyLeaderRejectsJobsAsNotAccepted "{Status:0 Body:[] RetryAfter:0}, context deadline exceeded, want status 503 with a time" (go test ./platform -run TestBusy), TestBusyLeaderHandlesTheNewestHeartbeat "context deadline exceeded, want a BusyError" (./io/cell).

--- a/io/cell/acknowledge.go
+++ b/io/cell/acknowledge.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return cell.Document{}, err
 	}
-	doc, err := group.Read(ctx, mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) cell.Document {
+	doc, err := group.ReadInTurn(ctx, mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) cell.Document {
 		doc := sta.Document()
 		if suppressed, ok := mem.configurationReads.Allow(now); ok {
 			lea.vm.RecordEvent(event.New("configurationRead", event.Subject{},
@@ -85,7 +85,7 @@
 		var none flow.Status
 		return none, false, err
 	}
-	ans, err := group.Read(ctx, mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) answer {
+	ans, err := group.ReadInTurn(ctx, mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) answer {
 		status, _, ok := sta.Jobs().Status(id)
 		if !ok {
 			mem.recordUnknownJob(now, rol, id, queue)
--- a/io/cell/heartbeat_test.go
+++ b/io/cell/heartbeat_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -12,7 +13,8 @@
 	"guavarail/io/disk"
 )
 
-// Guards against a busy leader that handles heartbeats whose workers have sent a newer one.
+// Guards against a busy leader that handles heartbeats whose workers have sent a newer one,
+// and against submitters that wait for a turn that comes too late.
 func TestBusyLeaderHandlesTheNewestHeartbeat(t *testing.T) {
 	vm := startCell(t, disk.OS{})
 	lea, _ := vm.AsLeader()
@@ -25,7 +27,12 @@
 			handled <- err
 		}()
 	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
 	var busy *BusyError
+	if _, err := View(ctx, lea, func(*cell.State) bool { return true }); !errors.As(err, &busy) {
+		t.Errorf("read of a caller that does not wait long enough: %v, want a BusyError", err)
+	}
 	// The gate opens when both heartbeats have surely been sent.
 	time.Sleep(50 * time.Millisecond)
 	close(gate)
--- a/io/cell/leader.go
+++ b/io/cell/leader.go
@@ -16,7 +16,8 @@
 func newNotLeaderError() error { return quorum.NewNotLeaderError("") }
 
 // Leader has the operations on the state of the cell. On a VM that does not lead,
-// every operation returns a *quorum.NotLeaderError and has no effect.
+// every operation returns a *quorum.NotLeaderError and has no effect. An operation that
+// returns a *BusyError had no effect either.
 type Leader struct{ vm *VM }
 
 // AsLeader returns the operations that only the leader carries out, and false on a
@@ -36,14 +37,15 @@
 }
 
 // View reads the state under the leader lease. fn runs on the goroutine that owns
-// the state and must not keep a reference to it.
+// the state and must not keep a reference to it. It returns a *BusyError at once if the
+// turn of the read would come too late.
 func View[T any](ctx context.Context, lea Leader, fn func(sta *cell.State) T) (T, error) {
 	mem, err := lea.member()
 	if err != nil {
 		var zero T
 		return zero, err
 	}
-	val, err := group.Read(ctx, mem.ref, func(_ model.Instant, _ quorum.Role, sta *cell.State) T { return fn(sta) })
+	val, err := group.ReadInTurn(ctx, mem.ref, func(_ model.Instant, _ quorum.Role, sta *cell.State) T { return fn(sta) })
 	return val, errors.Trace(err)
 }
 
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -77,6 +77,7 @@
 	group string
 	self  model.VMID
 	codec wire.Codec[C]
+	clock host.Clock
 	sys   *actor.ActorSystem
 	pid   *actor.PID
 	// done is closed when the replica is being stopped.
@@ -109,7 +110,7 @@
 	if err != nil {
 		return none, func() {}, &SpawnError{name: name, cause: err}
 	}
-	ref := Ref[M, C, R, S]{group: cfg.Group, self: cfg.Self, codec: cfg.Commands, sys: cfg.System, pid: pid, done: done}
+	ref := Ref[M, C, R, S]{group: cfg.Group, self: cfg.Self, codec: cfg.Commands, clock: cfg.Clock, sys: cfg.System, pid: pid, done: done}
 	sto, closeStore, err := disk.Spawn(cfg.System, name, cfg.Store, ref.storeCallbacks())
 	if err != nil {
 		_ = cfg.System.Root.PoisonFuture(pid).Wait()
--- a/io/group/read.go
+++ b/io/group/read.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
+	"guavarail/core/admit"
 	"guavarail/core/model"
 	"guavarail/core/quorum"
 )
 
+// readMargin is the part of a caller's time that a queued read leaves for what follows,
+// though at most half of it.
+const readMargin = 100 * time.Millisecond
+
 // read runs a function once the replica holds the leader lease, or fails.
 type read[M any] struct {
 	ctx  context.Context
@@ -38,6 +44,28 @@
 	})
 }
 
+// ReadInTurn is like Read, but fn waits in the queue of the actor among the calls. It
+// returns a *BusyError at once if the turn would come later than ctx allows, and also if
+// ctx ends before.
+func ReadInTurn[T any, M quorum.Replica[C, R, S], C, R, S any](ctx context.Context, ref Ref[M, C, R, S], fn func(now model.Instant, role quorum.Role, mac M) T) (T, error) {
+	if ref.pid == nil {
+		var zero T
+		return zero, quorum.NewNotLeaderError("")
+	}
+	busy := func(error) error { return &BusyError{group: ref.group} }
+	return sendAndWait(ctx, ref.done, busy, func(reply chan<- result[T]) {
+		rd := newRead(ctx, reply, fn)
+		now := ref.clock()
+		// The actor keeps the read while it has no lease.
+		it := admit.NewItem[string](admit.Calls, now, NewWork(func(Turn, M) { ref.sys.Root.Send(ref.pid, rd) }, rd.fail))
+		if end, ok := ctx.Deadline(); ok {
+			left := max(0, time.Until(end))
+			it = it.WithDeadline(now.Add(left - min(readMargin, left/2)))
+		}
+		ref.Enqueue(it)
+	})
+}
+
 // serveReads runs the pending reads if this replica holds the leader lease, and
 // rejects them if it does not lead. While it leads without the lease, reads stay
 // pending until their context ends.
