Report how far the leader is behind its inputs

Callers saw late starts and refused calls, and nothing told whether the leader was behind: cellPlanMs and cellCommitMs have durations, but not how long an input waits.

TestWatchReportsEachDelayOnce, TestBusyLeaderHandlesTheNewestHeartbeat (counts the dropped heartbeat): go test ./core/admit ./io/cell.

--- a/core/admit/queue_test.go
+++ b/core/admit/queue_test.go
@@ -83,3 +83,21 @@
 		t.Errorf("oldest report since %v", got)
 	}
 }
+
+// Guards against a report of a busy owner for each late input, and against none.
+func TestWatchReportsEachDelayOnce(t *testing.T) {
+	var wa Watch
+	changes := 0
+	for num := range 1000 {
+		age := 20 * time.Millisecond
+		if num >= 200 && num < 400 && num%3 > 0 {
+			age = time.Second
+		}
+		if wa.Observe(model.Instant(num)*model.Instant(20*time.Millisecond), age) {
+			changes++
+		}
+	}
+	if changes != 2 || wa.Behind() || wa.Worst() != time.Second {
+		t.Errorf("%d changes, behind %v, worst %v", changes, wa.Behind(), wa.Worst())
+	}
+}
--- a/io/cell/heartbeat_test.go
+++ b/io/cell/heartbeat_test.go
@@ -21,6 +21,7 @@
 	configure(t, lea, 1)
 	gate, handled := make(chan struct{}), make(chan error, 2)
 	vm.member.Load().ref.Do(func(model.Instant, quorum.Role, *cell.State) { <-gate })
+	before := queueDropped.Value()
 	for seq := range uint64(2) {
 		go func() {
 			_, err := lea.Heartbeat(t.Context(), flow.Heartbeat{Incarnation: flow.NewIncarnation("w", 1), Sequence: 1 + seq, Service: "svc", Address: "w"})
@@ -43,4 +44,9 @@
 	if !errors.As(errs[0], &busy) || errs[1] != nil {
 		t.Errorf("outcomes %v, want a BusyError for one heartbeat only", errs)
 	}
+	for end := time.Now().Add(time.Minute); queueDropped.Value() == before; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the dropped heartbeat is not counted")
+		}
+	}
 }
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -77,6 +77,8 @@
 	// configurationReads bound the events of these reads. The group's actor owns all three.
 	dropped                         droppedJobs
 	unknownJobs, configurationReads lines.Limiter
+	// load watches how far the group's actor is behind. The actor owns it.
+	load load
 	// lastHeartbeatID is the HeartbeatID of the newest heartbeat.
 	lastHeartbeatID atomic.Uint64
 	// status and members are the role of this VM and the members of the group, for
@@ -209,6 +211,9 @@
 // runTick handles a tick that was posted at the given time.
 func (mem *member) runTick(ctx context.Context, posted model.Instant, tur group.Turn, sta *cell.State) {
 	now, rol := tur.Now(), tur.Role()
+	if evt, ok := mem.load.observe(tur); ok {
+		mem.vm.RecordEvent(evt)
+	}
 	if rol.Leading() && !mem.repairing {
 		mem.repairing = true
 		mem.repair.Start(now)
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -27,6 +27,11 @@
 	// number of their disks that must have a command before it is acknowledged.
 	voters       = expvar.NewInt("cellVoters")
 	commitCopies = expvar.NewInt("cellCommitCopies")
+	// queueLength is the number of inputs that wait for the group's actor, queueAge the
+	// age of the oldest, and queueDropped the number of those that it did not handle.
+	queueLength  = expvar.NewInt("cellQueueLength")
+	queueAge     = expvar.NewInt("cellQueueAgeMs")
+	queueDropped = expvar.NewInt("cellQueueDropped")
 	// calls counts the calls that this VM routed by outcome.
 	calls = meter.NewCounters("cellCalls")
 )
