Estimate the wait of calls over a whole busy period

A review of the queue found that one long step between two reads counted as the time of each read: after it, a burst of reads with time enough was rejected. The estimate now is the mean since calls last waited without a break, over the last 64 at most, and nothing is rejected before eight of them.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -37,15 +37,20 @@
 	head  int
 	byKey map[K]*Item[K, T]
 	// poppedAt is when an item was last removed, and busy is set if others were left
-	// then. interval is the mean time between two removals while others wait, 0 before
-	// the first two.
-	poppedAt model.Instant
-	busy     bool
-	interval time.Duration
+	// then. Since busySince others were always left, and intervals counts the times
+	// between two removals since then.
+	poppedAt, busySince model.Instant
+	busy                bool
+	intervals           int
 }
 
-// intervalWeight is the part of the last interval in the mean.
-const intervalWeight = 8
+const (
+	// minIntervals is the number of intervals from which their mean counts; one of them
+	// may be much longer than the others.
+	minIntervals = 8
+	// maxIntervals bounds how far back the mean goes.
+	maxIntervals = 64
+)
 
 // Push adds an item. Unless it returns Queued, it also returns the one that was dropped,
 // which may be the pushed item or one that waited. A replaced item leaves its place to
@@ -102,7 +107,8 @@
 	return now
 }
 
-// Wait returns how long an item that is pushed to a lane now is expected to wait.
+// Wait returns how long an item that is pushed to a lane now is expected to wait, 0 if
+// that is unknown.
 func (qu *Queue[K, T]) Wait(lane Lane) time.Duration { return qu.lanes[lane].wait() }
 
 // Dropped returns how many items were pushed and never returned by Pop.
@@ -110,7 +116,14 @@
 
 func (ln *fifo[K, T]) len() int { return len(ln.items) - ln.head }
 
-func (ln *fifo[K, T]) wait() time.Duration { return time.Duration(ln.len()) * ln.interval }
+// wait returns how long an item that is added now is expected to wait, 0 if that is
+// unknown.
+func (ln *fifo[K, T]) wait() time.Duration {
+	if !ln.busy || ln.intervals < minIntervals {
+		return 0
+	}
+	return time.Duration(ln.len()) * ln.poppedAt.Sub(ln.busySince) / time.Duration(ln.intervals)
+}
 
 func (ln *fifo[K, T]) push(it *Item[K, T]) {
 	ln.items = append(ln.items, it)
@@ -135,18 +148,19 @@
 	if it.keyed {
 		delete(ln.byKey, it.key)
 	}
-	if ln.busy {
-		ln.measure(now.Sub(ln.poppedAt))
-	}
-	ln.poppedAt, ln.busy = now, ln.len() > 0
+	ln.measure(now)
 	return *it
 }
 
-// measure adds an interval between two removals to the mean.
-func (ln *fifo[K, T]) measure(interval time.Duration) {
-	if ln.interval == 0 {
-		ln.interval = interval
-		return
+// measure notes that an item was removed.
+func (ln *fifo[K, T]) measure(now model.Instant) {
+	if ln.busy {
+		ln.intervals++
+	} else {
+		ln.busySince, ln.intervals = now, 0
 	}
-	ln.interval += (interval - ln.interval) / intervalWeight
+	if ln.intervals == maxIntervals {
+		ln.busySince, ln.intervals = now.Add(-now.Sub(ln.busySince)/2), maxIntervals/2
+	}
+	ln.poppedAt, ln.busy = now, ln.len() > 0
 }
