--- a/io/group/group.go
+++ b/io/group/group.go
@@ -77,6 +77,7 @@
 	group string
 	self  model.VMID
 	codec wire.Codec[C]
+	clock host.Clock
 	sys   *actor.ActorSystem
 	pid   *actor.PID
 	// done is closed when the replica is being stopped.
@@ -109,7 +110,7 @@
 	if err != nil {
 		return none, func() {}, &SpawnError{name: name, cause: err}
 	}
-	ref := Ref[M, C, R, S]{group: cfg.Group, self: cfg.Self, codec: cfg.Commands, sys: cfg.System, pid: pid, done: done}
+	ref := Ref[M, C, R, S]{group: cfg.Group, self: cfg.Self, codec: cfg.Commands, clock: cfg.Clock, sys: cfg.System, pid: pid, done: done}
 	sto, closeStore, err := disk.Spawn(cfg.System, name, cfg.Store, ref.storeCallbacks())
 	if err != nil {
 		_ = cfg.System.Root.PoisonFuture(pid).Wait()
@@ -275,43 +276,3 @@
 		ref.sys.Root.Send(ref.pid, do[M](fn))
 	}
 }
-
-// Read runs fn on the actor under the leader lease, so that fn sees the effect
-// of every command that was acknowledged before. It returns a *NotLeaderError if
-// this replica does not lead. fn must not retain the state.
-func Read[T any, M quorum.Replica[C, R, S], C, R, S any](ctx context.Context, ref Ref[M, C, R, S], fn func(now model.Instant, role quorum.Role, mac M) T) (T, error) {
-	if ref.pid == nil {
-		var zero T
-		return zero, quorum.NewNotLeaderError("")
-	}
-	return sendAndWait(ctx, ref.done, errors.Trace, func(reply chan<- result[T]) {
-		ref.sys.Root.Send(ref.pid, read[M]{
-			ctx:  ctx,
-			run:  func(now model.Instant, role quorum.Role, mac M) { reply <- result[T]{val: fn(now, role, mac)} },
-			fail: func(err error) { reply <- result[T]{err: err} },
-		})
-	})
-}
-
-// result is the outcome of one request.
-type result[T any] struct {
-	val T
-	err error
-}
-
-// sendAndWait calls send with a reply channel and waits for the result. If ctx or
-// the replica ends first, it returns wrapErr of the cause. The reply channel is
-// buffered, so the actor never blocks on a caller that stopped waiting.
-func sendAndWait[T any](ctx context.Context, done <-chan struct{}, wrapErr func(cause error) error, send func(chan<- result[T])) (T, error) {
-	reply := make(chan result[T], 1)
-	send(reply)
-	var zero T
-	select {
-	case res := <-reply:
-		return res.val, res.err
-	case <-ctx.Done():
-		return zero, wrapErr(ctx.Err())
-	case <-done:
-		return zero, wrapErr(&StoppedError{})
-	}
-}
