Measure waiting exchanges without garbage collection

It measures the whole process. The three tests that measure processor time now collect garbage before and put it off until the window is over.

--- a/io/entry/idle_test.go
+++ b/io/entry/idle_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"guavarail/io/busy"
+	"guavarail/io/fake/usage"
 )
 
 const (
@@ -61,9 +61,7 @@
 				_ = con.Close()
 			}
 			time.Sleep(waitTime / 10)
-			before := busy.ProcessTime()
-			time.Sleep(waitTime)
-			if used := busy.ProcessTime() - before; used > maxWaiting {
+			if used := usage.Of(func() { time.Sleep(waitTime) }); used > maxWaiting {
 				t.Errorf("%v of processor time in %v, want at most %v", used, waitTime, maxWaiting)
 			}
 		})
--- a/io/httpd/idle_test.go
+++ b/io/httpd/idle_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"guavarail/io/busy"
+	"guavarail/io/fake/usage"
 )
 
 const (
@@ -66,9 +66,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			tc.run(t)
 			time.Sleep(waitTime / 10)
-			before := busy.ProcessTime()
-			time.Sleep(waitTime)
-			if used := busy.ProcessTime() - before; used > maxWaiting {
+			if used := usage.Of(func() { time.Sleep(waitTime) }); used > maxWaiting {
 				t.Errorf("%v of processor time in %v, want at most %v", used, waitTime, maxWaiting)
 			}
 		})
--- a/io/peer/stream_test.go
+++ b/io/peer/stream_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"guavarail/io/busy"
+	"guavarail/io/fake/usage"
 )
 
 const (
@@ -128,11 +128,11 @@
 			}
 			wait := waitOnStreams(t, mc, far)
 			time.Sleep(holdTime / 10)
-			before := busy.ProcessTime()
-			go tc.end(mc, near, far)
-			<-held.closing
-			time.Sleep(holdTime)
-			used := busy.ProcessTime() - before
+			used := usage.Of(func() {
+				go tc.end(mc, near, far)
+				<-held.closing
+				time.Sleep(holdTime)
+			})
 			close(held.released)
 			wait()
 			if used > tc.bound {
