Read on after bytes that arrive just as a server stops

Callers could get 400 for a valid request during a planned shutdown, which ends a call of an operator.

Cause: a connection that waits for a request is expired at the stop by a read deadline in the past. Bytes that had been read, but were not noted yet, counted as none, so that the rest of the request was not read any more. The read that notes them now restores the deadline of package http. TestRequestIsReadWhoseFirstBytesArriveAtTheStop puts the stop at this moment and failed before ("rest: 0 bytes, read pipe: i/o timeout").

--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -69,7 +69,7 @@
 	// release is called when the connection is closed. It may be called more than once.
 	release func()
 
-	// mu guards awaiting, expired and the order of read deadlines.
+	// mu guards the fields below and the order of read deadlines.
 	mu sync.Mutex
 	// awaiting is true while no byte of the next request has been read.
 	awaiting bool
@@ -78,6 +78,8 @@
 	ahead bool
 	// expired is set when the listener is closed.
 	expired bool
+	// deadline is the read deadline that package http has set last.
+	deadline time.Time
 }
 
 // Read implements net.Conn.
@@ -85,6 +87,10 @@
 	num, err := con.Conn.Read(buf)
 	if num > 0 {
 		con.mu.Lock()
+		if con.awaiting && con.expired {
+			// The listener was closed after these bytes had been read.
+			_ = con.Conn.SetReadDeadline(con.deadline)
+		}
 		con.awaiting, con.ahead = false, len(buf) == 1
 		con.mu.Unlock()
 	}
@@ -96,6 +102,7 @@
 func (con *conn) SetReadDeadline(at time.Time) error {
 	con.mu.Lock()
 	defer con.mu.Unlock()
+	con.deadline = at
 	if con.awaiting && con.expired {
 		at = time.Unix(1, 0)
 	}
