Let voters find each other when no seed remembers them

One of five voters had lost its disk; two seeds had lost theirs before and had been replaced as voters.

Cause: a VM connects to the seeds and to the members that answers to its hello messages list. An answer lists the members that the replica of the answering VM knows, and a seed with an empty disk knows none. The member list on the disk of the VM itself was not used. So voters that are no seeds never connected to each other once no running seed had the log of the group, and no quorum could meet.

The event peersChanged records whom a VM connects to.

--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
+	"guavarail/core/cell"
 	"guavarail/core/event"
 	"guavarail/core/model"
 	"guavarail/io/host"
@@ -22,6 +24,8 @@
 	// leaderTTL is the age up to which a discovery that found a leader makes Ready report
 	// true.
 	leaderTTL = 1500 * time.Millisecond
+	// maxAnnouncements is the number of announcements that may wait to be taken up.
+	maxAnnouncements = 64
 )
 
 // discovery is the leader and the members that a VM has discovered. It is not
@@ -33,15 +37,20 @@
 	term   uint64
 	// discoveredAt is when the last of the answers had arrived.
 	discoveredAt model.Instant
-	// members are the VMs to connect to: the seeds and the members of the
-	// replication group that the answers list.
+	// members are the VMs to connect to: the seeds and the VMs that the answers list.
+	// Without a leader they include the members that this VM's replica knows and
+	// announced, because the seeds may have lost their disks.
 	members []model.VMID
+	// announced are the VMs with a disk that have announced themselves to this one.
+	announced []model.VMID
 }
 
 // leaderFinder discovers the leader and updates VM.discovered. It is owned by one
 // goroutine.
 type leaderFinder struct {
 	vm *VM
+	// announced holds the VMs of VM.announcements.
+	announced cell.Directory
 }
 
 // startFinder starts the goroutine that discovers the leader. The returned
@@ -152,9 +161,13 @@
 // the previous members stay as well.
 func (fin *leaderFinder) publish(prev *discovery, wels []*wire.CellWelcome, leader model.VMID, term uint64) {
 	vm := fin.vm
-	next := &discovery{leader: leader, term: term, discoveredAt: vm.clock(), members: slices.Clone(*vm.seeds.Load())}
+	now := vm.clock()
+	fin.receiveAnnouncements(now)
+	next := &discovery{leader: leader, term: term, discoveredAt: now, members: slices.Clone(*vm.seeds.Load()), announced: fin.announced.VMs(now)}
 	if leader == "" {
 		next.members = append(next.members, prev.members...)
+		next.members = append(next.members, vm.knownMembers()...)
+		next.members = append(next.members, next.announced...)
 	}
 	for _, wel := range wels {
 		for _, mem := range wel.GetMembers() {
@@ -173,10 +186,21 @@
 	}
 	vm.discovered.Store(next)
 	if !slices.Equal(prev.members, next.members) {
+		vm.RecordEvent(event.New("peersChanged", event.Subject{VM: vm.settings.Name()}, event.NewField("peers", joinVMs(next.members)),
+			event.NewField("announced", joinVMs(next.announced))))
 		vm.setPeers(next.members)
 	}
 }
 
+// joinVMs returns the VMs in the form that events use, with commas.
+func joinVMs(vms []model.VMID) string {
+	var out []string
+	for _, id := range vms {
+		out = append(out, string(id))
+	}
+	return strings.Join(out, ",")
+}
+
 // requestDiscovery ends the pause before the next discovery early. It does not
 // block.
 func (vm *VM) requestDiscovery() {
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -267,23 +267,3 @@
 	}
 	mem.vm.RecordEvent(event.New(event.Kind(rec.Kind), event.Subject{Job: rec.Job, Task: rec.Task, Worker: model.WorkerID(rec.Worker)}, fis...))
 }
-
-// answerHello answers a VM that is discovering the leader. By its hello message, a
-// VM with a disk also announces itself to the leader as a possible member.
-func (mem *member) answerHello(_ context.Context, _ model.VMID, hel *wire.CellHello) (*wire.CellWelcome, error) {
-	sta := mem.status.Load()
-	if sta.leading && hel.GetDisk() != "" {
-		pre := cell.Presence{VM: model.VMID(hel.GetVm()), Centre: model.CentreID(hel.GetCentre()), Disk: quorum.DiskID(hel.GetDisk())}
-		mem.ref.Do(func(now model.Instant, _ quorum.Role, _ *cell.State) {
-			pre.Heard = now
-			mem.repair.Announce(pre)
-		})
-	}
-	wel := &wire.CellWelcome{Leader: string(sta.leader), Term: sta.term, Leased: sta.leased}
-	for _, mbr := range mem.members.Load().List() {
-		if mbr.VM() != unknownVoter {
-			wel.Members = append(wel.Members, string(mbr.VM()))
-		}
-	}
-	return wel, nil
-}
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -44,6 +44,8 @@
 	seeds atomic.Pointer[[]model.VMID]
 	// discoverNow buffers one request for a discovery.
 	discoverNow chan struct{}
+	// announcements has the VMs with a disk that have said hello to this one.
+	announcements chan model.VMID
 	// handler is set by Serve; nil before that.
 	handler atomic.Pointer[Handler]
 	// cleanups are the clean-up functions, in the order in which the parts of the
@@ -60,7 +62,7 @@
 	vm := &VM{
 		fs:   fs,
 		self: model.VMID(set.Listen().Peers().String()), settings: set, log: log, clock: host.NewClock(),
-		mux: &peer.Mux{}, discoverNow: make(chan struct{}, 1),
+		mux: &peer.Mux{}, discoverNow: make(chan struct{}, 1), announcements: make(chan model.VMID, maxAnnouncements),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.cleanups = append(vm.cleanups, cancel)
