Test that late heartbeats remove no mark

A mark that the second heartbeat always removes, and one that only a proof by the worker's clock removes, pass no test of core/flow but the fuzzer.

--- a/core/flow/silence_test.go
+++ b/core/flow/silence_test.go
@@ -59,6 +59,26 @@
 	}
 }
 
+// Guards against late heartbeats of an exited worker that remove its mark, and against a
+// worker whose clock proves nothing and whose mark stays.
+func TestMarkOutlastsLateHeartbeats(t *testing.T) {
+	har, runs := newSilence(t)
+	for i := range 3 {
+		if len(har.st.silences()) == 0 {
+			t.Errorf("the mark is removed before heartbeat %d", i)
+		}
+		har.sequence++
+		har.step(Heartbeat{
+			HeartbeatID: har.sequence, Incarnation: NewIncarnation("w1", 1), Sequence: har.sequence, Clock: time.Minute + time.Duration(i)*callTimeout,
+			Service: "svc", Centre: "a", Address: "w1", Size: model.NewResources(4000, 4000, 0), Runs: runs,
+		})
+		har.wait(callTimeout)
+	}
+	if len(har.st.silences()) > 0 {
+		t.Error("the mark stays")
+	}
+}
+
 // Guards against a new leader that ends runs too early, because it takes a mark for
 // valid though the worker may have got a lease since, or that waits for a whole lease
 // though nobody can have granted one.
