Do not put off the first plan of a leader

The spacing of plans measured the duration of a plan from time 0 before there was one, so that a new leader with heartbeats in its queue could wait 100 ms.

TestFirstPlanIsDueAtOnce failed before: "no plan is due before the first one" (go test ./core/flow -run TestFirstPlan).

--- a/core/flow/planpace.go
+++ b/core/flow/planpace.go
@@ -20,8 +20,8 @@
 type planPace struct {
 	// waiting is set while heartbeats wait.
 	waiting bool
-	// plannedAt is when the last plan began, and timed is set once its duration is known
-	// from the next input. notBefore is the end of the pause after it.
+	// plannedAt is when the last plan began, 0 before the first, and timed is set once its
+	// duration is known from the next input. notBefore is the end of the pause after it.
 	plannedAt model.Instant
 	timed     bool
 	notBefore model.Instant
@@ -30,7 +30,7 @@
 // observe notes the time of an input. If heartbeats wait, no time has passed since the
 // last input was handled.
 func (pp *planPace) observe(now model.Instant) {
-	if !pp.timed && now > pp.plannedAt {
+	if !pp.timed && pp.plannedAt > 0 && now > pp.plannedAt {
 		pp.timed = true
 		pp.notBefore = now.Add(min(maxPlanPause, max(minPlanPause, planPauseFactor*now.Sub(pp.plannedAt))))
 	}
@@ -41,5 +41,5 @@
 
 // due reports whether a plan may be made.
 func (pp *planPace) due(now model.Instant) bool {
-	return !pp.waiting || pp.timed && !now.Before(pp.notBefore)
+	return !pp.waiting || pp.plannedAt == 0 || pp.timed && !now.Before(pp.notBefore)
 }
--- a/core/flow/planpace_test.go
+++ b/core/flow/planpace_test.go
@@ -53,3 +53,12 @@
 		t.Error("the end of the run was not proposed")
 	}
 }
+
+// Guards against a new leader that puts off its first plan while heartbeats wait.
+func TestFirstPlanIsDueAtOnce(t *testing.T) {
+	pp := planPace{waiting: true}
+	pp.observe(model.Instant(time.Hour))
+	if !pp.due(model.Instant(time.Hour)) {
+		t.Error("no plan is due before the first one")
+	}
+}
