Let seeds that are no members name the leader

A VM whose seeds that run are no members of the replication group found no leader for as long as it ran: an entry VM answered all calls with 503, and a replacement with an empty disk was never added as a voter. This happens after other VMs have become the voters and the seeds have come back with empty disks.

Cause: a VM that is asked names the members that its replica knows and the VMs that have announced themselves to it. A VM that is no member knows only itself, and nobody announces itself to it any more once a leader is found. That it has found the leader itself went into no answer.

A VM that has found the leader names it and the members that this one lists.

--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -45,6 +45,17 @@
 	announced []model.VMID
 }
 
+// toPassOn returns the VMs that a VM names to one that asks it, besides the members that its
+// replica knows. If it has found the leader, it names that and the members, of which it may
+// not be one. Otherwise its members may be out of date and would be passed on forever.
+func (dis *discovery) toPassOn() []model.VMID {
+	out := slices.Clone(dis.announced)
+	if dis.leader != "" {
+		out = append(append(out, dis.leader), dis.members...)
+	}
+	return out
+}
+
 // leaderFinder discovers the leader and updates VM.discovered. It is owned by one
 // goroutine.
 type leaderFinder struct {
--- a/io/cell/find_test.go
+++ b/io/cell/find_test.go
@@ -127,3 +127,24 @@
 		})
 	}
 }
+
+// Guards against a VM that finds no leader because the seeds that run are no members, after
+// other VMs have become the voters.
+func TestSeedThatIsNoMemberNamesLeader(t *testing.T) {
+	tc := newTestCell(t)
+	var vms []*VM
+	for _, num := range []int{3, 4, 5} {
+		vm, stop := tc.start(num, true, false, 3, 4, 5)
+		defer stop()
+		vms = append(vms, vm)
+	}
+	for _, vm := range vms {
+		awaitLeader(t, "voter", vm)
+	}
+	seed, stop := tc.start(1, false, false, 1, 3)
+	defer stop()
+	awaitLeader(t, "seed", seed)
+	entry, stop := tc.start(9, false, true, 1)
+	defer stop()
+	awaitLeader(t, "entry VM whose seed is no member", entry)
+}
--- a/io/cell/hello.go
+++ b/io/cell/hello.go
@@ -27,7 +27,7 @@
 	}
 	known := mem.vm.knownMembers()
 	if !sta.leading {
-		known = append(known, mem.vm.discovered.Load().announced...)
+		known = append(known, mem.vm.discovered.Load().toPassOn()...)
 	}
 	wel := &wire.CellWelcome{Leader: string(sta.leader), Term: sta.term, Leased: sta.leased}
 	slices.Sort(known)
