Report a call as lost if a later attempt is rejected

A submission could be answered with 503, which says that the job was not accepted and never runs, though the job had been accepted and ran.

Cause: VM.Route tries a call again after an attempt whose outcome is unknown. If the next leader replied 503, because it was too busy or had no configuration, that reply was passed on. Since leaders reject calls whose turn comes too late, 503 is no rare reply just after a change of the leader.

After a lost attempt, 503 is reported as LostReplyError, which the front end answers with 504, so that the caller sends the call again.

--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -36,7 +37,7 @@
 
 // Reply answers a Call.
 type Reply struct {
-	// Status is the HTTP status.
+	// Status is the HTTP status. 503 means that the call was not carried out.
 	Status int
 	Body   []byte
 	// RetryAfter is the time after which the caller may retry, in seconds; 0 means
@@ -109,6 +110,9 @@
 		if ok {
 			rep, err := vm.attempt(ctx, leader, cal)
 			switch {
+			case err == nil && lostErr != nil && rep.Status == http.StatusServiceUnavailable:
+				// The attempt before may have been carried out all the same.
+				return Reply{}, errors.Trace(&LostReplyError{cause: lostErr})
 			case err == nil:
 				return rep, nil
 			case isNotLeader(err) || isUnsent(err):
