Complete a request at a stop that was read with the one before it

A request that a client had sent right behind another one, without waiting for the response, was aborted when the server stopped: its context ended, so that a call whose outcome was open was answered as lost.

Cause: a connection waits for a request until bytes of it are read. Here package http had read the bytes with those of the request before, so the connection seemed to wait, and the stop set a read deadline in the past. Package http reads while a handler runs, to learn that the client is gone, and took the deadline for that.

The start of the handler ends the wait and restores the deadline.

--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -109,6 +109,25 @@
 	return con.Conn.SetReadDeadline(at)
 }
 
+// begin is called when the handler of a request begins. If the request was read together
+// with the one before it, the connection still seems to wait for it.
+func (con *conn) begin() {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	if con.awaiting && con.expired {
+		_ = con.Conn.SetReadDeadline(con.deadline)
+	}
+	con.awaiting = false
+}
+
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
+
+// withConn adds a connection to the context of its requests.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
 // expire ends the connection if it waits for a request, and otherwise before the next
 // request.
 func (con *conn) expire() {
--- a/io/httpd/handler.go
+++ b/io/httpd/handler.go
@@ -27,6 +27,9 @@
 func (srv *server) handler(han http.Handler) http.Handler {
 	return http.HandlerFunc(func(rsp http.ResponseWriter, req *http.Request) {
 		start, complete := time.Now(), false
+		if con, ok := req.Context().Value(connKey{}).(*conn); ok {
+			con.begin()
+		}
 		srv.running.Add(1)
 		defer func() {
 			srv.running.Add(-1)
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -96,6 +96,7 @@
 		Handler: srv.handler(han), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: bodyTimeout, IdleTimeout: idleTimeout,
 		ErrorLog:    log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		BaseContext: func(net.Listener) context.Context { return srv.requests },
+		ConnContext: withConn,
 		ConnState:   connState,
 	}
 	go srv.serve(srv.lis.closing)
