Let no gang take the time of every plan

While a gang waited that one plan cannot weigh in its time, no step behind it started, though workers had room: 261 tasks, each on another of 260 workers, suffice. All plans ended at the gang, and each was followed by the next at once.

Cause: a plan that reaches its bound ended at the present step, with which the next one began, so that a gang that is placed as a whole was weighed again. An overdue gang, or one that lost its runs, comes in each plan besides and could take more than the half of the time that such steps have.

The next plan begins behind a step that was handled as a whole, and with the first step, when a plan is due, if none is left. What a step that comes in each plan weighs beyond half of the time does not count for the steps that the plan continues with.

--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -14,17 +14,16 @@
 	pl.measureRoom(steps)
 	for i := range steps {
 		rs := steps[i]
+		next := i + 1
 		switch {
 		case pl.bound.skips(i, &rs):
 		case rs.spec.Gang:
 			pl.startGang(now, rs)
-		default:
-			pl.startTasks(now, rs)
+		case !pl.startTasks(now, rs):
+			next = i
 		}
-		if pl.bound.reached() {
-			// The next plan continues here.
-			pl.bound.end(i)
-			pl.dirty = true
+		if pl.bound.over(i) {
+			pl.dirty = pl.bound.end(next, len(steps))
 			return
 		}
 	}
@@ -44,8 +43,8 @@
 }
 
 // startTasks places the waiting tasks of a step one by one until no worker is
-// eligible for the next.
-func (pl *Planner) startTasks(now model.Instant, rs readyStep) {
+// eligible for the next. It returns false if the plan must end before.
+func (pl *Planner) startTasks(now model.Instant, rs readyStep) bool {
 	sp := &rs.occ.steps[rs.step]
 	started := 0
 	defer func() { pl.recordStarts(now, rs, started) }()
@@ -55,17 +54,17 @@
 			continue
 		}
 		if pl.bound.reached() {
-			return
+			return false
 		}
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
 		if !pl.leavesRoom(&rs, 1) {
 			pl.recordHeldBack(now, &rs, id)
-			return
+			return true
 		}
 		wk := pl.chooseWorker(now, rs, id, nil)
 		if wk == nil {
 			pl.waitForRoom(now, &rs, id)
-			return
+			return true
 		}
 		pl.takeRoom(&rs, 1)
 		started++
@@ -76,6 +75,7 @@
 		rs.starved = false
 		rs.job.idleSince = 0
 	}
+	return true
 }
 
 // waitForRoom handles tasks for which no worker is eligible now. Long-running
--- a/core/flow/planbound.go
+++ b/core/flow/planbound.go
@@ -7,26 +7,45 @@
 // planBound ends a plan that takes too long and lets the next one continue. The zero
 // value begins with the first step.
 type planBound struct {
-	// weighed counts the workers that were weighed for tasks in this plan.
-	weighed int
+	// weighed counts the workers that were weighed for tasks in this plan, and limit is
+	// how many may be in all until the end of the present step. Of what a step weighs
+	// beyond a limit of less than maxWeighed, nothing counts for the steps after it.
+	weighed, limit int
 	// from is the number of steps that this plan leaves out, because the plan before
-	// ended after them, and next is the same for the next plan.
+	// ended after them, and next is the same for the next plan. A step that is placed as a
+	// whole or not at all, and took all the time of a plan, is left out by the next one too.
 	from, next int
 }
 
 // begin begins a plan.
-func (pb *planBound) begin() { *pb = planBound{from: pb.next} }
+func (pb *planBound) begin() { *pb = planBound{limit: maxWeighed / 2, from: pb.next} }
 
-// reached reports whether the plan must end.
-func (pb *planBound) reached() bool { return pb.weighed >= maxWeighed }
+// reached reports whether the present step must end.
+func (pb *planBound) reached() bool { return pb.weighed >= pb.limit }
 
-// skips reports whether a plan leaves out the step at an index of the scheduling order.
-// Steps that may claim room come in each plan, because claims last for one plan. They
-// get half of its time, so that it goes on.
+// skips reports whether a plan leaves out the step at an index of the scheduling order,
+// and otherwise begins it. Steps that may claim room come in each plan, because claims last
+// for one plan. They get half of its time, so that it goes on.
 func (pb *planBound) skips(index int, rs *readyStep) bool {
-	mayClaim := rs.restart || rs.overdue
-	return index < pb.from && (!mayClaim || pb.weighed >= maxWeighed/2)
+	if index < pb.from {
+		return !rs.restart && !rs.overdue || pb.reached()
+	}
+	if pb.limit < maxWeighed {
+		pb.weighed, pb.limit = min(pb.weighed, pb.limit), maxWeighed
+	}
+	return false
 }
 
-// end ends the plan at the step at an index, which the next plan begins with.
-func (pb *planBound) end(index int) { pb.next = max(index, pb.from) }
+// over reports whether the plan must end after the step at an index.
+func (pb *planBound) over(index int) bool { return index >= pb.from && pb.reached() }
+
+// end ends the plan before the step at an index, with which the next plan begins. It returns
+// false if no step is left, so that the next plan begins with the first one when it is due.
+func (pb *planBound) end(index, steps int) bool {
+	pb.next = index
+	if pb.next >= steps {
+		pb.next = 0
+		return false
+	}
+	return true
+}
--- a/core/flow/planbound_test.go
+++ b/core/flow/planbound_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"guavarail/core/model"
 )
@@ -52,3 +53,30 @@
 		t.Errorf("%d tasks started, want %d", started, tasks+1)
 	}
 }
+
+// Guards against a gang without room that takes the time of every plan, so that the steps
+// behind it are never reached.
+func TestGangWithoutRoomLeavesTimeForOtherSteps(t *testing.T) {
+	const workers, ticks = 260, 50
+	for _, waited := range []time.Duration{0, 2 * overdueAfter} {
+		har := newHarness(t)
+		har.holding = true
+		har.submit("gang", StepSpec{Tasks: workers + 1, PerWorker: 1, Gang: true, Size: model.NewResources(1000, 100, 0), Estimate: time.Second})
+		har.now = har.now.Add(waited)
+		for i := range workers {
+			name := fmt.Sprint("w", i)
+			har.step(Heartbeat{
+				HeartbeatID: uint64(i), Incarnation: NewIncarnation(model.WorkerID(name), 1), Sequence: 1, Service: "svc", Centre: "a", Address: name,
+				Size: model.NewResources(4000, 4000, 0),
+			})
+		}
+		har.submit("last", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0), Estimate: time.Hour})
+		for range ticks {
+			har.now = har.now.Add(TickInterval)
+			har.step(Tick{LeaseUntil: har.now.Add(simLeaderLease), Wall: time.Duration(har.now).Milliseconds()})
+		}
+		if len(har.held) != 1 {
+			t.Errorf("gang that had waited for %v: %d proposals within %v, want the start of the job behind it", waited, len(har.held), ticks*TickInterval)
+		}
+	}
+}
