Split core/flow/heartbeat.go and core/sched/planner.go

What happens when an incarnation of a worker ends, and the leader's records of attempts, have files of their own. Declarations moved without a change; the tests of both packages pass.

--- /dev/null
+++ b/core/flow/exit.go
@@ -0,0 +1,72 @@
+package flow
+
+import (
+	"slices"
+	"strconv"
+
+	"guavarail/core/model"
+)
+
+// addressTaken reports whether a worker of another name, which started later and
+// has sent heartbeats until now, has the address of an incarnation, so that the
+// incarnation has exited.
+func (pl *Planner) addressTaken(hb *Heartbeat) bool {
+	return slices.ContainsFunc(pl.workers.sorted, func(wk *worker) bool {
+		return wk.incarnation.worker != hb.Incarnation.worker && wk.address == hb.Address && wk.incarnation.startedAt > hb.Incarnation.startedAt &&
+			wk.reported && pl.silence(wk) <= maxHeartbeatAge
+	})
+}
+
+// replaceAtAddress ends the workers with other names that had the address of a
+// new incarnation and started before it.
+func (pl *Planner) replaceAtAddress(hb *Heartbeat) {
+	for _, wk := range pl.workers.removeFunc(func(wk *worker) bool {
+		return wk.incarnation.worker != hb.Incarnation.worker && wk.address != "" && wk.address == hb.Address && wk.incarnation.startedAt < hb.Incarnation.startedAt
+	}) {
+		pl.endWorker(wk, "addressReused")
+	}
+}
+
+// endWorker proposes the ends of the runs of an incarnation that has exited,
+// answers its open heartbeat without orders, and adds it to formerWorkers until
+// the ends are applied. The caller removes it from the set of workers.
+func (pl *Planner) endWorker(wk *worker, why string) {
+	pl.recordEvent("workerGone", "", "", wk.incarnation.String(), "reason", why, "runs", strconv.Itoa(len(wk.runs)))
+	if wk.answerPending {
+		wk.answerPending = false
+		pl.effects = append(pl.effects, Answer{HeartbeatID: wk.heartbeatID})
+	}
+	pl.proposeAllEnds(wk, Lost)
+	if len(wk.runs) > 0 {
+		// The past lease end lets expireLease propose the ends that this call
+		// could not propose, and those whose proposal is lost.
+		wk.leaseEnd = 0
+		pl.formerWorkers = append(pl.formerWorkers, wk)
+	}
+}
+
+// leave proposes the ends of the runs of a worker that has announced its exit,
+// and removes the worker. The announcement of another incarnation is ignored. If
+// it doesn't tell which incarnation exits, it is ignored unless the worker is
+// draining: a worker that exits was draining before, though perhaps under an
+// earlier leader.
+func (pl *Planner) leave(now model.Instant, msg Leave) {
+	wk, ok := pl.workers.get(msg.Worker)
+	if !ok || !pl.leading || !msg.isOf(wk) {
+		return
+	}
+	pl.workers.remove(wk)
+	pl.endWorker(wk, "left")
+	if pl.exited == nil {
+		pl.exited = map[Incarnation]model.Instant{}
+	}
+	pl.exited[wk.incarnation] = now
+}
+
+// isOf reports whether it is the incarnation of wk that is about to exit.
+func (msg Leave) isOf(wk *worker) bool {
+	if msg.StartedAt == 0 {
+		return wk.draining
+	}
+	return msg.StartedAt == wk.incarnation.startedAt
+}
