--- a/core/flow/planpace.go
+++ b/core/flow/planpace.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// minPlanPause and maxPlanPause bound the pause between two plans while heartbeats
-	// wait. The pause is as long as the last plan took, so that plans take at most half
-	// of the leader's time.
-	minPlanPause = 10 * time.Millisecond
-	maxPlanPause = 100 * time.Millisecond
+	// minPlanPause and maxPlanPause bound the pause after a plan while heartbeats wait.
+	// It is planPauseFactor times as long as the plan took, so that plans take at most a
+	// quarter of the leader's time.
+	minPlanPause    = 10 * time.Millisecond
+	maxPlanPause    = 100 * time.Millisecond
+	planPauseFactor = 3
 )
 
 // planPace spaces the plans while heartbeats wait to be handled: one plan for many of
@@ -19,8 +20,8 @@
 type planPace struct {
 	// waiting is set while heartbeats wait.
 	waiting bool
-	// plannedAt is when the last plan began, and timed is set once its duration is known
-	// from the next input. notBefore is the end of the pause after it.
+	// plannedAt is when the last plan began, 0 before the first, and timed is set once its
+	// duration is known from the next input. notBefore is the end of the pause after it.
 	plannedAt model.Instant
 	timed     bool
 	notBefore model.Instant
@@ -29,9 +30,9 @@
 // observe notes the time of an input. If heartbeats wait, no time has passed since the
 // last input was handled.
 func (pp *planPace) observe(now model.Instant) {
-	if !pp.timed && now > pp.plannedAt {
+	if !pp.timed && pp.plannedAt > 0 && now > pp.plannedAt {
 		pp.timed = true
-		pp.notBefore = now.Add(min(maxPlanPause, max(minPlanPause, now.Sub(pp.plannedAt))))
+		pp.notBefore = now.Add(min(maxPlanPause, max(minPlanPause, planPauseFactor*now.Sub(pp.plannedAt))))
 	}
 }
 
@@ -40,5 +41,5 @@
 
 // due reports whether a plan may be made.
 func (pp *planPace) due(now model.Instant) bool {
-	return !pp.waiting || pp.timed && !now.Before(pp.notBefore)
+	return !pp.waiting || pp.plannedAt == 0 || pp.timed && !now.Before(pp.notBefore)
 }
