Choose workers by when their start order can be sent

Callers saw: short jobs late on large fleets though workers had room.

Cause: at 1,100 workers the delay between two heartbeats is a second, and a start order waits for the next one. The choice of a worker did not weigh that wait.

Change: the cost of a worker for a task that ends by itself grows with the expected time until its next heartbeat; none while one is open. No heartbeat more is sent.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -115,7 +115,7 @@
 		// Starts are decided that this answer cannot carry yet.
 		ans.HeartbeatDelay = min(ans.HeartbeatDelay, busyHeartbeatDelay)
 	}
-	wk.answerPending = false
+	wk.answerPending, wk.nextHeartbeat = false, now.Add(ans.HeartbeatDelay)
 	pl.effects = append(pl.effects, ans)
 	if wk.silent {
 		return
--- a/core/flow/cost.go
+++ b/core/flow/cost.go
@@ -27,6 +27,10 @@
 	// quarantineCost is the cost of a quarantined worker for a long-running
 	// task, which must not stay down while any worker has room.
 	quarantineCost = 100.0
+	// orderWaitCost is the cost, for a task that ends by itself, of each second until its
+	// start order can be sent to a worker. A long-running task stays, so where it is
+	// matters more to it.
+	orderWaitCost = 2.0
 	// maxFillerShortage is the fraction of its requested processors that a
 	// worker may lack for a filler.
 	maxFillerShortage = 0.3
@@ -48,6 +52,15 @@
 	return cost
 }
 
+// orderWaitCostOf returns the cost of the time until a worker gets the start order of a
+// task.
+func orderWaitCostOf(now model.Instant, wk *worker, spec *StepSpec) float64 {
+	if spec.LongRunning {
+		return 0
+	}
+	return orderWaitCost * wk.orderWait(now).Seconds()
+}
+
 // placementCost returns the cost of a worker that has room for a task, and
 // false if the task must not be placed there.
 func (pl *Planner) placementCost(wk *worker, rs readyStep, image int, need model.Resources) (float64, bool) {
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -197,7 +197,7 @@
 		if !ok {
 			continue
 		}
-		cost += localityCost(wk, rs.spec, near)
+		cost += localityCost(wk, rs.spec, near) + orderWaitCostOf(now, wk, rs.spec)
 		if wk.health.quarantined(now) {
 			cost += quarantineCost
 		}
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -158,6 +158,9 @@
 	// listedOpen is set while the worker is in Planner.openHeartbeats.
 	listedOpen         bool
 	answerPendingSince model.Instant
+	// nextHeartbeat is when the worker is expected to send its next heartbeat at the
+	// latest, as the last answer has asked for; 0 before the first.
+	nextHeartbeat model.Instant
 	// reportedEnds are the ended runs in the last heartbeat, ordered by Number, and
 	// plansBefore is how many plans this leader had made before it arrived.
 	reportedEnds []EndReport
@@ -193,6 +196,15 @@
 	endedUses []endedUse
 }
 
+// orderWait returns the expected time until a start order can be sent to the worker: none
+// while a heartbeat is open.
+func (wk *worker) orderWait(now model.Instant) time.Duration {
+	if wk.answerPending {
+		return 0
+	}
+	return max(0, wk.nextHeartbeat.Sub(now))
+}
+
 // free returns what no run has reserved.
 func (wk *worker) free() model.Resources { return wk.size.Sub(wk.reserved) }
 
