--- /dev/null
+++ b/core/flow/check_test.go
@@ -0,0 +1,81 @@
+package flow
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// Guards against numbers of one heartbeat that spoil sums and estimates for all workers.
+func TestHeartbeatWithNumbersOutOfRangeIsNotAccepted(t *testing.T) {
+	sound := func() *Heartbeat {
+		return &Heartbeat{
+			Incarnation: NewIncarnation("w", time.Now().UnixMilli()), Size: model.NewResources(32_000, 125_000, 8), Clock: 90 * 24 * time.Hour,
+			Runs:  []RunReport{{Task: NewTaskID("job", 0, 0, 0), Attempt: 3, Percent: fullPace, Reading: 1e6}},
+			Ended: []EndReport{{Number: 1, Task: NewTaskID("job", 0, 0, 1), Attempt: 1}},
+		}
+	}
+	if err := sound().Check(); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(hb *Heartbeat){
+		"processors":        func(hb *Heartbeat) { hb.Size = model.NewResources(math.MaxInt64, 1, 0) },
+		"memory":            func(hb *Heartbeat) { hb.Size = model.NewResources(1, math.MaxInt64/2, 0) },
+		"negative size":     func(hb *Heartbeat) { hb.Size = model.NewResources(-1, 1, 0) },
+		"start":             func(hb *Heartbeat) { hb.Incarnation = NewIncarnation("w", math.MaxInt64) },
+		"clock":             func(hb *Heartbeat) { hb.Clock = math.MaxInt64 },
+		"remaining":         func(hb *Heartbeat) { hb.Remaining = -time.Second },
+		"percent":           func(hb *Heartbeat) { hb.Runs[0].Percent = 101 },
+		"infinite reading":  func(hb *Heartbeat) { hb.Runs[0].Reading = math.Inf(1) },
+		"undefined reading": func(hb *Heartbeat) { hb.Runs[0].Reading = math.NaN() },
+		"attempt":           func(hb *Heartbeat) { hb.Ended[0].Attempt = math.MaxInt64 },
+	} {
+		hb := sound()
+		spoil(hb)
+		var hbe *HeartbeatError
+		if err := hb.Check(); !errorAs(err, &hbe) || len(hbe.Faults()) != 1 {
+			t.Errorf("%s: %v, want one fault", name, err)
+		}
+	}
+}
+
+// errorAs reports whether err is a *HeartbeatError and stores it.
+func errorAs(err error, target **HeartbeatError) bool {
+	hbe, ok := err.(*HeartbeatError)
+	*target = hbe
+	return ok
+}
+
+// Guards against jobs whose numbers overflow in sums and times.
+func TestJobWithNumbersOutOfRangeIsNotAccepted(t *testing.T) {
+	sound := func() JobSpec {
+		return JobSpec{ID: "job", Service: "svc", ObjectiveFactor: 2, Steps: []StepSpec{{Tasks: 2, Size: model.NewResources(64_000_000, 1, 0), Estimate: 48 * time.Hour}}}
+	}
+	if _, err := NewJob(sound()); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(spec *JobSpec){
+		"processors":  func(spec *JobSpec) { spec.Steps[0].Size = model.NewResources(math.MaxInt64, 1, 0) },
+		"estimate":    func(spec *JobSpec) { spec.Steps[0].Estimate = math.MaxInt64 },
+		"tail target": func(spec *JobSpec) { spec.Steps[0].TailTarget = math.MaxInt64 },
+		"interval":    func(spec *JobSpec) { spec.Repetitions, spec.Interval = 3, math.MaxInt64 },
+		"first due":   func(spec *JobSpec) { spec.FirstDueMs = math.MaxInt64 },
+		"tasks": func(spec *JobSpec) {
+			spec.Steps = []StepSpec{{Tasks: math.MaxInt64}, {Tasks: math.MaxInt64}, {Tasks: 3}}
+		},
+	} {
+		spec := sound()
+		spoil(&spec)
+		if _, err := NewJob(spec); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	spec := sound()
+	spec.ObjectiveFactor, spec.ObjectiveBase = 1e300, math.MaxInt64
+	jo, err := NewJob(spec)
+	if err != nil || jo.Objective() <= 0 {
+		t.Errorf("objective %v, %v, want more than 0", jo.Objective(), err)
+	}
+}
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -112,45 +112,41 @@
 func (err *JobError) Faults() []model.Fault { return append([]model.Fault(nil), err.faults...) }
 
 // Error lists every fault.
-func (err *JobError) Error() string {
-	out := make([]string, 0, len(err.faults))
-	for _, fa := range err.faults {
-		out = append(out, fa.Field()+": use "+fa.Allowed())
-	}
-	return "job not accepted: " + strings.Join(out, "; ")
-}
+func (err *JobError) Error() string { return "job not accepted: " + joinFaults(err.faults) }
 
 // NewJob validates spec and returns the job, or a JobError with every fault.
 func NewJob(spec JobSpec) (Job, error) {
-	var fas []model.Fault
-	rejectIf := func(bad bool, field, allowed string) {
-		if bad {
-			fas = append(fas, model.NewFault(field, allowed))
-		}
-	}
-	rejectIf(spec.ID == "", "id", "a name")
-	rejectIf(len(spec.Body) > maxBody, "body", "at most 4000 bytes")
-	rejectIf(len(spec.Steps) == 0 || len(spec.Steps) > maxSteps, "steps", "1 to 200 steps")
-	rejectIf(spec.Repetitions < 0 || spec.Repetitions > maxRepetitions, "times", "0 to 10000")
-	rejectIf(spec.Repetitions > 0 && spec.Interval < 0, "every", "0 or more")
+	var fas faults
+	fas.rejectIf(spec.ID == "", "id", "a name")
+	fas.rejectIf(len(spec.Body) > maxBody, "body", "at most 4000 bytes")
+	fas.rejectIf(len(spec.Steps) == 0 || len(spec.Steps) > maxSteps, "steps", "1 to 200 steps")
+	fas.rejectIf(spec.Repetitions < 0 || spec.Repetitions > maxRepetitions, "times", "0 to 10000")
+	fas.rejectIf(spec.Repetitions > 0 && !validSpan(spec.Interval), "every", spanAllowed)
+	fas.rejectIf(spec.FirstDueMs < 0 || spec.FirstDueMs > maxUnixMs, "firstDue", "a time from 1970 to 9999")
 	total := 0
 	for pos, st := range spec.Steps {
-		name := "steps." + strconv.Itoa(pos)
-		total += max(0, st.Tasks)
-		rejectIf(st.Tasks < 1, name+".tasks", "1 or more")
-		rejectIf(!st.Size.Valid(), name+".size", "amounts of 0 or more")
-		rejectIf(st.Estimate < 0, name+".estimate", "0 or more")
-		for _, dep := range st.After {
-			rejectIf(dep < 0 || dep >= pos, name+".after", "numbers of earlier steps")
-		}
+		total += min(max(0, st.Tasks), maxTasks+1)
+		fas.checkStep(pos, &st)
 	}
-	rejectIf(total > maxTasks, "tasks", "at most 20000 in all steps")
+	fas.rejectIf(total > maxTasks, "tasks", "at most 20000 in all steps")
 	if len(fas) > 0 {
 		return Job{}, &JobError{faults: fas}
 	}
 	return Job{spec: spec, chainFrom: chainsFrom(spec.Steps)}, nil
 }
 
+// checkStep adds the faults of the step at a position of its job.
+func (fas *faults) checkStep(pos int, st *StepSpec) {
+	name := "steps." + strconv.Itoa(pos)
+	fas.rejectIf(st.Tasks < 1, name+".tasks", "1 or more")
+	fas.rejectIf(!validSize(st.Size), name+".size", "amounts from 0 to "+sizeLimits)
+	fas.rejectIf(!validSpan(st.Estimate), name+".estimate", spanAllowed)
+	fas.rejectIf(!validSpan(st.TailTarget), name+".tailTarget", spanAllowed)
+	for _, dep := range st.After {
+		fas.rejectIf(dep < 0 || dep >= pos, name+".after", "numbers of earlier steps")
+	}
+}
+
 // chainsFrom returns, for each step, the declared duration of the longest
 // chain of steps that begins with it.
 func chainsFrom(steps []StepSpec) []time.Duration {
@@ -180,9 +176,10 @@
 }
 
 // Objective returns the time within which the job should end after it was
-// accepted, or an occurrence after it fell due.
+// accepted, or an occurrence after it fell due. It is at most twice maxSpan.
 func (jo Job) Objective() time.Duration {
-	return time.Duration(jo.spec.ObjectiveFactor*float64(jo.Chain())) + jo.spec.ObjectiveBase
+	worked := min(jo.spec.ObjectiveFactor*float64(jo.Chain()), float64(maxSpan))
+	return time.Duration(worked) + min(jo.spec.ObjectiveBase, maxSpan)
 }
 
 // longRunning reports whether any step runs until the job is cancelled.
