Let no heartbeat of an unknown service replace a worker

A first heartbeat that names no service of the configuration, with the address of a worker and a later start, ended that worker: its runs were given up and started again elsewhere while they went on, and it got no lease any more.

Change: the planner knows the services of the configuration in effect and answers the first heartbeat of an incarnation of any other service without a lease. A worker that is known keeps its runs if its service leaves the configuration.

--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -130,6 +130,15 @@
 // Document returns the configuration in effect.
 func (st *State) Document() Document { return st.document }
 
+// Services returns the names of the services of the configuration in effect.
+func (st *State) Services() map[model.ServiceID]bool {
+	names := map[model.ServiceID]bool{}
+	for _, ser := range st.document.spec.Services {
+		names[ser.name] = true
+	}
+	return names
+}
+
 // Out returns a copy of the set of data centres that are out of service.
 func (st *State) Out() map[model.CentreID]bool { return maps.Clone(st.outCentres) }
 
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -57,8 +57,8 @@
 	pl.delays.queued.add(now.Sub(timeOr(hb.Arrived, now)))
 	wk, ok := pl.registerIncarnation(now, hb)
 	if !ok {
-		// The heartbeat is from an earlier incarnation or arrived after a later
-		// one; its answer carries no orders and no lease.
+		// The heartbeat is from an earlier incarnation, arrived after a later one or
+		// names no service; its answer carries no orders and no lease.
 		pl.effects = append(pl.effects, Answer{HeartbeatID: hb.HeartbeatID})
 		return
 	}
@@ -109,14 +109,22 @@
 	pl.recordEvent("heartbeatLate", "", "", wk.incarnation.String(), "lateMs", strconv.FormatInt(late.Milliseconds(), 10))
 }
 
+// isService reports whether workers may belong to a service.
+func (pl *Planner) isService(name model.ServiceID) bool {
+	return len(pl.services) == 0 || pl.services[name]
+}
+
 // registerIncarnation returns the record of the incarnation that sent a
-// heartbeat, or false if the heartbeat is outdated: the incarnation has exited
-// or has sent a later one. It creates the record of a
+// heartbeat, or false if the heartbeat is outdated, because the incarnation has exited
+// or has sent a later one, or if it is the first and names an unknown service. It creates the record of a
 // new incarnation and ends what that replaces: the earlier incarnation of the
 // worker and, at the first heartbeat, workers of other names that had its
 // address.
 func (pl *Planner) registerIncarnation(now model.Instant, hb *Heartbeat) (*worker, bool) {
 	wk, ok := pl.workers.get(hb.Incarnation.worker)
+	if (!ok || wk.incarnation != hb.Incarnation) && !pl.isService(hb.Service) {
+		return nil, false
+	}
 	if ok && wk.incarnation != hb.Incarnation {
 		if hb.Incarnation.startedAt < wk.incarnation.startedAt {
 			return nil, false
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -74,6 +74,10 @@
 // Outage replaces the set of data centres in which no task may start.
 type Outage struct{ Centres map[model.CentreID]bool }
 
+// Services replaces the set of services to which workers may belong. Before the first one,
+// and with an empty set, they may belong to any.
+type Services struct{ Names map[model.ServiceID]bool }
+
 // Heartbeat is what a worker reports about itself and about all of its runs. The
 // worker's call waits until the planner emits the Answer.
 type Heartbeat struct {
@@ -156,6 +160,7 @@
 func (ProposalEnded) input() {}
 func (Leave) input()         {}
 func (Outage) input()        {}
+func (Services) input()      {}
 func (Heartbeat) input()     {}
 
 // Effect is what a Planner asks its owner to carry out.
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -97,8 +97,11 @@
 	wallMs     int64
 	wallReadAt model.Instant
 	// outage is the set of data centres that are out of service.
-	outage  map[model.CentreID]bool
-	workers workerSet
+	outage map[model.CentreID]bool
+	// services is the set of services to which workers may belong, empty if it is not
+	// known.
+	services map[model.ServiceID]bool
+	workers  workerSet
 	// formerWorkers are earlier incarnations of workers that have runs whose
 	// end is not applied yet.
 	formerWorkers []*worker
@@ -204,6 +207,8 @@
 		pl.leave(now, msg)
 	case Outage:
 		pl.outage, pl.dirty, pl.recheckAnswers = msg.Centres, true, true
+	case Services:
+		pl.services = msg.Names
 	case Heartbeat:
 		pl.planPace.waiting = msg.Waiting > 0
 		pl.handleHeartbeat(now, &msg)
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -161,6 +161,7 @@
 		mem.vm.RecordEvent(event.New("centreChanged", event.Subject{Centre: cen}, event.NewField("out", strconv.FormatBool(out))))
 	}
 	if doc, ok := cmd.Document(); ok {
+		mem.step(now, flow.Services{Names: mem.state.Services()})
 		mem.vm.RecordEvent(event.New("configurationApplied", event.Subject{}, event.NewField("version", strconv.FormatUint(doc.Version(), 10)),
 			event.NewField("inEffect", strconv.FormatUint(res.Version(), 10))))
 	}
@@ -224,6 +225,7 @@
 		mem.leading = true
 		mem.termCtx, mem.cancelTerm = context.WithCancel(ctx)
 		mem.step(now, flow.Outage{Centres: sta.Out()})
+		mem.step(now, flow.Services{Names: sta.Services()})
 		mem.step(now, flow.BecameLeader{
 			Term: rol.Term(), PreviousTerm: rol.PreviousTerm(), FormerLeaseEnd: rol.FormerLeaseEnd(), LeaseUntil: rol.LeasedUntil(), Wall: tic.Wall,
 		})
