Let a panic of a message handler end only its message

A handler that panicked on one message of another VM ended the process: its goroutine belongs to the link, not to package http.

Change: io/peer recovers, drops the message or answers the request with a failure of unknown outcome, logs the stack and counts handlerPanics.

--- a/io/peer/hub.go
+++ b/io/peer/hub.go
@@ -165,6 +165,7 @@
 	}
 	if to == hub.cfg.Self {
 		ans, err := hub.cfg.Mux.serveRequest(ctx, to, env)
+		hub.logPanic(to, err)
 		return ans, errors.Trace(err)
 	}
 	fr, err := newFrame(env)
--- a/io/peer/mux.go
+++ b/io/peer/mux.go
@@ -78,8 +78,10 @@
 }
 
 // deliver passes one ordered message to its handler. The error is an
-// UnknownMessageError if there is none, or reports a body that cannot be decoded.
-func (mux *Mux) deliver(self model.VMID, env *wire.Envelope) error {
+// UnknownMessageError if there is none, a PanicError if the handler panicked, or reports a
+// body that cannot be decoded.
+func (mux *Mux) deliver(self model.VMID, env *wire.Envelope) (err error) {
+	defer recoverPanic(env.GetKind(), &err)
 	if tab := mux.table.Load(); tab != nil {
 		if han := tab.messageHandlers[env.GetKind()]; han != nil {
 			return han(model.VMID(env.GetFrom()), env.GetBody())
@@ -89,7 +91,8 @@
 }
 
 // serveRequest passes one request to its handler and returns the answer.
-func (mux *Mux) serveRequest(ctx context.Context, self model.VMID, env *wire.Envelope) (proto.Message, error) {
+func (mux *Mux) serveRequest(ctx context.Context, self model.VMID, env *wire.Envelope) (ans proto.Message, err error) {
+	defer recoverPanic(env.GetKind(), &err)
 	if tab := mux.table.Load(); tab != nil {
 		if han := tab.requestHandlers[env.GetKind()]; han != nil {
 			return han(ctx, model.VMID(env.GetFrom()), env.GetBody())
--- a/io/peer/request.go
+++ b/io/peer/request.go
@@ -158,6 +158,7 @@
 		}
 		if err := ses.hub.cfg.Mux.deliver(ses.hub.cfg.Self, env); err != nil {
 			ses.hub.vars.refusedFrames.Add(1)
+			ses.hub.logPanic(ses.peer, err)
 			ses.hub.cfg.Log.Warn("incoming message dropped", "from", ses.peer, "kind", env.GetKind(), "error", err)
 		}
 	}
@@ -197,6 +198,7 @@
 func (ses *session) reply(ctx context.Context, req *wire.Envelope) *wire.Envelope {
 	ans, err := ses.hub.cfg.Mux.serveRequest(ctx, ses.hub.cfg.Self, req)
 	if err != nil {
+		ses.hub.logPanic(ses.peer, err)
 		return ses.setHeader(&wire.Envelope{Failure: toFailure(err)})
 	}
 	body, err := proto.Marshal(ans)
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -71,6 +71,7 @@
 	case selfMessage:
 		if err := act.hub.cfg.Mux.deliver(act.hub.cfg.Self, msg.env); err != nil {
 			act.hub.vars.refusedFrames.Add(1)
+			act.hub.logPanic(act.hub.cfg.Self, err)
 			act.hub.cfg.Log.Warn("incoming message dropped", "from", msg.env.GetFrom(), "kind", msg.env.GetKind(), "error", err)
 		}
 	case acceptedConn:
--- a/io/peer/vars.go
+++ b/io/peer/vars.go
@@ -32,6 +32,8 @@
 	// refusedFrames counts rejected frames, sent or received: too large, malformed, of an
 	// unknown kind or with an invalid Hello.
 	refusedFrames *expvar.Int
+	// panics counts the handlers that panicked.
+	panics *expvar.Int
 	// failedRequests counts requests that timed out, or that failed because the link was
 	// down or had maxRequests unanswered requests.
 	failedRequests *expvar.Int
@@ -58,7 +60,7 @@
 	va.sentBytes, va.receivedBytes = mapVar("sentBytes"), mapVar("receivedBytes")
 	va.socketSentBytes, va.socketReceivedBytes = intVar("socketSentBytes"), intVar("socketReceivedBytes")
 	va.sentFrames, va.receivedFrames = intVar("sentFrames"), intVar("receivedFrames")
-	va.droppedFrames, va.refusedFrames = intVar("droppedFrames"), intVar("refusedFrames")
+	va.droppedFrames, va.refusedFrames, va.panics = intVar("droppedFrames"), intVar("refusedFrames"), intVar("handlerPanics")
 	va.failedRequests = intVar("failedRequests")
 	va.reconnects, va.deadLinks, va.openLinks = intVar("reconnects"), intVar("deadLinks"), intVar("openLinks")
 	published.Set(string(self), va.all)
