Begin each plan with what comes first in the order

Callers saw: half of the jobs of a large fleet wait 5.2 s for their first start, and urgent short jobs are late although workers have room for them.

Cause: a plan that took too long ended, and the next one went on behind the step where it had ended. Until all steps had had their turn, which takes many plans beside a backlog of fillers, new steps at the head of the order were left out; the overdue turn after 5 s was their first chance.

Change: the steps before the one with which a plan goes on get up to half of its time, all of them and not only restarts and overdue ones. Gangs among them still wait for their turn, since one can take the time of every plan.

--- a/core/flow/planbound.go
+++ b/core/flow/planbound.go
@@ -11,9 +11,9 @@
 	// how many may be in all until the end of the present step. Of what a step weighs
 	// beyond a limit of less than maxWeighed, nothing counts for the steps after it.
 	weighed, limit int
-	// from is the number of steps that this plan leaves out, because the plan before
-	// ended after them, and next is the same for the next plan. A step that is placed as a
-	// whole or not at all, and took all the time of a plan, is left out by the next one too.
+	// from is the index of the step with which this plan goes on where the one before has
+	// ended, and next is the same for the next plan. A step that is placed as a
+	// whole or not at all, and took all the time of a plan, is left out by the next one.
 	from, next int
 }
 
@@ -24,11 +24,12 @@
 func (pb *planBound) reached() bool { return pb.weighed >= pb.limit }
 
 // skips reports whether a plan leaves out the step at an index of the scheduling order,
-// and otherwise begins it. Steps that may claim room come in each plan, because claims last
-// for one plan. They get half of its time, so that it goes on.
+// and otherwise begins it. The steps before the one with which the plan goes on get half of
+// its time: what comes first in the order must not wait until a long plan is through, and
+// claims last for one plan.
 func (pb *planBound) skips(index int, rs *readyStep) bool {
 	if index < pb.from {
-		return !rs.restart && !rs.overdue || pb.reached()
+		return pb.reached() || rs.spec.Gang && !rs.restart && !rs.overdue
 	}
 	if pb.limit < maxWeighed {
 		pb.weighed, pb.limit = min(pb.weighed, pb.limit), maxWeighed
