Weigh each worker once for the tasks of a step

A plan weighed every worker with room for each single task, so that 54 tasks of fillers took the time of a whole plan with 1,100 workers, and plans fell behind.

Change: a chooser keeps the eligible workers of a step in a heap and weighs only the last chosen one again; the choices are the same (TestIndexedChoiceIsTheExhaustiveOne). Fillers of an image that found no worker spare those that need as much or more, as other tasks do already.

TestIndexedChoiceIsTheExhaustiveOne checks several choices of one chooser, and that no worker is eligible for any step that a miss covers; for fillers it no longer asks for the exact cause of a miss, since the index may hide a worker for either reason.

--- a/core/flow/miss.go
+++ b/core/flow/miss.go
@@ -15,6 +15,10 @@
 	need                 model.Resources
 	restart, longRunning bool
 	estimate             time.Duration
+	// filler is set for a filler of an image that requests milliCPU.
+	filler   bool
+	image    string
+	milliCPU int64
 }
 
 // covers reports whether the miss shows that no worker has room for a task of rs.
@@ -25,6 +29,8 @@
 		return false
 	}
 	switch {
+	case mi.filler && !mi.coversFiller(rs):
+		return false
 	case mi.restart:
 		return true
 	case rs.restart:
@@ -36,9 +42,18 @@
 	return rs.spec.Estimate == 0 || mi.estimate > 0 && rs.spec.Estimate >= mi.estimate
 }
 
+// coversFiller reports whether rs are fillers that disturb serving tasks as the missed one
+// would, and lack as many processors or more. A starved one may start all the same.
+func (mi miss) coversFiller(rs *readyStep) bool {
+	return rs.spec.Filler && !rs.starved && rs.spec.Image == mi.image && rs.spec.Size.MilliCPU() >= mi.milliCPU
+}
+
 // newMiss returns the miss of a task of rs.
 func newMiss(rs *readyStep, need model.Resources) miss {
-	return miss{service: rs.job.spec.Service, need: need, restart: rs.restart, longRunning: rs.spec.LongRunning, estimate: rs.spec.Estimate}
+	return miss{
+		service: rs.job.spec.Service, need: need, restart: rs.restart, longRunning: rs.spec.LongRunning, estimate: rs.spec.Estimate,
+		filler: rs.spec.Filler, image: rs.spec.Image, milliCPU: rs.spec.Size.MilliCPU(),
+	}
 }
 
 // missed reports whether an earlier miss of the plan shows that no worker has
@@ -51,7 +66,7 @@
 // missed. If other conditions than room kept it from a worker, that shows nothing
 // for tasks without them.
 func (pl *Planner) recordMiss(rs *readyStep, need model.Resources, otherConditions bool) {
-	if !rs.spec.Filler && !rs.spec.Gang && !otherConditions {
+	if (!rs.spec.Filler || !rs.starved) && !rs.spec.Gang && !otherConditions {
 		pl.misses = append(pl.misses, newMiss(rs, need))
 	}
 }
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -48,6 +48,7 @@
 	sp := &rs.occ.steps[rs.step]
 	started := 0
 	defer func() { pl.recordStarts(now, rs, started) }()
+	cho := pl.newChooser(now, rs, nil)
 	for i := range sp.tasks {
 		tk := &sp.tasks[i]
 		if !rs.wants(tk) {
@@ -61,7 +62,7 @@
 			pl.recordHeldBack(now, &rs, id)
 			return true
 		}
-		wk := pl.chooseWorker(now, rs, id, nil)
+		wk := cho.next(id)
 		if wk == nil {
 			pl.waitForRoom(now, &rs, id)
 			return true
@@ -113,11 +114,11 @@
 		pl.recordHeldBack(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
 		return
 	}
-	var first *worker
+	cho := pl.newChooser(now, rs, nil)
 	placed := make([]*worker, 0, len(sp.tasks))
 	for i := range sp.tasks {
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
-		wk := pl.chooseWorker(now, rs, id, first)
+		wk := cho.next(id)
 		if wk == nil {
 			for j, reserved := range placed {
 				pl.unreserve(reserved, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, j), attempt, &sp.tasks[j])
@@ -125,8 +126,8 @@
 			pl.waitForRoom(now, &rs, id)
 			return
 		}
-		if first == nil {
-			first = wk
+		if i == 0 {
+			cho = pl.newChooser(now, rs, wk)
 		}
 		placed = append(placed, wk)
 		pl.reserve(now, rs, &sp.tasks[i], id, attempt, wk)
@@ -169,53 +170,3 @@
 		tk.plannedStarts--
 	}
 }
-
-// chooseWorker returns the worker with the lowest cost for a task, or nil if
-// none is eligible, of those that indexRoom has indexed. near is the worker of
-// the first task of the gang, whose rack is preferred, or nil.
-func (pl *Planner) chooseWorker(now model.Instant, rs readyStep, id TaskID, near *worker) *worker {
-	need := rs.spec.reservation()
-	if pl.missed(&rs, need) {
-		return nil
-	}
-	image := pl.interference.imageIndex(rs.spec.Image)
-	var best *worker
-	lowest := 0.0
-	otherConditions := false
-	search := rs.roomNeeded(need)
-	for pos := pl.room.next(0, search); pos >= 0; pos = pl.room.next(pos+1, search) {
-		pl.bound.weighed++
-		wk := pl.room.workers[pos]
-		if wk.unsuitable(now, &rs) != notRejected {
-			continue
-		}
-		if why := wk.noCapacityFor(&rs, id, need); why != notRejected {
-			otherConditions = otherConditions || why == perWorkerLimit
-			continue
-		}
-		cost, ok := pl.placementCost(wk, rs, image, need)
-		if !ok {
-			continue
-		}
-		cost += localityCost(wk, rs.spec, near) + orderWaitCostOf(now, wk, rs.spec)
-		if wk.health.quarantined(now) {
-			cost += quarantineCost
-		}
-		if best == nil || cost < lowest {
-			best, lowest = wk, cost
-		}
-	}
-	if best == nil {
-		pl.recordMiss(&rs, need, otherConditions || pl.lacksLabel(now, &rs))
-	}
-	return best
-}
-
-// roomNeeded returns the least room of a worker that may get a task of rs. need is
-// what the task reserves.
-func (rs *readyStep) roomNeeded(need model.Resources) roomNeed {
-	if rs.spec.Filler && !rs.starved {
-		return roomNeed{free: need, fillerMilliCPU: float64(rs.spec.Size.MilliCPU())}
-	}
-	return roomNeed{free: need}
-}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -147,6 +147,8 @@
 	// room finds the workers with room for a task in the current plan. Changes of
 	// what is free outside plan are not in it.
 	room roomIndex
+	// shortlist is the buffer of the chooser in use.
+	shortlist minHeap[candidate]
 	// bound ends plans that take too long.
 	bound planBound
 	// sorter is scratch space of readySteps.
