Restore stored jobs whatever the limits of amounts are

Change: NewJob checks what is submitted, StoredJob only what the state needs. TestStoredJobBeyondTheLimitsIsKept failed with NewJob in both places.

--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -114,36 +114,61 @@
 // Error lists every fault.
 func (err *JobError) Error() string { return "job not accepted: " + joinFaults(err.faults) }
 
-// NewJob validates spec and returns the job, or a JobError with every fault.
+// NewJob validates the specification of a job that is submitted and returns the job, or a
+// JobError with every fault.
 func NewJob(spec JobSpec) (Job, error) {
 	var fas faults
+	fas.checkStructure(spec)
+	fas.checkAmounts(spec)
+	return newJob(spec, fas)
+}
+
+// StoredJob returns a job that was accepted before, maybe by a version with other limits
+// of amounts, or a JobError.
+func StoredJob(spec JobSpec) (Job, error) {
+	var fas faults
+	fas.checkStructure(spec)
+	return newJob(spec, fas)
+}
+
+// newJob returns the job, or a JobError if there are faults.
+func newJob(spec JobSpec, fas faults) (Job, error) {
+	if len(fas) > 0 {
+		return Job{}, &JobError{faults: fas}
+	}
+	return Job{spec: spec, chainFrom: chainsFrom(spec.Steps)}, nil
+}
+
+// checkStructure adds the faults without which the state can hold the job.
+func (fas *faults) checkStructure(spec JobSpec) {
 	fas.rejectIf(spec.ID == "", "id", "a name")
 	fas.rejectIf(len(spec.Body) > maxBody, "body", "at most 4000 bytes")
 	fas.rejectIf(len(spec.Steps) == 0 || len(spec.Steps) > maxSteps, "steps", "1 to 200 steps")
 	fas.rejectIf(spec.Repetitions < 0 || spec.Repetitions > maxRepetitions, "times", "0 to 10000")
-	fas.rejectIf(spec.Repetitions > 0 && !validSpan(spec.Interval), "every", spanAllowed)
-	fas.rejectIf(spec.FirstDueMs < 0 || spec.FirstDueMs > maxUnixMs, "firstDue", "a time from 1970 to 9999")
+	fas.rejectIf(spec.Repetitions > 0 && spec.Interval < 0, "every", "0 or more")
 	total := 0
 	for pos, st := range spec.Steps {
+		name := "steps." + strconv.Itoa(pos)
 		total += min(max(0, st.Tasks), maxTasks+1)
-		fas.checkStep(pos, &st)
+		fas.rejectIf(st.Tasks < 1, name+".tasks", "1 or more")
+		fas.rejectIf(!st.Size.Valid(), name+".size", "amounts of 0 or more")
+		fas.rejectIf(st.Estimate < 0, name+".estimate", "0 or more")
+		for _, dep := range st.After {
+			fas.rejectIf(dep < 0 || dep >= pos, name+".after", "numbers of earlier steps")
+		}
 	}
 	fas.rejectIf(total > maxTasks, "tasks", "at most 20000 in all steps")
-	if len(fas) > 0 {
-		return Job{}, &JobError{faults: fas}
-	}
-	return Job{spec: spec, chainFrom: chainsFrom(spec.Steps)}, nil
 }
 
-// checkStep adds the faults of the step at a position of its job.
-func (fas *faults) checkStep(pos int, st *StepSpec) {
-	name := "steps." + strconv.Itoa(pos)
-	fas.rejectIf(st.Tasks < 1, name+".tasks", "1 or more")
-	fas.rejectIf(!validSize(st.Size), name+".size", "amounts from 0 to "+sizeLimits)
-	fas.rejectIf(!validSpan(st.Estimate), name+".estimate", spanAllowed)
-	fas.rejectIf(!validSpan(st.TailTarget), name+".tailTarget", spanAllowed)
-	for _, dep := range st.After {
-		fas.rejectIf(dep < 0 || dep >= pos, name+".after", "numbers of earlier steps")
+// checkAmounts adds the faults of amounts that are too large.
+func (fas *faults) checkAmounts(spec JobSpec) {
+	fas.rejectIf(spec.Repetitions > 0 && spec.Interval > maxSpan, "every", spanAllowed)
+	fas.rejectIf(spec.FirstDueMs < 0 || spec.FirstDueMs > maxUnixMs, "firstDue", "a time from 1970 to 9999")
+	for pos, st := range spec.Steps {
+		name := "steps." + strconv.Itoa(pos)
+		fas.rejectIf(st.Size.Valid() && !validSize(st.Size), name+".size", "amounts from 0 to "+sizeLimits)
+		fas.rejectIf(st.Estimate > maxSpan, name+".estimate", spanAllowed)
+		fas.rejectIf(!validSpan(st.TailTarget), name+".tailTarget", spanAllowed)
 	}
 }
 
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -100,7 +100,7 @@
 }
 
 func (st *State) restoreJob(rec *JobRecord) {
-	jo, err := NewJob(rec.Spec)
+	jo, err := StoredJob(rec.Spec)
 	if err != nil {
 		// Unreachable: the job was validated before it was stored.
 		return
--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -95,7 +95,7 @@
 	inc := flow.NewIncarnation(model.WorkerID(msg.GetWorker()), msg.GetBorn())
 	switch flow.OpKind(msg.GetKind()) {
 	case flow.OpSubmit:
-		jo, err := flow.NewJob(cellJobFromProto(msg.GetJob()))
+		jo, err := flow.StoredJob(cellJobFromProto(msg.GetJob()))
 		return flow.Submit(jo), err
 	case flow.OpCancel:
 		return flow.Cancel(model.JobID(msg.GetId())), nil
