--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -9,6 +9,26 @@
 // Apply applies one committed operation. It is deterministic, so that all
 // replicas reach the same state.
 func (st *State) Apply(op Op) Verdict {
+	st.countPending(st.jobs[op.id], -1)
+	verdict := st.change(op)
+	st.countPending(st.jobs[op.id], 1)
+	return verdict
+}
+
+// countPending adds by, 1 or -1, to the pending jobs of the queue if jb, which may be nil,
+// is one of them.
+func (st *State) countPending(jb *job, by int) {
+	if jb == nil || jb.started || jb.status != Queued {
+		return
+	}
+	if st.pending == nil {
+		st.pending = map[string]int{}
+	}
+	st.pending[jb.spec.Queue] += by
+}
+
+// change changes the state as an operation asks for.
+func (st *State) change(op Op) Verdict {
 	switch op.kind {
 	case OpSubmit:
 		return st.submit(op.job)
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -115,6 +115,7 @@
 	}
 	// Restoring the last task may have changed the status.
 	jb.status = rec.Status
+	st.countPending(jb, 1)
 }
 
 func (st *State) restoreTask(jb *job, rec *TaskRecord) {
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -173,6 +173,8 @@
 	jobs map[model.JobID]*job
 	// submitted counts the jobs submitted so far and numbers them in log order.
 	submitted uint64
+	// pending counts the jobs that have not started, by queue. It follows from jobs.
+	pending map[string]int
 	// hosts holds the incarnations of workers that have runs.
 	hosts map[Incarnation]*host
 	// undated is set if a mark of a host may have no leaseEnd. It is not replicated.
@@ -189,16 +191,8 @@
 	return jb.visibleStatus(), jb.spec.Queue, true
 }
 
-// Pending counts the jobs of a queue that have not started.
-func (st *State) Pending(queue string) int {
-	num := 0
-	for _, jb := range st.jobs {
-		if jb.spec.Queue == queue && jb.status == Queued && !jb.started {
-			num++
-		}
-	}
-	return num
-}
+// Pending returns the number of jobs of a queue that have not started.
+func (st *State) Pending(queue string) int { return st.pending[queue] }
 
 // Len returns the number of jobs in the state, including ended ones.
 func (st *State) Len() int { return len(st.jobs) }
