Let the answer to ends wait for slow commits

That work slows the commits further.

Change: an answer waits up to 500 ms, half of the time after which a worker drops it. With fast commits nothing changes.

--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -27,11 +27,12 @@
 	// cannot report the end of a run until its heartbeat is answered.
 	busyAnswerDelay = 30 * time.Millisecond
 	// endCommitTimeout bounds how long an answer waits until the ends that the
-	// heartbeat reports are applied.
-	endCommitTimeout = 150 * time.Millisecond
-	// refillTimeout bounds how long an answer waits, after reported ends are
-	// applied, for starts on what they have freed.
-	refillTimeout = 150 * time.Millisecond
+	// heartbeat reports are applied. An answer without their acknowledgement costs
+	// another heartbeat with the same ends.
+	endCommitTimeout = 500 * time.Millisecond
+	// refillTimeout bounds how long an answer waits, from the arrival of the heartbeat,
+	// for starts on what the reported ends have freed.
+	refillTimeout = 500 * time.Millisecond
 	// idleAnswerDelay is how long the answer to a worker without tasks is
 	// delayed so that it can carry new orders. The worker drops an answer that
 	// arrives more than a second after it sent the heartbeat.
