Collect garbage less often on control VMs

Change: a setting memoryMb; a VM that knows it lets the heap grow to five times what is in use, up to three fifths of the memory.

--- a/io/cmd/serve/cell.go
+++ b/io/cmd/serve/cell.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -32,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	tuneCollector(set.MemoryMB())
 	out, flush := lines.New(env.Streams.Out())
 	defer flush(context.WithoutCancel(ctx))
 	log := hclog.New(&hclog.LoggerOptions{
@@ -46,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	log.Info("serving", "callers", set.Listen().Callers(), "api", set.Listen().API(), "peers", set.Listen().Peers())
+	logServing(log, set.Listen().Callers(), set.Listen().API(), set.Listen().Peers())
 	reloadUntilDone(ctx, hups, file, vm, log)
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(cleanupTime, set.ShutdownTimeout()-cleanupTime))
 	defer cancel()
@@ -56,6 +58,24 @@
 	return nil
 }
 
+// Parameters of the garbage collector on a VM whose memory is known.
+const (
+	// collectPercent is the growth of the heap, in percent, after which it is collected.
+	collectPercent = 400
+	// heapShare is the share of the memory from which on it is collected more often.
+	heapShare = 0.6
+)
+
+// tuneCollector lets the garbage collector of a process that may use memoryMB megabytes
+// run less often. 0 changes nothing.
+func tuneCollector(memoryMB int) {
+	if memoryMB == 0 {
+		return
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(heapShare * float64(memoryMB) * (1 << 20)))
+}
+
 // reloadUntilDone reloads the settings at each signal on hups and returns when ctx ends.
 func reloadUntilDone(ctx context.Context, hups <-chan os.Signal, file string, vm *cell.VM, log hclog.Logger) {
 	for {
--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -32,6 +32,8 @@
 	shutdownTimeout time.Duration
 	centres         []model.CentreID
 	entries         []Entry
+	// memoryMB is 0 if it is not given.
+	memoryMB int
 }
 
 // CellListen holds the addresses that a VM of a cell listens on. If the settings
@@ -105,6 +107,10 @@
 // Centres returns the data centres in the key centres; empty if it is not given.
 func (ce Cell) Centres() []model.CentreID { return append([]model.CentreID(nil), ce.centres...) }
 
+// MemoryMB returns the memory that the process may use, in megabytes; 0 if it is not
+// given.
+func (ce Cell) MemoryMB() int { return ce.memoryMB }
+
 // Entries returns the effective value of every key in the order in which they are
 // read.
 func (ce Cell) Entries() []Entry { return append([]Entry(nil), ce.entries...) }
@@ -188,6 +194,7 @@
 	// "graceSeconds" bounds a planned shutdown.
 	keyShutdownTimeout = secondsKey("graceSeconds", 30*time.Second, time.Second, time.Hour)
 	keyCentres         = listKey(optionalCentreKey())
+	keyMemoryMB        = intKey("memoryMb", 0, 0, 1<<20)
 )
 
 // optionalCentreKey returns the key for one element of the list of data centres,
@@ -251,5 +258,6 @@
 	ce.jobRetention = read(rdr, cellSection, keyJobRetention)
 	ce.shutdownTimeout = read(rdr, cellSection, keyShutdownTimeout)
 	ce.centres = read(rdr, cellSection, keyCentres)
+	ce.memoryMB = read(rdr, cellSection, keyMemoryMB)
 	return ce
 }
