--- a/io/cmd/serve/serve.go
+++ b/io/cmd/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -54,7 +55,21 @@
 		return err
 	}
 	defer stop()
-	log.Info("serving", "callers", set.Listen().Callers(), "api", set.Listen().API(), "peers", set.Listen().Peers())
+	logServing(log, set.Listen().Callers(), set.Listen().API(), set.Listen().Peers())
 	<-ctx.Done()
 	return nod.Drain(context.WithoutCancel(ctx))
 }
+
+// logServing logs the addresses on which a VM listens, as far as it has them.
+func logServing(log hclog.Logger, callers, api, peers netip.AddrPort) {
+	var args []any
+	for _, lis := range []struct {
+		name    string
+		address netip.AddrPort
+	}{{"callers", callers}, {"api", api}, {"peers", peers}} {
+		if lis.address.IsValid() {
+			args = append(args, lis.name, lis.address)
+		}
+	}
+	log.Info("serving", args...)
+}
