Drop odd announcements of other entry VMs

Announcements that other entry VMs pass on were used unchecked: a port of 70000 or two billion slots from a VM of another version reached the request path of each of them.

Change: they are checked like those of backend servers, which also get a bound on connections; an odd one is dropped with a line in the log, the others hold.

--- a/core/route/input.go
+++ b/core/route/input.go
@@ -33,6 +33,9 @@
 // NewBackend returns a description of a backend server.
 func NewBackend(spec BackendSpec) Backend { return Backend{spec: spec} }
 
+// Spec returns the specification of the server.
+func (ba Backend) Spec() BackendSpec { return ba.spec }
+
 // ID returns the identifier of the server.
 func (ba Backend) ID() model.BackendID { return ba.spec.ID }
 
--- a/io/node/backends.go
+++ b/io/node/backends.go
@@ -25,6 +25,8 @@
 	// maxSlots is the largest number of slots that a backend server may
 	// announce for its worker.
 	maxSlots = 1000
+	// maxConnections is the same for the connections to it.
+	maxConnections = 1_000_000
 )
 
 // announcement is a backend server and the time when this VM received its
@@ -93,7 +95,7 @@
 	adr, err := netip.ParseAddrPort(spec.Address)
 	rejectIf(err != nil || adr.Port() == 0, "address", "an IP address and a port")
 	rejectIf(spec.Slots < 1 || spec.Slots > maxSlots, "slots", "1 to 1000")
-	rejectIf(spec.Connections < 1, "connections", "1 or more")
+	rejectIf(spec.Connections < 1 || spec.Connections > maxConnections, "connections", "1 to 1000000")
 	if len(fas) > 0 {
 		return admin.NewFaultsError(fas)
 	}
@@ -126,13 +128,29 @@
 	}
 }
 
-func (bac *backends) onAnnouncements(_ model.VMID, msg *wire.Announcements) {
+// onAnnouncements passes the announcements of another entry VM to the request path,
+// except for invalid ones.
+func (bac *backends) onAnnouncements(from model.VMID, msg *wire.Announcements) {
 	for _, ann := range msg.GetBackends() {
-		srv, age := wire.BackendFromProto(ann)
+		srv, age, err := readAnnouncement(ann)
+		if err != nil {
+			bac.nod.log.Warn("announcement of a backend server dropped", "from", from, "backend", ann.GetBackend(), "error", err)
+			continue
+		}
 		bac.nod.entry.Announce(srv, age)
 	}
 }
 
+// readAnnouncement returns the backend server that another entry VM announces and the age
+// of the announcement, or an error that lists the invalid fields.
+func readAnnouncement(ann *wire.BackendAnnouncement) (route.Backend, time.Duration, error) {
+	srv, age := wire.BackendFromProto(ann)
+	if err := checkAnnouncement(srv.Spec()); err != nil {
+		return route.Backend{}, 0, err
+	}
+	return srv, age, nil
+}
+
 func (bac *backends) onLeave(_ model.VMID, msg *wire.BackendLeave) {
 	bac.nod.entry.Leave(model.BackendID(msg.GetBackend()), msg.GetIncarnation())
 }
