Let a new leader know which workers have left, and the services

After a change of the leader a late heartbeat of a worker that had announced its exit counted as a new worker: it got a lease and start orders, which were withdrawn after a second. Only the leader that took the announcement remembered it.

Change: the exit is an operation of the log, which every VM remembers for a minute; both sets stay when the role changes.

TestLateHeartbeatOfExitedWorkerIsIgnored (left before this VM led) and TestHeartbeatOfAnUnknownServiceReplacesNoWorker (after an election) failed before.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -22,6 +22,9 @@
 func (pl *Planner) applied(now model.Instant, msg Applied) {
 	pl.trackWaits(now, msg)
 	pl.st.dateMarks(now)
+	if msg.Op.kind == OpLeft {
+		pl.noteExit(now, msg.Op.incarnation)
+	}
 	if !pl.leading {
 		return
 	}
--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -44,6 +44,8 @@
 		return st.markSilent(op)
 	case OpHeard:
 		return st.markHeard(op.incarnation)
+	case OpLeft:
+		return Accepted
 	}
 	return UnknownJob
 }
--- a/core/flow/exit.go
+++ b/core/flow/exit.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 
@@ -57,10 +58,18 @@
 	}
 	pl.workers.remove(wk)
 	pl.endWorker(wk, "left")
+	pl.noteExit(now, wk.incarnation)
+	pl.pendingOps = append(pl.pendingOps, Left(wk.incarnation))
+}
+
+// noteExit records that an incarnation has exited, so that its late heartbeats are ignored
+// for exitRetention, also by a later leader.
+func (pl *Planner) noteExit(now model.Instant, inc Incarnation) {
 	if pl.exited == nil {
 		pl.exited = map[Incarnation]model.Instant{}
 	}
-	pl.exited[wk.incarnation] = now
+	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
+	pl.exited[inc] = now
 }
 
 // isOf reports whether it is the incarnation of wk that is about to exit.
--- a/core/flow/heartbeat_test.go
+++ b/core/flow/heartbeat_test.go
@@ -25,6 +25,12 @@
 			har.step(Leave{Worker: "old"})
 			report("new", "10.0.0.2:80", 1, 1)
 		}},
+		{"left before this VM led", func(har *harness, report func(string, string, int64, uint64) []Answer) {
+			har.drain("old", "10.0.0.1:80", 2)
+			har.step(Leave{Worker: "old"})
+			har.changeLeader()
+			report("new", "10.0.0.2:80", 1, 1)
+		}},
 		{"address taken over before this VM led", func(har *harness, report func(string, string, int64, uint64) []Answer) {
 			har.step(SteppedDown{})
 			har.step(BecameLeader{Term: 2, LeaseUntil: model.Instant(time.Hour)})
--- a/core/flow/op.go
+++ b/core/flow/op.go
@@ -57,6 +57,9 @@
 	// mark.
 	OpSilence
 	OpHeard
+	// OpLeft tells all VMs that an incarnation of a worker has announced its exit. It
+	// changes nothing in the state.
+	OpLeft
 )
 
 // Op is one operation on the replicated state. Only the fields of its kind are
@@ -108,6 +111,9 @@
 	return Op{kind: OpHeard, incarnation: inc, term: term}
 }
 
+// Left returns the operation that records the exit of an incarnation of a worker.
+func Left(inc Incarnation) Op { return Op{kind: OpLeft, incarnation: inc} }
+
 // Kind returns what the operation does.
 func (op Op) Kind() OpKind { return op.kind }
 
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -118,7 +118,8 @@
 	recheckAnswers   bool
 	answersCheckedAt model.Instant
 	// exited holds when incarnations have announced their exit, for exitRetention,
-	// so that their late heartbeats are not taken for those of new workers.
+	// so that their late heartbeats are not taken for those of new workers. Every VM
+	// keeps it, since it may lead next.
 	exited map[Incarnation]model.Instant
 	// openJobs are the jobs that had not ended when they were last pruned, in
 	// the order of submission.
--- a/core/flow/service_test.go
+++ b/core/flow/service_test.go
@@ -11,6 +11,7 @@
 func TestHeartbeatOfAnUnknownServiceReplacesNoWorker(t *testing.T) {
 	har := newHarness(t)
 	har.step(Services{Names: map[model.ServiceID]bool{"svc": true}})
+	har.lead()
 	har.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0)})
 	run := har.heartbeat("w1", nil).Starts[0]
 	ans := har.step(Heartbeat{
--- a/core/flow/term.go
+++ b/core/flow/term.go
@@ -66,7 +66,7 @@
 		jb.clearPlanned()
 	}
 	*pl = Planner{
-		st: pl.st, config: pl.config, effects: pl.effects, outage: pl.outage,
+		st: pl.st, config: pl.config, effects: pl.effects, outage: pl.outage, services: pl.services, exited: pl.exited,
 		leaseUntil: pl.leaseUntil, wallMs: pl.wallMs, wallReadAt: pl.wallReadAt,
 	}
 }
--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -109,6 +109,8 @@
 		return flow.Silence(inc, msg.GetTerm(), time.Duration(msg.GetLeaseLeftNs())), nil
 	case flow.OpHeard:
 		return flow.Heard(inc, msg.GetTerm()), nil
+	case flow.OpLeft:
+		return flow.Left(inc), nil
 	}
 	return flow.Op{}, nil
 }
