Plan in smaller pieces

The time of a commit counts from the beginning of the plan, and a plan over a backlog of fillers weighs 60,000 workers each time, which takes longer than the commit: fewer plans leave more backlog.

Change: a plan weighs 20,000 workers at most.

--- a/core/flow/planbound.go
+++ b/core/flow/planbound.go
@@ -1,8 +1,9 @@
 package flow
 
 // maxWeighed is the number of workers that a plan may weigh for tasks. It bounds the
-// time of a plan to a small part of the leader lease, which is not renewed meanwhile.
-const maxWeighed = 60_000
+// time of a plan, during which no heartbeat is handled and no proposal is made, to about
+// the time of a commit.
+const maxWeighed = 20_000
 
 // planBound ends a plan that takes too long and lets the next one continue. The zero
 // value begins with the first step.
