Turn away no worker whose time to leave has passed

The check of a heartbeat's numbers asked for times of 0 or more in two fields that no decision uses. A draining worker that counts below 0 would have got no acknowledgement. Found by reading; no play showed it.

--- a/core/flow/check.go
+++ b/core/flow/check.go
@@ -57,14 +57,13 @@
 
 // Check returns a *HeartbeatError if a number of the heartbeat is out of range. Such a
 // heartbeat must not reach the planner, where it would spoil sums and estimates that
-// concern other workers.
+// concern other workers. Remaining and WarmUp take part in no decision: a worker whose
+// time to leave has passed is not turned away.
 func (hb *Heartbeat) Check() error {
 	var fas faults
 	fas.rejectIf(!validSize(hb.Size), "size", "amounts from 0 to "+sizeLimits)
 	fas.rejectIf(hb.Incarnation.startedAt < 0 || hb.Incarnation.startedAt > maxUnixMs, "startedAt", "a time from 1970 to 9999")
 	fas.rejectIf(!validSpan(hb.Clock), "clock", spanAllowed)
-	fas.rejectIf(!validSpan(hb.Remaining), "remaining", spanAllowed)
-	fas.rejectIf(!validSpan(hb.WarmUp), "warmUp", spanAllowed)
 	for i := range hb.Runs {
 		rr := &hb.Runs[i]
 		name := "runs." + strconv.Itoa(i)
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -116,10 +116,10 @@
 
 // registerIncarnation returns the record of the incarnation that sent a
 // heartbeat, or false if the heartbeat is outdated, because the incarnation has exited
-// or has sent a later one, or if it is the first and names an unknown service. It creates the record of a
-// new incarnation and ends what that replaces: the earlier incarnation of the
-// worker and, at the first heartbeat, workers of other names that had its
-// address.
+// or has sent a later one, or if it is the first and names an unknown service. It
+// creates the record of a new incarnation and ends what that replaces: the earlier
+// incarnation of the worker and, at the first heartbeat, workers of other names that had
+// its address.
 func (pl *Planner) registerIncarnation(now model.Instant, hb *Heartbeat) (*worker, bool) {
 	wk, ok := pl.workers.get(hb.Incarnation.worker)
 	if (!ok || wk.incarnation != hb.Incarnation) && !pl.isService(hb.Service) {
--- a/core/flow/planbound.go
+++ b/core/flow/planbound.go
@@ -12,9 +12,9 @@
 	// how many may be in all until the end of the present step. Of what a step weighs
 	// beyond a limit of less than maxWeighed, nothing counts for the steps after it.
 	weighed, limit int
-	// from is the index of the step with which this plan goes on where the one before has
-	// ended, and next is the same for the next plan. A step that is placed as a
-	// whole or not at all, and took all the time of a plan, is left out by the next one.
+	// from is the index of the step at which this plan goes on where the one before has
+	// ended, and next is the same for the next plan. A step that is placed as a whole or
+	// not at all, and took all the time of a plan, is left out by the next one.
 	from, next int
 }
 
