Promote a late learner at once if no other VM can take the place

Cause, by the log: core-gakenke-1 is back with an empty disk at 46.2 s, is removed at 47.0 and a learner at 47.2. At 52 s two of the four voters lose their disks: two are left, three needed. The last lost disk was 6 s back by then, so the cell had to bear two more.

Change: a learner whose promotion has failed waits only if another VM may take the place, or if a voter with an emptied disk is to be removed.

--- a/core/cell/repair.go
+++ b/core/cell/repair.go
@@ -189,13 +189,7 @@
 			cen.idle = append(cen.idle, mem.VM())
 		}
 	}
-	for vm, pre := range re.announced {
-		mem, ok := mems.Find(vm)
-		if vm == self || pre.Disk == "" || mem.Voter() || !re.present(now, vm) || ok && !re.retries.MayPromote(now, vm) {
-			continue
-		}
-		cen.candidates = append(cen.candidates, candidate{vm: vm, learner: ok, centre: pre.Centre, load: cen.load[pre.Centre]})
-	}
+	re.addCandidates(&cen, now, self, mems)
 	slices.SortFunc(cen.candidates, candidate.compare)
 	slices.SortFunc(cen.silent, func(a, b model.VMID) int {
 		return cmp.Or(cmp.Compare(re.silence(now, b), re.silence(now, a)), cmp.Compare(a, b))
@@ -206,6 +200,28 @@
 	return cen
 }
 
+// addCandidates adds the VMs that may become voters to the census. A learner whose
+// promotion has failed lately is left out if there is anything else to do: another VM may
+// catch up sooner.
+func (re *Repair) addCandidates(cen *census, now model.Instant, self model.VMID, mems quorum.Members) {
+	var failed []candidate
+	for vm, pre := range re.announced {
+		mem, ok := mems.Find(vm)
+		if vm == self || pre.Disk == "" || mem.Voter() || !re.present(now, vm) {
+			continue
+		}
+		can := candidate{vm: vm, learner: ok, centre: pre.Centre, load: cen.load[pre.Centre]}
+		if ok && !re.retries.MayPromote(now, vm) {
+			failed = append(failed, can)
+			continue
+		}
+		cen.candidates = append(cen.candidates, can)
+	}
+	if len(cen.candidates) == 0 && len(cen.replaced) == 0 {
+		cen.candidates = failed
+	}
+}
+
 // addVoter adds a voter to the census.
 func (re *Repair) addVoter(cen *census, now model.Instant, self model.VMID, mem quorum.Member) {
 	vm := mem.VM()
