Let a test wait for the end of its last item

Each item reported the lease when it began, so that the test could end, and stop the replicas, while the last item still asked them. The item now reports when it is through; what it checks is the same.

--- a/io/group/queue_test.go
+++ b/io/group/queue_test.go
@@ -55,7 +55,7 @@
 	leased := make(chan bool, items)
 	for range items {
 		lea.Enqueue(admit.NewItem[string](admit.Reports, 0, NewWork(func(tur Turn, _ *list) {
-			leased <- tur.Role().Leased()
+			held := tur.Role().Leased()
 			now.Add(int64(tickInterval))
 			lea.send(quorum.Tick{})
 			for _, ref := range others {
@@ -64,6 +64,7 @@
 					t.Error(err)
 				}
 			}
+			leased <- held
 		}, func(error) {})))
 	}
 	for num := range items {
