Let a test wait until the planner leads

By reading: a configuration can be committed before the first tick under the leader lease, from which on the planner takes heartbeats, and the test's gate then held that tick up.

--- a/io/cell/heartbeat_test.go
+++ b/io/cell/heartbeat_test.go
@@ -19,6 +19,12 @@
 	vm := startCell(t, disk.OS{})
 	lea, _ := vm.AsLeader()
 	configure(t, lea, 1)
+	// The planner of a leader takes heartbeats from the first tick on.
+	for end := time.Now().Add(time.Minute); !vm.leased(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the VM does not lead")
+		}
+	}
 	gate, handled := make(chan struct{}), make(chan error, 2)
 	vm.member.Load().ref.Do(func(model.Instant, quorum.Role, *cell.State) { <-gate })
 	before := queueDropped.Value()
