--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -172,14 +172,15 @@
 }
 
 // caseLargeAnswer hands in a job of 3,000 small tasks whose taskSpec has 4,000 bytes, and
-// looks whether it, and a small job after it, are carried out.
+// looks whether it, and a small job after it, are carried out. The tasks take 1 to 9 s, so
+// that few of them end at the same time.
 func caseLargeAnswer(pl *play) int {
-	spec := "10 1000"
+	spec := "10 1000 8000"
 	if pl.trouble {
 		spec += strings.Repeat(" ", 4000-len(spec))
 	}
 	id := pl.cli.newID()
-	jo := job{TaskSpec: spec, Steps: []step{{Count: 3000, CPU: 10, MemoryMb: 20, EstimatedMs: 1000}}}
+	jo := job{TaskSpec: spec, Steps: []step{{Count: 3000, CPU: 10, MemoryMb: 20, EstimatedMs: 5000}}}
 	if pl.cli.submit(id, jo, 5*time.Second) != 200 {
 		return notRun
 	}
