--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -6,10 +6,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sort"
 	"strings"
+	"syscall"
 	"time"
 )
 
+// freezeTime is how long a control VM stands still. Its link to the leader must outlast it.
+const freezeTime = 1500 * time.Millisecond
+
 // caseLargeNumber changes the configuration to one whose queue has maxAttempts
 // 4,294,967,295, the largest unsigned number of 32 bits, as an operator writes it for "no
 // limit". It then asks for a job that was accepted before, and for the configuration.
@@ -202,6 +207,102 @@
 	return code
 }
 
+// evacuationLimit is evacuationMs, and contactTime contactMs.
+const (
+	evacuationLimit = 5 * time.Second
+	contactTime     = 3 * time.Second
+)
+
+// caseStaleOrder freezes a control VM that doesn't lead for some time while the operator
+// takes a zone back and then out again, and looks for tasks that start in the zone.
+func caseStaleOrder(pl *play) int {
+	zone := zones[0]
+	until := time.Now().Add(40 * time.Second)
+	fed := make(chan struct{})
+	go func() {
+		defer close(fed)
+		for time.Now().Before(until) {
+			go pl.cli.call(http.MethodPost, pl.cli.newID(), newJob(10, 8000, 500*time.Millisecond))
+			time.Sleep(300 * time.Millisecond)
+		}
+	}()
+	time.Sleep(2 * time.Second)
+	if pl.opr.order(http.MethodPost, "/Evacuations.Start/"+zone, nil, 5*time.Second) != 200 {
+		return notRun
+	}
+	time.Sleep(6 * time.Second)
+	frozen, other := pl.followers()
+	var thawedAt time.Time
+	thawed := make(chan struct{})
+	if pl.trouble {
+		pl.clu.signal(frozen, syscall.SIGSTOP)
+		go func() {
+			defer close(thawed)
+			time.Sleep(freezeTime)
+			pl.clu.signal(frozen, syscall.SIGCONT)
+			thawedAt = time.Now()
+		}()
+	} else {
+		close(thawed)
+	}
+	// The operator picks the frozen VM first. After a second without an answer it moves on.
+	if status, _ := pl.opr.once(frozen, http.MethodPost, "/Evacuations.Finish/"+zone, nil); status != 200 {
+		if status, _ := pl.opr.once(other, http.MethodPost, "/Evacuations.Finish/"+zone, nil); status != 200 {
+			return notRun
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if status, _ := pl.opr.once(other, http.MethodPost, "/Evacuations.Start/"+zone, nil); status != 200 {
+		return notRun
+	}
+	acked := time.Now()
+	pl.rec.printf("the zone %s is out of service; the operator sends no more orders", zone)
+	<-thawed
+	from := acked.Add(evacuationLimit)
+	if inTouch := thawedAt.Add(2 * contactTime); inTouch.After(from) {
+		from = inTouch
+	}
+	<-fed
+	starts := pl.startsIn(zone, from)
+	pl.rec.printf("%d tasks began in %s later than %.1f s after the acknowledgement", len(starts), zone, from.Sub(acked).Seconds())
+	if len(starts) > 0 {
+		pl.rec.printf("EVAC: the first is run %d of %s on %s, %.3f s after the acknowledgement", starts[0].attempt, starts[0].task, starts[0].worker, starts[0].from.Sub(acked).Seconds())
+		return ruleBroken
+	}
+	return ruleHeld
+}
+
+// followers returns the two control VMs to which the workers are not directed.
+func (pl *play) followers() (*vm, *vm) {
+	votes := map[string]int{}
+	for _, wk := range pl.workers {
+		votes[wk.beatTo()]++
+	}
+	controls := append([]*vm(nil), pl.clu.controls...)
+	sort.SliceStable(controls, func(i, j int) bool {
+		return votes[pl.clu.apiAddr(controls[i])] < votes[pl.clu.apiAddr(controls[j])]
+	})
+	pl.rec.printf("%s leads", controls[2].name)
+	return controls[0], controls[1]
+}
+
+// startsIn returns the runs that began in a zone after a time.
+func (pl *play) startsIn(zone string, from time.Time) []runEvent {
+	in := map[string]bool{}
+	for _, wk := range pl.workers {
+		in[wk.id] = wk.zone == zone
+	}
+	pl.led.mu.Lock()
+	defer pl.led.mu.Unlock()
+	var out []runEvent
+	for _, evt := range pl.led.runs {
+		if in[evt.worker] && evt.from.After(from) {
+			out = append(out, *evt)
+		}
+	}
+	return out
+}
+
 // postOdd sends a heartbeat of another writer to a control VM.
 func (pl *play) postOdd(node *vm, id string, body map[string]any) string {
 	data, _ := json.Marshal(body)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,6 +36,7 @@
 	"odd-address":  caseOddAddress,
 	"many-ends":    caseManyEnds,
 	"large-answer": caseLargeAnswer,
+	"stale-order":  caseStaleOrder,
 }
 
 func main() { os.Exit(realMain()) }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -356,9 +356,22 @@
 	return msg
 }
 
+// beatTo returns the address for the next heartbeat, or "" for any control VM.
+func (wk *worker) beatTo() string {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	return wk.beatAddr
+}
+
+func (wk *worker) setBeatTo(addr string) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	wk.beatAddr = addr
+}
+
 // beat sends a heartbeat, carries out the answer and returns the pause before the next.
 func (wk *worker) beat() time.Duration {
-	addr := wk.beatAddr
+	addr := wk.beatTo()
 	if addr == "" {
 		addr = wk.clu.apiAddr(wk.clu.controls[wk.rnd.Intn(len(wk.clu.controls))])
 	}
@@ -369,22 +382,22 @@
 	if wk.cut.Load() {
 		// The heartbeat is lost; the worker tries the next VM after a second.
 		time.Sleep(time.Second)
-		wk.beatAddr = ""
+		wk.setBeatTo("")
 		return 50 * time.Millisecond
 	}
 	rsp, err := shortClient.Post("http://"+addr+"/Instances.Heartbeat/"+wk.id, "application/json", bytes.NewReader(data))
 	if err != nil {
-		wk.beatAddr = ""
+		wk.setBeatTo("")
 		return 50 * time.Millisecond
 	}
 	defer rsp.Body.Close()
 	out, err := io.ReadAll(rsp.Body)
 	var ans heartbeatAnswer
 	if err != nil || rsp.StatusCode/100 != 2 || time.Since(sent) > time.Second || len(out) > maxAnswer || len(out) > 0 && json.Unmarshal(out, &ans) != nil {
-		wk.beatAddr = ""
+		wk.setBeatTo("")
 		return 50 * time.Millisecond
 	}
-	wk.beatAddr = ans.HeartbeatAddress
+	wk.setBeatTo(ans.HeartbeatAddress)
 	wk.mu.Lock()
 	wk.carryOut(sent, &ans)
 	wk.mu.Unlock()
