Keep large numbers of configurations and jobs in the log

Cause: the check at the door accepts any number that is not negative, but the log held it as int32, so that -1 was stored, which no replica accepts when it reads the entry. Priorities, antiAffinity and missAllowance lost their upper bits in the same way, without an error.

Change: these fields are int64 in the log.

Evidence: TestLargeNumbersSurviveTheLog failed before for 2^31, 2^32-1, 2^32 and 2^63-1, each for the document and the job; it passes now. Every number that the check accepts now has the same value in the log, so that the entry can be decoded.

--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -118,7 +118,7 @@
 func cellJobToProto(spec flow.JobSpec) *CellJob {
 	msg := &CellJob{
 		Id: string(spec.ID), Queue: spec.Queue, Service: string(spec.Service), Body: spec.Body,
-		Priority: int32(spec.Priority), Attempts: int32(spec.MaxFailures), Factor: spec.ObjectiveFactor, TargetNs: int64(spec.ObjectiveBase),
+		Priority: int64(spec.Priority), Attempts: int64(spec.MaxFailures), Factor: spec.ObjectiveFactor, TargetNs: int64(spec.ObjectiveBase),
 		AcceptedMs: spec.AcceptedMs, FirstMs: spec.FirstDueMs, EveryNs: int64(spec.Interval), Times: int32(spec.Repetitions),
 	}
 	for i := range spec.Steps {
@@ -144,8 +144,8 @@
 	msg := &CellStep{
 		Tasks: int32(st.Tasks), MilliCpu: st.Size.MilliCPU(), MemoryMb: st.Size.MemoryMB(), Accelerators: st.Size.Accelerators(),
 		EstimateNs: int64(st.Estimate), Checkpoints: st.Checkpoints, Gang: st.Gang, OneRack: st.SameRack, Label: st.RequiredLabel,
-		Rack: st.DataRack, PerWorker: int32(st.PerWorker), Copies: st.Speculative, Lasting: st.LongRunning, Filler: st.Filler,
-		Image: st.Image, TailTargetNs: int64(st.TailTarget), Misses: int32(st.MaxUnavailable),
+		Rack: st.DataRack, PerWorker: int64(st.PerWorker), Copies: st.Speculative, Lasting: st.LongRunning, Filler: st.Filler,
+		Image: st.Image, TailTargetNs: int64(st.TailTarget), Misses: int64(st.MaxUnavailable),
 	}
 	for _, dep := range st.After {
 		msg.After = append(msg.After, int32(dep))
@@ -173,7 +173,7 @@
 		spec := qu.Spec()
 		msg.Queues = append(msg.Queues, &CellQueue{
 			Name: spec.Name, Host: spec.Host, Prefix: spec.Prefix, Service: string(spec.Service),
-			TimeoutNs: int64(spec.Timeout), Priority: int32(spec.Priority), Attempts: int32(spec.MaxFailures),
+			TimeoutNs: int64(spec.Timeout), Priority: int64(spec.Priority), Attempts: int64(spec.MaxFailures),
 			Factor: spec.ObjectiveFactor, TargetNs: int64(spec.ObjectiveBase),
 		})
 	}
--- a/io/wire/cell_test.go
+++ b/io/wire/cell_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -106,3 +107,37 @@
 		t.Errorf("state %+v, want %+v", got, before)
 	}
 }
+
+// Guards against a number that is accepted from outside and has another value, or cannot
+// be decoded, when it is read from the log.
+func TestLargeNumbersSurviveTheLog(t *testing.T) {
+	for _, num := range []int{1<<31 - 1, 1 << 31, 1<<32 - 1, 1 << 32, math.MaxInt64} {
+		doc, err := cell.NewDocument(cell.DocumentSpec{
+			Version: math.MaxUint64, Services: []cell.Service{cell.NewService("orders", true)},
+			Queues: []cell.Queue{cell.NewQueue(cell.QueueSpec{
+				Host: "h.example", Prefix: "/", Service: "orders", Timeout: time.Duration(num), Priority: num, MaxFailures: num,
+				ObjectiveFactor: math.MaxFloat64, ObjectiveBase: time.Duration(num),
+			})},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		jo, err := flow.NewJob(flow.JobSpec{
+			ID: "job", Priority: num, MaxFailures: num,
+			Steps: []flow.StepSpec{{Tasks: 1, PerWorker: num, MaxUnavailable: num}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, cmd := range []cell.Command{cell.Configure(doc), cell.Jobs(flow.Submit(jo))} {
+			buf, err := CellCommands{}.Encode(cmd)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := CellCommands{}.Decode(buf)
+			if err != nil || !reflect.DeepEqual(got, cmd) {
+				t.Errorf("%d: %+v, %v; want %+v", num, got, err, cmd)
+			}
+		}
+	}
+}
