Skip committed entries that cannot be decoded

Cause: an entry that could not be decoded ended its replica, on every replica and again after each start.

Change: such an entry has no effect on any replica, is recorded and counted, and its caller gets an error. An operation that the version does not know still halts the replica, because those of a later version apply it. Torn and altered entries are found by the checksums of the disk.

--- a/io/cell/keep_test.go
+++ b/io/cell/keep_test.go
@@ -44,6 +44,17 @@
 
 // startCell starts a cell of one VM.
 func startCell(t testing.TB, fs disk.FS) *VM {
+	t.Helper()
+	vm, stop, err := newVM(cellSettings(t), hclog.NewNullLogger(), fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return vm
+}
+
+// cellSettings returns the settings of a cell of one VM with an empty data directory.
+func cellSettings(t testing.TB) config.Cell {
 	t.Helper()
 	var ports [2]int
 	for pos := range ports {
@@ -59,12 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	vm, stop, err := newVM(set, hclog.NewNullLogger(), fs)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(stop)
-	return vm
+	return set
 }
 
 // document returns a configuration without services and queues.
--- a/io/group/actor.go
+++ b/io/group/actor.go
@@ -2,10 +2,13 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/juju/errors"
 
 	"guavarail/core/admit"
+	"guavarail/core/event"
 	"guavarail/core/model"
 	"guavarail/core/quorum"
 	"guavarail/io/disk"
@@ -222,9 +225,7 @@
 	}
 }
 
-// apply applies a committed entry and answers the callers that wait at its
-// index: the one that proposed it gets the result, any other a NotLeaderError
-// because its entry was replaced.
+// apply applies a committed entry and answers the callers that wait at its index.
 func (act *groupActor[M, C, R, S]) apply(ent quorum.Entry) {
 	if act.fatalErr != nil {
 		return
@@ -233,7 +234,7 @@
 	if ent.Kind() == quorum.EntryCommand {
 		cmd, err := act.cfg.Commands.Decode(ent.Data())
 		if err != nil {
-			act.fatalErr = &CodecError{group: act.cfg.Group, index: ent.Index(), cause: err}
+			act.rejectEntry(ent, err)
 			return
 		}
 		res = act.cfg.Replica.Apply(cmd)
@@ -241,9 +242,33 @@
 			act.cfg.OnApply(ent.Index(), cmd, res)
 		}
 	}
+	act.answerEntry(ent, result[R]{val: res})
+}
+
+// rejectEntry handles a committed entry that cannot be decoded. All replicas skip it alike,
+// so that it has no effect. Only an operation that this version does not know halts the
+// replica, since those of a later version apply it.
+func (act *groupActor[M, C, R, S]) rejectEntry(ent quorum.Entry, cause error) {
+	err := &CodecError{group: act.cfg.Group, index: ent.Index(), cause: cause}
+	var uoe *wire.UnknownOperationError
+	if errors.As(cause, &uoe) {
+		act.fatalErr = err
+		return
+	}
+	entriesSkipped.Add(act.cfg.Group)
+	if act.cfg.OnEvent != nil {
+		act.cfg.OnEvent(event.New("entrySkipped", event.Subject{}, event.NewField("group", act.cfg.Group),
+			event.NewField("index", strconv.FormatUint(ent.Index(), 10)), event.NewField("reason", cause.Error())))
+	}
+	act.answerEntry(ent, result[R]{err: err})
+}
+
+// answerEntry answers the callers that wait at the index of an entry: the one that proposed
+// it gets res, any other a NotLeaderError because its entry was replaced.
+func (act *groupActor[M, C, R, S]) answerEntry(ent quorum.Entry, res result[R]) {
 	for _, wai := range act.waitersByIndex[ent.Index()] {
 		if wai.term == ent.Term() {
-			act.answer(wai.id, result[R]{val: res})
+			act.answer(wai.id, res)
 		} else {
 			act.answer(wai.id, result[R]{err: quorum.NewNotLeaderError(act.node.Role(act.cfg.Clock()).Leader())})
 		}
--- a/io/group/bench_test.go
+++ b/io/group/bench_test.go
@@ -63,7 +63,7 @@
 				if mode == "syncPerCommand" {
 					sto = syncEveryEntryStore{Files: fls}
 				}
-				ref, stop := startReplicaOf(b, net, &noopMachine{}, vm, sto, "a", "b", "c")
+				ref, stop := startReplicaOf(b, net, &noopMachine{}, textCodec{}, vm, sto, "a", "b", "c")
 				defer closeFiles()
 				defer stop()
 				refs = append(refs, ref)
--- a/io/group/errors.go
+++ b/io/group/errors.go
@@ -83,7 +83,8 @@
 	return "replica of group " + err.group + " failed, restart the process"
 }
 
-// CodecError reports a command or snapshot that this replica could not decode.
+// CodecError reports a command or snapshot that this replica could not decode. The command
+// has no effect on any replica.
 type CodecError struct {
 	group string
 	index uint64
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -105,13 +105,13 @@
 
 func startReplica(tb testing.TB, net *network, vm model.VMID, sto disk.Store, voters ...model.VMID) (testRef, func()) {
 	tb.Helper()
-	return startReplicaOf(tb, net, &list{}, vm, sto, voters...)
+	return startReplicaOf(tb, net, &list{}, textCodec{}, vm, sto, voters...)
 }
 
-func startReplicaOf[M quorum.Replica[string, int, []string]](tb testing.TB, net *network, mac M, vm model.VMID, sto disk.Store, voters ...model.VMID) (Ref[M, string, int, []string], func()) {
+func startReplicaOf[M quorum.Replica[string, int, []string]](tb testing.TB, net *network, mac M, cdc wire.Codec[string], vm model.VMID, sto disk.Store, voters ...model.VMID) (Ref[M, string, int, []string], func()) {
 	tb.Helper()
 	ref, stop, err := New(Config[M, string, int, []string]{
-		Group: "test", Self: vm, Voters: voters, Replica: mac, Commands: textCodec{}, Snapshots: listCodec{},
+		Group: "test", Self: vm, Voters: voters, Replica: mac, Commands: cdc, Snapshots: listCodec{},
 		Store: sto, Sender: networkSender{net: net, self: vm}, Seed: uint64(len(vm)) + uint64(vm[0]),
 	})
 	if err != nil {
--- a/io/group/restart_test.go
+++ b/io/group/restart_test.go
@@ -14,6 +14,7 @@
 	"guavarail/core/model"
 	"guavarail/core/quorum"
 	"guavarail/io/disk"
+	"guavarail/io/wire"
 )
 
 // fullFS is a file system on which writes fail with ENOSPC once full is set.
@@ -47,12 +48,17 @@
 }
 
 func startOnDisk(tb testing.TB, net *network, dir string, fs disk.FS, vm model.VMID, voters ...model.VMID) *replica {
+	tb.Helper()
+	return startOnDiskWith(tb, net, dir, fs, textCodec{}, vm, voters...)
+}
+
+func startOnDiskWith(tb testing.TB, net *network, dir string, fs disk.FS, cdc wire.Codec[string], vm model.VMID, voters ...model.VMID) *replica {
 	tb.Helper()
 	fls, closeFiles, err := disk.Open(disk.Config{Dir: filepath.Join(dir, string(vm)), VM: vm, Group: "test", FS: fs})
 	if err != nil {
 		tb.Fatal(err)
 	}
-	ref, stop := startReplica(tb, net, vm, fls, voters...)
+	ref, stop := startReplicaOf(tb, net, &list{}, cdc, vm, fls, voters...)
 	return &replica{vm: vm, ref: ref, stop: func() {
 		stop()
 		closeFiles()
--- a/io/wire/fleet.go
+++ b/io/wire/fleet.go
@@ -7,8 +7,7 @@
 	"guavarail/core/model"
 )
 
-// FleetError reports that a fleet command or snapshot cannot be decoded. Without a
-// cause, the command has no action or one that is unknown to this version.
+// FleetError reports that a fleet command or snapshot cannot be decoded.
 type FleetError struct {
 	// part is what could not be decoded: command, preset or snapshot.
 	part  string
@@ -17,9 +16,6 @@
 
 // Error describes the failure.
 func (err *FleetError) Error() string {
-	if err.cause == nil {
-		return "decode fleet " + err.part + ": content is missing or unknown"
-	}
 	return "decode fleet " + err.part + ": " + err.cause.Error()
 }
 
@@ -59,7 +55,7 @@
 	return proto.Marshal(msg)
 }
 
-// Decode implements Codec. Its error is a *FleetError.
+// Decode implements Codec. Its error is a *FleetError or an *UnknownOperationError.
 func (FleetCommands) Decode(buf []byte) (fleet.Command, error) {
 	var msg FleetCommand
 	if err := proto.Unmarshal(buf, &msg); err != nil {
@@ -72,8 +68,8 @@
 	return fleet.NewCommand(model.CommandID(msg.GetId()), msg.GetNumber(), msg.GetOperator(), act), nil
 }
 
-// fleetActionFromProto returns the action of a command. A missing or unknown action is a
-// FleetError.
+// fleetActionFromProto returns the action of a command. A missing or unknown action is an
+// UnknownOperationError.
 func fleetActionFromProto(msg *FleetCommand) (fleet.Action, error) {
 	switch act := msg.GetAction().(type) {
 	case *FleetCommand_Bootstrap:
@@ -96,7 +92,7 @@
 	case *FleetCommand_ReplaceVm:
 		return fleet.NewReplaceVM(model.VMID(act.ReplaceVm.GetOld()), vmFromProto(act.ReplaceVm.GetVm())), nil
 	}
-	return nil, &FleetError{part: "command"}
+	return nil, &UnknownOperationError{group: "fleet"}
 }
 
 // FleetSnapshots is the codec of the snapshots of the fleet group.
--- a/io/wire/sched.go
+++ b/io/wire/sched.go
@@ -87,8 +87,8 @@
 	return msg
 }
 
-// schedOpFromProto returns the operation that msg encodes. An operation of an unknown kind
-// and an invalid job are SchedDecodeErrors.
+// schedOpFromProto returns the operation that msg encodes. An invalid job is a
+// SchedDecodeError, and an operation of an unknown kind an UnknownOperationError.
 func schedOpFromProto(msg *SchedOp) (sched.Op, error) {
 	task := model.NewTaskID(model.JobID(msg.GetJob()), int(msg.GetIndex()))
 	att, wid := model.Attempt(msg.GetAttempt()), model.WorkerID(msg.GetWorker())
@@ -132,7 +132,7 @@
 			return sched.Fail(jobs[0], sched.Reason(msg.GetReason())), nil
 		}
 	}
-	return sched.Op{}, &SchedDecodeError{part: "operation of an unknown kind"}
+	return sched.Op{}, &UnknownOperationError{group: "data centre"}
 }
 
 func resourcesToProto(re model.Resources) *SchedResources {
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -14,3 +14,15 @@
 	Encode(val T) ([]byte, error)
 	Decode(buf []byte) (T, error)
 }
+
+// UnknownOperationError reports an operation that this version does not know. A replica of
+// a later version may apply it, so that one of this version must not go on without it.
+type UnknownOperationError struct {
+	// group is the kind of group whose log has the operation.
+	group string
+}
+
+// Error describes the failure.
+func (err *UnknownOperationError) Error() string {
+	return "operation of group " + err.group + " is unknown to this version, upgrade it"
+}
