Draw no conclusion from runs that a truncated heartbeat does not list

Cause: a worker lists 500 ends at a time. The leader took the list for complete, so that a run in neither list counted as a start that was not carried out, and started its task elsewhere. It also stopped such runs as stalled after 2 s.

Change: a heartbeat says whether its list of ends may be truncated. A run in neither list is then left alone until a complete list arrives.

--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -201,13 +201,19 @@
 		}
 	}
 	for _, pr := range wk.runs {
-		if !listed[pr] && !pr.planned {
+		switch {
+		case listed[pr] || pr.planned:
+		case hb.EndsTruncated:
+			// The run may have ended, so that it shows no progress.
+			pr.progressedAt = now
+		default:
 			pl.handleUnlistedRun(now, pr, hb.Sequence)
 		}
 	}
 }
 
-// handleUnlistedRun handles a run that the latest heartbeat does not list. If
+// handleUnlistedRun handles a run that the latest heartbeat, which lists all runs and
+// ends of the worker, does not list. If
 // the heartbeat was sent after the start order, the worker did not execute the
 // order. For an inherited run this is uncertain, because a delayed heartbeat
 // may have been sent before the order. The order is therefore repeated to the
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -119,6 +119,9 @@
 	// ended and are not acknowledged yet.
 	Runs  []RunReport
 	Ended []EndReport
+	// EndsTruncated is set if Ended may lack some of the later ends. A run in neither
+	// list may then have ended.
+	EndsTruncated bool
 }
 
 // RunReport is one run that a worker has now.
--- a/core/flow/simworker_test.go
+++ b/core/flow/simworker_test.go
@@ -61,6 +61,8 @@
 	// has reported.
 	ended                []EndReport
 	lastEnd, reportedEnd uint64
+	// maxEnds is the number of ends in a heartbeat at most; 0 means no bound.
+	maxEnds int
 	// lapsedEnd is the number of the last end before the lease last expired. An
 	// acknowledgement of it or of earlier ends is no promise.
 	lapsedEnd uint64
@@ -247,6 +249,9 @@
 		ru := wk.runs[id]
 		msg.Runs = append(msg.Runs, RunReport{Task: id, Attempt: ru.attempt, Percent: ru.percent(now)})
 	}
+	if wk.maxEnds > 0 && len(msg.Ended) >= wk.maxEnds {
+		msg.Ended, msg.EndsTruncated = msg.Ended[:wk.maxEnds], true
+	}
 	return msg
 }
 
