Bound the orders in an answer to a worker

Cause: all start orders for a worker went into one answer. Workers drop answers of more than 4 MiB; the leader took the starts for ignored, avoided the worker and placed the same tasks together on the next one.

Change: an answer has at most 512 KiB of text of orders. Checkpoints of more than 256 KiB are ignored, and the identifier of a new job has at most 256 bytes.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -100,16 +100,22 @@
 func (pl *Planner) answer(now model.Instant, wk *worker) {
 	ans := Answer{
 		HeartbeatID: wk.heartbeatID, Term: pl.term, LeaseDuration: pl.config.leaseDuration(), Acknowledged: pl.lastRecordedEnd(wk), HeartbeatDelay: pl.heartbeatDelay(),
-		Stops: slices.Clone(wk.unknownRuns),
 	}
 	pl.delays.answered(now, wk, ans.Acknowledged)
+	size := answerSize{}
+	for _, ord := range wk.unknownRuns {
+		if size.add(ord.size()) {
+			ans.Stops = append(ans.Stops, ord)
+		}
+	}
 	for _, pr := range wk.runs {
-		pl.addOrder(now, wk, pr, &ans)
+		pl.addOrder(now, wk, pr, &ans, &size)
 	}
 	switch {
 	case wk.silent:
 		ans.LeaseDuration, ans.HeartbeatDelay = 0, idleHeartbeatDelay
-	case len(wk.runs) == 0:
+	case len(wk.runs) == 0 || size.full:
+		// After a full answer, the next one carries the orders that are left.
 		ans.HeartbeatDelay = idleHeartbeatDelay
 	case slices.ContainsFunc(wk.runs, func(pr *placedRun) bool { return pr.planned }):
 		// Starts are decided that this answer cannot carry yet.
@@ -148,8 +154,8 @@
 
 // addOrder adds the order for one run to an answer, if the run needs one. If the
 // start order has not been sent and the run should no longer start, its end is
-// proposed instead.
-func (pl *Planner) addOrder(now model.Instant, wk *worker, pr *placedRun, ans *Answer) {
+// proposed instead. An order for which the answer has no room is left for the next one.
+func (pl *Planner) addOrder(now model.Instant, wk *worker, pr *placedRun, ans *Answer, size *answerSize) {
 	if pr.planned || pr.ending {
 		return
 	}
@@ -159,12 +165,14 @@
 			pl.proposeEnd(pr, NotStarted, pr.checkpoint)
 			return
 		}
-		pr.stopping = true
-		ans.Stops = append(ans.Stops, StopOrder{Task: pr.task, Attempt: pr.attempt})
+		if ord := (StopOrder{Task: pr.task, Attempt: pr.attempt}); size.add(ord.size()) {
+			pr.stopping = true
+			ans.Stops = append(ans.Stops, ord)
+		}
 	case pr.startSent || pr.reported:
-		if pl.needsPace(now, pr) {
+		if ord := (PaceOrder{Task: pr.task, Attempt: pr.attempt, Percent: pr.pace}); pl.needsPace(now, pr) && size.add(ord.size()) {
 			pr.paceLimited, pr.sentPace, pr.sentPaceAt = true, pr.pace, now
-			ans.Paces = append(ans.Paces, PaceOrder{Task: pr.task, Attempt: pr.attempt, Percent: pr.pace})
+			ans.Paces = append(ans.Paces, ord)
 		}
 	case pr.mayHaveEnded:
 		pl.withdraw(pr)
@@ -175,10 +183,13 @@
 			pl.withdraw(pr)
 		}
 	case !wk.silent && now.Sub(wk.answerPendingSince) <= maxAnswerAge:
+		ord := StartOrder{Task: pr.task, Attempt: pr.attempt, Body: pr.job.spec.Body, Checkpoint: pr.checkpoint}
+		if !size.add(ord.size()) {
+			pr.postponedAt = now
+			return
+		}
 		pr.startSent, pr.startSequence = true, wk.sequence
 		pl.delays.starts.add(now.Sub(pr.placedAt))
-		ans.Starts = append(ans.Starts, StartOrder{
-			Task: pr.task, Attempt: pr.attempt, Body: pr.job.spec.Body, Checkpoint: pr.checkpoint,
-		})
+		ans.Starts = append(ans.Starts, ord)
 	}
 }
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -190,7 +190,7 @@
 		}
 		// The worker still has the run, so a stop order that was sent is repeated.
 		pr.reported, pr.stopping, pr.inherited, pr.percent = true, false, false, rr.Percent
-		if rr.Checkpoint != "" {
+		if rr.Checkpoint != "" && len(rr.Checkpoint) <= maxCheckpoint {
 			pr.checkpoint = rr.Checkpoint
 		}
 	}
@@ -246,7 +246,7 @@
 		er := &wk.reportedEnds[i]
 		if pr := wk.find(er.Task, er.Attempt); pr != nil {
 			checkpoint := er.Checkpoint
-			if checkpoint == "" {
+			if checkpoint == "" || len(checkpoint) > maxCheckpoint {
 				checkpoint = pr.checkpoint
 			}
 			pl.proposeEnd(pr, er.Outcome, checkpoint)
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -12,6 +12,8 @@
 	// maxBody bounds the body of a job in bytes; every start of a task carries
 	// it.
 	maxBody = 4000
+	// maxID bounds the identifier of a job in bytes; every order contains it.
+	maxID = 256
 	// maxTasks bounds the number of tasks in one occurrence of a job.
 	maxTasks = 20_000
 	// maxSteps bounds the number of steps of a job.
@@ -162,6 +164,7 @@
 
 // checkAmounts adds the faults of amounts that are too large.
 func (fas *faults) checkAmounts(spec JobSpec) {
+	fas.rejectIf(len(spec.ID) > maxID, "id", "at most 256 bytes")
 	fas.rejectIf(spec.Repetitions > 0 && spec.Interval > maxSpan, "every", spanAllowed)
 	fas.rejectIf(spec.FirstDueMs < 0 || spec.FirstDueMs > maxUnixMs, "firstDue", "a time from 1970 to 9999")
 	for pos, st := range spec.Steps {
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -79,7 +79,7 @@
 func (pl *Planner) withdrawUnsentStarts(wk *worker) {
 	timeout := max(minPickupTimeout, pl.heartbeatDelay()+pickupMargin)
 	for _, pr := range wk.runs {
-		if !pr.startSent && !pr.reported && !pr.inherited && pl.heardUntil.Sub(pr.placedAt) > timeout {
+		if !pr.startSent && !pr.reported && !pr.inherited && pl.heardUntil.Sub(max(pr.placedAt, pr.postponedAt)) > timeout {
 			pl.withdraw(pr)
 		}
 	}
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -33,6 +33,9 @@
 	// heartbeat whose Sequence is startSequence.
 	startSent     bool
 	startSequence uint64
+	// postponedAt is when the start order was last left out of an answer without room for
+	// it; 0 if it never was.
+	postponedAt model.Instant
 	// inherited is set for a run whose start was applied without a record of it
 	// here, until a heartbeat lists the run. An earlier leader proposed the
 	// start and may have sent the order, or this leader proposed it and the
