Reject texts that are not UTF-8 where they come in

Besides, a configuration with such a host name was acknowledged and stored with another character, and a data centre or job with such a name was answered with 504.

Cause: nothing checked the texts, and the log holds only UTF-8.

--- a/core/cell/document.go
+++ b/core/cell/document.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"guavarail/core/model"
 )
@@ -112,7 +113,7 @@
 	services := map[model.ServiceID]bool{}
 	for pos, ser := range spec.Services {
 		name := "services." + strconv.Itoa(pos)
-		rejectIf(ser.name == "", name+".name", "a name")
+		rejectIf(ser.name == "" || !utf8.ValidString(string(ser.name)), name+".name", "a name in UTF-8")
 		rejectIf(services[ser.name], name+".name", "each service once")
 		services[ser.name] = true
 	}
@@ -122,9 +123,10 @@
 	for pos, qu := range spec.Queues {
 		name := "queues." + strconv.Itoa(pos)
 		adr := address{host: strings.ToLower(qu.spec.Host), prefix: qu.spec.Prefix}
-		rejectIf(qu.spec.Host == "", name+".host", "a host")
-		rejectIf(!strings.HasPrefix(qu.spec.Prefix, "/"), name+".prefix", "a path")
+		rejectIf(qu.spec.Host == "" || !utf8.ValidString(qu.spec.Host), name+".host", "a host in UTF-8")
+		rejectIf(!strings.HasPrefix(qu.spec.Prefix, "/") || !utf8.ValidString(qu.spec.Prefix), name+".prefix", "a path in UTF-8")
 		rejectIf(qu.spec.Name != "" && names[qu.spec.Name], name+".name", "each name once")
+		rejectIf(!utf8.ValidString(qu.spec.Name), name+".name", "UTF-8")
 		rejectIf(!services[qu.spec.Service], name+".service", "a service of the document")
 		rejectIf(addresses[adr], name+".prefix", "each host and prefix once")
 		rejectIf(qu.spec.Timeout <= 0, name+".timeout", "more than 0")
--- a/core/cell/document_test.go
+++ b/core/cell/document_test.go
@@ -39,6 +39,10 @@
 		{"same host and prefix twice", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{valid, testQueue(func(sp *QueueSpec) {
 			sp.Name, sp.Host = "r", "A.example"
 		})}}},
+		{"host that is not UTF-8", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{testQueue(func(sp *QueueSpec) { sp.Host = "\xff" })}}},
+		{"prefix that is not UTF-8", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{testQueue(func(sp *QueueSpec) { sp.Prefix = "/\xff" })}}},
+		{"name that is not UTF-8", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{testQueue(func(sp *QueueSpec) { sp.Name = "\xff" })}}},
+		{"service that is not UTF-8", DocumentSpec{Version: 1, Services: []Service{NewService("\xff", true)}}},
 		{"service twice", DocumentSpec{Version: 1, Queues: []Queue{valid}, Services: append(desk, desk...)}},
 	}
 	for _, tt := range tests {
--- a/core/flow/check.go
+++ b/core/flow/check.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"guavarail/core/model"
 )
@@ -23,6 +24,8 @@
 	maxAttempt = math.MaxInt32
 	// maxReading bounds a RunReport.Reading.
 	maxReading = 1e12
+	// maxName bounds a name that a worker reports, in bytes.
+	maxName = 1024
 )
 
 // HeartbeatError reports the invalid fields of a heartbeat.
@@ -55,25 +58,36 @@
 	}
 }
 
-// Check returns a *HeartbeatError if a number of the heartbeat is out of range. Such a
-// heartbeat must not reach the planner, where it would spoil sums and estimates that
-// concern other workers. Remaining and WarmUp take part in no decision: a worker whose
+// Check returns a *HeartbeatError if a number of the heartbeat is out of range or a text
+// cannot be stored. Such a heartbeat must not reach the planner, where it would spoil sums
+// and estimates that concern other workers, and the log, which cannot hold it. Remaining and WarmUp take part in no decision: a worker whose
 // time to leave has passed is not turned away.
 func (hb *Heartbeat) Check() error {
 	var fas faults
 	fas.rejectIf(!validSize(hb.Size), "size", "amounts from 0 to "+sizeLimits)
 	fas.rejectIf(hb.Incarnation.startedAt < 0 || hb.Incarnation.startedAt > maxUnixMs, "startedAt", "a time from 1970 to 9999")
 	fas.rejectIf(!validSpan(hb.Clock), "clock", spanAllowed)
+	fas.rejectIf(!validName(string(hb.Incarnation.worker)), "worker", nameAllowed)
+	fas.rejectIf(!validName(string(hb.Service)), "service", nameAllowed)
+	fas.rejectIf(!validName(string(hb.Centre)), "centre", nameAllowed)
+	fas.rejectIf(!validName(hb.Address), "address", nameAllowed)
+	fas.rejectIf(!validName(hb.Rack), "rack", nameAllowed)
+	fas.rejectIf(!utf8.ValidString(strings.Join(hb.Labels, "")), "labels", textAllowed)
 	for i := range hb.Runs {
 		rr := &hb.Runs[i]
 		name := "runs." + strconv.Itoa(i)
+		fas.rejectIf(!utf8.ValidString(string(rr.Task.job)), name+".task", textAllowed)
+		fas.rejectIf(!utf8.ValidString(rr.Checkpoint), name+".checkpoint", textAllowed)
 		fas.rejectIf(rr.Attempt < 0 || rr.Attempt > maxAttempt, name+".attempt", "the number of an attempt")
 		fas.rejectIf(rr.Percent < 0 || rr.Percent > fullPace, name+".percent", "0 to 100")
 		fas.rejectIf(!(rr.Reading >= 0 && rr.Reading <= maxReading), name+".reading", "0 or more")
 	}
 	for i := range hb.Ended {
 		er := &hb.Ended[i]
-		fas.rejectIf(er.Attempt < 0 || er.Attempt > maxAttempt, "ended."+strconv.Itoa(i)+".attempt", "the number of an attempt")
+		name := "ended." + strconv.Itoa(i)
+		fas.rejectIf(!utf8.ValidString(string(er.Task.job)), name+".task", textAllowed)
+		fas.rejectIf(!utf8.ValidString(er.Checkpoint), name+".checkpoint", textAllowed)
+		fas.rejectIf(er.Attempt < 0 || er.Attempt > maxAttempt, name+".attempt", "the number of an attempt")
 	}
 	if len(fas) > 0 {
 		return &HeartbeatError{faults: fas}
@@ -81,12 +95,17 @@
 	return nil
 }
 
-// sizeLimits and spanAllowed describe the limits in errors.
+// Descriptions of the limits in errors.
 const (
 	sizeLimits  = "1000000 processors, 1000000000000 MB and 1000000 accelerators"
 	spanAllowed = "0 to 366 days"
+	textAllowed = "UTF-8"
+	nameAllowed = "UTF-8 of at most 1024 bytes"
 )
 
+// validName reports whether the log can hold a name.
+func validName(name string) bool { return len(name) <= maxName && utf8.ValidString(name) }
+
 // validSize reports whether no dimension is negative or beyond the limits.
 func validSize(size model.Resources) bool {
 	return size.Valid() && size.FitsIn(model.NewResources(maxMilliCPU, maxMemoryMB, maxAccelerators))
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"guavarail/core/model"
 )
@@ -122,6 +123,7 @@
 	var fas faults
 	fas.checkStructure(spec)
 	fas.checkAmounts(spec)
+	fas.checkTexts(spec)
 	return newJob(spec, fas)
 }
 
@@ -164,7 +166,6 @@
 
 // checkAmounts adds the faults of amounts that are too large.
 func (fas *faults) checkAmounts(spec JobSpec) {
-	fas.rejectIf(len(spec.ID) > maxID, "id", "at most 256 bytes")
 	fas.rejectIf(spec.Repetitions > 0 && spec.Interval > maxSpan, "every", spanAllowed)
 	fas.rejectIf(spec.FirstDueMs < 0 || spec.FirstDueMs > maxUnixMs, "firstDue", "a time from 1970 to 9999")
 	for pos, st := range spec.Steps {
@@ -175,6 +176,21 @@
 	}
 }
 
+// checkTexts adds the faults of texts that the log cannot hold, or that are too large for an
+// order.
+func (fas *faults) checkTexts(spec JobSpec) {
+	fas.rejectIf(len(spec.ID) > maxID || !utf8.ValidString(string(spec.ID)), "id", "UTF-8 of at most 256 bytes")
+	fas.rejectIf(!utf8.ValidString(spec.Queue), "queue", textAllowed)
+	fas.rejectIf(!utf8.ValidString(string(spec.Service)), "service", textAllowed)
+	fas.rejectIf(!utf8.ValidString(spec.Body), "body", textAllowed)
+	for pos, st := range spec.Steps {
+		name := "steps." + strconv.Itoa(pos)
+		fas.rejectIf(!utf8.ValidString(st.RequiredLabel), name+".requiredLabel", textAllowed)
+		fas.rejectIf(!utf8.ValidString(st.DataRack), name+".dataRack", textAllowed)
+		fas.rejectIf(!utf8.ValidString(st.Image), name+".image", textAllowed)
+	}
+}
+
 // chainsFrom returns, for each step, the declared duration of the longest
 // chain of steps that begins with it.
 func chainsFrom(steps []StepSpec) []time.Duration {
--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/juju/errors"
 
@@ -82,9 +83,13 @@
 }
 
 // Route sends a call to the leader, which may be this VM, and returns the reply.
-// A *NotReachedError means that the call had no effect, a *LostReplyError that
-// the outcome is unknown.
+// A *NotReachedError or an *InvalidCallError means that the call had no effect, a
+// *LostReplyError that the outcome is unknown.
 func (vm *VM) Route(ctx context.Context, cal Call) (Reply, error) {
+	if !utf8.ValidString(cal.Host) || !utf8.ValidString(cal.Path) {
+		calls.Add(callInvalid)
+		return Reply{}, errors.Trace(&InvalidCallError{})
+	}
 	start := vm.clock()
 	rep, err := vm.route(ctx, cal)
 	callTime.Add(vm.clock().Sub(start))
--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -39,6 +39,13 @@
 // Unwrap returns the cause.
 func (err *LostReplyError) Unwrap() error { return err.cause }
 
+// InvalidCallError reports a call whose host or path is not UTF-8, so that no VM can forward
+// it. It had no effect.
+type InvalidCallError struct{}
+
+// Error describes the failure.
+func (err *InvalidCallError) Error() string { return "the host or the path of the call is not UTF-8" }
+
 // NoHandlerError reports that no handler was set with Serve, or that the VM has no
 // disk and so cannot lead.
 type NoHandlerError struct{}
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -41,6 +41,7 @@
 	callServed     = "served"
 	callNotReached = "notReached"
 	callReplyLost  = "replyLost"
+	callInvalid    = "invalid"
 )
 
 // serveVars serves counters and histograms over HTTP if the settings have a
