Take operations that cannot be stored out of their proposal

Cause: one operation that cannot be encoded failed the whole proposal, with all starts and ends in it, and the planner proposed the same again. A call whose content cannot be stored was answered with 504, as if its outcome were unknown.

Change: a proposal that the log cannot hold is split until the operations that it cannot hold are found. These are logged and reported to the planner, which places no task on a worker whose name caused it, and proposes an end again without its checkpoint. A record of the timeline with such a text no longer keeps its page from being encoded.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -126,6 +126,9 @@
 	}
 	pl.delays.commits.add(now.Sub(pl.delays.proposedAt))
 	pl.proposing, pl.dirty, pl.recheckAnswers = false, true, true
+	for _, op := range msg.Dropped {
+		pl.handleDropped(op)
+	}
 	if msg.Applied {
 		return
 	}
@@ -137,6 +140,27 @@
 	}
 }
 
+// handleDropped handles an operation that the log cannot hold. A worker on which no start can
+// be stored gets no more tasks. The end of a run is proposed again without its checkpoint,
+// since its other values are in the log already.
+func (pl *Planner) handleDropped(op Op) {
+	pl.recordEvent("operationDropped", op.id, op.task.String(), op.incarnation.String())
+	switch op.kind {
+	case OpStart:
+		if wk, ok := pl.workers.get(op.incarnation.worker); ok {
+			wk.unstorable = true
+		}
+		if wk, pr := pl.findRun(op.task, op.attempt); pr != nil && pr.planned {
+			pl.stopGang(pr)
+			pl.discardPlanned(wk, pr)
+		}
+	case OpEnd:
+		if op.checkpoint != "" {
+			pl.pendingOps = append(pl.pendingOps, End(op.task, op.attempt, op.outcome, ""))
+		}
+	}
+}
+
 // discardProposed removes those runs from a worker whose starts are not applied
 // yet, and permits further proposals to end the others.
 func (pl *Planner) discardProposed(wk *worker) {
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -38,11 +38,13 @@
 	hasUnknownRuns
 	// slowWorker means that the worker is far slower than the others.
 	slowWorker
+	// unstorableWorker means that the log cannot hold a start on the worker.
+	unstorableWorker
 )
 
 var rejectionNames = [...]string{
 	"none", "notHeard", "otherService", "leaving", "centreOut", "silent", "quarantined", "noRoom", "noLabel", "perWorker", "disturbs",
-	"strayRuns", "slow",
+	"strayRuns", "slow", "unstorable",
 }
 
 // String returns the name in events, for example "silent" for staleHeartbeat.
@@ -84,6 +86,8 @@
 	switch {
 	case !wk.reported:
 		return noHeartbeat
+	case wk.unstorable:
+		return unstorableWorker
 	case wk.draining:
 		return drainingWorker
 	case pl.outage[wk.centre]:
@@ -135,7 +139,7 @@
 		return
 	}
 	rs.job.waitRecordedAt = now
-	var counts [slowWorker + 1]int
+	var counts [len(rejectionNames)]int
 	var short shortage
 	need := rs.spec.reservation()
 	for _, wk := range pl.workers.sorted {
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -60,6 +60,8 @@
 	// Applied is false if the outcome is unknown: the operations may have been
 	// dropped, or may be applied later, which Applied inputs then report.
 	Applied bool
+	// Dropped are the operations that the log cannot hold. They will not be applied.
+	Dropped []Op
 }
 
 // Leave reports that an incarnation of a worker, which was draining, is about to
--- a/core/flow/text_test.go
+++ b/core/flow/text_test.go
@@ -13,8 +13,10 @@
 // Guards against a text of a worker that no proposal can hold, so that nothing starts.
 func TestHeartbeatWithTextThatIsNotUTF8IsNotAccepted(t *testing.T) {
 	for name, spoil := range map[string]func(hb *Heartbeat){
-		"worker":       func(hb *Heartbeat) { hb.Incarnation = NewIncarnation(notUTF8, 1) },
-		"long worker":  func(hb *Heartbeat) { hb.Incarnation = NewIncarnation(model.WorkerID(strings.Repeat("w", maxName+1)), 1) },
+		"worker": func(hb *Heartbeat) { hb.Incarnation = NewIncarnation(notUTF8, 1) },
+		"long worker": func(hb *Heartbeat) {
+			hb.Incarnation = NewIncarnation(model.WorkerID(strings.Repeat("w", maxName+1)), 1)
+		},
 		"service":      func(hb *Heartbeat) { hb.Service = notUTF8 },
 		"centre":       func(hb *Heartbeat) { hb.Centre = notUTF8 },
 		"address":      func(hb *Heartbeat) { hb.Address = notUTF8 },
@@ -62,3 +64,44 @@
 		}
 	}
 }
+
+// Guards against one operation that the log cannot hold and that keeps all others from being
+// stored, or is proposed again and again.
+func TestDroppedOperationsLeaveTheOthers(t *testing.T) {
+	har := newHarness(t)
+	har.heartbeat("odd", nil)
+	har.holding = true
+	har.submit("job", StepSpec{Tasks: 2, Size: model.NewResources(1000, 100, 0)})
+	if len(har.held) != 1 || len(har.held[0].Ops) != 2 {
+		t.Fatalf("proposals %+v, want one with two starts", har.held)
+	}
+	dropped := har.held[0].Ops
+	har.holding, har.held = false, nil
+	har.step(ProposalEnded{Term: har.term, Applied: true, Dropped: dropped})
+	ans := har.heartbeat("sound", nil)
+	if len(ans.Starts) != 2 || ans.Starts[0].Attempt != 1 {
+		t.Errorf("starts %+v on the other worker, want the first attempts of both tasks", ans.Starts)
+	}
+	if ans := har.heartbeat("odd", nil); len(ans.Starts) > 0 {
+		t.Errorf("starts %+v on the worker that the log cannot hold", ans.Starts)
+	}
+}
+
+// Guards against the end of a run that is never stored, because the log cannot hold its
+// checkpoint.
+func TestEndIsStoredWithoutADroppedCheckpoint(t *testing.T) {
+	har := newHarness(t)
+	har.submit("job", StepSpec{Tasks: 1, Size: model.NewResources(1000, 100, 0), Checkpoints: true})
+	run := har.heartbeat("w1", nil).Starts[0]
+	har.holding = true
+	har.sequence++
+	hb := endOfRun(har.sequence, run)
+	hb.Ended[0].Checkpoint = "point"
+	har.step(hb)
+	dropped := har.held[0].Ops
+	har.holding, har.held = false, nil
+	har.step(ProposalEnded{Term: har.term, Applied: true, Dropped: dropped})
+	if jb := har.st.jobs["job"]; jb.status != Completed {
+		t.Errorf("the job is %v, want completed", jb.status)
+	}
+}
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -89,6 +89,11 @@
 // members of a gang, which would wait for it, are stopped.
 func (pl *Planner) withdraw(pr *placedRun) {
 	pl.proposeEnd(pr, NotStarted, pr.checkpoint)
+	pl.stopGang(pr)
+}
+
+// stopGang stops the other members of the gang of a run, if it is in one.
+func (pl *Planner) stopGang(pr *placedRun) {
 	if !pr.spec.Gang {
 		return
 	}
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -141,6 +141,8 @@
 	// expired is set when the expiry of the lease is recorded as an event, until
 	// the next answer renews the lease.
 	expired bool
+	// unstorable is set once the log could not hold a start on the worker.
+	unstorable bool
 	// silent is set from the decision to mark the worker as silent, or from the
 	// start of the term if an earlier leader has marked it, until the removal of the
 	// mark is applied. A silent worker gets no lease and no start orders.
--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -12,6 +12,15 @@
 // would come too late, or a later heartbeat of the worker took its place.
 type BusyError = group.BusyError
 
+// SizeError reports a command that is too large for the log and had no effect.
+type SizeError = group.SizeError
+
+// EncodeError reports a command that cannot be encoded and had no effect.
+type EncodeError = group.EncodeError
+
+// CodecError reports a command that was stored, cannot be decoded and has no effect.
+type CodecError = group.CodecError
+
 // NotReachedError reports that a call did not reach the leader and was therefore
 // not carried out.
 type NotReachedError struct{ cause error }
@@ -60,6 +69,14 @@
 	return errors.As(err, &nle)
 }
 
+// isUnstorable reports whether err means that a command was not added to the log, which
+// cannot hold it.
+func isUnstorable(err error) bool {
+	var ece *EncodeError
+	var sie *SizeError
+	return errors.As(err, &ece) || errors.As(err, &sie)
+}
+
 // isUnsent reports whether err means that a request to another VM was not sent.
 func isUnsent(err error) bool {
 	var unr *peer.UnreachableError
--- a/io/group/errors.go
+++ b/io/group/errors.go
@@ -74,6 +74,15 @@
 	return fmt.Sprintf("command has %d bytes, use at most %d", err.size, err.limit)
 }
 
+// EncodeError reports a command that cannot be encoded. It was not added to the log.
+type EncodeError struct{ cause error }
+
+// Error describes the failure.
+func (err *EncodeError) Error() string { return "encode command: " + err.cause.Error() }
+
+// Unwrap returns the cause.
+func (err *EncodeError) Unwrap() error { return err.cause }
+
 // PanicError reports that the actor of the replica panicked, which leaves its
 // state unknown. The replica halts until the process is restarted.
 type PanicError struct{ group string }
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -172,8 +172,8 @@
 }
 
 // Propose adds a command to the log and returns its result once it is committed
-// and applied. After a *NotLeaderError or a *SizeError the command will never be
-// applied; after an *UnknownError it may be.
+// and applied. After a *NotLeaderError, an *EncodeError, a *SizeError or a *CodecError the
+// command will never be applied; after an *UnknownError it may be.
 func (ref Ref[M, C, R, S]) Propose(ctx context.Context, cmd C) (R, error) {
 	var zero R
 	if ref.pid == nil {
@@ -181,7 +181,7 @@
 	}
 	data, err := ref.codec.Encode(cmd)
 	if err != nil {
-		return zero, errors.Trace(err)
+		return zero, &EncodeError{cause: err}
 	}
 	if len(data) > maxCommandBytes {
 		return zero, &SizeError{size: len(data), limit: maxCommandBytes}
--- a/io/wire/event.go
+++ b/io/wire/event.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"strings"
+
 	"guavarail/core/event"
 	"guavarail/core/model"
 )
@@ -59,11 +61,14 @@
 		Kind: string(evt.Kind()), Subject: eventSubjectToProto(evt.Subject()),
 	}
 	for _, fi := range evt.Fields() {
-		msg.Fields = append(msg.Fields, &EventField{Key: fi.Key(), Value: fi.Value()})
+		msg.Fields = append(msg.Fields, &EventField{Key: fi.Key(), Value: toText(fi.Value())})
 	}
 	return msg
 }
 
+// toText returns a value as UTF-8, so that no record keeps a page from being encoded.
+func toText[T ~string](val T) string { return strings.ToValidUTF8(string(val), "\uFFFD") }
+
 func eventRecordFromProto(msg *EventRecord) event.Record {
 	fis := make([]event.Field, 0, len(msg.GetFields()))
 	for _, fi := range msg.GetFields() {
@@ -75,8 +80,8 @@
 
 func eventSubjectToProto(sub event.Subject) *EventSubject {
 	return &EventSubject{
-		Centre: string(sub.Centre), Vm: string(sub.VM), Job: string(sub.Job), Task: sub.Task,
-		Request: sub.Request, Worker: string(sub.Worker), Backend: string(sub.Backend),
+		Centre: toText(sub.Centre), Vm: toText(sub.VM), Job: toText(sub.Job), Task: toText(sub.Task),
+		Request: toText(sub.Request), Worker: toText(sub.Worker), Backend: toText(sub.Backend),
 	}
 }
 
