--- a/core/quorum/snapshot.go
+++ b/core/quorum/snapshot.go
@@ -1,6 +1,9 @@
 package quorum
 
 import (
+	"strconv"
+
+	"guavarail/core/event"
 	"guavarail/core/model"
 )
 
@@ -73,6 +76,7 @@
 
 func (n *Node) onSnapshotSaved(snap Snapshot) {
 	n.savingSnapshot = false
+	n.recordEvent("snapshotSaved", n.cfg.Self, event.NewField("index", strconv.FormatUint(snap.index, 10)), event.NewField("bytes", strconv.FormatUint(snap.size, 10)))
 	if snap.index <= n.snap.index {
 		return
 	}
--- a/io/cell/load.go
+++ b/io/cell/load.go
@@ -2,12 +2,49 @@
 
 import (
 	"strconv"
+	"time"
 
 	"guavarail/core/admit"
+	"guavarail/core/cell"
 	"guavarail/core/event"
+	"guavarail/core/model"
 	"guavarail/io/group"
 )
 
+// workEventInterval is the minimum time between two events about the work of the leader.
+const workEventInterval = time.Second
+
+// leaderWork measures the time that the group's actor spends in the planner. The zero
+// value is ready to use.
+type leaderWork struct {
+	// recordedAt is when the last event was recorded; 0 before the first interval.
+	recordedAt model.Instant
+	// steps counts the inputs of the planner, and sum and longest are their durations.
+	steps        int
+	sum, longest time.Duration
+}
+
+// add adds one input of the planner.
+func (wo *leaderWork) add(dur time.Duration) {
+	wo.steps++
+	wo.sum += dur
+	wo.longest = max(wo.longest, dur)
+}
+
+// observe returns an event about the work since the last one, at most once in each
+// workEventInterval.
+func (wo *leaderWork) observe(tur group.Turn, sta *cell.State) (event.Event, bool) {
+	if now := tur.Now(); now.Sub(wo.recordedAt) < workEventInterval {
+		return event.Event{}, false
+	}
+	evt := event.New("leaderWork", event.Subject{},
+		event.NewField("steps", strconv.Itoa(wo.steps)), event.NewField("stepMs", milliseconds(wo.sum)), event.NewField("maxStepMs", milliseconds(wo.longest)),
+		event.NewField("queued", strconv.Itoa(tur.Queued())), event.NewField("queueAgeMs", milliseconds(tur.Age())),
+		event.NewField("jobs", strconv.Itoa(sta.Jobs().Len())), event.NewField("queues", strconv.Itoa(len(sta.Document().Queues()))))
+	*wo = leaderWork{recordedAt: tur.Now()}
+	return evt, true
+}
+
 // load watches how far the group's actor is behind its inputs. The actor owns it.
 type load struct {
 	watch admit.Watch
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -79,6 +79,8 @@
 	unknownJobs, configurationReads lines.Limiter
 	// load watches how far the group's actor is behind. The actor owns it.
 	load load
+	// work measures the time in the planner. The actor owns it.
+	work leaderWork
 	// lastHeartbeatID is the HeartbeatID of the newest heartbeat.
 	lastHeartbeatID atomic.Uint64
 	// status and members are the role of this VM and the members of the group, for
@@ -234,6 +236,9 @@
 		// the queue.
 		tic.Posted = min(tic.Posted, posted)
 		mem.step(now, tic)
+		if evt, ok := mem.work.observe(tur, sta); ok {
+			mem.vm.RecordEvent(evt)
+		}
 	}
 	mem.publish(rol)
 }
@@ -241,8 +246,11 @@
 // step passes an input to the planner and carries out the effects in order. It runs on
 // the group's actor.
 func (mem *member) step(now model.Instant, in flow.Input) {
+	begin := mem.vm.clock()
 	effs := mem.planner.Step(now, in)
-	planTime.Add(mem.vm.clock().Sub(now))
+	dur := mem.vm.clock().Sub(begin)
+	planTime.Add(dur)
+	mem.work.add(dur)
 	for _, eff := range effs {
 		switch val := eff.(type) {
 		case flow.Propose:
--- a/io/group/actor.go
+++ b/io/group/actor.go
@@ -198,7 +198,10 @@
 	case quorum.StoreChunk:
 		act.store.StoreChunk(val)
 	case quorum.TakeSnapshot:
+		begin := act.cfg.Clock()
 		snap, cdc := act.cfg.Replica.Snapshot(), act.cfg.Snapshots
+		act.record("snapshotTaken", event.NewField("index", strconv.FormatUint(val.Snapshot().Index(), 10)),
+			event.NewField("durationMs", strconv.FormatInt(act.cfg.Clock().Sub(begin).Milliseconds(), 10)))
 		act.store.Save(disk.NewSaveSnapshot(val.Snapshot(), func() ([]byte, error) { return cdc.Encode(snap) }))
 	case quorum.InstallSnapshot:
 		act.installSnapshot(val.Snapshot())
@@ -256,11 +259,15 @@
 		return
 	}
 	entriesSkipped.Add(act.cfg.Group)
+	act.record("entrySkipped", event.NewField("index", strconv.FormatUint(ent.Index(), 10)), event.NewField("reason", cause.Error()))
+	act.answerEntry(ent, result[R]{err: err})
+}
+
+// record adds an event about the group to the timeline.
+func (act *groupActor[M, C, R, S]) record(kind event.Kind, fis ...event.Field) {
 	if act.cfg.OnEvent != nil {
-		act.cfg.OnEvent(event.New("entrySkipped", event.Subject{}, event.NewField("group", act.cfg.Group),
-			event.NewField("index", strconv.FormatUint(ent.Index(), 10)), event.NewField("reason", cause.Error())))
+		act.cfg.OnEvent(event.New(kind, event.Subject{}, append(fis, event.NewField("group", act.cfg.Group))...))
 	}
-	act.answerEntry(ent, result[R]{err: err})
 }
 
 // answerEntry answers the callers that wait at the index of an entry: the one that proposed
