Leave whole places for long-running tasks that are about to be lost

Cause: new long-running tasks may start only beside the room that the endangered ones need. That room was a sum over all workers.

Change: the room is counted in places, of the mean size of the endangered tasks, on each worker. While these need all of them, a new long-running task starts only where it takes none.

--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -62,12 +62,20 @@
 			pl.recordHeldBack(now, &rs, id)
 			return true
 		}
+		if pl.sparesPlaces(&rs) && !cho.spares {
+			cho = pl.newChooser(now, rs, nil)
+			cho.spares = true
+		}
 		wk := cho.next(id)
-		if wk == nil {
+		switch {
+		case wk == nil && cho.spares:
+			pl.recordHeldBack(now, &rs, id)
+			return true
+		case wk == nil:
 			pl.waitForRoom(now, &rs, id)
 			return true
 		}
-		pl.takeRoom(&rs, 1)
+		pl.takeRoom(&rs, wk)
 		started++
 		sp.waitingSince = now
 		pl.proposeStart(now, rs, tk, id, tk.attempt+1, wk)
@@ -110,11 +118,13 @@
 		}
 		attempt = max(attempt, sp.tasks[i].attempt+1)
 	}
-	if !pl.leavesRoom(&rs, len(sp.tasks)) {
+	if !pl.leavesRoom(&rs, len(sp.tasks)) || pl.sparesPlaces(&rs) {
 		pl.recordHeldBack(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
 		return
 	}
 	cho := pl.newChooser(now, rs, nil)
+	room := pl.roomOf(rs.job.spec.Service)
+	before := *room
 	placed := make([]*worker, 0, len(sp.tasks))
 	for i := range sp.tasks {
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
@@ -123,6 +133,7 @@
 			for j, reserved := range placed {
 				pl.unreserve(reserved, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, j), attempt, &sp.tasks[j])
 			}
+			*room = before
 			pl.waitForRoom(now, &rs, id)
 			return
 		}
@@ -130,10 +141,10 @@
 			cho = pl.newChooser(now, rs, wk)
 		}
 		placed = append(placed, wk)
+		pl.takeRoom(&rs, wk)
 		pl.reserve(now, rs, &sp.tasks[i], id, attempt, wk)
 	}
 	sp.waitingSince = now
-	pl.takeRoom(&rs, len(placed))
 	pl.recordStarts(now, rs, len(placed))
 	for i, wk := range placed {
 		pl.releaseKept(&rs, wk)
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"slices"
 
 	"guavarail/core/model"
@@ -15,6 +16,9 @@
 	// a restart, and those on workers that are draining or silent. Tasks that no
 	// worker can hold don't count.
 	endangered model.Resources
+	// tasks counts the endangered tasks, and places how many tasks of their mean size fit
+	// on the workers: room that is spread over workers in smaller parts holds none.
+	tasks, places int
 	// holdable has the results of canHold.
 	holdable map[taskNeed]bool
 }
@@ -71,7 +75,7 @@
 		}
 		for _, pr := range wk.runs {
 			if pr.spec.LongRunning && pl.canHold(wk.service, pr.spec) {
-				ro.endangered = ro.endangered.Add(pr.size)
+				ro.endanger(pr.size, 1)
 			}
 		}
 	}
@@ -79,9 +83,56 @@
 		rs := &steps[i]
 		if rs.restart && pl.canHold(rs.job.spec.Service, rs.spec) {
 			ro := pl.roomOf(rs.job.spec.Service)
-			ro.endangered = ro.endangered.Add(sumOf(rs.spec.reservation(), rs.waitingTasks()))
+			ro.endanger(rs.spec.reservation(), rs.waitingTasks())
 		}
 	}
+	pl.countPlaces()
+}
+
+// endanger adds num tasks to the endangered ones.
+func (ro *longRunningRoom) endanger(size model.Resources, num int) {
+	ro.endangered = ro.endangered.Add(sumOf(size, num))
+	ro.tasks += num
+}
+
+// countPlaces counts the places of each service with endangered tasks.
+func (pl *Planner) countPlaces() {
+	for _, wk := range pl.workers.sorted {
+		if ro, ok := pl.rooms[wk.service]; ok && ro.tasks > 0 && wk.reported && pl.staying(wk) && !pl.outage[wk.centre] {
+			ro.places += ro.placesOn(wk, model.Resources{})
+		}
+	}
+}
+
+// placesOn returns how many endangered tasks of mean size fit on a worker beside its
+// long-running runs and a task of the given size. Other runs end by themselves.
+func (ro *longRunningRoom) placesOn(wk *worker, beside model.Resources) int {
+	if ro.tasks == 0 {
+		return 0
+	}
+	free := wk.size.Sub(wk.longRunning).Sub(beside)
+	num := math.MaxInt
+	for _, dim := range [...]struct{ free, sum int64 }{
+		{free.MilliCPU(), ro.endangered.MilliCPU()}, {free.MemoryMB(), ro.endangered.MemoryMB()}, {free.Accelerators(), ro.endangered.Accelerators()},
+	} {
+		if dim.sum > 0 {
+			num = min(num, int(max(0, dim.free)*int64(ro.tasks)/dim.sum))
+		}
+	}
+	if num == math.MaxInt {
+		return 0
+	}
+	return num
+}
+
+// tight reports whether the endangered tasks need all places. New long-running tasks may
+// then start only where they take none.
+func (ro *longRunningRoom) tight() bool { return ro.tasks > 0 && ro.places <= ro.tasks }
+
+// takesPlace reports whether a task of a given size on a worker takes the place of an
+// endangered one.
+func (ro *longRunningRoom) takesPlace(wk *worker, size model.Resources) bool {
+	return ro.placesOn(wk, size) < ro.placesOn(wk, model.Resources{})
 }
 
 func (pl *Planner) roomOf(service model.ServiceID) *longRunningRoom {
@@ -94,7 +145,8 @@
 }
 
 // leavesRoom reports whether the first starts of num tasks of a long-running step
-// leave room for the endangered ones. Other starts don't take it for long.
+// leave room for the endangered ones, as far as it is known before workers are chosen.
+// Other starts don't take it for long.
 func (pl *Planner) leavesRoom(rs *readyStep, num int) bool {
 	if !rs.spec.LongRunning || rs.restart {
 		return true
@@ -103,16 +155,24 @@
 	return ro.endangered.IsZero() || sumOf(rs.spec.reservation(), num).Add(ro.endangered).FitsIn(ro.room)
 }
 
-// takeRoom records the planned starts of num tasks.
-func (pl *Planner) takeRoom(rs *readyStep, num int) {
+// sparesPlaces reports whether a step may start tasks only where they take the place of no
+// endangered one.
+func (pl *Planner) sparesPlaces(rs *readyStep) bool {
+	return rs.spec.LongRunning && !rs.restart && pl.roomOf(rs.job.spec.Service).tight()
+}
+
+// takeRoom records the planned start of a task on a worker, before it is reserved there.
+func (pl *Planner) takeRoom(rs *readyStep, wk *worker) {
 	if !rs.spec.LongRunning {
 		return
 	}
 	ro := pl.roomOf(rs.job.spec.Service)
-	need := sumOf(rs.spec.reservation(), num)
+	need := rs.spec.reservation()
+	ro.places += ro.placesOn(wk, need) - ro.placesOn(wk, model.Resources{})
 	ro.room = ro.room.Sub(need)
 	if rs.restart {
 		ro.endangered = ro.endangered.Sub(need)
+		ro.tasks--
 	}
 }
 
