Bound the work for events about waiting tasks

Cause: each event about a waiting task looks at all workers, and at all runs of those without room.

Change: these events look at 20,000 workers a second at most.

--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -12,6 +12,33 @@
 // of a job.
 const waitEventInterval = 2 * time.Second
 
+// maxExplained bounds the workers that events about waiting tasks look at in each
+// explainWindow, because each event looks at all of them.
+const (
+	maxExplained  = 20_000
+	explainWindow = time.Second
+)
+
+// explainBudget bounds the work for events about waiting tasks. The zero value permits it.
+type explainBudget struct {
+	windowStart model.Instant
+	// explained counts the workers that were looked at since windowStart.
+	explained int
+}
+
+// permit reports whether an event may look at a number of workers now. The first one of a
+// window always may.
+func (eb *explainBudget) permit(now model.Instant, workers int) bool {
+	if now.Sub(eb.windowStart) >= explainWindow {
+		*eb = explainBudget{windowStart: now}
+	}
+	if eb.explained > 0 && eb.explained+workers > maxExplained {
+		return false
+	}
+	eb.explained += workers
+	return true
+}
+
 // rejection is the reason why a task may not be placed on a worker.
 type rejection uint8
 
@@ -131,11 +158,11 @@
 
 // recordWait records an event for a task for which no worker is eligible, with
 // the number of workers by reason of rejection, at most once per job and
-// waitEventInterval. For workers without room it has what they lack and which
-// runs hold it, and for the restart of a long-running task how long
+// waitEventInterval, and within the explainBudget. For workers without room it has what
+// they lack and which runs hold it, and for the restart of a long-running task how long
 // it has had no run and for how many tasks capacity is claimed.
 func (pl *Planner) recordWait(now model.Instant, rs readyStep, id TaskID, claimed int) {
-	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval {
+	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval || !pl.explain.permit(now, len(pl.workers.sorted)) {
 		return
 	}
 	rs.job.waitRecordedAt = now
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -173,6 +173,8 @@
 	check recordCheck
 	// openLeft is how many of these claims may be open.
 	openLeft int
+	// explain bounds the work for events about waiting tasks.
+	explain explainBudget
 	// capacityRecordedAt is when the last event about the use of capacity was
 	// recorded.
 	capacityRecordedAt model.Instant
