Pace the search for claims of tasks without room

Cause: each plan searched all workers for each lost or overdue task without room, outside of the bound on plans.

Change: after a search the plans carry its claims on, for 10 us for each worker that it looked at and half a second at most. In small cells the pause is left out. Which workers suit a step is looked up once in a plan.

Evidence: TestClaimsForLostTasksArePaced failed before (534,600 workers looked at in 2 s, want at most 205,400); TestLostTaskIsNotPassedOverBetweenClaims fails if the claims are not carried on.

--- a/core/flow/candidate.go
+++ b/core/flow/candidate.go
@@ -14,9 +14,6 @@
 	// after is the expected time until the worker has room for a task, or
 	// unknownRoom.
 	after time.Duration
-	// shortage is what a task lacks there, as a fraction of the worker's size in
-	// the scarcest dimension.
-	shortage float64
 	// tasks counts the runs and claims of the step on the worker.
 	tasks int
 	// held is set if the step had a claim on the worker in the plan before.
@@ -28,15 +25,13 @@
 // its tasks. The result is valid until the next call.
 func (pl *Planner) claimCandidates(now model.Instant, rs *readyStep, id TaskID) (out []claimCandidate, otherConditions bool) {
 	out = pl.candidates[:0]
-	for _, wk := range pl.room.workers {
-		why := pl.ineligible(now, wk, rs)
-		if why == labelMissing {
-			otherConditions = true
-		}
-		if why != notRejected || !rs.spec.Size.FitsIn(wk.size) {
+	suitable, otherConditions := pl.suitableWorkers(now, rs)
+	pl.claimPace.searched += len(suitable)
+	for _, wk := range suitable {
+		if !rs.spec.Size.FitsIn(wk.size) {
 			continue
 		}
-		can := claimCandidate{worker: wk, held: slices.Contains(wk.claims.former, rs.state()), shortage: rs.spec.reservation().Sub(wk.free()).DominantShare(wk.size)}
+		can := claimCandidate{worker: wk, held: wk.claims.held(rs.state())}
 		if rs.spec.PerWorker > 0 {
 			can.tasks = wk.runsOfStep(id)
 			if can.tasks >= rs.spec.PerWorker {
@@ -51,6 +46,36 @@
 	return out, otherConditions
 }
 
+// suitability is what decides, besides room, whether a worker may run the tasks of a step.
+type suitability struct {
+	service     model.ServiceID
+	label       string
+	longRunning bool
+}
+
+// suitableWorkers returns the workers of the index that may run the tasks of a step if they
+// have room, and whether a missing label keeps the step from some worker. The result holds
+// for one plan.
+func (pl *Planner) suitableWorkers(now model.Instant, rs *readyStep) (workers []*worker, lacksLabel bool) {
+	key := suitability{service: rs.job.spec.Service, label: rs.spec.RequiredLabel, longRunning: rs.spec.LongRunning}
+	if workers, ok := pl.suitable[key]; ok {
+		return workers, pl.unlabelled[key]
+	}
+	for _, wk := range pl.room.workers {
+		switch wk.unsuitable(now, rs) {
+		case notRejected:
+			workers = append(workers, wk)
+		case labelMissing:
+			lacksLabel = true
+		}
+	}
+	if pl.suitable == nil {
+		pl.suitable, pl.unlabelled = map[suitability][]*worker{}, map[suitability]bool{}
+	}
+	pl.suitable[key], pl.unlabelled[key] = workers, lacksLabel
+	return workers, lacksLabel
+}
+
 // nextRoom returns the expected time until a worker has room for one task of the
 // step beside its claims, or unknownRoom.
 func (pl *Planner) nextRoom(now model.Instant, rs *readyStep, can *claimCandidate) time.Duration {
--- a/core/flow/claim.go
+++ b/core/flow/claim.go
@@ -41,16 +41,15 @@
 // claims is the capacity of a worker that the current plan keeps for tasks that
 // found no room. Steps that come later in the scheduling order do not get it,
 // but for restarts, which take what they fit into beside kept room.
-// It is made anew by each plan, at the same worker as before where possible,
+// It is made anew as claimPace permits, at the same worker as before where possible,
 // because the room there has grown meanwhile. The zero value keeps nothing.
 type claims struct {
 	// size is the sum of what the claims need.
 	size model.Resources
 	// soonest is the expected time until the first of them has room.
 	soonest time.Duration
-	// holders are the steps with claims, one for each claim, and former those of
-	// the plan before.
-	holders, former []*step
+	// made are the claims, and former those that were replaced last.
+	made, former []claim
 	// total is the sum of the sizes of the runs that are expected to end by
 	// themselves. It is valid if listed is set.
 	total  model.Resources
@@ -63,12 +62,37 @@
 	kept []keptRoom
 }
 
-// reset drops all claims, remembers their holders and keeps the buffers.
+// claim is what a worker keeps for one task.
+type claim struct {
+	holder *step
+	need   model.Resources
+	// after is the expected time until the worker has room for the task.
+	after time.Duration
+	// kept is set if the claim is for kept room, which has a record of its own.
+	kept bool
+}
+
+// reset drops all claims, remembers them and keeps the buffers.
 func (cl *claims) reset() {
-	if len(cl.holders) == 0 && len(cl.former) == 0 && !cl.listed {
+	if len(cl.made) == 0 && len(cl.former) == 0 && !cl.listed {
 		return
 	}
-	*cl = claims{releases: cl.releases[:0], former: cl.holders, holders: cl.former[:0]}
+	*cl = claims{releases: cl.releases[:0], former: cl.made, made: cl.former[:0]}
+}
+
+// carry keeps the claims of the plan before, but for those of steps without waiting tasks
+// and those for kept room, which are added anew.
+func (cl *claims) carry() {
+	if len(cl.made) == 0 && !cl.listed {
+		return
+	}
+	made := cl.made
+	*cl = claims{releases: cl.releases[:0], former: cl.former, made: made[:0]}
+	for _, one := range made {
+		if !one.kept && one.holder.idleTasks > 0 {
+			cl.add(one.holder, one.need, one.after)
+		}
+	}
 }
 
 // add records a claim of a step that has room after a time.
@@ -77,20 +101,45 @@
 		cl.soonest = after
 	}
 	cl.size = cl.size.Add(need)
-	cl.holders = append(cl.holders, holder)
+	cl.made = append(cl.made, claim{holder: holder, need: need, after: after})
 }
 
-// drop drops the claims of a step in this plan. need is the size of each.
-func (cl *claims) drop(holder *step, need model.Resources) {
-	kept := cl.holders[:0]
-	for _, other := range cl.holders {
-		if other == holder {
-			cl.size = cl.size.Sub(need)
+// markKept marks the newest claim of a step, which is for kept room.
+func (cl *claims) markKept(holder *step) {
+	for i := range slices.Backward(cl.made) {
+		if one := &cl.made[i]; one.holder == holder && !one.kept {
+			one.kept = true
+			return
+		}
+	}
+}
+
+// drop drops the claims of a step.
+func (cl *claims) drop(holder *step) {
+	left := cl.made[:0]
+	for _, one := range cl.made {
+		if one.holder == holder {
+			cl.size = cl.size.Sub(one.need)
 			continue
 		}
-		kept = append(kept, other)
+		left = append(left, one)
+	}
+	cl.made = left
+}
+
+// delay sets the time until the claims of a step have room.
+func (cl *claims) delay(holder *step, after time.Duration) {
+	for i := range cl.made {
+		if cl.made[i].holder == holder {
+			cl.made[i].after = after
+		}
 	}
-	cl.holders = kept
+	cl.soonest = min(cl.soonest, after)
+}
+
+// held reports whether a step had a claim among those that were replaced last.
+func (cl *claims) held(holder *step) bool {
+	return slices.ContainsFunc(cl.former, func(one claim) bool { return one.holder == holder })
 }
 
 // hasRoom reports whether a task of rs fits on the worker beside its runs and the
@@ -184,10 +233,17 @@
 // short.
 func claimOpen(rs *readyStep, candidates []claimCandidate) int {
 	var best *claimCandidate
+	least := 0.0
+	need := rs.spec.reservation()
 	for i := range candidates {
 		can := &candidates[i]
-		if can.worker.claims.size.IsZero() && (best == nil || cmp.Or(trueFirst(can.held, best.held), cmp.Compare(can.shortage, best.shortage)) < 0) {
-			best = can
+		if !can.worker.claims.size.IsZero() || best != nil && best.held && !can.held {
+			continue
+		}
+		// What a task lacks there, as a fraction of the worker in the scarcest dimension.
+		shortage := need.Sub(can.worker.free()).DominantShare(can.worker.size)
+		if best == nil || cmp.Or(trueFirst(can.held, best.held), cmp.Compare(shortage, least)) < 0 {
+			best, least = can, shortage
 		}
 	}
 	if best == nil {
--- a/core/flow/gang.go
+++ b/core/flow/gang.go
@@ -119,7 +119,7 @@
 func (gc *gangClaim) drop(rs *readyStep) {
 	for _, pre := range gc.places {
 		pre.mark(false)
-		pre.worker.claims.drop(rs.state(), rs.spec.reservation())
+		pre.worker.claims.drop(rs.state())
 	}
 }
 
@@ -129,7 +129,7 @@
 func (pl *Planner) settle(now model.Instant, rs *readyStep, gc *gangClaim, id TaskID) {
 	preempts := slices.ContainsFunc(gc.places, func(pre preemption) bool { return len(pre.runs) > 0 })
 	for _, pre := range gc.places {
-		pre.worker.claims.soonest = min(pre.worker.claims.soonest, gc.latest)
+		pre.worker.claims.delay(rs.state(), gc.latest)
 		if gc.latest > stopDelay {
 			pre.mark(false)
 			continue
--- a/core/flow/kept.go
+++ b/core/flow/kept.go
@@ -33,6 +33,7 @@
 func (pl *Planner) keep(now model.Instant, rs *readyStep, wk *worker) {
 	pl.kept = append(pl.kept, keptRoom{worker: wk, holder: *rs, until: now.Add(keptRoomTimeout)})
 	wk.claims.kept = append(wk.claims.kept, pl.kept[len(pl.kept)-1])
+	wk.claims.markKept(rs.state())
 }
 
 // renewKept drops room that is no longer kept and claims the rest for the current
@@ -53,6 +54,7 @@
 	for _, kr := range pl.kept {
 		cl := &kr.worker.claims
 		cl.add(kr.holder.state(), kr.holder.spec.reservation(), stopDelay)
+		cl.markKept(kr.holder.state())
 		cl.kept = append(cl.kept, kr)
 	}
 	pl.claimsLeft = max(0, pl.claimsLeft-len(pl.kept))
@@ -98,7 +100,7 @@
 	if pl.keptFor(rs) == 0 {
 		return
 	}
-	wk.claims.drop(rs.state(), rs.spec.reservation())
+	wk.claims.drop(rs.state())
 	wk.claims.kept = slices.DeleteFunc(wk.claims.kept, func(kr keptRoom) bool { return kr.holder.state() == rs.state() })
 	pos := slices.IndexFunc(pl.kept, func(kr keptRoom) bool { return kr.worker == wk && kr.holder.state() == rs.state() })
 	if pos >= 0 {
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -5,6 +5,7 @@
 // plan places the tasks that can start now and adds their starts to pendingOps.
 func (pl *Planner) plan(now model.Instant) {
 	pl.bound.begin()
+	pl.claimPace.begin(now)
 	pl.claimsLeft = pl.maxClaims()
 	pl.openLeft = pl.claimsLeft / openDivisor
 	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
@@ -29,12 +30,17 @@
 	}
 }
 
-// indexRoom drops the claims of the plan before and indexes the workers that may
-// get tasks.
+// indexRoom drops the claims of the plan before, or carries them on, and indexes the workers
+// that may get tasks.
 func (pl *Planner) indexRoom() {
 	pl.room.reset()
+	clear(pl.suitable)
 	for _, wk := range pl.workers.sorted {
-		wk.claims.reset()
+		if pl.claimPace.open {
+			wk.claims.reset()
+		} else {
+			wk.claims.carry()
+		}
 		if pl.unavailable(wk) == notRejected {
 			pl.room.add(wk)
 		}
@@ -94,6 +100,8 @@
 func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
 	claimed := 0
 	switch {
+	case !pl.claimPace.open:
+		claimed = rs.carryClaims()
 	case rs.spec.Gang && (rs.restart || rs.overdue):
 		claimed = pl.claimForGang(now, rs, id)
 	case rs.restart:
@@ -101,6 +109,10 @@
 	case rs.overdue:
 		claimed = pl.claimForOverdue(now, rs, id)
 	}
+	if own := rs.state().turn; own != nil && pl.claimPace.open {
+		own.tried = true
+	}
+	rs.state().claims = claimed
 	if rs.spec.LongRunning {
 		pl.recordCapacity(now)
 	}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -157,6 +157,9 @@
 	sorter stepSorter
 	// turns are the turns of steps that have waited too long, by priority.
 	turns map[int]*overdueTurns
+	// suitable and unlabelled have the results of suitableWorkers in the current plan.
+	suitable   map[suitability][]*worker
+	unlabelled map[suitability]bool
 	// candidates is scratch space of claimCandidates.
 	candidates []claimCandidate
 	// misses are the tasks for which the current plan found no room.
@@ -167,6 +170,8 @@
 	// kept is room that is kept for restarts for which runs were stopped, in the
 	// order in which they were.
 	kept []keptRoom
+	// claimPace spaces the plans that make claims.
+	claimPace claimPace
 	// claimsLeft is how many more claims the current plan may make for restarts.
 	claimsLeft int
 	// check is how far the records are compared with the state.
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -78,6 +78,9 @@
 	// start of one, or first found the step ready with idle tasks; 0 while it is
 	// not. It is not replicated.
 	waitingSince model.Instant
+	// claims is the number of claims that the leader last made for the step. It is not
+	// replicated.
+	claims int
 	// turn is the overdue turn of the step, nil for none, and nextTurn is when it
 	// may get the next one. They are not replicated.
 	turn     *overdueTurn
--- a/core/flow/turn.go
+++ b/core/flow/turn.go
@@ -37,6 +37,8 @@
 	// claims is set if the step has made a claim in the current plan, and unknown
 	// if it is unknown when what it claims is free.
 	claims, unknown bool
+	// tried is set once a plan that makes claims has looked for one.
+	tried bool
 }
 
 // overdueTurns gives turns to the steps of a priority that have waited for
@@ -181,6 +183,15 @@
 	return true
 }
 
+// carryClaims keeps the overdue turn of a step in a plan that makes no claims, if the step has
+// a claim or no plan has looked for one yet. It returns the number of claims of the step.
+func (rs *readyStep) carryClaims() int {
+	if own := rs.state().turn; rs.overdue && own != nil {
+		own.claims = !own.tried || rs.state().claims > 0
+	}
+	return rs.state().claims
+}
+
 // lateTurnFree reports whether a step may get the late turn for capacity that is
 // expected to be free after a time. If that is known, it may take the turn of a
 // step for which it is unknown, which then ends.
