--- a/io/cell/load.go
+++ b/io/cell/load.go
@@ -22,13 +22,19 @@
 	// steps counts the inputs of the planner, and sum and longest are their durations.
 	steps        int
 	sum, longest time.Duration
+	// endedAt is the end of the last input.
+	endedAt model.Instant
 }
 
-// add adds one input of the planner.
-func (wo *leaderWork) add(dur time.Duration) {
+// add adds one input of the planner, which began at begin or, if that is before it, at the
+// end of the last one. It returns how long the input took.
+func (wo *leaderWork) add(begin, end model.Instant) time.Duration {
+	dur := end.Sub(max(begin, wo.endedAt))
 	wo.steps++
 	wo.sum += dur
 	wo.longest = max(wo.longest, dur)
+	wo.endedAt = end
+	return dur
 }
 
 // observe returns an event about the work since the last one, at most once in each
@@ -41,7 +47,7 @@
 		event.NewField("steps", strconv.Itoa(wo.steps)), event.NewField("stepMs", milliseconds(wo.sum)), event.NewField("maxStepMs", milliseconds(wo.longest)),
 		event.NewField("queued", strconv.Itoa(tur.Queued())), event.NewField("queueAgeMs", milliseconds(tur.Age())),
 		event.NewField("jobs", strconv.Itoa(sta.Jobs().Len())), event.NewField("queues", strconv.Itoa(len(sta.Document().Queues()))))
-	*wo = leaderWork{recordedAt: tur.Now()}
+	*wo = leaderWork{recordedAt: tur.Now(), endedAt: wo.endedAt}
 	return evt, true
 }
 
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -247,9 +247,7 @@
 // the group's actor.
 func (mem *member) step(now model.Instant, in flow.Input) {
 	effs := mem.planner.Step(now, in)
-	dur := mem.vm.clock().Sub(now)
-	planTime.Add(dur)
-	mem.work.add(dur)
+	planTime.Add(mem.work.add(now, mem.vm.clock()))
 	for _, eff := range effs {
 		switch val := eff.(type) {
 		case flow.Propose:
