--- a/core/flow/capacity.go
+++ b/core/flow/capacity.go
@@ -29,6 +29,24 @@
 	emptiest    Incarnation
 	unused      model.Resources
 	oldestStart model.Instant
+	// restartsWaiting, longRunningWaiting and ordinaryWaiting sum up what the waiting
+	// tasks need: the restarts and first starts of long-running tasks, and all others
+	// but fillers.
+	restartsWaiting, longRunningWaiting, ordinaryWaiting model.Resources
+}
+
+// addWaiting adds the waiting tasks of a ready step.
+func (cu *capacityUse) addWaiting(rs *readyStep) {
+	sum := &cu.ordinaryWaiting
+	switch {
+	case rs.spec.Filler:
+		return
+	case rs.restart:
+		sum = &cu.restartsWaiting
+	case rs.spec.LongRunning:
+		sum = &cu.longRunningWaiting
+	}
+	*sum = sum.Add(sumOf(rs.spec.reservation(), rs.waitingTasks()))
 }
 
 // add adds the runs of a worker.
@@ -74,13 +92,19 @@
 	if pl.capacityRecordedAt > 0 && now.Sub(pl.capacityRecordedAt) < capacityEventInterval {
 		return
 	}
-	pl.capacityRecordedAt = now
 	var use capacityUse
 	for _, wk := range pl.workers.sorted {
 		if wk.reported && !wk.draining && !pl.outage[wk.centre] && !pl.stale(wk) {
 			use.add(wk)
 		}
 	}
+	if use.workers == 0 {
+		return
+	}
+	pl.capacityRecordedAt = now
+	for i := range pl.sorter.collected {
+		use.addWaiting(&pl.sorter.collected[i])
+	}
 	pairs := []string{"workers", strconv.Itoa(use.workers)}
 	for _, part := range []struct {
 		name string
@@ -93,6 +117,9 @@
 		{"ordinary", use.ordinary},
 		{"ending", use.ending},
 		{"unreported", use.unreported},
+		{"restartsWaiting", use.restartsWaiting},
+		{"longRunningWaiting", use.longRunningWaiting},
+		{"ordinaryWaiting", use.ordinaryWaiting},
 	} {
 		pairs = append(pairs, part.name+"MilliCpu", strconv.FormatInt(part.sum.MilliCPU(), 10), part.name+"MemoryMb", strconv.FormatInt(part.sum.MemoryMB(), 10))
 	}
--- a/core/flow/capacity_test.go
+++ b/core/flow/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"guavarail/core/model"
 )
@@ -75,3 +76,40 @@
 		t.Errorf("worker %q has %v, want all 4000 milli processors unused and a start on its way", found[0].Worker, fields)
 	}
 }
+
+// Guards against events that do not tell which kind of task takes the room that comes free,
+// and how much work of which kind waits.
+func TestEventsTellWhoGetsTheRoom(t *testing.T) {
+	har := newHarness(t)
+	har.submit("serves", StepSpec{Tasks: 1, Size: model.NewResources(2500, 100, 0), LongRunning: true})
+	har.submit("ends", StepSpec{Tasks: 2, Size: model.NewResources(1500, 200, 0), Estimate: time.Second})
+	var runs []RunReport
+	for _, ord := range har.heartbeat("w1", nil).Starts {
+		runs = append(runs, RunReport{Task: ord.Task, Attempt: ord.Attempt})
+	}
+	har.now = har.now.Add(2 * capacityEventInterval)
+	har.heartbeat("w1", runs)
+	har.submit("late", StepSpec{Tasks: 3, Size: model.NewResources(2000, 300, 0), LongRunning: true})
+	kinds := map[string]string{}
+	waiting := map[string]string{}
+	for _, rec := range har.events {
+		for _, fi := range rec.Fields {
+			switch {
+			case rec.Kind == "tasksStarted" && fi.Key == "kind":
+				kinds[string(rec.Job)] = fi.Value
+			case rec.Kind == "capacityUsed":
+				waiting[fi.Key] = fi.Value
+			}
+		}
+	}
+	if kinds["serves"] != "longRunning" || kinds["ends"] != "ordinary" {
+		t.Errorf("tasks started by kind: %v, want serves longRunning and ends ordinary", kinds)
+	}
+	for key, want := range map[string]string{
+		"ordinaryWaitingMilliCpu": "1500", "longRunningWaitingMilliCpu": "6000", "longRunningWaitingMemoryMb": "900", "restartsWaitingMilliCpu": "0",
+	} {
+		if waiting[key] != want {
+			t.Errorf("%s is %q, want %s", key, waiting[key], want)
+		}
+	}
+}
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -144,18 +144,31 @@
 }
 
 // recordStarts records an event with the number of tasks of a step that were
-// placed, the time since the occurrence was due, the slack of the step, and
-// whether its job was starved.
+// placed, their kind, the time since the occurrence was due, the slack of the step,
+// and whether its job was starved.
 func (pl *Planner) recordStarts(now model.Instant, rs readyStep, started int) {
 	if started == 0 {
 		return
 	}
 	pl.recordEvent("tasksStarted", rs.job.ID(), "", "", "occurrence", strconv.Itoa(rs.occurrenceIndex), "step", strconv.Itoa(rs.step),
-		"tasks", strconv.Itoa(started), "waiting", strconv.Itoa(rs.occ.steps[rs.step].idleTasks-started),
+		"kind", rs.kind(), "tasks", strconv.Itoa(started), "waiting", strconv.Itoa(rs.occ.steps[rs.step].idleTasks-started),
 		"ageMs", strconv.FormatInt(pl.wall(now)-rs.job.due(rs.occurrenceIndex), 10),
 		"slackMs", strconv.FormatInt(rs.slack.Milliseconds(), 10), "starved", strconv.FormatBool(rs.starved))
 }
 
+// kind returns the kind of the tasks of rs in events.
+func (rs *readyStep) kind() string {
+	switch {
+	case rs.restart:
+		return "restart"
+	case rs.spec.LongRunning:
+		return "longRunning"
+	case rs.spec.Filler:
+		return "filler"
+	}
+	return "ordinary"
+}
+
 // recordWait records an event for a task for which no worker is eligible, with
 // the number of workers by reason of rejection, at most once per job and
 // waitEventInterval, and within the explainBudget. For workers without room it has what
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -114,7 +114,7 @@
 		own.tried = true
 	}
 	rs.state().claims = claimed
-	if rs.spec.LongRunning {
+	if !rs.spec.Filler {
 		pl.recordCapacity(now)
 	}
 	pl.recordWait(now, *rs, id, claimed)
