Reproduce SHORT: ordinary jobs beside new long-running ones

Callers saw ordinary jobs, the large ones first, end late or not at all while the service kept starting long-running tasks of the same priority.

--- a/core/flow/rush_test.go
+++ b/core/flow/rush_test.go
@@ -14,21 +14,27 @@
 // heartbeat in up to a second. It tells which jobs of short tasks end in their objective.
 type rush struct {
 	sim *simulation
-	// rate is the number of jobs of short tasks a second, and fillerRate the same for
-	// jobs of fillers.
-	rate, fillerRate float64
-	open             []*rushJob
-	durations        map[model.JobID]time.Duration
-	submitted        int
+	// rate is the number of jobs of short tasks a second, and fillerRate and
+	// longRunningRate the same for jobs of fillers and of long-running tasks.
+	rate, fillerRate, longRunningRate float64
+	open                              []*rushJob
+	durations                         map[model.JobID]time.Duration
+	submitted                         int
 	// ended and onTime count the jobs of short tasks that were due to end, and those of
 	// them that ended in their objective.
 	ended, onTime int
+	// over are the jobs that ended counts.
+	over []*rushJob
 }
 
-// rushJob is an open job of short tasks.
+// rushJob is a job of short tasks.
 type rushJob struct {
 	id  model.JobID
 	due model.Instant
+	// work is the work of all its tasks, in processor seconds.
+	work float64
+	// onTime is set if it has ended in its objective.
+	onTime bool
 }
 
 // newRush returns a load on a number of workers of which long-running tasks hold a share.
@@ -51,19 +57,25 @@
 	}
 	held := int64(0)
 	for num := 0; float64(held) < longRunningShare*float64(capacity); num++ {
-		step := StepSpec{
-			Tasks: 24, Size: model.NewResources(int64(ru.vary(6400, 0.25, 10_000)), int64(ru.vary(13_000, 0.3, 26_000)), 0), LongRunning: true,
-			Image: fmt.Sprint("serves", num%16), TailTarget: 100 * time.Millisecond,
-		}
-		if num%2 == 0 {
-			step.PerWorker = 1 + num%3
-		}
-		held += 24 * step.Size.MilliCPU()
+		step := ru.longRunningStep(num)
+		held += int64(step.Tasks) * step.Size.MilliCPU()
 		sim.submit(fmt.Sprint("long", num), step)
 	}
 	return ru
 }
 
+// longRunningStep returns the step of the long-running job with a number.
+func (ru *rush) longRunningStep(num int) StepSpec {
+	step := StepSpec{
+		Tasks: 24, Size: model.NewResources(int64(ru.vary(6400, 0.25, 10_000)), int64(ru.vary(13_000, 0.3, 26_000)), 0), LongRunning: true,
+		Image: fmt.Sprint("serves", num%16), TailTarget: 100 * time.Millisecond,
+	}
+	if num%2 == 0 {
+		step.PerWorker = 1 + num%3
+	}
+	return step
+}
+
 // vary returns a number around a mean, log-normal with a spread, and at most a maximum.
 func (ru *rush) vary(mean, spread, most float64) float64 {
 	return min(most, mean*math.Exp(spread*ru.sim.rng.NormFloat64()-spread*spread/2))
@@ -77,8 +89,15 @@
 // play plays the load for a time, after a time in which the long-running tasks start.
 func (ru *rush) play(settle, dur time.Duration) {
 	sim := ru.sim
-	sim.at(model.Instant(settle), ru.submitShort)
-	sim.at(model.Instant(settle), ru.submitFillers)
+	feeds := []struct {
+		rate   float64
+		submit func()
+	}{{ru.rate, ru.submitShort}, {ru.fillerRate, ru.submitFillers}, {ru.longRunningRate, ru.submitLongRunning}}
+	for _, feed := range feeds {
+		if feed.rate > 0 {
+			sim.at(model.Instant(settle), feed.submit)
+		}
+	}
 	sim.at(model.Instant(settle), ru.look)
 	sim.run(model.Instant(settle + dur))
 }
@@ -113,6 +132,13 @@
 	ru.sim.at(ru.wait(ru.fillerRate), ru.submitFillers)
 }
 
+// submitLongRunning submits a job of long-running tasks, and the next later.
+func (ru *rush) submitLongRunning() {
+	ru.submitted++
+	ru.sim.submit(fmt.Sprint("late", ru.submitted), ru.longRunningStep(ru.submitted))
+	ru.sim.at(ru.wait(ru.longRunningRate), ru.submitLongRunning)
+}
+
 // submit submits a job whose steps follow each other, with estimates that are wrong by
 // up to half.
 func (ru *rush) submit(kind string, priority int, duration time.Duration, steps []StepSpec) {
@@ -128,7 +154,11 @@
 	ru.sim.commit([]Op{ru.sim.newJob(id, priority, steps)})
 	if kind == "short" {
 		objective := time.Duration(len(steps))*duration*3/2 + 1200*time.Millisecond
-		ru.open = append(ru.open, &rushJob{id: id, due: ru.sim.now.Add(objective)})
+		work := 0.0
+		for _, step := range steps {
+			work += float64(step.Tasks) * float64(step.Size.MilliCPU()) / 1000 * duration.Seconds()
+		}
+		ru.open = append(ru.open, &rushJob{id: id, due: ru.sim.now.Add(objective), work: work})
 	}
 }
 
@@ -139,10 +169,13 @@
 	for _, jb := range ru.open {
 		switch {
 		case st.jobs[jb.id].status == Completed:
+			jb.onTime = true
 			ru.ended++
 			ru.onTime++
+			ru.over = append(ru.over, jb)
 		case ru.sim.now > jb.due:
 			ru.ended++
+			ru.over = append(ru.over, jb)
 		default:
 			open = append(open, jb)
 		}
