Leave ordinary work its room when long-running tasks start

Cause: new long-running tasks go before ordinary ones of their priority, and nothing bounded what they hold, which they hold for a minute and more.

Change: each of the two kinds of work of one priority may have an equal share of the workers. Above it, a long-running task starts for the first time only in room that ordinary work has not asked for in the last 10 s, and where places are scarce only where it takes none (docs/decisions/shares.md). Restarts are not bound. The room for endangered tasks is kept as before.

--- a/core/flow/chooser.go
+++ b/core/flow/chooser.go
@@ -17,8 +17,8 @@
 	// weighed is set once all workers were weighed, and chosen is the last result of next.
 	weighed bool
 	chosen  *worker
-	// spares is set if the tasks may only start where they take the place of no endangered one.
-	spares bool
+	// spares tells for what the tasks may only start where they take no place.
+	spares spared
 	// otherConditions is set if other conditions than room keep the step from a worker.
 	otherConditions bool
 }
@@ -86,7 +86,7 @@
 		cho.otherConditions = cho.otherConditions || why == perWorkerLimit
 		return
 	}
-	if cho.spares && cho.pl.roomOf(cho.rs.job.spec.Service).takesPlace(wk, cho.need) {
+	if cho.spares != (spared{}) && cho.pl.roomOf(cho.rs.job.spec.Service).takesPlace(cho.spares, cho.rs.job.spec.Priority, wk, cho.need) {
 		cho.otherConditions = true
 		return
 	}
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -217,15 +217,17 @@
 }
 
 // recordHeldBack records an event for a new long-running task that would take the
-// room which endangered ones need, at most once per job and waitEventInterval.
+// room which endangered ones need or ordinary ones ask for, at most once per job and waitEventInterval.
 func (pl *Planner) recordHeldBack(now model.Instant, rs *readyStep, id TaskID) {
 	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval {
 		return
 	}
 	rs.job.waitRecordedAt = now
 	ro := pl.roomOf(rs.job.spec.Service)
+	ordinary := ro.spoken[rs.job.spec.Priority].size.Sub(ro.endangered.size)
 	pl.recordEvent("startHeldBack", id.job, id.String(), "", "waiting", strconv.Itoa(rs.waitingTasks()),
 		"milliCpu", strconv.FormatInt(rs.spec.Size.MilliCPU(), 10), "memoryMb", strconv.FormatInt(rs.spec.Size.MemoryMB(), 10),
 		"roomMilliCpu", strconv.FormatInt(ro.room.MilliCPU(), 10), "roomMemoryMb", strconv.FormatInt(ro.room.MemoryMB(), 10),
-		"endangeredMilliCpu", strconv.FormatInt(ro.endangered.MilliCPU(), 10), "endangeredMemoryMb", strconv.FormatInt(ro.endangered.MemoryMB(), 10))
+		"endangeredMilliCpu", strconv.FormatInt(ro.endangered.size.MilliCPU(), 10), "endangeredMemoryMb", strconv.FormatInt(ro.endangered.size.MemoryMB(), 10),
+		"ordinaryMilliCpu", strconv.FormatInt(ordinary.MilliCPU(), 10), "ordinaryMemoryMb", strconv.FormatInt(ordinary.MemoryMB(), 10))
 }
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -78,6 +78,7 @@
 			out = pl.appendReadySteps(now, out, jb, occ, k, wall)
 		}
 	}
+	pl.observeDemand(now)
 	pl.chooseTurns(now, out)
 	pl.sorter.collected = out
 	return pl.sorter.sort()
@@ -95,7 +96,11 @@
 	starved := jb.idleSince > 0 && now.Sub(jb.idleSince) > starvationTime
 	for s := range occ.steps {
 		spec := &jb.spec.Steps[s]
-		if !occ.steps[s].trackWait(now, occ.ready(spec)) {
+		ready := occ.ready(spec)
+		if ready {
+			pl.addDemand(jb, spec, occ.steps[s].openTasks)
+		}
+		if !occ.steps[s].trackWait(now, ready) {
 			continue
 		}
 		age := time.Duration(wall-jb.due(k)) * time.Millisecond
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -11,6 +11,7 @@
 	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
 	pl.indexRoom()
 	pl.renewKept(now)
+	pl.rooms = map[model.ServiceID]*longRunningRoom{}
 	steps := pl.readySteps(now)
 	pl.measureRoom(steps)
 	for i := range steps {
@@ -69,13 +70,13 @@
 			pl.recordHeldBack(now, &rs, id)
 			return true
 		}
-		if pl.sparesPlaces(&rs) && !cho.spares {
+		if spares := pl.sparesPlaces(&rs); spares != cho.spares {
 			cho = pl.newChooser(now, rs, nil)
-			cho.spares = true
+			cho.spares = spares
 		}
 		wk := cho.next(id)
 		switch {
-		case wk == nil && cho.spares:
+		case wk == nil && cho.spares != spared{}:
 			pl.recordHeldBack(now, &rs, id)
 			return true
 		case wk == nil:
@@ -131,13 +132,15 @@
 		}
 		attempt = max(attempt, sp.tasks[i].attempt+1)
 	}
-	if !pl.leavesRoom(&rs, len(sp.tasks)) || pl.sparesPlaces(&rs) {
+	spares := pl.sparesPlaces(&rs)
+	if !pl.leavesRoom(&rs, len(sp.tasks)) || spares.endangered {
 		pl.recordHeldBack(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
 		return
 	}
 	cho := pl.newChooser(now, rs, nil)
+	cho.spares = spares
 	room := pl.roomOf(rs.job.spec.Service)
-	before := *room
+	before := room.clone()
 	placed := make([]*worker, 0, len(sp.tasks))
 	for i := range sp.tasks {
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
@@ -152,6 +155,7 @@
 		}
 		if i == 0 {
 			cho = pl.newChooser(now, rs, wk)
+			cho.spares = spares
 		}
 		placed = append(placed, wk)
 		pl.takeRoom(&rs, wk)
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -144,6 +144,8 @@
 	speedBuffer []float64
 	// useDiffs is scratch space of learnFromPeers.
 	useDiffs []imageUse
+	// ordinary is what ordinary tasks ask for, and have lately asked for.
+	ordinary map[demandKey]*ordinaryDemand
 	// rooms is the capacity for long-running tasks in the current plan.
 	rooms map[model.ServiceID]*longRunningRoom
 	// room finds the workers with room for a task in the current plan. Changes of
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -1,28 +1,39 @@
 package flow
 
 import (
-	"math"
+	"maps"
 	"slices"
 
 	"guavarail/core/model"
 )
 
+// equalShare is the fraction of the workers that each of two kinds of work of one priority
+// may have if the other wants all: long-running tasks and ordinary ones.
+const equalShare = 0.5
+
 // longRunningRoom is the capacity for long-running tasks in the current plan.
 type longRunningRoom struct {
-	// room is what the workers that may get tasks have besides long-running runs.
-	// Other runs end by themselves and don't count.
-	room model.Resources
+	// total is the sum of the sizes of the workers that may get tasks, and room what they
+	// have besides long-running runs. Other runs end by themselves and don't count.
+	total, room model.Resources
 	// endangered is what long-running tasks will need again: those that wait for
 	// a restart, and those on workers that are draining or silent. Tasks that no
 	// worker can hold don't count.
-	endangered model.Resources
-	// tasks counts the endangered tasks, and places how many tasks of their mean size fit
-	// on the workers: room that is spread over workers in smaller parts holds none.
-	tasks, places int
+	endangered placeCount
+	// spoken is, by the priority of new long-running tasks, what they leave room for: the
+	// endangered tasks, and what ordinary tasks of this priority and above have lately
+	// asked for, but no more of it than equalShare of the workers.
+	spoken map[int]placeCount
 	// holdable has the results of canHold.
 	holdable map[taskNeed]bool
 }
 
+// spared tells for which demands new long-running tasks may start only where they take no
+// place.
+type spared struct {
+	endangered, spoken bool
+}
+
 // taskNeed is what a task needs of a worker.
 type taskNeed struct {
 	size  model.Resources
@@ -56,7 +67,6 @@
 // measureRoom sums up the capacity for long-running tasks of each service, if any
 // of the ready steps has such tasks.
 func (pl *Planner) measureRoom(steps []readyStep) {
-	pl.rooms = map[model.ServiceID]*longRunningRoom{}
 	if !slices.ContainsFunc(steps, func(rs readyStep) bool { return rs.spec.LongRunning }) {
 		return
 	}
@@ -70,12 +80,13 @@
 			service, ro = wk.service, pl.roomOf(wk.service)
 		}
 		if pl.staying(wk) {
-			ro.room = ro.room.Add(wk.size.Sub(wk.longRunning))
+			ro.total = ro.total.Add(wk.size)
+			ro.room = ro.room.Add(wk.freeForLong())
 			continue
 		}
 		for _, pr := range wk.runs {
 			if pr.spec.LongRunning && pl.canHold(wk.service, pr.spec) {
-				ro.endanger(pr.size, 1)
+				ro.endangered.demand = ro.endangered.plus(pr.size, 1)
 			}
 		}
 	}
@@ -83,56 +94,70 @@
 		rs := &steps[i]
 		if rs.restart && pl.canHold(rs.job.spec.Service, rs.spec) {
 			ro := pl.roomOf(rs.job.spec.Service)
-			ro.endanger(rs.spec.reservation(), rs.waitingTasks())
+			ro.endangered.demand = ro.endangered.plus(rs.spec.reservation(), rs.waitingTasks())
 		}
 	}
+	for i := range steps {
+		pl.measureSpoken(&steps[i])
+	}
 	pl.countPlaces()
 }
 
-// endanger adds num tasks to the endangered ones.
-func (ro *longRunningRoom) endanger(size model.Resources, num int) {
-	ro.endangered = ro.endangered.Add(sumOf(size, num))
-	ro.tasks += num
+// measureSpoken sums up what the new long-running tasks of a step leave room for.
+func (pl *Planner) measureSpoken(rs *readyStep) {
+	if !rs.newLongRunning() {
+		return
+	}
+	ro := pl.roomOf(rs.job.spec.Service)
+	priority := rs.job.spec.Priority
+	if _, known := ro.spoken[priority]; known {
+		return
+	}
+	if ro.spoken == nil {
+		ro.spoken = map[int]placeCount{}
+	}
+	kept := pl.recentDemand(rs.job.spec.Service, priority).atMost(ro.total.Scale(equalShare))
+	ro.spoken[priority] = placeCount{demand: demand{size: ro.endangered.size.Add(kept.size), tasks: ro.endangered.tasks + kept.tasks}}
 }
 
-// countPlaces counts the places of each service with endangered tasks.
+// countPlaces counts the places of each service for what new long-running tasks leave room
+// for.
 func (pl *Planner) countPlaces() {
 	for _, wk := range pl.workers.sorted {
-		if ro, ok := pl.rooms[wk.service]; ok && ro.tasks > 0 && wk.reported && pl.staying(wk) && !pl.outage[wk.centre] {
-			ro.places += ro.placesOn(wk, model.Resources{})
+		ro, ok := pl.rooms[wk.service]
+		if !ok || !wk.reported || !pl.staying(wk) || pl.outage[wk.centre] {
+			continue
+		}
+		free := wk.freeForLong()
+		ro.endangered.places += ro.endangered.placesIn(free)
+		for priority, pc := range ro.spoken {
+			pc.places += pc.placesIn(free)
+			ro.spoken[priority] = pc
 		}
 	}
 }
 
-// placesOn returns how many endangered tasks of mean size fit on a worker beside its
-// long-running runs and a task of the given size. Other runs end by themselves.
-func (ro *longRunningRoom) placesOn(wk *worker, beside model.Resources) int {
-	if ro.tasks == 0 {
-		return 0
-	}
-	free := wk.size.Sub(wk.longRunning).Sub(beside)
-	num := math.MaxInt
-	for _, dim := range [...]struct{ free, sum int64 }{
-		{free.MilliCPU(), ro.endangered.MilliCPU()}, {free.MemoryMB(), ro.endangered.MemoryMB()}, {free.Accelerators(), ro.endangered.Accelerators()},
-	} {
-		if dim.sum > 0 {
-			num = min(num, int(max(0, dim.free)*int64(ro.tasks)/dim.sum))
-		}
-	}
-	if num == math.MaxInt {
-		return 0
-	}
-	return num
+// newLongRunning reports whether the tasks that rs is meant to place are first starts of
+// long-running ones.
+func (rs *readyStep) newLongRunning() bool { return rs.spec.LongRunning && !rs.restart }
+
+// underShare reports whether long-running tasks, the endangered ones included, have less
+// than their equalShare of the workers.
+func (ro *longRunningRoom) underShare() bool {
+	return ro.total.Sub(ro.room).Add(ro.endangered.size).DominantShare(ro.total) < equalShare
 }
 
-// tight reports whether the endangered tasks need all places. New long-running tasks may
-// then start only where they take none.
-func (ro *longRunningRoom) tight() bool { return ro.tasks > 0 && ro.places <= ro.tasks }
+// sparedBy returns for what new long-running tasks of a priority must spare places.
+func (ro *longRunningRoom) sparedBy(priority int) spared {
+	pc := ro.spoken[priority]
+	return spared{endangered: ro.endangered.tight(), spoken: pc.tight() && !ro.underShare()}
+}
 
-// takesPlace reports whether a task of a given size on a worker takes the place of an
-// endangered one.
-func (ro *longRunningRoom) takesPlace(wk *worker, size model.Resources) bool {
-	return ro.placesOn(wk, size) < ro.placesOn(wk, model.Resources{})
+// takesPlace reports whether a task of a given size and priority takes a place on a worker
+// that it must spare.
+func (ro *longRunningRoom) takesPlace(sp spared, priority int, wk *worker, size model.Resources) bool {
+	pc := ro.spoken[priority]
+	return sp.endangered && ro.endangered.loss(wk, size) > 0 || sp.spoken && pc.loss(wk, size) > 0
 }
 
 func (pl *Planner) roomOf(service model.ServiceID) *longRunningRoom {
@@ -144,21 +169,39 @@
 	return ro
 }
 
+// clone returns a copy that shares nothing that changes with ro.
+func (ro *longRunningRoom) clone() longRunningRoom {
+	cop := *ro
+	cop.spoken = maps.Clone(ro.spoken)
+	return cop
+}
+
 // leavesRoom reports whether the first starts of num tasks of a long-running step
-// leave room for the endangered ones, as far as it is known before workers are chosen.
+// leave room for what is spoken for, as far as it is known before workers are chosen.
 // Other starts don't take it for long.
 func (pl *Planner) leavesRoom(rs *readyStep, num int) bool {
-	if !rs.spec.LongRunning || rs.restart {
+	if !rs.newLongRunning() {
 		return true
 	}
 	ro := pl.roomOf(rs.job.spec.Service)
-	return ro.endangered.IsZero() || sumOf(rs.spec.reservation(), num).Add(ro.endangered).FitsIn(ro.room)
+	need := sumOf(rs.spec.reservation(), num)
+	for _, kept := range [...]struct {
+		size  model.Resources
+		binds bool
+	}{{ro.endangered.size, true}, {ro.spoken[rs.job.spec.Priority].size, !ro.underShare()}} {
+		if kept.binds && !kept.size.IsZero() && !need.Add(kept.size).FitsIn(ro.room) {
+			return false
+		}
+	}
+	return true
 }
 
-// sparesPlaces reports whether a step may start tasks only where they take the place of no
-// endangered one.
-func (pl *Planner) sparesPlaces(rs *readyStep) bool {
-	return rs.spec.LongRunning && !rs.restart && pl.roomOf(rs.job.spec.Service).tight()
+// sparesPlaces returns for what the tasks of a step may start only where they take no place.
+func (pl *Planner) sparesPlaces(rs *readyStep) spared {
+	if !rs.newLongRunning() {
+		return spared{}
+	}
+	return pl.roomOf(rs.job.spec.Service).sparedBy(rs.job.spec.Priority)
 }
 
 // takeRoom records the planned start of a task on a worker, before it is reserved there.
@@ -168,19 +211,15 @@
 	}
 	ro := pl.roomOf(rs.job.spec.Service)
 	need := rs.spec.reservation()
-	ro.places += ro.placesOn(wk, need) - ro.placesOn(wk, model.Resources{})
 	ro.room = ro.room.Sub(need)
-	if rs.restart {
-		ro.endangered = ro.endangered.Sub(need)
-		ro.tasks--
+	ro.endangered.place(wk, need, rs.restart)
+	for priority, pc := range ro.spoken {
+		pc.place(wk, need, rs.restart)
+		ro.spoken[priority] = pc
 	}
 }
 
 // sumOf returns num times size.
 func sumOf(size model.Resources, num int) model.Resources {
-	var sum model.Resources
-	for range num {
-		sum = sum.Add(size)
-	}
-	return sum
+	return model.NewResources(size.MilliCPU()*int64(num), size.MemoryMB()*int64(num), size.Accelerators()*int64(num))
 }
--- a/core/flow/rush_test.go
+++ b/core/flow/rush_test.go
@@ -17,9 +17,12 @@
 	// rate is the number of jobs of short tasks a second, and fillerRate and
 	// longRunningRate the same for jobs of fillers and of long-running tasks.
 	rate, fillerRate, longRunningRate float64
-	open                              []*rushJob
-	durations                         map[model.JobID]time.Duration
-	submitted                         int
+	// longRunningAfter is how long after the others the jobs of long-running tasks begin.
+	// Jobs that end before are not counted.
+	longRunningAfter time.Duration
+	open             []*rushJob
+	durations        map[model.JobID]time.Duration
+	submitted        int
 	// ended and onTime count the jobs of short tasks that were due to end, and those of
 	// them that ended in their objective.
 	ended, onTime int
@@ -91,14 +94,16 @@
 	sim := ru.sim
 	feeds := []struct {
 		rate   float64
+		after  time.Duration
 		submit func()
-	}{{ru.rate, ru.submitShort}, {ru.fillerRate, ru.submitFillers}, {ru.longRunningRate, ru.submitLongRunning}}
+	}{{ru.rate, settle, ru.submitShort}, {ru.fillerRate, settle, ru.submitFillers}, {ru.longRunningRate, settle + ru.longRunningAfter, ru.submitLongRunning}}
 	for _, feed := range feeds {
 		if feed.rate > 0 {
-			sim.at(model.Instant(settle), feed.submit)
+			sim.at(model.Instant(feed.after), feed.submit)
 		}
 	}
 	sim.at(model.Instant(settle), ru.look)
+	sim.at(model.Instant(settle+ru.longRunningAfter), func() { ru.ended, ru.onTime, ru.over = 0, 0, nil })
 	sim.run(model.Instant(settle + dur))
 }
 
--- a/core/model/resources.go
+++ b/core/model/resources.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// Min returns the smaller of re and other in each dimension.
+func (re Resources) Min(other Resources) Resources {
+	return Resources{
+		min(re.milliCPU, other.milliCPU),
+		min(re.memoryMB, other.memoryMB),
+		min(re.accelerators, other.accelerators),
+	}
+}
+
+// Scale returns re times a factor, rounded towards zero.
+func (re Resources) Scale(factor float64) Resources {
+	return Resources{int64(float64(re.milliCPU) * factor), int64(float64(re.memoryMB) * factor), int64(float64(re.accelerators) * factor)}
+}
+
 // FitsIn reports whether re is at most free in every dimension.
 func (re Resources) FitsIn(free Resources) bool {
 	return re.milliCPU <= free.milliCPU && re.memoryMB <= free.memoryMB && re.accelerators <= free.accelerators
