Spare plans the search for workers that can hold a task

The demand of ordinary work is summed up in each plan, and looked up for each step whether some worker can hold its tasks, in a table that each plan builds anew. A task that fits on the smallest worker, and asks for no label, needs no look-up.

--- a/core/flow/demand.go
+++ b/core/flow/demand.go
@@ -98,8 +98,11 @@
 // ordinary reports whether the tasks end by themselves and are no fillers.
 func (sp *StepSpec) ordinary() bool { return !sp.LongRunning && !sp.Filler }
 
-// addDemand adds a ready step to the demand of ordinary tasks.
+// addDemand adds the open tasks of a ready step to the present demand of ordinary tasks.
 func (pl *Planner) addDemand(jb *job, spec *StepSpec, openTasks int) {
+	if openTasks == 0 {
+		return
+	}
 	key := demandKey{service: jb.spec.Service, priority: jb.spec.Priority}
 	od, ok := pl.ordinary[key]
 	if !ok {
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -11,7 +11,7 @@
 	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
 	pl.indexRoom()
 	pl.renewKept(now)
-	pl.rooms = map[model.ServiceID]*longRunningRoom{}
+	pl.measureWorkers()
 	steps := pl.readySteps(now)
 	pl.measureRoom(steps)
 	for i := range steps {
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -145,7 +145,7 @@
 	// useDiffs is scratch space of learnFromPeers.
 	useDiffs []imageUse
 	// ordinary is what ordinary tasks ask for, and have lately asked for. Every VM observes
-	// it, since it may lead next, and demandSeenAt is when one that does not lead last did.
+	// it, since it may lead next; demandSeenAt is when one that does not lead last did.
 	ordinary     map[demandKey]*ordinaryDemand
 	demandSeenAt model.Instant
 	// rooms is the capacity for long-running tasks in the current plan.
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -14,8 +14,9 @@
 // longRunningRoom is the capacity for long-running tasks in the current plan.
 type longRunningRoom struct {
 	// total is the sum of the sizes of the workers that may get tasks, and room what they
-	// have besides long-running runs. Other runs end by themselves and don't count.
-	total, room model.Resources
+	// have besides long-running runs. Other runs end by themselves and don't count. Every
+	// worker has the size smallest in each dimension, or more.
+	total, room, smallest model.Resources
 	// endangered is what long-running tasks will need again: those that wait for
 	// a restart, and those on workers that are draining or silent. Tasks that no
 	// worker can hold don't count.
@@ -50,6 +51,9 @@
 // for it.
 func (pl *Planner) canHold(service model.ServiceID, spec *StepSpec) bool {
 	ro := pl.roomOf(service)
+	if spec.RequiredLabel == "" && !ro.total.IsZero() && spec.reservation().FitsIn(ro.smallest) {
+		return true
+	}
 	tn := taskNeed{size: spec.reservation(), label: spec.RequiredLabel}
 	if ok, known := ro.holdable[tn]; known {
 		return ok
@@ -64,26 +68,38 @@
 	return ro.holdable[tn]
 }
 
-// measureRoom sums up the capacity for long-running tasks of each service, if any
-// of the ready steps has such tasks.
-func (pl *Planner) measureRoom(steps []readyStep) {
-	if !slices.ContainsFunc(steps, func(rs readyStep) bool { return rs.spec.LongRunning }) {
-		return
-	}
+// measureWorkers begins to measure the capacity of each service with that of its workers.
+func (pl *Planner) measureWorkers() {
+	pl.rooms = map[model.ServiceID]*longRunningRoom{}
 	var service model.ServiceID
 	ro := pl.roomOf(service)
 	for _, wk := range pl.workers.sorted {
-		if !wk.reported || pl.outage[wk.centre] {
+		if !wk.reported || pl.outage[wk.centre] || !pl.staying(wk) {
 			continue
 		}
 		if wk.service != service {
 			service, ro = wk.service, pl.roomOf(wk.service)
 		}
-		if pl.staying(wk) {
-			ro.total = ro.total.Add(wk.size)
-			ro.room = ro.room.Add(wk.freeForLong())
+		if ro.total.IsZero() {
+			ro.smallest = wk.size
+		}
+		ro.smallest = ro.smallest.Min(wk.size)
+		ro.total = ro.total.Add(wk.size)
+		ro.room = ro.room.Add(wk.freeForLong())
+	}
+}
+
+// measureRoom completes the capacity for long-running tasks of each service, if any
+// of the ready steps has such tasks.
+func (pl *Planner) measureRoom(steps []readyStep) {
+	if !slices.ContainsFunc(steps, func(rs readyStep) bool { return rs.spec.LongRunning }) {
+		return
+	}
+	for _, wk := range pl.workers.sorted {
+		if !wk.reported || pl.outage[wk.centre] || pl.staying(wk) {
 			continue
 		}
+		ro := pl.roomOf(wk.service)
 		for _, pr := range wk.runs {
 			if pr.spec.LongRunning && pl.canHold(wk.service, pr.spec) {
 				ro.endangered.demand = ro.endangered.plus(pr.size, 1)
