--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -224,7 +224,7 @@
 	}
 	rs.job.waitRecordedAt = now
 	ro := pl.roomOf(rs.job.spec.Service)
-	ordinary := ro.spoken[rs.job.spec.Priority].size.Sub(ro.endangered.size)
+	ordinary := ro.headroom[rs.job.spec.Priority].size.Sub(ro.endangered.size)
 	pl.recordEvent("startHeldBack", id.job, id.String(), "", "waiting", strconv.Itoa(rs.waitingTasks()),
 		"milliCpu", strconv.FormatInt(rs.spec.Size.MilliCPU(), 10), "memoryMb", strconv.FormatInt(rs.spec.Size.MemoryMB(), 10),
 		"roomMilliCpu", strconv.FormatInt(ro.room.MilliCPU(), 10), "roomMemoryMb", strconv.FormatInt(ro.room.MemoryMB(), 10),
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -21,10 +21,10 @@
 	// a restart, and those on workers that are draining or silent. Tasks that no
 	// worker can hold don't count.
 	endangered placeCount
-	// spoken is, by the priority of new long-running tasks, what they leave room for: the
+	// headroom is, by the priority of new long-running tasks, what they leave room for: the
 	// endangered tasks, and what ordinary tasks of this priority and above have lately
 	// asked for, but no more of it than equalShare of the workers.
-	spoken map[int]placeCount
+	headroom map[int]placeCount
 	// holdable has the results of canHold.
 	holdable map[taskNeed]bool
 }
@@ -32,7 +32,7 @@
 // spared tells for which demands new long-running tasks may start only where they take no
 // place.
 type spared struct {
-	endangered, spoken bool
+	endangered, headroom bool
 }
 
 // taskNeed is what a task needs of a worker.
@@ -114,26 +114,26 @@
 		}
 	}
 	for i := range steps {
-		pl.measureSpoken(&steps[i])
+		pl.measureHeadroom(&steps[i])
 	}
 	pl.countPlaces()
 }
 
-// measureSpoken sums up what the new long-running tasks of a step leave room for.
-func (pl *Planner) measureSpoken(rs *readyStep) {
+// measureHeadroom sums up what the new long-running tasks of a step leave room for.
+func (pl *Planner) measureHeadroom(rs *readyStep) {
 	if !rs.newLongRunning() {
 		return
 	}
 	ro := pl.roomOf(rs.job.spec.Service)
 	priority := rs.job.spec.Priority
-	if _, known := ro.spoken[priority]; known {
+	if _, known := ro.headroom[priority]; known {
 		return
 	}
-	if ro.spoken == nil {
-		ro.spoken = map[int]placeCount{}
+	if ro.headroom == nil {
+		ro.headroom = map[int]placeCount{}
 	}
 	kept := pl.recentDemand(rs.job.spec.Service, priority).atMost(ro.total.Scale(equalShare))
-	ro.spoken[priority] = placeCount{demand: demand{size: ro.endangered.size.Add(kept.size), tasks: ro.endangered.tasks + kept.tasks}}
+	ro.headroom[priority] = placeCount{demand: demand{size: ro.endangered.size.Add(kept.size), tasks: ro.endangered.tasks + kept.tasks}}
 }
 
 // countPlaces counts the places of each service for what new long-running tasks leave room
@@ -146,9 +146,9 @@
 		}
 		free := wk.freeForLong()
 		ro.endangered.places += ro.endangered.placesIn(free)
-		for priority, pc := range ro.spoken {
+		for priority, pc := range ro.headroom {
 			pc.places += pc.placesIn(free)
-			ro.spoken[priority] = pc
+			ro.headroom[priority] = pc
 		}
 	}
 }
@@ -165,15 +165,15 @@
 
 // sparedBy returns for what new long-running tasks of a priority must spare places.
 func (ro *longRunningRoom) sparedBy(priority int) spared {
-	pc := ro.spoken[priority]
-	return spared{endangered: ro.endangered.tight(), spoken: pc.tight() && !ro.underShare()}
+	pc := ro.headroom[priority]
+	return spared{endangered: ro.endangered.tight(), headroom: pc.tight() && !ro.underShare()}
 }
 
 // takesPlace reports whether a task of a given size and priority takes a place on a worker
 // that it must spare.
 func (ro *longRunningRoom) takesPlace(sp spared, priority int, wk *worker, size model.Resources) bool {
-	pc := ro.spoken[priority]
-	return sp.endangered && ro.endangered.loss(wk, size) > 0 || sp.spoken && pc.loss(wk, size) > 0
+	pc := ro.headroom[priority]
+	return sp.endangered && ro.endangered.loss(wk, size) > 0 || sp.headroom && pc.loss(wk, size) > 0
 }
 
 func (pl *Planner) roomOf(service model.ServiceID) *longRunningRoom {
@@ -188,12 +188,12 @@
 // clone returns a copy that shares nothing that changes with ro.
 func (ro *longRunningRoom) clone() longRunningRoom {
 	cop := *ro
-	cop.spoken = maps.Clone(ro.spoken)
+	cop.headroom = maps.Clone(ro.headroom)
 	return cop
 }
 
 // leavesRoom reports whether the first starts of num tasks of a long-running step
-// leave room for what is spoken for, as far as it is known before workers are chosen.
+// leave the headroom, as far as it is known before workers are chosen.
 // Other starts don't take it for long.
 func (pl *Planner) leavesRoom(rs *readyStep, num int) bool {
 	if !rs.newLongRunning() {
@@ -204,7 +204,7 @@
 	for _, kept := range [...]struct {
 		size  model.Resources
 		binds bool
-	}{{ro.endangered.size, true}, {ro.spoken[rs.job.spec.Priority].size, !ro.underShare()}} {
+	}{{ro.endangered.size, true}, {ro.headroom[rs.job.spec.Priority].size, !ro.underShare()}} {
 		if kept.binds && !kept.size.IsZero() && !need.Add(kept.size).FitsIn(ro.room) {
 			return false
 		}
@@ -229,9 +229,9 @@
 	need := rs.spec.reservation()
 	ro.room = ro.room.Sub(need)
 	ro.endangered.place(wk, need, rs.restart)
-	for priority, pc := range ro.spoken {
+	for priority, pc := range ro.headroom {
 		pc.place(wk, need, rs.restart)
-		ro.spoken[priority] = pc
+		ro.headroom[priority] = pc
 	}
 }
 
