Let a new long-running gang that must leave room claim none

Cause: since a new long-running gang that would take the places of ordinary work is treated as one without room. Once overdue, it claimed the room that it has to leave.

Change: it is recorded as held back, as single tasks are, and claims nothing. TestNewGangThatLeavesRoomClaimsNone before: the gang claims room.

--- a/core/flow/gang_test.go
+++ b/core/flow/gang_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -135,3 +136,32 @@
 		t.Errorf("the job is %v after %d failed runs, want failed after %d", status, runs, maxFailures)
 	}
 }
+
+// Guards against a new long-running gang that may not start, and keeps room from the ordinary
+// work for which it waits.
+func TestNewGangThatLeavesRoomClaimsNone(t *testing.T) {
+	const workers = 4
+	clu := newCluster(t, 1, workers)
+	clu.submitJob("holds", 0, 0, StepSpec{Tasks: workers, Size: model.NewResources(2100, 100, 0), LongRunning: true, PerWorker: 1})
+	clu.play(4*time.Second, func() {})
+	num := 0
+	feed := func() {
+		if num == 0 || clu.st.jobs[model.JobID(fmt.Sprint("asks", num))].status.Final() {
+			num++
+			clu.submitJob(model.JobID(fmt.Sprint("asks", num)), 0, time.Second, StepSpec{Tasks: workers, Size: model.NewResources(1500, 100, 0)})
+		}
+	}
+	clu.play(2*time.Second, feed)
+	clu.submitJob("gang", 0, 0, StepSpec{Tasks: 2, Size: model.NewResources(500, 100, 0), LongRunning: true, Gang: true})
+	gang := &clu.st.jobs["gang"].occurrence(0).steps[0]
+	held := false
+	clu.play(overdueAfter+3*time.Second, func() {
+		feed()
+		for _, wk := range clu.pl.workers.sorted {
+			held = held || slices.ContainsFunc(wk.claims.made, func(one claim) bool { return one.holder == gang })
+		}
+	})
+	if held || clu.started("gang") > 0 {
+		t.Errorf("the gang claims room: %v, and has %d tasks started, want neither", held, clu.started("gang"))
+	}
+}
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -150,6 +150,10 @@
 				pl.unreserve(reserved, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, j), attempt, &sp.tasks[j])
 			}
 			*room = before
+			if cho.spares != (spared{}) {
+				pl.recordHeldBack(now, &rs, id)
+				return
+			}
 			pl.waitForRoom(now, &rs, id)
 			return
 		}
