--- a/review/_drive2/crashloop.go
+++ b/review/_drive2/crashloop.go
@@ -41,9 +41,9 @@
 	wks := en.workers(1, 32000)
 	time.Sleep(2 * time.Second)
 	// Without the disruption the tasks of the three jobs last.
-	lasting := "ms=3600000 cpu=1000"
+	lasting := "ms=3600000 cpu=1000 lasts"
 	if en.trouble {
-		lasting = "ms=150 cpu=1000 poison"
+		lasting = "ms=150 cpu=1000 poison lasts"
 	}
 	for i := range 60 {
 		id := fmt.Sprintf("%016x", i+1)
@@ -64,7 +64,7 @@
 	worst := map[string]time.Duration{}
 	completed := map[string]bool{}
 	peak := 0.0
-	for time.Since(end) < finish+12*time.Second {
+	for time.Since(end) < finish+30*time.Second {
 		now := time.Now()
 		running := map[string]bool{}
 		used, total := int64(0), int64(0)
--- a/review/_drive2/main.go
+++ b/review/_drive2/main.go
@@ -80,12 +80,17 @@
 }
 
 // workers starts num workers in each zone.
-func (en *env) workers(num int, cpu int64) []*worker {
+func (en *env) workers(num int, cpu int64) []*worker { return en.workersOf(num, cpu, 0) }
+
+// workersOf starts num workers in each zone that have been up for the given time.
+func (en *env) workersOf(num int, cpu int64, age time.Duration) []*worker {
 	var out []*worker
 	for i := range num {
 		for z, zone := range en.cl.zones {
 			id := fmt.Sprintf("i-%d%02d", z, i)
 			wk := newWorker(en.rec, en.his, id, fmt.Sprintf("127.0.%d.%d:8080", z+1, i+1), zone, service, cpu, en.cl.controls())
+			wk.epoch = wk.epoch.Add(-age)
+			wk.born = wk.epoch.UnixMilli()
 			out = append(out, wk)
 			go wk.loop(en.ctx)
 		}
--- a/review/_drive2/worker.go
+++ b/review/_drive2/worker.go
@@ -29,6 +29,8 @@
 	lapsed bool
 	// quiet runs are so many that the record only counts them.
 	quiet bool
+	// lasts is set for a task that lasts: it is at work from its start on.
+	lasts bool
 	work  time.Duration
 }
 
@@ -59,8 +61,10 @@
 	highest   map[string]int
 	draining  bool
 	preferred string
-	wake      chan struct{}
-	client    *http.Client
+	// cancel ends loop.
+	cancel context.CancelFunc
+	wake   chan struct{}
+	client *http.Client
 	// cut is until when heartbeats get no response.
 	cut  time.Time
 	dead bool
@@ -86,6 +90,9 @@
 	running := [][]any{}
 	for _, ru := range wk.running {
 		pct := min(99, int(100*now.Sub(ru.start)/max(ru.work, time.Millisecond)))
+		if ru.lasts {
+			pct = 100
+		}
 		running = append(running, []any{ru.task, ru.attempt, "", pct, ru.cpu})
 	}
 	sort.Slice(running, func(i, j int) bool { return running[i][0].(string) < running[j][0].(string) })
@@ -119,6 +126,11 @@
 
 // loop sends heartbeats until ctx ends.
 func (wk *worker) loop(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wk.mu.Lock()
+	wk.cancel = cancel
+	wk.mu.Unlock()
 	go wk.expire(ctx)
 	next := 0
 	for ctx.Err() == nil {
@@ -260,6 +272,7 @@
 	wk.his.runs = append(wk.his.runs, ru)
 	wk.his.mu.Unlock()
 	ru.quiet = strings.Contains(spec, "poison")
+	ru.lasts = strings.Contains(spec, "lasts")
 	if !ru.quiet {
 		wk.rec.printf("worker %s begins task %s run %d", wk.id, task, attempt)
 	}
@@ -311,6 +324,13 @@
 	}
 }
 
+// token returns the highest fencing token that the worker has seen.
+func (wk *worker) token() uint64 {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	return wk.fence
+}
+
 // crash ends everything that runs; nothing is listed any more.
 func (wk *worker) crash() {
 	wk.mu.Lock()
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts in review/6 to review/9. Run it after the build of
+# Builds the stand-ins of the scripts in review/6 to review/10. Run it after the build of
 # deploy/system.toml.
 set -e
 cd "$(dirname "$0")/.."
