--- a/core/cell/document.go
+++ b/core/cell/document.go
@@ -39,6 +39,8 @@
 	// chain of steps, plus ObjectiveBase.
 	ObjectiveFactor float64
 	ObjectiveBase   time.Duration
+	// Public queues accept calls without a key.
+	Public bool
 }
 
 // NewQueue returns a queue. NewDocument validates it.
@@ -74,12 +76,20 @@
 	Text     []byte
 	Queues   []Queue
 	Services []Service
+	// Workspaces are the customers whose keys authenticate calls. Keyed is set if calls
+	// need a key, unless their queue is public.
+	Workspaces []Workspace
+	Keyed      bool
+	// Limits bound a single request of a caller.
+	Limits Limits
 }
 
 // Document is a complete configuration that NewDocument has validated. The zero
 // value, version 0, stands for no configuration.
 type Document struct {
 	spec DocumentSpec
+	// keys has the workspace of each key.
+	keys map[string]model.WorkspaceID
 }
 
 // DocumentError reports all faults of a document.
@@ -87,8 +97,8 @@
 	faults []model.Fault
 }
 
-// Faults returns the faults of the version, then those of the services and of
-// the queues, each in the order of the document.
+// Faults returns the faults of the version, then those of the services, of the queues
+// and of the workspaces, each in the order of the document.
 func (err *DocumentError) Faults() []model.Fault { return append([]model.Fault(nil), err.faults...) }
 
 // Error lists every fault.
@@ -133,10 +143,11 @@
 		rejectIf(qu.spec.MaxFailures < 0 || qu.spec.ObjectiveFactor < 0 || qu.spec.ObjectiveBase < 0, name, "amounts of 0 or more")
 		addresses[adr], names[qu.spec.Name] = true, true
 	}
+	checkWorkspaces(spec, rejectIf)
 	if len(fas) > 0 {
 		return Document{}, &DocumentError{faults: fas}
 	}
-	return Document{spec: spec}, nil
+	return Document{spec: spec, keys: keysOf(spec.Workspaces)}, nil
 }
 
 // Version returns the version of the document; 0 means no configuration.
--- a/core/cell/document_test.go
+++ b/core/cell/document_test.go
@@ -1,8 +1,12 @@
 package cell
 
 import (
+	"math"
 	"testing"
 	"time"
+
+	"guavarail/core/model"
+	"guavarail/core/share"
 )
 
 // testQueue returns a queue: a valid specification after change has modified
@@ -43,6 +47,12 @@
 		{"prefix that is not UTF-8", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{testQueue(func(sp *QueueSpec) { sp.Prefix = "/\xff" })}}},
 		{"name that is not UTF-8", DocumentSpec{Version: 1, Services: desk, Queues: []Queue{testQueue(func(sp *QueueSpec) { sp.Name = "\xff" })}}},
 		{"service that is not UTF-8", DocumentSpec{Version: 1, Services: []Service{NewService("\xff", true)}}},
+		{"key of two workspaces", DocumentSpec{Version: 1, Workspaces: []Workspace{testWorkspace("a", 1, "k1", "k2"), testWorkspace("b", 1, "k2")}}},
+		{"workspace twice", DocumentSpec{Version: 1, Workspaces: []Workspace{testWorkspace("a", 1, "k1"), testWorkspace("a", 1, "k2")}}},
+		{"workspace without a name", DocumentSpec{Version: 1, Workspaces: []Workspace{testWorkspace("", 1, "k1")}}},
+		{"empty key", DocumentSpec{Version: 1, Workspaces: []Workspace{testWorkspace("a", 1, "")}}},
+		{"negative weight", DocumentSpec{Version: 1, Workspaces: []Workspace{testWorkspace("a", -1, "k1")}}},
+		{"infinite weight", DocumentSpec{Version: 1, Workspaces: []Workspace{testWorkspace("a", math.Inf(1), "k1")}}},
 		{"service twice", DocumentSpec{Version: 1, Queues: []Queue{valid}, Services: append(desk, desk...)}},
 	}
 	for _, tt := range tests {
@@ -52,6 +62,45 @@
 	}
 }
 
+// testWorkspace returns a workspace without a quota.
+func testWorkspace(name model.WorkspaceID, weight float64, keys ...string) Workspace {
+	return NewWorkspace(WorkspaceSpec{Name: name, Keys: keys, Terms: share.NewTerms(weight, model.Resources{})})
+}
+
+// Guards against a call that is served with a key that the document does not have, and
+// against one that is refused although its queue is public.
+func TestCallsAreAuthenticated(t *testing.T) {
+	private, public := testQueue(func(*QueueSpec) {}), testQueue(func(sp *QueueSpec) { sp.Name, sp.Prefix, sp.Public = "p", "/p/", true })
+	doc, err := NewDocument(DocumentSpec{
+		Version: 1, Queues: []Queue{private, public}, Services: []Service{NewService("desk", true)},
+		Workspaces: []Workspace{testWorkspace("a", 1, "k1", "k2")}, Keyed: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name  string
+		doc   Document
+		queue Queue
+		key   string
+		want  model.WorkspaceID
+		ok    bool
+	}{
+		{"known key", doc, private, "k2", "a", true},
+		{"unknown key", doc, private, "k3", "", false},
+		{"no key", doc, private, "", "", false},
+		{"public queue, no key", doc, public, "", "", true},
+		{"public queue, known key", doc, public, "k1", "a", true},
+		{"public queue, unknown key", doc, public, "k3", "", false},
+		{"document without workspaces", testDocument(t, 1, private), private, "k3", "", true},
+	}
+	for _, tt := range tests {
+		if got, ok := tt.doc.Authenticate(tt.queue, tt.key); got != tt.want || ok != tt.ok {
+			t.Errorf("%s: workspace %q, %v; want %q, %v", tt.name, got, ok, tt.want, tt.ok)
+		}
+	}
+}
+
 // Guards against routing a call to a queue although another queue with a longer
 // prefix matches the path.
 func TestLongestPrefixWins(t *testing.T) {
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -92,7 +92,7 @@
 	switch {
 	case cmd.document.Version() > 0:
 		if cmd.document.Version() > st.document.Version() {
-			st.document = cmd.document
+			st.setDocument(cmd.document)
 		}
 	case cmd.centre != "":
 		if st.outCentres == nil {
@@ -120,11 +120,18 @@
 
 // Restore replaces the state with a snapshot.
 func (st *State) Restore(snap Snapshot) {
-	st.document, st.outCentres = snap.document, map[model.CentreID]bool{}
+	st.outCentres = map[model.CentreID]bool{}
 	for _, cen := range snap.outCentres {
 		st.outCentres[cen] = true
 	}
 	st.jobs.Restore(snap.jobs)
+	st.setDocument(snap.document)
+}
+
+// setDocument puts a configuration in effect.
+func (st *State) setDocument(doc Document) {
+	st.document = doc
+	st.jobs.SetTerms(doc.terms())
 }
 
 // Document returns the configuration in effect.
--- /dev/null
+++ b/core/cell/workspace.go
@@ -0,0 +1,112 @@
+package cell
+
+import (
+	"slices"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"guavarail/core/model"
+	"guavarail/core/share"
+)
+
+// Workspace is a customer whose callers submit jobs with its keys. The zero value is not
+// valid.
+type Workspace struct {
+	spec WorkspaceSpec
+}
+
+// WorkspaceSpec is the input of NewWorkspace.
+type WorkspaceSpec struct {
+	// Name is unique in a document.
+	Name model.WorkspaceID
+	// Keys authenticate calls as those of the workspace. No other workspace of the
+	// document has one of them.
+	Keys []string
+	// Terms are its quota and its weight.
+	Terms share.Terms
+}
+
+// NewWorkspace returns a workspace. NewDocument validates it.
+func NewWorkspace(spec WorkspaceSpec) Workspace { return Workspace{spec: spec} }
+
+// Name returns the name of the workspace.
+func (wo Workspace) Name() model.WorkspaceID { return wo.spec.Name }
+
+// Keys returns the keys in the order of the document.
+func (wo Workspace) Keys() []string { return slices.Clone(wo.spec.Keys) }
+
+// Terms returns the quota and the weight of the workspace.
+func (wo Workspace) Terms() share.Terms { return wo.spec.Terms }
+
+// Limits bound a single request of a caller. A limit that is 0 is not set.
+type Limits struct {
+	// MaxHeader and MaxBody are in bytes.
+	MaxHeader, MaxBody int64
+	// HeaderTimeout bounds the time in which a request header arrives, and IdleTimeout
+	// the time between two requests on a connection.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// checkWorkspaces adds the faults of the workspaces.
+func checkWorkspaces(spec DocumentSpec, rejectIf func(bad bool, field, allowed string)) {
+	names := map[model.WorkspaceID]bool{}
+	owners := map[string]model.WorkspaceID{}
+	for pos, wo := range spec.Workspaces {
+		field := "workspaces." + strconv.Itoa(pos)
+		name := wo.spec.Name
+		rejectIf(name == "" || !utf8.ValidString(string(name)), field+".name", "a name in UTF-8")
+		rejectIf(names[name], field+".name", "each name once")
+		rejectIf(!wo.spec.Terms.Valid(), field+".terms", "a weight and a quota of 0 or more")
+		for i, key := range wo.spec.Keys {
+			keyField := field + ".keys." + strconv.Itoa(i)
+			rejectIf(key == "" || !utf8.ValidString(key), keyField, "a key in UTF-8")
+			owner, taken := owners[key]
+			rejectIf(taken && owner != name, keyField, "each key in one workspace")
+			owners[key] = name
+		}
+		names[name] = true
+	}
+}
+
+// keysOf returns the workspace of each key.
+func keysOf(workspaces []Workspace) map[string]model.WorkspaceID {
+	out := map[string]model.WorkspaceID{}
+	for _, wo := range workspaces {
+		for _, key := range wo.spec.Keys {
+			out[key] = wo.spec.Name
+		}
+	}
+	return out
+}
+
+// Workspaces returns the workspaces in the order of the document.
+func (doc Document) Workspaces() []Workspace { return slices.Clone(doc.spec.Workspaces) }
+
+// Keyed reports whether calls need a key, unless their queue is public.
+func (doc Document) Keyed() bool { return doc.spec.Keyed }
+
+// Limits returns the limits of a single request.
+func (doc Document) Limits() Limits { return doc.spec.Limits }
+
+// Authenticate returns the workspace of a call on a queue, "" if it has none, and false
+// if the call must be rejected because its key is missing or unknown.
+func (doc Document) Authenticate(qu Queue, key string) (model.WorkspaceID, bool) {
+	switch {
+	case !doc.spec.Keyed:
+		return "", true
+	case key == "":
+		return "", qu.spec.Public
+	}
+	name, ok := doc.keys[key]
+	return name, ok
+}
+
+// terms returns the terms of all workspaces.
+func (doc Document) terms() map[model.WorkspaceID]share.Terms {
+	out := map[model.WorkspaceID]share.Terms{}
+	for _, wo := range doc.spec.Workspaces {
+		out[wo.spec.Name] = wo.spec.Terms
+	}
+	return out
+}
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -71,6 +71,8 @@
 	// whose workers run the tasks.
 	Queue   string
 	Service model.ServiceID
+	// Workspace is the customer who owns the job, "" for none.
+	Workspace model.WorkspaceID
 	// Body is the input of the tasks, in a format of their own. Every start
 	// order contains it unchanged.
 	Body  string
@@ -181,6 +183,7 @@
 	fas.rejectIf(len(spec.ID) > maxID || !utf8.ValidString(string(spec.ID)), "id", "UTF-8 of at most 256 bytes")
 	fas.rejectIf(!utf8.ValidString(spec.Queue), "queue", textAllowed)
 	fas.rejectIf(!utf8.ValidString(string(spec.Service)), "service", textAllowed)
+	fas.rejectIf(!utf8.ValidString(string(spec.Workspace)), "workspace", textAllowed)
 	fas.rejectIf(!utf8.ValidString(spec.Body), "body", textAllowed)
 	for pos, st := range spec.Steps {
 		name := "steps." + strconv.Itoa(pos)
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"guavarail/core/model"
+	"guavarail/core/share"
 )
 
 // Status is the state of a job as its submitter sees it. State stores a started
@@ -180,6 +181,8 @@
 	pending map[string]int
 	// hosts holds the incarnations of workers that have runs.
 	hosts map[Incarnation]*host
+	// terms are the quotas and weights of the workspaces in the configuration.
+	terms map[model.WorkspaceID]share.Terms
 	// undated is set if a mark of a host may have no leaseEnd. It is not replicated.
 	undated bool
 }
@@ -194,6 +197,10 @@
 	return jb.visibleStatus(), jb.spec.Queue, true
 }
 
+// SetTerms replaces the quotas and weights of the workspaces. Like operations, it is applied
+// in log order.
+func (st *State) SetTerms(terms map[model.WorkspaceID]share.Terms) { st.terms = terms }
+
 // Pending returns the number of jobs of a queue that have not started.
 func (st *State) Pending(queue string) int { return st.pending[queue] }
 
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -22,6 +22,9 @@
 // TeamID identifies a team, the unit of resource quotas.
 type TeamID string
 
+// WorkspaceID identifies a workspace: a customer of a cell who owns jobs.
+type WorkspaceID string
+
 // CommandID identifies a command of an operator or client. A command that is sent
 // again has the same CommandID.
 type CommandID string
--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -34,6 +34,10 @@
 	Host string
 	Path string
 	Body []byte
+	// Key authenticates the caller; empty for none.
+	Key string
+	// Centre is the data centre of the VM that took the call.
+	Centre model.CentreID
 }
 
 // Reply answers a Call.
@@ -71,7 +75,7 @@
 		if !vm.leased() {
 			return &wire.CellReply{Refused: true}, nil
 		}
-		rep, err := vm.handle(ctx, Call{Method: que.GetMethod(), Host: que.GetHost(), Path: que.GetPath(), Body: que.GetBody()})
+		rep, err := vm.handle(ctx, Call{Method: que.GetMethod(), Host: que.GetHost(), Path: que.GetPath(), Body: que.GetBody(), Key: que.GetKey(), Centre: model.CentreID(que.GetCentre())})
 		if isNotLeader(err) {
 			return &wire.CellReply{Refused: true}, nil
 		}
@@ -86,7 +90,7 @@
 // A *NotReachedError or an *InvalidCallError means that the call had no effect, a
 // *LostReplyError that the outcome is unknown.
 func (vm *VM) Route(ctx context.Context, cal Call) (Reply, error) {
-	if !utf8.ValidString(cal.Host) || !utf8.ValidString(cal.Path) {
+	if !utf8.ValidString(cal.Host) || !utf8.ValidString(cal.Path) || !utf8.ValidString(cal.Key) {
 		calls.Add(callInvalid)
 		return Reply{}, errors.Trace(&InvalidCallError{})
 	}
@@ -173,6 +177,7 @@
 	end, _ := ctx.Deadline()
 	rep, err := peer.Call[*wire.CellReply](ctx, vm.hub, leader, &wire.CellCall{
 		Method: cal.Method, Host: cal.Host, Path: cal.Path, Body: cal.Body, LeftMs: uint32(time.Until(end).Milliseconds()),
+		Key: cal.Key, Centre: string(cal.Centre),
 	})
 	if err != nil {
 		return Reply{}, errors.Trace(err)
--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -8,6 +8,7 @@
 	"guavarail/core/cell"
 	"guavarail/core/flow"
 	"guavarail/core/model"
+	"guavarail/core/share"
 )
 
 // CellDecodeError reports that a command or snapshot of a cell cannot be decoded.
@@ -117,7 +118,7 @@
 
 func cellJobToProto(spec flow.JobSpec) *CellJob {
 	msg := &CellJob{
-		Id: string(spec.ID), Queue: spec.Queue, Service: string(spec.Service), Body: spec.Body,
+		Id: string(spec.ID), Queue: spec.Queue, Service: string(spec.Service), Workspace: string(spec.Workspace), Body: spec.Body,
 		Priority: int64(spec.Priority), Attempts: int64(spec.MaxFailures), Factor: spec.ObjectiveFactor, TargetNs: int64(spec.ObjectiveBase),
 		AcceptedMs: spec.AcceptedMs, FirstMs: spec.FirstDueMs, EveryNs: int64(spec.Interval), Times: int32(spec.Repetitions),
 	}
@@ -130,7 +131,8 @@
 func cellJobFromProto(msg *CellJob) flow.JobSpec {
 	spec := flow.JobSpec{
 		ID: model.JobID(msg.GetId()), Queue: msg.GetQueue(), Service: model.ServiceID(msg.GetService()), Body: msg.GetBody(),
-		Priority: int(msg.GetPriority()), MaxFailures: int(msg.GetAttempts()), ObjectiveFactor: msg.GetFactor(),
+		Workspace: model.WorkspaceID(msg.GetWorkspace()),
+		Priority:  int(msg.GetPriority()), MaxFailures: int(msg.GetAttempts()), ObjectiveFactor: msg.GetFactor(),
 		ObjectiveBase: time.Duration(msg.GetTargetNs()), AcceptedMs: msg.GetAcceptedMs(), FirstDueMs: msg.GetFirstMs(),
 		Interval: time.Duration(msg.GetEveryNs()), Repetitions: int(msg.GetTimes()),
 	}
@@ -168,33 +170,72 @@
 }
 
 func cellDocumentToProto(doc cell.Document) *CellDocument {
-	msg := &CellDocument{Version: doc.Version(), Text: doc.Text()}
+	msg := &CellDocument{Version: doc.Version(), Text: doc.Text(), Keyed: doc.Keyed(), Limits: CellLimitsToProto(doc.Limits())}
 	for _, qu := range doc.Queues() {
 		spec := qu.Spec()
 		msg.Queues = append(msg.Queues, &CellQueue{
 			Name: spec.Name, Host: spec.Host, Prefix: spec.Prefix, Service: string(spec.Service),
 			TimeoutNs: int64(spec.Timeout), Priority: int64(spec.Priority), Attempts: int64(spec.MaxFailures),
-			Factor: spec.ObjectiveFactor, TargetNs: int64(spec.ObjectiveBase),
+			Factor: spec.ObjectiveFactor, TargetNs: int64(spec.ObjectiveBase), Public: spec.Public,
 		})
 	}
 	for _, ser := range doc.Services() {
 		msg.Services = append(msg.Services, &CellService{Name: string(ser.Name()), Guarded: ser.Guarded()})
 	}
+	for _, wo := range doc.Workspaces() {
+		msg.Workspaces = append(msg.Workspaces, cellWorkspaceToProto(wo))
+	}
 	return msg
 }
 
+func cellWorkspaceToProto(wo cell.Workspace) *CellWorkspace {
+	quota := wo.Terms().Quota()
+	return &CellWorkspace{
+		Name: string(wo.Name()), Keys: wo.Keys(), Weight: wo.Terms().Weight(),
+		MilliCpu: quota.MilliCPU(), MemoryMb: quota.MemoryMB(), Accelerators: quota.Accelerators(),
+	}
+}
+
+func cellWorkspaceFromProto(msg *CellWorkspace) cell.Workspace {
+	quota := model.NewResources(msg.GetMilliCpu(), msg.GetMemoryMb(), msg.GetAccelerators())
+	return cell.NewWorkspace(cell.WorkspaceSpec{
+		Name: model.WorkspaceID(msg.GetName()), Keys: msg.GetKeys(), Terms: share.NewTerms(msg.GetWeight(), quota),
+	})
+}
+
+// CellLimitsToProto encodes the limits of a request; nil if none is set.
+func CellLimitsToProto(lim cell.Limits) *CellLimits {
+	if lim == (cell.Limits{}) {
+		return nil
+	}
+	return &CellLimits{
+		MaxHeader: lim.MaxHeader, MaxBody: lim.MaxBody, HeaderTimeoutNs: int64(lim.HeaderTimeout), IdleTimeoutNs: int64(lim.IdleTimeout),
+	}
+}
+
+// CellLimitsFromProto decodes the limits of a request.
+func CellLimitsFromProto(msg *CellLimits) cell.Limits {
+	return cell.Limits{
+		MaxHeader: msg.GetMaxHeader(), MaxBody: msg.GetMaxBody(),
+		HeaderTimeout: time.Duration(msg.GetHeaderTimeoutNs()), IdleTimeout: time.Duration(msg.GetIdleTimeoutNs()),
+	}
+}
+
 func cellDocumentFromProto(msg *CellDocument) (cell.Document, error) {
-	spec := cell.DocumentSpec{Version: msg.GetVersion(), Text: msg.GetText()}
+	spec := cell.DocumentSpec{Version: msg.GetVersion(), Text: msg.GetText(), Keyed: msg.GetKeyed(), Limits: CellLimitsFromProto(msg.GetLimits())}
 	for _, qu := range msg.GetQueues() {
 		spec.Queues = append(spec.Queues, cell.NewQueue(cell.QueueSpec{
 			Name: qu.GetName(), Host: qu.GetHost(), Prefix: qu.GetPrefix(), Service: model.ServiceID(qu.GetService()),
 			Timeout: time.Duration(qu.GetTimeoutNs()), Priority: int(qu.GetPriority()), MaxFailures: int(qu.GetAttempts()),
-			ObjectiveFactor: qu.GetFactor(), ObjectiveBase: time.Duration(qu.GetTargetNs()),
+			ObjectiveFactor: qu.GetFactor(), ObjectiveBase: time.Duration(qu.GetTargetNs()), Public: qu.GetPublic(),
 		}))
 	}
 	for _, ser := range msg.GetServices() {
 		spec.Services = append(spec.Services, cell.NewService(model.ServiceID(ser.GetName()), ser.GetGuarded()))
 	}
+	for _, wo := range msg.GetWorkspaces() {
+		spec.Workspaces = append(spec.Workspaces, cellWorkspaceFromProto(wo))
+	}
 	return cell.NewDocument(spec)
 }
 
--- a/io/wire/cell_test.go
+++ b/io/wire/cell_test.go
@@ -11,13 +11,14 @@
 	"guavarail/core/cell"
 	"guavarail/core/flow"
 	"guavarail/core/model"
+	"guavarail/core/share"
 )
 
 // newCellJob returns a job in which each field is set in at least one step.
 func newCellJob(t *testing.T) flow.Job {
 	t.Helper()
 	jo, err := flow.NewJob(flow.JobSpec{
-		ID: "5c0e7a21d94b36f8", Queue: "quotes", Service: "orders", Body: "text", Priority: 2, MaxFailures: 3, ObjectiveFactor: 1.5,
+		ID: "5c0e7a21d94b36f8", Queue: "quotes", Service: "orders", Workspace: "co-op", Body: "text", Priority: 2, MaxFailures: 3, ObjectiveFactor: 1.5,
 		ObjectiveBase: time.Second, AcceptedMs: 17, FirstDueMs: 5, Interval: time.Second, Repetitions: 2,
 		Steps: []flow.StepSpec{
 			{
@@ -39,8 +40,12 @@
 	doc, err := cell.NewDocument(cell.DocumentSpec{
 		Version: 9, Text: []byte(`{"version":9}`), Services: []cell.Service{cell.NewService("orders", true)},
 		Queues: []cell.Queue{cell.NewQueue(cell.QueueSpec{
-			Name: "quotes", Host: "h.example", Prefix: "/q/", Service: "orders", Timeout: time.Second, Priority: 1, MaxFailures: 2, ObjectiveFactor: 2.5, ObjectiveBase: time.Minute,
+			Name: "quotes", Host: "h.example", Prefix: "/q/", Service: "orders", Timeout: time.Second, Priority: 1, MaxFailures: 2, ObjectiveFactor: 2.5, ObjectiveBase: time.Minute, Public: true,
 		})},
+		Workspaces: []cell.Workspace{cell.NewWorkspace(cell.WorkspaceSpec{
+			Name: "co-op", Keys: []string{"k1", "k2"}, Terms: share.NewTerms(2.5, model.NewResources(1000, 2000, 3)),
+		})},
+		Keyed: true, Limits: cell.Limits{MaxHeader: 1, MaxBody: 2, HeaderTimeout: time.Second, IdleTimeout: time.Minute},
 	})
 	if err != nil {
 		t.Fatal(err)
