Platform: keys and ownership of jobs by workspaces

Cause: nobody checks who submits, reads or cancels a job. The configuration document can hold workspaces with keys, but nothing fills them.

Change: the configuration is read with tenants, allowAnonymous and limits. The key of a caller is forwarded to the leader, which checks it in the read that finds the queue: no configuration 503, no queue 404, key 401, then the call. A job belongs to the workspace that submitted it; others get 410 for its state and its cancellation and 409 for its identifier. The owner is compared in log order for submissions and cancellations. Rejected keys have a counter (cellRejectedKeys) and a bounded event (keyRejected) without the key. A call of a caller without a host (Host: ":80") counted as one of an operator, and could replace the configuration; it is answered 404.

--- a/core/cell/document.go
+++ b/core/cell/document.go
@@ -97,8 +97,8 @@
 	faults []model.Fault
 }
 
-// Faults returns the faults of the version, then those of the services, of the queues
-// and of the workspaces, each in the order of the document.
+// Faults returns the faults of the version, then those of the services, of the queues,
+// of the workspaces and of the limits, each in the order of the document.
 func (err *DocumentError) Faults() []model.Fault { return append([]model.Fault(nil), err.faults...) }
 
 // Error lists every fault.
@@ -144,6 +144,7 @@
 		addresses[adr], names[qu.spec.Name] = true, true
 	}
 	checkWorkspaces(spec, rejectIf)
+	checkLimits(spec.Limits, rejectIf)
 	if len(fas) > 0 {
 		return Document{}, &DocumentError{faults: fas}
 	}
--- a/core/cell/workspace.go
+++ b/core/cell/workspace.go
@@ -1,11 +1,15 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 	"unicode/utf8"
 
+	"guavarail/core/flow"
 	"guavarail/core/model"
 	"guavarail/core/share"
 )
@@ -57,10 +61,12 @@
 		name := wo.spec.Name
 		rejectIf(name == "" || !utf8.ValidString(string(name)), field+".name", "a name in UTF-8")
 		rejectIf(names[name], field+".name", "each name once")
-		rejectIf(!wo.spec.Terms.Valid(), field+".terms", "a weight and a quota of 0 or more")
+		weight, quota := wo.spec.Terms.Weight(), wo.spec.Terms.Quota()
+		rejectIf(!(weight >= 0 && weight <= math.MaxFloat64), field+".weight", "a finite number of 0 or more")
+		rejectIf(!flow.ValidAmounts(quota), field+".quota", flow.AmountsAllowed)
 		for i, key := range wo.spec.Keys {
 			keyField := field + ".keys." + strconv.Itoa(i)
-			rejectIf(key == "" || !utf8.ValidString(key), keyField, "a key in UTF-8")
+			rejectIf(!validKey(key), keyField, "a key in UTF-8 without control characters")
 			owner, taken := owners[key]
 			rejectIf(taken && owner != name, keyField, "each key in one workspace")
 			owners[key] = name
@@ -69,6 +75,22 @@
 	}
 }
 
+// validKey reports whether a caller can send a key: a header has no control characters.
+func validKey(key string) bool {
+	return key != "" && utf8.ValidString(key) && !strings.ContainsFunc(key, unicode.IsControl)
+}
+
+// maxLimit bounds the limits of a request in bytes. No VM has as much memory.
+const maxLimit = 1 << 40
+
+// checkLimits adds the faults of the limits of a request.
+func checkLimits(lim Limits, rejectIf func(bad bool, field, allowed string)) {
+	rejectIf(lim.MaxHeader < 0 || lim.MaxHeader > maxLimit, "limits.maxHeader", "0 to 2^40 bytes")
+	rejectIf(lim.MaxBody < 0 || lim.MaxBody > maxLimit, "limits.maxBody", "0 to 2^40 bytes")
+	rejectIf(!flow.ValidSpan(lim.HeaderTimeout), "limits.headerTimeout", flow.SpanAllowed)
+	rejectIf(!flow.ValidSpan(lim.IdleTimeout), "limits.idleTimeout", flow.SpanAllowed)
+}
+
 // keysOf returns the workspace of each key.
 func keysOf(workspaces []Workspace) map[string]model.WorkspaceID {
 	out := map[string]model.WorkspaceID{}
--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -47,7 +47,7 @@
 
 func (pl *Planner) appliedSubmit(msg Applied) {
 	spec := &msg.Op.job.spec
-	pl.recordEvent("jobSubmitted", spec.ID, "", "", "verdict", msg.Verdict.String(), "queue", spec.Queue,
+	pl.recordEvent("jobSubmitted", spec.ID, "", "", "verdict", msg.Verdict.String(), "queue", spec.Queue, "workspace", string(spec.Workspace),
 		"priority", strconv.Itoa(spec.Priority), "steps", strconv.Itoa(len(spec.Steps)),
 		"objectiveMs", strconv.FormatInt(msg.Op.job.Objective().Milliseconds(), 10))
 	if msg.Verdict == Accepted {
--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -33,7 +33,7 @@
 	case OpSubmit:
 		return st.submit(op.job)
 	case OpCancel:
-		return st.cancel(op.id)
+		return st.cancel(op.id, op.caller)
 	case OpStart:
 		return st.start(op)
 	case OpEnd:
@@ -52,7 +52,10 @@
 
 // submit adds a job, unless the state has one with the same identifier.
 func (st *State) submit(jo Job) Verdict {
-	if _, ok := st.jobs[jo.ID()]; ok {
+	if jb, ok := st.jobs[jo.ID()]; ok {
+		if !NewCaller(jo.spec.Workspace).MayAccess(jb.spec.Workspace) {
+			return Foreign
+		}
 		return Repeated
 	}
 	if st.jobs == nil {
@@ -64,12 +67,15 @@
 }
 
 // cancel marks a job as cancelled. Its runs go on until the planner has stopped
-// them.
-func (st *State) cancel(id model.JobID) Verdict {
+// them. The owner is compared in log order, because another workspace may have submitted the
+// identifier again since the caller's access was checked.
+func (st *State) cancel(id model.JobID, caller Caller) Verdict {
 	jb, ok := st.jobs[id]
 	switch {
 	case !ok:
 		return UnknownJob
+	case !caller.MayAccess(jb.spec.Workspace):
+		return Foreign
 	case jb.status.Final():
 		return Repeated
 	}
--- a/core/flow/op.go
+++ b/core/flow/op.go
@@ -75,6 +75,7 @@
 	checkpoint  string
 	term        uint64
 	leaseLeft   time.Duration
+	caller      Caller
 }
 
 // Submit returns the operation that adds a job.
@@ -83,6 +84,11 @@
 // Cancel returns the operation that cancels a job.
 func Cancel(id model.JobID) Op { return Op{kind: OpCancel, id: id} }
 
+// CancelAs returns the operation that cancels a job if the caller has access to it.
+func CancelAs(id model.JobID, caller Caller) Op {
+	return Op{kind: OpCancel, id: id, caller: caller}
+}
+
 // Forget returns the operation that drops an ended job.
 func Forget(id model.JobID) Op { return Op{kind: OpForget, id: id} }
 
@@ -145,6 +151,9 @@
 // decided.
 func (op Op) LeaseLeft() time.Duration { return op.leaseLeft }
 
+// Caller returns who cancels a job.
+func (op Op) Caller() Caller { return op.caller }
+
 // Verdict is the result of applying an operation.
 type Verdict uint8
 
@@ -161,9 +170,12 @@
 	Stale
 	// Closed means that the job has ended and starts no more runs.
 	Closed
+	// Foreign means that the job belongs to another workspace than that of the
+	// operation; nothing changed.
+	Foreign
 )
 
-var verdictNames = [...]string{"accepted", "repeated", "unknownJob", "stale", "closed"}
+var verdictNames = [...]string{"accepted", "repeated", "unknownJob", "stale", "closed", "foreign"}
 
 // String returns the name for logs.
 func (ve Verdict) String() string { return nameOf(verdictNames[:], int(ve)) }
--- a/io/cell/acknowledge.go
+++ b/io/cell/acknowledge.go
@@ -22,6 +22,8 @@
 	neverAccepted = "neverAccepted"
 	// dropped means that the job was dropped after its retention.
 	dropped = "dropped"
+	// otherWorkspace means that the job belongs to another workspace than the caller.
+	otherWorkspace = "otherWorkspace"
 )
 
 // Configure stores a configuration, waits until it is applied and records the event
@@ -74,8 +76,9 @@
 
 // JobStatus returns the status of a job that is asked for at a queue, whichever queue
 // accepted it, because a configuration may have renamed the queue since. If there is no
-// such job, it returns false and records the event jobUnknown with the reason.
-func (lea Leader) JobStatus(ctx context.Context, queue string, id model.JobID) (flow.Status, bool, error) {
+// such job, or the caller has no access to it, it returns false and records the event
+// jobUnknown with the reason.
+func (lea Leader) JobStatus(ctx context.Context, queue string, id model.JobID, caller flow.Caller) (flow.Status, bool, error) {
 	type answer struct {
 		status flow.Status
 		known  bool
@@ -87,23 +90,27 @@
 	}
 	ans, err := group.ReadInTurn(ctx, mem.ref, func(now model.Instant, rol quorum.Role, sta *cell.State) answer {
 		status, _, ok := sta.Jobs().Status(id)
-		if !ok {
+		owner, _ := sta.Jobs().Owner(id)
+		if !ok || !caller.MayAccess(owner) {
 			mem.recordUnknownJob(now, rol, id, queue)
+			return answer{}
 		}
-		return answer{status: status, known: ok}
+		return answer{status: status, known: true}
 	})
 	return ans.status, ans.known, errors.Trace(err)
 }
 
-// recordUnknownJob records that the state has no such job as is asked for at a queue. It
-// runs on the group's actor.
+// recordUnknownJob records that the state has no such job as is asked for at a queue, or one
+// of another workspace. It runs on the group's actor.
 func (mem *member) recordUnknownJob(now model.Instant, rol quorum.Role, id model.JobID, queue string) {
 	suppressed, ok := mem.unknownJobs.Allow(now)
 	if !ok {
 		return
 	}
 	fis := append(readFields(now, rol, suppressed), event.NewField("queue", queue), event.NewField("jobsKnown", strconv.Itoa(mem.state.Jobs().Len())))
-	if age, ok := mem.dropped.age(now, id); ok {
+	if _, ok := mem.state.Jobs().Owner(id); ok {
+		fis = append(fis, event.NewField("reason", otherWorkspace))
+	} else if age, ok := mem.dropped.age(now, id); ok {
 		fis = append(fis, event.NewField("reason", dropped), event.NewField("droppedMs", milliseconds(age)))
 	} else {
 		// Jobs dropped before this VM started are not remembered.
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -73,10 +73,11 @@
 	// lastOutcome is the last recorded outcome of a membership change. Only the
 	// goroutine of maintainMembers uses it.
 	lastOutcome changeOutcome
-	// dropped remembers the jobs dropped after their retention. unknownJobs and
-	// configurationReads bound the events of these reads. The group's actor owns all three.
-	dropped                         droppedJobs
-	unknownJobs, configurationReads lines.Limiter
+	// dropped remembers the jobs dropped after their retention. unknownJobs,
+	// configurationReads and rejectedKeys bound the events of these reads. The group's
+	// actor owns all four.
+	dropped                                       droppedJobs
+	unknownJobs, configurationReads, rejectedKeys lines.Limiter
 	// load watches how far the group's actor is behind. The actor owns it.
 	load load
 	// work measures the time in the planner. The actor owns it.
@@ -165,7 +166,8 @@
 	if doc, ok := cmd.Document(); ok {
 		mem.step(now, flow.Services{Names: mem.state.Services()})
 		mem.vm.RecordEvent(event.New("configurationApplied", event.Subject{}, event.NewField("version", strconv.FormatUint(doc.Version(), 10)),
-			event.NewField("inEffect", strconv.FormatUint(res.Version(), 10))))
+			event.NewField("inEffect", strconv.FormatUint(res.Version(), 10)), event.NewField("workspaces", strconv.Itoa(len(doc.Workspaces()))),
+			event.NewField("keyed", strconv.FormatBool(doc.Keyed()))))
 	}
 }
 
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -34,6 +34,8 @@
 	queueDropped = expvar.NewInt("cellQueueDropped")
 	// calls counts the calls that this VM routed by outcome.
 	calls = meter.NewCounters("cellCalls")
+	// rejectedKeys counts the calls whose key was missing or unknown, by reason.
+	rejectedKeys = meter.NewCounters("cellRejectedKeys")
 )
 
 // Outcomes of calls, which are the names of counters.
--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -82,6 +82,10 @@
 	switch op.Kind() {
 	case flow.OpSubmit:
 		msg.Job = cellJobToProto(op.Job().Spec())
+	case flow.OpCancel:
+		if op.Caller().Restricted() {
+			msg.Caller = proto.String(string(op.Caller().Workspace()))
+		}
 	case flow.OpStart, flow.OpEnd:
 		tid := op.Task()
 		msg.Task = &CellTask{Occurrence: int32(tid.Occurrence()), Step: int32(tid.Step()), Index: int32(tid.Index())}
@@ -99,7 +103,10 @@
 		jo, err := flow.StoredJob(cellJobFromProto(msg.GetJob()))
 		return flow.Submit(jo), err
 	case flow.OpCancel:
-		return flow.Cancel(model.JobID(msg.GetId())), nil
+		if msg.Caller == nil {
+			return flow.Cancel(model.JobID(msg.GetId())), nil
+		}
+		return flow.CancelAs(model.JobID(msg.GetId()), flow.NewCaller(model.WorkspaceID(msg.GetCaller()))), nil
 	case flow.OpStart:
 		return flow.Start(tid, int(msg.GetAttempt()), inc), nil
 	case flow.OpEnd:
--- a/io/wire/cell_test.go
+++ b/io/wire/cell_test.go
@@ -53,7 +53,7 @@
 	task := flow.NewTaskID("5c0e7a21d94b36f8", 1, 0, 1)
 	tests := []cell.Command{
 		cell.Configure(doc), cell.SetCentreOut("riga-a", true), cell.SetCentreOut("riga-a", false),
-		cell.Jobs(flow.Submit(newCellJob(t)), flow.Cancel("x"), flow.Start(task, 3, flow.NewIncarnation("w", 99)),
+		cell.Jobs(flow.Submit(newCellJob(t)), flow.Cancel("x"), flow.CancelAs("x", flow.NewCaller("")), flow.CancelAs("x", flow.NewCaller("co-op")), flow.Start(task, 3, flow.NewIncarnation("w", 99)),
 			flow.End(task, 3, flow.Stopped, "point"), flow.Forget("x"), flow.Silence(flow.NewIncarnation("w", 99), 7, time.Second), flow.Heard(flow.NewIncarnation("w", 99), 8)),
 	}
 	for i, cmd := range tests {
