Share: accounts of what each customer has in use

core/sched summed up what its teams have in use, their quotas and their weighted dominant shares by itself. The scheduler of a cell needs the same arithmetic for workspaces.

Terms.Limit returns the quota with the dimensions without a limit filled in.

--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -6,6 +6,7 @@
 	"guavarail/core/health"
 	"guavarail/core/model"
 	"guavarail/core/place"
+	"guavarail/core/share"
 )
 
 const (
@@ -107,9 +108,9 @@
 	}
 }
 
-// share returns the team's weighted dominant share, see teamAccounts.share.
+// share returns the team's weighted dominant share, see share.Use.
 func (pl *Planner[P]) share(id model.TeamID) float64 {
-	return pl.accounts.share(pl.accounts.team(id), pl.quotas[id].Weight())
+	return pl.accounts.teams.Use(id).Share(pl.accounts.total, float64(pl.quotas[id].Weight()))
 }
 
 // startNext starts a task of the first job of the team that can start one, and
@@ -184,18 +185,18 @@
 		return true
 	}
 	tq := bl.team
-	used := pl.accounts.team(tq.team).quotaUsed
+	used := pl.accounts.teams.Use(tq.team).Owned()
 	if tq.quotaHolder != nil && tq.quotaHolder != bl {
 		used = used.Add(tq.heldQuota)
 	}
-	return used.Add(need).FitsIn(pl.quotaLimit(tq.team))
+	return share.Fits(used, need, pl.quotaLimit(tq.team))
 }
 
 // quotaLimit returns the quota of the team in this data centre.
 func (pl *Planner[P]) quotaLimit(id model.TeamID) model.Resources {
 	lim := pl.quotas[id].Limit()
 	if pl.lastTick.QuotaPercent > 0 {
-		lim = percent(lim, pl.lastTick.QuotaPercent)
+		lim = share.Percent(lim, pl.lastTick.QuotaPercent)
 	}
 	return lim
 }
--- a/core/share/terms.go
+++ b/core/share/terms.go
@@ -32,6 +32,18 @@
 // Quota returns what the customer may have in use. A dimension that is 0 has no limit.
 func (te Terms) Quota() model.Resources { return te.quota }
 
+// Limit returns the quota with the largest amount in each dimension that has no limit, and
+// false if no dimension has one.
+func (te Terms) Limit() (limit model.Resources, limited bool) {
+	orMost := func(val int64) int64 {
+		if val == 0 {
+			return math.MaxInt64
+		}
+		return val
+	}
+	return model.NewResources(orMost(te.quota.MilliCPU()), orMost(te.quota.MemoryMB()), orMost(te.quota.Accelerators())), !te.quota.IsZero()
+}
+
 // Valid reports whether the weight is finite and neither it nor the quota is negative.
 func (te Terms) Valid() bool {
 	return te.weight >= 0 && !math.IsInf(te.weight, 1) && te.quota.Valid()
