Cell: quotas of workspaces

The configuration carries a quota for each workspace, but nothing enforced it.

The state sums up, in log order, the declared sizes of the runs of each workspace. A start that would exceed the quota is refused there with the verdict OverQuota, a gang as a whole. The planner checks before it places: its round counts what is recorded, its own starts, and the ends that precede them in the same log entry. A step that waits for its quota makes no claim, preempts nothing, keeps no room, gets no overdue turn, and ends only its own placement, not that of others. What a workspace asks for beyond its quota doesn't count as demand for which long-running tasks leave room.

--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -101,12 +101,17 @@
 	case len(tk.runs) > 0 && !jb.spec.Steps[op.task.step].Speculative:
 		return Stale
 	}
+	spec, sp := &jb.spec.Steps[op.task.step], &occ.steps[op.task.step]
+	if st.overQuota(jb, spec, sp) {
+		return OverQuota
+	}
 	if len(tk.runs) == 0 {
-		occ.steps[op.task.step].idleTasks--
+		sp.idleTasks--
 	}
 	tk.attempt = op.attempt
 	tk.runs = append(tk.runs, run{attempt: op.attempt, incarnation: op.incarnation})
 	st.countRun(op.incarnation, 1)
+	st.countUse(jb, spec, 1)
 	jb.started = true
 	jb.liveRuns++
 	return Accepted
@@ -126,6 +131,7 @@
 	spec := &jb.spec.Steps[op.task.step]
 	sp := &occ.steps[op.task.step]
 	st.countRun(tk.runs[pos].incarnation, -1)
+	st.countUse(jb, spec, -1)
 	tk.runs = slices.Delete(tk.runs, pos, pos+1)
 	jb.liveRuns--
 	if !tk.done && len(tk.runs) == 0 {
--- a/core/flow/demand.go
+++ b/core/flow/demand.go
@@ -115,6 +115,15 @@
 	od.present = od.present.plus(spec.reservation(), openTasks)
 }
 
+// demandWithinQuota returns how many of the open tasks of a ready step count as demand. What
+// a workspace asks for beyond its quota must not hold back the long-running tasks of others.
+func (pl *Planner) demandWithinQuota(jb *job, spec *StepSpec, openTasks int) int {
+	if !pl.sharing {
+		return openTasks
+	}
+	return pl.round.Customer(jb.spec.Workspace).Demand(spec.Size, openTasks)
+}
+
 // observeDemand ends the collection of the present demand, and forgets what nobody has asked
 // for in demandWindow.
 func (pl *Planner) observeDemand(now model.Instant) {
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -216,6 +216,22 @@
 	pl.recordEvent("tasksWait", id.job, id.String(), "", pairs...)
 }
 
+// recordQuotaWait records an event for a step that waits for the quota of its workspace, at
+// most once per job and waitEventInterval. A gang that exceeds the whole quota waits until
+// that changes.
+func (pl *Planner) recordQuotaWait(now model.Instant, rs *readyStep, id TaskID) {
+	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval || !pl.explain.permit(now, 1) {
+		return
+	}
+	rs.job.waitRecordedAt = now
+	cu, need := rs.seat.Customer(), rs.quotaNeed()
+	pl.recordEvent("tasksWait", id.job, id.String(), "", "step", strconv.Itoa(rs.step), "waiting", strconv.Itoa(rs.state().idleTasks),
+		"reason", "quota", "workspace", string(rs.job.spec.Workspace),
+		"milliCpu", strconv.FormatInt(need.MilliCPU(), 10), "memoryMb", strconv.FormatInt(need.MemoryMB(), 10), "gpus", strconv.FormatInt(need.Accelerators(), 10),
+		"usedMilliCpu", strconv.FormatInt(cu.Used().MilliCPU(), 10), "usedMemoryMb", strconv.FormatInt(cu.Used().MemoryMB(), 10),
+		"exceedsQuota", strconv.FormatBool(!cu.CanEverHave(need)))
+}
+
 // recordHeldBack records an event for a new long-running task that would take the
 // room which endangered ones need or ordinary ones ask for, at most once per job and waitEventInterval.
 func (pl *Planner) recordHeldBack(now model.Instant, rs *readyStep, id TaskID) {
--- a/core/flow/kept.go
+++ b/core/flow/kept.go
@@ -66,6 +66,10 @@
 	if !ok || wk != kr.worker || !now.Before(kr.until) || kr.holder.job.status.Final() {
 		return false
 	}
+	// The seat of the plan in which the room was first kept is out of date.
+	if kr.holder.seat = pl.seatOf(kr.holder.job); !kr.holder.withinQuota() {
+		return false
+	}
 	free := wk.free()
 	for _, pr := range wk.runs {
 		if pr.leaving(now) {
--- a/core/flow/op.go
+++ b/core/flow/op.go
@@ -161,9 +161,12 @@
 	Stale
 	// Closed means that the job has ended and starts no more runs.
 	Closed
+	// OverQuota means that the start would bring what the workspace of the job has in
+	// use above its quota; nothing changed.
+	OverQuota
 )
 
-var verdictNames = [...]string{"accepted", "repeated", "unknownJob", "stale", "closed"}
+var verdictNames = [...]string{"accepted", "repeated", "unknownJob", "stale", "closed", "overQuota"}
 
 // String returns the name for logs.
 func (ve Verdict) String() string { return nameOf(verdictNames[:], int(ve)) }
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -48,6 +48,10 @@
 	turnSince model.Instant
 	// urgent is set for a restart that has waited for urgentAfter.
 	urgent bool
+	// seat is that of the job's workspace in the plan, nil if there are no terms.
+	seat *seat
+	// overQuota is set if the step waits for the quota of its workspace as the plan begins.
+	overQuota bool
 }
 
 // wants reports whether rs is meant to place a task now.
@@ -98,7 +102,7 @@
 		spec := &jb.spec.Steps[s]
 		ready := occ.ready(spec)
 		if ready && spec.ordinary() && pl.canHold(jb.spec.Service, spec) {
-			pl.addDemand(jb, spec, occ.steps[s].openTasks)
+			pl.addDemand(jb, spec, pl.demandWithinQuota(jb, spec, occ.steps[s].openTasks))
 		}
 		if !occ.steps[s].trackWait(now, ready) {
 			continue
@@ -106,9 +110,10 @@
 		age := time.Duration(wall-jb.due(k)) * time.Millisecond
 		rs := readyStep{
 			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
-			rank: stepRank(work, age, jb.Objective()), waitingSince: occ.steps[s].waitingSince,
+			rank: stepRank(work, age, jb.Objective()), waitingSince: occ.steps[s].waitingSince, seat: pl.seatOf(jb),
 		}
-		if own := occ.steps[s].turn; own != nil {
+		rs.ask(now)
+		if own := occ.steps[s].turn; own != nil && !rs.overQuota {
 			own.ready, rs.overdue, rs.turnSince = true, true, own.since
 		}
 		restart := rs
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -10,6 +10,7 @@
 	pl.openLeft = pl.claimsLeft / openDivisor
 	pl.misses, pl.claimMisses = pl.misses[:0], pl.claimMisses[:0]
 	pl.indexRoom()
+	pl.beginRound()
 	pl.renewKept(now)
 	pl.measureWorkers()
 	steps := pl.readySteps(now)
@@ -66,6 +67,10 @@
 			return false
 		}
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
+		if !rs.withinQuota() {
+			pl.waitForQuota(now, &rs, id)
+			return true
+		}
 		if !pl.leavesRoom(&rs, 1) {
 			pl.recordHeldBack(now, &rs, id)
 			return true
@@ -100,6 +105,7 @@
 // does a task of an overdue step, but it preempts nothing. A gang does so as a
 // whole. id is one of the tasks.
 func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
+	rs.holdQuota()
 	claimed := 0
 	switch {
 	case !pl.claimPace.open:
@@ -132,6 +138,10 @@
 		}
 		attempt = max(attempt, sp.tasks[i].attempt+1)
 	}
+	if !rs.withinQuota() {
+		pl.waitForQuota(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
+		return
+	}
 	spares := pl.sparesPlaces(&rs)
 	if !pl.leavesRoom(&rs, len(sp.tasks)) || spares.endangered {
 		pl.recordHeldBack(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
@@ -148,6 +158,7 @@
 		if wk == nil {
 			for j, reserved := range placed {
 				pl.unreserve(reserved, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, j), attempt, &sp.tasks[j])
+				rs.untake()
 			}
 			*room = before
 			if cho.spares != (spared{}) {
@@ -185,6 +196,7 @@
 // for it. The caller adds the start to pendingOps or calls unreserve.
 func (pl *Planner) reserve(now model.Instant, rs readyStep, tk *task, id TaskID, attempt int, wk *worker) {
 	tk.plannedStarts++
+	rs.take()
 	pr := newPlacedRun(rs.job, id, attempt, now)
 	pr.planned, pr.checkpoint = true, tk.checkpoint
 	pl.addRun(wk, pr)
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavarail/core/model"
+	"guavarail/core/share"
 )
 
 const (
@@ -166,6 +167,10 @@
 	unlabelled map[suitability]bool
 	// candidates is scratch space of claimCandidates.
 	candidates []claimCandidate
+	// sharing is set if there are terms by which workspaces share the workers. round then
+	// has what the current plan may start of each.
+	sharing bool
+	round   share.Round[model.ServiceID, model.WorkspaceID]
 	// misses are the tasks for which the current plan found no room.
 	misses []miss
 	// claimMisses are the restarts for which the current plan found nothing to
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -108,7 +108,7 @@
 	}
 	for i := range steps {
 		rs := &steps[i]
-		if rs.restart && pl.canHold(rs.job.spec.Service, rs.spec) {
+		if rs.restart && !rs.overQuota && pl.canHold(rs.job.spec.Service, rs.spec) {
 			ro := pl.roomOf(rs.job.spec.Service)
 			ro.endangered.demand = ro.endangered.plus(rs.spec.reservation(), rs.waitingTasks())
 		}
--- a/core/flow/sim_test.go
+++ b/core/flow/sim_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavarail/core/model"
+	"guavarail/core/share"
 )
 
 // simLeaderLease is the leader lease of a simulated leader.
@@ -37,6 +38,12 @@
 	term            uint64
 	// specs holds the steps of the submitted jobs.
 	specs map[model.JobID][]StepSpec
+	// workspaceOf returns the owner of a job; nil for none.
+	workspaceOf func(id model.JobID) model.WorkspaceID
+	// terms holds the terms that are set before a log entry is applied.
+	terms map[int]map[model.WorkspaceID]share.Terms
+	// applied is told about each operation that a VM applies; nil for none.
+	applied func(vm *vmSim, op Op, verdict Verdict)
 	// leader is nil while a failed leader has no successor.
 	leader *vmSim
 	// formerLeaseEnd is when the lease of the leader that failed last ends.
@@ -255,6 +262,9 @@
 		sim.t.Fatal(err)
 	}
 	sim.specs[id] = steps
+	if sim.workspaceOf != nil {
+		jo.spec.Workspace = sim.workspaceOf(id)
+	}
 	return Submit(jo)
 }
 
--- a/core/flow/simlog_test.go
+++ b/core/flow/simlog_test.go
@@ -34,6 +34,9 @@
 	snap := vm.st.Snapshot()
 	vm.st = State{}
 	vm.st.Restore(snap)
+	for i := vm.applied - 1; i >= 0 && vm.st.terms == nil; i-- {
+		vm.st.SetTerms(sim.terms[i])
+	}
 	vm.pl = NewPlanner(&vm.st, vm.pl.config)
 	sim.step(vm, Outage{Centres: sim.outage})
 }
@@ -53,9 +56,15 @@
 func (sim *simulation) applyLog(vm *vmSim, end int) {
 	for vm.applied < end {
 		ops := sim.log[vm.applied]
+		if terms, ok := sim.terms[vm.applied]; ok {
+			vm.st.SetTerms(terms)
+		}
 		vm.applied++
 		for _, op := range ops {
 			verdict := vm.st.Apply(op)
+			if sim.applied != nil {
+				sim.applied(vm, op, verdict)
+			}
 			sim.step(vm, Applied{Op: op, Verdict: verdict})
 		}
 	}
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -128,6 +128,7 @@
 	for _, rr := range rec.Runs {
 		tk.runs = append(tk.runs, run{attempt: rr.Attempt, incarnation: rr.Incarnation})
 		st.countRun(rr.Incarnation, 1)
+		st.countUse(jb, &jb.spec.Steps[rec.Step], 1)
 	}
 	if len(tk.runs) > 0 {
 		occ.steps[rec.Step].idleTasks--
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -183,6 +183,10 @@
 	hosts map[Incarnation]*host
 	// terms are the quotas and weights of the workspaces in the configuration.
 	terms map[model.WorkspaceID]share.Terms
+	// used is what the runs of each workspace may be using, at their declared sizes, and
+	// reserved what they reserve on the workers of each service. Both follow from jobs.
+	used     share.Accounts[model.WorkspaceID]
+	reserved share.Accounts[poolCustomer]
 	// undated is set if a mark of a host may have no leaseEnd. It is not replicated.
 	undated bool
 }
--- a/core/flow/turn.go
+++ b/core/flow/turn.go
@@ -153,7 +153,7 @@
 	var out []*readyStep
 	for i := range steps {
 		rs := &steps[i]
-		if rs.job.spec.Priority == priority && !rs.restart && now.Sub(rs.waitingSince) >= overdueAfter && rs.state().turn == nil && !now.Before(rs.state().nextTurn) {
+		if rs.job.spec.Priority == priority && !rs.restart && !rs.overQuota && now.Sub(rs.waitingSince) >= overdueAfter && rs.state().turn == nil && !now.Before(rs.state().nextTurn) {
 			out = append(out, rs)
 		}
 	}
--- /dev/null
+++ b/core/flow/workspace.go
@@ -0,0 +1,150 @@
+package flow
+
+import (
+	"guavarail/core/model"
+	"guavarail/core/share"
+)
+
+// poolCustomer names a workspace on the workers of a service.
+type poolCustomer struct {
+	service   model.ServiceID
+	workspace model.WorkspaceID
+}
+
+// seat is the seat of a workspace among the workers of a service in a plan.
+type seat = share.Seat
+
+// countUse adds by, 1 or -1, runs of a step to what the workspace of its job has in use.
+func (st *State) countUse(jb *job, spec *StepSpec, by int) {
+	if jb.spec.Workspace != "" {
+		st.used.Add(jb.spec.Workspace, sumOf(spec.Size, by), false)
+	}
+	st.reserved.Add(poolCustomer{service: jb.spec.Service, workspace: jb.spec.Workspace}, sumOf(spec.reservation(), by), false)
+}
+
+// overQuota reports whether the start of a task would exceed the quota of its job's
+// workspace. The first start of a gang is refused unless the quota holds all members that
+// have no run, so that either all starts of a gang in a log entry are refused or none.
+func (st *State) overQuota(jb *job, spec *StepSpec, sp *step) bool {
+	te, ok := st.terms[jb.spec.Workspace]
+	if !ok || jb.spec.Workspace == "" {
+		return false
+	}
+	limit, limited := te.Limit()
+	need := spec.Size
+	if spec.Gang {
+		need = sumOf(spec.Size, max(1, sp.idleTasks))
+	}
+	return limited && !share.Fits(st.used.Use(jb.spec.Workspace).Owned(), need, limit)
+}
+
+// beginRound begins the plan's round of starts, unless there are no terms.
+func (pl *Planner) beginRound() {
+	pl.sharing = len(pl.st.terms) > 0
+	if !pl.sharing {
+		return
+	}
+	pl.round.Begin(pl.st.terms, &pl.st.used)
+	pl.st.reserved.Each(func(pc poolCustomer, us share.Use) {
+		pl.round.Seat(pc.service, pc.workspace).Record(us.Total())
+	})
+	// No proposal is under way, so that these ends are applied before the starts of the
+	// plan.
+	for i := range pl.pendingOps {
+		op := &pl.pendingOps[i]
+		if op.kind != OpEnd {
+			continue
+		}
+		if jb, _, tk, ok := pl.st.find(op.task); ok && tk.find(op.attempt) >= 0 {
+			pl.round.Customer(jb.spec.Workspace).Free(jb.spec.Steps[op.task.step].Size)
+		}
+	}
+}
+
+// seatOf returns the seat of a job in the plan, nil if there are no terms.
+func (pl *Planner) seatOf(jb *job) *seat {
+	if !pl.sharing {
+		return nil
+	}
+	return pl.round.Seat(jb.spec.Service, jb.spec.Workspace)
+}
+
+// ask adds the waiting tasks of a step to what its workspace asks for, and sets whether the
+// step waits for its quota.
+func (rs *readyStep) ask(now model.Instant) {
+	if rs.seat == nil {
+		return
+	}
+	rs.seat.Ask(rs.job.spec.Priority, sumOf(rs.spec.reservation(), rs.state().idleTasks))
+	rs.overQuota = !rs.seat.AllowsHolder(rs.quotaNeed())
+	if rs.overQuota {
+		rs.resetWaits(now)
+	}
+}
+
+// quotaNeed returns what the next start of the step needs of the quota: a gang starts as a
+// whole.
+func (rs *readyStep) quotaNeed() model.Resources {
+	if rs.spec.Gang {
+		return sumOf(rs.spec.Size, rs.spec.Tasks)
+	}
+	return rs.spec.Size
+}
+
+// resetWaits counts the waiting time of a step, and the idle time of its job, from now. Time
+// spent waiting for quota must give no overdue turn, which would delay other workspaces.
+func (rs *readyStep) resetWaits(now model.Instant) {
+	if !rs.restart {
+		rs.state().waitingSince, rs.waitingSince = now, now
+	}
+	if rs.job.idleSince > 0 {
+		rs.job.idleSince, rs.starved = now, false
+	}
+}
+
+// withinQuota reports whether the next start of a step keeps its workspace within its quota.
+func (rs *readyStep) withinQuota() bool {
+	switch {
+	case rs.seat == nil:
+		return true
+	case rs.restart:
+		return rs.seat.AllowsHolder(rs.quotaNeed())
+	}
+	return rs.seat.Allows(rs.quotaNeed())
+}
+
+// take records the planned start of a task of the step in the round.
+func (rs *readyStep) take() {
+	if rs.seat != nil {
+		rs.seat.Take(rs.spec.Size, rs.spec.reservation())
+	}
+}
+
+// untake takes back take.
+func (rs *readyStep) untake() {
+	if rs.seat != nil {
+		rs.seat.Return(rs.spec.Size, rs.spec.reservation())
+	}
+}
+
+// holdQuota keeps quota for the tasks of a restart that could not start, which had it
+// before, from later steps of its workspace.
+func (rs *readyStep) holdQuota() {
+	if rs.seat != nil && rs.restart {
+		rs.seat.Hold(sumOf(rs.spec.Size, rs.waitingTasks()))
+	}
+}
+
+// waitForQuota handles a step whose next start would exceed the quota of its workspace. It
+// claims nothing. id is one of its tasks.
+func (pl *Planner) waitForQuota(now model.Instant, rs *readyStep, id TaskID) {
+	rs.resetWaits(now)
+	rs.holdQuota()
+	if sp := rs.state(); sp.claims > 0 {
+		sp.claims = 0
+		for _, wk := range pl.room.workers {
+			wk.claims.drop(sp)
+		}
+	}
+	pl.recordQuotaWait(now, rs, id)
+}
