--- a/core/flow/op.go
+++ b/core/flow/op.go
@@ -173,9 +173,12 @@
 	// Foreign means that the job belongs to another workspace than that of the
 	// operation; nothing changed.
 	Foreign
+	// OverQuota means that the start would bring what the workspace of the job has in
+	// use above its quota; nothing changed.
+	OverQuota
 )
 
-var verdictNames = [...]string{"accepted", "repeated", "unknownJob", "stale", "closed", "foreign"}
+var verdictNames = [...]string{"accepted", "repeated", "unknownJob", "stale", "closed", "foreign", "overQuota"}
 
 // String returns the name for logs.
 func (ve Verdict) String() string { return nameOf(verdictNames[:], int(ve)) }
