Flow: no limit on the age of a worker

Cause: Heartbeat.Check bounded the worker's clock, which counts from the start of its process, by maxSpan (366 days), the limit of durations that a job declares. A worker that was up for longer got 400 for each heartbeat, lost its lease and ran nothing.

Change: the clock has a limit of its own, 100 years, which keeps differences of two clocks from overflowing.

Other bounds of check.go, of core/flow/job.go and of the decoders in platform/, reviewed: start time (year 9999), sequence and numbers of ends (64 bits; 2^53 in rows), percent, reading (10^12 ms), sizes and names are out of reach. maxSpan is left for what jobs declare. Attempts are limited to 2^31: one task that fails at once, without a pause, gets there after ten years of 6.8 attempts a second, which is a matter of the job and not of the worker. core/sched, core/slots and io/node have no limit on an age or uptime.

--- a/core/flow/check.go
+++ b/core/flow/check.go
@@ -16,8 +16,11 @@
 	maxMilliCPU     = 1_000_000_000
 	maxMemoryMB     = 1_000_000_000_000
 	maxAccelerators = 1_000_000
-	// maxSpan bounds durations.
+	// maxSpan bounds durations that a job declares.
 	maxSpan = 366 * 24 * time.Hour
+	// maxUptime bounds the clock of a worker, which counts from its start. No process
+	// reaches it, and differences of two clocks don't overflow.
+	maxUptime = 100 * 366 * 24 * time.Hour
 	// maxUnixMs is the end of the year 9999, in milliseconds since 1970.
 	maxUnixMs = 253_402_300_799_999
 	// maxAttempt bounds the number of an attempt.
@@ -66,7 +69,7 @@
 	var fas faults
 	fas.rejectIf(!validSize(hb.Size), "size", "amounts from 0 to "+sizeLimits)
 	fas.rejectIf(hb.Incarnation.startedAt < 0 || hb.Incarnation.startedAt > maxUnixMs, "startedAt", "a time from 1970 to 9999")
-	fas.rejectIf(!validSpan(hb.Clock), "clock", spanAllowed)
+	fas.rejectIf(hb.Clock < 0 || hb.Clock > maxUptime, "clock", "0 to 36600 days")
 	fas.rejectIf(!validName(string(hb.Incarnation.worker)), "worker", nameAllowed)
 	fas.rejectIf(!validName(string(hb.Service)), "service", nameAllowed)
 	fas.rejectIf(!validName(string(hb.Centre)), "centre", nameAllowed)
--- a/core/flow/check_test.go
+++ b/core/flow/check_test.go
@@ -44,6 +44,33 @@
 	}
 }
 
+// Guards against a worker that is rejected from some day on, though it is sound, because of
+// a number that grows for as long as it is in service.
+func TestHeartbeatAfterTenYearsOfServiceIsAccepted(t *testing.T) {
+	const (
+		service = 10 * 366 * 24 * time.Hour
+		// interval is the shortest time between two heartbeats, ends or attempts. An
+		// attempt takes a heartbeat for the start and one for the end.
+		interval = 50 * time.Millisecond
+		count    = uint64(service / interval)
+	)
+	hb := Heartbeat{
+		Incarnation: NewIncarnation("w", time.Now().UnixMilli()), Size: model.NewResources(32_000, 125_000, 8), Clock: service, Sequence: count,
+		Runs:  []RunReport{{Task: NewTaskID("job", 0, 0, 0), Attempt: int(count / 4), Percent: fullPace, Reading: 1e6}},
+		Ended: []EndReport{{Number: count, Task: NewTaskID("job", 0, 0, 1), Attempt: int(count / 4)}},
+	}
+	if err := hb.Check(); err != nil {
+		t.Error(err)
+	}
+	var fh fastestHeartbeat
+	arrived := model.Instant(service)
+	for _, clock := range []time.Duration{1, service, maxUptime} {
+		if late := fh.lateness(arrived, clock); late != 0 {
+			t.Errorf("clock %v: %v late, want 0", clock, late)
+		}
+	}
+}
+
 // errorAs reports whether err is a *HeartbeatError and stores it.
 func errorAs(err error, target **HeartbeatError) bool {
 	hbe, ok := err.(*HeartbeatError)
