Flow: a heartbeat that lacks fields changes nothing

Cause: a heartbeat needed only a sequence, service, zone, address and state. One without capacity, labels and version, but with the address of a worker at work, counted as a new worker at that address, and replaceAtAddress ended the runs of the old one while they went on. One with the worker's own identifier and a later start did the same.

Change: Heartbeat.Check, which each heartbeat passes before it reaches any state, requires what every worker sends: identifier, start, service, data centre, address, version, labels (an empty list will do), processors and memory above 0. The clock, the lists of runs and ends and the times of a draining worker stay optional.

The sound heartbeats of older tests got the fields that they lacked.

Elsewhere: the hello of a VM (io/cell) and reports of the other scheduler (core/sched) come from the product's own VMs over authenticated links, as protobuf, and replace nothing by address. Configurations and jobs are checked as a whole by NewDocument and NewJob.

--- a/core/flow/check.go
+++ b/core/flow/check.go
@@ -61,12 +61,15 @@
 	}
 }
 
-// Check returns a *HeartbeatError if a number of the heartbeat is out of range or a text
-// cannot be stored. Such a heartbeat must not reach the planner, where it would spoil sums
-// and estimates that concern other workers, and the log, which cannot hold it. Remaining and WarmUp take part in no decision: a worker whose
-// time to leave has passed is not turned away.
+// Check returns a *HeartbeatError if a field that every worker sends is missing, a number
+// of the heartbeat is out of range or a text cannot be stored. Such a heartbeat must not
+// reach the planner, where it would spoil sums and estimates that concern other workers or
+// replace a worker that has the same address, and the log, which cannot hold it. Remaining
+// and WarmUp take part in no decision: a worker whose time to leave has passed is not turned
+// away.
 func (hb *Heartbeat) Check() error {
 	var fas faults
+	hb.checkPresence(&fas)
 	fas.rejectIf(!validSize(hb.Size), "size", "amounts from 0 to "+sizeLimits)
 	fas.rejectIf(hb.Incarnation.startedAt < 0 || hb.Incarnation.startedAt > maxUnixMs, "startedAt", "a time from 1970 to 9999")
 	fas.rejectIf(hb.Clock < 0 || hb.Clock > maxUptime, "clock", "0 to 36600 days")
@@ -100,12 +103,27 @@
 	return nil
 }
 
+// checkPresence adds a fault for each missing field that every worker sends. Labels may be
+// empty.
+func (hb *Heartbeat) checkPresence(fas *faults) {
+	fas.rejectIf(hb.Incarnation.worker == "", "worker", presentAllowed)
+	fas.rejectIf(hb.Incarnation.startedAt == 0, "startedAt", presentAllowed)
+	fas.rejectIf(hb.Service == "", "service", presentAllowed)
+	fas.rejectIf(hb.Centre == "", "centre", presentAllowed)
+	fas.rejectIf(hb.Address == "", "address", presentAllowed)
+	fas.rejectIf(hb.Version == "", "version", presentAllowed)
+	fas.rejectIf(hb.Labels == nil, "labels", presentAllowed)
+	fas.rejectIf(hb.Size.MilliCPU() == 0 || hb.Size.MemoryMB() == 0, "size", "processors and memory above 0")
+}
+
 // Descriptions of the limits in errors.
 const (
 	sizeLimits  = "1000000 processors, 1000000000000 MB and 1000000 accelerators"
 	spanAllowed = "0 to 366 days"
 	textAllowed = "UTF-8"
-	nameAllowed = "UTF-8 of at most 1024 bytes"
+	// presentAllowed is that of a missing field.
+	presentAllowed = "a value, the field is missing"
+	nameAllowed    = "UTF-8 of at most 1024 bytes"
 )
 
 // validName reports whether the log can hold a name.
--- a/core/flow/check_test.go
+++ b/core/flow/check_test.go
@@ -11,11 +11,10 @@
 // Guards against numbers of one heartbeat that spoil sums and estimates for all workers.
 func TestHeartbeatWithNumbersOutOfRangeIsNotAccepted(t *testing.T) {
 	sound := func() *Heartbeat {
-		return &Heartbeat{
-			Incarnation: NewIncarnation("w", time.Now().UnixMilli()), Size: model.NewResources(32_000, 125_000, 8), Clock: 90 * 24 * time.Hour,
-			Runs:  []RunReport{{Task: NewTaskID("job", 0, 0, 0), Attempt: 3, Percent: fullPace, Reading: 1e6}},
-			Ended: []EndReport{{Number: 1, Task: NewTaskID("job", 0, 0, 1), Attempt: 1}},
-		}
+		hb := soundHeartbeat()
+		hb.Runs = []RunReport{{Task: NewTaskID("job", 0, 0, 0), Attempt: 3, Percent: fullPace, Reading: 1e6}}
+		hb.Ended = []EndReport{{Number: 1, Task: NewTaskID("job", 0, 0, 1), Attempt: 1}}
+		return hb
 	}
 	leaving := sound()
 	leaving.Draining, leaving.Remaining, leaving.WarmUp = true, -time.Second, -time.Second
@@ -54,11 +53,10 @@
 		interval = 50 * time.Millisecond
 		count    = uint64(service / interval)
 	)
-	hb := Heartbeat{
-		Incarnation: NewIncarnation("w", time.Now().UnixMilli()), Size: model.NewResources(32_000, 125_000, 8), Clock: service, Sequence: count,
-		Runs:  []RunReport{{Task: NewTaskID("job", 0, 0, 0), Attempt: int(count / 4), Percent: fullPace, Reading: 1e6}},
-		Ended: []EndReport{{Number: count, Task: NewTaskID("job", 0, 0, 1), Attempt: int(count / 4)}},
-	}
+	hb := soundHeartbeat()
+	hb.Clock, hb.Sequence = service, count
+	hb.Runs = []RunReport{{Task: NewTaskID("job", 0, 0, 0), Attempt: int(count / 4), Percent: fullPace, Reading: 1e6}}
+	hb.Ended = []EndReport{{Number: count, Task: NewTaskID("job", 0, 0, 1), Attempt: int(count / 4)}}
 	if err := hb.Check(); err != nil {
 		t.Error(err)
 	}
@@ -71,6 +69,43 @@
 	}
 }
 
+// soundHeartbeat returns a heartbeat with all fields that every worker sends.
+func soundHeartbeat() *Heartbeat {
+	return &Heartbeat{
+		Incarnation: NewIncarnation("w", time.Now().UnixMilli()), Service: "svc", Centre: "a", Address: "w:80", Version: "v1", Labels: []string{"a", "r1"}, Rack: "r1",
+		Size: model.NewResources(32_000, 125_000, 8), Clock: 90 * 24 * time.Hour,
+	}
+}
+
+// Guards against a message of another writer that lacks fields and counts as a new worker,
+// so that the worker at its address loses its runs while they go on.
+func TestHeartbeatWithMissingFieldsIsNotAccepted(t *testing.T) {
+	for name, spoil := range map[string]func(hb *Heartbeat){
+		"worker":     func(hb *Heartbeat) { hb.Incarnation = NewIncarnation("", 1) },
+		"start":      func(hb *Heartbeat) { hb.Incarnation = NewIncarnation("w", 0) },
+		"service":    func(hb *Heartbeat) { hb.Service = "" },
+		"centre":     func(hb *Heartbeat) { hb.Centre = "" },
+		"address":    func(hb *Heartbeat) { hb.Address = "" },
+		"version":    func(hb *Heartbeat) { hb.Version = "" },
+		"labels":     func(hb *Heartbeat) { hb.Labels = nil },
+		"size":       func(hb *Heartbeat) { hb.Size = model.Resources{} },
+		"processors": func(hb *Heartbeat) { hb.Size = model.NewResources(0, 125_000, 0) },
+		"memory":     func(hb *Heartbeat) { hb.Size = model.NewResources(32_000, 0, 0) },
+	} {
+		hb := soundHeartbeat()
+		spoil(hb)
+		var hbe *HeartbeatError
+		if err := hb.Check(); !errorAs(err, &hbe) || len(hbe.Faults()) != 1 {
+			t.Errorf("%s: %v, want one fault", name, err)
+		}
+	}
+	hb := soundHeartbeat()
+	hb.Labels, hb.Clock, hb.Draining = []string{}, 0, true
+	if err := hb.Check(); err != nil {
+		t.Errorf("draining worker without labels, clock and runs: %v", err)
+	}
+}
+
 // errorAs reports whether err is a *HeartbeatError and stores it.
 func errorAs(err error, target **HeartbeatError) bool {
 	hbe, ok := err.(*HeartbeatError)
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -114,6 +114,15 @@
 	return len(pl.services) == 0 || pl.services[name]
 }
 
+// belongsTo reports whether a service is that of the worker, or of a run that an earlier
+// leader has started on it. A worker stays in a service that a configuration has removed.
+func (wk *worker) belongsTo(name model.ServiceID) bool {
+	if wk.reported {
+		return wk.service == name
+	}
+	return slices.ContainsFunc(wk.runs, func(pr *placedRun) bool { return pr.job.spec.Service == name })
+}
+
 // registerIncarnation returns the record of the incarnation that sent a
 // heartbeat, or false if the heartbeat is outdated, because the incarnation has exited
 // or has sent a later one, or if it is the first and names an unknown service. It
@@ -122,7 +131,7 @@
 // its address.
 func (pl *Planner) registerIncarnation(now model.Instant, hb *Heartbeat) (*worker, bool) {
 	wk, ok := pl.workers.get(hb.Incarnation.worker)
-	if (!ok || wk.incarnation != hb.Incarnation) && !pl.isService(hb.Service) {
+	if !pl.isService(hb.Service) && (!ok || wk.incarnation != hb.Incarnation || !wk.belongsTo(hb.Service)) {
 		return nil, false
 	}
 	if ok && wk.incarnation != hb.Incarnation {
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -103,6 +103,8 @@
 	// Address is the network address of the worker. A new incarnation replaces
 	// workers of other names that had the address and started earlier.
 	Address string
+	// Version is the version of the worker's program. The planner does not use it.
+	Version string
 	// Size is the total of the worker's resources.
 	Size model.Resources
 	// Labels are compared with StepSpec.RequiredLabel. Rack is compared with
--- a/core/flow/text_test.go
+++ b/core/flow/text_test.go
@@ -27,10 +27,8 @@
 		"end":          func(hb *Heartbeat) { hb.Ended[0].Task.job = notUTF8 },
 		"end with one": func(hb *Heartbeat) { hb.Ended[0].Checkpoint = notUTF8 },
 	} {
-		hb := &Heartbeat{
-			Incarnation: NewIncarnation("w", 1), Service: "svc", Centre: "a", Address: "w:80", Labels: []string{"a", "r1"}, Rack: "r1",
-			Runs: []RunReport{{Task: NewTaskID("job", 0, 0, 0)}}, Ended: []EndReport{{Number: 1, Task: NewTaskID("job", 0, 0, 1)}},
-		}
+		hb := soundHeartbeat()
+		hb.Runs, hb.Ended = []RunReport{{Task: NewTaskID("job", 0, 0, 0)}}, []EndReport{{Number: 1, Task: NewTaskID("job", 0, 0, 1)}}
 		if err := hb.Check(); err != nil {
 			t.Fatal(err)
 		}
