Flow: work that fails everywhere is held back, not the workers

Cause: three failures in a row of different jobs put a worker in quarantine for 4 to 8 s, whoever was at fault. The tasks of three jobs that fail at their start moved from worker to worker and put each in quarantine, and other jobs had no worker. Failures of long-running tasks in a quarantine prolonged it.

Change: core/blame has the decision, moved out of core/flow/health.go. A step that has failed on three workers (on all of a service with two), and done what it should on none since, is suspect: its failures don't count against workers, those counted before are taken back, which may end a quarantine, and its restarts are held back for 250 ms to 1.5 s. A run that succeeds, or a long-running task that serves 3 s after its start, clears the step. A full quarantine is permitted for at most 0.34 of the capacity of a service that may get tasks, or for one worker with up to half of it; beyond that it is 500 ms long and followed by as long a time without one, so that a service with one worker goes on. Failures in a quarantine don't prolong it. Events: workSuspect, workerExonerated.

Test: TestJobsThatFailEverywhereLeaveWorkersToOthers, in virtual time with 1, 2, 3 and 6 workers.

Elsewhere: the pause for start orders that a worker doesn't carry out (up to 8 s) had no bound on the share of workers either; it now has the same one. Slow workers have one (maxSlowWorkers), quarantines of the other scheduler too (core/health).

--- a/core/flow/health.go
+++ b/core/flow/health.go
@@ -4,20 +4,11 @@
 	"strconv"
 	"time"
 
+	"guavarail/core/blame"
 	"guavarail/core/model"
 )
 
 const (
-	// quarantineAfter is the number of consecutive failures, each of a
-	// different job, after which a worker is quarantined.
-	quarantineAfter = 3
-	// minQuarantine is the duration of a worker's first quarantine, and of the
-	// first after a run has succeeded.
-	minQuarantine = 4 * time.Second
-	// maxQuarantine bounds the duration, which doubles with each quarantine
-	// until a run succeeds. A worker that runs only long-running tasks never
-	// has a success.
-	maxQuarantine = 8 * time.Second
 	// minOrderPause is how long a worker is avoided that didn't carry out a start
 	// order, as it may have lost the answer. The duration doubles, up to
 	// maxOrderPause, until the worker carries one out.
@@ -35,12 +26,8 @@
 
 // health tracks the failures of a worker. The zero value is a healthy worker.
 type health struct {
-	// failures counts consecutive failures, and lastJob is the job of the last.
-	failures         int
-	lastJob          model.JobID
-	quarantinedUntil model.Instant
-	// quarantine is the duration of the last quarantine, 0 after a success.
-	quarantine time.Duration
+	// blame counts the failures of runs.
+	blame blame.Worker
 	// pausedUntil is the end of the last pause for start orders that were not
 	// carried out, and pause its duration, 0 after one was carried out.
 	pausedUntil model.Instant
@@ -50,16 +37,20 @@
 // quarantined reports whether the worker gets long-running tasks only, and those
 // only if no other worker has room.
 func (he *health) quarantined(now model.Instant) bool {
-	return now.Before(he.quarantinedUntil) || now.Before(he.pausedUntil)
+	return he.blame.Quarantined(now) || now.Before(he.pausedUntil)
 }
 
 // recordIgnoredOrder counts a start order that the worker didn't carry out, and
-// reports whether a pause begins. Orders of one answer count once.
-func (he *health) recordIgnoredOrder(now model.Instant) bool {
+// reports whether a pause begins, which is minOrderPause long unless a longer one is
+// permitted. Orders of one answer count once.
+func (he *health) recordIgnoredOrder(now model.Instant, permitted bool) bool {
 	if now.Before(he.pausedUntil) {
 		return false
 	}
 	he.pause = min(max(minOrderPause, 2*he.pause), maxOrderPause)
+	if !permitted {
+		he.pause = minOrderPause
+	}
 	he.pausedUntil = now.Add(he.pause)
 	return true
 }
@@ -67,32 +58,17 @@
 // recordStart notes that the worker has carried out a start order.
 func (he *health) recordStart() { he.pausedUntil, he.pause = 0, 0 }
 
-// recordFailure counts a failure of a job, and reports whether it puts the
-// worker in quarantine. Consecutive failures of one job count once.
-func (he *health) recordFailure(now model.Instant, id model.JobID) bool {
-	if he.lastJob == id {
-		return false
-	}
-	he.failures, he.lastJob = he.failures+1, id
-	if he.failures < quarantineAfter {
-		return false
-	}
-	he.quarantine = min(max(minQuarantine, 2*he.quarantine), maxQuarantine)
-	// The first failure after the quarantine starts the next one.
-	he.quarantinedUntil, he.failures = now.Add(he.quarantine), quarantineAfter-1
-	return true
-}
-
 // recordOutcome updates the health of a worker with the outcome of a run.
 func (pl *Planner) recordOutcome(now model.Instant, wk *worker, pr *placedRun, oc Outcome) {
 	he := &wk.health
 	switch {
 	case oc == Succeeded:
-		he.failures, he.lastJob, he.quarantine = 0, "", 0
+		he.blame.Succeeded()
 		he.recordStart()
+		pr.work.Ran()
 	case oc == Failed:
 		pl.countFailure(now, wk, pr)
-	case oc == NotStarted && pr.ignored() && he.recordIgnoredOrder(now):
+	case oc == NotStarted && pr.ignored() && he.recordIgnoredOrder(now, pl.mayQuarantine(now, wk)):
 		pl.recordEvent("workerIgnoresOrders", "", "", wk.incarnation.String(), "ms", strconv.FormatInt(he.pause.Milliseconds(), 10))
 	}
 }
@@ -101,11 +77,67 @@
 // has listed, and no order to stop it.
 func (pr *placedRun) ignored() bool { return pr.startSent && !pr.reported && !pr.stopping }
 
-// countFailure counts a failed or stalled run as a failure of its worker.
+// countFailure counts a failed or stalled run as a failure of its work, or of its worker
+// unless the work fails on others, too.
 func (pl *Planner) countFailure(now model.Instant, wk *worker, pr *placedRun) {
-	if wk.health.recordFailure(now, pr.task.job) {
-		pl.recordEvent("workerQuarantined", "", "", wk.incarnation.String(), "ms", strconv.FormatInt(wk.health.quarantine.Milliseconds(), 10))
+	if pr.work.Failed(now, wk.incarnation.worker, pl.countWorkers(wk.service, blame.SuspectAfter)) {
+		pl.exonerate(now, pr)
+		return
+	}
+	if wk.health.blame.Failed(now, pr.task.job) {
+		dur := wk.health.blame.Quarantine(now, pl.mayQuarantine(now, wk))
+		pl.recordEvent("workerQuarantined", "", "", wk.incarnation.String(), "ms", strconv.FormatInt(dur.Milliseconds(), 10))
+	}
+}
+
+// exonerate takes back the failures of a job from the workers on which the step of a run
+// failed, because the step fails everywhere.
+func (pl *Planner) exonerate(now model.Instant, pr *placedRun) {
+	for _, name := range pr.work.FailedOn() {
+		if wk, ok := pl.workers.get(name); ok && wk.health.blame.Exonerate(now, pr.task.job) {
+			pl.recordEvent("workerExonerated", pr.task.job, "", wk.incarnation.String())
+		}
 	}
+	if pr.job.suspectRecordedAt == 0 || now.Sub(pr.job.suspectRecordedAt) >= waitEventInterval {
+		pr.job.suspectRecordedAt = now
+		pl.recordEvent("workSuspect", pr.task.job, pr.task.String(), "", "workers", strconv.Itoa(len(pr.work.FailedOn())),
+			"heldMs", strconv.FormatInt(pr.work.HeldFor().Milliseconds(), 10))
+	}
+}
+
+// countWorkers returns the number of workers of a service, or limit if there are more.
+func (pl *Planner) countWorkers(name model.ServiceID, limit int) int {
+	num := 0
+	for _, wk := range pl.workers.sorted {
+		if wk.service == name && wk.reported {
+			num++
+		}
+		if num == limit {
+			break
+		}
+	}
+	return num
+}
+
+// mayQuarantine reports whether enough capacity of the service is left for a full quarantine
+// of a worker.
+func (pl *Planner) mayQuarantine(now model.Instant, wk *worker) bool {
+	quarantined, total := int64(0), wk.size.MilliCPU()
+	for _, other := range pl.workers.sorted {
+		if other == wk || other.service != wk.service || pl.unavailable(other) != notRejected {
+			continue
+		}
+		total += other.size.MilliCPU()
+		if other.health.quarantined(now) {
+			quarantined += other.size.MilliCPU()
+		}
+	}
+	return blame.Permits(wk.size.MilliCPU(), quarantined, total)
+}
+
+// servesLong reports whether a long-running task is serving and has got past its start.
+func (pr *placedRun) servesLong(now model.Instant) bool {
+	return pr.spec.LongRunning && pr.percent >= fullPace && now.Sub(pr.placedAt) >= notServingTimeout
 }
 
 // evictStalled marks runs that make no progress for eviction, since some
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -26,8 +26,9 @@
 	// While holding is set, proposals are added to held instead of being applied.
 	holding bool
 	held    []Propose
-	// events are the events that the planner recorded.
-	events []RecordEvent
+	// events are the events that the planner recorded, and answers its answers.
+	events  []RecordEvent
+	answers []Answer
 }
 
 func newHarness(t *testing.T) *harness {
@@ -69,6 +70,7 @@
 		switch val := eff.(type) {
 		case Answer:
 			out = append(out, val)
+			har.answers = append(har.answers, val)
 		case RecordEvent:
 			har.events = append(har.events, val)
 		case Propose:
@@ -97,8 +99,11 @@
 	har.step(ProposalEnded{Term: har.term, Applied: true})
 }
 
-func (har *harness) submit(id string, step StepSpec) {
-	jo, err := NewJob(JobSpec{ID: model.JobID(id), Service: "svc", Steps: []StepSpec{step}, MaxFailures: 9, ObjectiveFactor: 2, ObjectiveBase: time.Second})
+func (har *harness) submit(id string, step StepSpec) { har.submitWith(id, step, 9) }
+
+// submitWith submits a job that may fail so often.
+func (har *harness) submitWith(id string, step StepSpec, failures int) {
+	jo, err := NewJob(JobSpec{ID: model.JobID(id), Service: "svc", Steps: []StepSpec{step}, MaxFailures: failures, ObjectiveFactor: 2, ObjectiveBase: time.Second})
 	if err != nil {
 		har.t.Fatal(err)
 	}
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -199,6 +199,9 @@
 		}
 		// The worker still has the run, so a stop order that was sent is repeated.
 		pr.reported, pr.stopping, pr.inherited, pr.percent = true, false, false, rr.Percent
+		if pr.servesLong(now) {
+			pr.work.Ran()
+		}
 		if rr.Checkpoint != "" && len(rr.Checkpoint) <= maxCheckpoint {
 			pr.checkpoint = rr.Checkpoint
 		}
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -100,7 +100,7 @@
 		if ready && spec.ordinary() && pl.canHold(jb.spec.Service, spec) {
 			pl.addDemand(jb, spec, occ.steps[s].openTasks)
 		}
-		if !occ.steps[s].trackWait(now, ready) {
+		if !occ.steps[s].trackWait(now, ready) || occ.steps[s].work.Held(now) {
 			continue
 		}
 		age := time.Duration(wall-jb.due(k)) * time.Millisecond
--- a/core/flow/roomindex_test.go
+++ b/core/flow/roomindex_test.go
@@ -88,7 +88,7 @@
 		wk.slowUntil = rc.now.Add(time.Second)
 	}
 	if rc.oneIn(10) {
-		wk.health.quarantinedUntil = rc.now.Add(time.Second)
+		wk.health.blame.Quarantine(rc.now, false)
 	}
 	for range rc.rng.IntN(12) {
 		rs := &rc.steps[rc.rng.IntN(len(rc.steps))]
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"guavarail/core/blame"
 	"guavarail/core/model"
 	"guavarail/core/share"
 )
@@ -89,6 +90,8 @@
 	// failedAttempt is the highest attempt number of a gang of which this VM has seen
 	// a failure. It is not replicated.
 	failedAttempt int
+	// work counts the failures of the tasks on this leader. It is not replicated.
+	work blame.Work
 }
 
 // occurrence is one execution of all steps of a job. A job that does not repeat
@@ -148,6 +151,8 @@
 	// waitRecordedAt is when the last event about waiting tasks of the job was
 	// recorded. It is not replicated.
 	waitRecordedAt model.Instant
+	// suspectRecordedAt is the same for events about failures on several workers.
+	suspectRecordedAt model.Instant
 }
 
 // occurrenceCount returns the number of occurrences of the whole job.
--- a/core/flow/term.go
+++ b/core/flow/term.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"guavarail/core/blame"
 	"guavarail/core/model"
 )
 
@@ -39,6 +40,7 @@
 		occ := jb.occurrences[k]
 		for s := range occ.steps {
 			occ.steps[s].turn, occ.steps[s].nextTurn = nil, 0
+			occ.steps[s].work = blame.Work{}
 			for i := range occ.steps[s].tasks {
 				tk := &occ.steps[s].tasks[i]
 				tk.plannedStarts = 0
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"guavarail/core/blame"
 	"guavarail/core/model"
 )
 
@@ -13,7 +14,9 @@
 	spec *StepSpec
 	task TaskID
 	// state is the state of task in job.
-	state   *task
+	state *task
+	// work counts the failures of the step of task.
+	work    *blame.Work
 	attempt int
 	// size is what the run reserves of the worker: nothing once the worker has
 	// reported its end.
@@ -82,9 +85,9 @@
 }
 
 func newPlacedRun(jb *job, id TaskID, attempt int, now model.Instant) *placedRun {
-	spec := &jb.spec.Steps[id.step]
+	spec, sp := &jb.spec.Steps[id.step], &jb.occurrence(id.occurrence).steps[id.step]
 	return &placedRun{
-		job: jb, spec: spec, task: id, state: &jb.occurrence(id.occurrence).steps[id.step].tasks[id.index], attempt: attempt,
+		job: jb, spec: spec, task: id, state: &sp.tasks[id.index], work: &sp.work, attempt: attempt,
 		size: spec.reservation(), placedAt: now, pace: fullPace, sentPace: fullPace,
 	}
 }
