Cell: a queue is its host and prefix, not its name

Cause: a job carried the name of its queue, and the number of waiting jobs was looked up by the name that the configuration in force gives to the host and prefix. After a configuration with another name it was 0 while the jobs waited.

Change: cell.Queue.Key, the host in lower case and the prefix, identifies a queue.

TestPendingJobsStayWithTheirHostAndPrefix covers names that move between queues.

Elsewhere: state and cancel of a job look it up by its identifier, whichever queue is asked. Priority, objective and number of attempts are copied into the job when it is submitted. Services and workspaces have no other identity than their name. No other decision in core/cell, core/flow, io/cell or platform reads the name of a queue.

--- a/core/cell/document.go
+++ b/core/cell/document.go
@@ -49,6 +49,10 @@
 // Spec returns the specification of the queue.
 func (qu Queue) Spec() QueueSpec { return qu.spec }
 
+// Key identifies the queue, whatever its name: it stays the same for as long as the queue
+// has its host and prefix.
+func (qu Queue) Key() string { return strings.ToLower(qu.spec.Host) + qu.spec.Prefix }
+
 // Service is a named pool of workers.
 type Service struct {
 	name model.ServiceID
--- a/core/cell/document_test.go
+++ b/core/cell/document_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"guavarail/core/flow"
 	"guavarail/core/model"
 	"guavarail/core/share"
 )
@@ -139,3 +140,38 @@
 		t.Errorf("queue %q after another document of the same version, want q", got)
 	}
 }
+
+// Guards against accepted jobs that no queue counts once a configuration has given their
+// queue another name, and against jobs that another queue of their queue's old name counts.
+func TestPendingJobsStayWithTheirHostAndPrefix(t *testing.T) {
+	queue := func(name, host, prefix string) Queue {
+		return NewQueue(QueueSpec{Name: name, Host: host, Prefix: prefix, Service: "svc", Timeout: time.Second})
+	}
+	var st State
+	submit := func(id, queue string) {
+		jo, err := flow.NewJob(flow.JobSpec{ID: model.JobID(id), Queue: queue, Service: "svc", Steps: []flow.StepSpec{{Tasks: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		st.Apply(Jobs(flow.Submit(jo)))
+	}
+	submit("a", queue("one", "Desk.example", "/fit/").Key())
+	submit("b", queue("one", "desk.example", "/fit/").Key())
+	// A job of an older version of the program carries the name.
+	submit("c", "old")
+	for _, tt := range []struct {
+		queue Queue
+		want  int
+	}{
+		{queue("one", "desk.example", "/fit/"), 2},
+		{queue("two", "DESK.example", "/fit/"), 2},
+		{queue("", "desk.example", "/fit/"), 2},
+		{queue("one", "desk.example", "/other/"), 0},
+		{queue("desk.example/fit/", "desk.example", "/other/"), 0},
+		{queue("old", "desk.example", "/old/"), 1},
+	} {
+		if got := st.Pending(tt.queue); got != tt.want {
+			t.Errorf("%q at %s: %d jobs pending, want %d", tt.queue.Spec().Name, tt.queue.Key(), got, tt.want)
+		}
+	}
+}
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"guavarail/core/flow"
 	"guavarail/core/model"
@@ -146,6 +147,17 @@
 	return names
 }
 
+// Pending returns the number of jobs of a queue that have not started. Jobs of older
+// versions of the program carry the name of their queue. A name with a slash is not looked
+// up, because it may be the key of another queue.
+func (st *State) Pending(qu Queue) int {
+	num := st.jobs.Pending(qu.Key())
+	if name := qu.spec.Name; name != "" && !strings.Contains(name, "/") {
+		num += st.jobs.Pending(name)
+	}
+	return num
+}
+
 // Out returns a copy of the set of data centres that are out of service.
 func (st *State) Out() map[model.CentreID]bool { return maps.Clone(st.outCentres) }
 
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -67,7 +67,8 @@
 // JobSpec is the input of NewJob.
 type JobSpec struct {
 	ID model.JobID
-	// Queue is the name of the queue that accepted the job. Service is the pool
+	// Queue identifies the queue that accepted the job; a name would not, since a
+	// configuration may change it. Service is the pool
 	// whose workers run the tasks.
 	Queue   string
 	Service model.ServiceID
