Cell: shares of workspaces

Within a priority the start order didn't depend on whose work it is, so that a workspace that submits too much small work delayed the larger jobs of others.

Where the configuration has workspaces, a plan computes for each service and priority the level of weighted max-min fairness over what workspaces have in use and ask for. When a step's turn comes and its workspace has that share, the step is postponed until the other steps of its priority have been placed, and then gets what is left. The order is the same otherwise; restarts and steps with an overdue turn aren't postponed. tasksWait tells the reason (quota or share), and workspaceUse tells once a second what up to 20 workspaces with held steps have in use. countPlaces goes through lists instead of maps.

--- a/core/flow/cell_bench_test.go
+++ b/core/flow/cell_bench_test.go
@@ -35,6 +35,9 @@
 	// submitted counts the jobs of submitOne. openJobs is the number of open jobs
 	// below which further ones are submitted.
 	submitted, openJobs int
+	// workspaces is the number of workspaces that own the jobs, 0 for jobs without one,
+	// and owners counts the jobs that have got one.
+	workspaces, owners int
 }
 
 // benchWorker is a worker of a benchCell.
@@ -60,7 +63,12 @@
 
 // newBenchCell returns a cell with a number of workers that is a multiple of 50.
 func newBenchCell(tb testing.TB, seed uint64, workers int) *benchCell {
-	bc := &benchCell{tb: tb, rng: rand.New(rand.NewPCG(seed, 1)), now: model.Instant(time.Second)}
+	return newSharedBenchCell(tb, seed, workers, 0)
+}
+
+// newSharedBenchCell returns a cell whose jobs belong to a number of workspaces.
+func newSharedBenchCell(tb testing.TB, seed uint64, workers, workspaces int) *benchCell {
+	bc := &benchCell{tb: tb, rng: rand.New(rand.NewPCG(seed, 1)), now: model.Instant(time.Second), workspaces: workspaces}
 	bc.pl = NewPlanner(&bc.st, Config{})
 	bc.step(BecameLeader{Term: 1, LeaseUntil: model.Instant(1000 * time.Hour), Wall: bc.wall()})
 	// A proposal in progress holds up plans until the cell is complete.
@@ -82,8 +90,13 @@
 func (bc *benchCell) wall() int64 { return time.Duration(bc.now).Milliseconds() }
 
 func (bc *benchCell) submit(name string, priority int, steps ...StepSpec) {
+	workspace := model.WorkspaceID("")
+	if bc.workspaces > 0 {
+		workspace = model.WorkspaceID(fmt.Sprint("workspace", bc.owners%bc.workspaces))
+		bc.owners++
+	}
 	jo, err := NewJob(JobSpec{
-		ID: model.JobID(name), Service: "svc", Priority: priority, Steps: steps, ObjectiveFactor: 2, ObjectiveBase: time.Second, AcceptedMs: bc.wall(),
+		ID: model.JobID(name), Service: "svc", Workspace: workspace, Priority: priority, Steps: steps, ObjectiveFactor: 2, ObjectiveBase: time.Second, AcceptedMs: bc.wall(),
 	})
 	if err != nil {
 		bc.tb.Fatal(err)
--- a/core/flow/demand.go
+++ b/core/flow/demand.go
@@ -121,7 +121,7 @@
 	if !pl.sharing {
 		return openTasks
 	}
-	return pl.round.Customer(jb.spec.Workspace).Demand(spec.Size, openTasks)
+	return pl.seatOf(jb).Customer().Demand(spec.Size, openTasks)
 }
 
 // observeDemand ends the collection of the present demand, and forgets what nobody has asked
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -207,6 +207,9 @@
 	if counts[noCapacity] > 0 {
 		pairs = append(pairs, short.pairs()...)
 	}
+	if rs.lent {
+		pairs = append(pairs, "reason", "share", "workspace", string(rs.job.spec.Workspace))
+	}
 	if rs.spec.LongRunning {
 		pairs = append(pairs, "longRunning", "true")
 	}
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -48,10 +48,14 @@
 	turnSince model.Instant
 	// urgent is set for a restart that has waited for urgentAfter.
 	urgent bool
+	// position is the index of the step in the scheduling order.
+	position int
 	// seat is that of the job's workspace in the plan, nil if there are no terms.
 	seat *seat
 	// overQuota is set if the step waits for the quota of its workspace as the plan begins.
 	overQuota bool
+	// lent is set once the step may use what workspaces below their fair share have left.
+	lent bool
 }
 
 // wants reports whether rs is meant to place a task now.
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -13,23 +13,35 @@
 	pl.beginRound()
 	pl.renewKept(now)
 	pl.measureWorkers()
+	pl.measurePools()
 	steps := pl.readySteps(now)
 	pl.measureRoom(steps)
 	for i := range steps {
-		rs := steps[i]
+		rs := &steps[i]
+		rs.position = i
 		next := i + 1
-		switch {
-		case pl.bound.skips(i, &rs):
-		case rs.spec.Gang:
-			pl.startGang(now, rs)
-		case !pl.startTasks(now, rs):
+		if !pl.bound.skips(i, rs) && !pl.startStep(now, rs) {
 			next = i
 		}
 		if pl.bound.over(i) {
 			pl.dirty = pl.bound.end(next, len(steps))
 			return
 		}
+		last := i+1 == len(steps) || steps[i+1].job.spec.Priority != rs.job.spec.Priority
+		if last && len(pl.postponed) > 0 && !pl.lend(now) {
+			pl.dirty = pl.bound.end(i+1, len(steps))
+			return
+		}
+	}
+}
+
+// startStep places the waiting tasks of a step. It returns false if the plan must end before.
+func (pl *Planner) startStep(now model.Instant, rs *readyStep) bool {
+	if rs.spec.Gang {
+		pl.startGang(now, *rs)
+		return true
 	}
+	return pl.startTasks(now, *rs)
 }
 
 // indexRoom drops the claims of the plan before, or carries them on, and indexes the workers
@@ -71,6 +83,9 @@
 			pl.waitForQuota(now, &rs, id)
 			return true
 		}
+		if pl.postpones(&rs) {
+			return true
+		}
 		if !pl.leavesRoom(&rs, 1) {
 			pl.recordHeldBack(now, &rs, id)
 			return true
@@ -142,6 +157,9 @@
 		pl.waitForQuota(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
 		return
 	}
+	if pl.postpones(&rs) {
+		return
+	}
 	spares := pl.sparesPlaces(&rs)
 	if !pl.leavesRoom(&rs, len(sp.tasks)) || spares.endangered {
 		pl.recordHeldBack(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -170,7 +170,16 @@
 	// sharing is set if there are terms by which workspaces share the workers. round then
 	// has what the current plan may start of each.
 	sharing bool
-	round   share.Round[model.ServiceID, model.WorkspaceID]
+	round   *share.Round[model.ServiceID, model.WorkspaceID]
+	// roundTerms is State.termsSet of the terms of round.
+	roundTerms uint64
+	// postponed are the steps of the present priority whose workspaces have their fair
+	// share, in the scheduling order.
+	postponed []readyStep
+	// heldSteps counts the steps that the current plan has held back, by workspace, and
+	// usesRecordedAt is when events about that were last recorded.
+	heldSteps      map[model.WorkspaceID]*heldSteps
+	usesRecordedAt model.Instant
 	// misses are the tasks for which the current plan found no room.
 	misses []miss
 	// claimMisses are the restarts for which the current plan found nothing to
@@ -278,6 +287,7 @@
 			pl.plans++
 			pl.planPace.planned(now)
 			pl.plan(now)
+			pl.recordUses(now)
 		}
 		if len(pl.pendingOps) > 0 {
 			pl.proposing, pl.delays.proposedAt = true, now
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -139,18 +139,48 @@
 // countPlaces counts the places of each service for what new long-running tasks leave room
 // for.
 func (pl *Planner) countPlaces() {
+	var service model.ServiceID
+	ro := pl.roomOf(service)
+	counts := ro.headroomCounts()
 	for _, wk := range pl.workers.sorted {
-		ro, ok := pl.rooms[wk.service]
-		if !ok || !wk.reported || !pl.staying(wk) || pl.outage[wk.centre] {
+		if !wk.reported || !pl.staying(wk) || pl.outage[wk.centre] {
 			continue
 		}
+		if wk.service != service {
+			ro.setHeadroom(counts)
+			service, ro = wk.service, pl.roomOf(wk.service)
+			counts = ro.headroomCounts()
+		}
 		free := wk.freeForLong()
 		ro.endangered.places += ro.endangered.placesIn(free)
-		for priority, pc := range ro.headroom {
-			pc.places += pc.placesIn(free)
-			ro.headroom[priority] = pc
+		for i := range counts {
+			counts[i].places += counts[i].placesIn(free)
 		}
 	}
+	ro.setHeadroom(counts)
+}
+
+// headroomCount is what the new long-running tasks of a priority leave room for.
+type headroomCount struct {
+	placeCount
+	priority int
+}
+
+// headroomCounts returns the headroom as a list, which is faster to go through for each
+// worker.
+func (ro *longRunningRoom) headroomCounts() []headroomCount {
+	out := make([]headroomCount, 0, len(ro.headroom))
+	for priority, pc := range ro.headroom {
+		out = append(out, headroomCount{placeCount: pc, priority: priority})
+	}
+	return out
+}
+
+// setHeadroom replaces the headroom by a list.
+func (ro *longRunningRoom) setHeadroom(counts []headroomCount) {
+	for _, hc := range counts {
+		ro.headroom[hc.priority] = hc.placeCount
+	}
 }
 
 // newLongRunning reports whether the tasks that rs is meant to place are first starts of
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -148,6 +148,10 @@
 	// waitRecordedAt is when the last event about waiting tasks of the job was
 	// recorded. It is not replicated.
 	waitRecordedAt model.Instant
+	// seat is that of the job's workspace in round, the round of plans of the leader. They
+	// are not replicated.
+	seat  *seat
+	round *share.Round[model.ServiceID, model.WorkspaceID]
 }
 
 // occurrenceCount returns the number of occurrences of the whole job.
@@ -183,6 +187,8 @@
 	hosts map[Incarnation]*host
 	// terms are the quotas and weights of the workspaces in the configuration.
 	terms map[model.WorkspaceID]share.Terms
+	// termsSet counts the calls of SetTerms. It is not replicated.
+	termsSet uint64
 	// used is what the runs of each workspace may be using, at their declared sizes, and
 	// reserved what they reserve on the workers of each service. Both follow from jobs.
 	used     share.Accounts[model.WorkspaceID]
@@ -203,7 +209,10 @@
 
 // SetTerms replaces the quotas and weights of the workspaces. Like operations, it is applied
 // in log order.
-func (st *State) SetTerms(terms map[model.WorkspaceID]share.Terms) { st.terms = terms }
+func (st *State) SetTerms(terms map[model.WorkspaceID]share.Terms) {
+	st.terms = terms
+	st.termsSet++
+}
 
 // Pending returns the number of jobs of a queue that have not started.
 func (st *State) Pending(queue string) int { return st.pending[queue] }
--- a/core/flow/workspace.go
+++ b/core/flow/workspace.go
@@ -40,11 +40,16 @@
 
 // beginRound begins the plan's round of starts, unless there are no terms.
 func (pl *Planner) beginRound() {
+	pl.postponed = pl.postponed[:0]
+	clear(pl.heldSteps)
 	pl.sharing = len(pl.st.terms) > 0
 	if !pl.sharing {
 		return
 	}
-	pl.round.Begin(pl.st.terms, &pl.st.used)
+	if pl.round == nil || pl.roundTerms != pl.st.termsSet {
+		pl.round, pl.roundTerms = share.NewRound[model.ServiceID](pl.st.terms, &pl.st.used), pl.st.termsSet
+	}
+	pl.round.Begin()
 	pl.st.reserved.Each(func(pc poolCustomer, us share.Use) {
 		pl.round.Seat(pc.service, pc.workspace).Record(us.Total())
 	})
@@ -61,12 +66,56 @@
 	}
 }
 
+// measurePools sets the capacity of the services in the round.
+func (pl *Planner) measurePools() {
+	if !pl.sharing {
+		return
+	}
+	for service, ro := range pl.rooms {
+		pl.round.Pool(service, ro.total)
+	}
+}
+
+// postpones reports whether the next start of a step has to wait until the other steps of its
+// priority have been placed, because its workspace has its fair share of the workers of the
+// service, and if so remembers the step. Restarts of long-running tasks and steps that have
+// an overdue turn don't wait.
+func (pl *Planner) postpones(rs *readyStep) bool {
+	if rs.seat == nil || rs.lent || rs.restart || rs.overdue || rs.seat.Within(rs.job.spec.Priority) {
+		return false
+	}
+	pl.postponed = append(pl.postponed, *rs)
+	pl.heldStepsOf(rs).share++
+	return true
+}
+
+// lend places the postponed steps of a priority on what the other steps have left. It returns
+// false if the plan must end.
+func (pl *Planner) lend(now model.Instant) bool {
+	ended := false
+	for i := range pl.postponed {
+		rs := &pl.postponed[i]
+		rs.lent = true
+		if !ended && !pl.bound.skips(rs.position, rs) {
+			pl.startStep(now, rs)
+			ended = pl.bound.over(rs.position)
+		}
+	}
+	// The buffer must not keep ended jobs in memory.
+	clear(pl.postponed)
+	pl.postponed = pl.postponed[:0]
+	return !ended
+}
+
 // seatOf returns the seat of a job in the plan, nil if there are no terms.
 func (pl *Planner) seatOf(jb *job) *seat {
 	if !pl.sharing {
 		return nil
 	}
-	return pl.round.Seat(jb.spec.Service, jb.spec.Workspace)
+	if jb.round != pl.round {
+		jb.seat, jb.round = pl.round.Seat(jb.spec.Service, jb.spec.Workspace), pl.round
+	}
+	return jb.seat
 }
 
 // ask adds the waiting tasks of a step to what its workspace asks for, and sets whether the
@@ -140,6 +189,7 @@
 func (pl *Planner) waitForQuota(now model.Instant, rs *readyStep, id TaskID) {
 	rs.resetWaits(now)
 	rs.holdQuota()
+	pl.heldStepsOf(rs).quota++
 	if sp := rs.state(); sp.claims > 0 {
 		sp.claims = 0
 		for _, wk := range pl.room.workers {
--- a/core/share/round.go
+++ b/core/share/round.go
@@ -12,8 +12,8 @@
 const heldAbove = 0.5
 
 // Round decides in one plan which customers may start more tasks, in which pools of
-// workers: within their quotas in any case, and within their fair shares first. Begin it
-// before use.
+// workers: within their quotas in any case, and within their fair shares first. Its records
+// stay valid from plan to plan, which Begin begins.
 type Round[P, K comparable] struct {
 	terms     map[K]Terms
 	accounts  *Accounts[K]
@@ -22,6 +22,12 @@
 	seats     map[seatID[P, K]]*Seat
 }
 
+// NewRound returns a round with the terms of the customers and the accounts of what they have
+// in use. A customer without terms has the zero ones.
+func NewRound[P, K comparable](terms map[K]Terms, accounts *Accounts[K]) *Round[P, K] {
+	return &Round[P, K]{terms: terms, accounts: accounts, customers: map[K]*Customer{}, pools: map[P]*pool{}, seats: map[seatID[P, K]]*Seat{}}
+}
+
 // seatID names a customer in a pool.
 type seatID[P, K comparable] struct {
 	pool     P
@@ -69,10 +75,18 @@
 	size     model.Resources
 }
 
-// Begin begins a round with the terms of the customers and what they have in use. A customer
-// without terms has the zero ones.
-func (ro *Round[P, K]) Begin(terms map[K]Terms, accounts *Accounts[K]) {
-	*ro = Round[P, K]{terms: terms, accounts: accounts, customers: map[K]*Customer{}, pools: map[P]*pool{}, seats: map[seatID[P, K]]*Seat{}}
+// Begin begins a plan: nothing is started, asked for or kept, and the pools are empty.
+func (ro *Round[P, K]) Begin() {
+	for key, cu := range ro.customers {
+		cu.used, cu.held, cu.demanded = ro.accounts.Use(key).Owned(), model.Resources{}, model.Resources{}
+	}
+	for _, po := range ro.pools {
+		po.total = model.Resources{}
+		clear(po.levels)
+		for _, se := range po.seats {
+			se.recorded, se.used, se.asks = model.Resources{}, model.Resources{}, se.asks[:0]
+		}
+	}
 }
 
 // Customer returns the record of a customer.
