--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -13,25 +13,40 @@
 	pl.beginRound()
 	pl.renewKept(now)
 	pl.measureWorkers()
+	pl.measurePools()
 	steps := pl.readySteps(now)
 	pl.measureRoom(steps)
 	for i := range steps {
-		rs := steps[i]
+		rs := &steps[i]
+		rs.position = i
+		if i == 0 || steps[i-1].job.spec.Priority != rs.job.spec.Priority {
+			pl.holdQuotaTurns(rs.job.spec.Priority)
+		}
 		next := i + 1
-		switch {
-		case pl.bound.skips(i, &rs):
-		case rs.spec.Gang:
-			pl.startGang(now, rs)
-		case !pl.startTasks(now, rs):
+		if !pl.bound.skips(i, rs) && !pl.startStep(now, rs) {
 			next = i
 		}
 		if pl.bound.over(i) {
 			pl.dirty = pl.bound.end(next, len(steps))
 			return
 		}
+		last := i+1 == len(steps) || steps[i+1].job.spec.Priority != rs.job.spec.Priority
+		if last && len(pl.postponed) > 0 && !pl.lend(now) {
+			pl.dirty = pl.bound.end(i+1, len(steps))
+			return
+		}
 	}
 }
 
+// startStep places the waiting tasks of a step. It returns false if the plan must end before.
+func (pl *Planner) startStep(now model.Instant, rs *readyStep) bool {
+	if rs.spec.Gang {
+		pl.startGang(now, *rs)
+		return true
+	}
+	return pl.startTasks(now, *rs)
+}
+
 // indexRoom drops the claims of the plan before, or carries them on, and indexes the workers
 // that may get tasks.
 func (pl *Planner) indexRoom() {
@@ -67,10 +82,13 @@
 			return false
 		}
 		id := NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, i)
-		if !rs.withinQuota() {
+		if !pl.withinQuota(&rs) {
 			pl.waitForQuota(now, &rs, id)
 			return true
 		}
+		if pl.postpones(&rs) {
+			return true
+		}
 		if !pl.leavesRoom(&rs, 1) {
 			pl.recordHeldBack(now, &rs, id)
 			return true
@@ -105,6 +123,7 @@
 // does a task of an overdue step, but it preempts nothing. A gang does so as a
 // whole. id is one of the tasks.
 func (pl *Planner) waitForRoom(now model.Instant, rs *readyStep, id TaskID) {
+	rs.state().quotaSince = 0
 	rs.holdQuota()
 	claimed := 0
 	switch {
@@ -138,10 +157,13 @@
 		}
 		attempt = max(attempt, sp.tasks[i].attempt+1)
 	}
-	if !rs.withinQuota() {
+	if !pl.withinQuota(&rs) {
 		pl.waitForQuota(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
 		return
 	}
+	if pl.postpones(&rs) {
+		return
+	}
 	spares := pl.sparesPlaces(&rs)
 	if !pl.leavesRoom(&rs, len(sp.tasks)) || spares.endangered {
 		pl.recordHeldBack(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -80,6 +80,9 @@
 	// start of one, or first found the step ready with idle tasks; 0 while it is
 	// not. It is not replicated.
 	waitingSince model.Instant
+	// quotaSince is when a plan first found, since the last start of the step, that it waits
+	// for the quota of its workspace, 0 before. It is not replicated.
+	quotaSince model.Instant
 	// claims is the number of claims that the leader last made for the step. It is not
 	// replicated.
 	claims int
@@ -153,6 +156,10 @@
 	waitRecordedAt model.Instant
 	// suspectRecordedAt is the same for events about failures on several workers.
 	suspectRecordedAt model.Instant
+	// seat is that of the job's workspace in round, the round of plans of the leader. They
+	// are not replicated.
+	seat  *seat
+	round *share.Round[model.ServiceID, model.WorkspaceID]
 }
 
 // occurrenceCount returns the number of occurrences of the whole job.
@@ -188,6 +195,8 @@
 	hosts map[Incarnation]*host
 	// terms are the quotas and weights of the workspaces in the configuration.
 	terms map[model.WorkspaceID]share.Terms
+	// termsSet counts the calls of SetTerms. It is not replicated.
+	termsSet uint64
 	// used is what the runs of each workspace may be using, at their declared sizes, and
 	// reserved what they reserve on the workers of each service. Both follow from jobs.
 	used     share.Accounts[model.WorkspaceID]
@@ -208,7 +217,10 @@
 
 // SetTerms replaces the quotas and weights of the workspaces. Like operations, it is applied
 // in log order.
-func (st *State) SetTerms(terms map[model.WorkspaceID]share.Terms) { st.terms = terms }
+func (st *State) SetTerms(terms map[model.WorkspaceID]share.Terms) {
+	st.terms = terms
+	st.termsSet++
+}
 
 // Pending returns the number of jobs of a queue that have not started.
 func (st *State) Pending(queue string) int { return st.pending[queue] }
