Flow: the first heartbeat to a new leader starts no lease

Cause: a leader tells how late a heartbeat is by an earlier one of the same worker. The first one to a new leader counted as on time and got a whole lease, counted from its arrival. The last heartbeat of a worker that crashed as the leader failed, 3 s late, kept the worker's tasks from running elsewhere for 10.6 s and more.

Change: a worker with runs of an earlier leader is unproven until two heartbeats prove that it is alive, by the rule that silent workers have (the second one was sent before the call of the first can have timed out, or it is the third). Until then an answer grants what is left of the lease that the leader waits for in any case, and asks for the next heartbeat within 300 ms. Nothing is prolonged, and a worker at work keeps its lease. Answers with less than 2 s left carry no starts. The record of a former incarnation isn't given a new lease either.

Tests: TestFirstHeartbeatToALeaderStartsNoLease failed before (lease prolonged by 3 s, the task not started 8.7 s after the last lease), so did TestTwoLateHeartbeatsStartNoLease.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -96,11 +96,16 @@
 }
 
 // answer replies to the open heartbeat of a worker with its orders and renews
-// its lease, unless the worker is silent.
+// its lease, unless the worker is silent or unproven.
 func (pl *Planner) answer(now model.Instant, wk *worker) {
 	ans := Answer{
 		HeartbeatID: wk.heartbeatID, Term: pl.term, LeaseDuration: pl.config.leaseDuration(), Acknowledged: pl.lastRecordedEnd(wk), HeartbeatDelay: pl.heartbeatDelay(),
 	}
+	if wk.unproven {
+		// The heartbeat may have been sent long ago. What is left of the lease that an
+		// earlier leader has granted takes no longer to end than before.
+		ans.LeaseDuration = pl.config.leaseUntil(wk.answerPendingSince, wk.leaseEnd)
+	}
 	pl.delays.answered(now, wk, ans.Acknowledged)
 	size := answerSize{}
 	for _, ord := range wk.unknownRuns {
@@ -121,9 +126,15 @@
 		// Starts are decided that this answer cannot carry yet.
 		ans.HeartbeatDelay = min(ans.HeartbeatDelay, busyHeartbeatDelay)
 	}
+	switch {
+	case wk.unproven && ans.LeaseDuration < minStartLease:
+		ans.HeartbeatDelay = idleHeartbeatDelay
+	case wk.unproven:
+		ans.HeartbeatDelay = min(ans.HeartbeatDelay, proofDelay)
+	}
 	wk.answerPending, wk.nextHeartbeat = false, now.Add(ans.HeartbeatDelay)
 	pl.effects = append(pl.effects, ans)
-	if wk.silent {
+	if wk.silent || wk.unproven {
 		return
 	}
 	wk.expired = false
@@ -182,7 +193,7 @@
 		if !pr.inherited {
 			pl.withdraw(pr)
 		}
-	case !wk.silent && now.Sub(wk.answerPendingSince) <= maxAnswerAge:
+	case !wk.silent && ans.LeaseDuration >= min(minStartLease, pl.config.leaseDuration()) && now.Sub(wk.answerPendingSince) <= maxAnswerAge:
 		ord := StartOrder{Task: pr.task, Attempt: pr.attempt, Body: pr.job.spec.Body, Checkpoint: pr.checkpoint}
 		if !size.add(ord.size()) {
 			pr.postponedAt = now
--- a/core/flow/config.go
+++ b/core/flow/config.go
@@ -45,3 +45,10 @@
 	lease := cfg.leaseDuration()
 	return now.Add(lease + lease/leaseDriftDivisor + leaseMargin)
 }
+
+// leaseUntil returns the longest lease, counted from a heartbeat that arrived at now, that
+// has certainly ended at end; 0 if there is none.
+func (cfg Config) leaseUntil(now, end model.Instant) time.Duration {
+	left := end.Sub(now) - leaseMargin
+	return max(0, min(left-left/(leaseDriftDivisor+1)-time.Millisecond, cfg.leaseDuration()))
+}
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -9,8 +9,9 @@
 )
 
 // ensureWorker returns the record of an incarnation, which may be one that has
-// exited, and creates it if needed. If the current record of the worker is that
-// of another incarnation, the new record is added to formerWorkers.
+// exited, and creates it if needed, for runs that an earlier leader has started. If the
+// current record of the worker is that of another incarnation, the new record is added to
+// formerWorkers.
 func (pl *Planner) ensureWorker(now model.Instant, inc Incarnation) *worker {
 	current, ok := pl.workers.get(inc.worker)
 	if ok && current.incarnation == inc {
@@ -20,6 +21,7 @@
 		return pl.formerWorkers[pos]
 	}
 	wk := pl.newWorker(now, inc)
+	wk.unproven = true
 	if ok {
 		pl.formerWorkers = append(pl.formerWorkers, wk)
 		return wk
@@ -147,7 +149,9 @@
 	}
 	if !ok {
 		wk = pl.takeFormer(now, hb.Incarnation)
-		wk.lastHeartbeat, wk.leaseEnd = now, pl.config.leaseEnd(now)
+		if !wk.unproven {
+			wk.lastHeartbeat, wk.leaseEnd = now, pl.config.leaseEnd(now)
+		}
 		pl.workers.add(wk)
 	}
 	if wk.reported && hb.Sequence <= wk.sequence {
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -55,6 +55,9 @@
 	// answerCheckInterval is how often all open heartbeats are checked for answers
 	// that have become due with time.
 	answerCheckInterval = 10 * time.Millisecond
+	// minStartLease is the shortest lease with which an answer carries starts. A worker
+	// whose lease ends before its next heartbeat is answered would lose the runs.
+	minStartLease = 2 * time.Second
 	// maxAnswerAge is the age of a heartbeat up to which its answer carries starts.
 	// The worker drops an answer that arrives more than a second after it sent the
 	// heartbeat.
--- a/core/flow/silence.go
+++ b/core/flow/silence.go
@@ -11,6 +11,9 @@
 	// minSilence is how long a worker with runs must send no heartbeat, at least,
 	// until it is marked as silent. One lost message doesn't suffice.
 	minSilence = 2 * time.Second
+	// proofDelay bounds the delay from an answer to the next heartbeat of an unproven
+	// worker, so that it is sent in time to be a proof.
+	proofDelay = 300 * time.Millisecond
 	// maxProbes is the number of heartbeats of a silent worker after which the mark is
 	// removed though none of them has proved that the worker is alive.
 	maxProbes = 3
@@ -74,7 +77,8 @@
 	pl.recordEvent("workerSilent", "", "", wk.incarnation.String(), pairs...)
 }
 
-// probe is a heartbeat of a silent worker that was answered at once, without a lease.
+// probe is a heartbeat of a silent worker that was answered at once, without a lease, or of
+// an unproven one that was answered without a new lease.
 // The zero value is none.
 type probe struct {
 	// number counts the heartbeats since the worker was found silent.
@@ -84,20 +88,26 @@
 }
 
 // hear proposes to remove the mark of a silent worker once a heartbeat proves that
-// the worker is alive. The first one may be late, from a worker that has exited
-// since. If the next one was sent before the call of the first one timed out, the
-// worker had got the answer.
+// the worker is alive, and lets an unproven one have whole leases again.
 func (pl *Planner) hear(wk *worker, hb *Heartbeat) {
-	if !wk.silent || wk.heardProposed {
+	if !wk.silent && !wk.unproven || wk.heardProposed || !wk.provenBy(hb) {
 		return
 	}
-	last := wk.probe
-	wk.probe = probe{number: last.number + 1, clock: hb.Clock}
-	if last.number == 0 || hb.Clock-last.clock > maxAnswerAge && wk.probe.number < maxProbes {
+	if wk.silent {
+		wk.heardProposed = true
+		pl.pendingOps = append(pl.pendingOps, Heard(wk.incarnation, pl.term))
 		return
 	}
-	wk.heardProposed = true
-	pl.pendingOps = append(pl.pendingOps, Heard(wk.incarnation, pl.term))
+	wk.unproven, wk.probe = false, probe{}
+}
+
+// provenBy reports whether a heartbeat proves that the worker is alive. The first one
+// may be late, from a worker that has exited since. If the next one was sent before the
+// call of the first one timed out, the worker had got the answer.
+func (wk *worker) provenBy(hb *Heartbeat) bool {
+	last := wk.probe
+	wk.probe = probe{number: last.number + 1, clock: hb.Clock}
+	return last.number > 0 && (hb.Clock-last.clock <= maxAnswerAge || wk.probe.number >= maxProbes)
 }
 
 // appliedHeard lets a worker get leases again. A removal that an earlier leader
@@ -110,7 +120,7 @@
 	if !ok || wk.incarnation != op.incarnation || !wk.silent {
 		return
 	}
-	wk.silent, wk.heardProposed, wk.probe = false, false, probe{}
+	wk.silent, wk.unproven, wk.heardProposed, wk.probe = false, false, false, probe{}
 	pl.touched, pl.dirty = wk, true
 	pl.recordEvent("workerHeard", "", "", wk.incarnation.String(), "runs", strconv.Itoa(len(wk.runs)))
 }
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -153,7 +153,10 @@
 	// heardProposed is set from the decision to remove the mark until that is
 	// applied or the outcome of the proposal is unknown.
 	heardProposed bool
-	// probe is the last heartbeat of a silent worker.
+	// unproven is set for a worker with runs of an earlier leader, until a heartbeat
+	// proves that it is alive. Until then its lease isn't prolonged.
+	unproven bool
+	// probe is the last heartbeat of a silent or unproven worker.
 	probe probe
 	runs  []*placedRun
 	// longRuns are the runs of long-running tasks, in the order of runs.
