--- a/io/cell/access_test.go
+++ b/io/cell/access_test.go
@@ -1,24 +1,33 @@
 package cell
 
 import (
+	"bytes"
 	"context"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
 	"guavarail/core/cell"
 	"guavarail/core/model"
-	"guavarail/core/share"
+	"guavarail/io/disk"
 )
 
+// testWorkspace returns a workspace with one key.
+func testWorkspace(name, key string) cell.Workspace {
+	return cell.NewWorkspace(cell.WorkspaceSpec{Name: model.WorkspaceID(name), Keys: []string{key}})
+}
+
 // keyedDocument returns a configuration with a queue and one workspace with one key.
 func keyedDocument(t *testing.T, version uint64, key string) cell.Document {
 	t.Helper()
 	doc, err := cell.NewDocument(cell.DocumentSpec{
 		Version: version, Keyed: true, Services: []cell.Service{cell.NewService("desk", true)},
 		Queues:     []cell.Queue{cell.NewQueue(cell.QueueSpec{Host: "desk.example", Prefix: "/fit/", Service: "desk", Timeout: time.Second})},
-		Workspaces: []cell.Workspace{cell.NewWorkspace(cell.WorkspaceSpec{Name: "a", Keys: []string{key}, Terms: share.Terms{}})},
+		Workspaces: []cell.Workspace{testWorkspace("a", key)},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -28,7 +37,7 @@
 
 // configureAny stores a configuration through whichever VM leads, and returns its leader
 // operations.
-func configureAny(t *testing.T, vms []*VM, doc cell.Document) Leader {
+func configureAny(t testing.TB, vms []*VM, doc cell.Document) Leader {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, vm := range vms {
@@ -81,3 +90,53 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (lb *logBuffer) Write(line []byte) (int, error) {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return lb.buf.Write(line)
+}
+
+func (lb *logBuffer) text() string {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return lb.buf.String()
+}
+
+// Guards against a log that has the key of a caller or a line for each rejected one, and
+// against a rejected key that is not counted.
+func TestRejectedKeysAreCountedAndNotLogged(t *testing.T) {
+	const calls = 500
+	lb := &logBuffer{}
+	vm, stop, err := newVM(cellSettings(t), hclog.New(&hclog.LoggerOptions{Output: lb, Level: hclog.Trace}), disk.OS{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lea := configureAny(t, []*VM{vm}, keyedDocument(t, 1, "accepted-secret"))
+	before := rejectedKeys.Sum()
+	for range calls {
+		if acc, err := lea.Access(t.Context(), Call{Host: "desk.example", Path: "/fit/", Key: "refused-secret"}); err != nil || acc.Outcome() != cell.KeyUnknown {
+			t.Fatalf("%v, %v", acc.Outcome(), err)
+		}
+	}
+	if got := rejectedKeys.Sum() - before; got != calls {
+		t.Errorf("%d rejected keys counted, want %d", got, calls)
+	}
+	stop()
+	text := lb.text()
+	if num := strings.Count(text, "keyRejected"); num == 0 || num >= calls/2 {
+		t.Errorf("%d lines keyRejected for %d calls", num, calls)
+	}
+	if strings.Contains(text, "secret") {
+		t.Error("the log has a key")
+	}
+	if !strings.Contains(text, "workspaces=1") {
+		t.Error("the log has no number of workspaces")
+	}
+}
