--- a/core/flow/workspace_test.go
+++ b/core/flow/workspace_test.go
@@ -186,6 +186,10 @@
 	if !slices.ContainsFunc(clu.events, func(ev RecordEvent) bool { return ev.Kind == "tasksWait" && ev.Job == "gang" }) {
 		t.Error("no event tells that the gang waits")
 	}
+	uses := len(slices.DeleteFunc(slices.Clone(clu.events), func(ev RecordEvent) bool { return ev.Kind != "workspaceUse" }))
+	if uses == 0 || uses > int(time.Duration(clu.now)/useEventInterval) {
+		t.Errorf("%d events tell the use of the workspace in %v", uses, time.Duration(clu.now))
+	}
 	clu.st.SetTerms(map[model.WorkspaceID]share.Terms{"ws": quota(5000)})
 	clu.play(2*time.Second, func() {})
 	if clu.started("gang") != 5 {
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -270,6 +270,9 @@
 	decisions.Add(rec.Kind)
 	fis := make([]event.Field, 0, len(rec.Fields))
 	for _, fi := range rec.Fields {
+		if fi.Key == "reason" {
+			decisionReasons.Add(rec.Kind + "." + fi.Value)
+		}
 		fis = append(fis, event.NewField(fi.Key, fi.Value))
 	}
 	mem.vm.RecordEvent(event.New(event.Kind(rec.Kind), event.Subject{Job: rec.Job, Task: rec.Task, Worker: model.WorkerID(rec.Worker)}, fis...))
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -23,6 +23,8 @@
 	callTime = meter.NewHistogram("cellCallMs")
 	// decisions counts the events that the planner records, by kind.
 	decisions = meter.NewCounters("cellDecisions")
+	// decisionReasons counts those of these events that have a reason, by kind and reason.
+	decisionReasons = meter.NewCounters("cellDecisionReasons")
 	// voters is the number of voters of the replication group, and commitCopies the
 	// number of their disks that must have a command before it is acknowledged.
 	voters       = expvar.NewInt("cellVoters")
