Share: names of the round's calls in the usual terms

Take, Return and Within of a seat are now Charge, Refund and BelowShare, take, untake and postpones of core/flow are charge, refund and postpone.

--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -86,7 +86,7 @@
 			pl.waitForQuota(now, &rs, id)
 			return true
 		}
-		if pl.postpones(&rs) {
+		if pl.postpone(&rs) {
 			return true
 		}
 		if !pl.leavesRoom(&rs, 1) {
@@ -161,7 +161,7 @@
 		pl.waitForQuota(now, &rs, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, 0))
 		return
 	}
-	if pl.postpones(&rs) {
+	if pl.postpone(&rs) {
 		return
 	}
 	spares := pl.sparesPlaces(&rs)
@@ -180,7 +180,7 @@
 		if wk == nil {
 			for j, reserved := range placed {
 				pl.unreserve(reserved, NewTaskID(rs.job.ID(), rs.occurrenceIndex, rs.step, j), attempt, &sp.tasks[j])
-				rs.untake()
+				rs.refund()
 			}
 			*room = before
 			if cho.spares != (spared{}) {
@@ -218,7 +218,7 @@
 // for it. The caller adds the start to pendingOps or calls unreserve.
 func (pl *Planner) reserve(now model.Instant, rs readyStep, tk *task, id TaskID, attempt int, wk *worker) {
 	tk.plannedStarts++
-	rs.take()
+	rs.charge()
 	pr := newPlacedRun(rs.job, id, attempt, now)
 	pr.planned, pr.checkpoint = true, tk.checkpoint
 	pl.addRun(wk, pr)
--- a/core/flow/workspace.go
+++ b/core/flow/workspace.go
@@ -79,12 +79,12 @@
 	}
 }
 
-// postpones reports whether the next start of a step has to wait until the other steps of its
+// postpone reports whether the next start of a step has to wait until the other steps of its
 // priority have been placed, because its workspace has its fair share of the workers of the
 // service, and if so remembers the step. Restarts of long-running tasks and steps that have
 // an overdue turn don't wait.
-func (pl *Planner) postpones(rs *readyStep) bool {
-	if rs.seat == nil || rs.lent || rs.restart || rs.overdue || rs.seat.Within(rs.job.spec.Priority) {
+func (pl *Planner) postpone(rs *readyStep) bool {
+	if rs.seat == nil || rs.lent || rs.restart || rs.overdue || rs.seat.BelowShare(rs.job.spec.Priority) {
 		return false
 	}
 	pl.postponed = append(pl.postponed, *rs)
@@ -144,9 +144,10 @@
 	need     model.Resources
 }
 
-// chooseQuotaTurn gives the quota turn of the workspace to a step that waits for quota if it
-// has done so for overdueAfter and longest, also when the quota has room for it now. Otherwise smaller tasks would use each part of the
-// quota that becomes free. A step has no turn if it needs more than Hold can keep.
+// chooseQuotaTurn gives the quota turn of the workspace to a step if it has waited for quota
+// for overdueAfter, and longest, also when the quota has room for it now. Otherwise smaller
+// tasks would use each part of the quota that becomes free. A step gets no turn if it needs
+// more than Hold can keep.
 func (pl *Planner) chooseQuotaTurn(now model.Instant, rs *readyStep) {
 	sp := rs.state()
 	if sp.quotaSince == 0 && rs.overQuota {
@@ -221,18 +222,18 @@
 	return rs.seat.Allows(rs.quotaNeed())
 }
 
-// take records the planned start of a task of the step in the round.
-func (rs *readyStep) take() {
+// charge records the planned start of a task of the step in the round.
+func (rs *readyStep) charge() {
 	if rs.seat != nil {
 		rs.state().quotaSince = 0
-		rs.seat.Take(rs.spec.Size, rs.spec.reservation())
+		rs.seat.Charge(rs.spec.Size, rs.spec.reservation())
 	}
 }
 
-// untake takes back take.
-func (rs *readyStep) untake() {
+// refund takes back charge.
+func (rs *readyStep) refund() {
 	if rs.seat != nil {
-		rs.seat.Return(rs.spec.Size, rs.spec.reservation())
+		rs.seat.Refund(rs.spec.Size, rs.spec.reservation())
 	}
 }
 
--- a/core/share/round.go
+++ b/core/share/round.go
@@ -101,7 +101,7 @@
 	return cu
 }
 
-// Pool sets the capacity of a pool. Call it before the first Within in the pool.
+// Pool sets the capacity of a pool. Call it before the first BelowShare in the pool.
 func (ro *Round[P, K]) Pool(id P, total model.Resources) { ro.pool(id).total = total }
 
 func (ro *Round[P, K]) pool(id P) *pool {
@@ -173,7 +173,7 @@
 // Record sets what the customer had in use in the pool when the round began.
 func (se *Seat) Record(size model.Resources) { se.recorded, se.used = size, size }
 
-// Ask adds to what the customer asks for at a priority. Call it before the first Within.
+// Ask adds to what the customer asks for at a priority. Call it before the first BelowShare.
 func (se *Seat) Ask(priority int, size model.Resources) {
 	if last := len(se.asks) - 1; last >= 0 && se.asks[last].priority == priority {
 		se.asks[last].size = se.asks[last].size.Add(size)
@@ -210,20 +210,20 @@
 	}
 }
 
-// Take records the start of a task of a size, which reserves an amount on a worker.
-func (se *Seat) Take(size, reserved model.Resources) {
+// Charge records the start of a task of a size, which reserves an amount on a worker.
+func (se *Seat) Charge(size, reserved model.Resources) {
 	se.customer.used, se.used = se.customer.used.Add(size), se.used.Add(reserved)
 }
 
-// Return takes back Take.
-func (se *Seat) Return(size, reserved model.Resources) {
+// Refund takes back Charge.
+func (se *Seat) Refund(size, reserved model.Resources) {
 	se.customer.used, se.used = se.customer.used.Sub(size), se.used.Sub(reserved)
 }
 
-// Within reports whether the customer is below its fair share of the pool among those who
+// BelowShare reports whether the customer is below its fair share of the pool among those who
 // ask for capacity at a priority or above, so that it may start a task before those who are
 // not.
-func (se *Seat) Within(priority int) bool {
+func (se *Seat) BelowShare(priority int) bool {
 	level := se.pool.level(priority)
 	return math.IsInf(level, 1) || Use{owned: se.used}.Share(se.pool.total, se.customer.weight) < level
 }
--- a/core/share/round_test.go
+++ b/core/share/round_test.go
@@ -40,7 +40,7 @@
 			case !fits:
 				se.Hold(size)
 			case rapid.Bool().Draw(tt, "start"):
-				se.Take(size, size)
+				se.Charge(size, size)
 				for i := range used {
 					used[i] += parts[i]
 				}
