Cell: a forwarded call expires when its caller gives up

Cause: a control VM that was paused for 1.4 s read an operator's order that had waited in its socket, and passed it on to the leader after a newer order was acknowledged. Nothing told how old a forwarded call is: the time-out counted from when the process got to read the call, and a request is written even after that.

Change: the leader puts its clock into answers to hello messages. A VM that passes a call on says how long before or after the receipt of that ticket the call arrived and for how long it is valid; the leader refuses it after that, by its own clock, with 503. The arrival of a call that is read after a stall of the process counts from the start of the stall. The same holds for calls that reach the leader directly, and the actor that owns the log checks the expiry again in the step that appends the command (group.Ref.ProposeBefore). Calls of and to VMs of an earlier version carry no mark and are handled as before.

Tests: core/fence (pauses at each point, stalls), TestExpiredCallIsNotCarriedOut and TestCallIsPassedOnWithATicketOnly. They name fields that the code before doesn't have; with the three checks of io/cell/fence.go taken out both fail in each case of an expired call.

Elsewhere: configurations, cancels, submissions, heartbeats and exits go through the same Route and are covered. Heartbeats have a sequence, configurations a version, submissions and cancels an identifier besides. The product's own API (io/admin) forwards centres/NAME/out and in by other messages without an age.

--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -38,6 +38,11 @@
 	Key string
 	// Centre is the data centre of the VM that took the call.
 	Centre model.CentreID
+	// Arrived is the result of VM.Arrival when the call was read, and Valid for how long
+	// its caller waits from then. The call is not carried out after that. Route sets what
+	// is 0.
+	Arrived model.Instant
+	Valid   time.Duration
 }
 
 // Reply answers a Call.
@@ -72,10 +77,19 @@
 // reply means that this VM does not lead and that the call had no effect.
 func (vm *VM) serveCalls() {
 	peer.HandleRequest(vm.mux, func(ctx context.Context, _ model.VMID, que *wire.CellCall) (*wire.CellReply, error) {
-		if !vm.leased() {
+		mem := vm.member.Load()
+		if mem == nil || !mem.leased() {
 			return &wire.CellReply{Refused: true}, nil
 		}
-		rep, err := vm.handle(ctx, Call{Method: que.GetMethod(), Host: que.GetHost(), Path: que.GetPath(), Body: que.GetBody(), Key: que.GetKey(), Centre: model.CentreID(que.GetCentre())})
+		expiry, err := vm.admit(que, mem.status.Load().term)
+		if isExpired(err) {
+			calls.Add(callExpired)
+			return &wire.CellReply{Status: http.StatusServiceUnavailable, RetryAfterS: 1}, nil
+		}
+		if err != nil {
+			return &wire.CellReply{Refused: true}, nil
+		}
+		rep, err := vm.handle(withExpiry(ctx, expiry), Call{Method: que.GetMethod(), Host: que.GetHost(), Path: que.GetPath(), Body: que.GetBody(), Key: que.GetKey(), Centre: model.CentreID(que.GetCentre())})
 		if isNotLeader(err) {
 			return &wire.CellReply{Refused: true}, nil
 		}
@@ -94,6 +108,7 @@
 		calls.Add(callInvalid)
 		return Reply{}, errors.Trace(&InvalidCallError{})
 	}
+	cal = vm.withArrival(cal)
 	start := vm.clock()
 	rep, err := vm.route(ctx, cal)
 	callTime.Add(vm.clock().Sub(start))
@@ -103,6 +118,8 @@
 		calls.Add(callServed)
 	case errors.As(err, &lre):
 		calls.Add(callReplyLost)
+	case isExpired(err):
+		calls.Add(callExpired)
 	default:
 		calls.Add(callNotReached)
 	}
@@ -124,6 +141,11 @@
 				return Reply{}, errors.Trace(&LostReplyError{cause: lostErr})
 			case err == nil:
 				return rep, nil
+			case isExpired(err):
+				if lostErr == nil {
+					return Reply{}, errors.Trace(&NotReachedError{cause: err})
+				}
+				return Reply{}, errors.Trace(&LostReplyError{cause: lostErr})
 			case isNotLeader(err) || isUnsent(err):
 				vm.clearLeader(leader)
 			default:
@@ -167,18 +189,26 @@
 	vm.requestDiscovery()
 }
 
-// attempt sends a call to leader once.
+// attempt sends a call to leader once. An *ExpiredError means that the call has expired and
+// was not sent.
 func (vm *VM) attempt(ctx context.Context, leader model.VMID, cal Call) (Reply, error) {
+	if vm.expired(cal) {
+		return Reply{}, errors.Trace(&ExpiredError{})
+	}
 	if leader == vm.self {
-		return vm.handle(ctx, cal)
+		return vm.handle(withExpiry(ctx, cal.Arrived.Add(cal.Valid)), cal)
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	end, _ := ctx.Deadline()
-	rep, err := peer.Call[*wire.CellReply](ctx, vm.hub, leader, &wire.CellCall{
+	msg := &wire.CellCall{
 		Method: cal.Method, Host: cal.Host, Path: cal.Path, Body: cal.Body, LeftMs: uint32(time.Until(end).Milliseconds()),
 		Key: cal.Key, Centre: string(cal.Centre),
-	})
+	}
+	if cur := vm.discovered.Load(); cur.leader != leader || !vm.mark(msg, cal, cur.ticket) {
+		return Reply{}, errors.Trace(newNotLeaderError())
+	}
+	rep, err := peer.Call[*wire.CellReply](ctx, vm.hub, leader, msg)
 	if err != nil {
 		return Reply{}, errors.Trace(err)
 	}
--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -48,6 +48,12 @@
 // Unwrap returns the cause.
 func (err *LostReplyError) Unwrap() error { return err.cause }
 
+// ExpiredError reports a call whose caller no longer waits for the reply. It had no effect.
+type ExpiredError struct{}
+
+// Error describes the failure.
+func (err *ExpiredError) Error() string { return "the call waited for longer than its caller does" }
+
 // InvalidCallError reports a call whose host or path is not UTF-8, so that no VM can forward
 // it. It had no effect.
 type InvalidCallError struct{}
@@ -77,6 +83,12 @@
 	return errors.As(err, &ece) || errors.As(err, &sie)
 }
 
+// isExpired reports whether err means that a call expired and had no effect.
+func isExpired(err error) bool {
+	var exe *ExpiredError
+	return errors.As(err, &exe)
+}
+
 // isUnsent reports whether err means that a request to another VM was not sent.
 func isUnsent(err error) bool {
 	var unr *peer.UnreachableError
--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -8,6 +8,7 @@
 
 	"guavarail/core/cell"
 	"guavarail/core/event"
+	"guavarail/core/fence"
 	"guavarail/core/model"
 	"guavarail/io/host"
 	"guavarail/io/peer"
@@ -35,6 +36,8 @@
 	// did. term is its term, 0 if there is no leader.
 	leader model.VMID
 	term   uint64
+	// ticket is that of the leader, the zero value if it issues none.
+	ticket fence.Ticket
 	// discoveredAt is when the last of the answers had arrived.
 	discoveredAt model.Instant
 	// members are the VMs to connect to: the seeds and the VMs that the answers list.
@@ -112,20 +115,20 @@
 	prev := fin.vm.discovered.Load()
 	if prev.leader != "" {
 		if wel, ok := fin.hello(ctx, prev.leader); ok && wel.GetLeased() {
-			fin.publish(prev, []*wire.CellWelcome{wel}, prev.leader, wel.GetTerm())
+			fin.publish(prev, []*wire.CellWelcome{wel}, prev.leader, wel)
 			return true
 		}
 	}
 	wels := fin.helloAll(ctx, prev.members)
-	leader, term := model.VMID(""), uint64(0)
+	leader, best := model.VMID(""), (*wire.CellWelcome)(nil)
 	var answers []*wire.CellWelcome
 	for id, wel := range wels {
 		answers = append(answers, wel)
-		if wel.GetLeased() && wel.GetTerm() >= term {
-			leader, term = id, wel.GetTerm()
+		if wel.GetLeased() && wel.GetTerm() >= best.GetTerm() {
+			leader, best = id, wel
 		}
 	}
-	fin.publish(prev, answers, leader, term)
+	fin.publish(prev, answers, leader, best)
 	return leader != ""
 }
 
@@ -167,14 +170,18 @@
 	return out
 }
 
-// publish replaces the discovery by one made of the answers. If there is a leader,
+// publish replaces the discovery by one made of the answers, of which best is that of the
+// leader. If there is a leader,
 // members that it does not list are removed, except for the seeds. Without a leader
 // the previous members stay as well.
-func (fin *leaderFinder) publish(prev *discovery, wels []*wire.CellWelcome, leader model.VMID, term uint64) {
+func (fin *leaderFinder) publish(prev *discovery, wels []*wire.CellWelcome, leader model.VMID, best *wire.CellWelcome) {
 	vm := fin.vm
 	now := vm.clock()
 	fin.receiveAnnouncements(now)
-	next := &discovery{leader: leader, term: term, discoveredAt: now, members: slices.Clone(*vm.seeds.Load()), announced: fin.announced.VMs(now)}
+	next := &discovery{leader: leader, term: best.GetTerm(), discoveredAt: now, members: slices.Clone(*vm.seeds.Load()), announced: fin.announced.VMs(now)}
+	if best.GetClock() > 0 {
+		next.ticket = fence.NewTicket(best.GetTerm(), model.Instant(best.GetClock()), now)
+	}
 	if leader == "" {
 		next.members = append(next.members, prev.members...)
 		next.members = append(next.members, vm.knownMembers()...)
--- a/io/cell/hello.go
+++ b/io/cell/hello.go
@@ -30,6 +30,9 @@
 		known = append(known, mem.vm.discovered.Load().toPassOn()...)
 	}
 	wel := &wire.CellWelcome{Leader: string(sta.leader), Term: sta.term, Leased: sta.leased}
+	if sta.leased {
+		wel.Clock = uint64(mem.vm.clock())
+	}
 	slices.Sort(known)
 	for _, id := range slices.Compact(known) {
 		wel.Members = append(wel.Members, string(id))
--- a/io/cell/leader.go
+++ b/io/cell/leader.go
@@ -49,12 +49,13 @@
 	return val, errors.Trace(err)
 }
 
-// Propose proposes a command and waits until it is applied.
+// Propose proposes a command and waits until it is applied. It returns a *BusyError if the
+// call of ctx expires before the command is appended to the log.
 func (lea Leader) Propose(ctx context.Context, cmd cell.Command) (cell.Result, error) {
 	mem, err := lea.member()
 	if err != nil {
 		return cell.Result{}, err
 	}
-	res, err := mem.ref.Propose(ctx, cmd)
+	res, err := mem.ref.ProposeBefore(ctx, expiryOf(ctx), cmd)
 	return res, errors.Trace(err)
 }
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -42,6 +42,7 @@
 	callNotReached = "notReached"
 	callReplyLost  = "replyLost"
 	callInvalid    = "invalid"
+	callExpired    = "expired"
 )
 
 // serveVars serves counters and histograms over HTTP if the settings have a
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"guavarail/core/event"
+	"guavarail/core/fence"
 	"guavarail/core/model"
 	"guavarail/io/busy"
 	"guavarail/io/config"
@@ -46,6 +47,8 @@
 	discoverNow chan struct{}
 	// announcements has the VMs with a disk that have said hello to this one.
 	announcements chan model.VMID
+	// watch notes when this process was stalled.
+	watch watch
 	// handler is set by Serve; nil before that.
 	handler atomic.Pointer[Handler]
 	// cleanups are the clean-up functions, in the order in which the parts of the
@@ -104,6 +107,7 @@
 	vm.Reload(vm.settings)
 	vm.discovered.Store(&discovery{members: *vm.seeds.Load()})
 	vm.serveCalls()
+	_ = vm.addCleanup(host.Every(ctx, fence.PulseInterval, func(context.Context) { vm.Arrival() }), nil)
 	hub, stop, err := peer.New(peer.Config{
 		System: sys, Self: vm.self, Listen: vm.settings.Listen().Peers().String(), Mux: vm.mux, AcceptUnlisted: true,
 		Log: vm.log.Named("peer"), Clock: rec.Clock(), Seed: randomSeed(vm.self),
--- a/io/group/actor.go
+++ b/io/group/actor.go
@@ -19,11 +19,12 @@
 	// storeReady passes the store to the actor. It precedes all other messages.
 	storeReady struct{ store disk.Ref }
 
-	// propose adds an encoded command to the next batch. It is answered once the
-	// command has been applied.
+	// propose adds an encoded command to the next batch, unless expiry has passed; 0 means
+	// never. It is answered once the command has been applied.
 	propose[R any] struct {
-		data  []byte
-		reply chan<- result[R]
+		data   []byte
+		expiry model.Instant
+		reply  chan<- result[R]
 	}
 
 	// flush proposes all queued commands as one batch.
@@ -140,6 +141,10 @@
 // queueProposal adds a command to the next batch. All commands that arrive
 // before the flush message are proposed together.
 func (act *groupActor[M, C, R, S]) queueProposal(ctx actor.Context, msg propose[R]) {
+	if msg.expiry > 0 && !act.cfg.Clock().Before(msg.expiry) {
+		msg.reply <- result[R]{err: &BusyError{group: act.cfg.Group}}
+		return
+	}
 	if len(act.queuedProposals) == 0 {
 		ctx.Send(ctx.Self(), flush{})
 	}
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -175,6 +175,13 @@
 // and applied. After a *NotLeaderError, an *EncodeError, a *SizeError or a *CodecError the
 // command will never be applied; after an *UnknownError it may be.
 func (ref Ref[M, C, R, S]) Propose(ctx context.Context, cmd C) (R, error) {
+	return ref.ProposeBefore(ctx, 0, cmd)
+}
+
+// ProposeBefore is as Propose, but returns a *BusyError if the command isn't appended to the
+// log before expiry, a time of the group's clock; 0 means never. The order of the log is
+// that in which this is checked.
+func (ref Ref[M, C, R, S]) ProposeBefore(ctx context.Context, expiry model.Instant, cmd C) (R, error) {
 	var zero R
 	if ref.pid == nil {
 		return zero, quorum.NewNotLeaderError("")
@@ -187,7 +194,7 @@
 		return zero, &SizeError{size: len(data), limit: maxCommandBytes}
 	}
 	res, err := sendAndWait(ctx, ref.done, ref.unknownError, func(reply chan<- result[R]) {
-		ref.sys.Root.Send(ref.pid, propose[R]{data: data, reply: reply})
+		ref.sys.Root.Send(ref.pid, propose[R]{data: data, expiry: expiry, reply: reply})
 	})
 	return res, errors.Trace(err)
 }
