Cell: refuse jobs that a full cell cannot end in time

Cause: a cell accepts every job. In a burst, jobs that cannot end in their objective take room from others, and their callers learn of it only when they are late.

Change: with "admission = yes" in [cell], the leader forecasts when a submitted job would end (core/shed), from the room of the workers, the runs and the jobs ahead of it. Without the key nothing changes. The call to the leader carries the data centre of the VM that took it.

A first version: the forecast of long jobs is still too optimistic.

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -105,6 +105,9 @@
 			tk.idleSince = min(now, wk.lastHeartbeat)
 		}
 	}
+	if op.outcome == Succeeded {
+		pl.measureRunTime(now, pr)
+	}
 	pl.recordFillerEnd(now, wk, pr)
 	pl.recordOutcome(now, wk, pr, op.outcome)
 	jb := pl.st.jobs[op.id]
--- a/core/flow/config.go
+++ b/core/flow/config.go
@@ -16,6 +16,8 @@
 	JobRetention time.Duration
 	// PaceDelay is the time from a pace order until the worker applies it.
 	PaceDelay time.Duration
+	// Admission is set if Planner.Admit is called.
+	Admission bool
 }
 
 func (cfg Config) leaseDuration() time.Duration {
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -228,6 +228,17 @@
 	return time.Duration(worked) + min(jo.spec.ObjectiveBase, maxSpan)
 }
 
+// Work returns the declared work of all tasks, in processor time, and the number of tasks
+// of the widest step.
+func (jo Job) Work() (time.Duration, int) {
+	work, width := 0.0, 0
+	for _, st := range jo.spec.Steps {
+		work += float64(st.Tasks) * float64(st.Size.MilliCPU()) / 1000 * float64(st.Estimate)
+		width = max(width, st.Tasks)
+	}
+	return time.Duration(min(work, float64(maxSpan))), width
+}
+
 // longRunning reports whether any step runs until the job is cancelled.
 func (jo Job) longRunning() bool {
 	for _, st := range jo.spec.Steps {
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -189,6 +189,8 @@
 	capacityRecordedAt model.Instant
 	// delays are those of this leader since the last event about them.
 	delays delays
+	// admission decides which jobs are accepted.
+	admission admission
 	// effects collects the effects of the current call of Step.
 	effects []Effect
 }
--- a/core/flow/term.go
+++ b/core/flow/term.go
@@ -16,7 +16,7 @@
 	pl.wallMs, pl.wallReadAt = msg.Wall, now
 	pl.leading, pl.term, pl.previousTerm, pl.dirty = true, msg.Term, msg.PreviousTerm, true
 	pl.st.dateMarks(now)
-	pl.delays.recordedAt = now
+	pl.delays.recordedAt, pl.admission.since = now, now
 	for _, jb := range pl.st.bySubmission() {
 		jb.endSeenAt = now
 		if jb.status.Final() {
--- /dev/null
+++ b/core/shed/turns.go
@@ -0,0 +1,166 @@
+package shed
+
+import (
+	"math"
+	"time"
+
+	"guavarail/core/model"
+)
+
+const (
+	// turnWindow is the time constant with which decisions are forgotten, in seconds.
+	turnWindow = 10.0
+	// minOffered is the number of decisions below which a group has no turn, since its
+	// part of refused jobs is a matter of chance.
+	minOffered = 6.0
+	// turnTolerance is how much less often than others a group may be refused.
+	turnTolerance = 0.15
+	// shortFor is how long after a refusal by the forecast others may be refused so that
+	// turns are taken.
+	shortFor = time.Second
+)
+
+// tally counts decisions about a group of jobs, and forgets them with time. The zero value
+// has none.
+type tally struct {
+	offered, refused float64
+	// offeredWork and refusedWork are the same in processor seconds.
+	offeredWork, refusedWork float64
+	at                       model.Instant
+}
+
+// forget reduces the counts to their weight at a time.
+func (ta *tally) forget(now model.Instant) {
+	if !ta.at.Before(now) {
+		return
+	}
+	decay := math.Exp(-now.Sub(ta.at).Seconds() / turnWindow)
+	ta.offered *= decay
+	ta.refused *= decay
+	ta.offeredWork *= decay
+	ta.refusedWork *= decay
+	ta.at = now
+}
+
+// add counts a decision.
+func (ta *tally) add(now model.Instant, work float64, refused bool) {
+	ta.forget(now)
+	ta.offered++
+	ta.offeredWork += work
+	if refused {
+		ta.refused++
+		ta.refusedWork += work
+	}
+}
+
+// rate returns which part of the jobs were refused.
+func (ta *tally) rate() float64 { return ta.refused / max(1, ta.offered) }
+
+// turnKey names jobs with an equal right.
+type turnKey struct {
+	service  model.ServiceID
+	priority int
+}
+
+// turns makes groups of jobs with an equal right be refused in proportion to what they
+// send: the classes of size, and the data centres. The zero value is ready to use.
+type turns struct {
+	all     tally
+	classes [classCount]tally
+	centres map[model.CentreID]*tally
+	// shortAt is when the forecast last refused a job; 0 for never.
+	shortAt model.Instant
+}
+
+// count counts a decision.
+func (tu *turns) count(now model.Instant, jo *Job, de Decision) {
+	refused := !de.Accepted()
+	if refused && de.reason != Turn {
+		tu.shortAt = now
+	}
+	tu.all.add(now, jo.Work, refused)
+	tu.classes[de.class].add(now, jo.Work, refused)
+	ta, ok := tu.centres[jo.Centre]
+	if !ok {
+		if tu.centres == nil {
+			tu.centres = map[model.CentreID]*tally{}
+		}
+		ta = &tally{}
+		tu.centres[jo.Centre] = ta
+	}
+	ta.add(now, jo.Work, refused)
+}
+
+// yields reports whether a job that fits must leave its place to jobs of another size or
+// data centre that have been refused more often. It may be refused as often as all would
+// be if each group were refused for its part of the work.
+func (tu *turns) yields(now model.Instant, jo *Job, class Class) bool {
+	if tu.shortAt == 0 || now.Sub(tu.shortAt) > shortFor {
+		return false
+	}
+	tu.all.forget(now)
+	bound := tu.all.refusedWork/max(0.001, tu.all.offeredWork) - turnTolerance
+	own := &tu.classes[class]
+	own.forget(now)
+	if own.offered >= minOffered && own.rate() < bound {
+		for cl := range tu.classes {
+			other := &tu.classes[cl]
+			other.forget(now)
+			if other.offered >= minOffered/2 && other.rate() > own.rate()+turnTolerance {
+				return true
+			}
+		}
+	}
+	if ta := tu.centres[jo.Centre]; ta != nil {
+		ta.forget(now)
+		return ta.offered >= minOffered && ta.rate() < tu.all.rate()-turnTolerance
+	}
+	return false
+}
+
+// sizes learns how the work of the jobs of a kind is distributed. The zero value has seen
+// none.
+type sizes struct {
+	jobs int
+	mean float64
+	// large and largest are the amounts of work, relative to the mean, that seven and
+	// nine tenths of the jobs do not exceed.
+	large, largest float64
+}
+
+const (
+	// sizeWeight is the weight of a new job in the mean of its kind, and quantileStep by
+	// how much it moves a quantile, relative to the mean.
+	sizeWeight   = 0.02
+	quantileStep = 0.05
+	// largePart and largestPart are the parts of the jobs below the classes.
+	largePart, largestPart = 0.7, 0.9
+)
+
+// classify returns the class of a job with some work, and learns from it.
+func (si *sizes) classify(work float64) Class {
+	if si.jobs == 0 {
+		si.mean, si.large, si.largest = work, 1.2, 2
+	}
+	si.jobs++
+	si.mean += max(sizeWeight, 1/float64(si.jobs)) * (work - si.mean)
+	ratio := work / max(si.mean, 0.001)
+	class := Usual
+	switch {
+	case ratio > si.largest:
+		class = Largest
+	case ratio > si.large:
+		class = Large
+	}
+	si.large = moveQuantile(si.large, ratio, largePart)
+	si.largest = max(si.large, moveQuantile(si.largest, ratio, largestPart))
+	return class
+}
+
+// moveQuantile moves the estimate of a quantile by one sample.
+func moveQuantile(est, sample, part float64) float64 {
+	if sample > est {
+		return est + quantileStep*part
+	}
+	return max(0, est-quantileStep*(1-part))
+}
--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -1,9 +1,12 @@
 package cell
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 
 	"guavarail/core/quorum"
+	"guavarail/core/shed"
 	"guavarail/io/group"
 	"guavarail/io/peer"
 )
@@ -21,6 +24,19 @@
 // CodecError reports a command that was stored, cannot be decoded and has no effect.
 type CodecError = group.CodecError
 
+// RefusedError reports that a job was not accepted, because the capacity does not suffice.
+// The submission had no effect.
+type RefusedError struct{ decision shed.Decision }
+
+// Error describes the refusal.
+func (err *RefusedError) Error() string {
+	return "not accepted (" + err.decision.Reason().String() + "), submit it again in " + err.RetryAfter().String()
+}
+
+// RetryAfter returns the time after which the job should be submitted again, in whole
+// seconds.
+func (err *RefusedError) RetryAfter() time.Duration { return err.decision.RetryAfter() }
+
 // NotReachedError reports that a call did not reach the leader and was therefore
 // not carried out.
 type NotReachedError struct{ cause error }
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -77,6 +77,8 @@
 	// configurationReads bound the events of these reads. The group's actor owns all three.
 	dropped                         droppedJobs
 	unknownJobs, configurationReads lines.Limiter
+	// submissions are the jobs that callers submit. The actor owns it.
+	submissions submissions
 	// load watches how far the group's actor is behind. The actor owns it.
 	load load
 	// work measures the time in the planner. The actor owns it.
@@ -110,7 +112,7 @@
 	sta := &cell.State{}
 	mem := &member{
 		vm: vm, diskID: fls.Disk(), failed: make(chan struct{}), state: sta, replies: map[uint64]chan<- result[flow.Answer]{}, proposals: newLatest[proposal](),
-		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay()}),
+		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay(), Admission: vm.settings.Admission()}),
 		repair:  cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
 	}
 	mem.status.Store(&roleStatus{})
@@ -156,6 +158,7 @@
 	now := mem.vm.clock()
 	for i, op := range cmd.Ops() {
 		mem.dropped.apply(now, op, res.Verdicts()[i])
+		mem.submissions.applied(op)
 		mem.step(now, flow.Applied{Op: op, Verdict: res.Verdicts()[i]})
 	}
 	if cen, out := cmd.Centre(); cen != "" {
@@ -174,6 +177,7 @@
 func (mem *member) roleChanged(rol quorum.Role) {
 	if !rol.Leading() {
 		mem.leading, mem.repairing = false, false
+		mem.submissions = submissions{}
 		mem.cancelTerm()
 		mem.step(mem.vm.clock(), flow.SteppedDown{})
 	}
--- /dev/null
+++ b/io/cell/submit.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"guavarail/core/cell"
+	"guavarail/core/event"
+	"guavarail/core/flow"
+	"guavarail/core/model"
+	"guavarail/core/quorum"
+	"guavarail/core/shed"
+	"guavarail/io/group"
+	"guavarail/io/lines"
+)
+
+// submissions are the jobs that this VM proposes as the leader and whose submission is not
+// applied yet, and the record of those that it refuses. The zero value is empty. The
+// group's actor owns it.
+type submissions struct {
+	// proposed holds the jobs until their submission is applied or this VM steps down. A
+	// job whose proposal has an unknown outcome stays in it.
+	proposed map[model.JobID]bool
+	// refusals bounds the events about refused jobs.
+	refusals lines.Limiter
+}
+
+// begin records that a job is about to be proposed.
+func (sub *submissions) begin(id model.JobID) {
+	if sub.proposed == nil {
+		sub.proposed = map[model.JobID]bool{}
+	}
+	sub.proposed[id] = true
+}
+
+// applied records that an operation was applied.
+func (sub *submissions) applied(op flow.Op) {
+	if op.Kind() == flow.OpSubmit {
+		delete(sub.proposed, op.ID())
+	}
+}
+
+// Submit submits the job of a caller in a data centre and waits until that is applied. If
+// admission is on and the capacity does not suffice, it returns a *RefusedError, and the
+// job is not submitted. A job that the state has, or that this VM is proposing, is not
+// refused, since its caller may have missed the answer.
+func (lea Leader) Submit(ctx context.Context, jo flow.Job, centre model.CentreID) (cell.Result, error) {
+	cmd := cell.Jobs(flow.Submit(jo))
+	if !lea.vm.settings.Admission() {
+		return lea.Propose(ctx, cmd)
+	}
+	mem, err := lea.member()
+	if err != nil {
+		return cell.Result{}, err
+	}
+	de, err := group.ReadInTurn(ctx, mem.ref, func(now model.Instant, _ quorum.Role, _ *cell.State) shed.Decision {
+		return mem.decide(now, jo, centre)
+	})
+	switch {
+	case err != nil:
+		return cell.Result{}, errors.Trace(err)
+	case !de.Accepted():
+		return cell.Result{}, errors.Trace(&RefusedError{decision: de})
+	}
+	res, err := mem.ref.Propose(ctx, cmd)
+	if hadNoEffect(err) {
+		mem.ref.Do(func(model.Instant, quorum.Role, *cell.State) { delete(mem.submissions.proposed, jo.ID()) })
+	}
+	return res, errors.Trace(err)
+}
+
+// hadNoEffect reports whether an error says that a command was not proposed.
+func hadNoEffect(err error) bool {
+	var large *SizeError
+	var unencodable *EncodeError
+	return errors.As(err, &large) || errors.As(err, &unencodable)
+}
+
+// decide decides whether to propose the submission of a job. It runs on the group's actor.
+func (mem *member) decide(now model.Instant, jo flow.Job, centre model.CentreID) shed.Decision {
+	if mem.submissions.proposed[jo.ID()] {
+		return shed.Accept(shed.Known)
+	}
+	de := mem.planner.Admit(now, jo, centre)
+	admissions.Add(de.Reason().String())
+	admissionTime.Add(mem.vm.clock().Sub(now))
+	if de.Accepted() {
+		mem.submissions.begin(jo.ID())
+		return de
+	}
+	if suppressed, ok := mem.submissions.refusals.Allow(now); ok {
+		mem.recordRefusal(jo, centre, de, suppressed)
+	}
+	return de
+}
+
+// recordRefusal records that a job is refused. suppressed is the number of refusals that
+// were not recorded since the last one.
+func (mem *member) recordRefusal(jo flow.Job, centre model.CentreID, de shed.Decision, suppressed int) {
+	spec := jo.Spec()
+	work, width := jo.Work()
+	fis := []event.Field{
+		event.NewField("reason", de.Reason().String()), event.NewField("queue", spec.Queue), event.NewField("priority", strconv.Itoa(spec.Priority)),
+		event.NewField("endMs", milliseconds(de.End())), event.NewField("objectiveMs", milliseconds(jo.Objective())),
+		event.NewField("workMs", milliseconds(work)), event.NewField("width", strconv.Itoa(width)), event.NewField("size", de.Class().String()),
+		event.NewField("retryAfterS", strconv.Itoa(int(de.RetryAfter()/time.Second))),
+	}
+	if suppressed > 0 {
+		fis = append(fis, event.NewField("suppressed", strconv.Itoa(suppressed)))
+	}
+	mem.vm.RecordEvent(event.New("jobRefused", event.Subject{Job: jo.ID(), Centre: centre}, fis...))
+}
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -23,6 +23,10 @@
 	callTime = meter.NewHistogram("cellCallMs")
 	// decisions counts the events that the planner records, by kind.
 	decisions = meter.NewCounters("cellDecisions")
+	// admissions counts the decisions about submitted jobs by reason, and admissionTime is
+	// how long they took.
+	admissions    = meter.NewCounters("cellAdmissions")
+	admissionTime = meter.NewHistogram("cellAdmissionMs")
 	// voters is the number of voters of the replication group, and commitCopies the
 	// number of their disks that must have a command before it is acknowledged.
 	voters       = expvar.NewInt("cellVoters")
--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -33,7 +33,8 @@
 	centres         []model.CentreID
 	entries         []Entry
 	// memoryMB is 0 if it is not given.
-	memoryMB int
+	memoryMB  int
+	admission bool
 }
 
 // CellListen holds the addresses that a VM of a cell listens on. If the settings
@@ -111,6 +112,10 @@
 // given.
 func (ce Cell) MemoryMB() int { return ce.memoryMB }
 
+// Admission reports whether the leader refuses jobs for which the capacity does not
+// suffice.
+func (ce Cell) Admission() bool { return ce.admission }
+
 // Entries returns the effective value of every key in the order in which they are
 // read.
 func (ce Cell) Entries() []Entry { return append([]Entry(nil), ce.entries...) }
@@ -195,6 +200,7 @@
 	keyShutdownTimeout = secondsKey("graceSeconds", 30*time.Second, time.Second, time.Hour)
 	keyCentres         = listKey(optionalCentreKey())
 	keyMemoryMB        = intKey("memoryMb", 0, 0, 1<<20)
+	keyAdmission       = boolKey("admission")
 )
 
 // optionalCentreKey returns the key for one element of the list of data centres,
@@ -259,5 +265,6 @@
 	ce.shutdownTimeout = read(rdr, cellSection, keyShutdownTimeout)
 	ce.centres = read(rdr, cellSection, keyCentres)
 	ce.memoryMB = read(rdr, cellSection, keyMemoryMB)
+	ce.admission = read(rdr, cellSection, keyAdmission)
 	return ce
 }
