--- a/core/flow/health.go
+++ b/core/flow/health.go
@@ -65,7 +65,7 @@
 	case oc == Succeeded:
 		he.blame.Succeeded()
 		he.recordStart()
-		pr.work.Ran()
+		pr.step.work.Ran()
 	case oc == Failed:
 		pl.countFailure(now, wk, pr)
 	case oc == NotStarted && pr.ignored() && he.recordIgnoredOrder(now, pl.mayQuarantine(now, wk)):
@@ -80,7 +80,7 @@
 // countFailure counts a failed or stalled run as a failure of its work, or of its worker
 // unless the work fails on others, too.
 func (pl *Planner) countFailure(now model.Instant, wk *worker, pr *placedRun) {
-	if pr.work.Failed(now, wk.incarnation.worker, pl.countWorkers(wk.service, blame.SuspectAfter)) {
+	if pr.step.work.Failed(now, wk.incarnation.worker, pl.countWorkers(wk.service, blame.SuspectAfter)) {
 		pl.exonerate(now, pr)
 		return
 	}
@@ -93,15 +93,15 @@
 // exonerate takes back the failures of a job from the workers on which the step of a run
 // failed, because the step fails everywhere.
 func (pl *Planner) exonerate(now model.Instant, pr *placedRun) {
-	for _, name := range pr.work.FailedOn() {
+	for _, name := range pr.step.work.FailedOn() {
 		if wk, ok := pl.workers.get(name); ok && wk.health.blame.Exonerate(now, pr.task.job) {
 			pl.recordEvent("workerExonerated", pr.task.job, "", wk.incarnation.String())
 		}
 	}
 	if pr.job.suspectRecordedAt == 0 || now.Sub(pr.job.suspectRecordedAt) >= waitEventInterval {
 		pr.job.suspectRecordedAt = now
-		pl.recordEvent("workSuspect", pr.task.job, pr.task.String(), "", "workers", strconv.Itoa(len(pr.work.FailedOn())),
-			"heldMs", strconv.FormatInt(pr.work.HeldFor().Milliseconds(), 10))
+		pl.recordEvent("workSuspect", pr.task.job, pr.task.String(), "", "workers", strconv.Itoa(len(pr.step.work.FailedOn())),
+			"heldMs", strconv.FormatInt(pr.step.work.HeldFor().Milliseconds(), 10))
 	}
 }
 
--- /dev/null
+++ b/core/shed/controller.go
@@ -0,0 +1,205 @@
+package shed
+
+import (
+	"time"
+
+	"guavarail/core/model"
+)
+
+const (
+	// refreshInterval is how long a forecast is used. Jobs that are accepted meanwhile
+	// are added to it.
+	refreshInterval = 400 * time.Millisecond
+	// appearTimeout is how long an accepted job is counted that the view does not have.
+	appearTimeout = time.Second
+)
+
+// Controller decides which jobs to accept. The zero value is ready to use and knows
+// nothing.
+type Controller struct {
+	services map[model.ServiceID]*service
+	builtAt  model.Instant
+	// recent are the accepted jobs that the view may not have yet.
+	recent  []recentJob
+	kinds   map[string]*sizes
+	turns   map[turnKey]*turns
+	returns map[turnKey]*returns
+}
+
+// recentJob is a job that was accepted at a time.
+type recentJob struct {
+	job Job
+	at  model.Instant
+}
+
+// Decide decides whether to accept a job. The caller submits it if it is accepted. look
+// returns the present view; it is called when the forecast is to be made again, and the
+// view must stay as it is until then.
+func (co *Controller) Decide(now model.Instant, look func() *View, jo Job) Decision {
+	if co.builtAt == 0 || now.Sub(co.builtAt) >= refreshInterval {
+		co.refresh(now, look())
+	}
+	de := Decision{class: co.sizesOf(jo.Kind).classify(jo.Work)}
+	key := turnKey{service: jo.Service, priority: jo.Priority}
+	tu := entryOf(&co.turns, key)
+	if sv := co.services[jo.Service]; sv != nil && jo.judgeable() {
+		co.judge(now, sv, &jo, tu, &de)
+	} else {
+		de.reason = Unjudged
+	}
+	tu.count(now, &jo, de)
+	if de.Accepted() {
+		co.recent = append(co.recent, recentJob{job: jo, at: now})
+	}
+	return de
+}
+
+// judge decides about a job by the forecast.
+func (co *Controller) judge(now model.Instant, sv *service, jo *Job, tu *turns, de *Decision) {
+	since := now.Sub(co.builtAt)
+	own := *jo
+	own.Left += since
+	en := entry{job: &own, filler: jo.filler()}
+	ro := sv.roomFor(&en)
+	var taken room
+	en.end, en.known = sv.place(&ro, &taken, &own, since.Seconds())
+	if !en.known {
+		de.reason = Unjudged
+		return
+	}
+	de.end = duration(en.end) - since
+	work := taken.workUntil(horizon, true)
+	num, wait := sv.displaces(&en, work)
+	switch late := en.end - own.Left.Seconds(); {
+	case late > 0 && !sv.feasible(jo):
+		de.reason = Unjudged
+	case late > 0:
+		de.reason, wait = TooLate, late
+	case num > 0:
+		de.reason = Displaces
+	case tu.yields(now, jo, de.class):
+		de.reason, wait = Turn, 0
+	}
+	if de.Accepted() {
+		sv.accept(&en, work, &taken, &ro)
+		return
+	}
+	key := turnKey{service: jo.Service, priority: jo.Priority}
+	de.retryAfter = entryOf(&co.returns, key).book(now, wait, work, sv.rate())
+}
+
+// feasible reports whether the job could end in its objective if there were no others.
+func (sv *service) feasible(jo *Job) bool {
+	var ro room
+	for i := range spanCount {
+		ro.cpu[i], ro.memory[i], ro.idle[i] = float32(sv.total.cpu), float32(sv.total.memory), float32(sv.total.idle)
+	}
+	end, ok := sv.place(&ro, nil, jo, 0)
+	return ok && end <= jo.Left.Seconds()
+}
+
+// refresh makes the forecast from a view.
+func (co *Controller) refresh(now model.Instant, vi *View) {
+	co.builtAt = now
+	former := co.services
+	co.services = map[model.ServiceID]*service{}
+	var sv *service
+	var name model.ServiceID
+	for i := range vi.Workers {
+		wk := &vi.Workers[i]
+		if sv == nil || wk.Service != name {
+			name, sv = wk.Service, co.services[wk.Service]
+			if sv == nil {
+				sv = former[name].reuse()
+				co.services[name] = sv
+			}
+		}
+		sv.addWorker(wk)
+	}
+	for _, sv := range co.services {
+		sv.open()
+	}
+	for i := range vi.Full {
+		if sv := co.services[vi.Full[i].Service]; sv != nil {
+			sv.measure(&vi.Full[i])
+		}
+	}
+	for key, tu := range co.turns {
+		if sv := co.services[key.service]; sv != nil {
+			sv.arrivals = append(sv.arrivals, tu.arrivals(now, key.priority)...)
+		}
+	}
+	for i := range vi.Runs {
+		ru := &vi.Runs[i]
+		if sv == nil || ru.Service != name {
+			name, sv = ru.Service, co.services[ru.Service]
+		}
+		if sv != nil {
+			until := horizon
+			if ru.After >= 0 {
+				until = ru.After.Seconds()
+			}
+			sv.holds.add(until, ru)
+		}
+	}
+	co.addJobs(now, vi)
+	for _, sv := range co.services {
+		sv.holds.takeFrom(&sv.free)
+		sv.schedule()
+	}
+}
+
+// addJobs adds the accepted jobs, with those that the view does not have yet.
+func (co *Controller) addJobs(now model.Instant, vi *View) {
+	missing := map[model.JobID]bool{}
+	for i := range co.recent {
+		missing[co.recent[i].job.ID] = true
+	}
+	add := func(jo *Job) {
+		if sv := co.services[jo.Service]; sv != nil && jo.judgeable() {
+			sv.entries = append(sv.entries, entry{job: jo, filler: jo.filler()})
+		}
+	}
+	for i := range vi.Jobs {
+		delete(missing, vi.Jobs[i].ID)
+		add(&vi.Jobs[i])
+	}
+	kept := co.recent[:0]
+	for _, rj := range co.recent {
+		if missing[rj.job.ID] && now.Sub(rj.at) < appearTimeout {
+			kept = append(kept, rj)
+			jo := rj.job
+			jo.Left -= now.Sub(rj.at)
+			add(&jo)
+		}
+	}
+	clear(co.recent[len(kept):])
+	co.recent = kept
+}
+
+// reuse returns an empty service that uses the buffers of sv, which may be nil.
+func (sv *service) reuse() *service {
+	out := &service{places: map[shape]float64{}, grids: map[string]*grid{}}
+	if sv != nil {
+		clear(sv.entries)
+		out.places, out.grids, out.gridTotal = sv.places, sv.grids, sv.gridTotal
+		out.workers, out.entries, out.before, out.added = sv.workers[:0], sv.entries[:0], sv.before[:0], sv.added[:0]
+		out.packing, out.arrivals = sv.packing, sv.arrivals[:0]
+	}
+	return out
+}
+
+func (co *Controller) sizesOf(kind string) *sizes { return entryOf(&co.kinds, kind) }
+
+// entryOf returns the value of a key, and adds a zero value if there is none.
+func entryOf[K comparable, V any](all *map[K]*V, key K) *V {
+	val, ok := (*all)[key]
+	if !ok {
+		if *all == nil {
+			*all = map[K]*V{}
+		}
+		val = new(V)
+		(*all)[key] = val
+	}
+	return val
+}
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -78,6 +78,8 @@
 	// actor owns all four.
 	dropped                                       droppedJobs
 	unknownJobs, configurationReads, rejectedKeys lines.Limiter
+	// submissions are the jobs that callers submit. The actor owns it.
+	submissions submissions
 	// load watches how far the group's actor is behind. The actor owns it.
 	load load
 	// work measures the time in the planner. The actor owns it.
@@ -111,7 +113,7 @@
 	sta := &cell.State{}
 	mem := &member{
 		vm: vm, diskID: fls.Disk(), failed: make(chan struct{}), state: sta, replies: map[uint64]chan<- result[flow.Answer]{}, proposals: newLatest[proposal](),
-		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay()}),
+		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay(), Admission: vm.settings.Admission()}),
 		repair:  cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
 	}
 	mem.status.Store(&roleStatus{})
@@ -157,6 +159,7 @@
 	now := mem.vm.clock()
 	for i, op := range cmd.Ops() {
 		mem.dropped.apply(now, op, res.Verdicts()[i])
+		mem.submissions.applied(op)
 		mem.step(now, flow.Applied{Op: op, Verdict: res.Verdicts()[i]})
 	}
 	if cen, out := cmd.Centre(); cen != "" {
@@ -176,6 +179,7 @@
 func (mem *member) roleChanged(rol quorum.Role) {
 	if !rol.Leading() {
 		mem.leading, mem.repairing = false, false
+		mem.submissions = submissions{}
 		mem.cancelTerm()
 		mem.step(mem.vm.clock(), flow.SteppedDown{})
 	}
