Flow: tests of admission in a burst and after a loss of workers

Cause: the burst was the only test, and some callers who returned three or four times within a few seconds of a burst were never served.

Change: tests of a cell that loses a third of its workers, of the part of each size and data centre in the refusals, of jobs that must not be refused, and of callers who return. Each refusal of the same job doubles the least time after which it returns.

--- a/core/flow/admission_test.go
+++ b/core/flow/admission_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"guavarail/core/model"
+	"guavarail/core/shed"
 )
 
 // maxReturns is how often a caller of admissionLoad submits a refused job again.
@@ -68,8 +69,9 @@
 	{queue: "fill", priority: 2, factor: 3, base: 4 * time.Second, rate: 1, tasks: 30, milliCPU: 3500, duration: 2500 * time.Millisecond, steps: 1, filler: true, spread: 0.5, limit: 120},
 }
 
-func newAdmissionLoad(t *testing.T, seed uint64, admit bool) *admissionLoad {
-	ld := &admissionLoad{rush: newRush(t, seed, 120, 0.7), admit: admit, burst: 1}
+// newAdmissionLoad returns a load on a cell of which long-running tasks hold a share.
+func newAdmissionLoad(t *testing.T, seed uint64, share float64, admit bool) *admissionLoad {
+	ld := &admissionLoad{rush: newRush(t, seed, 120, share), admit: admit, burst: 1}
 	ld.sim.leader.pl.config.Admission = admit
 	return ld
 }
@@ -117,6 +119,10 @@
 // offer submits a job to the leader, and again later if it is refused.
 func (ld *admissionLoad) offer(jb *admittedJob) {
 	sim := ld.sim
+	if sim.leader == nil {
+		sim.at(sim.after(400), func() { ld.offer(jb) })
+		return
+	}
 	jb.spec.AcceptedMs = sim.wall()
 	jo, err := NewJob(jb.spec)
 	if err != nil {
@@ -167,6 +173,17 @@
 	jobs, offers, refusals, accepted, onTime, late, lost int
 }
 
+// add adds other counts.
+func (ac *admissionCount) add(other *admissionCount) {
+	ac.jobs += other.jobs
+	ac.offers += other.offers
+	ac.refusals += other.refusals
+	ac.accepted += other.accepted
+	ac.onTime += other.onTime
+	ac.late += other.late
+	ac.lost += other.lost
+}
+
 // count counts what became of the jobs, by a group.
 func (ld *admissionLoad) count(group func(jb *admittedJob) string) map[string]*admissionCount {
 	out := map[string]*admissionCount{}
@@ -224,28 +241,158 @@
 		table(pre+"centre", ld.count(func(jb *admittedJob) string { return string(jb.centre) }))
 }
 
-// playBurst plays a burst of the kind of priority 1.
+// playBurst plays a burst of the kind of priority 1, on a cell of which long-running tasks
+// hold 70%.
 func playBurst(t *testing.T, seed uint64, admit bool) *admissionLoad {
-	ld := newAdmissionLoad(t, seed, admit)
+	ld := newAdmissionLoad(t, seed, 0.7, admit)
 	ld.burst, ld.burstKind, ld.burstFrom, ld.burstUntil = 2.5, 1, model.Instant(10*time.Second), model.Instant(25*time.Second)
 	ld.plan(model.Instant(5*time.Second), model.Instant(35*time.Second))
 	ld.sim.run(model.Instant(90 * time.Second))
 	return ld
 }
 
-// Guards against a burst of one kind on a full cell that makes accepted jobs late.
-func TestAdmissionKeepsAcceptedJobsOnTimeInABurst(t *testing.T) {
-	for seed := range uint64(3) {
-		late := map[bool]int{}
-		for _, admit := range []bool{false, true} {
-			ld := playBurst(t, seed, admit)
-			t.Log(ld.report(fmt.Sprint("burst ", seed)))
-			for _, ac := range ld.count(func(*admittedJob) string { return "" }) {
-				late[admit] += ac.late
+// playLoss plays the loss of every third worker, on a cell of which long-running tasks hold
+// 45% before and 68% afterwards.
+func playLoss(t *testing.T, seed uint64, admit bool) *admissionLoad {
+	ld := newAdmissionLoad(t, seed, 0.45, admit)
+	ld.sim.at(model.Instant(12*time.Second), func() {
+		for i := 0; i < len(ld.sim.workers); i += 3 {
+			ld.sim.exit(ld.sim.workers[i])
+		}
+	})
+	ld.plan(model.Instant(5*time.Second), model.Instant(45*time.Second))
+	ld.sim.run(model.Instant(100 * time.Second))
+	return ld
+}
+
+// Guards against accepted jobs that end late because of others that should have been
+// refused: in a burst of one kind on a full cell, and after the loss of workers.
+func TestAdmissionKeepsAcceptedJobsOnTime(t *testing.T) {
+	for _, sc := range []struct {
+		name string
+		play func(t *testing.T, seed uint64, admit bool) *admissionLoad
+		// maxLate is how many jobs may be late with admission, as a part of those without.
+		maxLate float64
+	}{{"burst", playBurst, 0.75}, {"loss", playLoss, 0.75}} {
+		t.Run(sc.name, func(t *testing.T) {
+			sums := map[bool]*admissionCount{false: {}, true: {}}
+			for seed := range uint64(3) {
+				for admit, sum := range sums {
+					ld := sc.play(t, seed, admit)
+					t.Log(ld.report(fmt.Sprint(sc.name, " ", seed)))
+					sum.add(ld.count(func(*admittedJob) string { return "" })[""])
+				}
+			}
+			with, without := sums[true], sums[false]
+			if float64(with.late) > sc.maxLate*float64(without.late) || with.onTime < without.onTime {
+				t.Errorf("with admission %d on time and %d late, without %d and %d", with.onTime, with.late, without.onTime, without.late)
+			}
+			if with.lost > with.jobs/20 {
+				t.Errorf("%d of %d jobs never accepted", with.lost, with.jobs)
+			}
+		})
+	}
+}
+
+// Guards against a size of jobs, or a data centre, that bears the refusals: over the time
+// of a burst each is refused about as often as all.
+func TestRefusalsAreTakenInTurns(t *testing.T) {
+	const (
+		minOffers = 80
+		// tolerance is how much more often or less often than all a group may be refused.
+		tolerance = 0.12
+	)
+	groups := []func(jb *admittedJob) string{
+		func(*admittedJob) string { return "" },
+		func(jb *admittedJob) string { return "size " + jb.class },
+		func(jb *admittedJob) string { return "centre " + string(jb.centre) },
+	}
+	sums := map[string]*admissionCount{}
+	for seed := range uint64(4) {
+		ld := playBurst(t, seed, true)
+		ld.jobs = slices.DeleteFunc(ld.jobs, func(jb *admittedJob) bool {
+			return jb.spec.Priority != 1 || jb.submittedAt < ld.burstFrom || jb.submittedAt > ld.burstUntil
+		})
+		ld.classify()
+		for _, group := range groups {
+			for key, ac := range ld.count(group) {
+				sum, ok := sums[key]
+				if !ok {
+					sum = &admissionCount{}
+					sums[key] = sum
+				}
+				sum.add(ac)
 			}
 		}
-		if late[true] >= late[false] {
-			t.Errorf("seed %d: %d accepted jobs late with admission, %d without", seed, late[true], late[false])
+	}
+	t.Log("\n" + table("in the burst", sums))
+	all := float64(sums[""].refusals) / float64(sums[""].offers)
+	for key, sum := range sums {
+		rate := float64(sum.refusals) / float64(sum.offers)
+		if sum.offers >= minOffers && (rate > all+tolerance || rate < all-tolerance) {
+			t.Errorf("%s: %.2f refused, of all %.2f", key, rate, all)
 		}
 	}
 }
+
+// Guards against a caller who missed the answer to a submission and is told that the job
+// was not accepted, and against a leader that refuses jobs before it knows the cell.
+func TestAdmissionAcceptsWhatItMustNotRefuse(t *testing.T) {
+	ld := newAdmissionLoad(t, 1, 0.7, true)
+	ld.burst, ld.burstKind, ld.burstFrom, ld.burstUntil = 6, 1, model.Instant(6*time.Second), model.Instant(30*time.Second)
+	ld.plan(model.Instant(5*time.Second), model.Instant(30*time.Second))
+	ld.sim.run(model.Instant(20 * time.Second))
+	pl := ld.sim.leader.pl
+	refused, known := 0, 0
+	for _, jb := range ld.jobs {
+		if jb.submittedAt > ld.sim.now {
+			continue
+		}
+		jo, err := NewJob(jb.spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		de := pl.Admit(ld.sim.now, jo, jb.centre)
+		if _, ok := ld.sim.leader.st.jobs[jo.ID()]; ok {
+			known++
+			if de.Reason() != shed.Known {
+				t.Errorf("job %s of the state: %v", jo.ID(), de.Reason())
+			}
+		} else if !de.Accepted() {
+			refused++
+		}
+	}
+	if known == 0 || refused == 0 {
+		t.Fatalf("%d jobs known, %d others refused; want some of each", known, refused)
+	}
+	ld.sim.failOver(time.Second)
+	ld.sim.run(ld.sim.now.Add(time.Second + admissionDelay/2))
+	for _, jb := range ld.jobs {
+		jo, err := NewJob(jb.spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if de := ld.sim.leader.pl.Admit(ld.sim.now, jo, jb.centre); !de.Accepted() {
+			t.Fatalf("new leader refuses %s: %v", jo.ID(), de.Reason())
+		}
+	}
+}
+
+// Guards against callers who return as told and are still refused, when the burst is over
+// and the jobs accepted in it have ended.
+func TestCallersWhoReturnAreServed(t *testing.T) {
+	ld := playBurst(t, 2, true)
+	returned := 0
+	for _, jb := range ld.jobs {
+		if jb.refusals == 0 {
+			continue
+		}
+		returned++
+		if last := jb.acceptedAt; last == 0 && jb.submittedAt > ld.burstUntil.Add(-5*time.Second) {
+			t.Errorf("%s, submitted at %v when the burst was about over, was refused %d times", jb.spec.ID, time.Duration(jb.submittedAt), jb.refusals)
+		}
+	}
+	if returned == 0 {
+		t.Error("no job was refused in the burst")
+	}
+}
--- a/core/shed/controller.go
+++ b/core/shed/controller.go
@@ -24,6 +24,7 @@
 	kinds   map[string]*sizes
 	turns   map[turnKey]*turns
 	returns map[turnKey]*returns
+	refused refusals
 }
 
 // recentJob is a job that was accepted at a time.
@@ -49,6 +50,7 @@
 	}
 	tu.count(now, &jo, de)
 	if de.Accepted() {
+		co.refused.remove(jo.ID)
 		co.recent = append(co.recent, recentJob{job: jo, at: now})
 	}
 	return de
@@ -85,7 +87,7 @@
 		return
 	}
 	key := turnKey{service: jo.Service, priority: jo.Priority}
-	de.retryAfter = entryOf(&co.returns, key).book(now, wait, work, sv.rate())
+	de.retryAfter = max(entryOf(&co.returns, key).book(now, wait, work, sv.rate()), backOff(co.refused.add(now, jo.ID)))
 }
 
 // feasible reports whether the job could end in its objective if there were no others.
--- a/core/shed/retry.go
+++ b/core/shed/retry.go
@@ -1,6 +1,7 @@
 package shed
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -14,6 +15,13 @@
 	MaxRetry = 30 * time.Second
 )
 
+const (
+	// maxRefused is the number of refused jobs that are remembered, and refusedRetention
+	// how long at most. A caller that was told the longest time returns before that.
+	maxRefused       = 4096
+	refusedRetention = 2 * MaxRetry
+)
+
 // returns spreads the times at which refused callers with an equal right return. The zero
 // value is ready to use.
 type returns struct {
@@ -24,9 +32,9 @@
 	overflow int
 }
 
-// book books a place for a caller: after wait at the earliest, and after those before it.
-// work is what it brings, and rate what the cell does in a second, both in processor
-// seconds.
+// book books a place for a caller: after wait, in seconds, at the earliest, and after those
+// before it. work is what it brings, and rate what the cell does in a second, both in
+// processor seconds.
 func (re *returns) book(now model.Instant, wait, work, rate float64) time.Duration {
 	at := max(re.until, now.Add(duration(wait)))
 	after := at.Sub(now)
@@ -43,3 +51,34 @@
 func duration(sec float64) time.Duration {
 	return time.Duration(min(sec, 1e6) * float64(time.Second))
 }
+
+// refusals remembers the jobs that were refused and not accepted since. The zero value has
+// none.
+type refusals struct{ jobs map[model.JobID]refusal }
+
+// refusal counts how often a job was refused, the last time at a time.
+type refusal struct {
+	num int
+	at  model.Instant
+}
+
+// add adds a refusal and returns how often the job has been refused.
+func (re *refusals) add(now model.Instant, id model.JobID) int {
+	if len(re.jobs) >= maxRefused {
+		maps.DeleteFunc(re.jobs, func(_ model.JobID, ref refusal) bool { return now.Sub(ref.at) > refusedRetention })
+	}
+	if re.jobs == nil || len(re.jobs) >= maxRefused {
+		re.jobs = map[model.JobID]refusal{}
+	}
+	ref := refusal{num: re.jobs[id].num + 1, at: now}
+	re.jobs[id] = ref
+	return ref.num
+}
+
+// remove removes a job that was accepted.
+func (re *refusals) remove(id model.JobID) { delete(re.jobs, id) }
+
+// backOff returns the least time after which a job returns that was refused a number of
+// times: each refusal doubles it, since the forecast before was too early and knows
+// nothing of how long the load will last.
+func backOff(num int) time.Duration { return min(MaxRetry, MinRetry<<min(num-1, 8)) }
