Shed: turns of sizes and data centres, and runs that cannot be displaced

Cause: a job all of whose tasks run counted as displaced by later ones when it was about to be late, so that jobs were refused beside free room. A size or a data centre gave way only when it was refused far less often than the mean, in which it counts itself. Jobs of about the same size fell into different classes.

Change: a job without waiting tasks cannot be displaced. Groups are compared with each other; each yields up to the part of the work that is refused in all. A class begins at 1.2 or 1.5 times the mean at least.

--- a/core/shed/service.go
+++ b/core/shed/service.go
@@ -230,6 +230,9 @@
 // margin returns the work that may come before an accepted job without making it late, in
 // processor seconds. before and after are what is free without and with it.
 func margin(before, after *room, en *entry) float64 {
+	if !en.job.waits() {
+		return math.Inf(1)
+	}
 	left := en.job.Left.Seconds()
 	if !en.known || en.end > left*(1+lateGrace) {
 		return -1
--- a/core/shed/turns.go
+++ b/core/shed/turns.go
@@ -12,9 +12,9 @@
 	turnWindow = 10.0
 	// minOffered is the number of decisions below which a group has no turn, since its
 	// part of refused jobs is a matter of chance.
-	minOffered = 6.0
+	minOffered = 5.0
 	// turnTolerance is how much less often than others a group may be refused.
-	turnTolerance = 0.15
+	turnTolerance = 0.1
 	// shortFor is how long after a refusal by the forecast others may be refused so that
 	// turns are taken.
 	shortFor = time.Second
@@ -126,32 +126,39 @@
 }
 
 // yields reports whether a job that fits must leave its place to jobs of another size or
-// data centre that have been refused more often. It may be refused as often as all would
-// be if each group were refused for its part of the work.
+// data centre that have been refused more often. A group is refused at most as often as all
+// would be if each bore its part of the work that was refused.
 func (tu *turns) yields(now model.Instant, jo *Job, class Class) bool {
 	if tu.shortAt == 0 || now.Sub(tu.shortAt) > shortFor {
 		return false
 	}
 	tu.all.forget(now)
-	bound := tu.all.refusedWork/max(0.001, tu.all.offeredWork) - turnTolerance
-	own := &tu.classes[class]
-	own.forget(now)
-	if own.offered >= minOffered && own.rate() < bound {
-		for cl := range tu.classes {
-			other := &tu.classes[cl]
-			other.forget(now)
-			if other.offered >= minOffered/2 && other.rate() > own.rate()+turnTolerance {
-				return true
-			}
+	fair := tu.all.refusedWork / max(0.001, tu.all.offeredWork)
+	for cl := range tu.classes {
+		if tu.classes[class].yieldsTo(now, &tu.classes[cl], fair) {
+			return true
 		}
 	}
-	if ta := tu.centres[jo.Centre]; ta != nil {
-		ta.forget(now)
-		return ta.offered >= minOffered && ta.rate() < tu.all.rate()-turnTolerance
+	own := tu.centres[jo.Centre]
+	if own == nil {
+		return false
+	}
+	for _, other := range tu.centres {
+		if own.yieldsTo(now, other, fair) {
+			return true
+		}
 	}
 	return false
 }
 
+// yieldsTo reports whether a group must leave its place to another one. fair is the part
+// that each group should bear.
+func (ta *tally) yieldsTo(now model.Instant, other *tally, fair float64) bool {
+	ta.forget(now)
+	other.forget(now)
+	return ta.offered >= minOffered && other.offered >= minOffered && ta.rate() < fair && other.rate() > ta.rate()+turnTolerance
+}
+
 // sizes learns how the work of the jobs of a kind is distributed. The zero value has seen
 // none.
 type sizes struct {
@@ -167,6 +174,9 @@
 	// how much it moves a quantile, relative to the mean.
 	sizeWeight   = 0.02
 	quantileStep = 0.05
+	// minLarge and minLargest are the least work of these classes, relative to the mean, so
+	// that jobs of about the same size are of one class.
+	minLarge, minLargest = 1.2, 1.5
 	// largePart and largestPart are the parts of the jobs below the classes.
 	largePart, largestPart = 0.7, 0.9
 )
@@ -181,9 +191,9 @@
 	ratio := work / max(si.mean, 0.001)
 	class := Usual
 	switch {
-	case ratio > si.largest:
+	case ratio > max(si.largest, minLargest):
 		class = Largest
-	case ratio > si.large:
+	case ratio > max(si.large, minLarge):
 		class = Large
 	}
 	si.large = moveQuantile(si.large, ratio, largePart)
--- a/core/shed/view.go
+++ b/core/shed/view.go
@@ -101,6 +101,16 @@
 	return false
 }
 
+// waits reports whether any task has not started.
+func (jo *Job) waits() bool {
+	for i := range jo.Steps {
+		if jo.Steps[i].Tasks > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // judgeable reports whether the forecast covers the shape of the job.
 func (jo *Job) judgeable() bool {
 	for i := range jo.Steps {
