--- a/io/cell/keep_test.go
+++ b/io/cell/keep_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -53,8 +54,9 @@
 	return vm
 }
 
-// cellSettings returns the settings of a cell of one VM with an empty data directory.
-func cellSettings(t testing.TB) config.Cell {
+// cellSettings returns the settings of a cell of one VM with an empty data directory. lines
+// are added to [cell].
+func cellSettings(t testing.TB, lines ...string) config.Cell {
 	t.Helper()
 	var ports [2]int
 	for pos := range ports {
@@ -66,7 +68,7 @@
 		_ = lis.Close()
 	}
 	set, err := config.ParseCell("test.ini", fmt.Appendf(nil, "[vm]\nname = vm-1\ncentre = centre-1\nregion = north\ndataDir = %s\n"+
-		"[listen]\npeers = 127.0.9.1:%d\napi = 127.0.9.1:%d\n[cell]\nseeds = 127.0.9.1:%d\nfound = true\n", t.TempDir(), ports[0], ports[1], ports[1]))
+		"[listen]\npeers = 127.0.9.1:%d\napi = 127.0.9.1:%d\n[cell]\nseeds = 127.0.9.1:%d\nfound = true\n%s\n", t.TempDir(), ports[0], ports[1], ports[1], strings.Join(lines, "\n")))
 	if err != nil {
 		t.Fatal(err)
 	}
