--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"guavarail/core/blame"
 	"guavarail/core/model"
 )
 
@@ -13,10 +12,9 @@
 	job  *job
 	spec *StepSpec
 	task TaskID
-	// state is the state of task in job.
-	state *task
-	// work counts the failures of the step of task.
-	work    *blame.Work
+	// state is the state of task in job, and step that of its step.
+	state   *task
+	step    *step
 	attempt int
 	// size is what the run reserves of the worker: nothing once the worker has
 	// reported its end.
@@ -85,9 +83,10 @@
 }
 
 func newPlacedRun(jb *job, id TaskID, attempt int, now model.Instant) *placedRun {
-	spec, sp := &jb.spec.Steps[id.step], &jb.occurrence(id.occurrence).steps[id.step]
+	spec := &jb.spec.Steps[id.step]
+	sp := &jb.occurrence(id.occurrence).steps[id.step]
 	return &placedRun{
-		job: jb, spec: spec, task: id, state: &sp.tasks[id.index], work: &sp.work, attempt: attempt,
+		job: jb, spec: spec, task: id, state: &sp.tasks[id.index], step: sp, attempt: attempt,
 		size: spec.reservation(), placedAt: now, pace: fullPace, sentPace: fullPace,
 	}
 }
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -25,6 +25,10 @@
 	decisions = meter.NewCounters("cellDecisions")
 	// decisionReasons counts those of these events that have a reason, by kind and reason.
 	decisionReasons = meter.NewCounters("cellDecisionReasons")
+	// admissions counts the decisions about submitted jobs by reason, and admissionTime is
+	// how long they took.
+	admissions    = meter.NewCounters("cellAdmissions")
+	admissionTime = meter.NewHistogram("cellAdmissionMs")
 	// voters is the number of voters of the replication group, and commitCopies the
 	// number of their disks that must have a command before it is acknowledged.
 	voters       = expvar.NewInt("cellVoters")
