Shed: a last return, and waiting tasks that do not fill the cell

Cause: a wide job of priority 0 was refused each time its caller returned, since work of lower priority held the room for longer than it may wait. A step that no worker, or few, may run made the cell count as full, and the room that tasks can hold was measured too small.

Change: the last return of a job (the fourth) is accepted if it displaces no other and its result would still have some worth. The cell counts as full only if tasks wait that any worker may run and that need what is free.

--- a/core/flow/admission.go
+++ b/core/flow/admission.go
@@ -38,7 +38,7 @@
 	if _, ok := pl.st.jobs[jo.ID()]; ok {
 		return shed.Accept(shed.Known)
 	}
-	if !pl.hasLeaderLease(now) || !pl.knowsCell(now) || jo.longRunning() || jo.spec.Repetitions > 0 {
+	if !pl.hasLeaderLease(now) || !pl.knowsCell(now) || pl.rooms == nil || jo.longRunning() || jo.spec.Repetitions > 0 {
 		return shed.Accept(shed.Unjudged)
 	}
 	sub := pl.shedJob(&jo, nil, 0, make([]shed.Step, 0, len(jo.spec.Steps)))
@@ -92,6 +92,7 @@
 				use[service] = su
 			}
 		}
+		su.room += float64(stride) * float64(wk.freeForLong().MilliCPU())
 		su.ordinary += float64(stride) * float64(wk.reserved.Sub(wk.longRunning).MilliCPU())
 		su.fillers += float64(stride) * float64(wk.fillerMilliCPU)
 	}
@@ -102,10 +103,10 @@
 		}
 	}
 	for name, su := range use {
-		if su.ordinaryWait {
+		if su.ordinary+su.ordinaryWait >= su.room {
 			vi.Full = append(vi.Full, shed.Full{Service: name, MilliCPU: su.ordinary})
 		}
-		if su.fillersWait {
+		if su.fillersWait > 0 {
 			vi.Full = append(vi.Full, shed.Full{Service: name, Filler: true, MilliCPU: su.fillers})
 		}
 	}
@@ -132,10 +133,12 @@
 
 // serviceUse is what the runs of a service hold besides long-running ones.
 type serviceUse struct {
-	// ordinary and fillers are thousandths of processors.
-	ordinary, fillers float64
-	// ordinaryWait and fillersWait are set if further tasks have waited for starvationTime.
-	ordinaryWait, fillersWait bool
+	// room is what they may hold, and ordinary and fillers what they hold, in thousandths of
+	// a processor.
+	room, ordinary, fillers float64
+	// ordinaryWait and fillersWait are what tasks need that have waited for starvationTime
+	// and that any worker may run.
+	ordinaryWait, fillersWait float64
 }
 
 // lookAtJob adds the open occurrences of a job that are due to the view. A long-running job
@@ -163,8 +166,7 @@
 		pl.admission.steps = pl.admission.steps[:from+len(occ.steps)]
 		vi.Jobs = append(vi.Jobs, jo)
 		if su != nil && age > starvationTime {
-			su.ordinaryWait = su.ordinaryWait || occ.tasksWait(jb.spec.Steps, false)
-			su.fillersWait = su.fillersWait || occ.tasksWait(jb.spec.Steps, true)
+			pl.addWaiting(jb, occ, su)
 		}
 	}
 }
@@ -185,14 +187,20 @@
 	}
 }
 
-// tasksWait reports whether tasks of a ready step wait that are fillers, or that are none.
-func (occ *occurrence) tasksWait(steps []StepSpec, fillers bool) bool {
+// addWaiting adds what the waiting tasks of ready steps need.
+func (pl *Planner) addWaiting(jb *job, occ *occurrence, su *serviceUse) {
 	for s := range occ.steps {
-		if steps[s].Filler == fillers && occ.steps[s].idleTasks > 0 && occ.ready(&steps[s]) {
-			return true
+		spec, idle := &jb.spec.Steps[s], occ.steps[s].idleTasks
+		if idle == 0 || spec.RequiredLabel != "" || spec.PerWorker > 0 || spec.Gang || !occ.ready(spec) || !pl.canHold(jb.spec.Service, spec) {
+			continue
+		}
+		need := float64(idle) * float64(spec.Size.MilliCPU())
+		if spec.Filler {
+			su.fillersWait += need
+		} else {
+			su.ordinaryWait += need
 		}
 	}
-	return false
 }
 
 // shedJob returns an occurrence of a job for the forecast, with its steps appended to steps.
--- a/core/flow/admission_test.go
+++ b/core/flow/admission_test.go
@@ -396,3 +396,16 @@
 		t.Error("no job was refused in the burst")
 	}
 }
+
+// Guards against a cell that counts as full because tasks wait that no worker, or few, may run.
+func TestOddTasksDoNotFillTheCell(t *testing.T) {
+	ld := newAdmissionLoad(t, 1, 0.3, true)
+	size := model.NewResources(4000, 4000, 0)
+	ld.sim.submit("label", StepSpec{Tasks: 2000, Size: size, Estimate: time.Second, RequiredLabel: "none"})
+	ld.sim.submit("huge", StepSpec{Tasks: 2000, Size: size.Scale(50), Estimate: time.Second})
+	ld.sim.submit("gang", StepSpec{Tasks: 2000, Size: size, Estimate: time.Second, Gang: true})
+	ld.sim.run(model.Instant(6 * time.Second))
+	if vi := ld.sim.leader.pl.look(ld.sim.now); len(vi.Full) > 0 || len(vi.Jobs) != 3 {
+		t.Errorf("%d jobs wait, full: %+v", len(vi.Jobs), vi.Full)
+	}
+}
--- a/core/shed/controller.go
+++ b/core/shed/controller.go
@@ -10,6 +10,8 @@
 	// refreshInterval is how long a forecast is used. Jobs that are accepted meanwhile
 	// are added to it.
 	refreshInterval = 400 * time.Millisecond
+	// lateWorth is the multiple of its objective within which a late result has some worth.
+	lateWorth = 3.0
 	// appearTimeout is how long an accepted job is counted that the view does not have.
 	appearTimeout = time.Second
 )
@@ -75,6 +77,8 @@
 	switch late := en.end - own.Left.Seconds(); {
 	case late > 0 && !sv.feasible(jo):
 		de.reason = Unjudged
+	case late > 0 && num == 0 && co.refused.lastReturn(jo.ID) && en.end <= lateWorth*own.Left.Seconds():
+		de.reason = Returned
 	case late > 0:
 		de.reason, wait = TooLate, late
 	case num > 0:
--- a/core/shed/decision.go
+++ b/core/shed/decision.go
@@ -5,7 +5,7 @@
 // Reason says why a job is accepted or refused.
 type Reason uint8
 
-// The reasons. Those up to Known accept the job.
+// The reasons. Those up to Returned accept the job.
 const (
 	// Fits means that the job is expected to end in its objective.
 	Fits Reason = iota
@@ -13,6 +13,10 @@
 	Unjudged
 	// Known means that the job was submitted before.
 	Known
+	// Returned means that the job is expected to be late, but displaces no other, and that
+	// its caller has returned as often as callers do: a late result is worth more to it
+	// than none.
+	Returned
 	// TooLate means that the job would end after its objective and delay others.
 	TooLate
 	// Displaces means that the job would make accepted jobs end after their
@@ -23,7 +27,7 @@
 	Turn
 )
 
-var reasonNames = [...]string{"fits", "unjudged", "known", "tooLate", "displaces", "turn"}
+var reasonNames = [...]string{"fits", "unjudged", "known", "returned", "tooLate", "displaces", "turn"}
 
 // String returns the name for logs.
 func (re Reason) String() string { return reasonNames[re] }
@@ -62,7 +66,7 @@
 func Accept(re Reason) Decision { return Decision{reason: re} }
 
 // Accepted reports whether the job is accepted.
-func (de Decision) Accepted() bool { return de.reason <= Known }
+func (de Decision) Accepted() bool { return de.reason <= Returned }
 
 // Reason returns why the job is accepted or refused.
 func (de Decision) Reason() Reason { return de.reason }
--- a/core/shed/retry.go
+++ b/core/shed/retry.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// callerReturns is how often a caller submits a refused job again.
+	callerReturns = 4
 	// maxRefused is the number of refused jobs that are remembered, and refusedRetention
 	// how long at most. A caller that was told the longest time returns before that.
 	maxRefused       = 4096
@@ -75,6 +77,9 @@
 	return ref.num
 }
 
+// lastReturn reports whether the caller of a job is not expected to submit it again.
+func (re *refusals) lastReturn(id model.JobID) bool { return re.jobs[id].num >= callerReturns }
+
 // remove removes a job that was accepted.
 func (re *refusals) remove(id model.JobID) { delete(re.jobs, id) }
 
--- a/core/shed/view.go
+++ b/core/shed/view.go
@@ -16,7 +16,7 @@
 	Runs []Run
 	// Jobs are the accepted jobs with open tasks that end by themselves, in any order.
 	Jobs []Job
-	// Full are the services whose tasks find no further room.
+	// Full are the services whose tasks find no further room, though they need what is free.
 	Full []Full
 }
 
