Shed: quotas of workspaces in the forecast

Cause: jobs that wait for the quota of their workspace counted as ahead of all others, though they take no room. A workspace that submits too much would have had the jobs of others refused.

Change: the jobs of a workspace take room up to its quota only. A job that is late for its quota alone is refused as overQuota, and does not count for turns. Tasks at their quota do not make the cell count as full. The forecast has a fixed order of services.

--- a/core/flow/admission.go
+++ b/core/flow/admission.go
@@ -27,6 +27,8 @@
 	view shed.View
 	// steps holds the steps of the jobs of view.
 	steps []shed.Step
+	// used is what the workspaces with a quota hold.
+	used map[model.WorkspaceID]model.Resources
 	// looks counts the views.
 	looks int
 }
@@ -67,6 +69,7 @@
 	vi := &ad.view
 	vi.Workers, vi.Runs, vi.Jobs, vi.Full = vi.Workers[:0], vi.Runs[:0], vi.Jobs[:0], vi.Full[:0]
 	ad.steps = ad.steps[:0]
+	pl.lookAtQuotas()
 	ad.looks++
 	stride := 1 + len(pl.placed)/maxLookedAt
 	use := map[model.ServiceID]*serviceUse{}
@@ -81,9 +84,15 @@
 			Service: wk.service, Labels: wk.labels, Room: wk.freeForLong(), Count: stride, IdleMilliCPU: (1 - servingLoadRatio) * float64(wk.servingMilliCPU),
 		})
 		for _, pr := range wk.runs {
-			if !pr.spec.LongRunning && !pr.ending {
+			switch {
+			case pr.ending:
+				continue
+			case !pr.spec.LongRunning:
 				pl.lookAtRun(now, wk, pr, stride)
+			case len(vi.Quotas) > 0:
+				vi.Runs = append(vi.Runs, shed.Run{Service: wk.service, Size: pr.spec.Size, Pinned: true, Workspace: pr.job.spec.Workspace, Count: stride, After: -1})
 			}
+			ad.use(pr, stride)
 		}
 		if su == nil || wk.service != service {
 			service, su = wk.service, use[wk.service]
@@ -113,6 +122,40 @@
 	return vi
 }
 
+// lookAtQuotas adds the quotas of workspaces to the view.
+func (pl *Planner) lookAtQuotas() {
+	ad := &pl.admission
+	clear(ad.used)
+	clear(ad.view.Quotas)
+	for id, te := range pl.st.terms {
+		if te.Quota().IsZero() {
+			continue
+		}
+		if ad.view.Quotas == nil {
+			ad.view.Quotas, ad.used = map[model.WorkspaceID]model.Resources{}, map[model.WorkspaceID]model.Resources{}
+		}
+		ad.view.Quotas[id] = te.Quota()
+	}
+}
+
+// use adds what a run that stands for count of them uses of the quota of its workspace.
+func (ad *admission) use(pr *placedRun, count int) {
+	if _, ok := ad.view.Quotas[pr.job.spec.Workspace]; ok {
+		ad.used[pr.job.spec.Workspace] = ad.used[pr.job.spec.Workspace].Add(sumOf(pr.spec.Size, count))
+	}
+}
+
+// atQuota reports whether the quota of a workspace permits no further task of a size.
+func (ad *admission) atQuota(id model.WorkspaceID, size model.Resources) bool {
+	quota, ok := ad.view.Quotas[id]
+	if !ok {
+		return false
+	}
+	need := ad.used[id].Add(size)
+	over := func(need, limit int64) bool { return limit > 0 && need > limit }
+	return over(need.MilliCPU(), quota.MilliCPU()) || over(need.MemoryMB(), quota.MemoryMB()) || over(need.Accelerators(), quota.Accelerators())
+}
+
 // lookAtRun adds a run, which stands for count of them, to the view.
 func (pl *Planner) lookAtRun(now model.Instant, wk *worker, pr *placedRun, count int) {
 	size := pr.size
@@ -124,7 +167,7 @@
 		after = max(after, pl.runTimeOf(&pr.job.Job, pr.spec)-now.Sub(pr.placedAt))
 	}
 	vi := &pl.admission.view
-	vi.Runs = append(vi.Runs, shed.Run{Service: wk.service, Size: size, Filler: pr.spec.Filler, Count: count, After: after})
+	vi.Runs = append(vi.Runs, shed.Run{Service: wk.service, Size: size, Filler: pr.spec.Filler, Workspace: pr.job.spec.Workspace, Count: count, After: after})
 	if pr.step.progress.look != pl.admission.looks {
 		pr.step.progress = stepProgress{look: pl.admission.looks}
 	}
@@ -181,7 +224,7 @@
 		}
 		for i := range occ.steps[s].tasks {
 			if tk := &occ.steps[s].tasks[i]; tk.waiting() && tk.ran {
-				vi.Runs = append(vi.Runs, shed.Run{Service: jb.spec.Service, Size: spec.reservation(), Count: 1, After: -1})
+				vi.Runs = append(vi.Runs, shed.Run{Service: jb.spec.Service, Size: spec.reservation(), Workspace: jb.spec.Workspace, Count: 1, After: -1})
 			}
 		}
 	}
@@ -191,7 +234,7 @@
 func (pl *Planner) addWaiting(jb *job, occ *occurrence, su *serviceUse) {
 	for s := range occ.steps {
 		spec, idle := &jb.spec.Steps[s], occ.steps[s].idleTasks
-		if idle == 0 || spec.RequiredLabel != "" || spec.PerWorker > 0 || spec.Gang || !occ.ready(spec) || !pl.canHold(jb.spec.Service, spec) {
+		if idle == 0 || pl.admission.atQuota(jb.spec.Workspace, spec.Size) || spec.RequiredLabel != "" || spec.PerWorker > 0 || spec.Gang || !occ.ready(spec) || !pl.canHold(jb.spec.Service, spec) {
 			continue
 		}
 		need := float64(idle) * float64(spec.Size.MilliCPU())
@@ -207,7 +250,7 @@
 // occ is nil for a job that has not been accepted.
 func (pl *Planner) shedJob(jo *Job, occ *occurrence, age time.Duration, steps []shed.Step) shed.Job {
 	out := shed.Job{
-		ID: jo.ID(), Service: jo.spec.Service, Priority: jo.spec.Priority, Kind: jo.spec.Queue, Left: jo.Objective() - age,
+		ID: jo.ID(), Service: jo.spec.Service, Priority: jo.spec.Priority, Workspace: jo.spec.Workspace, Kind: jo.spec.Queue, Left: jo.Objective() - age,
 	}
 	for s := range jo.spec.Steps {
 		spec := &jo.spec.Steps[s]
--- a/core/shed/controller.go
+++ b/core/shed/controller.go
@@ -1,6 +1,9 @@
 package shed
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"guavarail/core/model"
@@ -20,7 +23,10 @@
 // nothing.
 type Controller struct {
 	services map[model.ServiceID]*service
-	builtAt  model.Instant
+	// order has the services in the order of their first workers.
+	order   []*service
+	quotas  map[model.WorkspaceID]*quota
+	builtAt model.Instant
 	// recent are the accepted jobs that the view may not have yet.
 	recent  []recentJob
 	kinds   map[string]*sizes
@@ -66,7 +72,7 @@
 	en := entry{job: &own, filler: jo.filler()}
 	ro := sv.roomFor(&en)
 	var taken room
-	en.end, en.known = sv.place(&ro, &taken, &own, since.Seconds())
+	en.end, en.known = sv.place(&ro, &taken, co.quotas[own.Workspace], &own, since.Seconds())
 	if !en.known {
 		de.reason = Unjudged
 		return
@@ -75,10 +81,12 @@
 	work := taken.workUntil(horizon, true)
 	num, wait := sv.displaces(&en, work)
 	switch late := en.end - own.Left.Seconds(); {
-	case late > 0 && !sv.feasible(jo):
+	case late > 0 && !sv.feasible(jo, co.quotas[own.Workspace]):
 		de.reason = Unjudged
 	case late > 0 && num == 0 && co.refused.lastReturn(jo.ID) && en.end <= lateWorth*own.Left.Seconds():
 		de.reason = Returned
+	case late > 0 && sv.unlimitedOnTime(&en, since):
+		de.reason, wait = OverQuota, late
 	case late > 0:
 		de.reason, wait = TooLate, late
 	case num > 0:
@@ -88,27 +96,67 @@
 	}
 	if de.Accepted() {
 		sv.accept(&en, work, &taken, &ro)
+		co.quotas[own.Workspace].take(&taken)
 		return
 	}
 	key := turnKey{service: jo.Service, priority: jo.Priority}
 	de.retryAfter = max(entryOf(&co.returns, key).book(now, wait, work, sv.rate()), backOff(co.refused.add(now, jo.ID)))
 }
 
-// feasible reports whether the job could end in its objective if there were no others.
-func (sv *service) feasible(jo *Job) bool {
+// unlimitedOnTime reports whether a new job would end in its objective if its workspace had
+// no quota.
+func (sv *service) unlimitedOnTime(en *entry, since time.Duration) bool {
+	ro := sv.roomFor(en)
+	end, ok := sv.place(&ro, nil, nil, en.job, since.Seconds())
+	return ok && end <= en.job.Left.Seconds()
+}
+
+// feasible reports whether the job could end in its objective if there were no others. qu is
+// the quota of its workspace, nil for none.
+func (sv *service) feasible(jo *Job, qu *quota) bool {
 	var ro room
 	for i := range spanCount {
 		ro.cpu[i], ro.memory[i], ro.idle[i] = float32(sv.total.cpu), float32(sv.total.memory), float32(sv.total.idle)
 	}
-	end, ok := sv.place(&ro, nil, jo, 0)
+	if qu != nil {
+		qu = newQuota(qu.total)
+	}
+	end, ok := sv.place(&ro, nil, qu, jo, 0)
 	return ok && end <= jo.Left.Seconds()
 }
 
 // refresh makes the forecast from a view.
 func (co *Controller) refresh(now model.Instant, vi *View) {
 	co.builtAt = now
+	co.addWorkers(vi)
+	for _, sv := range co.order {
+		sv.open()
+	}
+	for i := range vi.Full {
+		if sv := co.services[vi.Full[i].Service]; sv != nil {
+			sv.measure(&vi.Full[i])
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(co.turns), func(a, b turnKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.priority, b.priority))
+	})
+	for _, key := range keys {
+		if sv := co.services[key.service]; sv != nil {
+			sv.arrivals = append(sv.arrivals, co.turns[key].arrivals(now, key.priority)...)
+		}
+	}
+	co.addRuns(vi)
+	co.addJobs(now, vi)
+	for _, sv := range co.order {
+		sv.holds.takeFrom(&sv.free)
+		sv.schedule(co.quotas)
+	}
+}
+
+// addWorkers begins the forecast for the services that have workers.
+func (co *Controller) addWorkers(vi *View) {
 	former := co.services
-	co.services = map[model.ServiceID]*service{}
+	co.services, co.order = map[model.ServiceID]*service{}, co.order[:0]
 	var sv *service
 	var name model.ServiceID
 	for i := range vi.Workers {
@@ -118,40 +166,42 @@
 			if sv == nil {
 				sv = former[name].reuse()
 				co.services[name] = sv
+				co.order = append(co.order, sv)
 			}
 		}
 		sv.addWorker(wk)
 	}
-	for _, sv := range co.services {
-		sv.open()
-	}
-	for i := range vi.Full {
-		if sv := co.services[vi.Full[i].Service]; sv != nil {
-			sv.measure(&vi.Full[i])
-		}
-	}
-	for key, tu := range co.turns {
-		if sv := co.services[key.service]; sv != nil {
-			sv.arrivals = append(sv.arrivals, tu.arrivals(now, key.priority)...)
+}
+
+// addRuns adds the runs, and the quotas of which they use a part.
+func (co *Controller) addRuns(vi *View) {
+	co.quotas = nil
+	for id, total := range vi.Quotas {
+		if co.quotas == nil {
+			co.quotas = map[model.WorkspaceID]*quota{}
 		}
+		co.quotas[id] = newQuota(total)
 	}
+	var sv *service
+	var name model.ServiceID
 	for i := range vi.Runs {
 		ru := &vi.Runs[i]
 		if sv == nil || ru.Service != name {
 			name, sv = ru.Service, co.services[ru.Service]
 		}
-		if sv != nil {
-			until := horizon
-			if ru.After >= 0 {
-				until = ru.After.Seconds()
-			}
+		until := horizon
+		if ru.After >= 0 {
+			until = ru.After.Seconds()
+		}
+		if sv != nil && !ru.Pinned {
 			sv.holds.add(until, ru)
 		}
+		if qu := co.quotas[ru.Workspace]; qu != nil {
+			qu.takeRun(until, ru)
+		}
 	}
-	co.addJobs(now, vi)
-	for _, sv := range co.services {
-		sv.holds.takeFrom(&sv.free)
-		sv.schedule()
+	for _, qu := range co.quotas {
+		qu.settle()
 	}
 }
 
--- a/core/shed/controller_test.go
+++ b/core/shed/controller_test.go
@@ -19,6 +19,7 @@
 	now     model.Instant
 	jobs    []*testJob
 	last    int
+	quotas  map[model.WorkspaceID]model.Resources
 }
 
 // testJob is an accepted job. ends are those of its runs.
@@ -30,7 +31,7 @@
 
 // view is the view of the cell.
 func (tc *testCell) view() *View {
-	vi := &View{}
+	vi := &View{Quotas: tc.quotas}
 	for range 10 {
 		vi.Workers = append(vi.Workers, Worker{Service: "svc", Room: model.NewResources(10_000, 100_000, 0), Count: 1})
 	}
@@ -39,7 +40,7 @@
 		jo.Left = jb.due.Sub(tc.now)
 		jo.Late = jo.Left < jo.Steps[0].Duration
 		for _, end := range jb.ends {
-			vi.Runs = append(vi.Runs, Run{Service: "svc", Size: jo.Steps[0].Size, Count: 1, After: end.Sub(tc.now)})
+			vi.Runs = append(vi.Runs, Run{Service: "svc", Size: jo.Steps[0].Size, Workspace: jb.Workspace, Count: 1, After: end.Sub(tc.now)})
 			jo.Steps[0].RunningFor = max(jo.Steps[0].RunningFor, end.Sub(tc.now))
 		}
 		vi.Jobs = append(vi.Jobs, jo)
@@ -58,6 +59,9 @@
 	tc.jobs = slices.DeleteFunc(tc.jobs, func(jb *testJob) bool { return len(jb.ends) == 0 && jb.Steps[0].Tasks == 0 })
 	slices.SortStableFunc(tc.jobs, func(a, b *testJob) int { return cmp.Or(a.Priority-b.Priority, cmp.Compare(a.Rank, b.Rank)) })
 	for _, jb := range tc.jobs {
+		if tc.quotas[jb.Workspace] != (model.Resources{}) {
+			continue
+		}
 		for st := &jb.Steps[0]; st.Tasks > 0 && free >= st.Size.MilliCPU(); st.Tasks-- {
 			free -= st.Size.MilliCPU()
 			jb.ends = append(jb.ends, tc.now.Add(st.Duration))
@@ -70,7 +74,8 @@
 	tc.last++
 	step := Step{Tasks: tasks, Size: model.NewResources(2000, 1000, 0), Duration: time.Second}
 	jo := Job{
-		ID: model.JobID(fmt.Sprint("job", tc.last)), Service: "svc", Priority: priority, Kind: "kind", Centre: model.CentreID(centre), Left: objective,
+		ID: model.JobID(fmt.Sprint("job", tc.last)), Service: "svc", Workspace: model.WorkspaceID(centre), Priority: priority, Kind: "kind",
+		Centre: model.CentreID(centre), Left: objective,
 		Rank: float64(2 * tasks), Work: float64(2 * tasks), Steps: []Step{step},
 	}
 	de := tc.control.Decide(tc.now, tc.view, jo)
@@ -179,3 +184,18 @@
 		t.Errorf("callers return at %d times only: %v", len(times), times)
 	}
 }
+
+// Guards against jobs that are refused because a workspace waits for its quota, which leaves
+// the room to others.
+func TestQuotaLeavesRoomToOthers(t *testing.T) {
+	tc := &testCell{now: model.Instant(time.Second), quotas: map[model.WorkspaceID]model.Resources{"bounded": model.NewResources(10_000, 0, 0)}}
+	rates := tc.rates(func(tick int) (string, Decision) {
+		if tick%2 == 0 {
+			return "bounded", tc.submit("bounded", 1, 10, 2500*time.Millisecond)
+		}
+		return "other", tc.submit("other", 1, 2, 2500*time.Millisecond)
+	})
+	if rates["bounded"] < 0.8 || rates["other"] > 0.05 {
+		t.Errorf("refused: %v", rates)
+	}
+}
--- a/core/shed/decision.go
+++ b/core/shed/decision.go
@@ -19,6 +19,9 @@
 	Returned
 	// TooLate means that the job would end after its objective and delay others.
 	TooLate
+	// OverQuota means that the job would end after its objective because other jobs of its
+	// workspace use the quota.
+	OverQuota
 	// Displaces means that the job would make accepted jobs end after their
 	// objective.
 	Displaces
@@ -27,13 +30,13 @@
 	Turn
 )
 
-var reasonNames = [...]string{"fits", "unjudged", "known", "returned", "tooLate", "displaces", "turn"}
+var reasonNames = [...]string{"fits", "unjudged", "known", "returned", "tooLate", "overQuota", "displaces", "turn"}
 
 // String returns the name for logs.
 func (re Reason) String() string { return reasonNames[re] }
 
 // Reasons returns the reasons for which jobs are refused.
-func Reasons() []Reason { return []Reason{TooLate, Displaces, Turn} }
+func Reasons() []Reason { return []Reason{TooLate, OverQuota, Displaces, Turn} }
 
 // Class is the size of a job among the jobs of its kind.
 type Class uint8
--- /dev/null
+++ b/core/shed/displace.go
@@ -0,0 +1,66 @@
+package shed
+
+import "math"
+
+// lateGrace is the part of its time by which an accepted job may be expected to be late and
+// still keeps its place.
+const lateGrace = 0.15
+
+// margin returns the work that may come before an accepted job without making it late, in
+// processor seconds. before and after are what is free without and with it.
+func margin(before, after *room, en *entry) float64 {
+	if !en.job.waits() {
+		return math.Inf(1)
+	}
+	left := en.job.Left.Seconds()
+	if !en.known || en.end > left*(1+lateGrace) {
+		return -1
+	}
+	last := en.job.Steps[len(en.job.Steps)-1].Duration.Seconds()
+	rate := before.workUntil(left, en.filler) / left
+	return after.workUntil(max(0, en.end-last), en.filler) + max(0, left-en.end)*rate
+}
+
+// displaces returns how many accepted jobs a new job would make late that come after it and
+// have its priority, and the least time, in seconds, after which it would make one fewer
+// late.
+func (sv *service) displaces(own *entry, work float64) (int, float64) {
+	num, wait := 0, math.Inf(1)
+	rate := sv.rate()
+	check := func(en *entry) {
+		if en.job.Priority != own.job.Priority || en.margin < 0 || en.compare(own) < 0 {
+			return
+		}
+		before := work * min(1, en.end/max(own.end, 0.001))
+		if before > en.margin {
+			num++
+			wait = min(wait, (before-en.margin)/rate)
+		}
+	}
+	for i := range sv.entries {
+		check(&sv.entries[i])
+	}
+	for i := range sv.added {
+		check(&sv.added[i].entry)
+	}
+	return num, wait
+}
+
+// accept records a job that was accepted since the forecast was made. taken is what it takes
+// of the room ro, and work the processor seconds of that.
+func (sv *service) accept(own *entry, work float64, taken, ro *room) {
+	for i := range sv.entries {
+		if en := &sv.entries[i]; en.compare(own) >= 0 {
+			en.margin -= work
+		}
+	}
+	for i := range sv.added {
+		if en := &sv.added[i].entry; en.compare(own) >= 0 {
+			en.margin -= work
+		}
+	}
+	before := *ro
+	before.add(taken)
+	own.margin = margin(&before, ro, own)
+	sv.added = append(sv.added, addition{entry: *own, taken: *taken})
+}
--- a/core/shed/service.go
+++ b/core/shed/service.go
@@ -21,9 +21,6 @@
 	packingWeight = 0.1
 	// minPacking bounds the packing, since right after a loss of runs it is low.
 	minPacking = 0.6
-	// lateGrace is the part of its time by which an accepted job may be expected to be late
-	// and still keeps its place.
-	lateGrace = 0.15
 	// arrivalRamp is the time after which the work that comes first by its priority, and
 	// is expected to arrive, takes its full part of the room, in seconds. The jobs that
 	// have arrived count until then.
@@ -184,8 +181,8 @@
 	return gr
 }
 
-// schedule places all entries in order.
-func (sv *service) schedule() {
+// schedule places all entries in order, within the quotas of their workspaces.
+func (sv *service) schedule(quotas map[model.WorkspaceID]*quota) {
 	slices.SortStableFunc(sv.entries, func(en, other entry) int { return en.compare(&other) })
 	sv.before = append(sv.before[:0], sv.free)
 	for i := range sv.entries {
@@ -194,7 +191,8 @@
 		before := sv.before[i]
 		sv.expect(&before, en, false)
 		after := before
-		en.end, en.known = sv.place(&after, &taken, en.job, 0)
+		en.end, en.known = sv.place(&after, &taken, quotas[en.job.Workspace], en.job, 0)
+		quotas[en.job.Workspace].take(&taken)
 		en.margin = margin(&before, &after, en)
 		left := sv.before[i]
 		left.sub(&taken)
@@ -227,21 +225,6 @@
 	}
 }
 
-// margin returns the work that may come before an accepted job without making it late, in
-// processor seconds. before and after are what is free without and with it.
-func margin(before, after *room, en *entry) float64 {
-	if !en.job.waits() {
-		return math.Inf(1)
-	}
-	left := en.job.Left.Seconds()
-	if !en.known || en.end > left*(1+lateGrace) {
-		return -1
-	}
-	last := en.job.Steps[len(en.job.Steps)-1].Duration.Seconds()
-	rate := before.workUntil(left, en.filler) / left
-	return after.workUntil(max(0, en.end-last), en.filler) + max(0, left-en.end)*rate
-}
-
 // roomFor returns what is free for a new job, by its place in the order.
 func (sv *service) roomFor(own *entry) room {
 	pos, _ := slices.BinarySearchFunc(sv.entries, own, func(en entry, own *entry) int {
@@ -259,8 +242,9 @@
 
 // place takes what a job needs from a room, adds it to taken unless that is nil, and
 // returns when the job is expected to end, in seconds. It returns false if that is not
-// known: beyond the horizon, or if no worker can hold a task.
-func (sv *service) place(ro, taken *room, jo *Job, from float64) (float64, bool) {
+// known: beyond the horizon, or if no worker can hold a task. qu is the quota of its
+// workspace, nil for none.
+func (sv *service) place(ro, taken *room, qu *quota, jo *Job, from float64) (float64, bool) {
 	var buf [16]float64
 	ends := buf[:0]
 	last := 0.0
@@ -272,7 +256,7 @@
 			for _, dep := range st.After {
 				ready = max(ready, ends[dep]+startDelay)
 			}
-			over, ok := sv.placeStep(ro, taken, st, ready)
+			over, ok := sv.placeStep(ro, taken, qu, st, ready)
 			if !ok {
 				return 0, false
 			}
@@ -286,7 +270,7 @@
 
 // placeStep is place for the tasks of a step that may start at a time. Tasks start as far
 // as there is room, and those of a gang at once.
-func (sv *service) placeStep(ro, taken *room, st *Step, ready float64) (float64, bool) {
+func (sv *service) placeStep(ro, taken *room, qu *quota, st *Step, ready float64) (float64, bool) {
 	places := sv.placesFor(st)
 	dur, tasks := st.Duration.Seconds(), float64(st.Tasks)
 	if places == 0 || st.Gang && places < tasks {
@@ -295,7 +279,7 @@
 	left := tasks * dur
 	at := ready
 	for i := spanAt(ready); i < spanCount; i++ {
-		num := math.Floor(min(tasks, ro.fits(i, st, places, sv.total)))
+		num := math.Floor(min(tasks, ro.fits(i, st, places, sv.total), qu.fits(i, st.Size)))
 		end := spanStarts[i+1]
 		if st.Gang && left == tasks*dur && num < tasks {
 			num = 0
@@ -324,47 +308,3 @@
 
 // rate returns the work that the workers can do in a second, in processor seconds.
 func (sv *service) rate() float64 { return max(1, sv.total.cpu*sv.packed()/1000) }
-
-// displaces returns how many accepted jobs a new job would make late that come after it and
-// have its priority, and the least time, in seconds, after which it would make one fewer
-// late.
-func (sv *service) displaces(own *entry, work float64) (int, float64) {
-	num, wait := 0, math.Inf(1)
-	rate := sv.rate()
-	check := func(en *entry) {
-		if en.job.Priority != own.job.Priority || en.margin < 0 || en.compare(own) < 0 {
-			return
-		}
-		before := work * min(1, en.end/max(own.end, 0.001))
-		if before > en.margin {
-			num++
-			wait = min(wait, (before-en.margin)/rate)
-		}
-	}
-	for i := range sv.entries {
-		check(&sv.entries[i])
-	}
-	for i := range sv.added {
-		check(&sv.added[i].entry)
-	}
-	return num, wait
-}
-
-// accept records a job that was accepted since the forecast was made. taken is what it takes
-// of the room ro, and work the processor seconds of that.
-func (sv *service) accept(own *entry, work float64, taken, ro *room) {
-	for i := range sv.entries {
-		if en := &sv.entries[i]; en.compare(own) >= 0 {
-			en.margin -= work
-		}
-	}
-	for i := range sv.added {
-		if en := &sv.added[i].entry; en.compare(own) >= 0 {
-			en.margin -= work
-		}
-	}
-	before := *ro
-	before.add(taken)
-	own.margin = margin(&before, ro, own)
-	sv.added = append(sv.added, addition{entry: *own, taken: *taken})
-}
--- a/core/shed/turns.go
+++ b/core/shed/turns.go
@@ -74,8 +74,12 @@
 	shortAt model.Instant
 }
 
-// count counts a decision.
+// count counts a decision. A job that is refused because of its own quota says nothing about
+// the room for others.
 func (tu *turns) count(now model.Instant, jo *Job, de Decision) {
+	if de.reason == OverQuota {
+		return
+	}
 	refused := !de.Accepted()
 	if refused && de.reason != Turn {
 		tu.shortAt = now
--- a/core/shed/view.go
+++ b/core/shed/view.go
@@ -18,6 +18,9 @@
 	Jobs []Job
 	// Full are the services whose tasks find no further room, though they need what is free.
 	Full []Full
+	// Quotas are what the jobs of workspaces may hold on all workers. A dimension that is 0
+	// has no limit.
+	Quotas map[model.WorkspaceID]model.Resources
 }
 
 // Full tells what the tasks of a service hold while others find no further room.
@@ -48,6 +51,9 @@
 	// Size is what the run holds. Its processors count for a filler too.
 	Size   model.Resources
 	Filler bool
+	// Pinned marks a run of a long-running task, which holds nothing of Worker.Room.
+	Pinned    bool
+	Workspace model.WorkspaceID
 	// Count is the number of runs for which this one stands.
 	Count int
 	// After is the expected time until the run ends; negative for never.
@@ -77,6 +83,8 @@
 	ID       model.JobID
 	Service  model.ServiceID
 	Priority int
+	// Workspace owns the job; empty for none.
+	Workspace model.WorkspaceID
 	// Kind names the jobs that are alike, for classes of size.
 	Kind   string
 	Centre model.CentreID
