--- a/core/flow/admission.go
+++ b/core/flow/admission.go
@@ -21,6 +21,8 @@
 	control shed.Controller
 	// since is when this leader's term began.
 	since model.Instant
+	// known is set once most workers have reported to this leader.
+	known bool
 	// runTimes are the measured run times.
 	runTimes map[runTimeKey]*runTime
 	// view is the view of the last forecast, whose memory the next one uses.
@@ -48,10 +50,12 @@
 	return pl.admission.control.Decide(now, func() *shed.View { return pl.look(now) }, sub)
 }
 
-// knowsCell reports whether this leader knows enough of the workers to refuse jobs.
+// knowsCell reports whether this leader has known enough of the workers in its term to
+// refuse jobs.
 func (pl *Planner) knowsCell(now model.Instant) bool {
-	if now.Sub(pl.admission.since) < admissionDelay {
-		return false
+	ad := &pl.admission
+	if ad.known || now.Sub(ad.since) < admissionDelay {
+		return ad.known
 	}
 	const unknownDivisor = 10
 	unknown := 0
@@ -60,7 +64,8 @@
 			unknown++
 		}
 	}
-	return len(pl.workers.sorted) > 0 && unknown <= len(pl.workers.sorted)/unknownDivisor
+	ad.known = len(pl.workers.sorted) > 0 && unknown <= len(pl.workers.sorted)/unknownDivisor
+	return ad.known
 }
 
 // look returns the view of the cell for the forecast. It is valid until the next call.
