Shed: fewer copies of what is free

Cause: the forecast copied what is free three times for each open job.

Change: it keeps it once for at most 1,024 open jobs, and takes the work that is expected to arrive once for each priority.

--- a/core/shed/displace.go
+++ b/core/shed/displace.go
@@ -6,19 +6,24 @@
 // still keeps its place.
 const lateGrace = 0.15
 
-// margin returns the work that may come before an accepted job without making it late, in
-// processor seconds. before and after are what is free without and with it.
-func margin(before, after *room, en *entry) float64 {
+// usableWork returns the work that a room can do until the job is late, in processor seconds.
+func (en *entry) usableWork(free *room) float64 {
+	return free.workUntil(en.job.Left.Seconds(), en.filler)
+}
+
+// marginOf returns the work that may come before an accepted job without making it late, in
+// processor seconds. usable is the result of usableWork without the job, and free
+// what is free beside it.
+func (en *entry) marginOf(usable float64, free *room) float64 {
 	if !en.job.waits() {
 		return math.Inf(1)
 	}
 	left := en.job.Left.Seconds()
-	if !en.known || en.end > left*(1+lateGrace) {
+	if !en.known || left <= 0 || en.end > left*(1+lateGrace) {
 		return -1
 	}
 	last := en.job.Steps[len(en.job.Steps)-1].Duration.Seconds()
-	rate := before.workUntil(left, en.filler) / left
-	return after.workUntil(max(0, en.end-last), en.filler) + max(0, left-en.end)*rate
+	return free.workUntil(max(0, en.end-last), en.filler) + max(0, left-en.end)*usable/left
 }
 
 // displaces returns how many accepted jobs a new job would make late that come after it and
@@ -61,6 +66,6 @@
 	}
 	before := *ro
 	before.add(taken)
-	own.margin = margin(&before, ro, own)
+	own.margin = own.marginOf(own.usableWork(&before), ro)
 	sv.added = append(sv.added, addition{entry: *own, taken: *taken})
 }
--- a/core/shed/service.go
+++ b/core/shed/service.go
@@ -17,6 +17,8 @@
 	// startDelay is the expected time from when a task may start until it is placed, in
 	// seconds: a commit and a plan.
 	startDelay = 0.05
+	// maxSnapshots bounds the memory for what is free before each accepted job.
+	maxSnapshots = 1024
 	// packingWeight is the weight of the last measurement in the packing.
 	packingWeight = 0.1
 	// minPacking bounds the packing, since right after a loss of runs it is low.
@@ -46,9 +48,10 @@
 	free  room
 	holds holds
 	// entries are the accepted jobs in scheduling order. before holds what is free for
-	// each of them, but for arrivals, and in its last element what all of them leave.
+	// every one of them at a multiple of stride, and in its last element what all leave.
 	entries []entry
-	before  []room
+	before  []snapshot
+	stride  int
 	// added are the jobs that were accepted since the forecast was made.
 	added []addition
 }
@@ -184,25 +187,53 @@
 // schedule places all entries in order, within the quotas of their workspaces.
 func (sv *service) schedule(quotas map[model.WorkspaceID]*quota) {
 	slices.SortStableFunc(sv.entries, func(en, other entry) int { return en.compare(&other) })
-	sv.before = append(sv.before[:0], sv.free)
+	sv.stride = 1 + len(sv.entries)/maxSnapshots
+	free := snapshot{room: sv.free}
+	sv.before = sv.before[:0]
 	for i := range sv.entries {
 		en := &sv.entries[i]
-		var taken room
-		before := sv.before[i]
-		sv.expect(&before, en, false)
-		after := before
-		en.end, en.known = sv.place(&after, &taken, quotas[en.job.Workspace], en.job, 0)
-		quotas[en.job.Workspace].take(&taken)
-		en.margin = margin(&before, &after, en)
-		left := sv.before[i]
-		left.sub(&taken)
-		sv.before = append(sv.before, left)
+		if i%sv.stride == 0 {
+			sv.before = append(sv.before, free)
+		}
+		free.expect(sv.arriving(en, false))
+		usable := en.usableWork(&free.room)
+		qu := quotas[en.job.Workspace]
+		if qu == nil {
+			en.end, en.known = sv.place(&free.room, nil, nil, en.job, 0)
+		} else {
+			var taken room
+			en.end, en.known = sv.place(&free.room, &taken, qu, en.job, 0)
+			qu.take(&taken)
+		}
+		en.margin = en.marginOf(usable, &free.room)
 	}
+	sv.before = append(sv.before, free)
+}
+
+// snapshot is what is free before an accepted job is placed, without what is expected to
+// arrive and to hold so many thousandths of a processor.
+type snapshot struct {
+	room
+	arriving float64
 }
 
-// expect takes what is expected to arrive and comes before a job by its priority and, with
-// smaller, also what comes before it because it is less work.
-func (sv *service) expect(ro *room, en *entry, smaller bool) {
+// expect replaces what is expected to arrive.
+func (sn *snapshot) expect(milliCPU float64) {
+	more := milliCPU - sn.arriving
+	if more == 0 {
+		return
+	}
+	sn.arriving = milliCPU
+	for i := range spanCount {
+		part := float32(more * min(1, spanStarts[i]/arrivalRamp))
+		sn.cpu[i] -= part
+		sn.idle[i] -= part
+	}
+}
+
+// arriving returns what holds the processors, in thousandths, that is expected to arrive and
+// comes before a job by its priority and, with smaller, also because it is less work.
+func (sv *service) arriving(en *entry, smaller bool) float64 {
 	sum := 0.0
 	for i := range sv.arrivals {
 		ar := &sv.arrivals[i]
@@ -215,14 +246,7 @@
 			}
 		}
 	}
-	if sum == 0 {
-		return
-	}
-	for i := range spanCount {
-		part := float32(sum * min(1, spanStarts[i]/arrivalRamp))
-		ro.cpu[i] -= part
-		ro.idle[i] -= part
-	}
+	return sum
 }
 
 // roomFor returns what is free for a new job, by its place in the order.
@@ -230,14 +254,17 @@
 	pos, _ := slices.BinarySearchFunc(sv.entries, own, func(en entry, own *entry) int {
 		return cmp.Or(en.compare(own), -1)
 	})
-	ro := sv.before[pos]
+	free := sv.before[len(sv.before)-1]
+	if pos < len(sv.entries) {
+		free = sv.before[pos/sv.stride]
+	}
 	for i := range sv.added {
 		if sv.added[i].compare(own) <= 0 {
-			ro.sub(&sv.added[i].taken)
+			free.sub(&sv.added[i].taken)
 		}
 	}
-	sv.expect(&ro, own, true)
-	return ro
+	free.expect(sv.arriving(own, true))
+	return free.room
 }
 
 // place takes what a job needs from a room, adds it to taken unless that is nil, and
