--- a/core/flow/admission_test.go
+++ b/core/flow/admission_test.go
@@ -40,10 +40,6 @@
 	acceptedAt model.Instant
 	refusals   int
 	objective  time.Duration
-	// end is when the forecast expected it to end, from when it was accepted, and reason
-	// why it was accepted.
-	end    time.Duration
-	reason string
 }
 
 // admissionKind is a kind of jobs: their queue.
@@ -131,7 +127,6 @@
 	jb.objective = jo.Objective()
 	if ld.admit {
 		de := sim.leader.pl.Admit(sim.now, jo, jb.centre)
-		jb.end, jb.reason = de.End(), de.Reason().String()
 		if !de.Accepted() {
 			jb.refusals++
 			if jb.refusals <= maxReturns {
@@ -173,27 +168,14 @@
 	jobs, offers, refusals, accepted, onTime, late, lost int
 }
 
-// add adds other counts.
-func (ac *admissionCount) add(other *admissionCount) {
-	ac.jobs += other.jobs
-	ac.offers += other.offers
-	ac.refusals += other.refusals
-	ac.accepted += other.accepted
-	ac.onTime += other.onTime
-	ac.late += other.late
-	ac.lost += other.lost
-}
-
-// count counts what became of the jobs, by a group.
-func (ld *admissionLoad) count(group func(jb *admittedJob) string) map[string]*admissionCount {
-	out := map[string]*admissionCount{}
+// count adds what became of the jobs to counts, by a group.
+func (ld *admissionLoad) count(counts map[string]*admissionCount, group func(jb *admittedJob) string) map[string]*admissionCount {
 	for _, jb := range ld.jobs {
 		key := group(jb)
-		ac, ok := out[key]
-		if !ok {
-			ac = &admissionCount{}
-			out[key] = ac
+		if counts[key] == nil {
+			counts[key] = &admissionCount{}
 		}
+		ac := counts[key]
 		ac.jobs++
 		ac.offers += jb.refusals
 		ac.refusals += jb.refusals
@@ -209,7 +191,7 @@
 			ac.late++
 		}
 	}
-	return out
+	return counts
 }
 
 // endedAt returns when the leader found that a job had completed.
@@ -235,10 +217,15 @@
 // report returns the tables of a load.
 func (ld *admissionLoad) report(name string) string {
 	ld.classify()
-	pre := fmt.Sprintf("%s admission=%v ", name, ld.admit)
-	return "\n" + table(pre+"priority", ld.count(func(jb *admittedJob) string { return fmt.Sprint(jb.spec.Priority, " ", jb.spec.Queue) })) +
-		table(pre+"size", ld.count(func(jb *admittedJob) string { return jb.spec.Queue + " " + jb.class })) +
-		table(pre+"centre", ld.count(func(jb *admittedJob) string { return string(jb.centre) }))
+	out := ""
+	for _, group := range []func(jb *admittedJob) string{
+		func(jb *admittedJob) string { return fmt.Sprint("priority ", jb.spec.Priority) },
+		func(jb *admittedJob) string { return jb.spec.Queue + " " + jb.class },
+		func(jb *admittedJob) string { return string(jb.centre) },
+	} {
+		out += "\n" + table(fmt.Sprintf("%s admission=%v", name, ld.admit), ld.count(map[string]*admissionCount{}, group))
+	}
+	return out
 }
 
 // playBurst plays a burst of the kind of priority 1, on a cell of which long-running tasks
@@ -275,15 +262,15 @@
 		maxLate float64
 	}{{"burst", playBurst, 0.75}, {"loss", playLoss, 0.75}} {
 		t.Run(sc.name, func(t *testing.T) {
-			sums := map[bool]*admissionCount{false: {}, true: {}}
+			sums := map[string]*admissionCount{}
 			for seed := range uint64(3) {
-				for admit, sum := range sums {
+				for _, admit := range []bool{false, true} {
 					ld := sc.play(t, seed, admit)
 					t.Log(ld.report(fmt.Sprint(sc.name, " ", seed)))
-					sum.add(ld.count(func(*admittedJob) string { return "" })[""])
+					ld.count(sums, func(*admittedJob) string { return fmt.Sprint(admit) })
 				}
 			}
-			with, without := sums[true], sums[false]
+			with, without := sums["true"], sums["false"]
 			if float64(with.late) > sc.maxLate*float64(without.late) || with.onTime < without.onTime {
 				t.Errorf("with admission %d on time and %d late, without %d and %d", with.onTime, with.late, without.onTime, without.late)
 			}
@@ -315,14 +302,7 @@
 		})
 		ld.classify()
 		for _, group := range groups {
-			for key, ac := range ld.count(group) {
-				sum, ok := sums[key]
-				if !ok {
-					sum = &admissionCount{}
-					sums[key] = sum
-				}
-				sum.add(ac)
-			}
+			ld.count(sums, group)
 		}
 	}
 	t.Log("\n" + table("in the burst", sums))
--- a/core/shed/decision.go
+++ b/core/shed/decision.go
@@ -35,9 +35,6 @@
 // String returns the name for logs.
 func (re Reason) String() string { return reasonNames[re] }
 
-// Reasons returns the reasons for which jobs are refused.
-func Reasons() []Reason { return []Reason{TooLate, OverQuota, Displaces, Turn} }
-
 // Class is the size of a job among the jobs of its kind.
 type Class uint8
 
