--- a/core/flow/admission.go
+++ b/core/flow/admission.go
@@ -21,12 +21,16 @@
 	control shed.Controller
 	// since is when this leader's term began.
 	since model.Instant
+	// known is set once most workers have reported to this leader.
+	known bool
 	// runTimes are the measured run times.
 	runTimes map[runTimeKey]*runTime
 	// view is the view of the last forecast, whose memory the next one uses.
 	view shed.View
 	// steps holds the steps of the jobs of view.
 	steps []shed.Step
+	// used is what the workspaces with a quota hold.
+	used map[model.WorkspaceID]model.Resources
 	// looks counts the views.
 	looks int
 }
@@ -38,7 +42,7 @@
 	if _, ok := pl.st.jobs[jo.ID()]; ok {
 		return shed.Accept(shed.Known)
 	}
-	if !pl.hasLeaderLease(now) || !pl.knowsCell(now) || jo.longRunning() || jo.spec.Repetitions > 0 {
+	if !pl.hasLeaderLease(now) || !pl.knowsCell(now) || pl.rooms == nil || jo.longRunning() || jo.spec.Repetitions > 0 {
 		return shed.Accept(shed.Unjudged)
 	}
 	sub := pl.shedJob(&jo, nil, 0, make([]shed.Step, 0, len(jo.spec.Steps)))
@@ -46,10 +50,12 @@
 	return pl.admission.control.Decide(now, func() *shed.View { return pl.look(now) }, sub)
 }
 
-// knowsCell reports whether this leader knows enough of the workers to refuse jobs.
+// knowsCell reports whether this leader has known enough of the workers in its term to
+// refuse jobs.
 func (pl *Planner) knowsCell(now model.Instant) bool {
-	if now.Sub(pl.admission.since) < admissionDelay {
-		return false
+	ad := &pl.admission
+	if ad.known || now.Sub(ad.since) < admissionDelay {
+		return ad.known
 	}
 	const unknownDivisor = 10
 	unknown := 0
@@ -58,7 +64,8 @@
 			unknown++
 		}
 	}
-	return len(pl.workers.sorted) > 0 && unknown <= len(pl.workers.sorted)/unknownDivisor
+	ad.known = len(pl.workers.sorted) > 0 && unknown <= len(pl.workers.sorted)/unknownDivisor
+	return ad.known
 }
 
 // look returns the view of the cell for the forecast. It is valid until the next call.
@@ -67,6 +74,7 @@
 	vi := &ad.view
 	vi.Workers, vi.Runs, vi.Jobs, vi.Full = vi.Workers[:0], vi.Runs[:0], vi.Jobs[:0], vi.Full[:0]
 	ad.steps = ad.steps[:0]
+	pl.lookAtQuotas()
 	ad.looks++
 	stride := 1 + len(pl.placed)/maxLookedAt
 	use := map[model.ServiceID]*serviceUse{}
@@ -81,9 +89,15 @@
 			Service: wk.service, Labels: wk.labels, Room: wk.freeForLong(), Count: stride, IdleMilliCPU: (1 - servingLoadRatio) * float64(wk.servingMilliCPU),
 		})
 		for _, pr := range wk.runs {
-			if !pr.spec.LongRunning && !pr.ending {
+			switch {
+			case pr.ending:
+				continue
+			case !pr.spec.LongRunning:
 				pl.lookAtRun(now, wk, pr, stride)
+			case len(vi.Quotas) > 0:
+				vi.Runs = append(vi.Runs, shed.Run{Service: wk.service, Size: pr.spec.Size, Pinned: true, Workspace: pr.job.spec.Workspace, Count: stride, After: -1})
 			}
+			ad.use(pr, stride)
 		}
 		if su == nil || wk.service != service {
 			service, su = wk.service, use[wk.service]
@@ -92,6 +106,7 @@
 				use[service] = su
 			}
 		}
+		su.room += float64(stride) * float64(wk.freeForLong().MilliCPU())
 		su.ordinary += float64(stride) * float64(wk.reserved.Sub(wk.longRunning).MilliCPU())
 		su.fillers += float64(stride) * float64(wk.fillerMilliCPU)
 	}
@@ -102,16 +117,50 @@
 		}
 	}
 	for name, su := range use {
-		if su.ordinaryWait {
+		if su.ordinary+su.ordinaryWait >= su.room {
 			vi.Full = append(vi.Full, shed.Full{Service: name, MilliCPU: su.ordinary})
 		}
-		if su.fillersWait {
+		if su.fillersWait > 0 {
 			vi.Full = append(vi.Full, shed.Full{Service: name, Filler: true, MilliCPU: su.fillers})
 		}
 	}
 	return vi
 }
 
+// lookAtQuotas adds the quotas of workspaces to the view.
+func (pl *Planner) lookAtQuotas() {
+	ad := &pl.admission
+	clear(ad.used)
+	clear(ad.view.Quotas)
+	for id, te := range pl.st.terms {
+		if te.Quota().IsZero() {
+			continue
+		}
+		if ad.view.Quotas == nil {
+			ad.view.Quotas, ad.used = map[model.WorkspaceID]model.Resources{}, map[model.WorkspaceID]model.Resources{}
+		}
+		ad.view.Quotas[id] = te.Quota()
+	}
+}
+
+// use adds what a run that stands for count of them uses of the quota of its workspace.
+func (ad *admission) use(pr *placedRun, count int) {
+	if _, ok := ad.view.Quotas[pr.job.spec.Workspace]; ok {
+		ad.used[pr.job.spec.Workspace] = ad.used[pr.job.spec.Workspace].Add(sumOf(pr.spec.Size, count))
+	}
+}
+
+// atQuota reports whether the quota of a workspace permits no further task of a size.
+func (ad *admission) atQuota(id model.WorkspaceID, size model.Resources) bool {
+	quota, ok := ad.view.Quotas[id]
+	if !ok {
+		return false
+	}
+	need := ad.used[id].Add(size)
+	over := func(need, limit int64) bool { return limit > 0 && need > limit }
+	return over(need.MilliCPU(), quota.MilliCPU()) || over(need.MemoryMB(), quota.MemoryMB()) || over(need.Accelerators(), quota.Accelerators())
+}
+
 // lookAtRun adds a run, which stands for count of them, to the view.
 func (pl *Planner) lookAtRun(now model.Instant, wk *worker, pr *placedRun, count int) {
 	size := pr.size
@@ -123,7 +172,7 @@
 		after = max(after, pl.runTimeOf(&pr.job.Job, pr.spec)-now.Sub(pr.placedAt))
 	}
 	vi := &pl.admission.view
-	vi.Runs = append(vi.Runs, shed.Run{Service: wk.service, Size: size, Filler: pr.spec.Filler, Count: count, After: after})
+	vi.Runs = append(vi.Runs, shed.Run{Service: wk.service, Size: size, Filler: pr.spec.Filler, Workspace: pr.job.spec.Workspace, Count: count, After: after})
 	if pr.step.progress.look != pl.admission.looks {
 		pr.step.progress = stepProgress{look: pl.admission.looks}
 	}
@@ -132,10 +181,12 @@
 
 // serviceUse is what the runs of a service hold besides long-running ones.
 type serviceUse struct {
-	// ordinary and fillers are thousandths of processors.
-	ordinary, fillers float64
-	// ordinaryWait and fillersWait are set if further tasks have waited for starvationTime.
-	ordinaryWait, fillersWait bool
+	// room is what they may hold, and ordinary and fillers what they hold, in thousandths of
+	// a processor.
+	room, ordinary, fillers float64
+	// ordinaryWait and fillersWait are what tasks need that have waited for starvationTime
+	// and that any worker may run.
+	ordinaryWait, fillersWait float64
 }
 
 // lookAtJob adds the open occurrences of a job that are due to the view. A long-running job
@@ -163,8 +214,7 @@
 		pl.admission.steps = pl.admission.steps[:from+len(occ.steps)]
 		vi.Jobs = append(vi.Jobs, jo)
 		if su != nil && age > starvationTime {
-			su.ordinaryWait = su.ordinaryWait || occ.tasksWait(jb.spec.Steps, false)
-			su.fillersWait = su.fillersWait || occ.tasksWait(jb.spec.Steps, true)
+			pl.addWaiting(jb, occ, su)
 		}
 	}
 }
@@ -179,27 +229,33 @@
 		}
 		for i := range occ.steps[s].tasks {
 			if tk := &occ.steps[s].tasks[i]; tk.waiting() && tk.ran {
-				vi.Runs = append(vi.Runs, shed.Run{Service: jb.spec.Service, Size: spec.reservation(), Count: 1, After: -1})
+				vi.Runs = append(vi.Runs, shed.Run{Service: jb.spec.Service, Size: spec.reservation(), Workspace: jb.spec.Workspace, Count: 1, After: -1})
 			}
 		}
 	}
 }
 
-// tasksWait reports whether tasks of a ready step wait that are fillers, or that are none.
-func (occ *occurrence) tasksWait(steps []StepSpec, fillers bool) bool {
+// addWaiting adds what the waiting tasks of ready steps need.
+func (pl *Planner) addWaiting(jb *job, occ *occurrence, su *serviceUse) {
 	for s := range occ.steps {
-		if steps[s].Filler == fillers && occ.steps[s].idleTasks > 0 && occ.ready(&steps[s]) {
-			return true
+		spec, idle := &jb.spec.Steps[s], occ.steps[s].idleTasks
+		if idle == 0 || pl.admission.atQuota(jb.spec.Workspace, spec.Size) || spec.RequiredLabel != "" || spec.PerWorker > 0 || spec.Gang || !occ.ready(spec) || !pl.canHold(jb.spec.Service, spec) {
+			continue
+		}
+		need := float64(idle) * float64(spec.Size.MilliCPU())
+		if spec.Filler {
+			su.fillersWait += need
+		} else {
+			su.ordinaryWait += need
 		}
 	}
-	return false
 }
 
 // shedJob returns an occurrence of a job for the forecast, with its steps appended to steps.
 // occ is nil for a job that has not been accepted.
 func (pl *Planner) shedJob(jo *Job, occ *occurrence, age time.Duration, steps []shed.Step) shed.Job {
 	out := shed.Job{
-		ID: jo.ID(), Service: jo.spec.Service, Priority: jo.spec.Priority, Kind: jo.spec.Queue, Left: jo.Objective() - age,
+		ID: jo.ID(), Service: jo.spec.Service, Priority: jo.spec.Priority, Workspace: jo.spec.Workspace, Kind: jo.spec.Queue, Left: jo.Objective() - age,
 	}
 	for s := range jo.spec.Steps {
 		spec := &jo.spec.Steps[s]
