Config: keys for the memory of the VM and its file descriptors

The bounds on requests need the memory of the VM also where the garbage collector must stay as it is, so they have keys of their own: vmMemoryMb, maxFiles and maxPerAddress.

--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -34,6 +34,8 @@
 	entries         []Entry
 	// memoryMB is 0 if it is not given.
 	memoryMB int
+	// vmMemoryMB, maxFiles and maxPerAddress are 0 if they are not given.
+	vmMemoryMB, maxFiles, maxPerAddress int
 }
 
 // CellListen holds the addresses that a VM of a cell listens on. If the settings
@@ -111,6 +113,19 @@
 // given.
 func (ce Cell) MemoryMB() int { return ce.memoryMB }
 
+// VMMemoryMB returns the memory of the VM, in megabytes, from which the memory for
+// requests is derived; 0 if it is not given. Unlike MemoryMB, it leaves the garbage
+// collector as it is.
+func (ce Cell) VMMemoryMB() int { return ce.vmMemoryMB }
+
+// MaxFiles returns the number of file descriptors that the process may have; 0 if it is
+// not given.
+func (ce Cell) MaxFiles() int { return ce.maxFiles }
+
+// MaxPerAddress returns the number of connections that one client address may have open;
+// 0 means no bound.
+func (ce Cell) MaxPerAddress() int { return ce.maxPerAddress }
+
 // Entries returns the effective value of every key in the order in which they are
 // read.
 func (ce Cell) Entries() []Entry { return append([]Entry(nil), ce.entries...) }
@@ -195,6 +210,9 @@
 	keyShutdownTimeout = secondsKey("graceSeconds", 30*time.Second, time.Second, time.Hour)
 	keyCentres         = listKey(optionalCentreKey())
 	keyMemoryMB        = intKey("memoryMb", 0, 0, 1<<20)
+	keyVMMemoryMB      = intKey("vmMemoryMb", 0, 0, 1<<20)
+	keyMaxFiles        = intKey("maxFiles", 0, 0, 1<<20)
+	keyMaxPerAddress   = intKey("maxPerAddress", 0, 0, 1<<20)
 )
 
 // optionalCentreKey returns the key for one element of the list of data centres,
@@ -259,5 +277,8 @@
 	ce.shutdownTimeout = read(rdr, cellSection, keyShutdownTimeout)
 	ce.centres = read(rdr, cellSection, keyCentres)
 	ce.memoryMB = read(rdr, cellSection, keyMemoryMB)
+	ce.vmMemoryMB = read(rdr, cellSection, keyVMMemoryMB)
+	ce.maxFiles = read(rdr, cellSection, keyMaxFiles)
+	ce.maxPerAddress = read(rdr, cellSection, keyMaxPerAddress)
 	return ce
 }
