Buffer: decide who gets memory for requests

A process had no bound on what all requests hold together. Package buffer is the decision: three classes (callers; workers and operators; other VMs), each with at most half of the memory, callers and control together three quarters. A holder gets memory, waits in order, or is refused. Room is made within the class, from those that have not finished sending, in the order in which they last got more; a request that has arrived as a whole is never closed. Connections are bounded the same way, with an eighth kept from callers.

--- /dev/null
+++ b/core/buffer/budget.go
@@ -0,0 +1,330 @@
+package buffer
+
+import "container/list"
+
+// Class is a kind of clients.
+type Class int
+
+// Classes of clients.
+const (
+	// Callers submit jobs. They are not under our control.
+	Callers Class = iota
+	// Control is workers, operators, readiness checks and metrics.
+	Control
+	// VMs are the other VMs of the cell.
+	VMs
+	classes
+)
+
+// ID identifies a holder of memory, which is a connection or a message on one.
+type ID uint64
+
+// Config bounds what all holders have together. A bound that is 0 is not set.
+type Config struct {
+	// Memory is in bytes.
+	Memory int64
+	// Connections bounds the open connections of all classes, and PerAddress those of
+	// callers from one address.
+	Connections, PerAddress int
+}
+
+// BaseBytes is what an open connection holds without a request: the buffers, the
+// goroutine and the objects of package http. SmallBytes of a head and SmallBytes of a body
+// are part of it.
+const (
+	BaseBytes  = 16 << 10
+	SmallBytes = 4 << 10
+)
+
+// Verdict is the decision on a request for memory.
+type Verdict int
+
+const (
+	// Granted means that the holder has the memory.
+	Granted Verdict = iota
+	// Waiting means that it gets the memory when enough has been released.
+	Waiting
+	// Refused means that it does not get the memory.
+	Refused
+)
+
+// Budget is the memory of a process. Its zero value has no bounds. It is not safe for
+// concurrent use.
+type Budget struct {
+	cfg     Config
+	holders map[ID]*holder
+	classes [classes]class
+	// open is the number of connections, and closing the number of those that Reserve or
+	// Open has chosen to be closed.
+	open, closing int
+	addresses     map[string]int
+	// waiting has the holders with a wanted amount, in the order of their requests.
+	waiting []*holder
+}
+
+// class is the state of one class.
+type class struct {
+	// held is the sum of what its holders have, and freeing the part of it whose holders
+	// have been chosen to be closed. wanted is the sum of what its holders wait for.
+	held, freeing, wanted int64
+	// open is the number of its connections, and closing that of those to be closed.
+	open, closing int
+	// heavy has the holders with more than BaseBytes, those first that have had no more
+	// memory for the longest time. light has the others, those first whose state has not
+	// changed for the longest time.
+	heavy, light list.List
+}
+
+// holder is a holder of memory. The element is in the list of its class that matches
+// held.
+type holder struct {
+	id    ID
+	class Class
+	// address is empty if the connections of its address are not bounded.
+	address string
+	// connection is false for a message.
+	connection bool
+	held       int64
+	// wanted is the amount that the holder waits for, 0 if it does not wait.
+	wanted int64
+	// served is set while a request is served that has arrived as a whole.
+	served bool
+	// closing is set once the holder has been chosen to be closed.
+	closing bool
+	element *list.Element
+	heavy   bool
+}
+
+// New returns a budget.
+func New(cfg Config) *Budget { return &Budget{cfg: cfg} }
+
+// Held returns the memory that all holders have.
+func (bu *Budget) Held() int64 { return bu.heldBy(Callers) + bu.heldBy(Control) + bu.heldBy(VMs) }
+
+// Open returns the number of open connections.
+func (bu *Budget) Open() int { return bu.open }
+
+func (bu *Budget) heldBy(cl Class) int64 { return bu.classes[cl].held }
+
+// Connect adds a connection. It returns false if the connection must be closed, and
+// otherwise the connections that must be closed to make room.
+func (bu *Budget) Connect(id ID, cl Class, address string) ([]ID, bool) {
+	if cl != Callers || bu.cfg.PerAddress == 0 {
+		address = ""
+	}
+	if address != "" && bu.addresses[address] >= bu.cfg.PerAddress {
+		return nil, false
+	}
+	closes, ok := bu.freeSlot(cl)
+	if !ok {
+		return closes, false
+	}
+	more, ok := bu.freeBase(cl)
+	closes = append(closes, more...)
+	if !ok {
+		return closes, false
+	}
+	if address != "" {
+		if bu.addresses == nil {
+			bu.addresses = map[string]int{}
+		}
+		bu.addresses[address]++
+	}
+	bu.open++
+	bu.classes[cl].open++
+	bu.add(&holder{id: id, class: cl, address: address, connection: true, held: BaseBytes})
+	return closes, true
+}
+
+// Enter adds a message, which holds nothing yet.
+func (bu *Budget) Enter(id ID, cl Class) { bu.add(&holder{id: id, class: cl}) }
+
+// add adds a holder.
+func (bu *Budget) add(ho *holder) {
+	if bu.holders == nil {
+		bu.holders = map[ID]*holder{}
+	}
+	bu.holders[ho.id] = ho
+	cl := &bu.classes[ho.class]
+	cl.held += ho.held
+	ho.element = cl.light.PushBack(ho)
+}
+
+// Reserve gives a holder more memory. The returned holders must be closed to make room.
+// A holder that waits must not reserve.
+func (bu *Budget) Reserve(id ID, amount int64) (Verdict, []ID) {
+	ho := bu.holders[id]
+	if ho == nil || ho.closing {
+		return Refused, nil
+	}
+	if bu.classes[ho.class].wanted == 0 && amount <= bu.room(ho.class) {
+		bu.grant(ho, amount)
+		return Granted, nil
+	}
+	if amount+ho.held > bu.classLimit() {
+		return Refused, nil
+	}
+	closes := bu.evict(ho.class, bu.missing(ho.class, amount), ho)
+	ho.wanted = amount
+	bu.classes[ho.class].wanted += amount
+	bu.waiting = append(bu.waiting, ho)
+	return Waiting, closes
+}
+
+// grant gives a holder memory.
+func (bu *Budget) grant(ho *holder, amount int64) {
+	cl := &bu.classes[ho.class]
+	ho.held += amount
+	cl.held += amount
+	switch {
+	case ho.heavy:
+		cl.heavy.MoveToBack(ho.element)
+	case ho.held > BaseBytes:
+		cl.light.Remove(ho.element)
+		ho.heavy, ho.element = true, cl.heavy.PushBack(ho)
+	}
+}
+
+// Abandon ends the wait of a holder. It returns the holders that have got the memory that
+// they wait for.
+func (bu *Budget) Abandon(id ID) []ID {
+	ho := bu.holders[id]
+	if ho == nil || ho.wanted == 0 {
+		return nil
+	}
+	bu.stopWaiting(ho)
+	return bu.grantWaiting()
+}
+
+// stopWaiting removes a holder from those that wait.
+func (bu *Budget) stopWaiting(ho *holder) {
+	if ho.wanted == 0 {
+		return
+	}
+	bu.classes[ho.class].wanted -= ho.wanted
+	ho.wanted = 0
+	for pos, other := range bu.waiting {
+		if other == ho {
+			bu.waiting = append(bu.waiting[:pos], bu.waiting[pos+1:]...)
+			return
+		}
+	}
+}
+
+// Serve marks the request of a holder as arrived as a whole. It returns false if the
+// holder has been chosen to be closed, so that the request must not be served.
+func (bu *Budget) Serve(id ID) bool {
+	ho := bu.holders[id]
+	if ho == nil || ho.closing {
+		return false
+	}
+	ho.served = true
+	if !ho.heavy {
+		bu.classes[ho.class].light.MoveToBack(ho.element)
+	}
+	return true
+}
+
+// Settle marks the end of a request and releases what the holder has above BaseBytes. It
+// returns the holders that have got the memory that they wait for.
+func (bu *Budget) Settle(id ID) []ID {
+	ho := bu.holders[id]
+	if ho == nil {
+		return nil
+	}
+	ho.served = false
+	bu.stopWaiting(ho)
+	cl := &bu.classes[ho.class]
+	if !ho.heavy {
+		cl.light.MoveToBack(ho.element)
+		return nil
+	}
+	excess := ho.held - BaseBytes
+	ho.held, cl.held = BaseBytes, cl.held-excess
+	if ho.closing {
+		cl.freeing -= excess
+	}
+	cl.heavy.Remove(ho.element)
+	ho.heavy, ho.element = false, cl.light.PushBack(ho)
+	return bu.grantWaiting()
+}
+
+// Close removes a holder. It returns the holders that have got the memory that they wait
+// for.
+func (bu *Budget) Close(id ID) []ID {
+	ho := bu.holders[id]
+	if ho == nil {
+		return nil
+	}
+	delete(bu.holders, id)
+	bu.stopWaiting(ho)
+	cl := &bu.classes[ho.class]
+	if ho.heavy {
+		cl.heavy.Remove(ho.element)
+	} else {
+		cl.light.Remove(ho.element)
+	}
+	cl.held -= ho.held
+	if ho.closing {
+		cl.freeing -= ho.held
+	}
+	if ho.connection {
+		bu.disconnect(ho, cl)
+	}
+	return bu.grantWaiting()
+}
+
+// disconnect stops counting a connection.
+func (bu *Budget) disconnect(ho *holder, cl *class) {
+	bu.open--
+	cl.open--
+	if ho.closing {
+		bu.closing--
+		cl.closing--
+	}
+	if ho.address == "" {
+		return
+	}
+	if bu.addresses[ho.address]--; bu.addresses[ho.address] == 0 {
+		delete(bu.addresses, ho.address)
+	}
+}
+
+// grantWaiting gives memory to those that wait, as far as there is room. In each class
+// none overtakes another.
+func (bu *Budget) grantWaiting() []ID {
+	if len(bu.waiting) == 0 {
+		return nil
+	}
+	var granted []ID
+	var full [classes]bool
+	rest := bu.waiting[:0]
+	for _, ho := range bu.waiting {
+		cl := &bu.classes[ho.class]
+		if full[ho.class] || ho.wanted > bu.room(ho.class) {
+			full[ho.class] = true
+			rest = append(rest, ho)
+			continue
+		}
+		cl.wanted -= ho.wanted
+		amount := ho.wanted
+		ho.wanted = 0
+		bu.grant(ho, amount)
+		granted = append(granted, ho.id)
+	}
+	clear(bu.waiting[len(rest):])
+	bu.waiting = rest
+	return granted
+}
+
+// Waits reports whether a holder waits for memory.
+func (bu *Budget) Waits(id ID) bool {
+	ho := bu.holders[id]
+	return ho != nil && ho.wanted > 0
+}
+
+// Closing reports whether a holder has been chosen to be closed.
+func (bu *Budget) Closing(id ID) bool {
+	ho := bu.holders[id]
+	return ho == nil || ho.closing
+}
