Httpd: bound heads, bodies, connections and memory of all HTTP listeners

Cause: platform/route.go read each body as a whole before anything was decided, and io/httpd bounded neither heads below 1 MiB nor connections nor the total that all requests hold.

Change: io/limit shares the budget of a process among its listeners and counts and logs what is refused. Connections charge heads and bodies as they arrive, in segments that are not copied. Heads over the limit get 431, declared bodies over it 413 before they are read, others 413 at the limit, a body without progress for 5 s 408, and requests without memory 503 with Retry-After; none of them has run. The limits are those of the configuration (checked in core/cell), which VMs without the document learn from the leader, and apply to open connections. Without vmMemoryMb and maxFiles there is no budget.

--- a/core/cell/document.go
+++ b/core/cell/document.go
@@ -144,6 +144,7 @@
 		addresses[adr], names[qu.spec.Name] = true, true
 	}
 	checkWorkspaces(spec, rejectIf)
+	spec.Limits.check(rejectIf)
 	if len(fas) > 0 {
 		return Document{}, &DocumentError{faults: fas}
 	}
--- a/core/cell/workspace.go
+++ b/core/cell/workspace.go
@@ -48,6 +48,23 @@
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
+const (
+	// largestHeader and largestBody are the most that limits of a request may allow, in
+	// bytes. A call must fit in a frame between VMs.
+	largestHeader = 1 << 20
+	largestBody   = 4 << 20
+	// longestTimeout is the most that a timeout may be.
+	longestTimeout = time.Hour
+)
+
+// check adds the faults of the limits.
+func (lim Limits) check(rejectIf func(bad bool, field, allowed string)) {
+	rejectIf(lim.MaxHeader < 0 || lim.MaxHeader > largestHeader, "limits.maxHeader", "0 to "+strconv.Itoa(largestHeader)+" bytes")
+	rejectIf(lim.MaxBody < 0 || lim.MaxBody > largestBody, "limits.maxBody", "0 to "+strconv.Itoa(largestBody)+" bytes")
+	rejectIf(lim.HeaderTimeout < 0 || lim.HeaderTimeout > longestTimeout, "limits.headerTimeout", "0 to "+longestTimeout.String())
+	rejectIf(lim.IdleTimeout < 0 || lim.IdleTimeout > longestTimeout, "limits.idleTimeout", "0 to "+longestTimeout.String())
+}
+
 // checkWorkspaces adds the faults of the workspaces.
 func checkWorkspaces(spec DocumentSpec, rejectIf func(bad bool, field, allowed string)) {
 	names := map[model.WorkspaceID]bool{}
--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -112,6 +112,7 @@
 	prev := fin.vm.discovered.Load()
 	if prev.leader != "" {
 		if wel, ok := fin.hello(ctx, prev.leader); ok && wel.GetLeased() {
+			fin.vm.learnLimits(wel)
 			fin.publish(prev, []*wire.CellWelcome{wel}, prev.leader, wel.GetTerm())
 			return true
 		}
@@ -125,6 +126,9 @@
 			leader, term = id, wel.GetTerm()
 		}
 	}
+	if leader != "" {
+		fin.vm.learnLimits(wels[leader])
+	}
 	fin.publish(prev, answers, leader, term)
 	return leader != ""
 }
--- a/io/cell/hello.go
+++ b/io/cell/hello.go
@@ -29,7 +29,7 @@
 	if !sta.leading {
 		known = append(known, mem.vm.discovered.Load().toPassOn()...)
 	}
-	wel := &wire.CellWelcome{Leader: string(sta.leader), Term: sta.term, Leased: sta.leased}
+	wel := &wire.CellWelcome{Leader: string(sta.leader), Term: sta.term, Leased: sta.leased, Limits: wire.CellLimitsToProto(mem.vm.Limits())}
 	slices.Sort(known)
 	for _, id := range slices.Compact(known) {
 		wel.Members = append(wel.Members, string(id))
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -163,6 +163,7 @@
 		mem.vm.RecordEvent(event.New("centreChanged", event.Subject{Centre: cen}, event.NewField("out", strconv.FormatBool(out))))
 	}
 	if doc, ok := cmd.Document(); ok {
+		mem.vm.setLimits(mem.state.Document().Limits())
 		mem.step(now, flow.Services{Names: mem.state.Services()})
 		mem.vm.RecordEvent(event.New("configurationApplied", event.Subject{}, event.NewField("version", strconv.FormatUint(doc.Version(), 10)),
 			event.NewField("inEffect", strconv.FormatUint(res.Version(), 10))))
@@ -221,6 +222,7 @@
 		mem.repairing = true
 		mem.repair.Start(now)
 	}
+	mem.vm.setLimits(sta.Document().Limits())
 	tic := mem.planTick(tur)
 	switch {
 	case rol.Leased() && !mem.leading:
--- a/io/cell/vars.go
+++ b/io/cell/vars.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"guavarail/core/buffer"
 	"guavarail/io/httpd"
 	"guavarail/io/meter"
 )
@@ -53,7 +54,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	stop, err := httpd.Start("metrics", adr.String(), mux, vm.log)
+	stop, err := httpd.StartBounded("metrics", adr.String(), mux, httpd.NewBounds(buffer.Control, vm.budget), vm.log)
 	if err != nil {
 		return func() {}, errors.Trace(err)
 	}
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -17,6 +17,7 @@
 	"guavarail/io/disk"
 	"guavarail/io/host"
 	"guavarail/io/httpd"
+	"guavarail/io/limit"
 	"guavarail/io/peer"
 	"guavarail/io/record"
 )
@@ -42,6 +43,9 @@
 	// seeds are the VMs at the seed addresses of the settings. They are replaced
 	// as a whole when the settings are reloaded.
 	seeds atomic.Pointer[[]model.VMID]
+	// limits are the limits of a request, and budget what all requests share.
+	limits limitsInForce
+	budget *limit.Budget
 	// discoverNow buffers one request for a discovery.
 	discoverNow chan struct{}
 	// announcements has the VMs with a disk that have said hello to this one.
@@ -64,6 +68,7 @@
 		self: model.VMID(set.Listen().Peers().String()), settings: set, log: log, clock: host.NewClock(),
 		mux: &peer.Mux{}, discoverNow: make(chan struct{}, 1), announcements: make(chan model.VMID, maxAnnouncements),
 	}
+	vm.budget = limit.New(limit.Config{MemoryMB: set.VMMemoryMB(), Files: set.MaxFiles(), PerAddress: set.MaxPerAddress(), Log: log.Named("limit")})
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.cleanups = append(vm.cleanups, cancel)
 	if err := vm.start(ctx); err != nil {
--- a/io/httpd/handler.go
+++ b/io/httpd/handler.go
@@ -27,15 +27,21 @@
 func (srv *server) handler(han http.Handler) http.Handler {
 	return http.HandlerFunc(func(rsp http.ResponseWriter, req *http.Request) {
 		start, complete := time.Now(), false
-		if con, ok := req.Context().Value(connKey{}).(*conn); ok {
-			con.begin()
+		var refused error
+		if con, ok := connOf(req.Context()); ok {
+			refused = con.checkHead(req)
 		}
 		srv.running.Add(1)
 		defer func() {
 			srv.running.Add(-1)
 			srv.count(req, start, complete)
 		}()
-		han.ServeHTTP(responseWriter{ResponseWriter: rsp, closing: srv.lis.closing}, req)
+		wri := responseWriter{ResponseWriter: rsp, closing: srv.lis.closing}
+		if refused == nil {
+			han.ServeHTTP(wri, req)
+		} else {
+			Refuse(wri, req, refused)
+		}
 		complete = true
 	})
 }
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -16,9 +16,11 @@
 
 const (
 	// headerTimeout bounds the reading of request headers, and idleTimeout the wait
-	// for the next request on a connection.
+	// for the next request on a connection, unless limits are set.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 60 * time.Second
+	// maxIdleTimeout is the most that Limits.IdleTimeout can be.
+	maxIdleTimeout = time.Hour
 	// bodyTimeout bounds the reading of a request including its headers, and separately
 	// the time from the end of its headers to the end of its response.
 	bodyTimeout = 15 * time.Second
@@ -64,11 +66,17 @@
 // before the call, it aborts all requests at once. Its error is an *AbortedError if requests
 // were aborted.
 func Start(name, address string, han http.Handler, log hclog.Logger) (func(ctx context.Context) error, error) {
+	return StartBounded(name, address, han, &Bounds{}, log)
+}
+
+// StartBounded is like Start. The bounds are those of this server alone; their limits may
+// be changed while it runs.
+func StartBounded(name, address string, han http.Handler, bnd *Bounds, log hclog.Logger) (func(ctx context.Context) error, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Trace(&ListenError{name: name, cause: err})
 	}
-	return start(name, lis, han, log), nil
+	return startBounded(name, lis, han, bnd, log), nil
 }
 
 // server is a running HTTP server.
@@ -88,12 +96,18 @@
 	aborted atomic.Bool
 }
 
-// start serves lis. The returned function is that of Start.
+// start serves lis without bounds. The returned function is that of Start.
 func start(name string, lis net.Listener, han http.Handler, log hclog.Logger) func(ctx context.Context) error {
-	srv := &server{name: name, log: log, lis: newListener(lis), served: make(chan struct{})}
+	return startBounded(name, lis, han, &Bounds{}, log)
+}
+
+// startBounded serves lis. The returned function is that of Start.
+func startBounded(name string, lis net.Listener, han http.Handler, bnd *Bounds, log hclog.Logger) func(ctx context.Context) error {
+	srv := &server{name: name, log: log, lis: newListener(lis, bnd), served: make(chan struct{})}
 	srv.requests, srv.cancelRequests = context.WithCancel(context.Background())
 	srv.http = &http.Server{
-		Handler: srv.handler(han), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		// The connections bound heads and idle times by limits that may change.
+		Handler: srv.handler(han), ReadTimeout: bodyTimeout, WriteTimeout: bodyTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: largestHeader,
 		ErrorLog:    log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		BaseContext: func(net.Listener) context.Context { return srv.requests },
 		ConnContext: withConn,
