Peer: bound the memory of frames that other VMs send

Cause: a frame took the memory that its length field announced, up to 8 MiB for each of 513 streams of a link, and links of VMs without a known address were not bounded.

Change: a frame takes memory as it arrives, from the part of the budget for links. A request without memory is answered with a NoMemoryError, which the VM that forwarded a call reports as 503, because nothing ran. Reading a request takes at most 10 s. At most 256 VMs without a known address have a link. Ordered messages of known VMs are not refused.

--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -124,7 +124,9 @@
 				return Reply{}, errors.Trace(&LostReplyError{cause: lostErr})
 			case err == nil:
 				return rep, nil
-			case isNotLeader(err) || isUnsent(err):
+			case isNoMemory(err) && lostErr == nil:
+				return Reply{}, errors.Trace(&NotReachedError{cause: err})
+			case isNotLeader(err) || isUnsent(err) || isNoMemory(err):
 				vm.clearLeader(leader)
 			default:
 				lostErr = err
--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -77,6 +77,13 @@
 	return errors.As(err, &ece) || errors.As(err, &sie)
 }
 
+// isNoMemory reports whether err means that another VM had no memory for a request, which
+// it has not handled.
+func isNoMemory(err error) bool {
+	var full *peer.NoMemoryError
+	return errors.As(err, &full)
+}
+
 // isUnsent reports whether err means that a request to another VM was not sent.
 func isUnsent(err error) bool {
 	var unr *peer.UnreachableError
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -110,7 +110,7 @@
 	vm.discovered.Store(&discovery{members: *vm.seeds.Load()})
 	vm.serveCalls()
 	hub, stop, err := peer.New(peer.Config{
-		System: sys, Self: vm.self, Listen: vm.settings.Listen().Peers().String(), Mux: vm.mux, AcceptUnlisted: true,
+		System: sys, Self: vm.self, Listen: vm.settings.Listen().Peers().String(), Mux: vm.mux, AcceptUnlisted: true, Budget: vm.budget,
 		Log: vm.log.Named("peer"), Clock: rec.Clock(), Seed: randomSeed(vm.self),
 	})
 	vm.hub = hub
--- a/io/peer/errors.go
+++ b/io/peer/errors.go
@@ -11,11 +11,12 @@
 	"guavarail/io/wire"
 )
 
-// Values of wire.Failure.type for UnknownMessageError and for a request handler that
-// returned context.DeadlineExceeded.
+// Values of wire.Failure.type for UnknownMessageError, for a request handler that
+// returned context.DeadlineExceeded, and for NoMemoryError.
 const (
 	unknownMessageType = "unknownMessage"
 	timeoutType        = "timeout"
+	noMemoryType       = "noMemory"
 )
 
 // UnreachableError reports that no link to a VM is up, that the link has maxRequests
@@ -109,6 +110,22 @@
 // FailureType implements Typed.
 func (err *UnknownMessageError) FailureType() string { return unknownMessageType }
 
+// NoMemoryError reports that a VM had no memory for a request, which it has not handled.
+type NoMemoryError struct {
+	vm model.VMID
+}
+
+// VM returns the VM that had no memory.
+func (err *NoMemoryError) VM() model.VMID { return err.vm }
+
+// Error describes the failure.
+func (err *NoMemoryError) Error() string {
+	return "vm " + string(err.vm) + " has no memory for the request: retry later"
+}
+
+// FailureType implements Typed.
+func (err *NoMemoryError) FailureType() string { return noMemoryType }
+
 // FrameSizeError reports a frame that was rejected because it is larger than
 // MaxFrame, or a Hello larger than maxHello.
 type FrameSizeError struct {
@@ -180,6 +197,8 @@
 	switch fail.GetType() {
 	case unknownMessageType:
 		return &UnknownMessageError{vm: vm, kind: kind}
+	case noMemoryType:
+		return &NoMemoryError{vm: vm}
 	case timeoutType:
 		return &TimeoutError{vm: vm, kind: kind, cause: context.DeadlineExceeded}
 	}
--- a/io/peer/hub.go
+++ b/io/peer/hub.go
@@ -15,6 +15,7 @@
 
 	"guavarail/core/model"
 	"guavarail/io/host"
+	"guavarail/io/limit"
 	"guavarail/io/wire"
 )
 
@@ -53,6 +54,8 @@
 	AcceptUnlisted bool
 	// Mux holds the handlers of received messages and requests. It may be nil.
 	Mux *Mux
+	// Budget bounds the memory of large frames that other VMs send. It may be nil.
+	Budget *limit.Budget
 	// Log may be nil.
 	Log hclog.Logger
 	// Clock may be nil; frames then carry 0.
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -173,7 +173,7 @@
 	left, right := net.Pipe()
 	defer left.Close()
 	go func() { _, _ = right.Write([]byte{0, 0x80, 0, 1}) }()
-	if _, _, err := readFrame(left, MaxFrame); !errors.As(err, &siz) || siz.Size() != MaxFrame+1 {
+	if _, _, err := readFrame(left, MaxFrame, noReserve); !errors.As(err, &siz) || siz.Size() != MaxFrame+1 {
 		t.Errorf("error %v, want a FrameSizeError", err)
 	}
 }
--- a/io/peer/listen.go
+++ b/io/peer/listen.go
@@ -78,7 +78,7 @@
 // readHello returns the name of the VM that dialled the connection.
 func (acc *acceptor) readHello(conn net.Conn) (model.VMID, error) {
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
-	env, _, err := readFrame(conn, maxHello)
+	env, _, err := readFrame(conn, maxHello, noReserve)
 	if err != nil {
 		return "", errors.Trace(err)
 	}
--- a/io/peer/request.go
+++ b/io/peer/request.go
@@ -85,12 +85,12 @@
 	if _, err := str.Write(append(buf, req.fr.buf...)); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return ses.read(str)
+	return ses.read(str, noReserve)
 }
 
 // read reads one frame and rejects it if it is not from the peer to this VM.
-func (ses *session) read(str *stream) (*wire.Envelope, error) {
-	env, size, err := readFrame(str, MaxFrame)
+func (ses *session) read(str *stream, res reserve) (*wire.Envelope, error) {
+	env, size, err := readFrame(str, MaxFrame, res)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -127,7 +127,10 @@
 	defer func() { <-ses.streamSem }()
 	defer str.close()
 	var kind [1]byte
-	if _, err := io.ReadFull(str, kind[:]); err != nil {
+	tim := time.AfterFunc(streamTimeout, str.expire)
+	_, err := io.ReadFull(str, kind[:])
+	tim.Stop()
+	if err != nil {
 		return
 	}
 	switch kind[0] {
@@ -149,7 +152,7 @@
 // without a handler or that cannot be decoded is dropped.
 func (ses *session) serveOrdered(ctx context.Context, str *stream) error {
 	for {
-		env, err := ses.read(str)
+		env, err := ses.readOrdered(ctx, str)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -168,17 +171,32 @@
 // with a FrameSizeError.
 func (ses *session) serveRequest(ctx context.Context, str *stream) error {
 	var head [timeoutSize]byte
+	reading := time.AfterFunc(streamTimeout, str.expire)
+	defer reading.Stop()
 	if _, err := io.ReadFull(str, head[:]); err != nil {
 		return errors.Trace(err)
 	}
 	left := time.Duration(binary.BigEndian.Uint32(head[:])) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	req, err := ses.read(str)
-	if err != nil {
+	mem := ses.newMemory(ctx, str)
+	defer mem.release()
+	req, err := ses.read(str, mem.reserve)
+	reading.Stop()
+	if err == nil && !mem.lease.Serve() {
+		err = &NoMemoryError{vm: ses.hub.cfg.Self}
+	}
+	var full *NoMemoryError
+	if err != nil && !errors.As(err, &full) {
 		return errors.Trace(err)
 	}
-	fr, err := newFrame(ses.reply(ctx, req))
+	var ans *wire.Envelope
+	if full != nil {
+		ans = ses.setHeader(&wire.Envelope{Failure: toFailure(full)})
+	} else {
+		ans = ses.reply(ctx, req)
+	}
+	fr, err := newFrame(ans)
 	if err != nil {
 		fr, err = newFrame(ses.setHeader(&wire.Envelope{Failure: toFailure(err)}))
 	}
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -133,16 +133,31 @@
 	return ref
 }
 
+// maxUnlisted bounds the links of VMs that are not among the peers. Each takes a few
+// goroutines and a file descriptor.
+const maxUnlisted = 256
+
+// unlisted returns the number of links of VMs that are not among the peers.
+func (act *hubActor) unlisted() int {
+	num := 0
+	for _, ref := range act.links {
+		if ref.unlisted {
+			num++
+		}
+	}
+	return num
+}
+
 // accept passes an accepted connection to the link of its VM. A connection of a VM that is
 // not a peer is closed, unless Config.AcceptUnlisted is set.
 func (act *hubActor) accept(ctx actor.Context, msg acceptedConn) {
 	ref := act.links[msg.from]
-	if ref == nil && act.hub.cfg.AcceptUnlisted {
+	if ref == nil && act.hub.cfg.AcceptUnlisted && act.unlisted() < maxUnlisted {
 		ref = act.spawn(ctx, msg.from)
 		ref.unlisted = true
 	}
 	if ref == nil {
-		act.hub.cfg.Log.Warn("connection rejected", "from", msg.from, "reason", "unknown vm")
+		act.hub.cfg.Log.Warn("connection rejected", "from", msg.from, "reason", "unknown vm, or too many of them")
 		_ = msg.conn.Close()
 		return
 	}
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -21,7 +21,8 @@
 	// idlePingInterval is long because the traffic of idle pings grows with the number
 	// of VMs.
 	idlePingInterval = 15 * time.Second
-	// streamTimeout bounds closing a stream and writing an answer.
+	// streamTimeout bounds closing a stream, writing an answer, and reading a request or,
+	// once it has begun, an ordered message.
 	streamTimeout = 10 * time.Second
 	// sessionGoroutines is the number of goroutines of a session, without those of
 	// requests and streams.
@@ -38,6 +39,8 @@
 	openedAt time.Time
 	// dialled is true when this VM dialled the connection.
 	dialled bool
+	// listed is true when the address of the other VM was known at the start.
+	listed bool
 	// ctx ends when the link closes the session.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -75,7 +78,7 @@
 // startSession starts the goroutines of a session.
 func startSession(li *link, mc *muxConn, dialled bool) *session {
 	ses := &session{
-		hub: li.hub, peer: li.peer, conn: mc, post: li.post, openedAt: time.Now(), dialled: dialled,
+		hub: li.hub, peer: li.peer, conn: mc, post: li.post, openedAt: time.Now(), dialled: dialled, listed: li.addr != "",
 		batches: make(chan []frame, 1), pingRequests: make(chan struct{}, 1),
 		requestSem: make(chan struct{}, maxRequests), streamSem: make(chan struct{}, maxStreams),
 		ended: make(chan struct{}, sessionGoroutines),
