--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -310,10 +310,11 @@
 func (con *conn) refuse(response string, buf []byte) {
 	_ = con.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	_, _ = io.WriteString(con.Conn, response)
+	// Package http must not write a second response.
+	_ = con.CloseWrite()
 	if len(buf) == 0 {
 		return
 	}
-	_ = con.CloseWrite()
 	_ = con.Conn.SetReadDeadline(time.Now().Add(refuseTimeout))
 	for read := 0; read < maxUnread; {
 		num, err := con.Conn.Read(buf)
