Limit: the state of a request is kept outside of the budget

A request that is small now changes only an atomic state of its own connection; the budget asks for it before it closes one, and closes connections without requests first.

--- a/core/buffer/budget.go
+++ b/core/buffer/budget.go
@@ -26,8 +26,18 @@
 	// Connections bounds the open connections of all classes, and PerAddress those of
 	// callers from one address.
 	Connections, PerAddress int
+	// Claim is asked before a holder is chosen to be closed. With nil, every holder may be.
+	Claim Claim
 }
 
+// Claim reports whether a holder may be closed. It may not once its request has arrived as
+// a whole, which must be impossible after Claim has returned true. If idle is set, a holder
+// that has had a request since it was last asked may not be closed either, so that those
+// without requests go first. The state of requests is kept outside of the budget because
+// it changes with each request, and the budget only changes with connections and with
+// requests that are not small.
+type Claim func(id ID, idle bool) bool
+
 // BaseBytes is what an open connection holds without a request: the buffers, the
 // goroutine and the objects of package http. SmallBytes of a head and SmallBytes of a body
 // are part of it.
@@ -70,8 +80,8 @@
 	// open is the number of its connections, and closing that of those to be closed.
 	open, closing int
 	// heavy has the holders with more than BaseBytes, those first that have had no more
-	// memory for the longest time. light has the others, those first whose state has not
-	// changed for the longest time.
+	// memory for the longest time. light has the others, those first that have been there
+	// for the longest time or that were not asked by Claim for the longest time.
 	heavy, light list.List
 }
 
@@ -87,8 +97,6 @@
 	held       int64
 	// wanted is the amount that the holder waits for, 0 if it does not wait.
 	wanted int64
-	// served is set while a request is served that has arrived as a whole.
-	served bool
 	// closing is set once the holder has been chosen to be closed.
 	closing bool
 	element *list.Element
@@ -211,32 +219,16 @@
 	}
 }
 
-// Serve marks the request of a holder as arrived as a whole. It returns false if the
-// holder has been chosen to be closed, so that the request must not be served.
-func (bu *Budget) Serve(id ID) bool {
-	ho := bu.holders[id]
-	if ho == nil || ho.closing {
-		return false
-	}
-	ho.served = true
-	if !ho.heavy {
-		bu.classes[ho.class].light.MoveToBack(ho.element)
-	}
-	return true
-}
-
-// Settle marks the end of a request and releases what the holder has above BaseBytes. It
-// returns the holders that have got the memory that they wait for.
+// Settle releases what a holder has above BaseBytes, at the end of a request. It returns
+// the holders that have got the memory that they wait for.
 func (bu *Budget) Settle(id ID) []ID {
 	ho := bu.holders[id]
 	if ho == nil {
 		return nil
 	}
-	ho.served = false
 	bu.stopWaiting(ho)
 	cl := &bu.classes[ho.class]
 	if !ho.heavy {
-		cl.light.MoveToBack(ho.element)
 		return nil
 	}
 	excess := ho.held - BaseBytes
--- a/core/buffer/room.go
+++ b/core/buffer/room.go
@@ -1,7 +1,5 @@
 package buffer
 
-import "container/list"
-
 const (
 	// classDivisor is the share of the memory that one class may have. Callers and control
 	// together may have outsideNumerator/outsideDivisor of it. So links between VMs always
@@ -50,7 +48,7 @@
 func (bu *Budget) evict(cl Class, amount int64, except *holder) []ID {
 	var out []ID
 	for el := bu.classes[cl].heavy.Front(); el != nil && amount > 0; el = el.Next() {
-		if ho := el.Value.(*holder); ho != except && ho.evictable() {
+		if ho := el.Value.(*holder); ho != except && bu.claim(ho, false) {
 			amount -= ho.held
 			out = append(out, bu.choose(ho))
 		}
@@ -58,9 +56,10 @@
 	return out
 }
 
-// evictable reports whether a holder may be chosen to be closed: its request has not
-// arrived as a whole.
-func (ho *holder) evictable() bool { return !ho.served && !ho.closing }
+// claim reports whether a holder may be chosen to be closed.
+func (bu *Budget) claim(ho *holder, idle bool) bool {
+	return !ho.closing && (bu.cfg.Claim == nil || bu.cfg.Claim(ho.id, idle))
+}
 
 // choose marks a holder as one to be closed.
 func (bu *Budget) choose(ho *holder) ID {
@@ -75,24 +74,46 @@
 	return ho.id
 }
 
-// evictConnection chooses the connection of a class that has been without a whole request
-// for the longest time, and of those first one that holds no more than BaseBytes if light
-// is set.
+// evictConnection chooses a connection of a class: of those with no more than BaseBytes
+// one without requests, or of the others the one that has had no more memory for the
+// longest time. light says which of them are asked first.
 func (bu *Budget) evictConnection(cl Class, light bool) ([]ID, bool) {
-	lists := []*list.List{&bu.classes[cl].heavy, &bu.classes[cl].light}
-	if light {
-		lists[0], lists[1] = lists[1], lists[0]
-	}
-	for _, li := range lists {
-		for el := li.Front(); el != nil; el = el.Next() {
-			if ho := el.Value.(*holder); ho.connection && ho.evictable() {
-				return []ID{bu.choose(ho)}, true
-			}
+	for _, fromLight := range []bool{light, !light} {
+		choose := bu.evictHeavy
+		if fromLight {
+			choose = bu.evictLight
+		}
+		if id, ok := choose(&bu.classes[cl]); ok {
+			return []ID{id}, true
 		}
 	}
 	return nil, false
 }
 
+// evictHeavy chooses a connection with more than BaseBytes.
+func (bu *Budget) evictHeavy(cl *class) (ID, bool) {
+	for el := cl.heavy.Front(); el != nil; el = el.Next() {
+		if ho := el.Value.(*holder); ho.connection && bu.claim(ho, false) {
+			return bu.choose(ho), true
+		}
+	}
+	return 0, false
+}
+
+// evictLight chooses a connection with no more than BaseBytes. Each that may not be closed
+// goes to the end of the list; all are asked at most twice.
+func (bu *Budget) evictLight(cl *class) (ID, bool) {
+	for range 2 * cl.light.Len() {
+		el := cl.light.Front()
+		ho := el.Value.(*holder)
+		if ho.connection && bu.claim(ho, true) {
+			return bu.choose(ho), true
+		}
+		cl.light.MoveToBack(el)
+	}
+	return 0, false
+}
+
 // freeBase makes room for the BaseBytes of a connection.
 func (bu *Budget) freeBase(cl Class) ([]ID, bool) {
 	if BaseBytes <= bu.room(cl) {
--- a/io/limit/budget.go
+++ b/io/limit/budget.go
@@ -6,6 +6,7 @@
 	"context"
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -80,10 +81,11 @@
 		memory = max(int64(cfg.MemoryMB)<<20/memoryDivisor, minMemory)
 	}
 	limitBytes.Set(memory)
-	return &Budget{
-		report: NewReport(cfg.Log), leases: map[buffer.ID]*Lease{},
-		state: buffer.New(buffer.Config{Memory: memory, Connections: cfg.Files - min(keptFiles, cfg.Files/2), PerAddress: cfg.PerAddress}),
-	}
+	bud := &Budget{report: NewReport(cfg.Log), leases: map[buffer.ID]*Lease{}}
+	bud.state = buffer.New(buffer.Config{
+		Memory: memory, Connections: cfg.Files - min(keptFiles, cfg.Files/2), PerAddress: cfg.PerAddress, Claim: bud.claim,
+	})
+	return bud
 }
 
 // Lease is what one connection or message holds. A nil lease holds nothing and has no
@@ -93,12 +95,38 @@
 	id  buffer.ID
 	// evict ends the connection or the message. It must not block.
 	evict func()
+	// state is unfinished, active, served or closing.
+	state atomic.Int32
+	// heavy is set while the lease may hold more than a connection without a request. It
+	// is used by the goroutine of Reserve, Serve and Settle.
+	heavy bool
 	// granted receives a value when the amount that the lease waits for was granted, or
 	// when it has been evicted.
 	granted chan struct{}
 	close   sync.Once
 }
 
+// States of a lease.
+const (
+	// unfinished: no request has arrived as a whole since the last look of claim.
+	unfinished int32 = iota
+	// active: as before, but a request was served since the last look.
+	active
+	// served: a request has arrived as a whole and is being served.
+	served
+	// closing: the lease has been chosen to be closed.
+	closing
+)
+
+// claim implements buffer.Claim. The caller holds the mutex.
+func (bud *Budget) claim(id buffer.ID, idle bool) bool {
+	le := bud.leases[id]
+	if idle && le.state.CompareAndSwap(active, unfinished) {
+		return false
+	}
+	return le.state.CompareAndSwap(unfinished, closing) || le.state.CompareAndSwap(active, closing)
+}
+
 // Connect returns the lease of a connection, and false if it must be closed. evict must
 // not block; it is called at most once, when the connection must end.
 func (bud *Budget) Connect(cl buffer.Class, address string, evict func()) (*Lease, bool) {
@@ -183,6 +211,7 @@
 		return nil
 	}
 	bud := le.bud
+	le.heavy = true
 	bud.mu.Lock()
 	before := bud.state.Held()
 	verdict, closes := bud.state.Reserve(le.id, amount)
@@ -242,14 +271,17 @@
 	if le == nil {
 		return true
 	}
-	le.bud.mu.Lock()
-	defer le.bud.mu.Unlock()
-	return le.bud.state.Serve(le.id)
+	return le.state.CompareAndSwap(unfinished, served) || le.state.CompareAndSwap(active, served) || le.state.Load() == served
 }
 
 // Settle marks the end of a request and releases the memory that it took.
 func (le *Lease) Settle() {
-	if le != nil {
+	if le == nil {
+		return
+	}
+	le.state.CompareAndSwap(served, active)
+	if le.heavy {
+		le.heavy = false
 		le.bud.update(func(state *buffer.Budget) []buffer.ID { return state.Settle(le.id) })
 	}
 }
