Node, admin, platform: the product's API and replies use the budget

The API of the product is served by httpd, with heads of 64 KiB, bodies of 1 MiB as before and, if [limits] has vmMemoryMb and maxFiles, a budget that it shares with the links. Replies to reads count until they are written. A handler that reads the body itself has no progress deadline: it would have ended the request while the handler ran.

Tests of io/httpd, io/admin, io/node, io/client, io/config pass.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -14,13 +14,14 @@
 	"github.com/juju/errors"
 
 	"guavarail/core/model"
+	"guavarail/io/httpd"
 )
 
 const (
-	// maxBodyBytes bounds a request body. The largest bodies, the report of a
+	// MaxBodyBytes bounds a request body. The largest bodies, the report of a
 	// worker that runs many tasks and a job with all its constraints, are far
 	// smaller.
-	maxBodyBytes = 1 << 20
+	MaxBodyBytes = 1 << 20
 	// maxHops bounds how often a call is forwarded. Two hops cover a change of
 	// leader while the call is in flight.
 	maxHops = 2
@@ -91,9 +92,9 @@
 
 // ServeHTTP answers one HTTP request.
 func (mux *Mux) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(wri, req.Body, maxBodyBytes))
+	body, err := httpd.ReadBody(req)
 	if err != nil {
-		writeError(wri, &BodyError{cause: err})
+		httpd.Refuse(wri, req, err)
 		return
 	}
 	rep := mux.Serve(req.Context(), Call{Method: req.Method, Target: req.URL.RequestURI(), Body: body})
--- a/io/config/read.go
+++ b/io/config/read.go
@@ -132,6 +132,8 @@
 	se.limits.callerConnections = read(rdr, "limits", keyCallerConnections)
 	se.limits.timelineEvents = read(rdr, "limits", keyTimelineEvents)
 	se.limits.drainSeconds = read(rdr, "limits", keyDrainSeconds)
+	se.limits.vmMemoryMB = read(rdr, "limits", keyVMMemoryMB)
+	se.limits.maxFiles = read(rdr, "limits", keyMaxFiles)
 	for _, section := range rdr.idx.sectionOrder {
 		if name, ok := strings.CutPrefix(section, vmPrefix); ok {
 			se.vms = append(se.vms, rdr.vm(section, name))
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -79,6 +79,8 @@
 	callerConnections    int
 	timelineEvents       int
 	drainSeconds         int
+	// vmMemoryMB and maxFiles are 0 if they are not given.
+	vmMemoryMB, maxFiles int
 }
 
 // SlotsPerWorker returns the number of requests that a backend server runs at
@@ -93,6 +95,13 @@
 // this VM.
 func (li Limits) CallerConnections() int { return li.callerConnections }
 
+// VMMemoryMB returns the memory of the VM, in megabytes, from which the memory for
+// requests to the API and for links is derived; 0 if it is not given.
+func (li Limits) VMMemoryMB() int { return li.vmMemoryMB }
+
+// MaxFiles returns the number of file descriptors for the API; 0 if it is not given.
+func (li Limits) MaxFiles() int { return li.maxFiles }
+
 // TimelineEvents returns the number of timeline events that this VM stores; older
 // ones are overwritten.
 func (li Limits) TimelineEvents() int { return li.timelineEvents }
--- a/io/httpd/body.go
+++ b/io/httpd/body.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -50,12 +51,18 @@
 	return con, ok
 }
 
+// noConn is the connection of a request that no server of this package received.
+type noConn struct{ net.Conn }
+
+// SetReadDeadline implements net.Conn.
+func (noConn) SetReadDeadline(time.Time) error { return nil }
+
 // ReadBody reads the body of a request. Its memory grows with what has arrived and is
 // released after the response. The error is a *RefusalError; pass it to Refuse.
 func ReadBody(req *http.Request) ([]byte, error) {
 	con, ok := connOf(req.Context())
 	if !ok {
-		con = &conn{bounds: &Bounds{}}
+		con = &conn{Conn: noConn{}, bounds: &Bounds{}}
 	}
 	if req.ContentLength == 0 {
 		return nil, nil
@@ -105,6 +112,7 @@
 			}
 			full, seg = append(full, seg), make([]byte, 0, next)
 		}
+		con.bodyBegins()
 	}
 }
 
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -100,10 +100,11 @@
 const (
 	// phaseIdle: nothing of the next request has been read.
 	phaseIdle phase = iota
-	// phaseHead and phaseBody: a part of the head or of the body.
+	// phaseHead: a part of the head.
 	phaseHead
+	// phaseBody: a part of the body that ReadBody reads.
 	phaseBody
-	// phaseServed: the request has been read as a whole.
+	// phaseServed: the head, by a handler that reads the body itself, or all.
 	phaseServed
 )
 
@@ -274,13 +275,21 @@
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	con.awaiting, con.fresh, con.phase = false, false, phaseServed
-	if body {
-		con.phase, con.since = phaseBody, time.Now()
-	}
 	_ = con.applyDeadline()
 	return true
 }
 
+// bodyBegins is called when a part of the body of a request is read that has not arrived
+// with its head.
+func (con *conn) bodyBegins() {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	if con.phase != phaseBody {
+		con.phase, con.since = phaseBody, time.Now()
+		_ = con.applyDeadline()
+	}
+}
+
 // bodyRead is called when the body of a request has been read as a whole. Its result is
 // that of begin.
 func (con *conn) bodyRead() bool {
@@ -289,8 +298,10 @@
 	}
 	con.mu.Lock()
 	defer con.mu.Unlock()
-	con.phase = phaseServed
-	_ = con.applyDeadline()
+	if con.phase == phaseBody {
+		con.phase = phaseServed
+		_ = con.applyDeadline()
+	}
 	return true
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -31,6 +31,7 @@
 	"guavarail/io/disk"
 	"guavarail/io/entry"
 	"guavarail/io/host"
+	"guavarail/io/limit"
 	"guavarail/io/peer"
 	"guavarail/io/record"
 	"guavarail/io/wire"
@@ -43,6 +44,8 @@
 	settings config.Settings
 	log      hclog.Logger
 	clock    host.Clock
+	// budget is shared by the API and the links.
+	budget *limit.Budget
 	// seed makes the random choices of the VMs differ, such as the election
 	// timeouts.
 	seed uint64
@@ -169,9 +172,11 @@
 			deliver(from, msg)
 		}
 	})
+	lim := nod.settings.Limits()
+	nod.budget = limit.New(limit.Config{MemoryMB: lim.VMMemoryMB(), Files: lim.MaxFiles(), Log: nod.log.Named("limit")})
 	hub, stop, err := peer.New(peer.Config{
 		System: sys, Self: nod.self, Listen: nod.settings.Listen().Peers().String(),
-		Mux: nod.mux, Log: nod.log.Named("peer"), Clock: rec.Clock(), Seed: nod.seed,
+		Mux: nod.mux, Log: nod.log.Named("peer"), Clock: rec.Clock(), Seed: nod.seed, Budget: nod.budget,
 	})
 	nod.hub = hub
 	return nod.addCleanup(stop, err)
@@ -257,7 +262,7 @@
 	_ = nod.addCleanup(nod.fleet.startRefresh(ctx), nil)
 	api := &countedHandler{Handler: admin.Handler(por, mux)}
 	_ = nod.addCleanup(startWatch(ctx, nod, api), nil)
-	return nod.addCleanup(startHTTP(nod.settings.Listen().API().String(), api, nod.log))
+	return nod.addCleanup(startHTTP(nod.settings.Listen().API().String(), api, nod.budget, nod.log))
 }
 
 // openStore opens the store of a group: a subdirectory of the data directory,
