--- a/core/cell/document_test.go
+++ b/core/cell/document_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"errors"
 	"math"
 	"testing"
 	"time"
@@ -139,3 +140,30 @@
 		t.Errorf("queue %q after another document of the same version, want q", got)
 	}
 }
+
+// Guards against limits that no request could meet, or that a VM could not hold.
+func TestLimitsAreChecked(t *testing.T) {
+	for _, tc := range []struct {
+		lim   Limits
+		field string
+	}{
+		{Limits{}, ""},
+		{Limits{MaxHeader: 16384, MaxBody: 262144, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}, ""},
+		{Limits{MaxHeader: -1}, "limits.maxHeader"},
+		{Limits{MaxHeader: 2 << 20}, "limits.maxHeader"},
+		{Limits{MaxBody: -1}, "limits.maxBody"},
+		{Limits{MaxBody: 1 << 40}, "limits.maxBody"},
+		{Limits{HeaderTimeout: -1}, "limits.headerTimeout"},
+		{Limits{IdleTimeout: 2 * time.Hour}, "limits.idleTimeout"},
+	} {
+		_, err := NewDocument(DocumentSpec{Version: 1, Limits: tc.lim})
+		var doc *DocumentError
+		got := ""
+		if errors.As(err, &doc) {
+			got = doc.Faults()[0].Field()
+		}
+		if got != tc.field {
+			t.Errorf("limits %+v: fault in %q, want %q", tc.lim, got, tc.field)
+		}
+	}
+}
