--- a/io/limit/budget.go
+++ b/io/limit/budget.go
@@ -88,6 +88,9 @@
 	return bud
 }
 
+// Bounded reports whether there is a bound.
+func (bud *Budget) Bounded() bool { return bud != nil && bud.state != nil }
+
 // Lease is what one connection or message holds. A nil lease holds nothing and has no
 // bounds. Reserve, Serve and Settle are called by one goroutine at a time.
 type Lease struct {
@@ -130,7 +133,7 @@
 // Connect returns the lease of a connection, and false if it must be closed. evict must
 // not block; it is called at most once, when the connection must end.
 func (bud *Budget) Connect(cl buffer.Class, address string, evict func()) (*Lease, bool) {
-	if bud == nil || bud.state == nil {
+	if !bud.Bounded() {
 		return nil, true
 	}
 	bud.mu.Lock()
@@ -154,7 +157,7 @@
 // Enter returns the lease of a message that is not a connection of its own. evict is that
 // of Connect.
 func (bud *Budget) Enter(cl buffer.Class, evict func()) *Lease {
-	if bud == nil || bud.state == nil {
+	if !bud.Bounded() {
 		return nil
 	}
 	bud.mu.Lock()
@@ -210,16 +213,7 @@
 	if le == nil || amount <= 0 {
 		return nil
 	}
-	bud := le.bud
-	le.heavy = true
-	bud.mu.Lock()
-	before := bud.state.Held()
-	verdict, closes := bud.state.Reserve(le.id, amount)
-	evicted := bud.find(closes)
-	bud.publish(before)
-	bud.mu.Unlock()
-	bud.evict(evicted)
-	switch verdict {
+	switch le.reserve(amount) {
 	case buffer.Granted:
 		return nil
 	case buffer.Refused:
@@ -235,6 +229,20 @@
 	return le.endWait()
 }
 
+// reserve asks for more memory and ends the leases that must make room.
+func (le *Lease) reserve(amount int64) buffer.Verdict {
+	bud := le.bud
+	le.heavy = true
+	bud.mu.Lock()
+	before := bud.state.Held()
+	verdict, closes := bud.state.Reserve(le.id, amount)
+	evicted := bud.find(closes)
+	bud.publish(before)
+	bud.mu.Unlock()
+	bud.evict(evicted)
+	return verdict
+}
+
 // endWait ends the wait of a lease and reports whether it has got the memory.
 func (le *Lease) endWait() error {
 	waited := false
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -110,7 +110,7 @@
 		_ = conn.Close()
 		return nil, errors.Trace(err)
 	}
-	mc, err := newMuxConn(conn, true, hub.vars)
+	mc, err := newMuxConn(conn, true, hub.vars, nil)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -177,7 +177,11 @@
 		_ = conn.Close()
 		return
 	}
-	if mc, err := newMuxConn(conn, false, li.hub.vars); err == nil {
+	budget := li.hub.cfg.Budget
+	if li.addr != "" || !budget.Bounded() {
+		budget = nil
+	}
+	if mc, err := newMuxConn(conn, false, li.hub.vars, budget); err == nil {
 		li.setSession(mc, false)
 	}
 }
--- a/io/peer/memory_test.go
+++ b/io/peer/memory_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
+	"slices"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
@@ -77,3 +80,48 @@
 		t.Errorf("error %v, %d bytes taken for a frame of which 100 KiB arrived", err, taken)
 	}
 }
+
+// muxFrame returns a frame of yamux.
+func muxFrame(kind byte, flags uint16, id uint32, size int) []byte {
+	buf := binary.BigEndian.AppendUint16([]byte{0, kind}, flags)
+	buf = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(buf, id), uint32(size))
+	if kind == muxData {
+		buf = append(buf, make([]byte, size)...)
+	}
+	return buf
+}
+
+// Guards against a count of what yamux holds that drifts: with headers in parts, streams
+// that both sides, one side or nobody ends, and other frames.
+func TestUnreadBytesAreCounted(t *testing.T) {
+	start := time.Unix(1000, 0)
+	un := &unread{}
+	var got int64
+	feed := func(at time.Time, want int64, frames ...[]byte) {
+		t.Helper()
+		for _, ch := range slices.Concat(frames...) {
+			got = un.arrived(at, []byte{ch})
+		}
+		if got != want {
+			t.Fatalf("%d bytes, want %d", got, want)
+		}
+	}
+	feed(start, 0, muxFrame(1, muxSyn, 1, 0), muxFrame(2, 0, 0, 77))
+	feed(start, 300, muxFrame(muxData, 0, 1, 100), muxFrame(muxData, muxSyn, 3, 200))
+	feed(start, 300, muxFrame(muxData, 0, 5, 50)) // A stream that yamux has dropped.
+	un.open(2)
+	feed(start, 310, muxFrame(muxData, 2, 2, 10))
+	un.read(2, 10)
+	un.close(start, 2)
+	feed(start, 300, muxFrame(1, muxFin, 2, 0))
+	un.read(1, 40)
+	un.close(start, 1)
+	feed(start, 270, muxFrame(muxData, 0, 1, 10))
+	feed(start, 200, muxFrame(1, muxRst, 1, 0))
+	un.close(start, 3)
+	feed(start.Add(closedAge), 200, muxFrame(2, 0, 0, 78))
+	feed(start.Add(closedAge+1), 0, muxFrame(2, 0, 0, 79))
+	if len(un.streams) != 0 || len(un.closed) != 0 {
+		t.Errorf("left: %v, %v", un.streams, un.closed)
+	}
+}
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -8,6 +8,8 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
+
+	"guavarail/io/limit"
 )
 
 // stream is a yamux stream. Its deadlines are never moved to a later time, so that an
@@ -15,11 +17,14 @@
 type stream struct {
 	inner *yamux.Stream
 	set   *streamSet
+	// unread is nil if the session does not count what yamux holds.
+	unread *unread
 }
 
 // Read implements io.Reader. After the end of the session it returns the cause of the end.
 func (str *stream) Read(buf []byte) (int, error) {
 	num, err := str.inner.Read(buf)
+	str.unread.read(str.inner.StreamID(), num)
 	return num, str.set.translate(err)
 }
 
@@ -35,6 +40,7 @@
 // close closes the stream, which must not be used afterwards.
 func (str *stream) close() {
 	str.set.remove(str)
+	str.unread.close(time.Now(), str.inner.StreamID())
 	_ = str.inner.Close()
 }
 
@@ -53,8 +59,8 @@
 }
 
 // add adds a stream. It expires the stream if the set has ended.
-func (set *streamSet) add(inner *yamux.Stream) *stream {
-	str := &stream{inner: inner, set: set}
+func (set *streamSet) add(inner *yamux.Stream, un *unread) *stream {
+	str := &stream{inner: inner, set: set, unread: un}
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	if set.open == nil {
@@ -136,22 +142,30 @@
 type muxConn struct {
 	ymx     *yamux.Session
 	streams *streamSet
+	// unread is nil if what yamux holds is not counted.
+	unread *unread
 }
 
 // newMuxConn starts a yamux session on a connection; dialled says whether this VM dialled
-// it. If it fails, it closes the connection.
-func newMuxConn(conn net.Conn, dialled bool, vars *Vars) (*muxConn, error) {
+// it. If it fails, it closes the connection. Unless budget is nil, it bounds what
+// yamux holds.
+func newMuxConn(conn net.Conn, dialled bool, vars *Vars, budget *limit.Budget) (*muxConn, error) {
+	mc := &muxConn{streams: &streamSet{}}
+	if budget != nil {
+		mc.unread = &unread{}
+		conn = &boundConn{Conn: conn, unread: mc.unread, budget: budget, openedAt: time.Now()}
+	}
 	open := yamux.Server
 	if dialled {
 		open = yamux.Client
 	}
-	set := &streamSet{}
-	ymx, err := open(endingConn{Conn: countedConn{Conn: conn, vars: vars}, streams: set}, yamuxConfig())
+	ymx, err := open(endingConn{Conn: countedConn{Conn: conn, vars: vars}, streams: mc.streams}, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Trace(err)
 	}
-	return &muxConn{ymx: ymx, streams: set}, nil
+	mc.ymx = ymx
+	return mc, nil
 }
 
 // open opens a stream.
@@ -160,7 +174,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return mc.streams.add(inner), nil
+	mc.unread.open(inner.StreamID())
+	return mc.streams.add(inner, mc.unread), nil
 }
 
 // accept returns the next stream that the other VM opened.
@@ -169,7 +184,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return mc.streams.add(inner), nil
+	return mc.streams.add(inner, mc.unread), nil
 }
 
 // ping returns once the other VM has answered a ping.
--- /dev/null
+++ b/io/peer/unread.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+)
+
+// Layout of a yamux header: version, type, flags, stream and length.
+const (
+	muxHeaderSize = 12
+	muxTypeAt     = 1
+	muxFlagsAt    = 2
+	muxStreamAt   = 4
+	muxLengthAt   = 8
+	// muxData is the type of frames with a payload.
+	muxData byte = 0
+	// muxSyn opens a stream, muxFin and muxRst end its incoming direction.
+	muxSyn, muxFin, muxRst uint16 = 1, 4, 8
+)
+
+// closedAge is the age from which on yamux has dropped a stream that this VM has closed.
+const closedAge = streamTimeout + time.Second
+
+// unread counts what yamux holds of the incoming streams of a session: what has arrived and
+// has not been read. The zero value has no streams, and nil counts nothing. The goroutine
+// that reads the connection and those of the streams use it, so a mutex guards it.
+type unread struct {
+	// mu guards all fields.
+	mu      sync.Mutex
+	streams map[uint32]*unreadStream
+	// closed has the streams that this VM has closed before the other, oldest first.
+	closed []closedStream
+	// total is the sum of all streams, in bytes.
+	total int64
+	// head is the part of the header that has arrived, payload what is missing of the
+	// payload of stream.
+	head    []byte
+	payload uint32
+	stream  uint32
+}
+
+// unreadStream is one stream.
+type unreadStream struct {
+	bytes int64
+	// ended means that the other VM, and closed that this VM, has ended the stream.
+	ended, closed bool
+}
+
+// closedStream is a stream that this VM has closed.
+type closedStream struct {
+	id uint32
+	at time.Time
+}
+
+// arrived counts bytes that were read from the connection, and returns the total.
+func (un *unread) arrived(now time.Time, buf []byte) int64 {
+	un.mu.Lock()
+	defer un.mu.Unlock()
+	un.forget(now)
+	for len(buf) > 0 {
+		if un.payload > 0 {
+			num := min(uint32(len(buf)), un.payload)
+			if str := un.streams[un.stream]; str != nil {
+				str.bytes += int64(num)
+				un.total += int64(num)
+			}
+			un.payload -= num
+			buf = buf[num:]
+			continue
+		}
+		num := min(len(buf), muxHeaderSize-len(un.head))
+		un.head, buf = append(un.head, buf[:num]...), buf[num:]
+		if len(un.head) == muxHeaderSize {
+			un.header(un.head)
+			un.head = un.head[:0]
+		}
+	}
+	return un.total
+}
+
+// header handles a complete header.
+func (un *unread) header(head []byte) {
+	id, flags := binary.BigEndian.Uint32(head[muxStreamAt:]), binary.BigEndian.Uint16(head[muxFlagsAt:])
+	if flags&muxSyn != 0 {
+		un.add(id)
+	}
+	if str := un.streams[id]; str != nil && flags&(muxFin|muxRst) != 0 {
+		str.ended = true
+		un.drop(id)
+	}
+	if head[muxTypeAt] == muxData {
+		un.stream, un.payload = id, binary.BigEndian.Uint32(head[muxLengthAt:])
+	}
+}
+
+// add adds a stream.
+func (un *unread) add(id uint32) {
+	if un.streams == nil {
+		un.streams = map[uint32]*unreadStream{}
+	}
+	if un.streams[id] == nil {
+		un.streams[id] = &unreadStream{}
+	}
+}
+
+// drop removes a stream that both sides have ended. The caller holds the mutex.
+func (un *unread) drop(id uint32) {
+	if str := un.streams[id]; str.ended && str.closed {
+		un.total -= str.bytes
+		delete(un.streams, id)
+	}
+}
+
+// forget removes the streams that yamux has dropped. The caller holds the mutex.
+func (un *unread) forget(now time.Time) {
+	for len(un.closed) > 0 && now.Sub(un.closed[0].at) > closedAge {
+		if str := un.streams[un.closed[0].id]; str != nil {
+			str.ended = true
+			un.drop(un.closed[0].id)
+		}
+		un.closed = un.closed[1:]
+	}
+}
+
+// open counts a stream that this VM has opened.
+func (un *unread) open(id uint32) {
+	if un == nil {
+		return
+	}
+	un.mu.Lock()
+	defer un.mu.Unlock()
+	un.add(id)
+}
+
+// read counts bytes that were read from a stream.
+func (un *unread) read(id uint32, num int) {
+	if un == nil || num == 0 {
+		return
+	}
+	un.mu.Lock()
+	defer un.mu.Unlock()
+	if str := un.streams[id]; str != nil {
+		str.bytes -= int64(num)
+		un.total -= int64(num)
+	}
+}
+
+// close counts a stream that this VM closes. What has arrived of it is held until the other
+// VM has ended it too, or for closedAge.
+func (un *unread) close(now time.Time, id uint32) {
+	if un == nil {
+		return
+	}
+	un.mu.Lock()
+	defer un.mu.Unlock()
+	str := un.streams[id]
+	if str == nil || str.closed {
+		return
+	}
+	str.closed = true
+	un.drop(id)
+	if un.streams[id] != nil {
+		un.closed = append(un.closed, closedStream{id: id, at: now})
+	}
+}
