Httpd: smaller default for heads, and their real cost

Package http reads a line into a buffer that doubles and copies it, so a head takes four times its size; twice was reserved.

--- a/io/httpd/bounds.go
+++ b/io/httpd/bounds.go
@@ -12,7 +12,7 @@
 const (
 	// defaultMaxHeader and defaultMaxBody bound a request of a server without limits, in
 	// bytes.
-	defaultMaxHeader = 64 << 10
+	defaultMaxHeader = 32 << 10
 	defaultMaxBody   = 4 << 20
 	// largestHeader is the most that MaxHeader can be, in bytes.
 	largestHeader = 1 << 20
@@ -23,6 +23,9 @@
 	// headSlack is the part of a body that may be read with the head: the size of the
 	// buffer of package http.
 	headSlack = 4 << 10
+	// headCopies is the number of bytes that package http takes for one of a head: a line
+	// is read into a buffer that doubles, and then copied.
+	headCopies = 4
 	// headStep is the unit in which the memory of a head is reserved, in bytes.
 	headStep = 8 << 10
 	// refuseTimeout bounds the writing of a response to a request that was not read, and
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -195,13 +195,12 @@
 	return con.headBytes
 }
 
-// reserveHead reserves the memory for a head of which size bytes have been read. Package
-// http keeps them twice for a time.
+// reserveHead reserves the memory for a head of which size bytes have been read.
 func (con *conn) reserveHead(size int64) error {
 	con.mu.Lock()
 	held := con.headHeld
 	con.mu.Unlock()
-	want := 2 * (size - buffer.SmallBytes)
+	want := headCopies * (size - buffer.SmallBytes)
 	if want <= held {
 		return nil
 	}
