--- a/io/peer/listen.go
+++ b/io/peer/listen.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -11,6 +13,7 @@
 
 	"guavarail/core/model"
 	"guavarail/io/host"
+	"guavarail/io/lines"
 	"guavarail/io/wire"
 )
 
@@ -24,8 +27,8 @@
 	// maxHello bounds the size of a Hello in bytes, so that an unidentified peer cannot
 	// make the VM allocate MaxFrame bytes.
 	maxHello = 4 << 10
-	// maxHandshakes bounds the connections whose Hello has not arrived yet. Connections
-	// beyond it are closed.
+	// maxHandshakes bounds the connections whose Hello has not arrived yet. One more
+	// closes the oldest of them, so that one client cannot keep others out.
 	maxHandshakes = 64
 	// acceptRetryDelay keeps the accept loop from spinning while accepting fails, for
 	// example because the process has no free file descriptor.
@@ -37,6 +40,47 @@
 	hub  *Hub
 	lis  net.Listener
 	post func(msg any)
+	// pending has the connections whose Hello has not arrived yet, oldest first.
+	pending handshakes
+	clock   host.Clock
+}
+
+// handshakes is a list of connections. The accept loop and the handshakes use it, so a
+// mutex guards it. The zero value is empty.
+type handshakes struct {
+	mu    sync.Mutex
+	conns list.List
+	// lines bounds the log of those that were rejected.
+	lines lines.Limiter
+}
+
+// allowLine reports whether a rejected connection may be logged, and how many were not
+// since the last one.
+func (hs *handshakes) allowLine(now model.Instant) (int, bool) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	return hs.lines.Allow(now)
+}
+
+// add adds a connection. The returned function removes it.
+func (hs *handshakes) add(conn net.Conn) func() {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	el := hs.conns.PushBack(conn)
+	return func() {
+		hs.mu.Lock()
+		defer hs.mu.Unlock()
+		hs.conns.Remove(el)
+	}
+}
+
+// closeOldest closes the connection that was added first.
+func (hs *handshakes) closeOldest() {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	if el := hs.conns.Front(); el != nil {
+		_ = el.Value.(net.Conn).Close()
+	}
 }
 
 // run accepts connections until ctx ends and the listener is closed. It closes
@@ -53,22 +97,26 @@
 		}
 		select {
 		case sem <- struct{}{}:
-			go acc.handshake(ctx, conn, sem)
 		default:
-			_ = conn.Close()
+			acc.pending.closeOldest()
+			sem <- struct{}{}
 		}
+		go acc.handshake(ctx, conn, acc.pending.add(conn), sem)
 	}
 }
 
 // handshake reads the Hello of one connection, posts the connection to the hub and
-// releases the semaphore.
-func (acc *acceptor) handshake(ctx context.Context, conn net.Conn, sem <-chan struct{}) {
+// releases the semaphore. remove removes the connection from the pending ones.
+func (acc *acceptor) handshake(ctx context.Context, conn net.Conn, remove func(), sem <-chan struct{}) {
 	defer func() { <-sem }()
+	defer remove()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	from, err := acc.readHello(conn)
 	if err != nil {
 		acc.hub.vars.refusedFrames.Add(1)
-		acc.hub.cfg.Log.Warn("connection rejected", "address", conn.RemoteAddr(), "error", err)
+		if suppressed, ok := acc.pending.allowLine(acc.clock()); ok {
+			acc.hub.cfg.Log.Warn("connection rejected", "address", conn.RemoteAddr(), "error", err, "suppressed", suppressed)
+		}
 		_ = conn.Close()
 		return
 	}
--- a/io/peer/listen_test.go
+++ b/io/peer/listen_test.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"guavarail/core/model"
 )
 
 // refusingListener fails to accept and counts the calls.
@@ -33,3 +35,36 @@
 		t.Errorf("%d calls of Accept, want at most %d", lis.calls, most)
 	}
 }
+
+// Guards against a client that keeps other VMs out by connections without a Hello.
+func TestHalfOpenConnectionsDoNotKeepOthersOut(t *testing.T) {
+	server, stop, err := New(Config{Self: "server", Listen: "127.0.0.1:0", AcceptUnlisted: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	flooding := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		<-flooding
+	}()
+	go func() {
+		defer close(flooding)
+		for ctx.Err() == nil {
+			con, err := net.Dial("tcp", server.Addr())
+			if err != nil {
+				continue
+			}
+			defer func() { _ = con.Close() }()
+			time.Sleep(2 * time.Millisecond)
+		}
+	}()
+	time.Sleep(4 * maxHandshakes * time.Millisecond)
+	client, stopClient, err := New(Config{Self: "client", Listen: "127.0.0.1:0", Peers: map[model.VMID]string{"server": server.Addr()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stopClient()
+	eventually(t, "link", func() bool { return client.Vars().openLinks.Value() == 1 && server.Vars().openLinks.Value() == 1 })
+}
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -8,6 +8,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"guavarail/core/model"
+	"guavarail/io/host"
 	"guavarail/io/wire"
 )
 
@@ -103,7 +104,7 @@
 	run, cancel := context.WithCancel(context.Background())
 	act.stop, act.ended = cancel, make(chan struct{})
 	root, self := ctx.ActorSystem().Root, ctx.Self()
-	acc := &acceptor{hub: act.hub, lis: act.lis, post: func(msg any) { root.Send(self, msg) }}
+	acc := &acceptor{hub: act.hub, lis: act.lis, clock: host.NewClock(), post: func(msg any) { root.Send(self, msg) }}
 	go acc.run(run, act.ended)
 }
 
