--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -105,6 +105,13 @@
 	return errors.As(err, &exe)
 }
 
+// isNoMemory reports whether err means that another VM had no memory for a request, which
+// it has not handled.
+func isNoMemory(err error) bool {
+	var full *peer.NoMemoryError
+	return errors.As(err, &full)
+}
+
 // isUnsent reports whether err means that a request to another VM was not sent.
 func isUnsent(err error) bool {
 	var unr *peer.UnreachableError
--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -115,6 +115,7 @@
 	prev := fin.vm.discovered.Load()
 	if prev.leader != "" {
 		if wel, ok := fin.hello(ctx, prev.leader); ok && wel.GetLeased() {
+			fin.vm.learnLimits(wel)
 			fin.publish(prev, []*wire.CellWelcome{wel}, prev.leader, wel)
 			return true
 		}
@@ -128,6 +129,9 @@
 			leader, best = id, wel
 		}
 	}
+	if leader != "" {
+		fin.vm.learnLimits(wels[leader])
+	}
 	fin.publish(prev, answers, leader, best)
 	return leader != ""
 }
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -18,6 +18,7 @@
 	"guavarail/io/disk"
 	"guavarail/io/host"
 	"guavarail/io/httpd"
+	"guavarail/io/limit"
 	"guavarail/io/peer"
 	"guavarail/io/record"
 )
@@ -43,6 +44,9 @@
 	// seeds are the VMs at the seed addresses of the settings. They are replaced
 	// as a whole when the settings are reloaded.
 	seeds atomic.Pointer[[]model.VMID]
+	// limits are the limits of a request, and budget what all requests share.
+	limits limitsInForce
+	budget *limit.Budget
 	// discoverNow buffers one request for a discovery.
 	discoverNow chan struct{}
 	// announcements has the VMs with a disk that have said hello to this one.
@@ -67,6 +71,7 @@
 		self: model.VMID(set.Listen().Peers().String()), settings: set, log: log, clock: host.NewClock(),
 		mux: &peer.Mux{}, discoverNow: make(chan struct{}, 1), announcements: make(chan model.VMID, maxAnnouncements),
 	}
+	vm.budget = limit.New(limit.Config{MemoryMB: set.VMMemoryMB(), Files: set.MaxFiles(), PerAddress: set.MaxPerAddress(), Log: log.Named("limit")})
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.cleanups = append(vm.cleanups, cancel)
 	if err := vm.start(ctx); err != nil {
@@ -109,7 +114,7 @@
 	vm.serveCalls()
 	_ = vm.addCleanup(host.Every(ctx, fence.PulseInterval, func(context.Context) { vm.Arrival() }), nil)
 	hub, stop, err := peer.New(peer.Config{
-		System: sys, Self: vm.self, Listen: vm.settings.Listen().Peers().String(), Mux: vm.mux, AcceptUnlisted: true,
+		System: sys, Self: vm.self, Listen: vm.settings.Listen().Peers().String(), Mux: vm.mux, AcceptUnlisted: true, Budget: vm.budget,
 		Log: vm.log.Named("peer"), Clock: rec.Clock(), Seed: randomSeed(vm.self),
 	})
 	vm.hub = hub
