Flow: a reported end is proposed again with the same outcome

Cause: a new leader proposed the success that a worker had reported, and the outcome of the proposal stayed unknown. Until the next heartbeat the run counted as one whose start order was never sent, so addOrder proposed its end as not started. The task started again, and the first worker got its success acknowledged, since the run was no longer in the log. The same happened to runs of this leader: their reported success became Lost if the worker exited or its lease expired after the unknown outcome.

Change: the record of a run keeps the outcome that the worker has reported, and proposeEnd proposes no other one. addOrder does not withdraw an inherited run, which may be on its worker; the next heartbeats show what became of it. Other places checked: needsStop and unwanted runs (not for inherited ones), withdrawUnsentStarts (the same), handleUnlistedRun (only after the lease), handleDropped (the same outcome). core/sched plans nothing until the outcome is known, so it has no such case.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -186,7 +186,11 @@
 			ans.Paces = append(ans.Paces, ord)
 		}
 	case pr.mayHaveEnded:
-		pl.withdraw(pr)
+		// An inherited run may be on the worker; the next heartbeats show whether it is
+		// or how it has ended.
+		if !pr.inherited {
+			pl.withdraw(pr)
+		}
 	case wk.draining || pl.outage[wk.centre]:
 		// An inherited run may be on the worker already; if no heartbeat lists
 		// it, handleUnlistedRun proposes its end.
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -265,6 +265,9 @@
 			if checkpoint == "" || len(checkpoint) > maxCheckpoint {
 				checkpoint = pr.checkpoint
 			}
+			if !pr.planned {
+				pr.reportedOutcome, pr.checkpoint = er.Outcome, checkpoint
+			}
 			pl.proposeEnd(pr, er.Outcome, checkpoint)
 			if pr.ending {
 				// The starts that take its place are in the log behind the end.
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -113,12 +113,17 @@
 }
 
 // proposeEnd proposes the end of a run, unless its end is already proposed or
-// its start is not applied yet.
+// its start is not applied yet. The outcome that its worker has reported goes before oc:
+// that of an earlier proposal may be unknown, and the worker's success must not be
+// acknowledged for a run that is recorded as lost or not started.
 func (pl *Planner) proposeEnd(pr *placedRun, oc Outcome, checkpoint string) {
 	if pr.ending || pr.planned {
 		return
 	}
 	pr.ending = true
+	if pr.reportedOutcome != 0 {
+		oc = pr.reportedOutcome
+	}
 	pl.pendingOps = append(pl.pendingOps, End(pr.task, pr.attempt, oc, checkpoint))
 }
 
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -30,6 +30,9 @@
 	// mayHaveEnded is set if the end was proposed and the outcome of that is unknown.
 	// The end may be applied at any time, so no start order is sent any more.
 	mayHaveEnded bool
+	// reportedOutcome is how the run has ended according to its worker, 0 before it has
+	// reported the end. No other outcome is proposed then.
+	reportedOutcome Outcome
 	// startSent is set once the start order was sent, in the answer to the
 	// heartbeat whose Sequence is startSequence.
 	startSent     bool
