Flow: drain workers for maintenance

The input Drain names the workers that are to go down. They, and workers that join at their addresses, get no further tasks.

--- a/core/flow/admission.go
+++ b/core/flow/admission.go
@@ -74,7 +74,7 @@
 	var service model.ServiceID
 	for i := ad.looks % stride; i < len(pl.workers.sorted); i += stride {
 		wk := pl.workers.sorted[i]
-		if !wk.reported || wk.draining || pl.outage[wk.centre] || pl.stale(wk) {
+		if !wk.reported || wk.closed() || pl.outage[wk.centre] || pl.stale(wk) {
 			continue
 		}
 		vi.Workers = append(vi.Workers, shed.Worker{
--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -69,7 +69,7 @@
 		// waits until it can carry all of them.
 		return age >= busyAnswerDelay || !waiting
 	}
-	if len(wk.runs) == 0 && !wk.draining {
+	if len(wk.runs) == 0 && !wk.closed() {
 		return age >= idleAnswerDelay
 	}
 	return age >= busyAnswerDelay || !waiting && !pl.proposing
@@ -187,7 +187,7 @@
 		}
 	case pr.mayHaveEnded:
 		pl.withdraw(pr)
-	case wk.draining || pl.outage[wk.centre]:
+	case wk.closed() || pl.outage[wk.centre]:
 		// An inherited run may be on the worker already; if no heartbeat lists
 		// it, handleUnlistedRun proposes its end.
 		if !pr.inherited {
--- a/core/flow/capacity.go
+++ b/core/flow/capacity.go
@@ -94,7 +94,7 @@
 	}
 	var use capacityUse
 	for _, wk := range pl.workers.sorted {
-		if wk.reported && !wk.draining && !pl.outage[wk.centre] && !pl.stale(wk) {
+		if wk.reported && !wk.closed() && !pl.outage[wk.centre] && !pl.stale(wk) {
 			use.add(wk)
 		}
 	}
--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -115,7 +115,7 @@
 		return noHeartbeat
 	case wk.unstorable:
 		return unstorableWorker
-	case wk.draining:
+	case wk.closed():
 		return drainingWorker
 	case pl.outage[wk.centre]:
 		return centreOut
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -177,7 +177,7 @@
 	wk.reported, wk.sequence, wk.lastHeartbeat, wk.excused = true, hb.Sequence, max(wk.lastHeartbeat, sentAt), 0
 	wk.service, wk.centre, wk.address = hb.Service, hb.Centre, hb.Address
 	wk.size, wk.labels, wk.rack = hb.Size, hb.Labels, hb.Rack
-	wk.draining = hb.Draining
+	wk.draining, wk.drained = hb.Draining, pl.drains.has(wk)
 }
 
 // reconcileRuns compares the runs in a heartbeat with those that the leader has
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -60,7 +60,7 @@
 	// serving task see; 0 means that the tasks have no callers.
 	TailTarget time.Duration
 	// MaxUnavailable is how many tasks of a long-running step the scheduler may
-	// stop at the same time; -1 means no bound. The planner does not use it.
+	// stop at the same time; -1 means no bound. It binds drains only.
 	MaxUnavailable int
 }
 
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -107,6 +107,8 @@
 	// known.
 	services map[model.ServiceID]bool
 	workers  workerSet
+	// drains are the workers that are drained for maintenance.
+	drains drains
 	// formerWorkers are earlier incarnations of workers that have runs whose
 	// end is not applied yet.
 	formerWorkers []*worker
@@ -245,6 +247,8 @@
 		pl.outage, pl.dirty, pl.recheckAnswers = msg.Centres, true, true
 	case Services:
 		pl.services = msg.Names
+	case Drain:
+		pl.drain(now, msg)
 	case Heartbeat:
 		pl.planPace.waiting = msg.Waiting > 0
 		pl.handleHeartbeat(now, &msg)
--- a/core/flow/reserve.go
+++ b/core/flow/reserve.go
@@ -44,7 +44,7 @@
 // staying reports whether long-running tasks may be placed on a worker, and are
 // not expected to lose their runs there.
 func (pl *Planner) staying(wk *worker) bool {
-	return !wk.draining && !pl.stale(wk)
+	return !wk.closed() && !pl.stale(wk)
 }
 
 // canHold reports whether some worker may run a task of a step and is large enough
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -126,6 +126,8 @@
 	// reserved is the sum of the reservations of runs.
 	reserved model.Resources
 	draining bool
+	// drained is set while the planner is told to drain the worker.
+	drained bool
 	// reported is set by the first heartbeat to this leader.
 	reported bool
 	// sequence is the Sequence of the last heartbeat.
@@ -215,6 +217,9 @@
 	return max(0, wk.nextHeartbeat.Sub(now))
 }
 
+// closed reports whether the worker gets no further tasks because it is about to leave.
+func (wk *worker) closed() bool { return wk.draining || wk.drained }
+
 // free returns what no run has reserved.
 func (wk *worker) free() model.Resources { return wk.size.Sub(wk.reserved) }
 
