Cell: keep maintenance waves in the log

The log had no place for waves, so that they would not survive a leader.

TestCellCommandsKeepEveryField and TestCellSnapshotsKeepTheState cover waves; tests of core/cell, core/waves and io/wire pass.

--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -8,17 +8,20 @@
 	"guavarail/core/flow"
 	"guavarail/core/model"
 	"guavarail/core/quorum"
+	"guavarail/core/waves"
 )
 
 // Command is one entry of the log. It contains either operations on jobs, or a
-// document, or a data centre that goes out of service or returns.
+// document, or a data centre that goes out of service or returns, or operations on
+// maintenance waves.
 type Command struct {
 	ops      []flow.Op
 	document Document
 	centre   model.CentreID
 	// out is set if centre goes out of service and unset if it returns to
 	// service.
-	out bool
+	out   bool
+	waves []waves.Op
 }
 
 // Jobs returns a command that applies operations on jobs, in order.
@@ -31,6 +34,12 @@
 // puts it back if out is false.
 func SetCentreOut(centre model.CentreID, out bool) Command { return Command{centre: centre, out: out} }
 
+// Maintain returns a command that applies operations on maintenance waves, in order.
+func Maintain(ops ...waves.Op) Command { return Command{waves: ops} }
+
+// Waves returns the operations on maintenance waves.
+func (cmd Command) Waves() []waves.Op { return cmd.waves }
+
 // Ops returns the operations on jobs.
 func (cmd Command) Ops() []flow.Op { return cmd.ops }
 
@@ -45,8 +54,13 @@
 type Result struct {
 	verdicts []flow.Verdict
 	version  uint64
+	waves    []waves.Verdict
 }
 
+// Waves returns one verdict for each operation on maintenance waves, in order, and nil for
+// other commands.
+func (res Result) Waves() []waves.Verdict { return res.waves }
+
 // Verdicts returns one verdict for each operation on jobs, in order, and nil for
 // other commands.
 func (res Result) Verdicts() []flow.Verdict { return res.verdicts }
@@ -60,6 +74,7 @@
 	document   Document
 	outCentres []model.CentreID
 	jobs       flow.Snapshot
+	waves      []waves.Record
 }
 
 // NewSnapshot returns a snapshot. out is the data centres that are out of
@@ -68,6 +83,15 @@
 	return Snapshot{document: doc, outCentres: out, jobs: jobs}
 }
 
+// WithWaves returns the snapshot with maintenance waves, ordered by number.
+func (sn Snapshot) WithWaves(recs []waves.Record) Snapshot {
+	sn.waves = recs
+	return sn
+}
+
+// Waves returns the maintenance waves, ordered by number.
+func (sn Snapshot) Waves() []waves.Record { return sn.waves }
+
 // Document returns the configuration in effect.
 func (sn Snapshot) Document() Document { return sn.document }
 
@@ -82,6 +106,7 @@
 	document   Document
 	outCentres map[model.CentreID]bool
 	jobs       flow.State
+	waves      waves.State
 }
 
 var _ quorum.Replica[Command, Result, Snapshot] = (*State)(nil)
@@ -104,6 +129,10 @@
 		} else {
 			delete(st.outCentres, cmd.centre)
 		}
+	case len(cmd.waves) > 0:
+		for _, op := range cmd.waves {
+			res.waves = append(res.waves, st.waves.Apply(op))
+		}
 	default:
 		res.verdicts = make([]flow.Verdict, len(cmd.ops))
 		for i, op := range cmd.ops {
@@ -116,7 +145,7 @@
 
 // Snapshot returns a copy of the state.
 func (st *State) Snapshot() Snapshot {
-	return Snapshot{document: st.document, outCentres: slices.Sorted(maps.Keys(st.outCentres)), jobs: st.jobs.Snapshot()}
+	return NewSnapshot(st.document, slices.Sorted(maps.Keys(st.outCentres)), st.jobs.Snapshot()).WithWaves(st.waves.Snapshot())
 }
 
 // Restore replaces the state with a snapshot.
@@ -126,6 +155,7 @@
 		st.outCentres[cen] = true
 	}
 	st.jobs.Restore(snap.jobs)
+	st.waves.Restore(snap.waves)
 	st.setDocument(snap.document)
 }
 
@@ -164,3 +194,7 @@
 // Jobs returns the state of the jobs, for reads and for the planner of the
 // leader. Only Apply and Restore change its replicated part.
 func (st *State) Jobs() *flow.State { return &st.jobs }
+
+// Waves returns the state of the maintenance waves, for reads. Only Apply and Restore change
+// it.
+func (st *State) Waves() *waves.State { return &st.waves }
--- a/core/waves/input.go
+++ b/core/waves/input.go
@@ -74,6 +74,8 @@
 	Done
 	// Refused means that the order was not carried out.
 	Refused
+	// Limited means that the order was not carried out, because there were too many calls.
+	Limited
 )
 
 // Answered is the end of an Order of the term.
--- a/core/waves/list.go
+++ b/core/waves/list.go
@@ -9,6 +9,8 @@
 	// machines is the last complete list, which was begun at begun; nil before the first.
 	machines map[MachineID]Listed
 	begun    model.Instant
+	// completed is when the last page of machines was read.
+	completed model.Instant
 	// partial holds the pages of the list in progress, which was begun at partialBegun, and
 	// token selects its next page. partial is nil between two lists.
 	partial      map[MachineID]Listed
@@ -59,7 +61,7 @@
 		li.fail(now)
 		return false
 	}
-	li.machines, li.begun = li.partial, li.partialBegun
+	li.machines, li.begun, li.completed = li.partial, li.partialBegun, now
 	li.complete++
 	if li.lastSeen == nil {
 		li.lastSeen = map[MachineID]int{}
@@ -73,7 +75,7 @@
 
 // fresh reports whether the list tells which worker a machine has now.
 func (li *list) fresh(now model.Instant) bool {
-	return li.machines != nil && now.Sub(li.begun) <= maxListAge
+	return li.machines != nil && now.Sub(li.completed) <= maxListAge+maxListTurns*li.completed.Sub(li.begun)
 }
 
 // gone reports whether a machine no longer exists.
--- a/core/waves/planner.go
+++ b/core/waves/planner.go
@@ -12,8 +12,10 @@
 	TickInterval = 200 * time.Millisecond
 	// listInterval is the time from the end of one list to the start of the next.
 	listInterval = 800 * time.Millisecond
-	// maxListAge is the age of a list up to which it tells which worker a machine has.
-	maxListAge = 2 * time.Second
+	// maxListAge is the age of a list up to which it tells which worker a machine has. A slow
+	// platform is allowed maxListTurns times what the last list took beside.
+	maxListAge   = 2 * time.Second
+	maxListTurns = 2
 	// rateWindow is the window of the platform's rates. A new leader makes no call in its
 	// first window, because an earlier one may have used it up.
 	rateWindow = time.Second
@@ -178,6 +180,8 @@
 		tr.begunAt, tr.outcome, tr.answered = now, Done, true
 	case Refused:
 		tr.retryAt, tr.outcome, tr.answered = now.Add(retryDelay), Refused, true
+	case Limited:
+		tr.retryAt, pl.nextOrder = now.Add(retryDelay), now.Add(rateWindow)
 	case Unknown:
 		tr.retryAt, tr.unansweredAt, tr.answered = now.Add(retryDelay), now, false
 		pl.record("upkeepUnanswered", msg.Wave, msg.Machine, "")
--- a/core/waves/state.go
+++ b/core/waves/state.go
@@ -77,23 +77,32 @@
 	spec    Spec
 	number  Number
 	machine Machine
-	mark    bool
+	kind    opKind
 }
 
+// opKind is what an operation does.
+type opKind uint8
+
+const (
+	opNone opKind = iota
+	opAccept
+	opMark
+)
+
 // Accept returns the operation that accepts a wave.
-func Accept(spec Spec) Op { return Op{spec: spec, number: spec.Number} }
+func Accept(spec Spec) Op { return Op{kind: opAccept, spec: spec, number: spec.Number} }
 
 // Mark returns the operation that sets what is known of a machine of a wave.
-func Mark(num Number, mac Machine) Op { return Op{number: num, machine: mac, mark: true} }
+func Mark(num Number, mac Machine) Op { return Op{kind: opMark, number: num, machine: mac} }
 
-// Number returns the wave that the operation applies to, 0 for none.
+// Number returns the wave that the operation applies to.
 func (op Op) Number() Number { return op.number }
 
-// Spec returns the wave that is accepted, and false for a Mark.
-func (op Op) Spec() (Spec, bool) { return op.spec, !op.mark }
+// Spec returns the wave that is accepted, and false for other operations.
+func (op Op) Spec() (Spec, bool) { return op.spec, op.kind == opAccept }
 
-// Machine returns the machine of a Mark.
-func (op Op) Machine() Machine { return op.machine }
+// Machine returns the machine of a Mark, and false for other operations.
+func (op Op) Machine() (Machine, bool) { return op.machine, op.kind == opMark }
 
 // Verdict is the result of applying an operation.
 type Verdict uint8
@@ -155,13 +164,13 @@
 
 // Apply applies an operation.
 func (st *State) Apply(op Op) Verdict {
-	if op.number == 0 {
-		return Stale
-	}
-	if op.mark {
+	switch op.kind {
+	case opAccept:
+		return st.accept(op.spec)
+	case opMark:
 		return st.mark(op.number, op.machine)
 	}
-	return st.accept(op.spec)
+	return Stale
 }
 
 func (st *State) accept(spec Spec) Verdict {
--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -43,6 +43,9 @@
 	}
 	centre, out := cmd.Centre()
 	msg.Centre, msg.Out = string(centre), out
+	for _, op := range cmd.Waves() {
+		msg.Waves = append(msg.Waves, cellWaveOpToProto(op))
+	}
 	return proto.Marshal(msg)
 }
 
@@ -61,6 +64,8 @@
 		return cell.Configure(doc), nil
 	case msg.GetCentre() != "":
 		return cell.SetCentreOut(model.CentreID(msg.GetCentre()), msg.GetOut()), nil
+	case len(msg.GetWaves()) > 0:
+		return cell.Maintain(cellWaveOpsFromProto(msg.GetWaves())...), nil
 	}
 	ops := make([]flow.Op, 0, len(msg.GetOps()))
 	for _, om := range msg.GetOps() {
@@ -268,6 +273,9 @@
 			Worker: string(rec.Incarnation.Worker()), Born: rec.Incarnation.StartedAt(), Term: rec.Term, LeaseLeftNs: int64(rec.LeaseLeft),
 		})
 	}
+	for _, rec := range snap.Waves() {
+		msg.Waves = append(msg.Waves, cellWaveToProto(rec))
+	}
 	return proto.Marshal(msg)
 }
 
@@ -298,7 +306,7 @@
 			Incarnation: flow.NewIncarnation(model.WorkerID(sm.GetWorker()), sm.GetBorn()), Term: sm.GetTerm(), LeaseLeft: time.Duration(sm.GetLeaseLeftNs()),
 		})
 	}
-	return cell.NewSnapshot(doc, out, flow.NewSnapshot(msg.GetSubmitted(), recs, silences)), nil
+	return cell.NewSnapshot(doc, out, flow.NewSnapshot(msg.GetSubmitted(), recs, silences)).WithWaves(cellWavesFromProto(msg.GetWaves())), nil
 }
 
 func cellJobRecordToProto(rec flow.JobRecord) *CellJobRecord {
--- a/io/wire/cell_test.go
+++ b/io/wire/cell_test.go
@@ -12,6 +12,7 @@
 	"guavarail/core/flow"
 	"guavarail/core/model"
 	"guavarail/core/share"
+	"guavarail/core/waves"
 )
 
 // newCellJob returns a job in which each field is set in at least one step.
@@ -55,6 +56,8 @@
 		cell.Configure(doc), cell.SetCentreOut("riga-a", true), cell.SetCentreOut("riga-a", false),
 		cell.Jobs(flow.Submit(newCellJob(t)), flow.Cancel("x"), flow.CancelAs("x", flow.NewCaller("")), flow.CancelAs("x", flow.NewCaller("co-op")), flow.Start(task, 3, flow.NewIncarnation("w", 99)),
 			flow.End(task, 3, flow.Stopped, "point"), flow.Forget("x"), flow.Silence(flow.NewIncarnation("w", 99), 7, time.Second), flow.Heard(flow.NewIncarnation("w", 99), 8)),
+		cell.Maintain(waves.Accept(waves.Spec{Number: 0, Machines: []waves.MachineID{"m-1", "m-2"}, Limit: 2, EndMs: 3, Duration: time.Second}),
+			waves.Mark(0, waves.Machine{ID: "m-2", Phase: waves.Ordered, Worker: "w"}), waves.Op{}),
 	}
 	for i, cmd := range tests {
 		buf, err := CellCommands{}.Encode(cmd)
@@ -76,6 +79,12 @@
 	sta.Apply(cell.SetCentreOut("riga-b", true))
 	sta.Apply(cell.Jobs(flow.Submit(newCellJob(t)), flow.Start(task, 1, flow.NewIncarnation("w", 99)), flow.End(task, 1, flow.Failed, "point"),
 		flow.Start(task, 2, flow.NewIncarnation("v", 98)), flow.Silence(flow.NewIncarnation("v", 98), 7, time.Second)))
+	accept := waves.Accept(waves.Spec{Number: 4, Machines: []waves.MachineID{"m-2", "m-1"}, Limit: 1, EndMs: 3, Duration: time.Second})
+	sta.Apply(cell.Maintain(accept, waves.Mark(4, waves.Machine{ID: "m-1", Phase: waves.Ordered, Worker: "w"})))
+	sta.Apply(cell.Maintain(waves.Accept(waves.Spec{Number: 5, Machines: []waves.MachineID{"m-3"}, Limit: 1}), waves.Mark(5, waves.Machine{ID: "m-3", Phase: waves.Gone})))
+	if sta.Waves().Running() != 1 {
+		t.Fatal("the snapshot has no running wave")
+	}
 	if len(sta.Snapshot().Jobs().Silences()) != 1 {
 		t.Fatal("the snapshot has no silent worker")
 	}
