--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"net"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -35,6 +36,10 @@
 	// memoryMB is 0 if it is not given.
 	memoryMB  int
 	admission bool
+	// platform is empty if it is not given.
+	platform       string
+	platformReads  float64
+	platformOrders float64
 }
 
 // CellListen holds the addresses that a VM of a cell listens on. If the settings
@@ -116,6 +121,16 @@
 // suffice.
 func (ce Cell) Admission() bool { return ce.admission }
 
+// Platform returns the address (host:port) at which the platform lists and maintains its
+// machines, empty if it is not given.
+func (ce Cell) Platform() string { return ce.platform }
+
+// PlatformReads returns how many reads a second all VMs together may make at the platform.
+func (ce Cell) PlatformReads() float64 { return ce.platformReads }
+
+// PlatformOrders returns how many orders a second all VMs together may send to the platform.
+func (ce Cell) PlatformOrders() float64 { return ce.platformOrders }
+
 // Entries returns the effective value of every key in the order in which they are
 // read.
 func (ce Cell) Entries() []Entry { return append([]Entry(nil), ce.entries...) }
@@ -201,8 +216,41 @@
 	keyCentres         = listKey(optionalCentreKey())
 	keyMemoryMB        = intKey("memoryMb", 0, 0, 1<<20)
 	keyAdmission       = boolKey("admission")
+	// "platform" is the address of the users' platform, of which the cell is a part.
+	keyPlatform       = platformKey("platform")
+	keyPlatformReads  = rateKey("platformReadsPerS")
+	keyPlatformOrders = rateKey("platformOrdersPerS")
 )
 
+// platformKey returns a key whose value is a host and a port, or an http URL of only these,
+// and may be left out.
+func platformKey(name string) key[string] {
+	return key[string]{
+		name: name, allowed: "a host and a port from 1 to 65535, such as 10.0.0.1:7000",
+		parse: func(text string) (string, bool) {
+			text = strings.TrimSuffix(strings.TrimPrefix(text, "http://"), "/")
+			host, port, err := net.SplitHostPort(text)
+			num, numErr := strconv.ParseUint(port, 10, 16)
+			return text, err == nil && numErr == nil && num > 0 && host != "" && !strings.ContainsAny(host, "/?#@ ")
+		},
+		format: func(val string) string { return val },
+	}
+}
+
+// rateKey returns a key whose value is a number of calls per second, which may have a
+// fraction.
+func rateKey(name string) key[float64] {
+	const low, high = 0.01, 10_000
+	return key[float64]{
+		name: name, allowed: "0.01 to 10000", defaultValue: 1,
+		parse: func(text string) (float64, bool) {
+			val, err := strconv.ParseFloat(text, 64)
+			return val, err == nil && val >= low && val <= high
+		},
+		format: func(val float64) string { return strconv.FormatFloat(val, 'f', -1, 64) },
+	}
+}
+
 // optionalCentreKey returns the key for one element of the list of data centres,
 // which may be left out.
 func optionalCentreKey() key[model.CentreID] {
@@ -266,5 +314,8 @@
 	ce.centres = read(rdr, cellSection, keyCentres)
 	ce.memoryMB = read(rdr, cellSection, keyMemoryMB)
 	ce.admission = read(rdr, cellSection, keyAdmission)
+	ce.platform = read(rdr, cellSection, keyPlatform)
+	ce.platformReads = read(rdr, cellSection, keyPlatformReads)
+	ce.platformOrders = read(rdr, cellSection, keyPlatformOrders)
 	return ce
 }
