Maintenance waves: accept, carry out and report them

POST /wave-start was answered 404. The leader now takes waves into the log, answers GET /wave-get/N from it, and carries them out where the settings have the platform's address: it reads GET /machines and sends POST /machine-upkeep with its name and its term, one call at a time and within both rates, only while a wave is running. A page that fails is read again up to three times, and a tick looks at the load of at most 50 waiting machines beside those that are drained.

--- a/core/waves/choose.go
+++ b/core/waves/choose.go
@@ -70,20 +70,20 @@
 		return nil
 	}
 	var out []candidate
+	looked, begin := 0, pl.cursors[wa.spec.Number]
 	for i := range wa.machines {
-		mac := &wa.machines[i]
-		li, ok := pl.list.machines[mac.ID]
-		if mac.Phase != Waiting || taken[mac.ID] || !ok || li.State == Maintained || li.State == Moving {
+		mac := &wa.machines[(begin+i)%len(wa.machines)]
+		drained := pl.isDrained(wa, mac)
+		if mac.Phase != Waiting || taken[mac.ID] || !drained && looked >= maxLooked {
 			continue
 		}
-		can := candidate{machine: mac, listed: li, load: fleet.Load(li.Worker), track: pl.track(wa, mac.ID)}
-		if can.load.Stuck || now.Before(can.track.retryAt) {
-			continue
+		if !drained {
+			looked++
+			pl.cursors[wa.spec.Number] = (begin + i + 1) % len(wa.machines)
+		}
+		if can, ok := pl.candidate(now, wa, mac, fleet); ok {
+			out = append(out, can)
 		}
-		can.track.answered = false
-		since := can.track.drainedSince
-		can.yields = can.load.Blocked && (since == 0 || now.Sub(since) > patience)
-		out = append(out, can)
 	}
 	slices.SortFunc(out, compareCandidates)
 	out = out[:min(room, len(out))]
@@ -97,6 +97,28 @@
 	return out
 }
 
+// isDrained reports whether the drain of a waiting machine has begun.
+func (pl *Planner) isDrained(wa *wave, mac *Machine) bool {
+	tr := pl.tracks[place{wa.spec.Number, mac.ID}]
+	return tr != nil && tr.drainedSince > 0
+}
+
+// candidate returns the candidate of a waiting machine, and false if it can't go next.
+func (pl *Planner) candidate(now model.Instant, wa *wave, mac *Machine, fleet Fleet) (candidate, bool) {
+	li, ok := pl.list.machines[mac.ID]
+	if !ok || li.State == Maintained || li.State == Moving {
+		return candidate{}, false
+	}
+	can := candidate{machine: mac, listed: li, load: fleet.Load(li.Worker), track: pl.track(wa, mac.ID)}
+	if can.load.Stuck || now.Before(can.track.retryAt) {
+		return candidate{}, false
+	}
+	can.track.answered = false
+	since := can.track.drainedSince
+	can.yields = can.load.Blocked && (since == 0 || now.Sub(since) > patience)
+	return can, true
+}
+
 // compareCandidates orders candidates by which goes first: those that an allowance doesn't
 // block, those that are drained already, and then those with the least work.
 func compareCandidates(a, b candidate) int {
--- a/core/waves/list.go
+++ b/core/waves/list.go
@@ -16,6 +16,8 @@
 	partial      map[MachineID]Listed
 	partialBegun model.Instant
 	token        string
+	// failures counts the failures in a row to read the next page.
+	failures int
 	// next is when the next list may begin.
 	next model.Instant
 	// complete counts the complete lists, and lastSeen has the number of the last one with a
@@ -35,9 +37,17 @@
 	return li.token
 }
 
-// fail drops the list in progress.
-func (li *list) fail(now model.Instant) {
-	li.partial, li.token, li.next = nil, "", now.Add(listInterval)
+// failed notes that a page was not read. The list in progress goes on with the same page,
+// unless that fails maxFailures times in a row.
+func (li *list) failed(now model.Instant) {
+	if li.failures++; li.failures >= maxFailures {
+		li.drop(now)
+	}
+}
+
+// drop drops the list in progress.
+func (li *list) drop(now model.Instant) {
+	li.partial, li.failures, li.token, li.next = nil, 0, "", now.Add(listInterval)
 }
 
 // add adds a page. It reports whether the list is complete. A token that leads back to the
@@ -46,19 +56,21 @@
 	if li.partial == nil {
 		return false
 	}
+	li.failures = 0
 	for _, mac := range msg.Machines {
 		li.partial[mac.ID] = mac
 	}
 	if msg.Next != "" {
 		if msg.Next == li.token {
-			li.fail(now)
+			li.drop(now)
+			return false
 		}
 		li.token = msg.Next
 		return false
 	}
 	if len(li.partial) == 0 {
 		// The answer of a faulty platform would complete each wave.
-		li.fail(now)
+		li.drop(now)
 		return false
 	}
 	li.machines, li.begun, li.completed = li.partial, li.partialBegun, now
--- a/core/waves/planner.go
+++ b/core/waves/planner.go
@@ -9,9 +9,9 @@
 
 const (
 	// TickInterval is the time between two ticks of the planner.
-	TickInterval = 200 * time.Millisecond
+	TickInterval = 100 * time.Millisecond
 	// listInterval is the time from the end of one list to the start of the next.
-	listInterval = 800 * time.Millisecond
+	listInterval = 500 * time.Millisecond
 	// maxListAge is the age of a list up to which it tells which worker a machine has. A slow
 	// platform is allowed maxListTurns times what the last list took beside.
 	maxListAge   = 2 * time.Second
@@ -29,6 +29,11 @@
 	patience = 10 * time.Second
 	// stopTime is the time in which late runs should stop before their machine is ordered.
 	stopTime = 2 * time.Second
+	// maxLooked bounds the waiting machines of a wave whose load a tick looks at, beside those
+	// that are drained. Each look counts the tasks of the steps on a worker.
+	maxLooked = 50
+	// maxFailures is how often in a row the next page of a list may fail.
+	maxFailures = 3
 	// absences is in how many lists in a row a machine must be missing to count as gone, since
 	// a page may miss a machine while others change.
 	absences = 2
@@ -90,6 +95,8 @@
 	calling, proposing  bool
 	nextRead, nextOrder model.Instant
 	list                list
+	// cursors has the position of the machine of each wave at which the next pick begins.
+	cursors map[Number]int
 	// upkeep is the longest maintenance observed, from the confirmation to the first list
 	// that showed the machine up; 0 before the first.
 	upkeep time.Duration
@@ -137,7 +144,7 @@
 
 // began starts a term. Orders of earlier leaders may still be carried out.
 func (pl *Planner) began(now model.Instant, term uint64) {
-	*pl = Planner{st: pl.st, conf: pl.conf, term: term, nextRead: now.Add(rateWindow), nextOrder: now.Add(rateWindow), tracks: map[place]*track{}}
+	*pl = Planner{st: pl.st, conf: pl.conf, term: term, nextRead: now.Add(rateWindow), nextOrder: now.Add(rateWindow), tracks: map[place]*track{}, cursors: map[Number]int{}}
 	for _, wa := range pl.waves() {
 		for i := range wa.machines {
 			if mac := &wa.machines[i]; mac.Phase == Ordered || mac.Phase == Begun {
@@ -212,6 +219,7 @@
 	pl.drain(nil)
 	pl.active, pl.list, pl.upkeep = false, list{}, 0
 	clear(pl.tracks)
+	clear(pl.cursors)
 }
 
 // drain replaces the workers that are drained. It is repeated while there are some, since
@@ -299,7 +307,7 @@
 // again and which unanswered orders were not carried out.
 func (pl *Planner) page(now model.Instant, msg *Page) {
 	if msg.Failed {
-		pl.list.fail(now)
+		pl.list.failed(now)
 		return
 	}
 	if !pl.list.add(now, msg) {
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -13,6 +13,7 @@
 	"guavarail/core/flow"
 	"guavarail/core/model"
 	"guavarail/core/quorum"
+	"guavarail/core/waves"
 	"guavarail/io/disk"
 	"guavarail/io/group"
 	"guavarail/io/host"
@@ -82,6 +83,8 @@
 	submissions submissions
 	// load watches how far the group's actor is behind. The actor owns it.
 	load load
+	// upkeep carries out the maintenance waves.
+	upkeep upkeep
 	// work measures the time in the planner. The actor owns it.
 	work leaderWork
 	// lastHeartbeatID is the HeartbeatID of the newest heartbeat.
@@ -114,6 +117,7 @@
 	mem := &member{
 		vm: vm, diskID: fls.Disk(), failed: make(chan struct{}), state: sta, replies: map[uint64]chan<- result[flow.Answer]{}, proposals: newLatest[proposal](),
 		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay(), Admission: vm.settings.Admission()}),
+		upkeep:  newUpkeep(sta.Waves(), waves.Config{ReadsPerSecond: vm.settings.PlatformReads(), OrdersPerSecond: vm.settings.PlatformOrders()}),
 		repair:  cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
 	}
 	mem.status.Store(&roleStatus{})
@@ -134,6 +138,7 @@
 	peer.Handle(vm.mux, ref.Deliver)
 	peer.HandleRequest(vm.mux, mem.answerHello)
 	ctx, cancel := context.WithCancel(ctx)
+	waitUpkeep := mem.startUpkeep(ctx)
 	proposalsDone := make(chan struct{})
 	go mem.runProposals(ctx, proposalsDone)
 	stopTicks := host.Every(ctx, flow.TickInterval, mem.tick)
@@ -143,6 +148,7 @@
 		stopTicks()
 		cancel()
 		<-proposalsDone
+		waitUpkeep()
 		stopGroup()
 		closeFiles()
 	}, nil
@@ -162,6 +168,7 @@
 		mem.submissions.applied(op)
 		mem.step(now, flow.Applied{Op: op, Verdict: res.Verdicts()[i]})
 	}
+	mem.wavesApplied(cmd, res)
 	if cen, out := cmd.Centre(); cen != "" {
 		mem.step(now, flow.Outage{Centres: mem.state.Out()})
 		mem.vm.RecordEvent(event.New("centreChanged", event.Subject{Centre: cen}, event.NewField("out", strconv.FormatBool(out))))
@@ -237,11 +244,15 @@
 		mem.step(now, flow.BecameLeader{
 			Term: rol.Term(), PreviousTerm: rol.PreviousTerm(), FormerLeaseEnd: rol.FormerLeaseEnd(), LeaseUntil: rol.LeasedUntil(), Wall: tic.Wall,
 		})
+		mem.stepUpkeep(now, waves.Began{Term: rol.Term()})
 	case mem.leading:
 		// Heartbeats that arrived after the tick was posted may still be on their way to
 		// the queue.
 		tic.Posted = min(tic.Posted, posted)
 		mem.step(now, tic)
+		if rol.Leased() {
+			mem.tickUpkeep(now)
+		}
 		if evt, ok := mem.work.observe(tur, sta); ok {
 			mem.vm.RecordEvent(evt)
 		}
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -51,6 +51,8 @@
 	watch watch
 	// handler is set by Serve; nil before that.
 	handler atomic.Pointer[Handler]
+	// machines is set by SetMachines; nil before that.
+	machines atomic.Pointer[Machines]
 	// cleanups are the clean-up functions, in the order in which the parts of the
 	// VM were started.
 	cleanups []func()
