Waves: leave time for the stops and calls of each turn

It also takes lists, commits and calls: 4 s are added now, and half of the time is set aside before the first maintenance was seen.

--- a/core/waves/choose.go
+++ b/core/waves/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"guavarail/core/model"
 )
@@ -179,5 +178,5 @@
 	if upkeep == 0 {
 		upkeep = wa.spec.Duration.Milliseconds() * upkeepPercent / 100 / max(1, turns(len(wa.machines)))
 	}
-	return wa.spec.EndMs - turns(wa.count(Waiting))*(upkeep+int64(stopTime/time.Millisecond))
+	return wa.spec.EndMs - turns(wa.count(Waiting))*(upkeep+turnOverhead.Milliseconds())
 }
--- a/core/waves/planner.go
+++ b/core/waves/planner.go
@@ -34,12 +34,15 @@
 	maxLooked = 50
 	// maxFailures is how often in a row the next page of a list may fail.
 	maxFailures = 3
+	// turnOverhead is what a turn of machines takes beside the maintenance: the stops, and two
+	// lists, commits and calls.
+	turnOverhead = stopTime + 2*time.Second
 	// absences is in how many lists in a row a machine must be missing to count as gone, since
 	// a page may miss a machine while others change.
 	absences = 2
 	// upkeepPercent is the part of the time for each turn of machines that maintenance is
 	// assumed to take, in percent, before the first one has been observed.
-	upkeepPercent = 75
+	upkeepPercent = 50
 )
 
 // Config holds the rates of the platform, in calls per second; 0 selects one.
--- a/core/waves/sim_test.go
+++ b/core/waves/sim_test.go
@@ -55,6 +55,8 @@
 	// faults is the share of calls, in percent, that are lost, slow or refused.
 	faults int
 	limit  int
+	// endless is how many runs on each worker end only when their machine goes down.
+	endless int
 	// silentUntil is until when the platform answers nothing.
 	silentUntil model.Instant
 	orders      []model.Instant
@@ -92,7 +94,7 @@
 func (sm *sim) Load(id model.WorkerID) Load {
 	for mid, mac := range sm.machines {
 		if mac.workerID(mid) == id {
-			return Load{Runs: mac.bounded, Bounded: mac.bounded, Stuck: mac.bounded > 0 && sm.allowance == 0, Blocked: mac.bounded > 0 && len(sm.away) >= sm.allowance}
+			return Load{Runs: mac.bounded + sm.endless, Bounded: mac.bounded, Stuck: mac.bounded > 0 && sm.allowance == 0, Blocked: mac.bounded > 0 && len(sm.away) >= sm.allowance}
 		}
 	}
 	return Load{}
@@ -333,3 +335,21 @@
 		})
 	}
 }
+
+// Guards against a drain that waits for runs for so long that the maintenance ends too late.
+func TestWaveEndsInTime(t *testing.T) {
+	for seed := range uint64(20) {
+		const dur = 20 * time.Second
+		sm := newSim(t, seed, 4, 2)
+		sm.endless, sm.allowance = 1, 4
+		sm.run(time.Second)
+		sm.accept(1, dur)
+		sm.run(dur)
+		sm.wantCompleted(1)
+		for id, mac := range sm.machines {
+			if sm.now.Before(mac.downTo) {
+				t.Errorf("seed %d: %s is down after the end", seed, id)
+			}
+		}
+	}
+}
