--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"net"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -37,6 +38,10 @@
 	// vmMemoryMB, maxFiles and maxPerAddress are 0 if they are not given.
 	vmMemoryMB, maxFiles, maxPerAddress int
 	admission                           bool
+	// platform is empty if it is not given.
+	platform       string
+	platformReads  float64
+	platformOrders float64
 }
 
 // CellListen holds the addresses that a VM of a cell listens on. If the settings
@@ -131,6 +136,16 @@
 // 0 means no bound.
 func (ce Cell) MaxPerAddress() int { return ce.maxPerAddress }
 
+// Platform returns the address (host:port) at which the platform lists and maintains its
+// machines, empty if it is not given.
+func (ce Cell) Platform() string { return ce.platform }
+
+// PlatformReads returns how many reads a second all VMs together may make at the platform.
+func (ce Cell) PlatformReads() float64 { return ce.platformReads }
+
+// PlatformOrders returns how many orders a second all VMs together may send to the platform.
+func (ce Cell) PlatformOrders() float64 { return ce.platformOrders }
+
 // Entries returns the effective value of every key in the order in which they are
 // read.
 func (ce Cell) Entries() []Entry { return append([]Entry(nil), ce.entries...) }
@@ -219,8 +234,47 @@
 	keyVMMemoryMB      = intKey("vmMemoryMb", 0, 0, 1<<20)
 	keyMaxFiles        = intKey("maxFiles", 0, 0, 1<<20)
 	keyMaxPerAddress   = intKey("maxPerAddress", 0, 0, 1<<20)
+	// "platform" is the address of the users' platform, of which the cell is a part.
+	keyPlatform       = platformKey("platform")
+	keyPlatformReads  = rateKey("platformReadsPerS")
+	keyPlatformOrders = rateKey("platformOrdersPerS")
 )
 
+// platformKey returns a key whose value is a host and a port, or an http URL of only these,
+// and may be left out.
+func platformKey(name string) key[string] {
+	return key[string]{
+		name: name, allowed: "a host and a port from 1 to 65535, such as 10.0.0.1:7000",
+		parse: func(text string) (string, bool) {
+			if text == "" {
+				return "", true
+			}
+			text = strings.TrimSuffix(strings.TrimPrefix(text, "http://"), "/")
+			host, port, err := net.SplitHostPort(text)
+			num, numErr := strconv.ParseUint(port, 10, 16)
+			return text, err == nil && numErr == nil && num > 0 && host != "" && !strings.ContainsAny(host, "/?#@ ")
+		},
+		format: func(val string) string { return val },
+	}
+}
+
+// rateKey returns a key whose value is a number of calls per second, which may have a
+// fraction. 0 stands for the default.
+func rateKey(name string) key[float64] {
+	const low, high, standard = 0.01, 1_000_000, 1
+	return key[float64]{
+		name: name, allowed: "0, or 0.01 to 1000000", defaultValue: standard,
+		parse: func(text string) (float64, bool) {
+			val, err := strconv.ParseFloat(text, 64)
+			if err == nil && val == 0 {
+				return standard, true
+			}
+			return val, err == nil && val >= low && val <= high
+		},
+		format: func(val float64) string { return strconv.FormatFloat(val, 'f', -1, 64) },
+	}
+}
+
 // optionalCentreKey returns the key for one element of the list of data centres,
 // which may be left out.
 func optionalCentreKey() key[model.CentreID] {
@@ -287,5 +341,8 @@
 	ce.vmMemoryMB = read(rdr, cellSection, keyVMMemoryMB)
 	ce.maxFiles = read(rdr, cellSection, keyMaxFiles)
 	ce.maxPerAddress = read(rdr, cellSection, keyMaxPerAddress)
+	ce.platform = read(rdr, cellSection, keyPlatform)
+	ce.platformReads = read(rdr, cellSection, keyPlatformReads)
+	ce.platformOrders = read(rdr, cellSection, keyPlatformOrders)
 	return ce
 }
