--- a/core/shed/controller.go
+++ b/core/shed/controller.go
@@ -103,28 +103,6 @@
 	de.retryAfter = max(entryOf(&co.returns, key).book(now, wait, work, sv.rate()), backOff(co.refused.add(now, jo.ID)))
 }
 
-// unlimitedOnTime reports whether a new job would end in its objective if its workspace had
-// no quota.
-func (sv *service) unlimitedOnTime(en *entry, since time.Duration) bool {
-	ro := sv.roomFor(en)
-	end, ok := sv.place(&ro, nil, nil, en.job, since.Seconds())
-	return ok && end <= en.job.Left.Seconds()
-}
-
-// feasible reports whether the job could end in its objective if there were no others. qu is
-// the quota of its workspace, nil for none.
-func (sv *service) feasible(jo *Job, qu *quota) bool {
-	var ro room
-	for i := range spanCount {
-		ro.cpu[i], ro.memory[i], ro.idle[i] = float32(sv.total.cpu), float32(sv.total.memory), float32(sv.total.idle)
-	}
-	if qu != nil {
-		qu = newQuota(qu.total)
-	}
-	end, ok := sv.place(&ro, nil, qu, jo, 0)
-	return ok && end <= jo.Left.Seconds()
-}
-
 // refresh makes the forecast from a view.
 func (co *Controller) refresh(now model.Instant, vi *View) {
 	co.builtAt = now
@@ -233,18 +211,6 @@
 	co.recent = kept
 }
 
-// reuse returns an empty service that uses the buffers of sv, which may be nil.
-func (sv *service) reuse() *service {
-	out := &service{places: map[shape]float64{}, grids: map[string]*grid{}}
-	if sv != nil {
-		clear(sv.entries)
-		out.places, out.grids, out.gridTotal = sv.places, sv.grids, sv.gridTotal
-		out.workers, out.entries, out.before, out.added = sv.workers[:0], sv.entries[:0], sv.before[:0], sv.added[:0]
-		out.packing, out.arrivals = sv.packing, sv.arrivals[:0]
-	}
-	return out
-}
-
 func (co *Controller) sizesOf(kind string) *sizes { return entryOf(&co.kinds, kind) }
 
 // entryOf returns the value of a key, and adds a zero value if there is none.
--- a/core/shed/service.go
+++ b/core/shed/service.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"guavarail/core/model"
 )
@@ -14,19 +15,12 @@
 	// gridTolerance is the part by which the room of the workers may change until it is
 	// counted again how many tasks fit.
 	gridTolerance = 0.02
-	// startDelay is the expected time from when a task may start until it is placed, in
-	// seconds: a commit and a plan.
-	startDelay = 0.05
 	// maxSnapshots bounds the memory for what is free before each accepted job.
 	maxSnapshots = 1024
 	// packingWeight is the weight of the last measurement in the packing.
 	packingWeight = 0.1
 	// minPacking bounds the packing, since right after a loss of runs it is low.
 	minPacking = 0.6
-	// arrivalRamp is the time after which the work that comes first by its priority, and
-	// is expected to arrive, takes its full part of the room, in seconds. The jobs that
-	// have arrived count until then.
-	arrivalRamp = 1.0
 )
 
 // service is the forecast for the workers of one service.
@@ -56,67 +50,6 @@
 	added []addition
 }
 
-// arrival is work that is expected to arrive.
-type arrival struct {
-	priority int
-	filler   bool
-	// upTo holds what the jobs with some work or less hold of the processors on average,
-	// in thousandths, by workBin.
-	upTo [workBins]float64
-}
-
-// shape is what decides how many tasks fit on the workers.
-type shape struct {
-	size      model.Resources
-	label     string
-	perWorker int
-	filler    bool
-}
-
-// entry is an accepted job.
-type entry struct {
-	job *Job
-	// filler is set if any step of the job consists of fillers.
-	filler bool
-	// end is when it is expected to end, in seconds, and known is set if that is known.
-	end   float64
-	known bool
-	// margin is the work in processor seconds that may come before it without making
-	// it late; negative if it is late anyway.
-	margin float64
-}
-
-// addition is a job that was accepted since the forecast was made.
-type addition struct {
-	entry
-	taken room
-}
-
-// compare orders entries as the scheduler orders their jobs. Fillers come after all others,
-// since they use what the others leave.
-func (en *entry) compare(other *entry) int {
-	switch {
-	case en.filler != other.filler:
-		return falseFirst(en.filler, other.filler)
-	case en.job.Priority != other.job.Priority:
-		return cmp.Compare(en.job.Priority, other.job.Priority)
-	case en.job.Late != other.job.Late:
-		return falseFirst(en.job.Late, other.job.Late)
-	}
-	return cmp.Compare(en.job.Rank, other.job.Rank)
-}
-
-// falseFirst compares two booleans and orders false before true.
-func falseFirst(va, vb bool) int {
-	switch {
-	case va == vb:
-		return 0
-	case vb:
-		return -1
-	}
-	return 1
-}
-
 // addWorker adds a worker.
 func (sv *service) addWorker(wk *Worker) {
 	sv.workers = append(sv.workers, *wk)
@@ -162,28 +95,6 @@
 	sv.packing = sv.packed() + packingWeight*(part-sv.packed())
 }
 
-// placesFor returns how many tasks of a step fit on the workers besides long-running
-// tasks.
-func (sv *service) placesFor(st *Step) float64 {
-	key := shape{size: st.Size, label: st.Label, perWorker: st.PerWorker, filler: st.Filler}
-	if num, ok := sv.places[key]; ok {
-		return num
-	}
-	num := sv.gridOf(st.Label).places(st)
-	sv.places[key] = num
-	return num
-}
-
-// gridOf returns the workers with a label; those of all workers if it is empty.
-func (sv *service) gridOf(label string) *grid {
-	gr, ok := sv.grids[label]
-	if !ok {
-		gr = newGrid(sv.workers, label)
-		sv.grids[label] = gr
-	}
-	return gr
-}
-
 // schedule places all entries in order, within the quotas of their workspaces.
 func (sv *service) schedule(quotas map[model.WorkspaceID]*quota) {
 	slices.SortStableFunc(sv.entries, func(en, other entry) int { return en.compare(&other) })
@@ -210,45 +121,6 @@
 	sv.before = append(sv.before, free)
 }
 
-// snapshot is what is free before an accepted job is placed, without what is expected to
-// arrive and to hold so many thousandths of a processor.
-type snapshot struct {
-	room
-	arriving float64
-}
-
-// expect replaces what is expected to arrive.
-func (sn *snapshot) expect(milliCPU float64) {
-	more := milliCPU - sn.arriving
-	if more == 0 {
-		return
-	}
-	sn.arriving = milliCPU
-	for i := range spanCount {
-		part := float32(more * min(1, spanStarts[i]/arrivalRamp))
-		sn.cpu[i] -= part
-		sn.idle[i] -= part
-	}
-}
-
-// arriving returns what holds the processors, in thousandths, that is expected to arrive and
-// comes before a job by its priority and, with smaller, also because it is less work.
-func (sv *service) arriving(en *entry, smaller bool) float64 {
-	sum := 0.0
-	for i := range sv.arrivals {
-		ar := &sv.arrivals[i]
-		switch {
-		case !ar.filler && en.filler || ar.filler == en.filler && ar.priority < en.job.Priority:
-			sum += ar.upTo[workBins-1]
-		case smaller && ar.filler == en.filler && ar.priority == en.job.Priority:
-			if bin := workBin(en.job.Rank); bin > 0 {
-				sum += ar.upTo[bin-1]
-			}
-		}
-	}
-	return sum
-}
-
 // roomFor returns what is free for a new job, by its place in the order.
 func (sv *service) roomFor(own *entry) room {
 	pos, _ := slices.BinarySearchFunc(sv.entries, own, func(en entry, own *entry) int {
@@ -267,71 +139,39 @@
 	return free.room
 }
 
-// place takes what a job needs from a room, adds it to taken unless that is nil, and
-// returns when the job is expected to end, in seconds. It returns false if that is not
-// known: beyond the horizon, or if no worker can hold a task. qu is the quota of its
-// workspace, nil for none.
-func (sv *service) place(ro, taken *room, qu *quota, jo *Job, from float64) (float64, bool) {
-	var buf [16]float64
-	ends := buf[:0]
-	last := 0.0
-	for s := range jo.Steps {
-		st := &jo.Steps[s]
-		end := st.RunningFor.Seconds()
-		if st.Tasks > 0 {
-			ready := from + startDelay
-			for _, dep := range st.After {
-				ready = max(ready, ends[dep]+startDelay)
-			}
-			over, ok := sv.placeStep(ro, taken, qu, st, ready)
-			if !ok {
-				return 0, false
-			}
-			end = max(end, over)
-		}
-		ends = append(ends, end)
-		last = max(last, end)
+// rate returns the work that the workers can do in a second, in processor seconds.
+func (sv *service) rate() float64 { return max(1, sv.total.cpu*sv.packed()/1000) }
+
+// reuse returns an empty service that uses the buffers of sv, which may be nil.
+func (sv *service) reuse() *service {
+	out := &service{places: map[shape]float64{}, grids: map[string]*grid{}}
+	if sv != nil {
+		clear(sv.entries)
+		out.places, out.grids, out.gridTotal = sv.places, sv.grids, sv.gridTotal
+		out.workers, out.entries, out.before, out.added = sv.workers[:0], sv.entries[:0], sv.before[:0], sv.added[:0]
+		out.packing, out.arrivals = sv.packing, sv.arrivals[:0]
 	}
-	return last, true
+	return out
+}
+
+// unlimitedOnTime reports whether a new job would end in its objective if its workspace had
+// no quota.
+func (sv *service) unlimitedOnTime(en *entry, since time.Duration) bool {
+	ro := sv.roomFor(en)
+	end, ok := sv.place(&ro, nil, nil, en.job, since.Seconds())
+	return ok && end <= en.job.Left.Seconds()
 }
 
-// placeStep is place for the tasks of a step that may start at a time. Tasks start as far
-// as there is room, and those of a gang at once.
-func (sv *service) placeStep(ro, taken *room, qu *quota, st *Step, ready float64) (float64, bool) {
-	places := sv.placesFor(st)
-	dur, tasks := st.Duration.Seconds(), float64(st.Tasks)
-	if places == 0 || st.Gang && places < tasks {
-		return 0, false
+// feasible reports whether the job could end in its objective if there were no others. qu is
+// the quota of its workspace, nil for none.
+func (sv *service) feasible(jo *Job, qu *quota) bool {
+	var ro room
+	for i := range spanCount {
+		ro.cpu[i], ro.memory[i], ro.idle[i] = float32(sv.total.cpu), float32(sv.total.memory), float32(sv.total.idle)
 	}
-	left := tasks * dur
-	at := ready
-	for i := spanAt(ready); i < spanCount; i++ {
-		num := math.Floor(min(tasks, ro.fits(i, st, places, sv.total), qu.fits(i, st.Size)))
-		end := spanStarts[i+1]
-		if st.Gang && left == tasks*dur && num < tasks {
-			num = 0
-		} else if st.Gang {
-			num = tasks
-		}
-		done := num*(end-at) >= left
-		if done {
-			end = at + left/num
-		}
-		if num > 0 {
-			part := (end - at) / (spanStarts[i+1] - spanStarts[i])
-			ro.take(i, part, st.Size, st.Filler, num)
-			if taken != nil {
-				taken.take(i, -part, st.Size, st.Filler, num)
-			}
-			left -= num * (end - at)
-		}
-		if done {
-			return max(end, ready+dur), true
-		}
-		at = end
+	if qu != nil {
+		qu = newQuota(qu.total)
 	}
-	return 0, false
+	end, ok := sv.place(&ro, nil, qu, jo, 0)
+	return ok && end <= jo.Left.Seconds()
 }
-
-// rate returns the work that the workers can do in a second, in processor seconds.
-func (sv *service) rate() float64 { return max(1, sv.total.cpu*sv.packed()/1000) }
--- a/core/shed/turns.go
+++ b/core/shed/turns.go
@@ -104,31 +104,6 @@
 	ta.add(now, jo.Work, refused)
 }
 
-// workBins is the number of bins for the work of jobs, in powers of two of a processor
-// second.
-const workBins = 16
-
-// workBin returns the bin of an amount of work, in processor seconds.
-func workBin(work float64) int { return min(workBins-1, max(0, int(math.Log2(max(1, work))))) }
-
-// arrivals returns the work that is expected to arrive: as much as was accepted lately.
-func (tu *turns) arrivals(now model.Instant, priority int) []arrival {
-	var out []arrival
-	for i := range tu.accepted {
-		ar, sum := arrival{priority: priority, filler: i == 1}, 0.0
-		for bin := range workBins {
-			ta := &tu.accepted[i][bin]
-			ta.forget(now)
-			sum += ta.offeredWork / turnWindow * 1000
-			ar.upTo[bin] = sum
-		}
-		if sum > 0 {
-			out = append(out, ar)
-		}
-	}
-	return out
-}
-
 // yields reports whether a job that fits must leave its place to jobs of another size or
 // data centre that have been refused more often. A group is refused at most as often as all
 // would be if each bore its part of the work that was refused.
@@ -162,53 +137,3 @@
 	other.forget(now)
 	return ta.offered >= minOffered && other.offered >= minOffered && ta.rate() < fair && other.rate() > ta.rate()+turnTolerance
 }
-
-// sizes learns how the work of the jobs of a kind is distributed. The zero value has seen
-// none.
-type sizes struct {
-	jobs int
-	mean float64
-	// large and largest are the amounts of work, relative to the mean, that seven and
-	// nine tenths of the jobs do not exceed.
-	large, largest float64
-}
-
-const (
-	// sizeWeight is the weight of a new job in the mean of its kind, and quantileStep by
-	// how much it moves a quantile, relative to the mean.
-	sizeWeight   = 0.02
-	quantileStep = 0.05
-	// minLarge and minLargest are the least work of these classes, relative to the mean, so
-	// that jobs of about the same size are of one class.
-	minLarge, minLargest = 1.2, 1.5
-	// largePart and largestPart are the parts of the jobs below the classes.
-	largePart, largestPart = 0.7, 0.9
-)
-
-// classify returns the class of a job with some work, and learns from it.
-func (si *sizes) classify(work float64) Class {
-	if si.jobs == 0 {
-		si.mean, si.large, si.largest = work, 1.2, 2
-	}
-	si.jobs++
-	si.mean += max(sizeWeight, 1/float64(si.jobs)) * (work - si.mean)
-	ratio := work / max(si.mean, 0.001)
-	class := Usual
-	switch {
-	case ratio > max(si.largest, minLargest):
-		class = Largest
-	case ratio > max(si.large, minLarge):
-		class = Large
-	}
-	si.large = moveQuantile(si.large, ratio, largePart)
-	si.largest = max(si.large, moveQuantile(si.largest, ratio, largestPart))
-	return class
-}
-
-// moveQuantile moves the estimate of a quantile by one sample.
-func moveQuantile(est, sample, part float64) float64 {
-	if sample > est {
-		return est + quantileStep*part
-	}
-	return max(0, est-quantileStep*(1-part))
-}
