--- a/core/shed/arrivals.go
+++ b/core/shed/arrivals.go
@@ -18,7 +18,8 @@
 // workBin returns the bin of an amount of work, in processor seconds.
 func workBin(work float64) int { return min(workBins-1, max(0, int(math.Log2(max(1, work))))) }
 
-// arrivals returns the work that is expected to arrive: as much as was accepted lately.
+// arrivals returns the work that is expected to arrive: as much as was accepted within about
+// turnWindow.
 func (tu *turns) arrivals(now model.Instant, priority int) []arrival {
 	var out []arrival
 	for i := range tu.accepted {
@@ -45,8 +46,9 @@
 	upTo [workBins]float64
 }
 
-// arriving returns what holds the processors, in thousandths, that is expected to arrive and
-// comes before a job by its priority and, with smaller, also because it is less work.
+// arriving returns what the work that is expected to arrive and comes before a job holds of
+// the processors, in thousandths. Work comes before the job by its priority and, if smaller
+// is set, also because it is less.
 func (sv *service) arriving(en *entry, smaller bool) float64 {
 	sum := 0.0
 	for i := range sv.arrivals {
@@ -63,15 +65,16 @@
 	return sum
 }
 
-// snapshot is what is free before an accepted job is placed, without what is expected to
-// arrive and to hold so many thousandths of a processor.
+// snapshot is what is free before an accepted job is placed.
 type snapshot struct {
 	room
+	// arriving is what the work that is expected to arrive holds of the processors, in
+	// thousandths. It is already taken from room.
 	arriving float64
 }
 
-// expect replaces what is expected to arrive.
-func (sn *snapshot) expect(milliCPU float64) {
+// setArriving replaces what is expected to arrive.
+func (sn *snapshot) setArriving(milliCPU float64) {
 	more := milliCPU - sn.arriving
 	if more == 0 {
 		return
--- a/core/shed/controller.go
+++ b/core/shed/controller.go
@@ -13,9 +13,9 @@
 	// refreshInterval is how long a forecast is used. Jobs that are accepted meanwhile
 	// are added to it.
 	refreshInterval = 400 * time.Millisecond
-	// lateWorth is the multiple of its objective within which a late result has some worth.
-	lateWorth = 3.0
-	// appearTimeout is how long an accepted job is counted that the view does not have.
+	// maxLateFactor is the multiple of its objective up to which a late result is of use.
+	maxLateFactor = 3.0
+	// appearTimeout is how long an accepted job counts that is not in the view yet.
 	appearTimeout = time.Second
 )
 
@@ -28,29 +28,30 @@
 	quotas  map[model.WorkspaceID]*quota
 	builtAt model.Instant
 	// recent are the accepted jobs that the view may not have yet.
-	recent  []recentJob
+	recent []recentJob
+	// kinds has the distribution of the work of jobs by Job.Kind.
 	kinds   map[string]*sizes
 	turns   map[turnKey]*turns
 	returns map[turnKey]*returns
 	refused refusals
 }
 
-// recentJob is a job that was accepted at a time.
+// recentJob is an accepted job and the time of its acceptance.
 type recentJob struct {
 	job Job
 	at  model.Instant
 }
 
-// Decide decides whether to accept a job. The caller submits it if it is accepted. look
-// returns the present view; it is called when the forecast is to be made again, and the
-// view must stay as it is until then.
-func (co *Controller) Decide(now model.Instant, look func() *View, jo Job) Decision {
+// Decide decides whether to accept a job. The caller submits it if it is accepted. view
+// returns the present view. It is called when the forecast is made again, and the view must
+// not change until the next call.
+func (co *Controller) Decide(now model.Instant, view func() *View, jo Job) Decision {
 	if co.builtAt == 0 || now.Sub(co.builtAt) >= refreshInterval {
-		co.refresh(now, look())
+		co.refresh(now, view())
 	}
-	de := Decision{class: co.sizesOf(jo.Kind).classify(jo.Work)}
+	de := Decision{class: getOrAdd(&co.kinds, jo.Kind).classify(jo.Work)}
 	key := turnKey{service: jo.Service, priority: jo.Priority}
-	tu := entryOf(&co.turns, key)
+	tu := getOrAdd(&co.turns, key)
 	if sv := co.services[jo.Service]; sv != nil && jo.judgeable() {
 		co.judge(now, sv, &jo, tu, &de)
 	} else {
@@ -83,7 +84,7 @@
 	switch late := en.end - own.Left.Seconds(); {
 	case late > 0 && !sv.feasible(jo, co.quotas[own.Workspace]):
 		de.reason = Unjudged
-	case late > 0 && num == 0 && co.refused.lastReturn(jo.ID) && en.end <= lateWorth*own.Left.Seconds():
+	case late > 0 && num == 0 && co.refused.lastReturn(jo.ID) && en.end <= maxLateFactor*own.Left.Seconds():
 		de.reason = Returned
 	case late > 0 && sv.unlimitedOnTime(&en, since):
 		de.reason, wait = OverQuota, late
@@ -100,7 +101,7 @@
 		return
 	}
 	key := turnKey{service: jo.Service, priority: jo.Priority}
-	de.retryAfter = max(entryOf(&co.returns, key).book(now, wait, work, sv.rate()), backOff(co.refused.add(now, jo.ID)))
+	de.retryAfter = max(getOrAdd(&co.returns, key).book(now, wait, work, sv.rate()), backOff(co.refused.add(now, jo.ID)))
 }
 
 // refresh makes the forecast from a view.
@@ -108,11 +109,11 @@
 	co.builtAt = now
 	co.addWorkers(vi)
 	for _, sv := range co.order {
-		sv.open()
+		sv.resetFree()
 	}
 	for i := range vi.Full {
 		if sv := co.services[vi.Full[i].Service]; sv != nil {
-			sv.measure(&vi.Full[i])
+			sv.recordFull(&vi.Full[i])
 		}
 	}
 	keys := slices.SortedFunc(maps.Keys(co.turns), func(a, b turnKey) int {
@@ -211,10 +212,8 @@
 	co.recent = kept
 }
 
-func (co *Controller) sizesOf(kind string) *sizes { return entryOf(&co.kinds, kind) }
-
-// entryOf returns the value of a key, and adds a zero value if there is none.
-func entryOf[K comparable, V any](all *map[K]*V, key K) *V {
+// getOrAdd returns the value of a key, after adding a zero value if there is none.
+func getOrAdd[K comparable, V any](all *map[K]*V, key K) *V {
 	val, ok := (*all)[key]
 	if !ok {
 		if *all == nil {
--- a/core/shed/displace.go
+++ b/core/shed/displace.go
@@ -1,6 +1,9 @@
 package shed
 
-import "math"
+import (
+	"iter"
+	"math"
+)
 
 // lateGrace is the part of its time by which an accepted job may be expected to be late and
 // still keeps its place.
@@ -32,9 +35,9 @@
 func (sv *service) displaces(own *entry, work float64) (int, float64) {
 	num, wait := 0, math.Inf(1)
 	rate := sv.rate()
-	check := func(en *entry) {
-		if en.job.Priority != own.job.Priority || en.margin < 0 || en.compare(own) < 0 {
-			return
+	for en := range sv.entriesAfter(own) {
+		if en.job.Priority != own.job.Priority || en.margin < 0 {
+			continue
 		}
 		before := work * min(1, en.end/max(own.end, 0.001))
 		if before > en.margin {
@@ -42,27 +45,30 @@
 			wait = min(wait, (before-en.margin)/rate)
 		}
 	}
-	for i := range sv.entries {
-		check(&sv.entries[i])
-	}
-	for i := range sv.added {
-		check(&sv.added[i].entry)
-	}
 	return num, wait
 }
 
+// entriesAfter yields the accepted jobs that do not come before a new one in scheduling order.
+func (sv *service) entriesAfter(own *entry) iter.Seq[*entry] {
+	return func(yield func(*entry) bool) {
+		for i := range sv.entries {
+			if en := &sv.entries[i]; en.compare(own) >= 0 && !yield(en) {
+				return
+			}
+		}
+		for i := range sv.added {
+			if en := &sv.added[i].entry; en.compare(own) >= 0 && !yield(en) {
+				return
+			}
+		}
+	}
+}
+
 // accept records a job that was accepted since the forecast was made. taken is what it takes
 // of the room ro, and work the processor seconds of that.
 func (sv *service) accept(own *entry, work float64, taken, ro *room) {
-	for i := range sv.entries {
-		if en := &sv.entries[i]; en.compare(own) >= 0 {
-			en.margin -= work
-		}
-	}
-	for i := range sv.added {
-		if en := &sv.added[i].entry; en.compare(own) >= 0 {
-			en.margin -= work
-		}
+	for en := range sv.entriesAfter(own) {
+		en.margin -= work
 	}
 	before := *ro
 	before.add(taken)
--- a/core/shed/grid.go
+++ b/core/shed/grid.go
@@ -48,8 +48,8 @@
 	return gr
 }
 
-// places returns how many tasks of a step fit on the workers.
-func (gr *grid) places(st *Step) float64 {
+// slots returns how many tasks of a step fit on the workers.
+func (gr *grid) slots(st *Step) float64 {
 	milli, mem := float64(st.Size.MilliCPU()), float64(st.Size.MemoryMB())
 	sum := 0.0
 	for i := range gr.cells {
--- a/core/shed/holds.go
+++ b/core/shed/holds.go
@@ -12,7 +12,7 @@
 // held is an amount that runs hold, in thousandths of a processor and megabytes.
 type held struct{ cpu, memory, fillers float64 }
 
-// add adds part of an amount.
+// add adds a fraction of an amount.
 func (he *held) add(other held, part float64) {
 	he.cpu += part * other.cpu
 	he.memory += part * other.memory
--- a/core/shed/placement.go
+++ b/core/shed/placement.go
@@ -18,15 +18,15 @@
 	filler    bool
 }
 
-// placesFor returns how many tasks of a step fit on the workers besides long-running
+// slotsFor returns how many tasks of a step fit on the workers besides long-running
 // tasks.
-func (sv *service) placesFor(st *Step) float64 {
+func (sv *service) slotsFor(st *Step) float64 {
 	key := shape{size: st.Size, label: st.Label, perWorker: st.PerWorker, filler: st.Filler}
-	if num, ok := sv.places[key]; ok {
+	if num, ok := sv.slots[key]; ok {
 		return num
 	}
-	num := sv.gridOf(st.Label).places(st)
-	sv.places[key] = num
+	num := sv.gridOf(st.Label).slots(st)
+	sv.slots[key] = num
 	return num
 }
 
@@ -71,15 +71,15 @@
 // placeStep is place for the tasks of a step that may start at a time. Tasks start as far
 // as there is room, and those of a gang at once.
 func (sv *service) placeStep(ro, taken *room, qu *quota, st *Step, ready float64) (float64, bool) {
-	places := sv.placesFor(st)
+	slots := sv.slotsFor(st)
 	dur, tasks := st.Duration.Seconds(), float64(st.Tasks)
-	if places == 0 || st.Gang && places < tasks {
+	if slots == 0 || st.Gang && slots < tasks {
 		return 0, false
 	}
 	left := tasks * dur
 	at := ready
 	for i := spanAt(ready); i < spanCount; i++ {
-		num := math.Floor(min(tasks, ro.fits(i, st, places, sv.total), qu.fits(i, st.Size)))
+		num := math.Floor(min(tasks, ro.fits(i, st, slots, sv.total), qu.fits(i, st.Size)))
 		end := spanStarts[i+1]
 		if st.Gang && left == tasks*dur && num < tasks {
 			num = 0
--- a/core/shed/retry.go
+++ b/core/shed/retry.go
@@ -58,13 +58,13 @@
 // none.
 type refusals struct{ jobs map[model.JobID]refusal }
 
-// refusal counts how often a job was refused, the last time at a time.
+// refusal is how often a job was refused, and when it was last.
 type refusal struct {
 	num int
 	at  model.Instant
 }
 
-// add adds a refusal and returns how often the job has been refused.
+// add records a refusal and returns how often the job has been refused.
 func (re *refusals) add(now model.Instant, id model.JobID) int {
 	if len(re.jobs) >= maxRefused {
 		maps.DeleteFunc(re.jobs, func(_ model.JobID, ref refusal) bool { return now.Sub(ref.at) > refusedRetention })
--- a/core/shed/room.go
+++ b/core/shed/room.go
@@ -15,6 +15,15 @@
 	idle levels
 }
 
+// newRoom returns a room that has an amount in every span.
+func newRoom(am amount) room {
+	var ro room
+	for i := range spanCount {
+		ro.cpu[i], ro.memory[i], ro.idle[i] = float32(am.cpu), float32(am.memory), float32(am.idle)
+	}
+	return ro
+}
+
 // take takes what a number of tasks use in a part of a span.
 func (ro *room) take(span int, part float64, size model.Resources, filler bool, tasks float64) {
 	cpu := float32(float64(size.MilliCPU()) * tasks * part)
@@ -25,7 +34,7 @@
 	ro.memory[span] -= float32(float64(size.MemoryMB()) * tasks * part)
 }
 
-// add returns what another room holds.
+// add adds the amounts of another room.
 func (ro *room) add(other *room) {
 	for i := range ro.cpu {
 		ro.cpu[i] += other.cpu[i]
@@ -34,7 +43,7 @@
 	}
 }
 
-// sub takes what another room holds.
+// sub subtracts the amounts of another room.
 func (ro *room) sub(other *room) {
 	for i := range ro.cpu {
 		ro.cpu[i] -= other.cpu[i]
@@ -43,22 +52,22 @@
 	}
 }
 
-// fits returns how many tasks of a size have room in a span. places is the number
-// that fit on the workers if nothing ends by itself there, and total the room of
-// these workers.
-func (ro *room) fits(span int, st *Step, places float64, total amount) float64 {
+// fits returns how many tasks of a size have room in a span. slots is the number
+// that fit on the workers besides long-running tasks, and total the room of these
+// workers.
+func (ro *room) fits(span int, st *Step, slots float64, total amount) float64 {
 	cpu, sum := ro.cpu[span], total.cpu
 	if st.Filler {
 		cpu, sum = ro.idle[span], total.idle
 	}
 	num := math.Inf(1)
 	if milli := float64(st.Size.MilliCPU()); milli > 0 {
-		num = min(float64(cpu)/milli, places*float64(cpu)/max(1, sum))
+		num = min(float64(cpu)/milli, slots*float64(cpu)/max(1, sum))
 	}
 	if mem := float64(st.Size.MemoryMB()); mem > 0 {
 		num = min(num, float64(ro.memory[span])/mem)
 	}
-	return max(0, min(num, places))
+	return max(0, min(num, slots))
 }
 
 // amount is what the workers of a service have in all.
--- a/core/shed/service.go
+++ b/core/shed/service.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// maxPlaces bounds the shapes of tasks that are kept.
-	maxPlaces = 2000
-	// gridTolerance is the part by which the room of the workers may change until it is
-	// counted again how many tasks fit.
+	// maxShapes bounds the shapes of tasks whose slots are cached.
+	maxShapes = 2000
+	// gridTolerance is the fraction by which the room of the workers may change before the
+	// grids and the slots are computed again.
 	gridTolerance = 0.02
-	// maxSnapshots bounds the memory for what is free before each accepted job.
+	// maxSnapshots bounds the snapshots, and so their memory.
 	maxSnapshots = 1024
 	// packingWeight is the weight of the last measurement in the packing.
 	packingWeight = 0.1
@@ -32,10 +32,10 @@
 	packing float64
 	// arrivals is the work that is expected to arrive.
 	arrivals []arrival
-	// grids has the workers by label, and places caches how many tasks fit on them, by
-	// shape. Both are kept as long as the workers have about the room that they had.
-	grids  map[string]*grid
-	places map[shape]float64
+	// grids has the workers by label, and slots caches how many tasks fit on them, by
+	// shape. Both are kept until the room of the workers changes by gridTolerance.
+	grids map[string]*grid
+	slots map[shape]float64
 	// gridTotal is the room of the workers when the grids were made.
 	gridTotal amount
 	// free is what no run holds, and holds is what runs hold.
@@ -50,7 +50,7 @@
 	added []addition
 }
 
-// addWorker adds a worker.
+// addWorker adds a worker, and its room to the total.
 func (sv *service) addWorker(wk *Worker) {
 	sv.workers = append(sv.workers, *wk)
 	num := float64(wk.Count)
@@ -59,17 +59,16 @@
 	sv.total.idle += num * (float64(wk.Room.MilliCPU()) + wk.IdleMilliCPU)
 }
 
-// open sets what is free to what the workers have.
-func (sv *service) open() {
-	if !near(sv.gridTotal.cpu, sv.total.cpu) || !near(sv.gridTotal.memory, sv.total.memory) || len(sv.places) > maxPlaces {
+// resetFree sets the free room to all that the workers have.
+func (sv *service) resetFree() {
+	if !near(sv.gridTotal.cpu, sv.total.cpu) || !near(sv.gridTotal.memory, sv.total.memory) || len(sv.slots) > maxShapes {
 		clear(sv.grids)
-		clear(sv.places)
+		clear(sv.slots)
 		sv.gridTotal = sv.total
 	}
-	cpu := sv.total.cpu * sv.packed()
-	for i := range spanCount {
-		sv.free.cpu[i], sv.free.memory[i], sv.free.idle[i] = float32(cpu), float32(sv.total.memory), float32(sv.total.idle)
-	}
+	usable := sv.total
+	usable.cpu *= sv.packed()
+	sv.free = newRoom(usable)
 }
 
 // near reports whether an amount differs from another by no more than gridTolerance.
@@ -83,8 +82,8 @@
 	return sv.packing
 }
 
-// measure takes up a measurement of what tasks hold that find no further room.
-func (sv *service) measure(fu *Full) {
+// recordFull records what tasks hold while others find no further room.
+func (sv *service) recordFull(fu *Full) {
 	if fu.Filler {
 		for i := range spanCount {
 			sv.free.idle[i] = min(sv.free.idle[i], float32(fu.MilliCPU))
@@ -106,7 +105,7 @@
 		if i%sv.stride == 0 {
 			sv.before = append(sv.before, free)
 		}
-		free.expect(sv.arriving(en, false))
+		free.setArriving(sv.arriving(en, false))
 		usable := en.usableWork(&free.room)
 		qu := quotas[en.job.Workspace]
 		if qu == nil {
@@ -121,7 +120,7 @@
 	sv.before = append(sv.before, free)
 }
 
-// roomFor returns what is free for a new job, by its place in the order.
+// roomFor returns what is free for a new job at its position in scheduling order.
 func (sv *service) roomFor(own *entry) room {
 	pos, _ := slices.BinarySearchFunc(sv.entries, own, func(en entry, own *entry) int {
 		return cmp.Or(en.compare(own), -1)
@@ -135,7 +134,7 @@
 			free.sub(&sv.added[i].taken)
 		}
 	}
-	free.expect(sv.arriving(own, true))
+	free.setArriving(sv.arriving(own, true))
 	return free.room
 }
 
@@ -144,10 +143,10 @@
 
 // reuse returns an empty service that uses the buffers of sv, which may be nil.
 func (sv *service) reuse() *service {
-	out := &service{places: map[shape]float64{}, grids: map[string]*grid{}}
+	out := &service{slots: map[shape]float64{}, grids: map[string]*grid{}}
 	if sv != nil {
 		clear(sv.entries)
-		out.places, out.grids, out.gridTotal = sv.places, sv.grids, sv.gridTotal
+		out.slots, out.grids, out.gridTotal = sv.slots, sv.grids, sv.gridTotal
 		out.workers, out.entries, out.before, out.added = sv.workers[:0], sv.entries[:0], sv.before[:0], sv.added[:0]
 		out.packing, out.arrivals = sv.packing, sv.arrivals[:0]
 	}
@@ -165,10 +164,7 @@
 // feasible reports whether the job could end in its objective if there were no others. qu is
 // the quota of its workspace, nil for none.
 func (sv *service) feasible(jo *Job, qu *quota) bool {
-	var ro room
-	for i := range spanCount {
-		ro.cpu[i], ro.memory[i], ro.idle[i] = float32(sv.total.cpu), float32(sv.total.memory), float32(sv.total.idle)
-	}
+	ro := newRoom(sv.total)
 	if qu != nil {
 		qu = newQuota(qu.total)
 	}
--- a/core/shed/sizes.go
+++ b/core/shed/sizes.go
@@ -8,6 +8,9 @@
 	// minLarge and minLargest are the least work of these classes, relative to the mean, so
 	// that jobs of about the same size are of one class.
 	minLarge, minLargest = 1.2, 1.5
+	// firstLarge and firstLargest are the first estimates of the quantiles, relative to
+	// the mean.
+	firstLarge, firstLargest = 1.2, 2.0
 	// largePart and largestPart are the parts of the jobs below the classes.
 	largePart, largestPart = 0.7, 0.9
 )
@@ -25,7 +28,7 @@
 // classify returns the class of a job with some work, and learns from it.
 func (si *sizes) classify(work float64) Class {
 	if si.jobs == 0 {
-		si.mean, si.large, si.largest = work, 1.2, 2
+		si.mean, si.large, si.largest = work, firstLarge, firstLargest
 	}
 	si.jobs++
 	si.mean += max(sizeWeight, 1/float64(si.jobs)) * (work - si.mean)
--- a/core/shed/turns.go
+++ b/core/shed/turns.go
@@ -42,7 +42,7 @@
 	ta.at = now
 }
 
-// add counts a decision.
+// add counts a decision on a job with some work.
 func (ta *tally) add(now model.Instant, work float64, refused bool) {
 	ta.forget(now)
 	ta.offered++
@@ -53,7 +53,7 @@
 	}
 }
 
-// rate returns which part of the jobs were refused.
+// rate returns the fraction of the jobs that were refused.
 func (ta *tally) rate() float64 { return ta.refused / max(1, ta.offered) }
 
 // turnKey names jobs with an equal right.
@@ -68,13 +68,14 @@
 	all     tally
 	classes [classCount]tally
 	centres map[model.CentreID]*tally
-	// accepted counts accepted jobs by their work: those without fillers, and with them.
+	// accepted counts accepted jobs by their work: at 0 those without fillers, at 1 those
+	// with them.
 	accepted [2][workBins]tally
 	// shortAt is when the forecast last refused a job; 0 for never.
 	shortAt model.Instant
 }
 
-// count counts a decision. A job that is refused because of its own quota says nothing about
+// count records a decision. A job that is refused because of its own quota says nothing about
 // the room for others.
 func (tu *turns) count(now model.Instant, jo *Job, de Decision) {
 	if de.reason == OverQuota {
@@ -93,15 +94,7 @@
 	}
 	tu.all.add(now, jo.Work, refused)
 	tu.classes[de.class].add(now, jo.Work, refused)
-	ta, ok := tu.centres[jo.Centre]
-	if !ok {
-		if tu.centres == nil {
-			tu.centres = map[model.CentreID]*tally{}
-		}
-		ta = &tally{}
-		tu.centres[jo.Centre] = ta
-	}
-	ta.add(now, jo.Work, refused)
+	getOrAdd(&tu.centres, jo.Centre).add(now, jo.Work, refused)
 }
 
 // yields reports whether a job that fits must leave its place to jobs of another size or
