flow: build the view of the forecast in a file and in steps of its own

Renames: look to buildView, lookAtRun, lookAtJob, lookAtRestarts and lookAtQuotas to addRunToView, addJobToView, addRestartsToView and addQuotasToView, lookAtStep to setStepState, admission.use to addUse, admission.looks to views, stepProgress.look to view, maxLookedAt to maxViewRuns, unknownDivisor to maxUnknownDivisor.

--- a/core/flow/admission_test.go
+++ b/core/flow/admission_test.go
@@ -385,7 +385,7 @@
 	ld.sim.submit("huge", StepSpec{Tasks: 2000, Size: size.Scale(50), Estimate: time.Second})
 	ld.sim.submit("gang", StepSpec{Tasks: 2000, Size: size, Estimate: time.Second, Gang: true})
 	ld.sim.run(model.Instant(6 * time.Second))
-	if vi := ld.sim.leader.pl.look(ld.sim.now); len(vi.Full) > 0 || len(vi.Jobs) != 3 {
+	if vi := ld.sim.leader.pl.buildView(ld.sim.now); len(vi.Full) > 0 || len(vi.Jobs) != 3 {
 		t.Errorf("%d jobs wait, full: %+v", len(vi.Jobs), vi.Full)
 	}
 }
--- a/core/flow/runtimes.go
+++ b/core/flow/runtimes.go
@@ -23,7 +23,7 @@
 	minProgress = 20
 )
 
-// runTimeKey names tasks whose declared durations are expected to be wrong alike.
+// runTimeKey identifies tasks whose declared durations are expected to have similar errors.
 type runTimeKey struct {
 	queue  string
 	filler bool
@@ -38,7 +38,7 @@
 	declared, measured, spread, common float64
 }
 
-// add adds a run.
+// add adds the measured duration of a run, within bounds.
 func (rt *runTime) add(declared, measured time.Duration) {
 	x := declared.Seconds()
 	y := min(max(measured.Seconds(), x/maxRunTimeRatio), usualStartTime+maxRunTimeRatio*x)
@@ -92,11 +92,11 @@
 // stepProgress is what the runs of a step tell about it. The zero value is that of a step
 // without runs.
 type stepProgress struct {
-	// look is the number of the view for which the runs were looked at.
-	look int
+	// view is the number of the view for which the runs were added, see admission.views.
+	view int
 	// until is the expected time until all of them have ended.
 	until time.Duration
-	// sum is the expected run time of num of them in total.
+	// sum is the total of the expected run times of num of them, those with minProgress.
 	sum time.Duration
 	num int
 }
