buffer: split budget.go and room.go by job

Renames: Budget.claim to mayClose, choose to markClosing, the parameter light of evictConnection to lightFirst.

--- a/core/buffer/budget.go
+++ b/core/buffer/budget.go
@@ -2,7 +2,7 @@
 
 import "container/list"
 
-// Class is a kind of clients.
+// Class is a kind of client.
 type Class int
 
 // Classes of clients.
@@ -26,7 +26,7 @@
 	// Connections bounds the open connections of all classes, and PerAddress those of
 	// callers from one address.
 	Connections, PerAddress int
-	// Claim is asked before a holder is chosen to be closed. With nil, every holder may be.
+	// Claim is called before a holder is chosen to be closed; nil permits all.
 	Claim Claim
 }
 
@@ -79,12 +79,20 @@
 	held, freeing, wanted int64
 	// open is the number of its connections, and closing that of those to be closed.
 	open, closing int
-	// heavy has the holders with more than BaseBytes, those first that have had no more
-	// memory for the longest time. light has the others, those first that have been there
-	// for the longest time or that were not asked by Claim for the longest time.
+	// heavy has the holders with more than BaseBytes, in the order in which they last got
+	// memory. light has the others, in the order in which they joined it or evictLight
+	// last passed over them.
 	heavy, light list.List
 }
 
+// listOf returns the list that has a holder.
+func (cl *class) listOf(ho *holder) *list.List {
+	if ho.heavy {
+		return &cl.heavy
+	}
+	return &cl.light
+}
+
 // holder is a holder of memory. The element is in the list of its class that matches
 // held.
 type holder struct {
@@ -99,8 +107,9 @@
 	wanted int64
 	// closing is set once the holder has been chosen to be closed.
 	closing bool
-	element *list.Element
+	// heavy is set if element is in class.heavy.
 	heavy   bool
+	element *list.Element
 }
 
 // New returns a budget.
@@ -112,6 +121,7 @@
 // Open returns the number of open connections.
 func (bu *Budget) Open() int { return bu.open }
 
+// heldBy returns the memory that the holders of a class have.
 func (bu *Budget) heldBy(cl Class) int64 { return bu.classes[cl].held }
 
 // Connect adds a connection. It returns false if the connection must be closed, and
@@ -147,7 +157,7 @@
 // Enter adds a message, which holds nothing yet.
 func (bu *Budget) Enter(id ID, cl Class) { bu.add(&holder{id: id, class: cl}) }
 
-// add adds a holder.
+// add adds a holder to its class.
 func (bu *Budget) add(ho *holder) {
 	if bu.holders == nil {
 		bu.holders = map[ID]*holder{}
@@ -158,89 +168,6 @@
 	ho.element = cl.light.PushBack(ho)
 }
 
-// Reserve gives a holder more memory. The returned holders must be closed to make room.
-// A holder that waits must not reserve.
-func (bu *Budget) Reserve(id ID, amount int64) (Verdict, []ID) {
-	ho := bu.holders[id]
-	if ho == nil || ho.closing {
-		return Refused, nil
-	}
-	if bu.classes[ho.class].wanted == 0 && amount <= bu.room(ho.class) {
-		bu.grant(ho, amount)
-		return Granted, nil
-	}
-	if amount+ho.held > bu.classLimit() {
-		return Refused, nil
-	}
-	closes := bu.evict(ho.class, bu.missing(ho.class, amount), ho)
-	ho.wanted = amount
-	bu.classes[ho.class].wanted += amount
-	bu.waiting = append(bu.waiting, ho)
-	return Waiting, closes
-}
-
-// grant gives a holder memory.
-func (bu *Budget) grant(ho *holder, amount int64) {
-	cl := &bu.classes[ho.class]
-	ho.held += amount
-	cl.held += amount
-	switch {
-	case ho.heavy:
-		cl.heavy.MoveToBack(ho.element)
-	case ho.held > BaseBytes:
-		cl.light.Remove(ho.element)
-		ho.heavy, ho.element = true, cl.heavy.PushBack(ho)
-	}
-}
-
-// Abandon ends the wait of a holder. It returns the holders that have got the memory that
-// they wait for.
-func (bu *Budget) Abandon(id ID) []ID {
-	ho := bu.holders[id]
-	if ho == nil || ho.wanted == 0 {
-		return nil
-	}
-	bu.stopWaiting(ho)
-	return bu.grantWaiting()
-}
-
-// stopWaiting removes a holder from those that wait.
-func (bu *Budget) stopWaiting(ho *holder) {
-	if ho.wanted == 0 {
-		return
-	}
-	bu.classes[ho.class].wanted -= ho.wanted
-	ho.wanted = 0
-	for pos, other := range bu.waiting {
-		if other == ho {
-			bu.waiting = append(bu.waiting[:pos], bu.waiting[pos+1:]...)
-			return
-		}
-	}
-}
-
-// Settle releases what a holder has above BaseBytes, at the end of a request. It returns
-// the holders that have got the memory that they wait for.
-func (bu *Budget) Settle(id ID) []ID {
-	ho := bu.holders[id]
-	if ho == nil {
-		return nil
-	}
-	bu.stopWaiting(ho)
-	cl := &bu.classes[ho.class]
-	if !ho.heavy {
-		return nil
-	}
-	excess := ho.held - BaseBytes
-	ho.held, cl.held = BaseBytes, cl.held-excess
-	if ho.closing {
-		cl.freeing -= excess
-	}
-	cl.heavy.Remove(ho.element)
-	ho.heavy, ho.element = false, cl.light.PushBack(ho)
-	return bu.grantWaiting()
-}
-
 // Close removes a holder. It returns the holders that have got the memory that they wait
 // for.
 func (bu *Budget) Close(id ID) []ID {
@@ -251,11 +178,7 @@
 	delete(bu.holders, id)
 	bu.stopWaiting(ho)
 	cl := &bu.classes[ho.class]
-	if ho.heavy {
-		cl.heavy.Remove(ho.element)
-	} else {
-		cl.light.Remove(ho.element)
-	}
+	cl.listOf(ho).Remove(ho.element)
 	cl.held -= ho.held
 	if ho.closing {
 		cl.freeing -= ho.held
@@ -282,40 +205,7 @@
 	}
 }
 
-// grantWaiting gives memory to those that wait, as far as there is room. In each class
-// none overtakes another.
-func (bu *Budget) grantWaiting() []ID {
-	if len(bu.waiting) == 0 {
-		return nil
-	}
-	var granted []ID
-	var full [classes]bool
-	rest := bu.waiting[:0]
-	for _, ho := range bu.waiting {
-		cl := &bu.classes[ho.class]
-		if full[ho.class] || ho.wanted > bu.room(ho.class) {
-			full[ho.class] = true
-			rest = append(rest, ho)
-			continue
-		}
-		cl.wanted -= ho.wanted
-		amount := ho.wanted
-		ho.wanted = 0
-		bu.grant(ho, amount)
-		granted = append(granted, ho.id)
-	}
-	clear(bu.waiting[len(rest):])
-	bu.waiting = rest
-	return granted
-}
-
-// Waits reports whether a holder waits for memory.
-func (bu *Budget) Waits(id ID) bool {
-	ho := bu.holders[id]
-	return ho != nil && ho.wanted > 0
-}
-
-// Closing reports whether a holder has been chosen to be closed.
+// Closing reports whether a holder has been chosen to be closed, or is unknown.
 func (bu *Budget) Closing(id ID) bool {
 	ho := bu.holders[id]
 	return ho == nil || ho.closing
--- a/core/buffer/room.go
+++ b/core/buffer/evict.go
@@ -1,68 +1,25 @@
 package buffer
 
-const (
-	// classDivisor is the share of the memory that one class may have. Callers and control
-	// together may have outsideNumerator/outsideDivisor of it. So links between VMs always
-	// have a quarter, and control has one that callers cannot use.
-	classDivisor     = 2
-	outsideNumerator = 3
-	outsideDivisor   = 4
-	// keptSlotsDivisor is the share of the connections that callers cannot use.
-	keptSlotsDivisor = 8
-	// overshootDivisor is the share by which connections that are being closed may exceed a
-	// bound, so that new ones need not wait for their end.
-	overshootDivisor = 16
-	// unbounded stands for memory without a bound.
-	unbounded = int64(1) << 60
-)
-
-// classLimit returns the memory that one class may have at most.
-func (bu *Budget) classLimit() int64 {
-	if bu.cfg.Memory == 0 {
-		return unbounded
-	}
-	return bu.cfg.Memory / classDivisor
-}
-
-// room returns the memory that a class may still get, which is negative while connections
-// that are being closed exceed a bound.
-func (bu *Budget) room(cl Class) int64 {
-	if bu.cfg.Memory == 0 {
-		return unbounded
-	}
-	out := min(bu.classLimit()-bu.heldBy(cl), bu.cfg.Memory-bu.Held())
-	if cl != VMs {
-		out = min(out, bu.cfg.Memory*outsideNumerator/outsideDivisor-bu.heldBy(Callers)-bu.heldBy(Control))
-	}
-	return out
-}
-
-// missing returns the memory that a class lacks for an amount, besides what is being freed
-// and what its holders wait for.
-func (bu *Budget) missing(cl Class, amount int64) int64 {
-	return amount + bu.classes[cl].wanted - bu.classes[cl].freeing - bu.room(cl)
-}
-
-// evict chooses holders of a class with more than BaseBytes, except one, until they free
-// an amount or there are no more.
+// evict marks holders of a class with more than BaseBytes as ones to be closed, except one,
+// until they free an amount or there are no more.
 func (bu *Budget) evict(cl Class, amount int64, except *holder) []ID {
 	var out []ID
 	for el := bu.classes[cl].heavy.Front(); el != nil && amount > 0; el = el.Next() {
-		if ho := el.Value.(*holder); ho != except && bu.claim(ho, false) {
+		if ho := el.Value.(*holder); ho != except && bu.mayClose(ho, false) {
 			amount -= ho.held
-			out = append(out, bu.choose(ho))
+			out = append(out, bu.markClosing(ho))
 		}
 	}
 	return out
 }
 
-// claim reports whether a holder may be chosen to be closed.
-func (bu *Budget) claim(ho *holder, idle bool) bool {
+// mayClose reports whether a holder may be chosen to be closed.
+func (bu *Budget) mayClose(ho *holder, idle bool) bool {
 	return !ho.closing && (bu.cfg.Claim == nil || bu.cfg.Claim(ho.id, idle))
 }
 
-// choose marks a holder as one to be closed.
-func (bu *Budget) choose(ho *holder) ID {
+// markClosing marks a holder as one to be closed, and returns its ID.
+func (bu *Budget) markClosing(ho *holder) ID {
 	ho.closing = true
 	bu.stopWaiting(ho)
 	cl := &bu.classes[ho.class]
@@ -76,14 +33,14 @@
 
 // evictConnection chooses a connection of a class: of those with no more than BaseBytes
 // one without requests, or of the others the one that has had no more memory for the
-// longest time. light says which of them are asked first.
-func (bu *Budget) evictConnection(cl Class, light bool) ([]ID, bool) {
-	for _, fromLight := range []bool{light, !light} {
-		choose := bu.evictHeavy
+// longest time. lightFirst says which of them are tried first.
+func (bu *Budget) evictConnection(cl Class, lightFirst bool) ([]ID, bool) {
+	for _, fromLight := range []bool{lightFirst, !lightFirst} {
+		evict := bu.evictHeavy
 		if fromLight {
-			choose = bu.evictLight
+			evict = bu.evictLight
 		}
-		if id, ok := choose(&bu.classes[cl]); ok {
+		if id, ok := evict(&bu.classes[cl]); ok {
 			return []ID{id}, true
 		}
 	}
@@ -93,8 +50,8 @@
 // evictHeavy chooses a connection with more than BaseBytes.
 func (bu *Budget) evictHeavy(cl *class) (ID, bool) {
 	for el := cl.heavy.Front(); el != nil; el = el.Next() {
-		if ho := el.Value.(*holder); ho.connection && bu.claim(ho, false) {
-			return bu.choose(ho), true
+		if ho := el.Value.(*holder); ho.connection && bu.mayClose(ho, false) {
+			return bu.markClosing(ho), true
 		}
 	}
 	return 0, false
@@ -106,8 +63,8 @@
 	for range 2 * cl.light.Len() {
 		el := cl.light.Front()
 		ho := el.Value.(*holder)
-		if ho.connection && bu.claim(ho, true) {
-			return bu.choose(ho), true
+		if ho.connection && bu.mayClose(ho, true) {
+			return bu.markClosing(ho), true
 		}
 		cl.light.MoveToBack(el)
 	}
@@ -128,7 +85,7 @@
 	return bu.evictConnection(cl, false)
 }
 
-// freeSlot makes room for a connection among the connections.
+// freeSlot makes room for a connection within the bounds of their number.
 func (bu *Budget) freeSlot(cl Class) ([]ID, bool) {
 	limit := bu.cfg.Connections
 	if limit == 0 {
--- /dev/null
+++ b/core/buffer/limits.go
@@ -0,0 +1,44 @@
+package buffer
+
+const (
+	// classDivisor is the share of the memory that one class may have. Callers and control
+	// together may have outsideNumerator/outsideDivisor of it. So links between VMs always
+	// have a quarter, and control has one that callers cannot use.
+	classDivisor     = 2
+	outsideNumerator = 3
+	outsideDivisor   = 4
+	// keptSlotsDivisor is the share of the connections that callers cannot use.
+	keptSlotsDivisor = 8
+	// overshootDivisor is the share by which connections that are being closed may exceed a
+	// bound, so that new ones need not wait for their end.
+	overshootDivisor = 16
+	// unbounded stands for memory without a bound.
+	unbounded = int64(1) << 60
+)
+
+// classLimit returns the memory that one class may have at most.
+func (bu *Budget) classLimit() int64 {
+	if bu.cfg.Memory == 0 {
+		return unbounded
+	}
+	return bu.cfg.Memory / classDivisor
+}
+
+// room returns the memory that a class may still get, which is negative while connections
+// that are being closed exceed a bound.
+func (bu *Budget) room(cl Class) int64 {
+	if bu.cfg.Memory == 0 {
+		return unbounded
+	}
+	out := min(bu.classLimit()-bu.heldBy(cl), bu.cfg.Memory-bu.Held())
+	if cl != VMs {
+		out = min(out, bu.cfg.Memory*outsideNumerator/outsideDivisor-bu.heldBy(Callers)-bu.heldBy(Control))
+	}
+	return out
+}
+
+// missing returns the memory that a class lacks for an amount, besides what is being freed
+// and what its holders wait for.
+func (bu *Budget) missing(cl Class, amount int64) int64 {
+	return amount + bu.classes[cl].wanted - bu.classes[cl].freeing - bu.room(cl)
+}
