--- a/core/flow/explain.go
+++ b/core/flow/explain.go
@@ -207,7 +207,7 @@
 	if counts[noCapacity] > 0 {
 		pairs = append(pairs, short.pairs()...)
 	}
-	if rs.lent {
+	if rs.beyondShare {
 		pairs = append(pairs, "reason", "share", "workspace", string(rs.job.spec.Workspace))
 	}
 	if rs.spec.LongRunning {
@@ -219,9 +219,8 @@
 	pl.recordEvent("tasksWait", id.job, id.String(), "", pairs...)
 }
 
-// recordQuotaWait records an event for a step that waits for the quota of its workspace,
-// as often as recordWait. A gang that exceeds the whole quota waits until
-// that changes.
+// recordQuotaWait records an event for a step that waits for the quota of its workspace, as
+// often as recordWait. A gang that exceeds the whole quota waits until the quota changes.
 func (pl *Planner) recordQuotaWait(now model.Instant, rs *readyStep, id TaskID) {
 	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval || !pl.explain.permit(now, len(pl.workers.sorted)) {
 		return
@@ -235,8 +234,9 @@
 		"exceedsQuota", strconv.FormatBool(!cu.CanEverHave(need)))
 }
 
-// recordHeldBack records an event for a new long-running task that would take the
-// room which endangered ones need or ordinary ones ask for, at most once per job and waitEventInterval.
+// recordHeldBack records an event for a new long-running task that would take the room which
+// endangered ones need or ordinary ones ask for, at most once per job and
+// waitEventInterval.
 func (pl *Planner) recordHeldBack(now model.Instant, rs *readyStep, id TaskID) {
 	if rs.job.waitRecordedAt > 0 && now.Sub(rs.job.waitRecordedAt) < waitEventInterval {
 		return
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -67,9 +67,8 @@
 // JobSpec is the input of NewJob.
 type JobSpec struct {
 	ID model.JobID
-	// Queue identifies the queue that accepted the job; a name would not, since a
-	// configuration may change it. Service is the pool
-	// whose workers run the tasks.
+	// Queue is the key of the queue that accepted the job, since a configuration may
+	// change its name. Service is the pool whose workers run the tasks.
 	Queue   string
 	Service model.ServiceID
 	// Workspace is the customer who owns the job, "" for none.
--- a/core/flow/order.go
+++ b/core/flow/order.go
@@ -56,8 +56,9 @@
 	overQuota bool
 	// quotaTurn is set for a step that has the quota turn of its workspace.
 	quotaTurn bool
-	// lent is set once the step may use what workspaces below their fair share have left.
-	lent bool
+	// beyondShare is set once the step may use what workspaces below their fair share have
+	// left.
+	beyondShare bool
 }
 
 // wants reports whether rs is meant to place a task now.
@@ -68,8 +69,9 @@
 // readySteps returns the ready steps in scheduling order: urgent restarts, then
 // by priority, then restarts of long-running tasks, those that have waited
 // longest before the others, then overdue steps, those with the oldest turns
-// first, then steps with the quota turn of their workspace, then long-running steps, then jobs that can still meet their objective,
-// then by rank. The result is valid until the next call.
+// first, then steps with the quota turn of their workspace, then long-running
+// steps, then jobs that can still meet their objective, then by rank. The result
+// is valid until the next call.
 func (pl *Planner) readySteps(now model.Instant) []readyStep {
 	wall := pl.wall(now)
 	out := pl.sorter.collected[:0]
@@ -119,7 +121,7 @@
 			job: jb, occ: occ, occurrenceIndex: k, step: s, spec: spec, slack: jb.Objective() - age - jb.chainFrom[s], starved: starved,
 			rank: stepRank(work, age, jb.Objective()), waitingSince: occ.steps[s].waitingSince, seat: pl.seatOf(jb),
 		}
-		pl.ask(now, &rs)
+		pl.requestShare(now, &rs)
 		if own := occ.steps[s].turn; own != nil && !rs.overQuota {
 			own.ready, rs.overdue, rs.turnSince = true, true, own.since
 		}
--- a/core/flow/placement.go
+++ b/core/flow/placement.go
@@ -31,7 +31,7 @@
 			return
 		}
 		last := i+1 == len(steps) || steps[i+1].job.spec.Priority != rs.job.spec.Priority
-		if last && len(pl.postponed) > 0 && !pl.lend(now) {
+		if last && len(pl.postponed) > 0 && !pl.startPostponed(now) {
 			pl.dirty = pl.bound.end(i+1, len(steps))
 			return
 		}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -170,8 +170,8 @@
 	unlabelled map[suitability]bool
 	// candidates is scratch space of claimCandidates.
 	candidates []claimCandidate
-	// sharing is set if there are terms by which workspaces share the workers. round then
-	// has what the current plan may start of each.
+	// sharing is set if any workspace has terms. round then decides what the current plan
+	// may start for each workspace.
 	sharing bool
 	round   *share.Round[model.ServiceID, model.WorkspaceID]
 	// roundTerms is State.termsSet of the terms of round.
--- a/core/flow/shareuse.go
+++ b/core/flow/shareuse.go
@@ -10,15 +10,16 @@
 )
 
 const (
-	// useEventInterval is the time between two times at which events about the use of
-	// workspaces are recorded, and maxUseEvents bounds the events each time.
+	// useEventInterval is the interval at which events about the use of workspaces are
+	// recorded, and maxUseEvents bounds the events each time.
 	useEventInterval = time.Second
 	maxUseEvents     = 20
 )
 
-// heldSteps counts the steps of a workspace that a plan has held back: because they wait for
-// the quota, and until other workspaces have had their turn.
+// heldSteps counts the steps of a workspace that a plan has held back.
 type heldSteps struct {
+	// quota counts those that wait for the quota, and share those that were postponed
+	// until the steps of other workspaces had been placed.
 	quota, share int
 }
 
@@ -37,7 +38,7 @@
 }
 
 // recordUses records an event for each workspace of which the last plan has held back steps,
-// those with the most steps first, at most maxUseEvents once in useEventInterval.
+// those with the most steps first, at most maxUseEvents in each useEventInterval.
 func (pl *Planner) recordUses(now model.Instant) {
 	if len(pl.heldSteps) == 0 || now.Sub(pl.usesRecordedAt) < useEventInterval {
 		return
--- a/core/flow/silence.go
+++ b/core/flow/silence.go
@@ -78,8 +78,7 @@
 }
 
 // probe is a heartbeat of a silent worker that was answered at once, without a lease, or of
-// an unproven one that was answered without a new lease.
-// The zero value is none.
+// an unproven one that was answered without a new lease. The zero value is none.
 type probe struct {
 	// number counts the heartbeats since the worker was found silent.
 	number int
--- a/core/flow/workspace.go
+++ b/core/flow/workspace.go
@@ -1,13 +1,11 @@
 package flow
 
 import (
-	"cmp"
-
 	"guavarail/core/model"
 	"guavarail/core/share"
 )
 
-// poolCustomer names a workspace on the workers of a service.
+// poolCustomer identifies a workspace on the workers of a service.
 type poolCustomer struct {
 	service   model.ServiceID
 	workspace model.WorkspaceID
@@ -16,7 +14,8 @@
 // seat is the seat of a workspace among the workers of a service in a plan.
 type seat = share.Seat
 
-// countUse adds by, 1 or -1, runs of a step to what the workspace of its job has in use.
+// countUse adds a run of a step to what the workspace of its job has in use, or removes it:
+// by is 1 or -1.
 func (st *State) countUse(jb *job, spec *StepSpec, by int) {
 	if jb.spec.Workspace != "" {
 		st.used.Add(jb.spec.Workspace, sumOf(spec.Size, by), false)
@@ -84,7 +83,7 @@
 // service, and if so remembers the step. Restarts of long-running tasks and steps that have
 // an overdue turn don't wait.
 func (pl *Planner) postpone(rs *readyStep) bool {
-	if rs.seat == nil || rs.lent || rs.restart || rs.overdue || rs.seat.BelowShare(rs.job.spec.Priority) {
+	if rs.seat == nil || rs.beyondShare || rs.restart || rs.overdue || rs.seat.BelowShare(rs.job.spec.Priority) {
 		return false
 	}
 	pl.postponed = append(pl.postponed, *rs)
@@ -92,13 +91,13 @@
 	return true
 }
 
-// lend places the postponed steps of a priority on what the other steps have left. It returns
-// false if the plan must end.
-func (pl *Planner) lend(now model.Instant) bool {
+// startPostponed places the postponed steps of a priority on what the other steps have left.
+// It returns false if the plan must end.
+func (pl *Planner) startPostponed(now model.Instant) bool {
 	ended := false
 	for i := range pl.postponed {
 		rs := &pl.postponed[i]
-		rs.lent = true
+		rs.beyondShare = true
 		if !ended && !pl.bound.skips(rs.position, rs) {
 			pl.startStep(now, rs)
 			ended = pl.bound.over(rs.position)
@@ -121,9 +120,9 @@
 	return jb.seat
 }
 
-// ask adds the waiting tasks of a step to what its workspace asks for, and sets whether the
-// step waits for its quota.
-func (pl *Planner) ask(now model.Instant, rs *readyStep) {
+// requestShare adds the waiting tasks of a step to what its workspace asks for, and sets
+// whether the step waits for its quota.
+func (pl *Planner) requestShare(now model.Instant, rs *readyStep) {
 	if rs.seat == nil {
 		return
 	}
@@ -135,62 +134,6 @@
 	pl.chooseQuotaTurn(now, rs)
 }
 
-// quotaTurn lets a step go first in its priority, and keeps quota for it from other work of its
-// workspace of the same priority and below.
-type quotaTurn struct {
-	step     *step
-	priority int
-	seat     *seat
-	need     model.Resources
-}
-
-// chooseQuotaTurn gives the quota turn of the workspace to a step if it has waited for quota
-// for overdueAfter, and longest, also when the quota has room for it now. Otherwise smaller
-// tasks would use each part of the quota that becomes free. A step gets no turn if it needs
-// more than Hold can keep.
-func (pl *Planner) chooseQuotaTurn(now model.Instant, rs *readyStep) {
-	sp := rs.state()
-	if sp.quotaSince == 0 && rs.overQuota {
-		sp.quotaSince = now
-	}
-	if sp.quotaSince == 0 || now.Sub(sp.quotaSince) < overdueAfter || !rs.seat.Customer().CanHold(rs.quotaNeed()) {
-		return
-	}
-	own, ok := pl.quotaTurns[rs.job.spec.Workspace]
-	if ok && cmp.Or(cmp.Compare(own.priority, rs.job.spec.Priority), cmp.Compare(own.step.quotaSince, sp.quotaSince)) <= 0 {
-		return
-	}
-	if pl.quotaTurns == nil {
-		pl.quotaTurns = map[model.WorkspaceID]quotaTurn{}
-	}
-	pl.quotaTurns[rs.job.spec.Workspace] = quotaTurn{step: sp, priority: rs.job.spec.Priority, seat: rs.seat, need: rs.quotaNeed()}
-}
-
-// hasQuotaTurn reports whether the step has the quota turn of its workspace.
-func (pl *Planner) hasQuotaTurn(rs *readyStep) bool {
-	return rs.seat != nil && pl.quotaTurns[rs.job.spec.Workspace].step == rs.state()
-}
-
-// markQuotaTurns marks the steps that have a quota turn.
-func (pl *Planner) markQuotaTurns(steps []readyStep) {
-	if len(pl.quotaTurns) == 0 {
-		return
-	}
-	for i := range steps {
-		steps[i].quotaTurn = pl.hasQuotaTurn(&steps[i])
-	}
-}
-
-// holdQuotaTurns keeps quota for the steps of a priority that have the quota turn of their
-// workspace.
-func (pl *Planner) holdQuotaTurns(priority int) {
-	for _, own := range pl.quotaTurns {
-		if own.priority == priority {
-			own.seat.Hold(own.need)
-		}
-	}
-}
-
 // quotaNeed returns what the next start of the step needs of the quota: a gang starts as a
 // whole.
 func (rs *readyStep) quotaNeed() model.Resources {
@@ -251,10 +194,11 @@
 	rs.resetWaits(now)
 	rs.holdQuota()
 	pl.heldStepsOf(rs).quota++
-	if sp := rs.state(); sp.quotaSince == 0 {
+	sp := rs.state()
+	if sp.quotaSince == 0 {
 		sp.quotaSince = now
 	}
-	if sp := rs.state(); sp.claims > 0 {
+	if sp.claims > 0 {
 		sp.claims = 0
 		for _, wk := range pl.room.workers {
 			wk.claims.drop(sp)
