--- a/core/flow/quotaturn.go
+++ b/core/flow/quotaturn.go
@@ -16,9 +16,9 @@
 }
 
 // chooseQuotaTurn gives the quota turn of the workspace to a step that has waited for quota
-// for overdueAfter, and longer than the others of its priority, even if the quota has room
-// for it now. Otherwise smaller tasks would use each part of the quota that becomes free. A
-// step gets no turn if it needs more than Hold can keep.
+// for overdueAfter: of those that go first by their priority, to the one that has waited
+// longest, even if the quota has room for it now. Otherwise smaller tasks would use each part
+// of the quota that becomes free. A step gets no turn if it needs more than Hold can keep.
 func (pl *Planner) chooseQuotaTurn(now model.Instant, rs *readyStep) {
 	sp := rs.state()
 	if sp.quotaSince == 0 && rs.overQuota {
--- a/core/flow/workspace.go
+++ b/core/flow/workspace.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		if jb, _, tk, ok := pl.st.find(op.task); ok && tk.find(op.attempt) >= 0 {
-			pl.round.Customer(jb.spec.Workspace).Free(jb.spec.Steps[op.task.step].Size)
+			pl.round.Customer(jb.spec.Workspace).Release(jb.spec.Steps[op.task.step].Size)
 		}
 	}
 }
@@ -127,7 +127,7 @@
 		return
 	}
 	rs.seat.Ask(rs.job.spec.Priority, sumOf(rs.spec.reservation(), rs.state().idleTasks))
-	rs.overQuota = !rs.seat.AllowsHolder(rs.quotaNeed())
+	rs.overQuota = !rs.seat.FitsQuota(rs.quotaNeed())
 	if rs.overQuota {
 		rs.resetWaits(now)
 	}
@@ -160,7 +160,7 @@
 	case rs.seat == nil:
 		return true
 	case rs.restart || pl.hasQuotaTurn(rs):
-		return rs.seat.AllowsHolder(rs.quotaNeed())
+		return rs.seat.FitsQuota(rs.quotaNeed())
 	}
 	return rs.seat.Allows(rs.quotaNeed())
 }
--- a/core/share/round_test.go
+++ b/core/share/round_test.go
@@ -33,8 +33,8 @@
 			for i, most := range [3]int64{limit.MilliCPU(), limit.MemoryMB(), limit.Accelerators()} {
 				fits = fits && (most == 0 || used[i]+parts[i] <= most)
 			}
-			if se.AllowsHolder(size) != fits || se.Allows(size) && !fits {
-				tt.Fatalf("used %v, quota %v, size %v: allowed %v, want %v", used, limit, size, se.AllowsHolder(size), fits)
+			if se.FitsQuota(size) != fits || se.Allows(size) && !fits {
+				tt.Fatalf("used %v, quota %v, size %v: allowed %v, want %v", used, limit, size, se.FitsQuota(size), fits)
 			}
 			switch {
 			case !fits:
--- a/core/share/terms.go
+++ b/core/share/terms.go
@@ -32,8 +32,8 @@
 // Quota returns what the customer may have in use. A dimension that is 0 has no limit.
 func (te Terms) Quota() model.Resources { return te.quota }
 
-// Limit returns the quota with the largest amount in each dimension that has no limit, and
-// false if no dimension has one.
+// Limit returns the quota with the largest possible amount in each dimension that has no
+// limit, and false if no dimension has a limit.
 func (te Terms) Limit() (limit model.Resources, limited bool) {
 	orMost := func(val int64) int64 {
 		if val == 0 {
