--- a/core/cell/workspace.go
+++ b/core/cell/workspace.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 	"unicode"
 	"unicode/utf8"
 
@@ -43,33 +42,7 @@
 // Terms returns the quota and the weight of the workspace.
 func (wo Workspace) Terms() share.Terms { return wo.spec.Terms }
 
-// Limits bound a single request of a caller. A limit that is 0 is not set.
-type Limits struct {
-	// MaxHeader and MaxBody are in bytes.
-	MaxHeader, MaxBody int64
-	// HeaderTimeout bounds the time in which a request header arrives, and IdleTimeout
-	// the time between two requests on a connection.
-	HeaderTimeout, IdleTimeout time.Duration
-}
-
-const (
-	// largestHeader and largestBody are the most that limits of a request may allow, in
-	// bytes. A call must fit in a frame between VMs.
-	largestHeader = 1 << 20
-	largestBody   = 4 << 20
-	// longestTimeout is the most that a timeout may be.
-	longestTimeout = time.Hour
-)
-
-// check adds the faults of the limits.
-func (lim Limits) check(rejectIf func(bad bool, field, allowed string)) {
-	rejectIf(lim.MaxHeader < 0 || lim.MaxHeader > largestHeader, "limits.maxHeader", "0 to "+strconv.Itoa(largestHeader)+" bytes")
-	rejectIf(lim.MaxBody < 0 || lim.MaxBody > largestBody, "limits.maxBody", "0 to "+strconv.Itoa(largestBody)+" bytes")
-	rejectIf(lim.HeaderTimeout < 0 || lim.HeaderTimeout > longestTimeout, "limits.headerTimeout", "0 to "+longestTimeout.String())
-	rejectIf(lim.IdleTimeout < 0 || lim.IdleTimeout > longestTimeout, "limits.idleTimeout", "0 to "+longestTimeout.String())
-}
-
-// checkWorkspaces adds the faults of the workspaces.
+// checkWorkspaces calls rejectIf for each field of the workspaces.
 func checkWorkspaces(spec DocumentSpec, rejectIf func(bad bool, field, allowed string)) {
 	names := map[model.WorkspaceID]bool{}
 	owners := map[string]model.WorkspaceID{}
@@ -92,7 +65,7 @@
 	}
 }
 
-// validKey reports whether a caller can send a key: a header has no control characters.
+// validKey reports whether a caller can send a key. A header cannot hold control characters.
 func validKey(key string) bool {
 	return key != "" && utf8.ValidString(key) && !strings.ContainsFunc(key, unicode.IsControl)
 }
@@ -114,9 +87,6 @@
 // Keyed reports whether calls need a key, unless their queue is public.
 func (doc Document) Keyed() bool { return doc.spec.Keyed }
 
-// Limits returns the limits of a single request.
-func (doc Document) Limits() Limits { return doc.spec.Limits }
-
 // Authenticate returns the workspace of a call on a queue, "" if it has none, and false
 // if the call must be rejected because its key is missing or unknown.
 func (doc Document) Authenticate(qu Queue, key string) (model.WorkspaceID, bool) {
