--- a/core/shed/controller.go
+++ b/core/shed/controller.go
@@ -50,8 +50,7 @@
 		co.refresh(now, view())
 	}
 	de := Decision{class: getOrAdd(&co.kinds, jo.Kind).classify(jo.Work)}
-	key := turnKey{service: jo.Service, priority: jo.Priority}
-	tu := getOrAdd(&co.turns, key)
+	tu := getOrAdd(&co.turns, jo.turnKey())
 	if sv := co.services[jo.Service]; sv != nil && jo.judgeable() {
 		co.judge(now, sv, &jo, tu, &de)
 	} else {
@@ -95,13 +94,13 @@
 	case tu.yields(now, jo, de.class):
 		de.reason, wait = Turn, 0
 	}
-	if de.Accepted() {
-		sv.accept(&en, work, &taken, &ro)
-		co.quotas[own.Workspace].take(&taken)
+	if !de.Accepted() {
+		booked := getOrAdd(&co.returns, jo.turnKey()).book(now, wait, work, sv.rate())
+		de.retryAfter = max(booked, backOff(co.refused.add(now, jo.ID)))
 		return
 	}
-	key := turnKey{service: jo.Service, priority: jo.Priority}
-	de.retryAfter = max(getOrAdd(&co.returns, key).book(now, wait, work, sv.rate()), backOff(co.refused.add(now, jo.ID)))
+	sv.accept(&en, work, &taken, &ro)
+	co.quotas[own.Workspace].take(&taken)
 }
 
 // refresh makes the forecast from a view.
--- a/core/shed/retry.go
+++ b/core/shed/retry.go
@@ -24,11 +24,11 @@
 	refusedRetention = 2 * MaxRetry
 )
 
-// returns spreads the times at which refused callers with an equal right return. The zero
-// value is ready to use.
+// returns spreads the times at which the refused callers of a turnKey return. The zero value
+// is ready to use.
 type returns struct {
-	// until is when what the callers bring that were told to return is expected to have
-	// been done.
+	// until is when the work of the callers that were told to return is expected to be
+	// done.
 	until model.Instant
 	// overflow counts the callers for whom there was no place within MaxRetry.
 	overflow int
--- a/core/shed/turns.go
+++ b/core/shed/turns.go
@@ -15,8 +15,8 @@
 	minOffered = 5.0
 	// turnTolerance is how much less often than others a group may be refused.
 	turnTolerance = 0.1
-	// shortFor is how long after a refusal by the forecast others may be refused so that
-	// turns are taken.
+	// shortFor is how long after a refusal by the forecast jobs of other groups may be
+	// refused with reason Turn.
 	shortFor = time.Second
 )
 
@@ -56,14 +56,18 @@
 // rate returns the fraction of the jobs that were refused.
 func (ta *tally) rate() float64 { return ta.refused / max(1, ta.offered) }
 
-// turnKey names jobs with an equal right.
+// turnKey identifies the jobs that compete on equal terms: those of one priority in a service.
 type turnKey struct {
 	service  model.ServiceID
 	priority int
 }
 
-// turns makes groups of jobs with an equal right be refused in proportion to what they
-// send: the classes of size, and the data centres. The zero value is ready to use.
+// turnKey returns the key of the jobs that the job competes with on equal terms.
+func (jo *Job) turnKey() turnKey { return turnKey{service: jo.Service, priority: jo.Priority} }
+
+// turns balances refusals between groups of the jobs of a turnKey: the classes of size, and
+// the data centres. Each is refused in proportion to what it sends. The zero value is ready
+// to use.
 type turns struct {
 	all     tally
 	classes [classCount]tally
