--- a/core/flow/view.go
+++ b/core/flow/view.go
@@ -189,11 +189,19 @@
 	}
 }
 
-// addWaiting adds what the waiting tasks of ready steps need.
+// unconstrained reports whether each task may run on any worker that has room for it.
+func (sp *StepSpec) unconstrained() bool {
+	return sp.RequiredLabel == "" && sp.PerWorker <= 0 && !sp.Gang
+}
+
+// addWaiting adds what the waiting tasks of ready, unconstrained steps need.
 func (pl *Planner) addWaiting(jb *job, occ *occurrence, su *serviceUse) {
 	for s := range occ.steps {
 		spec, idle := &jb.spec.Steps[s], occ.steps[s].idleTasks
-		if idle == 0 || pl.admission.atQuota(jb.spec.Workspace, spec.Size) || spec.RequiredLabel != "" || spec.PerWorker > 0 || spec.Gang || !occ.ready(spec) || !pl.canHold(jb.spec.Service, spec) {
+		if idle == 0 || !spec.unconstrained() || pl.admission.atQuota(jb.spec.Workspace, spec.Size) {
+			continue
+		}
+		if !occ.ready(spec) || !pl.canHold(jb.spec.Service, spec) {
 			continue
 		}
 		need := float64(idle) * float64(spec.Size.MilliCPU())
