--- a/core/shed/controller.go
+++ b/core/shed/controller.go
@@ -13,9 +13,9 @@
 	// refreshInterval is how long a forecast is used. Jobs that are accepted meanwhile
 	// are added to it.
 	refreshInterval = 400 * time.Millisecond
-	// lateWorth is the multiple of its objective within which a late result has some worth.
-	lateWorth = 3.0
-	// appearTimeout is how long an accepted job is counted that the view does not have.
+	// maxLateFactor is the multiple of its objective up to which a late result is of use.
+	maxLateFactor = 3.0
+	// appearTimeout is how long an accepted job counts that is not in the view yet.
 	appearTimeout = time.Second
 )
 
@@ -28,29 +28,29 @@
 	quotas  map[model.WorkspaceID]*quota
 	builtAt model.Instant
 	// recent are the accepted jobs that the view may not have yet.
-	recent  []recentJob
+	recent []recentJob
+	// kinds has the distribution of the work of jobs by Job.Kind.
 	kinds   map[string]*sizes
 	turns   map[turnKey]*turns
 	returns map[turnKey]*returns
 	refused refusals
 }
 
-// recentJob is a job that was accepted at a time.
+// recentJob is an accepted job and the time of its acceptance.
 type recentJob struct {
 	job Job
 	at  model.Instant
 }
 
-// Decide decides whether to accept a job. The caller submits it if it is accepted. look
-// returns the present view; it is called when the forecast is to be made again, and the
-// view must stay as it is until then.
-func (co *Controller) Decide(now model.Instant, look func() *View, jo Job) Decision {
+// Decide decides whether to accept a job. The caller submits it if it is accepted. view
+// returns the present view. It is called when the forecast is made again, and the view must
+// not change until the next call.
+func (co *Controller) Decide(now model.Instant, view func() *View, jo Job) Decision {
 	if co.builtAt == 0 || now.Sub(co.builtAt) >= refreshInterval {
-		co.refresh(now, look())
+		co.refresh(now, view())
 	}
-	de := Decision{class: co.sizesOf(jo.Kind).classify(jo.Work)}
-	key := turnKey{service: jo.Service, priority: jo.Priority}
-	tu := entryOf(&co.turns, key)
+	de := Decision{class: getOrAdd(&co.kinds, jo.Kind).classify(jo.Work)}
+	tu := getOrAdd(&co.turns, jo.turnKey())
 	if sv := co.services[jo.Service]; sv != nil && jo.judgeable() {
 		co.judge(now, sv, &jo, tu, &de)
 	} else {
@@ -83,7 +83,7 @@
 	switch late := en.end - own.Left.Seconds(); {
 	case late > 0 && !sv.feasible(jo, co.quotas[own.Workspace]):
 		de.reason = Unjudged
-	case late > 0 && num == 0 && co.refused.lastReturn(jo.ID) && en.end <= lateWorth*own.Left.Seconds():
+	case late > 0 && num == 0 && co.refused.lastReturn(jo.ID) && en.end <= maxLateFactor*own.Left.Seconds():
 		de.reason = Returned
 	case late > 0 && sv.unlimitedOnTime(&en, since):
 		de.reason, wait = OverQuota, late
@@ -94,35 +94,13 @@
 	case tu.yields(now, jo, de.class):
 		de.reason, wait = Turn, 0
 	}
-	if de.Accepted() {
-		sv.accept(&en, work, &taken, &ro)
-		co.quotas[own.Workspace].take(&taken)
+	if !de.Accepted() {
+		booked := getOrAdd(&co.returns, jo.turnKey()).book(now, wait, work, sv.rate())
+		de.retryAfter = max(booked, backOff(co.refused.add(now, jo.ID)))
 		return
 	}
-	key := turnKey{service: jo.Service, priority: jo.Priority}
-	de.retryAfter = max(entryOf(&co.returns, key).book(now, wait, work, sv.rate()), backOff(co.refused.add(now, jo.ID)))
-}
-
-// unlimitedOnTime reports whether a new job would end in its objective if its workspace had
-// no quota.
-func (sv *service) unlimitedOnTime(en *entry, since time.Duration) bool {
-	ro := sv.roomFor(en)
-	end, ok := sv.place(&ro, nil, nil, en.job, since.Seconds())
-	return ok && end <= en.job.Left.Seconds()
-}
-
-// feasible reports whether the job could end in its objective if there were no others. qu is
-// the quota of its workspace, nil for none.
-func (sv *service) feasible(jo *Job, qu *quota) bool {
-	var ro room
-	for i := range spanCount {
-		ro.cpu[i], ro.memory[i], ro.idle[i] = float32(sv.total.cpu), float32(sv.total.memory), float32(sv.total.idle)
-	}
-	if qu != nil {
-		qu = newQuota(qu.total)
-	}
-	end, ok := sv.place(&ro, nil, qu, jo, 0)
-	return ok && end <= jo.Left.Seconds()
+	sv.accept(&en, work, &taken, &ro)
+	co.quotas[own.Workspace].take(&taken)
 }
 
 // refresh makes the forecast from a view.
@@ -130,11 +108,11 @@
 	co.builtAt = now
 	co.addWorkers(vi)
 	for _, sv := range co.order {
-		sv.open()
+		sv.resetFree()
 	}
 	for i := range vi.Full {
 		if sv := co.services[vi.Full[i].Service]; sv != nil {
-			sv.measure(&vi.Full[i])
+			sv.recordFull(&vi.Full[i])
 		}
 	}
 	keys := slices.SortedFunc(maps.Keys(co.turns), func(a, b turnKey) int {
@@ -233,22 +211,8 @@
 	co.recent = kept
 }
 
-// reuse returns an empty service that uses the buffers of sv, which may be nil.
-func (sv *service) reuse() *service {
-	out := &service{places: map[shape]float64{}, grids: map[string]*grid{}}
-	if sv != nil {
-		clear(sv.entries)
-		out.places, out.grids, out.gridTotal = sv.places, sv.grids, sv.gridTotal
-		out.workers, out.entries, out.before, out.added = sv.workers[:0], sv.entries[:0], sv.before[:0], sv.added[:0]
-		out.packing, out.arrivals = sv.packing, sv.arrivals[:0]
-	}
-	return out
-}
-
-func (co *Controller) sizesOf(kind string) *sizes { return entryOf(&co.kinds, kind) }
-
-// entryOf returns the value of a key, and adds a zero value if there is none.
-func entryOf[K comparable, V any](all *map[K]*V, key K) *V {
+// getOrAdd returns the value of a key, after adding a zero value if there is none.
+func getOrAdd[K comparable, V any](all *map[K]*V, key K) *V {
 	val, ok := (*all)[key]
 	if !ok {
 		if *all == nil {
--- a/core/shed/retry.go
+++ b/core/shed/retry.go
@@ -24,11 +24,11 @@
 	refusedRetention = 2 * MaxRetry
 )
 
-// returns spreads the times at which refused callers with an equal right return. The zero
-// value is ready to use.
+// returns spreads the times at which the refused callers of a turnKey return. The zero value
+// is ready to use.
 type returns struct {
-	// until is when what the callers bring that were told to return is expected to have
-	// been done.
+	// until is when the work of the callers that were told to return is expected to be
+	// done.
 	until model.Instant
 	// overflow counts the callers for whom there was no place within MaxRetry.
 	overflow int
@@ -58,13 +58,13 @@
 // none.
 type refusals struct{ jobs map[model.JobID]refusal }
 
-// refusal counts how often a job was refused, the last time at a time.
+// refusal is how often a job was refused, and when it was last.
 type refusal struct {
 	num int
 	at  model.Instant
 }
 
-// add adds a refusal and returns how often the job has been refused.
+// add records a refusal and returns how often the job has been refused.
 func (re *refusals) add(now model.Instant, id model.JobID) int {
 	if len(re.jobs) >= maxRefused {
 		maps.DeleteFunc(re.jobs, func(_ model.JobID, ref refusal) bool { return now.Sub(ref.at) > refusedRetention })
