io/limit: separate leases from the budget

Renames: - limit.RefusedError: NoMemoryError, as in io/peer - keptFiles: reservedFiles - Lease.heavy: Lease.reserved

--- a/io/limit/budget_test.go
+++ b/io/limit/budget_test.go
@@ -54,9 +54,9 @@
 		t.Fatal("no memory for the first request")
 	}
 	second := bud.Enter(buffer.Callers, func() {})
-	var ref *RefusedError
+	var ref *NoMemoryError
 	if err := second.Reserve(t.Context(), 8<<20); !errors.As(err, &ref) {
-		t.Errorf("error %v, want a RefusedError", err)
+		t.Errorf("error %v, want a NoMemoryError", err)
 	}
 	got := make(chan error, 1)
 	go func() { got <- second.Reserve(t.Context(), 8<<20) }()
