--- a/io/httpd/body.go
+++ b/io/httpd/body.go
@@ -1,56 +1,19 @@
 package httpd
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 
 	"guavarail/core/buffer"
-	"guavarail/io/limit"
 )
 
 // maxSegment is the largest segment of a body that is being read, in bytes.
 const maxSegment = 256 << 10
 
-// retryAfterSeconds is the Retry-After value of a request that was refused for lack of
-// memory, which other requests release within a second.
-const retryAfterSeconds = 1
-
-// RefusalError reports that a request was not read as a whole, or that there was no memory
-// for it. It was not carried out.
-type RefusalError struct {
-	status int
-	cause  string
-}
-
-// Status returns the HTTP status of the response.
-func (err *RefusalError) Status() int { return err.status }
-
-// Error describes the failure.
-func (err *RefusalError) Error() string {
-	return "request refused with status " + strconv.Itoa(err.status) + ": " + err.cause
-}
-
-var (
-	errNoMemory  = &RefusalError{status: http.StatusServiceUnavailable, cause: "no memory at this time, send it again"}
-	errLargeHead = &RefusalError{status: http.StatusRequestHeaderFieldsTooLarge, cause: "head over the limit"}
-	errLargeBody = &RefusalError{status: http.StatusRequestEntityTooLarge, cause: "body over the limit"}
-	errTimeout   = &RefusalError{status: http.StatusRequestTimeout, cause: "the body did not arrive in time"}
-	errCutBody   = &RefusalError{status: http.StatusBadRequest, cause: "the body could not be read to its end"}
-)
-
-// connOf returns the connection of a request, and false if no server of this package
-// received it.
-func connOf(ctx context.Context) (*conn, bool) {
-	con, ok := ctx.Value(connKey{}).(*conn)
-	return con, ok
-}
-
 // noConn is the connection of a request that no server of this package received.
 type noConn struct{ net.Conn }
 
@@ -73,33 +36,34 @@
 		con.lease.Settle()
 		return nil, errors.Trace(err)
 	}
-	if ok && !con.bodyRead() {
+	if ok && !con.bodyComplete() {
 		con.lease.Settle()
 		return nil, errors.Trace(errNoMemory)
 	}
 	return buf, nil
 }
 
-// readBody reads the body of a request.
+// readBody reads the body of a request in segments, whose size grows with what has
+// arrived.
 func (con *conn) readBody(req *http.Request) ([]byte, error) {
-	most := con.bounds.Limits().MaxBody
-	if req.ContentLength > most {
+	maxBody := con.bounds.Limits().MaxBody
+	if req.ContentLength > maxBody {
 		return nil, errLargeBody
 	}
 	// The byte over the limit shows that an undeclared body is too large.
-	size := most + 1
+	size := maxBody + 1
 	if req.ContentLength > 0 {
 		size = req.ContentLength
 	}
 	seg := make([]byte, 0, min(size, buffer.SmallBytes))
-	// full has the segments that have been filled. A body that grows is not copied, so
-	// that what does not arrive to its end leaves no garbage.
+	// full has the filled segments. They are joined only once the body is complete, so that
+	// an incomplete body is never copied.
 	var full [][]byte
 	for read := int64(0); ; {
 		num, err := req.Body.Read(seg[len(seg):cap(seg)])
 		seg, read = seg[:len(seg)+num], read+int64(num)
 		switch {
-		case read > most:
+		case read > maxBody:
 			return nil, errLargeBody
 		case err == io.EOF || err == nil && read == size:
 			return con.joinBody(req, full, seg, read)
@@ -142,7 +106,7 @@
 	case errors.As(err, &nerr) && nerr.Timeout():
 		return errTimeout
 	}
-	return errCutBody
+	return errIncompleteBody
 }
 
 // Hold reserves more memory for a request until its response has been written. The error
@@ -157,60 +121,3 @@
 	}
 	return nil
 }
-
-// Refuse writes the response to a request that was refused, and counts it. The connection
-// ends after it, because the rest of the request is not read.
-func Refuse(rsp http.ResponseWriter, req *http.Request, err error) {
-	var ref *RefusalError
-	if !errors.As(err, &ref) {
-		ref = errCutBody
-	}
-	if con, ok := connOf(req.Context()); ok {
-		con.bounds.budget.Count(ref.kind())
-	}
-	rsp.Header().Set("Connection", "close")
-	if ref.status == http.StatusServiceUnavailable {
-		rsp.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
-	}
-	rsp.WriteHeader(ref.status)
-}
-
-// kind returns the counter of the refusal.
-func (err *RefusalError) kind() limit.Kind {
-	switch err {
-	case errNoMemory:
-		return limit.RefusedMemory
-	case errLargeHead:
-		return limit.LargeHead
-	case errLargeBody:
-		return limit.LargeBody
-	}
-	return limit.Incomplete
-}
-
-// checkHead returns the refusal of a request whose head or declared body is over its
-// limit, or whose connection has been evicted, and nil otherwise.
-func (con *conn) checkHead(req *http.Request) error {
-	lim := con.bounds.Limits()
-	switch {
-	case headSize(req) > lim.MaxHeader:
-		return errLargeHead
-	case req.ContentLength > lim.MaxBody:
-		return errLargeBody
-	case !con.begin(req.ContentLength != 0):
-		return errNoMemory
-	}
-	return nil
-}
-
-// headSize returns the size of the head of a request in bytes, without optional spaces.
-func headSize(req *http.Request) int64 {
-	// Spaces, line ends and the name of the Host header.
-	size := len(req.Method) + len(req.RequestURI) + len(req.Proto) + len("  \r\nHost: \r\n\r\n") + len(req.Host)
-	for name, values := range req.Header {
-		for _, val := range values {
-			size += len(name) + len(val) + len(": \r\n")
-		}
-	}
-	return int64(size)
-}
--- a/io/httpd/bounds.go
+++ b/io/httpd/bounds.go
@@ -20,24 +20,6 @@
 	// once per progressInterval.
 	progressTimeout  = 5 * time.Second
 	progressInterval = time.Second
-	// headSlack is the part of a body that may be read with the head: the size of the
-	// buffer of package http.
-	headSlack = 4 << 10
-	// headCopies is the number of bytes that package http takes for one of a head: a line
-	// is read into a buffer that doubles, and then copied.
-	headCopies = 4
-	// headStep is the unit in which the memory of a head is reserved, in bytes.
-	headStep = 8 << 10
-	// refuseTimeout bounds the writing of a response to a request that was not read, and
-	// the reading of what the client still sends, which is at most maxUnread bytes.
-	refuseTimeout = 200 * time.Millisecond
-	maxUnread     = 256 << 10
-)
-
-// Responses to requests whose head is not read to its end.
-const (
-	responseLargeHead = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	responseNoMemory  = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
 // Limits bound a single request. A limit that is 0 stands for its default, which is also
