--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -38,19 +38,19 @@
 	return frame{kind: env.GetKind(), buf: buf}, nil
 }
 
-// firstBuffer is the size in bytes of the buffer in which a frame is read first.
-const firstBuffer = 16 << 10
+// firstBufferBytes is the size of the buffer into which a frame is read first.
+const firstBufferBytes = 16 << 10
 
-// reserve takes memory for a number of bytes of a frame that is being read.
-type reserve func(bytes int) error
+// reserveFunc reserves memory for a buffer of a frame that is being read.
+type reserveFunc func(bytes int) error
 
-// noReserve is the reserve of frames that are bounded otherwise.
+// noReserve is the reserveFunc of frames that are bounded otherwise.
 func noReserve(int) error { return nil }
 
 // readFrame reads one envelope of at most limit bytes; a larger one is a FrameSizeError.
 // Memory is taken as the frame arrives; if it is refused, the rest of the frame is read
 // and dropped. The size that it returns includes the length field.
-func readFrame(rd io.Reader, limit int, res reserve) (*wire.Envelope, int, error) {
+func readFrame(rd io.Reader, limit int, res reserveFunc) (*wire.Envelope, int, error) {
 	var head [lengthSize]byte
 	if _, err := io.ReadFull(rd, head[:]); err != nil {
 		return nil, 0, errors.Trace(err)
@@ -71,10 +71,10 @@
 }
 
 // readGrowing reads size bytes into a buffer that grows with what arrives. Each buffer is
-// reserved as a whole: what the smaller ones took is later taken by the decoded message.
-func readGrowing(rd io.Reader, size int, res reserve) ([]byte, error) {
+// reserved as a whole; what was reserved for the smaller ones covers the decoded message.
+func readGrowing(rd io.Reader, size int, res reserveFunc) ([]byte, error) {
 	var buf []byte
-	for next := min(size, firstBuffer); len(buf) < size; next = min(2*next, size) {
+	for next := min(size, firstBufferBytes); len(buf) < size; next = min(2*next, size) {
 		read := len(buf)
 		if err := res(next); err != nil {
 			if _, failed := io.CopyN(io.Discard, rd, int64(size-read)); failed != nil {
--- a/io/peer/listen.go
+++ b/io/peer/listen.go
@@ -1,11 +1,9 @@
 package peer
 
 import (
-	"container/list"
 	"context"
 	"net"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,7 +11,6 @@
 
 	"guavarail/core/model"
 	"guavarail/io/host"
-	"guavarail/io/lines"
 	"guavarail/io/wire"
 )
 
@@ -37,52 +34,13 @@
 
 // acceptor accepts connections, reads their Hello and posts them to the hub.
 type acceptor struct {
-	hub  *Hub
-	lis  net.Listener
-	post func(msg any)
-	// pending has the connections whose Hello has not arrived yet, oldest first.
+	hub     *Hub
+	lis     net.Listener
+	post    func(msg any)
 	pending handshakes
 	clock   host.Clock
 }
 
-// handshakes is a list of connections. The accept loop and the handshakes use it, so a
-// mutex guards it. The zero value is empty.
-type handshakes struct {
-	mu    sync.Mutex
-	conns list.List
-	// lines bounds the log of those that were rejected.
-	lines lines.Limiter
-}
-
-// allowLine reports whether a rejected connection may be logged, and how many were not
-// since the last one.
-func (hs *handshakes) allowLine(now model.Instant) (int, bool) {
-	hs.mu.Lock()
-	defer hs.mu.Unlock()
-	return hs.lines.Allow(now)
-}
-
-// add adds a connection. The returned function removes it.
-func (hs *handshakes) add(conn net.Conn) func() {
-	hs.mu.Lock()
-	defer hs.mu.Unlock()
-	el := hs.conns.PushBack(conn)
-	return func() {
-		hs.mu.Lock()
-		defer hs.mu.Unlock()
-		hs.conns.Remove(el)
-	}
-}
-
-// closeOldest closes the connection that was added first.
-func (hs *handshakes) closeOldest() {
-	hs.mu.Lock()
-	defer hs.mu.Unlock()
-	if el := hs.conns.Front(); el != nil {
-		_ = el.Value.(net.Conn).Close()
-	}
-}
-
 // run accepts connections until ctx ends and the listener is closed. It closes
 // ended once all handshakes have ended.
 func (acc *acceptor) run(ctx context.Context, ended chan<- struct{}) {
@@ -114,7 +72,7 @@
 	from, err := acc.readHello(conn)
 	if err != nil {
 		acc.hub.vars.refusedFrames.Add(1)
-		if suppressed, ok := acc.pending.allowLine(acc.clock()); ok {
+		if suppressed, ok := acc.pending.allowRejectionLine(acc.clock()); ok {
 			acc.hub.cfg.Log.Warn("connection rejected", "address", conn.RemoteAddr(), "error", err, "suppressed", suppressed)
 		}
 		_ = conn.Close()
--- a/io/peer/memory.go
+++ b/io/peer/memory.go
@@ -12,38 +12,39 @@
 )
 
 const (
-	// streamBytes is what a stream takes for its goroutine and its objects.
+	// streamBytes is the memory of the goroutine and the objects of a stream.
 	streamBytes = 8 << 10
-	// windowBytes is what yamux may keep of a stream that is not read.
+	// windowBytes is what yamux may hold of a stream that is not read.
 	windowBytes = 256 << 10
 )
 
-// establishedAge is the age from which on a session is not ended for lack of memory.
+// establishedAge is the age from which on a session is not ended for lack of memory,
+// because calls in flight on it would be lost.
 const establishedAge = 30 * time.Second
 
-// memory is what a frame that another VM sends takes of the budget.
-type memory struct {
+// frameMemory is the memory that one frame of another VM takes of the budget.
+type frameMemory struct {
 	ses   *session
 	ctx   context.Context
 	lease *limit.Lease
-	// begun is set once the frame has taken its first buffer.
-	begun bool
+	// started is set once memory for the first buffer was asked for.
+	started bool
 	// refused is set if there was no memory for the stream.
 	refused bool
 }
 
-// newMemory returns the memory of one frame of a stream. If it is needed for others, the
+// newMemory returns the memory of one frame of a stream. If the budget evicts it, the
 // stream ends; see evicted.
-func (ses *session) newMemory(ctx context.Context, str *stream) *memory {
-	mem := &memory{ses: ses, ctx: ctx}
+func (ses *session) newMemory(ctx context.Context, str *stream) *frameMemory {
+	mem := &frameMemory{ses: ses, ctx: ctx}
 	mem.lease = ses.hub.cfg.Budget.Enter(buffer.VMs, func() { ses.evicted(str) })
 	mem.refused = !ses.listed && mem.lease.Reserve(ctx, streamBytes) != nil
 	return mem
 }
 
 // evicted ends a stream whose memory is needed for others. yamux keeps up to windowBytes of
-// such a stream for a time, so the session ends with it, unless it is an established one or
-// one of a VM with a known address.
+// such a stream for a time, so the session ends too, unless it is established or that of a
+// VM with a known address.
 func (ses *session) evicted(str *stream) {
 	str.expire()
 	if !ses.listed && time.Since(ses.openedAt) < establishedAge {
@@ -51,13 +52,13 @@
 	}
 }
 
-// reserve is the reserve of a frame. It is called for the first buffer of the frame, which may be
-// followed by others if it has the largest size, and then for each larger one.
-func (mem *memory) reserve(bytes int) error {
-	if !mem.begun && bytes >= firstBuffer {
+// reserve is a reserveFunc: readGrowing calls it for each buffer of the frame. A first
+// buffer of the full size may be followed by others, so that windowBytes are added.
+func (mem *frameMemory) reserve(bytes int) error {
+	if !mem.started && bytes >= firstBufferBytes {
 		bytes += windowBytes
 	}
-	mem.begun = true
+	mem.started = true
 	if mem.refused || mem.lease.Reserve(mem.ctx, int64(bytes)) != nil {
 		mem.ses.hub.cfg.Budget.Count(limit.RefusedFrame)
 		return errors.Trace(&NoMemoryError{vm: mem.ses.hub.cfg.Self})
@@ -66,7 +67,7 @@
 }
 
 // release releases the memory of the frame.
-func (mem *memory) release() { mem.lease.Close() }
+func (mem *frameMemory) release() { mem.lease.Close() }
 
 // readOrdered reads an ordered message. Those of VMs with a known address keep the cell
 // together; they are bounded by the number of these VMs, and not refused.
--- a/io/peer/request.go
+++ b/io/peer/request.go
@@ -89,7 +89,7 @@
 }
 
 // read reads one frame and rejects it if it is not from the peer to this VM.
-func (ses *session) read(str *stream, res reserve) (*wire.Envelope, error) {
+func (ses *session) read(str *stream, res reserveFunc) (*wire.Envelope, error) {
 	env, size, err := readFrame(str, MaxFrame, res)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -167,8 +167,7 @@
 	}
 }
 
-// serveRequest answers one request. If the answer does not fit in a frame, it answers
-// with a FrameSizeError.
+// serveRequest answers one request; without memory for it, with a NoMemoryError.
 func (ses *session) serveRequest(ctx context.Context, str *stream) error {
 	var head [timeoutSize]byte
 	reading := time.AfterFunc(streamTimeout, str.expire)
@@ -186,16 +185,19 @@
 	if err == nil && !mem.lease.Serve() {
 		err = &NoMemoryError{vm: ses.hub.cfg.Self}
 	}
-	var full *NoMemoryError
-	if err != nil && !errors.As(err, &full) {
-		return errors.Trace(err)
-	}
-	var ans *wire.Envelope
-	if full != nil {
-		ans = ses.setHeader(&wire.Envelope{Failure: toFailure(full)})
-	} else {
-		ans = ses.reply(ctx, req)
+	var nme *NoMemoryError
+	switch {
+	case err == nil:
+		return ses.writeAnswer(str, ses.reply(ctx, req))
+	case errors.As(err, &nme):
+		return ses.writeAnswer(str, ses.setHeader(&wire.Envelope{Failure: toFailure(nme)}))
 	}
+	return errors.Trace(err)
+}
+
+// writeAnswer writes the answer to a request, or a FrameSizeError if it does not fit in a
+// frame.
+func (ses *session) writeAnswer(str *stream, ans *wire.Envelope) error {
 	fr, err := newFrame(ans)
 	if err != nil {
 		fr, err = newFrame(ses.setHeader(&wire.Envelope{Failure: toFailure(err)}))
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -12,6 +12,10 @@
 	"guavarail/io/wire"
 )
 
+// maxUnlisted bounds the links of VMs that are not among the peers. Each takes a few
+// goroutines and a file descriptor.
+const maxUnlisted = 256
+
 // Messages to the actor of the hub.
 type (
 	// setPeers replaces the addresses of the other VMs.
@@ -134,10 +138,6 @@
 	return ref
 }
 
-// maxUnlisted bounds the links of VMs that are not among the peers. Each takes a few
-// goroutines and a file descriptor.
-const maxUnlisted = 256
-
 // unlisted returns the number of links of VMs that are not among the peers.
 func (act *hubActor) unlisted() int {
 	num := 0
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -153,7 +153,7 @@
 	mc := &muxConn{streams: &streamSet{}}
 	if budget != nil {
 		mc.unread = &unread{}
-		conn = &boundConn{Conn: conn, unread: mc.unread, budget: budget, openedAt: time.Now()}
+		conn = &boundedConn{Conn: conn, unread: mc.unread, budget: budget, openedAt: time.Now()}
 	}
 	open := yamux.Server
 	if dialled {
--- a/io/peer/unread.go
+++ b/io/peer/unread.go
@@ -33,15 +33,16 @@
 	closed []closedStream
 	// total is the sum of all streams, in bytes.
 	total int64
-	// head is the part of the header that has arrived, payload what is missing of the
-	// payload of stream.
-	head    []byte
+	// head is the part of the next header that has arrived.
+	head []byte
+	// payload is the number of bytes that are missing of the present frame of stream.
 	payload uint32
 	stream  uint32
 }
 
-// unreadStream is one stream.
+// unreadStream is the state of one stream.
 type unreadStream struct {
+	// bytes is what has arrived and has not been read.
 	bytes int64
 	// ended means that the other VM, and closed that this VM, has ended the stream.
 	ended, closed bool
@@ -57,7 +58,7 @@
 func (un *unread) arrived(now time.Time, buf []byte) int64 {
 	un.mu.Lock()
 	defer un.mu.Unlock()
-	un.forget(now)
+	un.removeExpired(now)
 	for len(buf) > 0 {
 		if un.payload > 0 {
 			num := min(uint32(len(buf)), un.payload)
@@ -72,29 +73,29 @@
 		num := min(len(buf), muxHeaderSize-len(un.head))
 		un.head, buf = append(un.head, buf[:num]...), buf[num:]
 		if len(un.head) == muxHeaderSize {
-			un.header(un.head)
+			un.handleHeader(un.head)
 			un.head = un.head[:0]
 		}
 	}
 	return un.total
 }
 
-// header handles a complete header.
-func (un *unread) header(head []byte) {
+// handleHeader handles a complete header. The caller holds the mutex.
+func (un *unread) handleHeader(head []byte) {
 	id, flags := binary.BigEndian.Uint32(head[muxStreamAt:]), binary.BigEndian.Uint16(head[muxFlagsAt:])
 	if flags&muxSyn != 0 {
 		un.add(id)
 	}
 	if str := un.streams[id]; str != nil && flags&(muxFin|muxRst) != 0 {
 		str.ended = true
-		un.drop(id)
+		un.removeEnded(id)
 	}
 	if head[muxTypeAt] == muxData {
 		un.stream, un.payload = id, binary.BigEndian.Uint32(head[muxLengthAt:])
 	}
 }
 
-// add adds a stream.
+// add adds a stream. The caller holds the mutex.
 func (un *unread) add(id uint32) {
 	if un.streams == nil {
 		un.streams = map[uint32]*unreadStream{}
@@ -104,20 +105,20 @@
 	}
 }
 
-// drop removes a stream that both sides have ended. The caller holds the mutex.
-func (un *unread) drop(id uint32) {
+// removeEnded removes a stream if both sides have ended it. The caller holds the mutex.
+func (un *unread) removeEnded(id uint32) {
 	if str := un.streams[id]; str.ended && str.closed {
 		un.total -= str.bytes
 		delete(un.streams, id)
 	}
 }
 
-// forget removes the streams that yamux has dropped. The caller holds the mutex.
-func (un *unread) forget(now time.Time) {
+// removeExpired removes the streams that yamux has dropped. The caller holds the mutex.
+func (un *unread) removeExpired(now time.Time) {
 	for len(un.closed) > 0 && now.Sub(un.closed[0].at) > closedAge {
 		if str := un.streams[un.closed[0].id]; str != nil {
 			str.ended = true
-			un.drop(un.closed[0].id)
+			un.removeEnded(un.closed[0].id)
 		}
 		un.closed = un.closed[1:]
 	}
@@ -159,7 +160,7 @@
 		return
 	}
 	str.closed = true
-	un.drop(id)
+	un.removeEnded(id)
 	if un.streams[id] != nil {
 		un.closed = append(un.closed, closedStream{id: id, at: now})
 	}
