io/cell: names of forwarded calls and limits; shorter serveCalls and route

serveCall is taken out of serveCalls, and unservedError out of route. isNotLeader stands for all errors of a VM that does not lead, as before.

Renames: - watch: arrivalClock; VM.watch: VM.arrivals - VM.mark: setMark; VM.admit: checkMark (admission is what Leader.Submit does) - limitsInForce: requestLimits; its watch: onChange

--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -39,8 +39,8 @@
 	// Centre is the data centre of the VM that took the call.
 	Centre model.CentreID
 	// Arrived is the result of VM.Arrival when the call was read, and Valid for how long
-	// its caller waits from then. The call is not carried out after that. Route sets what
-	// is 0.
+	// its caller waits from then. The call is not carried out after that. Route replaces
+	// values of 0.
 	Arrived model.Instant
 	Valid   time.Duration
 }
@@ -77,29 +77,37 @@
 // reply means that this VM does not lead and that the call had no effect.
 func (vm *VM) serveCalls() {
 	peer.HandleRequest(vm.mux, func(ctx context.Context, _ model.VMID, que *wire.CellCall) (*wire.CellReply, error) {
-		mem := vm.member.Load()
-		if mem == nil || !mem.leased() {
-			return &wire.CellReply{Refused: true}, nil
-		}
-		expiry, err := vm.admit(que, mem.status.Load().term)
-		if isExpired(err) {
+		rep, err := vm.serveCall(ctx, que)
+		switch {
+		case isExpired(err):
 			calls.Add(callExpired)
 			return &wire.CellReply{Status: http.StatusServiceUnavailable, RetryAfterS: 1}, nil
-		}
-		if err != nil {
-			return &wire.CellReply{Refused: true}, nil
-		}
-		rep, err := vm.handle(withExpiry(ctx, expiry), Call{Method: que.GetMethod(), Host: que.GetHost(), Path: que.GetPath(), Body: que.GetBody(), Key: que.GetKey(), Centre: model.CentreID(que.GetCentre())})
-		if isNotLeader(err) {
+		case isNotLeader(err):
 			return &wire.CellReply{Refused: true}, nil
-		}
-		if err != nil {
+		case err != nil:
 			return nil, err
 		}
 		return &wire.CellReply{Status: uint32(rep.Status), Body: rep.Body, RetryAfterS: uint32(rep.RetryAfter)}, nil
 	})
 }
 
+// serveCall carries out a call that another VM forwarded. A *quorum.NotLeaderError or an
+// *ExpiredError means that it had no effect.
+func (vm *VM) serveCall(ctx context.Context, que *wire.CellCall) (Reply, error) {
+	mem := vm.member.Load()
+	if mem == nil || !mem.leased() {
+		return Reply{}, errors.Trace(newNotLeaderError())
+	}
+	expiry, err := vm.checkMark(que, mem.status.Load().term)
+	if err != nil {
+		return Reply{}, err
+	}
+	return vm.handle(withExpiry(ctx, expiry), Call{
+		Method: que.GetMethod(), Host: que.GetHost(), Path: que.GetPath(), Body: que.GetBody(),
+		Key: que.GetKey(), Centre: model.CentreID(que.GetCentre()),
+	})
+}
+
 // Route sends a call to the leader, which may be this VM, and returns the reply.
 // A *NotReachedError or an *InvalidCallError means that the call had no effect, a
 // *LostReplyError that the outcome is unknown.
@@ -141,13 +149,8 @@
 				return Reply{}, errors.Trace(&LostReplyError{cause: lostErr})
 			case err == nil:
 				return rep, nil
-			case isExpired(err):
-				if lostErr == nil {
-					return Reply{}, errors.Trace(&NotReachedError{cause: err})
-				}
-				return Reply{}, errors.Trace(&LostReplyError{cause: lostErr})
-			case isNoMemory(err) && lostErr == nil:
-				return Reply{}, errors.Trace(&NotReachedError{cause: err})
+			case isExpired(err), isNoMemory(err) && lostErr == nil:
+				return Reply{}, unservedError(lostErr, err)
 			case isNotLeader(err) || isUnsent(err) || isNoMemory(err):
 				vm.clearLeader(leader)
 			default:
@@ -161,14 +164,21 @@
 		vm.requestDiscovery()
 		host.Pause(ctx, leaderPollInterval)
 	}
-	if lostErr != nil {
-		return Reply{}, errors.Trace(&LostReplyError{cause: lostErr})
+	return Reply{}, unservedError(lostErr, ctx.Err())
+}
+
+// unservedError returns the error of a call without a reply: a *LostReplyError if an attempt
+// may have been carried out, whose error is lost, and otherwise a *NotReachedError.
+func unservedError(lost, cause error) error {
+	if lost != nil {
+		return errors.Trace(&LostReplyError{cause: lost})
 	}
-	return Reply{}, errors.Trace(&NotReachedError{cause: ctx.Err()})
+	return errors.Trace(&NotReachedError{cause: cause})
 }
 
-// deniesEffect reports whether a status says that a call had no effect. A key that is unknown
-// now may have been known to an earlier attempt. Reads never have an effect.
+// deniesEffect reports whether a status says that a call had no effect, which does not hold
+// if an earlier attempt was carried out: a key that is unknown now may have been known then.
+// Reads never have an effect.
 func deniesEffect(method string, status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusUnauthorized && method != http.MethodGet
 }
@@ -213,7 +223,7 @@
 		Method: cal.Method, Host: cal.Host, Path: cal.Path, Body: cal.Body, LeftMs: uint32(time.Until(end).Milliseconds()),
 		Key: cal.Key, Centre: string(cal.Centre),
 	}
-	if cur := vm.discovered.Load(); cur.leader != leader || !vm.mark(msg, cal, cur.ticket) {
+	if cur := vm.discovered.Load(); cur.leader != leader || !vm.setMark(msg, cal, cur.ticket) {
 		return Reply{}, errors.Trace(newNotLeaderError())
 	}
 	rep, err := peer.Call[*wire.CellReply](ctx, vm.hub, leader, msg)
--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -70,8 +70,8 @@
 // Error describes the failure.
 func (err *ExpiredError) Error() string { return "the call waited for longer than its caller does" }
 
-// InvalidCallError reports a call whose host or path is not UTF-8, so that no VM can forward
-// it. It had no effect.
+// InvalidCallError reports a call whose host, path or key is not UTF-8, so that no VM can
+// forward it. It had no effect.
 type InvalidCallError struct{}
 
 // Error describes the failure.
@@ -108,8 +108,8 @@
 // isNoMemory reports whether err means that another VM had no memory for a request, which
 // it has not handled.
 func isNoMemory(err error) bool {
-	var full *peer.NoMemoryError
-	return errors.As(err, &full)
+	var nme *peer.NoMemoryError
+	return errors.As(err, &nme)
 }
 
 // isUnsent reports whether err means that a request to another VM was not sent.
--- a/io/cell/fence.go
+++ b/io/cell/fence.go
@@ -12,30 +12,30 @@
 	"guavarail/io/wire"
 )
 
-// defaultValidity is for how long a call is valid that doesn't tell: callers of operators'
-// calls give up after 1 s.
+// defaultValidity is the validity of calls that carry none. Callers of operators' calls
+// give up after 1 s.
 const defaultValidity = 900 * time.Millisecond
 
-// watch is a fence.Watch that several goroutines use.
-type watch struct {
-	mu sync.Mutex
-	// seen is guarded by mu.
-	seen fence.Watch
+// arrivalClock is a fence.Watch that several goroutines use. The zero value is ready.
+type arrivalClock struct {
+	// mu guards inner.
+	mu    sync.Mutex
+	inner fence.Watch
 }
 
-// arrival returns fence.Watch.Arrival. It reads the clock under the lock, so that the times
-// that the watch sees don't go back.
-func (wa *watch) arrival(clock func() model.Instant) model.Instant {
-	wa.mu.Lock()
-	defer wa.mu.Unlock()
-	return wa.seen.Arrival(clock())
+// arrival returns fence.Watch.Arrival. It reads the clock under the mutex, so that the
+// times that the fence.Watch gets never decrease.
+func (arc *arrivalClock) arrival(clock func() model.Instant) model.Instant {
+	arc.mu.Lock()
+	defer arc.mu.Unlock()
+	return arc.inner.Arrival(clock())
 }
 
-// Arrival returns a time before which a call can't have arrived that a front end has just
-// read, for Call.Arrived.
-func (vm *VM) Arrival() model.Instant { return vm.watch.arrival(vm.clock) }
+// Arrival returns the earliest time at which a call that a front end has just read may have
+// arrived, for Call.Arrived.
+func (vm *VM) Arrival() model.Instant { return vm.arrivals.arrival(vm.clock) }
 
-// withArrival fills in when a call arrived and for how long it is valid.
+// withArrival sets Arrived and Valid of a call that has none.
 func (vm *VM) withArrival(cal Call) Call {
 	if cal.Arrived == 0 {
 		cal.Arrived = vm.Arrival()
@@ -49,10 +49,10 @@
 // expired reports whether a call has expired by the clock of this VM.
 func (vm *VM) expired(cal Call) bool { return !vm.clock().Before(cal.Arrived.Add(cal.Valid)) }
 
-// mark sets the mark of a call that is passed on to the leader. It returns false if the
-// ticket of the leader is out of date. The leader issues none if it is of an earlier
-// version.
-func (vm *VM) mark(msg *wire.CellCall, cal Call, tic fence.Ticket) bool {
+// setMark sets the mark of a call that is forwarded to the leader. It returns false if the
+// leader's ticket is out of date. A leader of an earlier version issues no ticket; the call
+// then carries no mark.
+func (vm *VM) setMark(msg *wire.CellCall, cal Call, tic fence.Ticket) bool {
 	if tic == (fence.Ticket{}) {
 		return true
 	}
@@ -62,10 +62,10 @@
 	return tic.Valid(vm.clock())
 }
 
-// admit checks the mark of a call of another VM, and returns when the call expires; 0 for a
+// checkMark checks the mark of a call of another VM, and returns when the call expires; 0 for a
 // call without a mark, from a VM of an earlier version. A *quorum.NotLeaderError means that
 // the ticket is of another term, an *ExpiredError that the caller no longer waits.
-func (vm *VM) admit(msg *wire.CellCall, term uint64) (model.Instant, error) {
+func (vm *VM) checkMark(msg *wire.CellCall, term uint64) (model.Instant, error) {
 	if msg.GetTicketTerm() == 0 {
 		return 0, nil
 	}
--- a/io/cell/fence_test.go
+++ b/io/cell/fence_test.go
@@ -108,11 +108,11 @@
 	now := vm.clock()
 	cal := Call{Arrived: now.Add(-100 * time.Millisecond), Valid: defaultValidity}
 	var msg wire.CellCall
-	if !vm.mark(&msg, cal, fence.NewTicket(7, 5, now.Add(-300*time.Millisecond))) || msg.GetTicketTerm() != 7 || msg.GetTicketClock() != 5 ||
+	if !vm.setMark(&msg, cal, fence.NewTicket(7, 5, now.Add(-300*time.Millisecond))) || msg.GetTicketTerm() != 7 || msg.GetTicketClock() != 5 ||
 		msg.GetWaitedNs() != (200*time.Millisecond).Nanoseconds() || msg.GetValidMs() != 900 {
 		t.Errorf("call %v", &msg)
 	}
-	if vm.mark(&msg, cal, fence.NewTicket(7, 5, now.Add(-2*fence.MaxTicketAge))) {
+	if vm.setMark(&msg, cal, fence.NewTicket(7, 5, now.Add(-2*fence.MaxTicketAge))) {
 		t.Error("passed on with a ticket from before a pause")
 	}
 }
--- a/io/cell/find.go
+++ b/io/cell/find.go
@@ -121,7 +121,9 @@
 		}
 	}
 	wels := fin.helloAll(ctx, prev.members)
-	leader, best := model.VMID(""), (*wire.CellWelcome)(nil)
+	leader := model.VMID("")
+	// best is the answer of leader; the methods of a nil message return zero values.
+	var best *wire.CellWelcome
 	var answers []*wire.CellWelcome
 	for id, wel := range wels {
 		answers = append(answers, wel)
@@ -130,7 +132,7 @@
 		}
 	}
 	if leader != "" {
-		fin.vm.learnLimits(wels[leader])
+		fin.vm.learnLimits(best)
 	}
 	fin.publish(prev, answers, leader, best)
 	return leader != ""
@@ -174,10 +176,9 @@
 	return out
 }
 
-// publish replaces the discovery by one made of the answers, of which best is that of the
-// leader. If there is a leader,
-// members that it does not list are removed, except for the seeds. Without a leader
-// the previous members stay as well.
+// publish replaces the discovery by one made of the answers. best is the answer of the
+// leader, nil if there is none. If there is a leader, members that it does not list are
+// removed, except for the seeds. Without a leader the previous members stay as well.
 func (fin *leaderFinder) publish(prev *discovery, wels []*wire.CellWelcome, leader model.VMID, best *wire.CellWelcome) {
 	vm := fin.vm
 	now := vm.clock()
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -44,15 +44,15 @@
 	// seeds are the VMs at the seed addresses of the settings. They are replaced
 	// as a whole when the settings are reloaded.
 	seeds atomic.Pointer[[]model.VMID]
-	// limits are the limits of a request, and budget what all requests share.
-	limits limitsInForce
+	// limits bound each request, and budget all requests together.
+	limits requestLimits
 	budget *limit.Budget
 	// discoverNow buffers one request for a discovery.
 	discoverNow chan struct{}
 	// announcements has the VMs with a disk that have said hello to this one.
 	announcements chan model.VMID
-	// watch notes when this process was stalled.
-	watch watch
+	// arrivals notes when this process was stalled.
+	arrivals arrivalClock
 	// handler is set by Serve; nil before that.
 	handler atomic.Pointer[Handler]
 	// cleanups are the clean-up functions, in the order in which the parts of the
