--- a/io/httpd/body.go
+++ b/io/httpd/body.go
@@ -109,9 +109,9 @@
 	return errIncompleteBody
 }
 
-// Hold reserves more memory for a request until its response has been written. The error
-// is a *RefusalError.
-func Hold(req *http.Request, size int) error {
+// Reserve reserves more memory for a request until its response has been written. The
+// error is a *RefusalError.
+func Reserve(req *http.Request, size int) error {
 	con, ok := connOf(req.Context())
 	if !ok || size <= buffer.SmallBytes {
 		return nil
--- a/io/httpd/limits_test.go
+++ b/io/httpd/limits_test.go
@@ -31,7 +31,7 @@
 	stop, err := StartBounded("test", srv.address, http.HandlerFunc(func(rsp http.ResponseWriter, req *http.Request) {
 		body, err := ReadBody(req)
 		if err == nil {
-			err = Hold(req, len(body))
+			err = Reserve(req, len(body))
 		}
 		if err != nil {
 			Refuse(rsp, req, err)
--- a/io/httpd/refuse.go
+++ b/io/httpd/refuse.go
@@ -51,9 +51,9 @@
 	errIncompleteBody = &RefusalError{status: http.StatusBadRequest, cause: "the body could not be read to its end"}
 )
 
-// Refuse writes the response to a request for which ReadBody or Hold failed, and counts it.
-// The connection ends after it, because the rest of the request is not read. An error that
-// is not a *RefusalError is answered like a body that ended early.
+// Refuse writes the response to a request for which ReadBody or Reserve failed, and counts
+// it. The connection ends after it, because the rest of the request is not read. An error
+// that is not a *RefusalError is answered like a body that ended early.
 func Refuse(rsp http.ResponseWriter, req *http.Request, err error) {
 	var ref *RefusalError
 	if !errors.As(err, &ref) {
