--- a/io/httpd/bounds.go
+++ b/io/httpd/bounds.go
@@ -10,20 +10,19 @@
 )
 
 const (
-	// defaultMaxHeader and defaultMaxBody bound a request of a server without limits, in
-	// bytes.
+	// defaultMaxHeader and defaultMaxBody are the defaults of Limits, in bytes. Those of
+	// the timeouts are headerTimeout and idleTimeout.
 	defaultMaxHeader = 32 << 10
 	defaultMaxBody   = 4 << 20
 	// largestHeader is the most that MaxHeader can be, in bytes.
 	largestHeader = 1 << 20
-	// progressTimeout bounds the time in which nothing of a body arrives. It is checked
-	// once per progressInterval.
+	// progressTimeout bounds the time in which nothing of a body arrives. The deadline is
+	// moved at most once per progressInterval.
 	progressTimeout  = 5 * time.Second
 	progressInterval = time.Second
 )
 
-// Limits bound a single request. A limit that is 0 stands for its default, which is also
-// the default of the server before there were limits, except that of MaxHeader.
+// Limits bound a single request. A limit that is 0 stands for its default.
 type Limits struct {
 	// MaxHeader and MaxBody are in bytes. MaxHeader is at most largestHeader.
 	MaxHeader, MaxBody int64
@@ -50,8 +49,8 @@
 	return out
 }
 
-// Bounds are the limits of the requests of one server, and the budget of the process that
-// it shares with others. The zero value has the default limits and no budget.
+// Bounds are the limits of the requests of one server, and the budget that all servers of
+// the process share. The zero value has the default limits and no budget.
 type Bounds struct {
 	class  buffer.Class
 	budget *limit.Budget
@@ -63,7 +62,7 @@
 	open map[*conn]struct{}
 }
 
-// defaultLimits are the limits of a server without limits.
+// defaultLimits are the limits before the first call of SetLimits.
 var defaultLimits = Limits{}.withDefaults()
 
 // NewBounds returns the bounds of a server for clients of a class. budget may be nil.
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -1,5 +1,5 @@
-// Package httpd starts HTTP servers and shuts them down gracefully, which means that
-// running requests are completed.
+// Package httpd starts HTTP servers, bounds what their clients send, and shuts them down
+// gracefully, which means that running requests are completed.
 package httpd
 
 import (
