--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -24,7 +24,7 @@
 // CodecError reports a command that was stored, cannot be decoded and has no effect.
 type CodecError = group.CodecError
 
-// RefusedError reports that a job was not accepted, because the capacity does not suffice.
+// RefusedError reports that admission control did not accept a job.
 // The submission had no effect.
 type RefusedError struct{ decision shed.Decision }
 
--- a/io/cell/submit.go
+++ b/io/cell/submit.go
@@ -17,9 +17,9 @@
 	"guavarail/io/lines"
 )
 
-// submissions are the jobs that this VM proposes as the leader and whose submission is not
-// applied yet, and the record of those that it refuses. The zero value is empty. The
-// group's actor owns it.
+// submissions has the jobs that this VM proposes as the leader and whose submission is not
+// applied yet, and bounds the events about those that it refuses. The zero value is empty.
+// The group's actor owns it.
 type submissions struct {
 	// proposed holds the jobs until their submission is applied or this VM steps down. A
 	// job whose proposal has an unknown outcome stays in it.
@@ -28,7 +28,7 @@
 	refusals lines.Limiter
 }
 
-// begin records that a job is about to be proposed.
+// begin adds a job that is about to be proposed.
 func (sub *submissions) begin(id model.JobID) {
 	if sub.proposed == nil {
 		sub.proposed = map[model.JobID]bool{}
@@ -36,7 +36,7 @@
 	sub.proposed[id] = true
 }
 
-// applied records that an operation was applied.
+// applied removes the job of a submission that was applied.
 func (sub *submissions) applied(op flow.Op) {
 	if op.Kind() == flow.OpSubmit {
 		delete(sub.proposed, op.ID())
@@ -44,9 +44,9 @@
 }
 
 // Submit submits the job of a caller in a data centre and waits until that is applied. If
-// admission is on and the capacity does not suffice, it returns a *RefusedError, and the
-// job is not submitted. A job that the state has, or that this VM is proposing, is not
-// refused, since its caller may have missed the answer.
+// admission control does not accept the job, it returns a *RefusedError and submits
+// nothing. A job that the state has, or that this VM is proposing, is not refused, since
+// its caller may have missed the answer.
 func (lea Leader) Submit(ctx context.Context, jo flow.Job, centre model.CentreID) (cell.Result, error) {
 	cmd := cell.Jobs(flow.Submit(jo))
 	if !lea.vm.settings.Admission() {
--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -114,8 +114,7 @@
 // given.
 func (ce Cell) MemoryMB() int { return ce.memoryMB }
 
-// Admission reports whether the leader refuses jobs for which the capacity does not
-// suffice.
+// Admission reports whether the leader refuses jobs when capacity is short.
 func (ce Cell) Admission() bool { return ce.admission }
 
 // VMMemoryMB returns the memory of the VM, in megabytes, from which the memory for
@@ -127,8 +126,8 @@
 // not given.
 func (ce Cell) MaxFiles() int { return ce.maxFiles }
 
-// MaxPerAddress returns the number of connections that one client address may have open;
-// 0 means no bound.
+// MaxPerAddress returns the number of connections that callers may have open from one
+// address; 0 means no bound.
 func (ce Cell) MaxPerAddress() int { return ce.maxPerAddress }
 
 // Entries returns the effective value of every key in the order in which they are
--- a/io/limit/budget.go
+++ b/io/limit/budget.go
@@ -38,7 +38,7 @@
 	MemoryMB int
 	// Files is the number of file descriptors that the process may have.
 	Files int
-	// PerAddress bounds the connections of one client address.
+	// PerAddress bounds the connections of callers from one address.
 	PerAddress int
 	Log        hclog.Logger
 }
--- a/io/limit/report.go
+++ b/io/limit/report.go
@@ -9,14 +9,14 @@
 	"guavarail/io/meter"
 )
 
-// logInterval bounds the log: one line of each kind in this time.
+// logInterval is the least time between two log lines of a kind.
 const logInterval = time.Second
 
-// refusals counts what was refused, by kind.
+// refusals counts refusals by kind.
 var refusals = meter.NewCounters("requestsLimited")
 
-// Kind is a reason for which a request was refused or a connection closed, and the name
-// of its counter.
+// Kind is a reason for which a request was refused or a connection closed. Its value is
+// the name of its counter.
 type Kind string
 
 // Kinds of refusals. In each case the request was not carried out.
