--- a/io/httpd/listener.go
+++ b/io/httpd/listener.go
@@ -9,8 +9,8 @@
 	"github.com/juju/errors"
 )
 
-// listener is a net.Listener whose connections end when it is closed, except for those
-// on which a byte of a request has been read.
+// listener is a net.Listener that closes connections over a bound. When it is closed, its
+// connections end, except for those on which a byte of a request has been read.
 type listener struct {
 	net.Listener
 	// closing ends when the listener is closed.
@@ -21,6 +21,7 @@
 	bounds *Bounds
 }
 
+// newListener returns a listener around lis.
 func newListener(lis net.Listener, bnd *Bounds) *listener {
 	li := &listener{Listener: lis, bounds: bnd}
 	li.closing, li.cancel = context.WithCancel(context.Background())
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -179,6 +179,7 @@
 	}
 	budget := li.hub.cfg.Budget
 	if li.addr != "" || !budget.Bounded() {
+		// What yamux holds is bounded only for VMs without a known address.
 		budget = nil
 	}
 	if mc, err := newMuxConn(conn, false, li.hub.vars, budget); err == nil {
--- a/io/peer/listen.go
+++ b/io/peer/listen.go
@@ -34,11 +34,13 @@
 
 // acceptor accepts connections, reads their Hello and posts them to the hub.
 type acceptor struct {
-	hub     *Hub
-	lis     net.Listener
-	post    func(msg any)
+	hub  *Hub
+	lis  net.Listener
+	post func(msg any)
+	// pending has the connections whose Hello has not arrived yet.
 	pending handshakes
-	clock   host.Clock
+	// clock bounds the log lines about rejected connections.
+	clock host.Clock
 }
 
 // run accepts connections until ctx ends and the listener is closed. It closes
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -147,8 +147,8 @@
 }
 
 // newMuxConn starts a yamux session on a connection; dialled says whether this VM dialled
-// it. If it fails, it closes the connection. Unless budget is nil, it bounds what
-// yamux holds.
+// it. If it fails, it closes the connection. Unless budget is nil, what yamux holds is
+// bounded, and budget counts a session that exceeds the bound.
 func newMuxConn(conn net.Conn, dialled bool, vars *Vars, budget *limit.Budget) (*muxConn, error) {
 	mc := &muxConn{streams: &streamSet{}}
 	if budget != nil {
