--- a/io/cell/errors.go
+++ b/io/cell/errors.go
@@ -24,7 +24,7 @@
 // CodecError reports a command that was stored, cannot be decoded and has no effect.
 type CodecError = group.CodecError
 
-// RefusedError reports that a job was not accepted, because the capacity does not suffice.
+// RefusedError reports that admission control did not accept a job.
 // The submission had no effect.
 type RefusedError struct{ decision shed.Decision }
 
@@ -70,8 +70,8 @@
 // Error describes the failure.
 func (err *ExpiredError) Error() string { return "the call waited for longer than its caller does" }
 
-// InvalidCallError reports a call whose host or path is not UTF-8, so that no VM can forward
-// it. It had no effect.
+// InvalidCallError reports a call whose host, path or key is not UTF-8, so that no VM can
+// forward it. It had no effect.
 type InvalidCallError struct{}
 
 // Error describes the failure.
@@ -108,8 +108,8 @@
 // isNoMemory reports whether err means that another VM had no memory for a request, which
 // it has not handled.
 func isNoMemory(err error) bool {
-	var full *peer.NoMemoryError
-	return errors.As(err, &full)
+	var nme *peer.NoMemoryError
+	return errors.As(err, &nme)
 }
 
 // isUnsent reports whether err means that a request to another VM was not sent.
--- a/io/httpd/bounds.go
+++ b/io/httpd/bounds.go
@@ -10,38 +10,19 @@
 )
 
 const (
-	// defaultMaxHeader and defaultMaxBody bound a request of a server without limits, in
-	// bytes.
+	// defaultMaxHeader and defaultMaxBody are the defaults of Limits, in bytes. Those of
+	// the timeouts are headerTimeout and idleTimeout.
 	defaultMaxHeader = 32 << 10
 	defaultMaxBody   = 4 << 20
 	// largestHeader is the most that MaxHeader can be, in bytes.
 	largestHeader = 1 << 20
-	// progressTimeout bounds the time in which nothing of a body arrives. It is checked
-	// once per progressInterval.
+	// progressTimeout bounds the time in which nothing of a body arrives. The deadline is
+	// moved at most once per progressInterval.
 	progressTimeout  = 5 * time.Second
 	progressInterval = time.Second
-	// headSlack is the part of a body that may be read with the head: the size of the
-	// buffer of package http.
-	headSlack = 4 << 10
-	// headCopies is the number of bytes that package http takes for one of a head: a line
-	// is read into a buffer that doubles, and then copied.
-	headCopies = 4
-	// headStep is the unit in which the memory of a head is reserved, in bytes.
-	headStep = 8 << 10
-	// refuseTimeout bounds the writing of a response to a request that was not read, and
-	// the reading of what the client still sends, which is at most maxUnread bytes.
-	refuseTimeout = 200 * time.Millisecond
-	maxUnread     = 256 << 10
 )
 
-// Responses to requests whose head is not read to its end.
-const (
-	responseLargeHead = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	responseNoMemory  = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-
-// Limits bound a single request. A limit that is 0 stands for its default, which is also
-// the default of the server before there were limits, except that of MaxHeader.
+// Limits bound a single request. A limit that is 0 stands for its default.
 type Limits struct {
 	// MaxHeader and MaxBody are in bytes. MaxHeader is at most largestHeader.
 	MaxHeader, MaxBody int64
@@ -68,8 +49,8 @@
 	return out
 }
 
-// Bounds are the limits of the requests of one server, and the budget of the process that
-// it shares with others. The zero value has the default limits and no budget.
+// Bounds are the limits of the requests of one server, and the budget that all servers of
+// the process share. The zero value has the default limits and no budget.
 type Bounds struct {
 	class  buffer.Class
 	budget *limit.Budget
@@ -81,7 +62,7 @@
 	open map[*conn]struct{}
 }
 
-// defaultLimits are the limits of a server without limits.
+// defaultLimits are the limits before the first call of SetLimits.
 var defaultLimits = Limits{}.withDefaults()
 
 // NewBounds returns the bounds of a server for clients of a class. budget may be nil.
