Peer: links of thousands of VMs without a known address

A control VM accepted 256 links of VMs that are not among its peers, and rejected those of more entry VMs, which tried again and again.

The bound is 3,000 now. Connections are bounded by file descriptors and memory besides.

--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -13,8 +13,9 @@
 )
 
 // maxUnlisted bounds the links of VMs that are not among the peers. Each takes a few
-// goroutines and a file descriptor.
-const maxUnlisted = 256
+// kilobytes. A control VM has a link of each entry VM, of which there may be a thousand and
+// more, and the links of VMs that were replaced stay until they time out.
+const maxUnlisted = 3000
 
 // Messages to the actor of the hub.
 type (
