Cell: only calls of operators expire

Cause: each call needed a ticket of the leader that is at most 1.5 s old. A leader that is behind answers hello messages late, so that VMs answered 503 to heartbeats, and workers went from VM to VM, which made more calls.

Change: Call.Valid of 0 means that a call doesn't expire and needs no ticket. Heartbeats have a sequence, submissions and cancels an identifier; only calls of operators expire. VMs without an address for operators have no pulse.

--- a/io/cell/call.go
+++ b/io/cell/call.go
@@ -38,9 +38,9 @@
 	Key string
 	// Centre is the data centre of the VM that took the call.
 	Centre model.CentreID
-	// Arrived is the result of VM.Arrival when the call was read, and Valid for how long
-	// its caller waits from then. The call is not carried out after that. Route replaces
-	// values of 0.
+	// Valid is for how long the caller waits from Arrived, the result of VM.Arrival when
+	// the call was read. The call is not carried out after that. 0 means that the call
+	// doesn't expire, because a late one changes nothing.
 	Arrived model.Instant
 	Valid   time.Duration
 }
@@ -116,7 +116,6 @@
 		calls.Add(callInvalid)
 		return Reply{}, errors.Trace(&InvalidCallError{})
 	}
-	cal = vm.withArrival(cal)
 	start := vm.clock()
 	rep, err := vm.route(ctx, cal)
 	callTime.Add(vm.clock().Sub(start))
@@ -214,7 +213,7 @@
 		return Reply{}, errors.Trace(&ExpiredError{})
 	}
 	if leader == vm.self {
-		return vm.handle(withExpiry(ctx, cal.Arrived.Add(cal.Valid)), cal)
+		return vm.handle(withExpiry(ctx, cal.expiry()), cal)
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
--- a/io/cell/fence.go
+++ b/io/cell/fence.go
@@ -12,10 +12,6 @@
 	"guavarail/io/wire"
 )
 
-// defaultValidity is the validity of calls that carry none. Callers of operators' calls
-// give up after 1 s.
-const defaultValidity = 900 * time.Millisecond
-
 // arrivalClock is a fence.Watch that several goroutines use. The zero value is ready.
 type arrivalClock struct {
 	// mu guards inner.
@@ -35,25 +31,22 @@
 // arrived, for Call.Arrived.
 func (vm *VM) Arrival() model.Instant { return vm.arrivals.arrival(vm.clock) }
 
-// withArrival sets Arrived and Valid of a call that has none.
-func (vm *VM) withArrival(cal Call) Call {
-	if cal.Arrived == 0 {
-		cal.Arrived = vm.Arrival()
-	}
-	if cal.Valid <= 0 {
-		cal.Valid = defaultValidity
+// expiry returns when the call expires on the clock of this VM, 0 for never.
+func (cal Call) expiry() model.Instant {
+	if cal.Valid == 0 {
+		return 0
 	}
-	return cal
+	return cal.Arrived.Add(cal.Valid)
 }
 
 // expired reports whether a call has expired by the clock of this VM.
-func (vm *VM) expired(cal Call) bool { return !vm.clock().Before(cal.Arrived.Add(cal.Valid)) }
+func (vm *VM) expired(cal Call) bool { return cal.Valid > 0 && !vm.clock().Before(cal.expiry()) }
 
 // setMark sets the mark of a call that is forwarded to the leader. It returns false if the
-// leader's ticket is out of date. A leader of an earlier version issues no ticket; the call
-// then carries no mark.
+// leader's ticket is out of date. A call that doesn't expire carries no mark, nor does one
+// to a leader of an earlier version, which issues no ticket.
 func (vm *VM) setMark(msg *wire.CellCall, cal Call, tic fence.Ticket) bool {
-	if tic == (fence.Ticket{}) {
+	if cal.Valid == 0 || tic == (fence.Ticket{}) {
 		return true
 	}
 	mk := tic.Mark(cal.Arrived, cal.Valid)
--- a/io/cell/fence_test.go
+++ b/io/cell/fence_test.go
@@ -92,6 +92,9 @@
 	}
 }
 
+// defaultValidity is for how long the calls of these tests are valid.
+const defaultValidity = 900 * time.Millisecond
+
 // Guards against a call that is passed on although its caller has given up, without a ticket,
 // or with one from before a pause.
 func TestCallIsPassedOnWithATicketOnly(t *testing.T) {
--- a/io/cell/vm.go
+++ b/io/cell/vm.go
@@ -114,7 +114,10 @@
 	vm.Reload(vm.settings)
 	vm.discovered.Store(&discovery{members: *vm.seeds.Load()})
 	vm.serveCalls()
-	_ = vm.addCleanup(host.Every(ctx, fence.PulseInterval, func(context.Context) { vm.Arrival() }), nil)
+	if vm.settings.Listen().API().IsValid() {
+		// Only calls of operators expire.
+		_ = vm.addCleanup(host.Every(ctx, fence.PulseInterval, func(context.Context) { vm.Arrival() }), nil)
+	}
 	hub, stop, err := peer.New(peer.Config{
 		System: sys, Self: vm.self, Listen: vm.settings.Listen().Peers().String(), Mux: vm.mux, AcceptUnlisted: true, Budget: vm.budget,
 		Log: vm.log.Named("peer"), Clock: rec.Clock(), Seed: randomSeed(vm.self),
