--- a/review/_drive3/leave.go
+++ b/review/_drive3/leave.go
@@ -90,42 +90,72 @@
 // deregistration, before it exits anyway.
 const leaveTime = 3 * time.Second
 
-// leaveCase: a worker that leaves as planned gets no acknowledgement of its deregistration.
-func leaveCase(rec *record, trouble bool) (int, error) {
+// standing starts a cluster of three frontends and ten workers that run a job of tasks that
+// last.
+func standing(rec *record, tasks int) (*cluster, *ledger, []*worker, error) {
 	clu, err := newCluster(rec, 3, "")
 	if err != nil {
-		return cantRun, err
+		return nil, nil, nil, err
 	}
-	defer clu.stopAll()
+	led := newLedger(rec)
+	workers, err := clu.startStanding(led, tasks)
+	if err != nil {
+		exitAll(workers)
+		clu.stopAll()
+		return nil, nil, nil, err
+	}
+	return clu, led, workers, nil
+}
+
+func (clu *cluster) startStanding(led *ledger, tasks int) ([]*worker, error) {
 	if err := clu.startAll(); err != nil {
-		return cantRun, err
+		return nil, err
 	}
 	if status, _ := clu.operate(http.MethodPost, "/Config.Replace", usualConfiguration(3, true), 20*time.Second); status != 200 {
-		return cantRun, errors.New("no configuration")
+		return nil, errors.New("no configuration")
 	}
-	led := newLedger(rec)
 	var workers []*worker
 	for num := range 10 {
 		wk := newWorker(led, fmt.Sprintf("i-%08d", num), zones[num%3], fmt.Sprintf("r1-%d", num/8), clu.controlAddresses())
 		wk.address = fmt.Sprintf("127.92.0.%d:8080", num+1)
 		wk.start()
-		defer wk.exit()
 		workers = append(workers, wk)
 	}
-	job := map[string]any{"taskSpec": "standing allocation", "steps": []map[string]any{{"count": 30, "cpu": 6400, "memoryLimitMb": 13000, "longRunning": true, "estimatedMs": 500}}}
+	job := map[string]any{"taskSpec": "standing allocation", "steps": []map[string]any{{"count": tasks, "cpu": 6400, "memoryLimitMb": 13000, "longRunning": true, "estimatedMs": 500}}}
 	if !clu.submit(watchPrefix+"00000000000000a1", job) {
-		return cantRun, errors.New("job not accepted")
+		return workers, errors.New("job not accepted")
 	}
-	if !waitUntil(20*time.Second, func() bool { return led.runningTasks() == 30 }) {
-		return cantRun, errors.New("the tasks did not start")
+	if !waitUntil(20*time.Second, func() bool { return led.runningTasks() == tasks }) {
+		return workers, errors.New("the tasks did not start")
 	}
 	time.Sleep(3 * time.Second)
+	return workers, nil
+}
+
+// exitAll ends the workers.
+func exitAll(workers []*worker) {
+	for _, wk := range workers {
+		wk.exit()
+	}
+}
+
+// leaveCase: a worker that leaves as planned gets no acknowledgement of its deregistration.
+func leaveCase(rec *record, trouble bool) (int, error) {
+	clu, led, workers, err := standing(rec, 30)
+	if err != nil {
+		return cantRun, err
+	}
+	defer clu.stopAll()
+	defer exitAll(workers)
 	var leaving *worker
 	for _, wk := range workers {
 		if len(led.runningOn(wk.id)) > 0 {
 			leaving = wk
 		}
 	}
+	if leaving == nil {
+		return cantRun, errors.New("no worker has tasks")
+	}
 	rec.printf("worker %s drains; it runs %d tasks", leaving.id, len(led.runningOn(leaving.id)))
 	leaving.setDraining()
 	if !waitUntil(5*time.Second, func() bool { return !leaving.ackedDrain().IsZero() }) {
@@ -147,7 +177,7 @@
 	rec.printf("worker %s: deregistration answered %d; it exits", leaving.id, status)
 	leaving.exit()
 	time.Sleep(10 * time.Second)
-	if len(led.twice) > 0 {
+	if led.ranTwice() {
 		return broken, nil
 	}
 	return held, nil
--- a/review/_drive3/main.go
+++ b/review/_drive3/main.go
@@ -15,6 +15,7 @@
 // cases are the script cases by number.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"leave": leaveCase,
+	"odd":   oddCase,
 }
 
 func main() {
--- a/review/_drive3/worker.go
+++ b/review/_drive3/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -86,6 +87,13 @@
 	return num
 }
 
+// ranTwice reports whether any task ran on two workers at the same time.
+func (led *ledger) ranTwice() bool {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	return len(led.twice) > 0
+}
+
 // lengthOf reads how long a task works from its text, such as "ms=2000".
 var lengthOf = regexp.MustCompile(`ms=(\d+)`)
 
@@ -126,6 +134,8 @@
 	silent bool
 	// target is the address of the next heartbeat.
 	target string
+	// lastReport is the body of the last heartbeat.
+	lastReport map[string]any
 	// drainAcked is when a heartbeat that says draining was acknowledged.
 	drainAcked time.Time
 
@@ -158,7 +168,7 @@
 	go wk.loop(ctx)
 }
 
-// exit ends the worker and with it all that it runs.
+// exit ends the worker and with it all that it runs. It may be called more than once.
 func (wk *worker) exit() {
 	wk.cancel()
 	<-wk.done
@@ -279,18 +289,10 @@
 	}
 	wk.mu.Unlock()
 	wk.sequence++
-	running := [][]any{}
-	for task, ru := range wk.runs {
-		running = append(running, []any{task, ru.attempt, "", ru.percent(), 0})
-	}
-	body := map[string]any{
-		"serviceName": serviceName, "address": wk.address, "zone": wk.zone, "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
-		"capacity": map[string]int64{"cpu": wk.cpu, "memoryLimitMb": wk.memory, "gpus": 0}, "labels": []string{"a", wk.rack},
-		"clockMs": time.Since(wk.begun).Milliseconds(), "sequence": wk.sequence, "born": wk.born, "running": running, "ended": wk.ended[:min(500, len(wk.ended))],
-	}
-	if state == "draining" {
-		body["remainingMs"] = 2000
-	}
+	body := wk.report(state)
+	wk.mu.Lock()
+	wk.lastReport = body
+	wk.mu.Unlock()
 	buf, err := json.Marshal(body)
 	if err != nil {
 		return time.Now().Add(beatInterval)
@@ -320,6 +322,30 @@
 	return time.Now().Add(beatInterval)
 }
 
+// report returns the body of a heartbeat. Only the goroutine of the worker may call it.
+func (wk *worker) report(state string) map[string]any {
+	running := [][]any{}
+	for task, ru := range wk.runs {
+		running = append(running, []any{task, ru.attempt, "", ru.percent(), 0})
+	}
+	body := map[string]any{
+		"serviceName": serviceName, "address": wk.address, "zone": wk.zone, "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
+		"capacity": map[string]int64{"cpu": wk.cpu, "memoryLimitMb": wk.memory, "gpus": 0}, "labels": []string{"a", wk.rack},
+		"clockMs": time.Since(wk.begun).Milliseconds(), "sequence": wk.sequence, "born": wk.born, "running": running, "ended": wk.ended[:min(500, len(wk.ended))],
+	}
+	if state == "draining" {
+		body["remainingMs"] = 2000
+	}
+	return body
+}
+
+// copyOfReport returns a copy of the last heartbeat.
+func (wk *worker) copyOfReport() map[string]any {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	return maps.Clone(wk.lastReport)
+}
+
 // send sends a heartbeat and returns the answer to it.
 func (wk *worker) send(ctx context.Context, target string, buf []byte) (answer, bool) {
 	var ans answer
