--- a/review/_drive3/leave.go
+++ b/review/_drive3/leave.go
@@ -121,7 +121,7 @@
 		wk.start()
 		workers = append(workers, wk)
 	}
-	job := map[string]any{"taskSpec": "standing allocation", "steps": []map[string]any{{"count": tasks, "cpu": 6400, "memoryLimitMb": 13000, "longRunning": true, "estimatedMs": 500}}}
+	job := map[string]any{"taskSpec": "cpu=6400", "steps": []map[string]any{{"count": tasks, "cpu": 6400, "memoryLimitMb": 13000, "longRunning": true, "estimatedMs": 500}}}
 	if !clu.submit(watchPrefix+"00000000000000a1", job) {
 		return workers, errors.New("job not accepted")
 	}
--- a/review/_drive3/main.go
+++ b/review/_drive3/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"leave": leaveCase,
 	"odd":   oddCase,
+	"ids":   idCase,
 }
 
 func main() {
--- a/review/_drive3/worker.go
+++ b/review/_drive3/worker.go
@@ -94,8 +94,22 @@
 	return len(led.twice) > 0
 }
 
-// lengthOf reads how long a task works from its text, such as "ms=2000".
-var lengthOf = regexp.MustCompile(`ms=(\d+)`)
+// lengthOf and sizeOf read from the text of a task how long it works, in milliseconds, and what
+// it takes of a worker, in thousandths of a processor, such as "cpu=2000 ms=300".
+var (
+	lengthOf = regexp.MustCompile(`ms=(\d+)`)
+	sizeOf   = regexp.MustCompile(`cpu=(\d+)`)
+)
+
+// cpuOf returns what a task takes of a worker, which its job declares too.
+func cpuOf(spec string) int64 {
+	match := sizeOf.FindStringSubmatch(spec)
+	if match == nil {
+		return 0
+	}
+	num, _ := strconv.ParseInt(match[1], 10, 64)
+	return num
+}
 
 // run is a task that runs on a worker.
 type run struct {
@@ -408,8 +422,22 @@
 	wk.barred[task] = max(wk.barred[task], attempt)
 }
 
+// hasRoom reports whether a task with a text fits beside the others.
+func (wk *worker) hasRoom(spec string) bool {
+	sum := cpuOf(spec)
+	for _, ru := range wk.runs {
+		sum += cpuOf(ru.spec)
+	}
+	return sum <= wk.cpu
+}
+
 func (wk *worker) orderStart(task string, attempt int, spec string) {
-	if wk.runs[task] != nil || attempt <= wk.barred[task] {
+	if ru := wk.runs[task]; ru != nil && ru.attempt == attempt {
+		return
+	}
+	if wk.runs[task] != nil || attempt <= wk.barred[task] || !wk.hasRoom(spec) {
+		wk.barred[task] = max(wk.barred[task], attempt)
+		wk.list(task, attempt, "refused")
 		return
 	}
 	ru := &run{attempt: attempt, spec: spec, begun: time.Now(), lasts: true}
