--- a/review/_drive3/worker.go
+++ b/review/_drive3/worker.go
@@ -230,7 +230,10 @@
 		if !silent && !time.Now().Before(due) {
 			due = wk.beat(ctx)
 		}
-		time.Sleep(5 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-time.After(5 * time.Millisecond):
+		}
 	}
 }
 
