--- a/review/_drive3/main.go
+++ b/review/_drive3/main.go
@@ -17,6 +17,7 @@
 	"leave": leaveCase,
 	"odd":   oddCase,
 	"ids":   idCase,
+	"last":  lastCase,
 }
 
 func main() {
--- a/review/_drive3/worker.go
+++ b/review/_drive3/worker.go
@@ -25,6 +25,8 @@
 	ended map[string]map[string]int
 	// twice are the tasks that ran on two workers at the same time.
 	twice []string
+	// again are the tasks that started after a run of theirs had ended done.
+	again []string
 }
 
 func newLedger(rec *record) *ledger {
@@ -44,6 +46,10 @@
 			led.twice = append(led.twice, task)
 		}
 	}
+	if led.ended[task]["done"] > 0 {
+		led.rec.printf("TWICE %s starts as %d on %s after it has ended done", task, attempt, worker)
+		led.again = append(led.again, task)
+	}
 	led.running[task][worker] = attempt
 	led.rec.printf("worker %s starts %s run %d", worker, task, attempt)
 }
@@ -94,6 +100,13 @@
 	return len(led.twice) > 0
 }
 
+// startedAgain returns the number of starts of tasks that had ended done.
+func (led *ledger) startedAgain() int {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	return len(led.again)
+}
+
 // lengthOf and sizeOf read from the text of a task how long it works, in milliseconds, and what
 // it takes of a worker, in thousandths of a processor, such as "cpu=2000 ms=300".
 var (
@@ -152,6 +165,11 @@
 	lastReport map[string]any
 	// drainAcked is when a heartbeat that says draining was acknowledged.
 	drainAcked time.Time
+	// leaveAfterWork makes the worker leave once it has drained and listed its last ends, and
+	// patient makes it wait for the answer to that list before it sends its deregistration.
+	leaveAfterWork, patient bool
+	// left is closed when the deregistration has been answered.
+	left chan struct{}
 
 	sequence int
 	next     int
@@ -170,7 +188,7 @@
 func newWorker(led *ledger, id, zone, rack string, addresses []string) *worker {
 	return &worker{
 		id: id, zone: zone, rack: rack, address: "127.92.0.1:" + strconv.Itoa(8000+len(id)), addresses: addresses, led: led, cpu: 32000, memory: 128000,
-		runs: map[string]*run{}, barred: map[string]int{}, client: &http.Client{Timeout: beatTimeout, Transport: &http.Transport{}}, done: make(chan struct{}),
+		runs: map[string]*run{}, barred: map[string]int{}, client: &http.Client{Timeout: beatTimeout, Transport: &http.Transport{}}, done: make(chan struct{}), left: make(chan struct{}),
 	}
 }
 
@@ -228,6 +246,10 @@
 		silent := wk.silent
 		wk.mu.Unlock()
 		if !silent && !time.Now().Before(due) {
+			if wk.isLastList() {
+				wk.leave(ctx)
+				return
+			}
 			due = wk.beat(ctx)
 		}
 		select {
