Flow: a job that was cancelled before its submission arrived never runs

What callers saw: a caller submits a job to a VM that is frozen, gives up, and cancels the job at another VM, which answers 410: no such job. The frozen VM runs again, reads the submission from its socket and passes it on; the job is accepted and its tasks start. A long-running one goes on for good.

Cause: the cancellation of an unknown job left nothing behind. docs/design/forwarded-calls.md held that a late submission does no harm because of its identifier, which is true of a repeat only.

Change: a cancellation is always put into the log, with the leader's wall clock. Identifiers count by workspace.

--- a/cmd/guavarail/frozen_test.go
+++ b/cmd/guavarail/frozen_test.go
@@ -121,3 +121,26 @@
 		}
 	}
 }
+
+// Guards against a job that waited for a frozen VM and runs although its caller has given up
+// and cancelled it at another VM, which did not know the job.
+func TestCancelledJobThatWaitedForAFrozenVMDoesNotRun(t *testing.T) {
+	fc := newFrozenCell(t)
+	for num, v := range fc.vms {
+		id := fmt.Sprintf("late%d", num)
+		path := "/fit/" + id
+		fc.sendFrozen(v, "POST", v.callers, path, keysJob, func(others []*vm) {
+			fc.waitUntil("the job is cancelled", func() bool {
+				return slices.ContainsFunc(others, func(o *vm) bool { return fc.send("DELETE", o.callers, path, "", "") == 410 })
+			})
+		})
+		if fc.started(id, 2*time.Second) {
+			t.Errorf("%s: a task of the cancelled job starts", v.name)
+		}
+	}
+	const path = "/fit/sound"
+	fc.waitUntil("a job is accepted", func() bool { return fc.send("POST", fc.vms[0].callers, path, "", keysJob) == 200 })
+	if !fc.started("sound", time.Minute) {
+		t.Error("no task of a job that is not cancelled starts")
+	}
+}
--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -33,7 +33,7 @@
 	case OpSubmit:
 		return st.submit(op.job)
 	case OpCancel:
-		return st.cancel(op.id, op.caller)
+		return st.cancel(op)
 	case OpStart:
 		return st.start(op)
 	case OpEnd:
@@ -50,7 +50,8 @@
 	return UnknownJob
 }
 
-// submit adds a job, unless the state has one with the same identifier.
+// submit adds a job, unless the state has one with the same identifier or the job was
+// cancelled before its submission arrived.
 func (st *State) submit(jo Job) Verdict {
 	if jb, ok := st.jobs[jo.ID()]; ok {
 		if !NewCaller(jo.spec.Workspace).MayAccess(jb.spec.Workspace) {
@@ -58,6 +59,9 @@
 		}
 		return Repeated
 	}
+	if st.withdrawals.has(jo) {
+		return Withdrawn
+	}
 	if st.jobs == nil {
 		st.jobs = map[model.JobID]*job{}
 	}
@@ -69,13 +73,15 @@
 
 // cancel marks a job as cancelled. Its runs go on until the planner has stopped
 // them. The owner is compared in log order, because another workspace may have submitted the
-// identifier again since the caller's access was checked.
-func (st *State) cancel(id model.JobID, caller Caller) Verdict {
-	jb, ok := st.jobs[id]
+// identifier again since the caller's access was checked. A job that is not known is
+// withdrawn: its submission may still be on its way.
+func (st *State) cancel(op Op) Verdict {
+	jb, ok := st.jobs[op.id]
 	switch {
 	case !ok:
+		st.withdrawals.add(Withdrawal{Job: op.id, Workspace: op.caller.workspace, AtMs: op.atMs})
 		return UnknownJob
-	case !caller.MayAccess(jb.spec.Workspace):
+	case !op.caller.MayAccess(jb.spec.Workspace):
 		return Foreign
 	case jb.status.Final():
 		return Repeated
--- a/core/flow/op.go
+++ b/core/flow/op.go
@@ -76,6 +76,7 @@
 	term        uint64
 	leaseLeft   time.Duration
 	caller      Caller
+	atMs        int64
 }
 
 // Submit returns the operation that adds a job.
@@ -89,6 +90,13 @@
 	return Op{kind: OpCancel, id: id, caller: caller}
 }
 
+// At returns a Cancel that the leader got at a time, in milliseconds since 1970. If the job is
+// not known, a submission that arrives later is not accepted. Without a time it is.
+func (op Op) At(unixMs int64) Op {
+	op.atMs = unixMs
+	return op
+}
+
 // Forget returns the operation that drops an ended job.
 func Forget(id model.JobID) Op { return Op{kind: OpForget, id: id} }
 
@@ -151,6 +159,9 @@
 // decided.
 func (op Op) LeaseLeft() time.Duration { return op.leaseLeft }
 
+// AtMs returns when the leader got a Cancel, in milliseconds since 1970; 0 if that is unknown.
+func (op Op) AtMs() int64 { return op.atMs }
+
 // Caller returns who cancels a job.
 func (op Op) Caller() Caller { return op.caller }
 
@@ -176,9 +187,12 @@
 	// OverQuota means that the start would bring what the workspace of the job has in
 	// use above its quota; nothing changed.
 	OverQuota
+	// Withdrawn means that the job was cancelled before its submission arrived; nothing
+	// changed.
+	Withdrawn
 )
 
-var verdictNames = [...]string{"accepted", "repeated", "unknownJob", "stale", "closed", "foreign", "overQuota"}
+var verdictNames = [...]string{"accepted", "repeated", "unknownJob", "stale", "closed", "foreign", "overQuota", "withdrawn"}
 
 // String returns the name for logs.
 func (ve Verdict) String() string { return nameOf(verdictNames[:], int(ve)) }
--- a/core/flow/snapshot.go
+++ b/core/flow/snapshot.go
@@ -10,6 +10,7 @@
 	submitted uint64
 	jobs      []JobRecord
 	silences  []SilenceRecord
+	withdrawn []Withdrawal
 }
 
 // NewSnapshot returns a snapshot; jobs are in the order of submission, and silences
@@ -27,6 +28,15 @@
 // Silences returns the marks of silent incarnations, ordered by name.
 func (sn Snapshot) Silences() []SilenceRecord { return sn.silences }
 
+// WithWithdrawals returns the snapshot with cancellations of unknown jobs, in log order.
+func (sn Snapshot) WithWithdrawals(wds []Withdrawal) Snapshot {
+	sn.withdrawn = wds
+	return sn
+}
+
+// Withdrawals returns the cancellations of unknown jobs, in log order.
+func (sn Snapshot) Withdrawals() []Withdrawal { return sn.withdrawn }
+
 // JobRecord is one job of a snapshot.
 type JobRecord struct {
 	Spec    JobSpec
@@ -57,7 +67,7 @@
 
 // Snapshot returns a copy of the state.
 func (st *State) Snapshot() Snapshot {
-	snap := Snapshot{submitted: st.submitted, silences: st.silences()}
+	snap := Snapshot{submitted: st.submitted, silences: st.silences(), withdrawn: slices.Clone(st.withdrawals.byAge)}
 	for _, jb := range st.bySubmission() {
 		snap.jobs = append(snap.jobs, jb.record())
 	}
@@ -97,6 +107,9 @@
 	for _, rec := range snap.silences {
 		st.restoreSilence(rec)
 	}
+	for _, wd := range snap.withdrawn {
+		st.withdrawals.add(wd)
+	}
 }
 
 func (st *State) restoreJob(rec *JobRecord) {
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -208,6 +208,8 @@
 	reserved share.Accounts[poolCustomer]
 	// undated is set if a mark of a host may have no leaseEnd. It is not replicated.
 	undated bool
+	// withdrawals are the jobs that were cancelled before they were submitted.
+	withdrawals withdrawals
 }
 
 // Status returns the status and the queue of a job, and false if the job was
--- a/io/cell/acknowledge.go
+++ b/io/cell/acknowledge.go
@@ -100,6 +100,25 @@
 	return ans.status, ans.known, errors.Trace(err)
 }
 
+// Cancel cancels a job at the request of a caller at a queue and waits until that is applied.
+// If there is no such job, or the caller has no access to it, it returns false and records
+// the event jobUnknown. A submission of an unknown job is not accepted after that.
+func (lea Leader) Cancel(ctx context.Context, queue string, id model.JobID, caller flow.Caller) (bool, error) {
+	mem, err := lea.member()
+	if err != nil {
+		return false, err
+	}
+	res, err := lea.Propose(ctx, cell.Jobs(flow.CancelAs(id, caller).At(time.Now().UnixMilli())))
+	if err != nil {
+		return false, err
+	}
+	if verdict := res.Verdicts()[0]; verdict != flow.UnknownJob && verdict != flow.Foreign {
+		return true, nil
+	}
+	mem.ref.Do(func(now model.Instant, rol quorum.Role, _ *cell.State) { mem.recordUnknownJob(now, rol, id, queue) })
+	return false, nil
+}
+
 // recordUnknownJob records that the state has no such job as is asked for at a queue, or one
 // of another workspace. It runs on the group's actor.
 func (mem *member) recordUnknownJob(now model.Instant, rol quorum.Role, id model.JobID, queue string) {
--- a/io/wire/cell.go
+++ b/io/wire/cell.go
@@ -91,6 +91,7 @@
 		if op.Caller().Restricted() {
 			msg.Caller = proto.String(string(op.Caller().Workspace()))
 		}
+		msg.AtMs = op.AtMs()
 	case flow.OpStart, flow.OpEnd:
 		tid := op.Task()
 		msg.Task = &CellTask{Occurrence: int32(tid.Occurrence()), Step: int32(tid.Step()), Index: int32(tid.Index())}
@@ -109,9 +110,9 @@
 		return flow.Submit(jo), err
 	case flow.OpCancel:
 		if msg.Caller == nil {
-			return flow.Cancel(model.JobID(msg.GetId())), nil
+			return flow.Cancel(model.JobID(msg.GetId())).At(msg.GetAtMs()), nil
 		}
-		return flow.CancelAs(model.JobID(msg.GetId()), flow.NewCaller(model.WorkspaceID(msg.GetCaller()))), nil
+		return flow.CancelAs(model.JobID(msg.GetId()), flow.NewCaller(model.WorkspaceID(msg.GetCaller()))).At(msg.GetAtMs()), nil
 	case flow.OpStart:
 		return flow.Start(tid, int(msg.GetAttempt()), inc), nil
 	case flow.OpEnd:
--- a/io/wire/cell_snapshot.go
+++ b/io/wire/cell_snapshot.go
@@ -32,6 +32,9 @@
 			Worker: string(rec.Incarnation.Worker()), Born: rec.Incarnation.StartedAt(), Term: rec.Term, LeaseLeftNs: int64(rec.LeaseLeft),
 		})
 	}
+	for _, wd := range snap.Jobs().Withdrawals() {
+		msg.Withdrawals = append(msg.Withdrawals, &CellWithdrawal{Job: string(wd.Job), Workspace: string(wd.Workspace), AtMs: wd.AtMs})
+	}
 	for _, rec := range snap.Waves() {
 		msg.Waves = append(msg.Waves, cellWaveToProto(rec))
 	}
@@ -65,7 +68,14 @@
 			Incarnation: flow.NewIncarnation(model.WorkerID(sm.GetWorker()), sm.GetBorn()), Term: sm.GetTerm(), LeaseLeft: time.Duration(sm.GetLeaseLeftNs()),
 		})
 	}
-	return cell.NewSnapshot(doc, out, flow.NewSnapshot(msg.GetSubmitted(), recs, silences)).WithWaves(cellWavesFromProto(msg.GetWaves())), nil
+	var withdrawn []flow.Withdrawal
+	for _, wm := range msg.GetWithdrawals() {
+		withdrawn = append(withdrawn, flow.Withdrawal{
+			Job: model.JobID(wm.GetJob()), Workspace: model.WorkspaceID(wm.GetWorkspace()), AtMs: wm.GetAtMs(),
+		})
+	}
+	jobs := flow.NewSnapshot(msg.GetSubmitted(), recs, silences).WithWithdrawals(withdrawn)
+	return cell.NewSnapshot(doc, out, jobs).WithWaves(cellWavesFromProto(msg.GetWaves())), nil
 }
 
 func cellJobRecordToProto(rec flow.JobRecord) *CellJobRecord {
--- a/io/wire/cell_test.go
+++ b/io/wire/cell_test.go
@@ -54,7 +54,7 @@
 	task := flow.NewTaskID("5c0e7a21d94b36f8", 1, 0, 1)
 	tests := []cell.Command{
 		cell.Configure(doc), cell.SetCentreOut("riga-a", true), cell.SetCentreOut("riga-a", false),
-		cell.Jobs(flow.Submit(newCellJob(t)), flow.Cancel("x"), flow.CancelAs("x", flow.NewCaller("")), flow.CancelAs("x", flow.NewCaller("co-op")), flow.Start(task, 3, flow.NewIncarnation("w", 99)),
+		cell.Jobs(flow.Submit(newCellJob(t)), flow.Cancel("x"), flow.CancelAs("x", flow.NewCaller("")), flow.CancelAs("x", flow.NewCaller("co-op")).At(9), flow.Start(task, 3, flow.NewIncarnation("w", 99)),
 			flow.End(task, 3, flow.Stopped, "point"), flow.Forget("x"), flow.Silence(flow.NewIncarnation("w", 99), 7, time.Second), flow.Heard(flow.NewIncarnation("w", 99), 8)),
 		cell.Maintain(waves.Accept(waves.Spec{Number: 0, Machines: []waves.MachineID{"m-1", "m-2"}, Limit: 2, EndMs: 3, Duration: time.Second}),
 			waves.Mark(0, waves.Machine{ID: "m-2", Phase: waves.Ordered, Worker: "w"}), waves.Op{}),
@@ -82,6 +82,10 @@
 	accept := waves.Accept(waves.Spec{Number: 4, Machines: []waves.MachineID{"m-2", "m-1"}, Limit: 1, EndMs: 3, Duration: time.Second})
 	sta.Apply(cell.Maintain(accept, waves.Mark(4, waves.Machine{ID: "m-1", Phase: waves.Ordered, Worker: "w"})))
 	sta.Apply(cell.Maintain(waves.Accept(waves.Spec{Number: 5, Machines: []waves.MachineID{"m-3"}, Limit: 1}), waves.Mark(5, waves.Machine{ID: "m-3", Phase: waves.Gone})))
+	sta.Apply(cell.Jobs(flow.CancelAs("unknown", flow.NewCaller("a")).At(7)))
+	if len(sta.Snapshot().Jobs().Withdrawals()) != 1 {
+		t.Fatal("the snapshot has no cancellation of an unknown job")
+	}
 	if sta.Waves().Running() != 1 {
 		t.Fatal("the snapshot has no running wave")
 	}
