Cell: jobs follow their queue to another service

What callers saw: jobs are accepted at a host and prefix and wait; a configuration gives that queue another service, and the workers of the former one leave. The jobs wait for good, though the workers that the queue names now are free.

Cause: a job carried the service that its queue had when it was submitted, and nothing else was read after that.

Change: when a configuration takes effect, jobs that have not ended move to the service of their queue, found by what they carry: its key, or its name for jobs of earlier versions (Queue.jobKeys, which Pending uses as well). Their runs go on where they are, and what they reserve moves with the job. A worker of the former service that a new leader hears for the first time still belongs to it if it has runs of such a job.

Elsewhere: priority, objective and number of attempts stay those under which a job was accepted. Limits and shares are kept under the workspace, which has no other identity than its name. cell metrics carry no name of a queue.

--- a/core/cell/document.go
+++ b/core/cell/document.go
@@ -53,6 +53,16 @@
 // has its host and prefix.
 func (qu Queue) Key() string { return strings.ToLower(qu.spec.Host) + qu.spec.Prefix }
 
+// jobKeys returns what jobs of the queue carry: its key or, from an earlier version of the
+// program, its name. A name with a slash is left out, because it may be the key of another
+// queue.
+func (qu Queue) jobKeys() []string {
+	if name := qu.spec.Name; name != "" && !strings.Contains(name, "/") {
+		return []string{qu.Key(), name}
+	}
+	return []string{qu.Key()}
+}
+
 // Service is a named pool of workers.
 type Service struct {
 	name model.ServiceID
@@ -164,6 +174,17 @@
 // Queues returns the queues in the order of the document.
 func (doc Document) Queues() []Queue { return append([]Queue(nil), doc.spec.Queues...) }
 
+// servicesByQueue returns the service of each queue, by what its jobs carry.
+func (doc Document) servicesByQueue() map[string]model.ServiceID {
+	out := map[string]model.ServiceID{}
+	for _, qu := range doc.spec.Queues {
+		for _, key := range qu.jobKeys() {
+			out[key] = qu.spec.Service
+		}
+	}
+	return out
+}
+
 // Services returns the services in the order of the document.
 func (doc Document) Services() []Service { return append([]Service(nil), doc.spec.Services...) }
 
--- a/core/cell/state.go
+++ b/core/cell/state.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"guavarail/core/flow"
 	"guavarail/core/model"
@@ -163,6 +162,7 @@
 func (st *State) setDocument(doc Document) {
 	st.document = doc
 	st.jobs.SetTerms(doc.terms())
+	st.jobs.SetServices(doc.servicesByQueue())
 }
 
 // Document returns the configuration in effect.
@@ -177,13 +177,11 @@
 	return names
 }
 
-// Pending returns the number of jobs of a queue that have not started. Jobs of older
-// versions of the program carry the name of their queue. A name with a slash is not looked
-// up, because it may be the key of another queue.
+// Pending returns the number of jobs of a queue that have not started.
 func (st *State) Pending(qu Queue) int {
-	num := st.jobs.Pending(qu.Key())
-	if name := qu.spec.Name; name != "" && !strings.Contains(name, "/") {
-		num += st.jobs.Pending(name)
+	num := 0
+	for _, key := range qu.jobKeys() {
+		num += st.jobs.Pending(key)
 	}
 	return num
 }
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -110,12 +110,17 @@
 	har.step(har.commit(Submit(jo)))
 }
 
-// heartbeat sends a heartbeat of a worker with 4 processors and 4000 MB of
-// memory, and ticks until it is answered.
+// heartbeat sends a heartbeat of a worker of the service svc, and ticks until it is answered.
 func (har *harness) heartbeat(worker string, runs []RunReport, ended ...EndReport) Answer {
+	return har.heartbeatOf("svc", worker, runs, ended...)
+}
+
+// heartbeatOf sends a heartbeat of a worker with 4 processors and 4000 MB of
+// memory, and ticks until it is answered.
+func (har *harness) heartbeatOf(service model.ServiceID, worker string, runs []RunReport, ended ...EndReport) Answer {
 	har.sequence++
 	answers := har.step(Heartbeat{
-		HeartbeatID: har.sequence, Incarnation: NewIncarnation(model.WorkerID(worker), 1), Sequence: har.sequence, Service: "svc", Centre: "a",
+		HeartbeatID: har.sequence, Incarnation: NewIncarnation(model.WorkerID(worker), 1), Sequence: har.sequence, Service: service, Centre: "a",
 		Address: worker, Size: model.NewResources(4000, 4000, 0), Runs: runs, Ended: ended,
 	})
 	for range 100 {
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -117,12 +117,15 @@
 }
 
 // belongsTo reports whether a service is that of the worker, or of a run that an earlier
-// leader has started on it. A worker stays in a service that a configuration has removed.
+// leader has started on it. A worker stays in a service that a configuration has removed, or
+// from which it has moved the run's job.
 func (wk *worker) belongsTo(name model.ServiceID) bool {
 	if wk.reported {
 		return wk.service == name
 	}
-	return slices.ContainsFunc(wk.runs, func(pr *placedRun) bool { return pr.job.spec.Service == name })
+	return slices.ContainsFunc(wk.runs, func(pr *placedRun) bool {
+		return pr.job.spec.Service == name || pr.job.formerService == name
+	})
 }
 
 // registerIncarnation returns the record of the incarnation that sent a
--- a/core/flow/job.go
+++ b/core/flow/job.go
@@ -68,7 +68,7 @@
 type JobSpec struct {
 	ID model.JobID
 	// Queue is the key of the queue that accepted the job, since a configuration may
-	// change its name. Service is the pool whose workers run the tasks.
+	// change its name. Service is the pool whose workers run the tasks; SetServices changes it.
 	Queue   string
 	Service model.ServiceID
 	// Workspace is the customer who owns the job, "" for none.
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -159,6 +159,9 @@
 	waitRecordedAt model.Instant
 	// suspectRecordedAt is the same for events about failures on several workers.
 	suspectRecordedAt model.Instant
+	// formerService is the service from which a configuration has moved the job, whose workers
+	// may still have runs of it. It is not replicated.
+	formerService model.ServiceID
 	// seat is that of the job's workspace in round, the round of plans of the leader. They
 	// are not replicated.
 	seat  *seat
@@ -229,6 +232,24 @@
 	st.termsSet++
 }
 
+// SetServices moves jobs that have not ended to the service of their queue, whose workers run
+// what has not started yet. Jobs of a queue without one stay where they are. Like operations,
+// it is applied in log order.
+func (st *State) SetServices(byQueue map[string]model.ServiceID) {
+	for _, jb := range st.jobs {
+		if name, ok := byQueue[jb.spec.Queue]; ok && name != jb.spec.Service && !jb.status.Final() {
+			st.moveJob(jb, name)
+		}
+	}
+}
+
+// moveJob moves a job to a service, with what its runs reserve.
+func (st *State) moveJob(jb *job, to model.ServiceID) {
+	st.countRuns(jb, -1)
+	jb.formerService, jb.spec.Service = jb.spec.Service, to
+	st.countRuns(jb, 1)
+}
+
 // Pending returns the number of jobs of a queue that have not started.
 func (st *State) Pending(queue string) int { return st.pending[queue] }
 
--- a/core/flow/workspace.go
+++ b/core/flow/workspace.go
@@ -23,6 +23,19 @@
 	st.reserved.Add(poolCustomer{service: jb.spec.Service, workspace: jb.spec.Workspace}, sumOf(spec.reservation(), by), false)
 }
 
+// countRuns is as countUse for all runs of a job.
+func (st *State) countRuns(jb *job, by int) {
+	for _, occ := range jb.occurrences {
+		for s := range occ.steps {
+			for i := range occ.steps[s].tasks {
+				if num := len(occ.steps[s].tasks[i].runs); num > 0 {
+					st.countUse(jb, &jb.spec.Steps[s], by*num)
+				}
+			}
+		}
+	}
+}
+
 // overQuota reports whether the start of a task would exceed the quota of its job's
 // workspace. The first start of a gang is refused unless the quota holds all members that
 // have no run, so that either all starts of a gang in a log entry are refused or none.
