Flow: cancellations of unknown jobs write no unbounded events

Since cancellations of unknown jobs go through the log, each wrote jobCancelled, as many as callers send. jobUnknown, which is bounded, tells them already. TestCancellationOfAnUnknownJobRecordsNoEvent failed before (1 events, want none).

--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -34,8 +34,7 @@
 	case OpSubmit:
 		pl.appliedSubmit(msg)
 	case OpCancel:
-		pl.recordEvent("jobCancelled", op.id, "", "", "verdict", msg.Verdict.String())
-		pl.dirty = true
+		pl.appliedCancel(msg)
 	case OpStart:
 		pl.appliedStart(now, msg)
 	case OpEnd:
@@ -56,6 +55,16 @@
 	}
 }
 
+// appliedCancel records the cancellation of a known job. That of an unknown one is recorded by
+// the owner, which bounds the number of such events.
+func (pl *Planner) appliedCancel(msg Applied) {
+	if msg.Verdict == UnknownJob {
+		return
+	}
+	pl.recordEvent("jobCancelled", msg.Op.id, "", "", "verdict", msg.Verdict.String())
+	pl.dirty = true
+}
+
 func (pl *Planner) appliedStart(now model.Instant, msg Applied) {
 	op := msg.Op
 	wk := pl.ensureWorker(now, op.incarnation)
--- a/core/flow/withdrawal_test.go
+++ b/core/flow/withdrawal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,3 +68,18 @@
 		t.Errorf("%d cancellations kept, want the last one", len(st.Snapshot().Withdrawals()))
 	}
 }
+
+// Guards against cancellations of unknown jobs that fill the log with events.
+func TestCancellationOfAnUnknownJobRecordsNoEvent(t *testing.T) {
+	har := newHarness(t)
+	har.events = nil
+	har.step(har.commit(Cancel("unknown").At(1)))
+	if len(har.events) > 0 {
+		t.Errorf("%d events, want none", len(har.events))
+	}
+	har.submit("job", StepSpec{Tasks: 1})
+	har.step(har.commit(Cancel("job").At(1)))
+	if !slices.ContainsFunc(har.events, func(re RecordEvent) bool { return re.Kind == "jobCancelled" }) {
+		t.Error("no event about the cancellation of a known job")
+	}
+}
