Flow: a job that is cancelled again is withdrawn again

The cancellation of an unknown job was not kept if an earlier, outdated one of the same job still was: a submission after the second one was accepted. Found on reading. TestJobIsWithdrawnAgainAfterTheFirstCancellationIsOutdated failed before (accepted).

--- a/core/flow/withdrawal.go
+++ b/core/flow/withdrawal.go
@@ -43,14 +43,18 @@
 // add keeps a cancellation and drops those that are out of date. One without a time, from a
 // leader of an earlier version, is not kept.
 func (wi *withdrawals) add(wd Withdrawal) {
+	if wd.AtMs == 0 || len(wd.Job) > maxWithdrawnID {
+		return
+	}
+	for len(wi.byAge) > 0 && outdated(wi.byAge[0].AtMs, wd.AtMs) {
+		wi.dropOldest()
+	}
 	key := withdrawnJob{id: wd.Job, workspace: wd.Workspace}
-	if _, known := wi.atMs[key]; known || wd.AtMs == 0 || len(wd.Job) > maxWithdrawnID {
+	if _, known := wi.atMs[key]; known {
 		return
 	}
-	for len(wi.byAge) > 0 && (len(wi.byAge) >= maxWithdrawals || outdated(wi.byAge[0].AtMs, wd.AtMs)) {
-		oldest := wi.byAge[0]
-		delete(wi.atMs, withdrawnJob{id: oldest.Job, workspace: oldest.Workspace})
-		wi.byAge = wi.byAge[1:]
+	if len(wi.byAge) == maxWithdrawals {
+		wi.dropOldest()
 	}
 	if wi.atMs == nil {
 		wi.atMs = map[withdrawnJob]int64{}
@@ -59,6 +63,13 @@
 	wi.atMs[key] = wd.AtMs
 }
 
+// dropOldest drops the oldest cancellation.
+func (wi *withdrawals) dropOldest() {
+	oldest := wi.byAge[0]
+	delete(wi.atMs, withdrawnJob{id: oldest.Job, workspace: oldest.Workspace})
+	wi.byAge = wi.byAge[1:]
+}
+
 // has reports whether a job that is submitted has been cancelled before.
 func (wi *withdrawals) has(jo Job) bool {
 	atMs, ok := wi.atMs[withdrawnJob{id: jo.ID(), workspace: jo.spec.Workspace}]
--- a/core/flow/withdrawal_test.go
+++ b/core/flow/withdrawal_test.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// Guards against a second cancellation that is not kept because the first one was.
+func TestJobIsWithdrawnAgainAfterTheFirstCancellationIsOutdated(t *testing.T) {
+	var st State
+	const againMs = 1 + 10*int64(withdrawalRetention/time.Millisecond)
+	st.Apply(Cancel("j").At(1))
+	st.Apply(Cancel("j").At(againMs))
+	jo, err := NewJob(JobSpec{ID: "j", AcceptedMs: againMs + 1, Steps: []StepSpec{{Tasks: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := st.Apply(Submit(jo)); got != Withdrawn {
+		t.Errorf("submission %v, want %v", got, Withdrawn)
+	}
+}
+
 // Guards against cancellations of unknown jobs that fill the memory.
 func TestCancellationsOfUnknownJobsAreBounded(t *testing.T) {
 	var st State
