Slots: a process whose number is lower than that of the former one is heard

What callers saw: the clock of an entry VM goes back and its process starts again.

Cause: the number of a process is the wall clock at its start, and the lender took each lower one for a late report of an earlier process.

Change: that holds for as long as the lease of the session; after it a lower number counts as that of a new process. The former session is retired as by a higher number: its credits count as granted until its requests must have ended, so that no slot is used twice.

Test: TestProcessWithALowerNumberIsHeardOnceTheFormerLeaseHasEnded failed before (not heard after the lease); it also wants that a late report is ignored before that. core/slots passes but for the known TestLeaderChangesKeepNoSlotsOfAVMThatIsGone.

--- a/core/slots/message.go
+++ b/core/slots/message.go
@@ -55,7 +55,8 @@
 type ReportSpec struct {
 	// VM is the VM of the holder.
 	VM model.VMID
-	// Boot is the incarnation of the VM's process: it grows with each start.
+	// Boot is the incarnation of the VM's process. It grows with each start, unless the wall
+	// clock of the VM has gone back.
 	Boot uint64
 	// Term is the highest lender's term in a grant to the holder, 0 before the
 	// first grant.
--- a/core/slots/session.go
+++ b/core/slots/session.go
@@ -41,7 +41,7 @@
 // report of an earlier process, and one that is not newer than the last.
 func (le *Lender) handleReport(now model.Instant, re ReportSpec) {
 	se := le.sessions[re.VM]
-	if se != nil && (re.Boot < se.boot || (re.Boot == se.boot && re.Number <= se.lastReport)) {
+	if se != nil && (se.outdates(now, re) || (re.Boot == se.boot && re.Number <= se.lastReport)) {
 		return
 	}
 	if re.Term != le.term || (!re.Full && (se == nil || se.boot != re.Boot)) {
@@ -78,6 +78,13 @@
 	}
 }
 
+// outdates reports whether a report is of an earlier process of the VM than the session. The
+// number of a process comes from the wall clock, which may go back: once the lease of the
+// session has ended, a lower number counts as that of a new process.
+func (se *session) outdates(now model.Instant, re ReportSpec) bool {
+	return re.Boot < se.boot && now.Sub(se.reportedAt) < model.WithDrift(Lease)
+}
+
 // applyClaim updates the account of a VM and the pool of a worker by a claim. The
 // first claim with slots of a worker counts all its slots as unreported credits
 // while the lender is collecting.
