--- a/cmd/guavarail/flood_kinds_test.go
+++ b/cmd/guavarail/flood_kinds_test.go
@@ -26,7 +26,7 @@
 // configure puts a configuration in force on the leader.
 func (fvm *floodVM) configure(version int, queues, limits string) {
 	fvm.t.Helper()
-	fvm.awaitReply(http.MethodPost, fvm.api, "/Config.Replace", fmt.Sprintf(floodConfig, version, queues, limits), http.StatusOK)
+	fvm.awaitReply(http.MethodPost, fvm.api, pathConfigure, fmt.Sprintf(floodConfig, version, queues, limits), http.StatusOK)
 }
 
 // checkConfigured is check for a cell with a configuration in force.
@@ -156,7 +156,7 @@
 	fvm := startFloodVM(t)
 	fvm.configure(1, "", "")
 	body := `{"sequence":1,"ended":[` + strings.Repeat("[],", 1<<20) + `[]]}`
-	fvm.flood(fvm.api, 10, wholeRequests(http.MethodPost, "/Instances.Heartbeat/w-1", body, 1))
+	fvm.flood(fvm.api, 10, wholeRequests(http.MethodPost, pathHeartbeat+"w-1", body, 1))
 	fvm.checkConfigured()
 }
 
--- a/cmd/guavarail/frozen_test.go
+++ b/cmd/guavarail/frozen_test.go
@@ -30,7 +30,7 @@
 	fc := &frozenCell{keysCell: newKeysCell(t), began: time.Now()}
 	const config = `{"version":1,"services":[{"name":"desk"}],` +
 		`"routes":[{"name":"r","hostname":"desk.example","pathPrefix":"/fit/","timeoutMs":3000,"serviceName":"desk"}]}`
-	fc.waitUntil("a configuration is acknowledged", func() bool { return fc.order("/Config.Replace", config, fc.vms...) })
+	fc.waitUntil("a configuration is acknowledged", func() bool { return fc.order(pathConfigure, config, fc.vms...) })
 	fc.waitUntil("all VMs find the leader", func() bool {
 		return !slices.ContainsFunc(fc.vms, func(v *vm) bool { return fc.send("GET", v.callers, "/fit/", "", "") != 200 })
 	})
@@ -50,7 +50,7 @@
 		body := fmt.Sprintf(`{"serviceName":"desk","address":"10.0.0.9:8080","zone":"c-1","version":"v1","slots":8,"state":"ready","born":1700000000000,`+
 			`"capacity":{"cpu":16000,"memoryLimitMb":32768,"gpus":0},"labels":["a","r1"],"clockMs":%d,"sequence":%d,"running":[],"ended":[]}`, time.Since(fc.began).Milliseconds(), fc.sequence)
 		for _, v := range fc.vms {
-			rsp, err := http.Post("http://"+v.api+"/Instances.Heartbeat/w-1", "application/json", strings.NewReader(body))
+			rsp, err := http.Post("http://"+v.api+pathHeartbeat+"w-1", "application/json", strings.NewReader(body))
 			if err != nil {
 				continue
 			}
@@ -103,7 +103,7 @@
 // once the VM runs again: tasks would start in a data centre that is out of service.
 func TestOrderThatWaitedForAFrozenVMIsNotCarriedOut(t *testing.T) {
 	fc := newFrozenCell(t)
-	const out, in = "/Evacuations.Start/c-1", "/Evacuations.Finish/c-1"
+	const out, in = pathCentreOut + "c-1", pathCentreIn + "c-1"
 	for num, v := range fc.vms {
 		fc.waitUntil("the data centre is out", func() bool { return fc.order(out, "", fc.vms...) })
 		fc.sendFrozen(v, "POST", v.api, in, "", func(others []*vm) {
--- a/cmd/guavarail/keys_test.go
+++ b/cmd/guavarail/keys_test.go
@@ -89,7 +89,7 @@
 	body := fmt.Sprintf(`{"version":%d,"tenants":[{"name":"a","apiKeys":["key-%d"]}],"services":[{"name":"desk"}],`+
 		`"routes":[{"name":"r","hostname":"desk.example","pathPrefix":"/fit/","timeoutMs":3000,"serviceName":"desk"}]}`, kc.version, kc.version)
 	kc.waitUntil("a configuration is acknowledged", func() bool {
-		return slices.ContainsFunc(vms, func(v *vm) bool { return kc.send("POST", v.api, "/Config.Replace", "", body) == 200 })
+		return slices.ContainsFunc(vms, func(v *vm) bool { return kc.send("POST", v.api, pathConfigure, "", body) == 200 })
 	})
 }
 
