--- a/cmd/guavarail/main_test.go
+++ b/cmd/guavarail/main_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -83,22 +84,42 @@
 	return clu
 }
 
-// freeAddresses returns num different loopback addresses with ports that are not in
-// use. The ports are not reserved.
+// issued are the addresses that freeAddresses has returned.
+var issued sync.Map
+
+// freeAddresses returns num loopback addresses that it has not returned before, with ports
+// that are not in use. The ports are not reserved: the kernel may give out one again once its
+// listener is closed.
 func freeAddresses(t *testing.T, num int) []string {
 	t.Helper()
 	var out []string
-	for range num {
+	for len(out) < num {
 		lis, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = lis.Close() }()
-		out = append(out, lis.Addr().String())
+		adr := lis.Addr().String()
+		if _, again := issued.LoadOrStore(adr, true); !again {
+			out = append(out, adr)
+		}
 	}
 	return out
 }
 
+// Guards against two VMs of a test that get the same address, with which they don't start.
+func TestFreeAddressesDiffer(t *testing.T) {
+	seen := map[string]bool{}
+	for range 1000 {
+		for _, adr := range freeAddresses(t, 3) {
+			if seen[adr] {
+				t.Fatalf("%s is returned twice", adr)
+			}
+			seen[adr] = true
+		}
+	}
+}
+
 func (clu *cluster) writeSettings(v *vm) {
 	var buf bytes.Buffer
 	fmt.Fprintf(&buf, "[vm]\nname = %s\ncentre = %s\nregion = test\ndataDir = %s\n", v.name, v.centre, filepath.Join(clu.dir, v.name))
