Flow: the announcement of a worker's exit ends none of its runs

A worker announced its planned exit, the acknowledgement was lost, and the worker went on for 3 s, as it may; its tasks ran on other workers within 20 ms.

Cause: Planner.leave took the announcement as the proof that all runs are over. It proposed them as lost and set the lease to the past.

Change: the announcement closes the worker (worker.left). Its runs are marked to be stopped, it gets no lease and no start any more, and a run ends by the list of its worker, by the end of the lease or by a later incarnation, as for any other worker. A later leader knows the announcement from OpLeft, as before.

Tests that used the announcement as a quick way to lose a worker's runs now let its lease expire.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -117,6 +117,8 @@
 		pl.addOrder(now, wk, pr, &ans, &size)
 	}
 	switch {
+	case wk.left:
+		ans.LeaseDuration = 0
 	case wk.silent:
 		ans.LeaseDuration, ans.HeartbeatDelay = 0, idleHeartbeatDelay
 	case len(wk.runs) == 0 || size.full:
@@ -134,7 +136,7 @@
 	}
 	wk.answerPending, wk.nextHeartbeat = false, now.Add(ans.HeartbeatDelay)
 	pl.effects = append(pl.effects, ans)
-	if wk.silent || wk.unproven {
+	if wk.silent || wk.unproven || wk.left {
 		return
 	}
 	wk.expired = false
--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -23,7 +23,7 @@
 	pl.trackWaits(now, msg)
 	pl.st.dateMarks(now)
 	if msg.Op.kind == OpLeft {
-		pl.noteExit(now, msg.Op.incarnation)
+		pl.appliedLeft(now, msg.Op.incarnation)
 	}
 	if !pl.leading {
 		pl.followDemand(now)
@@ -44,6 +44,15 @@
 	}
 }
 
+// appliedLeft notes an announced exit. An earlier leader may have decided it, and this one may
+// have a record of the worker.
+func (pl *Planner) appliedLeft(now model.Instant, inc Incarnation) {
+	pl.noteExit(now, inc)
+	if wk, ok := pl.workers.get(inc.worker); ok && pl.leading && wk.incarnation == inc && !wk.left {
+		pl.markLeft(wk)
+	}
+}
+
 func (pl *Planner) appliedSubmit(msg Applied) {
 	spec := &msg.Op.job.spec
 	pl.recordEvent("jobSubmitted", spec.ID, "", "", "verdict", msg.Verdict.String(), "queue", spec.Queue, "workspace", string(spec.Workspace),
--- a/core/flow/exit.go
+++ b/core/flow/exit.go
@@ -46,32 +46,54 @@
 	}
 }
 
-// leave proposes the ends of the runs of a worker that has announced its exit,
-// and removes the worker. The announcement of another incarnation is ignored. If
-// it doesn't tell which incarnation exits, it is ignored unless the worker is
-// draining: a worker that exits was draining before, though perhaps under an
-// earlier leader.
+// leave handles the announcement of a worker that is about to exit. The worker gets no further
+// tasks and no lease from now on, and its runs are stopped. The announcement proves no end: the
+// worker goes on until it has the acknowledgement, and lists may still be on their way. The
+// announcement of another incarnation is ignored. If it doesn't tell which incarnation exits, it
+// is ignored unless the worker is draining: a worker that exits was draining before, though
+// perhaps under an earlier leader.
 func (pl *Planner) leave(now model.Instant, msg Leave) {
 	wk, ok := pl.workers.get(msg.Worker)
-	if !ok || !pl.leading || !msg.isOf(wk) {
+	if !ok || !pl.leading || wk.left || !msg.isOf(wk) {
 		return
 	}
-	pl.workers.remove(wk)
-	pl.endWorker(wk, "left")
 	pl.noteExit(now, wk.incarnation)
 	pl.pendingOps = append(pl.pendingOps, Left(wk.incarnation))
+	pl.recordEvent("workerLeaves", "", "", wk.incarnation.String(), "runs", strconv.Itoa(len(wk.runs)),
+		"leaseLeftMs", strconv.FormatInt(max(0, wk.leaseEnd.Sub(now)).Milliseconds(), 10))
+	pl.markLeft(wk)
 }
 
-// noteExit records that an incarnation has exited, so that its late heartbeats are ignored
-// for exitRetention, also by a later leader.
+// markLeft closes a worker that has announced its exit and stops its runs.
+func (pl *Planner) markLeft(wk *worker) {
+	wk.left, pl.dirty, pl.recheckAnswers = true, true, true
+	for _, pr := range wk.runs {
+		if !pr.planned && !pr.ending {
+			pr.evicting = true
+		}
+	}
+}
+
+// noteExit records that an incarnation has announced its exit, so that its late heartbeats
+// make no worker of it for exitRetention, also for a later leader.
 func (pl *Planner) noteExit(now model.Instant, inc Incarnation) {
 	if pl.exited == nil {
 		pl.exited = map[Incarnation]model.Instant{}
 	}
-	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
 	pl.exited[inc] = now
 }
 
+// forgetExits forgets the announcements that are older than exitRetention. A worker that has not
+// exited since may get tasks again.
+func (pl *Planner) forgetExits(now model.Instant) {
+	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
+	for _, wk := range pl.workers.sorted {
+		if wk.left {
+			_, wk.left = pl.exited[wk.incarnation]
+		}
+	}
+}
+
 // isOf reports whether it is the incarnation of wk that is about to exit.
 func (msg Leave) isOf(wk *worker) bool {
 	if msg.StartedAt == 0 {
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -136,6 +136,15 @@
 	return Answer{}
 }
 
+// lose ends a worker with all that it runs: its lease has expired.
+func (har *harness) lose(worker string) {
+	if wk, ok := har.pl.workers.get(model.WorkerID(worker)); ok {
+		wk.draining, wk.leaseEnd = true, 0
+	}
+	har.pl.sweptAt = 0
+	har.step(Tick{LeaseUntil: model.Instant(time.Hour), Wall: time.Duration(har.now).Milliseconds()})
+}
+
 // drain reports that a worker is draining.
 func (har *harness) drain(worker, address string, sequence uint64) {
 	har.step(Heartbeat{
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -64,8 +64,9 @@
 	Dropped []Op
 }
 
-// Leave reports that an incarnation of a worker, which was draining, is about to
-// exit; its runs count as Lost.
+// Leave announces that an incarnation of a worker, which was draining, is about to exit. The
+// worker goes on until the announcement is acknowledged, or for some seconds without that, so
+// that its runs have not ended yet.
 type Leave struct {
 	Worker model.WorkerID
 	// StartedAt is the start time of the incarnation on the worker's clock, in
--- /dev/null
+++ b/core/flow/leave_test.go
@@ -0,0 +1,55 @@
+package flow
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"guavarail/core/model"
+)
+
+// leaveSeeds is the number of simulations of workers that leave, each with another seed.
+const leaveSeeds = 60
+
+// playLeaves plays workers that leave every second for 30 s, and checks that all jobs are
+// completed. It returns the times from the exit of a worker to the next starts of the tasks
+// that it took along.
+func playLeaves(t *testing.T, prepare func(sim *simulation, le *simLeaves)) []time.Duration {
+	var restarts []time.Duration
+	for seed := range uint64(leaveSeeds) {
+		sim := newSimulation(t, seed, 1, 10)
+		sim.listed = map[TaskID]model.Instant{}
+		le := &simLeaves{sim: sim, stay: 2200 * time.Millisecond}
+		prepare(sim, le)
+		for i := range 40 {
+			sim.at(sim.after(25_000), func() {
+				sim.submit(fmt.Sprintf("job%d", i), StepSpec{Tasks: 12, Size: model.NewResources(500, 200, 0), Estimate: time.Second})
+			})
+		}
+		le.every(time.Second, model.Instant(30*time.Second))
+		sim.run(model.Instant(60 * time.Second))
+		sim.reportViolations(seed)
+		for id, jb := range sim.vms[0].st.jobs {
+			if jb.status != Completed {
+				t.Errorf("seed %d: job %s is %v, want completed", seed, id, jb.status)
+			}
+		}
+		restarts = append(restarts, le.restarts...)
+		if t.Failed() {
+			t.FailNow()
+		}
+	}
+	slices.Sort(restarts)
+	if num := len(restarts); num > 0 {
+		t.Logf("%d tasks lost with their workers; from the exit to the restart: half within %v, 95%% within %v, all within %v",
+			num, restarts[num/2], restarts[num*95/100], restarts[num-1])
+	}
+	return restarts
+}
+
+// Guards against a task that runs on a second worker while its first one, which has announced
+// its exit, goes on because the acknowledgement was lost.
+func TestTasksOfLeavingWorkersRunOnce(t *testing.T) {
+	playLeaves(t, func(sim *simulation, le *simLeaves) { sim.lostShare, le.silent = 0.3, true })
+}
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -66,8 +66,8 @@
 	// workerRetention is the age of the last heartbeat after which the leader
 	// drops its record of a worker without tasks.
 	workerRetention = 15 * time.Second
-	// exitRetention is how long the leader ignores late heartbeats of a worker
-	// that has exited.
+	// exitRetention is how long a worker that has announced its exit gets no tasks,
+	// whatever its late heartbeats say.
 	exitRetention = time.Minute
 	// estimateInterval is how often the estimates of interference and of worker
 	// speeds are computed.
@@ -125,7 +125,7 @@
 	answersCheckedAt model.Instant
 	// exited holds when incarnations have announced their exit, for exitRetention,
 	// so that their late heartbeats are not taken for those of new workers. Every VM
-	// keeps it, since it may lead next.
+	// keeps it, since it may lead next. worker.left is set for those.
 	exited map[Incarnation]model.Instant
 	// openJobs are the jobs that had not ended when they were last pruned, in
 	// the order of submission.
--- a/core/flow/silence.go
+++ b/core/flow/silence.go
@@ -24,6 +24,7 @@
 // unless the state says when it ends.
 func (pl *Planner) newWorker(now model.Instant, inc Incarnation) *worker {
 	wk := &worker{incarnation: inc, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
+	_, wk.left = pl.exited[inc]
 	if ho := pl.st.hosts[inc]; ho != nil && pl.valid(ho) {
 		wk.silent, wk.leaseEnd = true, min(wk.leaseEnd, ho.leaseEnd)
 	}
--- a/core/flow/sim_test.go
+++ b/core/flow/sim_test.go
@@ -53,6 +53,11 @@
 	liveAttempts map[TaskID]map[*workerSim]int
 	// acknowledged is the set of tasks whose success was acknowledged.
 	acknowledged map[TaskID]bool
+	// listed holds when a heartbeat first listed the success of a task; nil if such a success
+	// doesn't count before it is acknowledged.
+	listed map[TaskID]model.Instant
+	// maxDelay is the longest time that a message takes on its way; 0 means 2 ms.
+	maxDelay time.Duration
 	// outage is the set of data centres that are out of service.
 	outage     map[model.CentreID]bool
 	violations []string
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"maps"
 	"strconv"
 
 	"guavarail/core/model"
@@ -33,7 +32,7 @@
 	}) {
 		pl.recordEvent("workerForgotten", "", "", wk.incarnation.String())
 	}
-	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
+	pl.forgetExits(now)
 	active := pl.formerWorkers[:0]
 	for _, wk := range pl.formerWorkers {
 		pl.expireLease(wk)
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -131,6 +131,9 @@
 	draining bool
 	// drained is set while the planner is told to drain the worker.
 	drained bool
+	// left is set once the worker has announced its exit. It gets no lease and no start
+	// orders then.
+	left bool
 	// reported is set by the first heartbeat to this leader.
 	reported bool
 	// sequence is the Sequence of the last heartbeat.
@@ -221,7 +224,7 @@
 }
 
 // closed reports whether the worker gets no further tasks because it is about to leave.
-func (wk *worker) closed() bool { return wk.draining || wk.drained }
+func (wk *worker) closed() bool { return wk.draining || wk.drained || wk.left }
 
 // free returns what no run has reserved.
 func (wk *worker) free() model.Resources { return wk.size.Sub(wk.reserved) }
