Flow: the lists of a worker that has announced its exit are heard

The announcement of the worker's exit was handled before the heartbeat with its last ends, which then was ignored.

Cause: registerIncarnation ignored all heartbeats of an incarnation that had announced its exit, to keep late ones from making a worker of it.

Change: such a worker is closed, so that its heartbeats may be handled like any other's: they end runs, get their ends acknowledged and carry stops, and get no lease and no starts.

--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -157,7 +157,7 @@
 		}
 		pl.workers.add(wk)
 	}
-	if wk.left || wk.reported && hb.Sequence <= wk.sequence {
+	if wk.reported && hb.Sequence <= wk.sequence {
 		return nil, false
 	}
 	if !wk.reported {
--- a/core/flow/heartbeat_test.go
+++ b/core/flow/heartbeat_test.go
@@ -94,20 +94,34 @@
 
 // Guards against a run that starts elsewhere before it has certainly ended, or later than it
 // could, because its worker announced its exit just after a change of the leader: it has ended
-// once the lease of the former leader has.
+// once its worker says so, or once the lease of the former leader has.
 func TestExitJustAfterAChangeOfLeaderEndsNoRun(t *testing.T) {
-	har := newHarness(t)
-	har.submit("job", longRunningStep)
-	har.heartbeat("old", nil)
-	har.heartbeat("old", []RunReport{{Task: NewTaskID("job", 0, 0, 0), Attempt: 1, Percent: fullPace}})
-	har.changeLeader()
-	har.step(Leave{Worker: "old", StartedAt: 1})
-	wk, _ := har.pl.workers.get("old")
-	if har.startsWithin("other", wk.leaseEnd.Sub(har.now)-time.Millisecond) {
-		t.Error("the task starts on another worker while its lease lasts")
-	}
-	if !har.startsWithin("other", time.Second) {
-		t.Error("the task doesn't start on another worker once its lease has ended")
+	for _, listed := range []bool{true, false} {
+		har := newHarness(t)
+		har.submit("job", longRunningStep)
+		har.heartbeat("old", nil)
+		id := NewTaskID("job", 0, 0, 0)
+		running := []RunReport{{Task: id, Attempt: 1, Percent: fullPace}}
+		har.heartbeat("old", running)
+		har.changeLeader()
+		har.step(Leave{Worker: "old", StartedAt: 1})
+		if listed {
+			if ans := har.heartbeat("old", running); len(ans.Stops) != 1 || ans.LeaseDuration != 0 {
+				t.Errorf("answer %+v to the worker that leaves, want a stop and no lease", ans)
+			}
+			har.heartbeat("old", nil, EndReport{Number: 1, Task: id, Attempt: 1, Outcome: Stopped})
+			if !har.startsWithin("other", time.Second) {
+				t.Error("the task doesn't start on another worker once its end is listed")
+			}
+			continue
+		}
+		wk, _ := har.pl.workers.get("old")
+		if har.startsWithin("other", wk.leaseEnd.Sub(har.now)-time.Millisecond) {
+			t.Error("the task starts on another worker while its lease lasts")
+		}
+		if !har.startsWithin("other", time.Second) {
+			t.Error("the task doesn't start on another worker once its lease has ended")
+		}
 	}
 }
 
--- a/core/flow/leave_test.go
+++ b/core/flow/leave_test.go
@@ -51,5 +51,15 @@
 // Guards against a task that runs on a second worker while its first one, which has announced
 // its exit, goes on because the acknowledgement was lost.
 func TestTasksOfLeavingWorkersRunOnce(t *testing.T) {
-	playLeaves(t, func(sim *simulation, le *simLeaves) { sim.lostShare, le.silent = 0.3, true })
+	for _, silent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("silent=%v", silent), func(t *testing.T) {
+			playLeaves(t, func(sim *simulation, le *simLeaves) { sim.lostShare, le.silent = 0.3, silent })
+		})
+	}
+}
+
+// Guards against a task that starts again though its worker has listed its success, because the
+// announcement of the worker's exit was handled before that list.
+func TestLastListsOfLeavingWorkersCount(t *testing.T) {
+	playLeaves(t, func(sim *simulation, le *simLeaves) { sim.maxDelay, le.lastLists = 60*time.Millisecond, true })
 }
