Flow: what a leaving worker runs is stopped and listed before it exits

Change, in three parts: - A draining worker tells for how long it stays at least. Shortly before that the leader stops what will not end in time, so that its end is listed (and a checkpoint saved) while the worker is up. A closed worker without runs is no longer asked for heartbeats every 20 ms.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -99,12 +99,13 @@
 // its lease, unless the worker is silent or unproven.
 func (pl *Planner) answer(now model.Instant, wk *worker) {
 	ans := Answer{
-		HeartbeatID: wk.heartbeatID, Term: pl.term, LeaseDuration: pl.config.leaseDuration(), Acknowledged: pl.lastRecordedEnd(wk), HeartbeatDelay: pl.heartbeatDelay(),
+		HeartbeatID: wk.heartbeatID, Term: pl.term, LeaseDuration: pl.leaseOf(wk), Acknowledged: pl.lastRecordedEnd(wk),
+		HeartbeatDelay: pl.delayBeforeExit(now, wk),
 	}
 	if wk.unproven {
 		// The heartbeat may have been sent long ago. What is left of the lease that an
 		// earlier leader has granted takes no longer to end than before.
-		ans.LeaseDuration = pl.config.leaseUntil(wk.answerPendingSince, wk.leaseEnd)
+		ans.LeaseDuration = min(ans.LeaseDuration, pl.config.leaseUntil(wk.answerPendingSince, wk.leaseEnd))
 	}
 	pl.delays.answered(now, wk, ans.Acknowledged)
 	size := answerSize{}
@@ -121,7 +122,7 @@
 		ans.LeaseDuration = 0
 	case wk.silent:
 		ans.LeaseDuration, ans.HeartbeatDelay = 0, idleHeartbeatDelay
-	case len(wk.runs) == 0 || size.full:
+	case len(wk.runs) == 0 && !wk.closed() || size.full:
 		// After a full answer, the next one carries the orders that are left.
 		ans.HeartbeatDelay = idleHeartbeatDelay
 	case slices.ContainsFunc(wk.runs, func(pr *placedRun) bool { return pr.planned }):
@@ -142,7 +143,7 @@
 	wk.expired = false
 	// The worker counts its lease from when it sent the heartbeat, which is
 	// before the heartbeat arrived.
-	wk.leaseEnd = max(wk.leaseEnd, pl.config.leaseEnd(wk.answerPendingSince))
+	wk.leaseEnd = max(wk.leaseEnd, leaseEndOf(wk.answerPendingSince, ans.LeaseDuration))
 }
 
 // heartbeatDelay returns the delay of the next heartbeat of a worker with tasks.
--- a/core/flow/config.go
+++ b/core/flow/config.go
@@ -16,6 +16,8 @@
 	JobRetention time.Duration
 	// PaceDelay is the time from a pace order until the worker applies it.
 	PaceDelay time.Duration
+	// StopTime is the longest time from a stop order until the run has ended.
+	StopTime time.Duration
 	// Admission is set if Planner.Admit is called.
 	Admission bool
 }
@@ -41,10 +43,22 @@
 	return cfg.PaceDelay
 }
 
-// leaseEnd returns when a lease that was renewed at now has certainly ended on
+func (cfg Config) stopTime() time.Duration {
+	if cfg.StopTime <= 0 {
+		return defaultStopTime
+	}
+	return cfg.StopTime
+}
+
+// leaseEnd returns when a whole lease that was renewed at now has certainly ended on
 // the worker.
 func (cfg Config) leaseEnd(now model.Instant) model.Instant {
-	lease := cfg.leaseDuration()
+	return leaseEndOf(now, cfg.leaseDuration())
+}
+
+// leaseEndOf returns when a lease of a duration that was granted at now has certainly ended
+// on the worker.
+func leaseEndOf(now model.Instant, lease time.Duration) model.Instant {
 	return now.Add(lease + lease/leaseDriftDivisor + leaseMargin)
 }
 
--- a/core/flow/drain.go
+++ b/core/flow/drain.go
@@ -101,10 +101,7 @@
 		case !pl.drains.isLate(wk):
 			continue
 		}
-		pr.evicting, pr.unwantedSince, pl.dirty, pl.recheckAnswers = true, 0, true, true
-		wk.claims.listed = false
-		pl.recordEvent("runDrained", pr.task.job, pr.task.String(), wk.incarnation.String(), "attempt", strconv.Itoa(pr.attempt),
-			"percent", strconv.Itoa(pr.percent), "checkpoint", strconv.FormatBool(pr.checkpoint != ""))
+		pl.evictFrom(wk, pr)
 	}
 }
 
--- a/core/flow/exit.go
+++ b/core/flow/exit.go
@@ -48,13 +48,18 @@
 
 // leave handles the announcement of a worker that is about to exit. The worker gets no further
 // tasks and no lease from now on, and its runs are stopped. The announcement proves no end: the
-// worker goes on until it has the acknowledgement, and lists may still be on their way. The
+// worker goes on until it has the answer, and lists may still be on their way. The
 // announcement of another incarnation is ignored. If it doesn't tell which incarnation exits, it
 // is ignored unless the worker is draining: a worker that exits was draining before, though
 // perhaps under an earlier leader.
 func (pl *Planner) leave(now model.Instant, msg Leave) {
 	wk, ok := pl.workers.get(msg.Worker)
-	if !ok || !pl.leading || wk.left || !msg.isOf(wk) {
+	if !ok || !pl.leading || !msg.isOf(wk) {
+		pl.effects = append(pl.effects, LeaveAnswer{LeaveID: msg.LeaveID, Refused: !pl.leading})
+		return
+	}
+	pl.openLeaves = append(pl.openLeaves, openLeave{id: msg.LeaveID, worker: wk})
+	if wk.left {
 		return
 	}
 	pl.noteExit(now, wk.incarnation)
@@ -64,12 +69,37 @@
 	pl.markLeft(wk)
 }
 
+// openLeave is an announcement that waits for its answer.
+type openLeave struct {
+	id     uint64
+	worker *worker
+}
+
+// answerLeaves answers the announcements of workers without runs, since a worker can list no more
+// ends once it has exited, and those that have waited for leaveAnswerTimeout.
+func (pl *Planner) answerLeaves(now model.Instant) {
+	pl.openLeaves = slices.DeleteFunc(pl.openLeaves, func(ol openLeave) bool {
+		done := len(ol.worker.runs) == 0 || now.Sub(pl.exited[ol.worker.incarnation]) >= leaveAnswerTimeout
+		if done {
+			pl.effects = append(pl.effects, LeaveAnswer{LeaveID: ol.id})
+		}
+		return done
+	})
+}
+
+// refuseLeaves answers the open announcements when another VM leads.
+func (pl *Planner) refuseLeaves() {
+	for _, ol := range pl.openLeaves {
+		pl.effects = append(pl.effects, LeaveAnswer{LeaveID: ol.id, Refused: true})
+	}
+}
+
 // markLeft closes a worker that has announced its exit and stops its runs.
 func (pl *Planner) markLeft(wk *worker) {
 	wk.left, pl.dirty, pl.recheckAnswers = true, true, true
 	for _, pr := range wk.runs {
-		if !pr.planned && !pr.ending {
-			pr.evicting = true
+		if !pr.planned && !pr.ending && !pr.evicting {
+			pl.evictFrom(wk, pr)
 		}
 	}
 }
--- a/core/flow/health_test.go
+++ b/core/flow/health_test.go
@@ -29,6 +29,8 @@
 	// events are the events that the planner recorded, and answers its answers.
 	events  []RecordEvent
 	answers []Answer
+	// leaves are the answers to announced exits.
+	leaves []LeaveAnswer
 }
 
 func newHarness(t *testing.T) *harness {
@@ -71,6 +73,8 @@
 		case Answer:
 			out = append(out, val)
 			har.answers = append(har.answers, val)
+		case LeaveAnswer:
+			har.leaves = append(har.leaves, val)
 		case RecordEvent:
 			har.events = append(har.events, val)
 		case Propose:
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -86,6 +86,7 @@
 	pl.proposeReportedEnds(wk, hb)
 	pl.controlPaces(now, wk, hb)
 	pl.evictStalled(now, wk)
+	pl.stopBeforeExit(now, wk)
 	pl.measureSpeed(now, wk)
 	// Other news are taken up by the plan of the next sweep: the leader gets too
 	// many heartbeats to plan for each.
@@ -180,7 +181,8 @@
 	wk.reported, wk.sequence, wk.lastHeartbeat, wk.excused = true, hb.Sequence, max(wk.lastHeartbeat, sentAt), 0
 	wk.service, wk.centre, wk.address = hb.Service, hb.Centre, hb.Address
 	wk.size, wk.labels, wk.rack = hb.Size, hb.Labels, hb.Rack
-	wk.draining, wk.drained = hb.Draining, pl.drains.has(wk)
+	wk.drained = pl.drains.has(wk)
+	wk.noteDraining(sentAt, hb)
 }
 
 // reconcileRuns compares the runs in a heartbeat with those that the leader has
--- a/core/flow/input.go
+++ b/core/flow/input.go
@@ -65,10 +65,12 @@
 }
 
 // Leave announces that an incarnation of a worker, which was draining, is about to exit. The
-// worker goes on until the announcement is acknowledged, or for some seconds without that, so
+// worker goes on until the planner emits the LeaveAnswer, or for some seconds without that, so
 // that its runs have not ended yet.
 type Leave struct {
-	Worker model.WorkerID
+	// LeaveID identifies the announcement in its LeaveAnswer.
+	LeaveID uint64
+	Worker  model.WorkerID
 	// StartedAt is the start time of the incarnation on the worker's clock, in
 	// milliseconds since 1970; 0 if it is unknown.
 	StartedAt int64
@@ -115,7 +117,7 @@
 	// Draining is set if the worker is about to exit and takes no more tasks.
 	Draining bool
 	// Remaining is for how much longer, at least, a draining worker goes on
-	// running. It appears in an event only.
+	// running. What would not end by then is stopped before.
 	Remaining time.Duration
 	// WarmUp is for how much longer the worker is slow after its start. The
 	// planner does not use it.
@@ -204,6 +206,13 @@
 	HeartbeatDelay time.Duration
 }
 
+// LeaveAnswer is the reply to a Leave: the worker may exit.
+type LeaveAnswer struct {
+	LeaveID uint64
+	// Refused is set if this VM no longer leads.
+	Refused bool
+}
+
 // StartOrder orders a worker to start a run.
 type StartOrder struct {
 	Task    TaskID
@@ -245,4 +254,5 @@
 
 func (Propose) effect()     {}
 func (Answer) effect()      {}
+func (LeaveAnswer) effect() {}
 func (RecordEvent) effect() {}
--- a/core/flow/leave_test.go
+++ b/core/flow/leave_test.go
@@ -21,6 +21,7 @@
 		sim := newSimulation(t, seed, 1, 10)
 		sim.listed = map[TaskID]model.Instant{}
 		le := &simLeaves{sim: sim, stay: 2200 * time.Millisecond}
+		sim.chooseRun = func(*workerSim, TaskID) (time.Duration, Outcome) { return sim.between(0, 6*time.Second), Succeeded }
 		prepare(sim, le)
 		for i := range 40 {
 			sim.at(sim.after(25_000), func() {
@@ -53,7 +54,7 @@
 func TestTasksOfLeavingWorkersRunOnce(t *testing.T) {
 	for _, silent := range []bool{true, false} {
 		t.Run(fmt.Sprintf("silent=%v", silent), func(t *testing.T) {
-			playLeaves(t, func(sim *simulation, le *simLeaves) { sim.lostShare, le.silent = 0.3, silent })
+			playLeaves(t, func(sim *simulation, le *simLeaves) { sim.lostShare, le.silent, le.early = 0.3, silent, 2*time.Second })
 		})
 	}
 }
@@ -61,5 +62,14 @@
 // Guards against a task that starts again though its worker has listed its success, because the
 // announcement of the worker's exit was handled before that list.
 func TestLastListsOfLeavingWorkersCount(t *testing.T) {
-	playLeaves(t, func(sim *simulation, le *simLeaves) { sim.maxDelay, le.lastLists = 60*time.Millisecond, true })
+	playLeaves(t, func(sim *simulation, le *simLeaves) { sim.maxDelay, le.lastLists, le.early = 60*time.Millisecond, true, 2*time.Second })
+}
+
+// Guards against tasks of leaving workers that start again late: those of workers that exit when
+// they have said, and go on sending heartbeats, are stopped and listed before.
+func TestLeavingWorkersTakeNoTasksAlong(t *testing.T) {
+	restarts := playLeaves(t, func(*simulation, *simLeaves) {})
+	if len(restarts) > 0 {
+		t.Errorf("%d tasks were lost with their workers, want none", len(restarts))
+	}
 }
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -14,6 +14,7 @@
 	defaultLease        = 7500 * time.Millisecond
 	defaultJobRetention = 2 * time.Minute
 	defaultPaceDelay    = 100 * time.Millisecond
+	defaultStopTime     = 900 * time.Millisecond
 	// The leader counts a lease as longer than the worker does: by leaseMargin,
 	// for the time that the answer spends in this process, and by
 	// 1/leaseDriftDivisor of its duration, 2.5%, for the drift of the worker's
@@ -66,6 +67,9 @@
 	// workerRetention is the age of the last heartbeat after which the leader
 	// drops its record of a worker without tasks.
 	workerRetention = 15 * time.Second
+	// leaveAnswerTimeout bounds how long the answer to a worker that announces its exit
+	// waits for the ends of its runs. The worker gives the call up after a second.
+	leaveAnswerTimeout = 800 * time.Millisecond
 	// exitRetention is how long a worker that has announced its exit gets no tasks,
 	// whatever its late heartbeats say.
 	exitRetention = time.Minute
@@ -127,6 +131,8 @@
 	// so that their late heartbeats are not taken for those of new workers. Every VM
 	// keeps it, since it may lead next. worker.left is set for those.
 	exited map[Incarnation]model.Instant
+	// openLeaves are the announcements of exits that are not answered yet.
+	openLeaves []openLeave
 	// openJobs are the jobs that had not ended when they were last pruned, in
 	// the order of submission.
 	openJobs []*job
@@ -307,6 +313,7 @@
 			pl.pendingOps = nil
 		}
 	}
+	pl.answerLeaves(now)
 	if pl.recheckAnswers || now.Sub(pl.answersCheckedAt) >= answerCheckInterval {
 		pl.answerAllDue(now)
 		return
--- a/core/flow/sim_test.go
+++ b/core/flow/sim_test.go
@@ -35,7 +35,11 @@
 	// their HeartbeatID.
 	openHeartbeats  map[uint64]*heartbeatSim
 	lastHeartbeatID uint64
-	term            uint64
+	// openLeaves holds what happens once a planner has answered the announcement of an
+	// exit, by LeaveID.
+	openLeaves  map[uint64]func()
+	lastLeaveID uint64
+	term        uint64
 	// specs holds the steps of the submitted jobs.
 	specs map[model.JobID][]StepSpec
 	// workspaceOf returns the owner of a job; nil for none.
@@ -141,7 +145,7 @@
 // whose runs one in twenty fails.
 func newSimulation(t *testing.T, seed uint64, vms, workers int) *simulation {
 	sim := &simulation{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), lag: rand.New(rand.NewPCG(seed, 2)), openHeartbeats: map[uint64]*heartbeatSim{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), lag: rand.New(rand.NewPCG(seed, 2)), openHeartbeats: map[uint64]*heartbeatSim{}, openLeaves: map[uint64]func(){},
 		liveAttempts: map[TaskID]map[*workerSim]int{}, acknowledged: map[TaskID]bool{}, specs: map[model.JobID][]StepSpec{},
 		maxCommit: 15 * time.Millisecond,
 	}
@@ -219,6 +223,8 @@
 			sim.propose(vm, val.Ops)
 		case Answer:
 			sim.answer(val)
+		case LeaveAnswer:
+			sim.answerLeave(val)
 		case RecordEvent:
 			if val.Kind == "recordRepaired" {
 				sim.violations = append(sim.violations, fmt.Sprintf("at %v: record of %s on %s repaired: %v", time.Duration(sim.now), val.Task, val.Worker, val.Fields))
--- a/core/flow/simleave_test.go
+++ b/core/flow/simleave_test.go
@@ -22,8 +22,8 @@
 	lastLists bool
 	// silent is set if workers send no heartbeats after the announcement.
 	silent bool
-	// stay is how long a worker drains.
-	stay time.Duration
+	// stay is how long a worker drains, and early how much longer it says it will.
+	stay, early time.Duration
 	num  int
 	// lost holds, for each task that was lost with its worker, when that exited, and
 	// restarts the times from an exit to the next start of such a task.
@@ -47,8 +47,8 @@
 		return
 	}
 	startedAt := wk.startedAt
-	wk.draining, wk.exitsAt = true, sim.now.Add(le.stay)
-	sim.at(wk.exitsAt, func() {
+	wk.draining, wk.exitsAt = true, sim.now.Add(le.stay+le.early)
+	sim.at(sim.now.Add(le.stay), func() {
 		if !wk.up || wk.startedAt != startedAt {
 			return
 		}
@@ -93,13 +93,21 @@
 		if sim.leader == nil {
 			return
 		}
-		sim.step(sim.leader, Leave{Worker: model.WorkerID(wk.name), StartedAt: startedAt})
-		if sim.rng.Float64() >= sim.lostShare {
-			sim.at(sim.after(2), exit)
-		}
+		sim.lastLeaveID++
+		sim.openLeaves[sim.lastLeaveID] = exit
+		sim.step(sim.leader, Leave{LeaveID: sim.lastLeaveID, Worker: model.WorkerID(wk.name), StartedAt: startedAt})
 	})
 }
 
+// answerLeave delivers the acknowledgement of an announced exit, or loses it.
+func (sim *simulation) answerLeave(ans LeaveAnswer) {
+	exit := sim.openLeaves[ans.LeaveID]
+	delete(sim.openLeaves, ans.LeaveID)
+	if exit != nil && !ans.Refused && sim.rng.Float64() >= sim.lostShare {
+		sim.at(sim.after(2), exit)
+	}
+}
+
 // noteListed records the successes that a heartbeat lists.
 func (sim *simulation) noteListed(msg Heartbeat) {
 	if sim.listed == nil {
--- a/core/flow/term.go
+++ b/core/flow/term.go
@@ -64,6 +64,7 @@
 			pl.effects = append(pl.effects, Answer{HeartbeatID: wk.heartbeatID, Refused: true})
 		}
 	}
+	pl.refuseLeaves()
 	for _, jb := range pl.openJobs {
 		jb.clearPlanned()
 	}
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -128,7 +128,10 @@
 	size model.Resources
 	// reserved is the sum of the reservations of runs.
 	reserved model.Resources
-	draining bool
+	// draining is set if the worker is about to exit, and staysUntil is when it does at the
+	// earliest, as far as it has told.
+	draining   bool
+	staysUntil model.Instant
 	// drained is set while the planner is told to drain the worker.
 	drained bool
 	// left is set once the worker has announced its exit. It gets no lease and no start
--- a/io/cell/heartbeat.go
+++ b/io/cell/heartbeat.go
@@ -67,27 +67,38 @@
 	return flow.Tick{LeaseUntil: tur.Role().LeasedUntil(), Wall: time.Now().UnixMilli(), Posted: tur.ReadUntil(), Waiting: tur.Reports()}
 }
 
+// newLeaveAnswer returns the outcome of an announced exit that the planner has answered.
+func newLeaveAnswer(ans flow.LeaveAnswer) error {
+	if ans.Refused {
+		return newNotLeaderError()
+	}
+	return nil
+}
+
 // Leave informs the planner that a worker is about to exit, after the heartbeats that the
-// worker sent before.
+// worker sent before, and waits until the planner answers that the worker may exit, or until ctx
+// ends. It sets msg.LeaveID, which identifies the answer.
 func (lea Leader) Leave(ctx context.Context, msg flow.Leave) error {
 	mem, err := lea.member()
 	if err != nil {
 		return err
 	}
 	reply := make(chan error, 1)
+	msg.LeaveID = mem.lastHeartbeatID.Add(1)
 	run := func(tur group.Turn, _ *cell.State) {
 		if !tur.Role().Leased() || !mem.leading {
 			reply <- newNotLeaderError()
 			return
 		}
+		mem.leaves[msg.LeaveID] = reply
 		mem.step(tur.Now(), msg)
-		reply <- nil
 	}
 	mem.ref.Enqueue(admit.NewItem[string](admit.Reports, mem.vm.clock(), group.NewWork(run, func(why error) { reply <- why })))
 	select {
 	case err := <-reply:
 		return errors.Trace(err)
 	case <-ctx.Done():
+		mem.ref.Do(func(model.Instant, quorum.Role, *cell.State) { delete(mem.leaves, msg.LeaveID) })
 		return errors.Trace(ctx.Err())
 	}
 }
--- a/io/cell/member.go
+++ b/io/cell/member.go
@@ -58,11 +58,13 @@
 	// started again.
 	failed chan struct{}
 	// state is the replicated state of the cell. The group's actor owns it, and also
-	// planner, replies, leading, repair, repairing, termCtx and cancelTerm.
+	// planner, replies, leaves, leading, repair, repairing, termCtx and cancelTerm.
 	state   *cell.State
 	planner *flow.Planner
 	// replies has the channel for the answer to each pending heartbeat, by HeartbeatID.
 	replies map[uint64]chan<- result[flow.Answer]
+	// leaves is the same for announced exits, by LeaveID.
+	leaves map[uint64]chan<- error
 	// leading is true from the first tick under a new leader lease until this VM steps
 	// down.
 	leading bool
@@ -117,10 +119,13 @@
 	}
 	sta := &cell.State{}
 	mem := &member{
-		vm: vm, diskID: fls.Disk(), failed: make(chan struct{}), state: sta, replies: map[uint64]chan<- result[flow.Answer]{}, proposals: newLatest[proposal](),
-		planner: flow.NewPlanner(sta.Jobs(), flow.Config{LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay(), Admission: vm.settings.Admission()}),
-		upkeep:  newUpkeep(sta.Waves(), waves.Config{ReadsPerSecond: vm.settings.PlatformReads(), OrdersPerSecond: vm.settings.PlatformOrders()}),
-		repair:  cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
+		vm: vm, diskID: fls.Disk(), failed: make(chan struct{}), state: sta, replies: map[uint64]chan<- result[flow.Answer]{}, leaves: map[uint64]chan<- error{}, proposals: newLatest[proposal](),
+		planner: flow.NewPlanner(sta.Jobs(), flow.Config{
+			LeaseDuration: vm.settings.LeaseDuration(), JobRetention: vm.settings.JobRetention(), PaceDelay: vm.settings.PaceDelay(), StopTime: vm.settings.StopTime(),
+			Admission: vm.settings.Admission(),
+		}),
+		upkeep: newUpkeep(sta.Waves(), waves.Config{ReadsPerSecond: vm.settings.PlatformReads(), OrdersPerSecond: vm.settings.PlatformOrders()}),
+		repair: cell.Repair{Voters: vm.settings.Voters(), Centre: vm.settings.Centre()},
 
 		jobMemory: limit.NewJobs(vm.memoryMB),
 	}
@@ -259,6 +264,11 @@
 				delete(mem.replies, val.HeartbeatID)
 				reply <- newAnswer(val)
 			}
+		case flow.LeaveAnswer:
+			if reply, ok := mem.leaves[val.LeaveID]; ok {
+				delete(mem.leaves, val.LeaveID)
+				reply <- newLeaveAnswer(val)
+			}
 		case flow.RecordEvent:
 			mem.recordEvent(val)
 		}
--- a/io/config/cell.go
+++ b/io/config/cell.go
@@ -29,6 +29,7 @@
 	// leaseDuration is the smaller one of the keys holdMs and holdMaxMs.
 	leaseDuration   time.Duration
 	paceDelay       time.Duration
+	stopTime        time.Duration
 	jobRetention    time.Duration
 	shutdownTimeout time.Duration
 	centres         []model.CentreID
@@ -106,6 +107,9 @@
 // PaceDelay returns the time from a pace order until the worker applies it.
 func (ce Cell) PaceDelay() time.Duration { return ce.paceDelay }
 
+// StopTime returns the longest time from a stop order until the run has ended.
+func (ce Cell) StopTime() time.Duration { return ce.stopTime }
+
 // JobRetention returns how long the status of an ended job can be read.
 func (ce Cell) JobRetention() time.Duration { return ce.jobRetention }
 
@@ -223,6 +227,7 @@
 	// milliseconds. It bounds holdMs.
 	keyMaxLeaseMs  = intKey("holdMaxMs", 60_000, 500, 60_000)
 	keyPaceDelayMs = intKey("paceDelayMs", 100, 1, 10_000)
+	keyStopTimeMs  = intKey("stopTimeMs", 900, 1, 10_000)
 	// "keepSeconds" is the retention time of ended jobs.
 	keyJobRetention = secondsKey("keepSeconds", 2*time.Minute, time.Second, 24*time.Hour)
 	// "graceSeconds" bounds a planned shutdown.
@@ -332,6 +337,7 @@
 	leaseMs, maxLeaseMs := read(rdr, cellSection, keyLeaseMs), read(rdr, cellSection, keyMaxLeaseMs)
 	ce.leaseDuration = time.Duration(min(leaseMs, maxLeaseMs)) * time.Millisecond
 	ce.paceDelay = time.Duration(read(rdr, cellSection, keyPaceDelayMs)) * time.Millisecond
+	ce.stopTime = time.Duration(read(rdr, cellSection, keyStopTimeMs)) * time.Millisecond
 	ce.jobRetention = read(rdr, cellSection, keyJobRetention)
 	ce.shutdownTimeout = read(rdr, cellSection, keyShutdownTimeout)
 	ce.centres = read(rdr, cellSection, keyCentres)
