Flow: a run that was expected to end before its worker exits is stopped at the last moment

A run of a draining worker that is expected to end in time goes on. If it ends later than expected, in the last moments before the exit, no heartbeat lists its end. Such runs are now stopped Config.StopTime and 0.15 s before the exit, and the worker is asked for a heartbeat then.

--- a/core/flow/draining.go
+++ b/core/flow/draining.go
@@ -11,9 +11,11 @@
 	// drainingLease is the lease of a draining worker. It is shorter than that of others,
 	// because what runs when the worker exits starts again only once the lease has ended.
 	drainingLease = 3 * time.Second
-	// exitStopMargin is the time that a stop takes in addition to Config.StopTime, until the
-	// worker has the order and has listed the end.
+	// exitStopMargin and lastStopMargin are how long before the exit of a draining worker, in
+	// addition to Config.StopTime, the runs are stopped that are not expected to end in time,
+	// and then all others. The last ones are listed before the exit.
 	exitStopMargin = 400 * time.Millisecond
+	lastStopMargin = 150 * time.Millisecond
 	// listDelay is the time from the end of a run until its worker has listed it.
 	listDelay = 100 * time.Millisecond
 )
@@ -29,19 +31,17 @@
 	wk.staysUntil = max(wk.staysUntil, sentAt.Add(hb.Remaining))
 }
 
-// stopLead is how long before the exit of a draining worker its runs are stopped.
-func (cfg Config) stopLead() time.Duration { return cfg.stopTime() + exitStopMargin }
-
-// stopBeforeExit stops the runs of a draining worker that will not end before it exits, shortly
-// before that. Their ends are then listed, so that their tasks start again without a wait for the
-// end of the lease, and from a checkpoint if they make any.
+// stopBeforeExit stops the runs of a draining worker shortly before it exits. Their ends are then
+// listed, so that their tasks start again without a wait for the end of the lease, and from a
+// checkpoint if they make any.
 func (pl *Planner) stopBeforeExit(now model.Instant, wk *worker) {
 	left := wk.staysUntil.Sub(now)
-	if !wk.draining || left > pl.config.stopLead() {
+	if !wk.draining || left > pl.config.stopTime()+exitStopMargin {
 		return
 	}
+	last := left <= pl.config.stopTime()+lastStopMargin
 	for _, pr := range wk.runs {
-		if !pr.planned && !pr.ending && !pr.evicting && !pr.endsWithin(now, left) {
+		if !pr.planned && !pr.ending && !pr.evicting && (last || !pr.endsWithin(now, left)) {
 			pl.evictFrom(wk, pr)
 		}
 	}
@@ -68,12 +68,17 @@
 	return pl.config.leaseDuration()
 }
 
-// delayBeforeExit returns the delay of the next heartbeat of a worker with runs, so that a
-// draining worker sends one when its runs are to be stopped.
+// delayBeforeExit returns the delay of the next heartbeat of a worker, so that a draining worker
+// sends one whenever runs are to be stopped.
 func (pl *Planner) delayBeforeExit(now model.Instant, wk *worker) time.Duration {
 	delay := pl.heartbeatDelay()
-	if left := wk.staysUntil.Sub(now) - pl.config.stopLead(); wk.draining && left > 0 {
-		return min(delay, max(left, busyHeartbeatDelay))
+	if !wk.draining || len(wk.runs) == 0 {
+		return delay
+	}
+	for _, margin := range []time.Duration{exitStopMargin, lastStopMargin} {
+		if left := wk.staysUntil.Sub(now) - pl.config.stopTime() - margin; left > 0 {
+			return min(delay, max(left, idleHeartbeatDelay))
+		}
 	}
 	return delay
 }
--- a/core/flow/draining_test.go
+++ b/core/flow/draining_test.go
@@ -19,7 +19,7 @@
 // Guards against work that is lost with a draining worker, and starts again only once the lease
 // has ended, because it was not stopped in time, or that is stopped though it would have ended.
 func TestRunsAreStoppedBeforeTheirWorkerExits(t *testing.T) {
-	lead := Config{}.stopLead()
+	lead := Config{}.stopTime() + exitStopMargin
 	tests := []struct {
 		name      string
 		step      StepSpec
@@ -32,6 +32,7 @@
 		{"ends in time", StepSpec{Estimate: time.Second}, 90, lead, false},
 		{"ends too late", StepSpec{Estimate: time.Second, Checkpoints: true}, 10, lead, true},
 		{"ends too late, long before the exit", StepSpec{Estimate: time.Second}, 10, lead + time.Second, false},
+		{"ends in time, at the last moment", StepSpec{Estimate: time.Second}, 90, Config{}.stopTime() + lastStopMargin, true},
 		{"should have ended", StepSpec{Estimate: time.Second}, 90, 0, true},
 	}
 	for _, tt := range tests {
--- a/core/flow/leave_test.go
+++ b/core/flow/leave_test.go
@@ -62,7 +62,9 @@
 // Guards against a task that starts again though its worker has listed its success, because the
 // announcement of the worker's exit was handled before that list.
 func TestLastListsOfLeavingWorkersCount(t *testing.T) {
-	playLeaves(t, func(sim *simulation, le *simLeaves) { sim.maxDelay, le.lastLists, le.early = 60*time.Millisecond, true, 2*time.Second })
+	playLeaves(t, func(sim *simulation, le *simLeaves) {
+		sim.maxDelay, le.lastLists, le.early = 60*time.Millisecond, true, 2*time.Second
+	})
 }
 
 // Guards against tasks of leaving workers that start again late: those of workers that exit when
--- a/core/flow/simleave_test.go
+++ b/core/flow/simleave_test.go
@@ -24,7 +24,7 @@
 	silent bool
 	// stay is how long a worker drains, and early how much longer it says it will.
 	stay, early time.Duration
-	num  int
+	num         int
 	// lost holds, for each task that was lost with its worker, when that exited, and
 	// restarts the times from an exit to the next start of such a task.
 	lost     map[TaskID]model.Instant
