--- a/core/flow/leave_test.go
+++ b/core/flow/leave_test.go
@@ -18,7 +18,7 @@
 func playLeaves(t *testing.T, prepare func(sim *simulation, le *simLeaves)) []time.Duration {
 	var restarts []time.Duration
 	for seed := range uint64(leaveSeeds) {
-		sim := newSimulation(t, seed, 1, 10)
+		sim := newSimulation(t, seed, 3, 10)
 		sim.listed = map[TaskID]model.Instant{}
 		le := &simLeaves{sim: sim, stay: 2200 * time.Millisecond}
 		sim.chooseRun = func(*workerSim, TaskID) (time.Duration, Outcome) { return sim.between(0, 6*time.Second), Succeeded }
@@ -31,6 +31,7 @@
 		le.every(time.Second, model.Instant(30*time.Second))
 		sim.run(model.Instant(60 * time.Second))
 		sim.reportViolations(seed)
+		sim.applyLog(sim.vms[0], len(sim.log))
 		for id, jb := range sim.vms[0].st.jobs {
 			if jb.status != Completed {
 				t.Errorf("seed %d: job %s is %v, want completed", seed, id, jb.status)
@@ -59,6 +60,23 @@
 	}
 }
 
+// As TestTasksOfLeavingWorkersRunOnce, while the leader changes: the announcement goes to one
+// leader and the lists to the next, which knows of it from the log or not at all.
+func TestTasksOfLeavingWorkersRunOnceUnderTheNextLeader(t *testing.T) {
+	playLeaves(t, func(sim *simulation, le *simLeaves) {
+		// A leader that fails takes along what it has heard.
+		sim.listed = nil
+		sim.maxDelay, sim.lostShare, le.lastLists, le.early = 60*time.Millisecond, 0.1, true, 2*time.Second
+		for at := 2 * time.Second; at < 30*time.Second; at += 4 * time.Second {
+			sim.at(model.Instant(at), func() {
+				if sim.leader != nil {
+					sim.failOver(time.Second)
+				}
+			})
+		}
+	})
+}
+
 // Guards against a task that starts again though its worker has listed its success, because the
 // announcement of the worker's exit was handled before that list.
 func TestLastListsOfLeavingWorkersCount(t *testing.T) {
