Flow: the success of a run that was recorded as lost counts until its task is done

The same cause on related paths: a later incarnation of a worker, another worker at its address and the end of its lease prove that its runs have ended, but not how. A list with a success that was on its way at that moment was ignored, or acknowledged without being recorded, and the task ran again.

Change: the state takes the success of a run that has another end already, if the task is not done; a later run of the task is stopped. The planner proposes it from any heartbeat of a service, also of a former incarnation, and acknowledges it only once it is recorded.

--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -138,12 +138,12 @@
 	if !ok {
 		return UnknownJob
 	}
+	spec := &jb.spec.Steps[op.task.step]
+	sp := &occ.steps[op.task.step]
 	pos := tk.find(op.attempt)
 	if pos < 0 {
-		return Stale
+		return st.endLate(op)
 	}
-	spec := &jb.spec.Steps[op.task.step]
-	sp := &occ.steps[op.task.step]
 	st.countRun(tk.runs[pos].incarnation, -1)
 	st.countUse(jb, spec, -1)
 	tk.runs = slices.Delete(tk.runs, pos, pos+1)
@@ -158,19 +158,42 @@
 		if spec.LongRunning {
 			break
 		}
-		if spec.Gang {
-			for i := range sp.tasks {
-				st.complete(jb, occ, op.task, i)
-			}
-			break
-		}
-		st.complete(jb, occ, op.task, op.task.index)
+		st.succeed(jb, occ, op.task)
 	case Failed:
 		st.fail(jb, spec, sp, tk)
 	}
 	return Accepted
 }
 
+// endLate records the success of a run whose end was recorded before as another one, such as
+// lost. A later run of the task is stopped then.
+func (st *State) endLate(op Op) Verdict {
+	if op.outcome != Succeeded || !st.awaitsSuccess(op.task, op.attempt) {
+		return Stale
+	}
+	jb, occ, _, _ := st.find(op.task)
+	st.succeed(jb, occ, op.task)
+	return Accepted
+}
+
+// awaitsSuccess reports whether the success of a run that was started completes its task, which
+// is not done yet.
+func (st *State) awaitsSuccess(id TaskID, attempt int) bool {
+	jb, _, tk, ok := st.find(id)
+	return ok && !jb.status.Final() && !tk.done && attempt <= tk.attempt && !jb.spec.Steps[id.step].LongRunning
+}
+
+// succeed marks a task as done. The success of a task of a gang is that of all of them.
+func (st *State) succeed(jb *job, occ *occurrence, id TaskID) {
+	if !jb.spec.Steps[id.step].Gang {
+		st.complete(jb, occ, id, id.index)
+		return
+	}
+	for i := range occ.steps[id.step].tasks {
+		st.complete(jb, occ, id, i)
+	}
+}
+
 // fail counts a failure of a task and fails the job if the task has failed
 // JobSpec.MaxFailures times. The failures of a gang are counted for the gang as
 // a whole, on its first task. A long-running step never fails the job.
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -61,6 +61,9 @@
 	if !ok {
 		// The heartbeat is from an earlier incarnation, arrived after a later one or
 		// names no service; its answer carries no orders and no lease.
+		if pl.isService(hb.Service) {
+			pl.proposeLateSuccesses(hb.Ended)
+		}
 		pl.effects = append(pl.effects, Answer{HeartbeatID: hb.HeartbeatID})
 		return
 	}
@@ -263,6 +266,7 @@
 		}
 		return 0
 	})
+	pl.proposeLateSuccesses(wk.reportedEnds)
 	for i := range wk.reportedEnds {
 		er := &wk.reportedEnds[i]
 		if pr := wk.find(er.Task, er.Attempt); pr != nil {
@@ -281,3 +285,24 @@
 		}
 	}
 }
+
+// isLateSuccess reports whether a worker reports the success of a run for which the state has
+// another end, or of which a record has another end under way, and the task is not done.
+func (pl *Planner) isLateSuccess(er *EndReport) bool {
+	if er.Outcome != Succeeded || !pl.st.awaitsSuccess(er.Task, er.Attempt) {
+		return false
+	}
+	_, pr := pl.findRun(er.Task, er.Attempt)
+	return pr == nil || pr.ending && pr.reportedOutcome != Succeeded
+}
+
+// proposeLateSuccesses proposes the successes of runs whose ends were recorded before the list
+// arrived, because the lease of the worker had ended or a later incarnation was heard.
+func (pl *Planner) proposeLateSuccesses(ended []EndReport) {
+	for i := range ended {
+		if er := &ended[i]; pl.isLateSuccess(er) {
+			pl.pendingOps = append(pl.pendingOps, End(er.Task, er.Attempt, Succeeded, ""))
+			pl.recordEvent("successHeardLate", er.Task.job, er.Task.String(), "", "attempt", strconv.Itoa(er.Attempt))
+		}
+	}
+}
