Flow: announcements of exits and late successes leave nothing behind

TestFollowersForgetExits (10 exits kept, now the last ones) and TestSuccessOfAnUnknownOccurrenceChangesNothing failed before.

--- a/core/flow/apply.go
+++ b/core/flow/apply.go
@@ -179,7 +179,7 @@
 // awaitsSuccess reports whether the success of a run that was started completes its task, which
 // is not done yet.
 func (st *State) awaitsSuccess(id TaskID, attempt int) bool {
-	jb, _, tk, ok := st.find(id)
+	jb, tk, ok := st.lookup(id)
 	return ok && !jb.status.Final() && !tk.done && attempt <= tk.attempt && !jb.spec.Steps[id.step].LongRunning
 }
 
--- a/core/flow/exit.go
+++ b/core/flow/exit.go
@@ -110,13 +110,14 @@
 	if pl.exited == nil {
 		pl.exited = map[Incarnation]model.Instant{}
 	}
+	pl.dropOldExits(now)
 	pl.exited[inc] = now
 }
 
 // forgetExits forgets the announcements that are older than exitRetention. A worker that has not
 // exited since may get tasks again.
 func (pl *Planner) forgetExits(now model.Instant) {
-	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
+	pl.dropOldExits(now)
 	for _, wk := range pl.workers.sorted {
 		if wk.left {
 			_, wk.left = pl.exited[wk.incarnation]
@@ -124,6 +125,10 @@
 	}
 }
 
+func (pl *Planner) dropOldExits(now model.Instant) {
+	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
+}
+
 // isOf reports whether it is the incarnation of wk that is about to exit.
 func (msg Leave) isOf(wk *worker) bool {
 	if msg.StartedAt == 0 {
--- a/core/flow/heartbeat_test.go
+++ b/core/flow/heartbeat_test.go
@@ -201,3 +201,15 @@
 		t.Errorf("answer %+v to the next heartbeat, want one start", ans)
 	}
 }
+
+// Guards against a VM that does not lead and keeps all announcements of exits for good.
+func TestFollowersForgetExits(t *testing.T) {
+	har := newHarness(t)
+	for num := range 10 {
+		har.now = har.now.Add(exitRetention)
+		har.step(har.commit(Left(NewIncarnation("w", int64(num+1)))))
+	}
+	if got := len(har.follower.pl.exited); got > 2 {
+		t.Errorf("%d exits are kept, want those of the last %v", got, exitRetention)
+	}
+}
--- a/core/flow/latesuccess_test.go
+++ b/core/flow/latesuccess_test.go
@@ -91,3 +91,22 @@
 		}
 	}
 }
+
+// Guards against a heartbeat that changes the replicated state: a success of an occurrence that
+// has not begun creates none.
+func TestSuccessOfAnUnknownOccurrenceChangesNothing(t *testing.T) {
+	har := newHarness(t)
+	jo, err := NewJob(JobSpec{ID: "job", Service: "svc", MaxFailures: 9, Repetitions: 5, Interval: time.Hour, Steps: []StepSpec{{Tasks: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	har.step(har.commit(Submit(jo)))
+	before := len(har.st.jobs["job"].occurrences)
+	har.heartbeat("w1", nil, EndReport{Number: 1, Task: NewTaskID("job", 4, 0, 0), Attempt: 1, Outcome: Succeeded})
+	if got := len(har.st.jobs["job"].occurrences); got > before+1 {
+		t.Errorf("%d occurrences, want at most %d", got, before+1)
+	}
+	if _, ok := har.st.jobs["job"].occurrences[4]; ok {
+		t.Error("the last occurrence has been created")
+	}
+}
--- a/core/flow/state.go
+++ b/core/flow/state.go
@@ -274,15 +274,22 @@
 // hasRun reports whether a run of a task may still be on the incarnation of a
 // worker.
 func (st *State) hasRun(id TaskID, attempt int, inc Incarnation) bool {
+	_, tk, ok := st.lookup(id)
+	return ok && slices.Contains(tk.runs, run{attempt: attempt, incarnation: inc})
+}
+
+// lookup resolves a task identifier like find, but changes nothing: it returns false as well
+// if the occurrence was not accessed before.
+func (st *State) lookup(id TaskID) (*job, *task, bool) {
 	jb, ok := st.jobs[id.job]
 	if !ok {
-		return false
+		return nil, nil, false
 	}
 	occ, ok := jb.occurrences[id.occurrence]
 	if !ok || id.step >= len(occ.steps) || id.index >= len(occ.steps[id.step].tasks) {
-		return false
+		return nil, nil, false
 	}
-	return slices.Contains(occ.steps[id.step].tasks[id.index].runs, run{attempt: attempt, incarnation: inc})
+	return jb, &occ.steps[id.step].tasks[id.index], true
 }
 
 // find resolves a task identifier, and returns false if the state does not
