--- a/core/flow/leave_test.go
+++ b/core/flow/leave_test.go
@@ -80,9 +80,13 @@
 // Guards against a task that starts again though its worker has listed its success, because the
 // announcement of the worker's exit was handled before that list.
 func TestLastListsOfLeavingWorkersCount(t *testing.T) {
-	playLeaves(t, func(sim *simulation, le *simLeaves) {
-		sim.maxDelay, le.lastLists, le.early = 60*time.Millisecond, true, 2*time.Second
-	})
+	for _, delay := range []time.Duration{60 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			playLeaves(t, func(sim *simulation, le *simLeaves) {
+				sim.maxDelay, le.lastLists, le.early = delay, true, 2*time.Second
+			})
+		})
+	}
 }
 
 // Guards against tasks of leaving workers that start again late: those of workers that exit when
