--- a/core/flow/applied.go
+++ b/core/flow/applied.go
@@ -47,7 +47,7 @@
 // appliedLeft notes an announced exit. An earlier leader may have decided it, and this one may
 // have a record of the worker.
 func (pl *Planner) appliedLeft(now model.Instant, inc Incarnation) {
-	pl.noteExit(now, inc)
+	pl.exits.note(now, inc)
 	if wk, ok := pl.workers.get(inc.worker); ok && pl.leading && wk.incarnation == inc && !wk.left {
 		pl.markLeft(wk)
 	}
--- a/core/flow/exit.go
+++ b/core/flow/exit.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 
@@ -62,7 +61,7 @@
 	if wk.left {
 		return
 	}
-	pl.noteExit(now, wk.incarnation)
+	pl.exits.note(now, wk.incarnation)
 	pl.pendingOps = append(pl.pendingOps, Left(wk.incarnation))
 	pl.recordEvent("workerLeaves", "", "", wk.incarnation.String(), "runs", strconv.Itoa(len(wk.runs)),
 		"leaseLeftMs", strconv.FormatInt(max(0, wk.leaseEnd.Sub(now)).Milliseconds(), 10))
@@ -79,7 +78,7 @@
 // ends once it has exited, and those that have waited for leaveAnswerTimeout.
 func (pl *Planner) answerLeaves(now model.Instant) {
 	pl.openLeaves = slices.DeleteFunc(pl.openLeaves, func(ol openLeave) bool {
-		done := len(ol.worker.runs) == 0 || now.Sub(pl.exited[ol.worker.incarnation]) >= leaveAnswerTimeout
+		done := len(ol.worker.runs) == 0 || pl.exits.since(now, ol.worker.incarnation) >= leaveAnswerTimeout
 		if done {
 			pl.effects = append(pl.effects, LeaveAnswer{LeaveID: ol.id})
 		}
@@ -104,31 +103,15 @@
 	}
 }
 
-// noteExit records that an incarnation has announced its exit, so that its late heartbeats
-// make no worker of it for exitRetention, also for a later leader.
-func (pl *Planner) noteExit(now model.Instant, inc Incarnation) {
-	if pl.exited == nil {
-		pl.exited = map[Incarnation]model.Instant{}
-	}
-	pl.dropOldExits(now)
-	pl.exited[inc] = now
-}
-
-// forgetExits forgets the announcements that are older than exitRetention. A worker that has not
-// exited since may get tasks again.
-func (pl *Planner) forgetExits(now model.Instant) {
-	pl.dropOldExits(now)
+// reopenWorkers lets workers get tasks again that have announced their exit longer than
+// exitRetention ago and are still there.
+func (pl *Planner) reopenWorkers(now model.Instant) {
+	pl.exits.dropOld(now)
 	for _, wk := range pl.workers.sorted {
-		if wk.left {
-			_, wk.left = pl.exited[wk.incarnation]
-		}
+		wk.left = wk.left && pl.exits.has(wk.incarnation)
 	}
 }
 
-func (pl *Planner) dropOldExits(now model.Instant) {
-	maps.DeleteFunc(pl.exited, func(_ Incarnation, at model.Instant) bool { return now.Sub(at) > exitRetention })
-}
-
 // isOf reports whether it is the incarnation of wk that is about to exit.
 func (msg Leave) isOf(wk *worker) bool {
 	if msg.StartedAt == 0 {
--- a/core/flow/heartbeat_test.go
+++ b/core/flow/heartbeat_test.go
@@ -209,7 +209,7 @@
 		har.now = har.now.Add(exitRetention)
 		har.step(har.commit(Left(NewIncarnation("w", int64(num+1)))))
 	}
-	if got := len(har.follower.pl.exited); got > 2 {
+	if got := len(har.follower.pl.exits.announcedAt); got > 2 {
 		t.Errorf("%d exits are kept, want those of the last %v", got, exitRetention)
 	}
 }
--- a/core/flow/planner.go
+++ b/core/flow/planner.go
@@ -127,10 +127,10 @@
 	touched          *worker
 	recheckAnswers   bool
 	answersCheckedAt model.Instant
-	// exited holds when incarnations have announced their exit, for exitRetention,
-	// so that their late heartbeats are not taken for those of new workers. Every VM
-	// keeps it, since it may lead next. worker.left is set for those.
-	exited map[Incarnation]model.Instant
+	// exits are the announced exits, so that late heartbeats are not taken for those of
+	// new workers. Every VM keeps them, since it may lead next. worker.left is set for
+	// these incarnations.
+	exits exits
 	// openLeaves are the announcements of exits that are not answered yet.
 	openLeaves []openLeave
 	// openJobs are the jobs that had not ended when they were last pruned, in
--- a/core/flow/silence.go
+++ b/core/flow/silence.go
@@ -23,8 +23,7 @@
 // Its lease counts as renewed now, because an earlier leader may have renewed it,
 // unless the state says when it ends.
 func (pl *Planner) newWorker(now model.Instant, inc Incarnation) *worker {
-	wk := &worker{incarnation: inc, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now)}
-	_, wk.left = pl.exited[inc]
+	wk := &worker{incarnation: inc, lastHeartbeat: now, leaseEnd: pl.config.leaseEnd(now), left: pl.exits.has(inc)}
 	if ho := pl.st.hosts[inc]; ho != nil && pl.valid(ho) {
 		wk.silent, wk.leaseEnd = true, min(wk.leaseEnd, ho.leaseEnd)
 	}
--- a/core/flow/term.go
+++ b/core/flow/term.go
@@ -69,7 +69,7 @@
 		jb.clearPlanned()
 	}
 	*pl = Planner{
-		st: pl.st, config: pl.config, effects: pl.effects, outage: pl.outage, services: pl.services, exited: pl.exited,
+		st: pl.st, config: pl.config, effects: pl.effects, outage: pl.outage, services: pl.services, exits: pl.exits,
 		leaseUntil: pl.leaseUntil, wallMs: pl.wallMs, wallReadAt: pl.wallReadAt, ordinary: pl.ordinary, demandSeenAt: pl.demandSeenAt,
 	}
 }
--- a/core/flow/tick.go
+++ b/core/flow/tick.go
@@ -32,7 +32,7 @@
 	}) {
 		pl.recordEvent("workerForgotten", "", "", wk.incarnation.String())
 	}
-	pl.forgetExits(now)
+	pl.reopenWorkers(now)
 	active := pl.formerWorkers[:0]
 	for _, wk := range pl.formerWorkers {
 		pl.expireLease(wk)
