Flow: only ends without a live record are looked up as late successes

Each end of each heartbeat was looked up in the state several times, once more at every check whether the heartbeat may be answered. Now an end is looked up once, and only if its run has no record or is ending.

--- a/core/flow/answer.go
+++ b/core/flow/answer.go
@@ -13,7 +13,7 @@
 	acked := uint64(0)
 	for i := range wk.reportedEnds {
 		er := &wk.reportedEnds[i]
-		if wk.find(er.Task, er.Attempt) != nil || pl.st.hasRun(er.Task, er.Attempt, wk.incarnation) || pl.isLateSuccess(er) {
+		if wk.find(er.Task, er.Attempt) != nil || pl.st.hasRun(er.Task, er.Attempt, wk.incarnation) || wk.lateSuccesses && pl.isLateSuccess(er) {
 			break
 		}
 		acked = er.Number
--- a/core/flow/heartbeat.go
+++ b/core/flow/heartbeat.go
@@ -62,7 +62,9 @@
 		// The heartbeat is from an earlier incarnation, arrived after a later one or
 		// names no service; its answer carries no orders and no lease.
 		if pl.isService(hb.Service) {
-			pl.proposeLateSuccesses(hb.Ended)
+			for i := range hb.Ended {
+				pl.proposeLateSuccess(&hb.Ended[i])
+			}
 		}
 		pl.effects = append(pl.effects, Answer{HeartbeatID: hb.HeartbeatID})
 		return
@@ -266,10 +268,14 @@
 		}
 		return 0
 	})
-	pl.proposeLateSuccesses(wk.reportedEnds)
+	wk.lateSuccesses = false
 	for i := range wk.reportedEnds {
 		er := &wk.reportedEnds[i]
-		if pr := wk.find(er.Task, er.Attempt); pr != nil {
+		pr := wk.find(er.Task, er.Attempt)
+		if pr == nil || pr.ending {
+			wk.lateSuccesses = pl.proposeLateSuccess(er) || wk.lateSuccesses
+		}
+		if pr != nil {
 			checkpoint := er.Checkpoint
 			if checkpoint == "" || len(checkpoint) > maxCheckpoint {
 				checkpoint = pr.checkpoint
--- a/core/flow/latesuccess.go
+++ b/core/flow/latesuccess.go
@@ -12,13 +12,14 @@
 	return pr == nil || pr.ending && pr.reportedOutcome != Succeeded
 }
 
-// proposeLateSuccesses proposes the successes of runs whose ends were recorded before the list
-// arrived, because the lease of the worker had ended or a later incarnation was heard.
-func (pl *Planner) proposeLateSuccesses(ended []EndReport) {
-	for i := range ended {
-		if er := &ended[i]; pl.isLateSuccess(er) {
-			pl.pendingOps = append(pl.pendingOps, End(er.Task, er.Attempt, Succeeded, ""))
-			pl.recordEvent("successHeardLate", er.Task.job, er.Task.String(), "", "attempt", strconv.Itoa(er.Attempt))
-		}
+// proposeLateSuccess proposes the success of a run whose end was recorded before the list arrived,
+// because the lease of the worker had ended or a later incarnation was heard. It returns false if
+// the end is none.
+func (pl *Planner) proposeLateSuccess(er *EndReport) bool {
+	if !pl.isLateSuccess(er) {
+		return false
 	}
+	pl.pendingOps = append(pl.pendingOps, End(er.Task, er.Attempt, Succeeded, ""))
+	pl.recordEvent("successHeardLate", er.Task.job, er.Task.String(), "", "attempt", strconv.Itoa(er.Attempt))
+	return true
 }
--- a/core/flow/worker.go
+++ b/core/flow/worker.go
@@ -186,6 +186,9 @@
 	// plansBefore is how many plans this leader had made before it arrived.
 	reportedEnds []EndReport
 	plansBefore  uint64
+	// lateSuccesses is set if these ends may have a success that is proposed though the run
+	// has another end.
+	lateSuccesses bool
 	// unknownRuns are the runs in the last heartbeat that have no record in runs.
 	// What they reserve is unknown, and the next answer orders to stop them.
 	unknownRuns []StopOrder
